--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -0,0 +1,49 @@
+package org.sardineport.core.admission;
+
+import java.time.Instant;
+import java.util.Objects;
+
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * All that scheduling needs to know of a request.
+ *
+ * @param id identity of the request
+ * @param pool pool whose backend servers can run it
+ * @param organisation organisation that sent it
+ * @param tier its urgency
+ * @param estimate its size in tokens
+ * @param prefixHash hash of the prompt's first block, for cache affinity; 0 if none
+ * @param fingerprint hash by which a repeated request is known
+ * @param runningPolicy what may be done to it once it runs
+ * @param organisationTokensPerSecond fleet-wide limit of the organisation in estimated
+ * tokens a second; 0 for none
+ * @param arrival when it was received
+ * @param deadline when its answer must be complete
+ */
+public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
+		TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
+		long organisationTokensPerSecond, Instant arrival, Instant deadline) {
+
+	/**
+	 * Creates the request.
+	 */
+	public SchedulingRequest {
+		Objects.requireNonNull(id, "id must not be null");
+		Objects.requireNonNull(pool, "pool must not be null");
+		Objects.requireNonNull(organisation, "organisation must not be null");
+		Objects.requireNonNull(tier, "tier must not be null");
+		Objects.requireNonNull(estimate, "estimate must not be null");
+		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
+		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
+		Objects.requireNonNull(arrival, "arrival must not be null");
+		Objects.requireNonNull(deadline, "deadline must not be null");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationSnapshot.java
@@ -0,0 +1,40 @@
+package org.sardineport.core.configuration;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.Profile;
+
+/**
+ * All profiles in force at one version. Immutable; a request keeps the snapshot that it
+ * was admitted under.
+ *
+ * @param version offset in the log of the newest accepted record, or {@link #NO_VERSION}
+ * @param profiles the profiles by name
+ */
+public record ConfigurationSnapshot(long version, Map<ProfileName, Profile> profiles) {
+
+	/** Version before anything was published. */
+	public static final long NO_VERSION = -1;
+
+	/** The state before anything was published. */
+	public static final ConfigurationSnapshot EMPTY = new ConfigurationSnapshot(NO_VERSION, Map.of());
+
+	/**
+	 * Creates the snapshot.
+	 */
+	public ConfigurationSnapshot {
+		profiles = Map.copyOf(profiles);
+	}
+
+	/**
+	 * Returns a profile in force.
+	 * @param name its name
+	 * @return the profile, or empty if it is not published
+	 */
+	public Optional<Profile> profile(ProfileName name) {
+		return Optional.ofNullable(this.profiles.get(name));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/fleet/FleetSnapshot.java
@@ -0,0 +1,48 @@
+package org.sardineport.core.fleet;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.PoolName;
+
+/**
+ * The fleet as this daemon knows it. Immutable.
+ *
+ * @param self this daemon
+ * @param members all known daemons, this one included
+ * @param backendServers backend servers that may get new work: listed as live, and not
+ * known to leave
+ */
+public record FleetSnapshot(DaemonId self, List<Member> members, List<BackendServer> backendServers) {
+
+	/**
+	 * Creates the snapshot.
+	 */
+	public FleetSnapshot {
+		Objects.requireNonNull(self, "self must not be null");
+		members = List.copyOf(members);
+		backendServers = List.copyOf(backendServers);
+	}
+
+	/**
+	 * Returns a daemon by name.
+	 * @param id its name
+	 * @return the daemon, or empty if it is not known
+	 */
+	public Optional<Member> member(DaemonId id) {
+		return this.members.stream().filter((member) -> member.id().equals(id)).findFirst();
+	}
+
+	/**
+	 * Returns the backend servers of a pool.
+	 * @param pool the pool
+	 * @return those that may get new work
+	 */
+	public List<BackendServer> pool(PoolName pool) {
+		return this.backendServers.stream().filter((server) -> server.pool().equals(pool)).toList();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/journal/StoredAnswer.java
@@ -0,0 +1,23 @@
+package org.sardineport.core.journal;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A whole answer kept by the journal.
+ *
+ * @param status HTTP status
+ * @param headers headers to repeat, by lower-case name
+ * @param body the body; the array is not copied and must not be changed
+ */
+public record StoredAnswer(int status, Map<String, String> headers, byte[] body) {
+
+	/**
+	 * Creates the answer.
+	 */
+	public StoredAnswer {
+		headers = Map.copyOf(headers);
+		Objects.requireNonNull(body, "body must not be null");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/port/backend/BackendException.java
@@ -0,0 +1,47 @@
+package org.sardineport.core.port.backend;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.error.SardineportException;
+
+/**
+ * An exchange with a backend server failed.
+ */
+public final class BackendException extends SardineportException {
+
+	private final BackendFailure failure;
+
+	private BackendException(BackendFailure failure, String message, @Nullable Throwable cause) {
+		super(message, failure.remedy(), cause);
+		this.failure = failure;
+	}
+
+	/**
+	 * Returns an error of the given kind.
+	 * @param failure the kind
+	 * @param message what was tried and found
+	 * @return the error
+	 */
+	public static BackendException of(BackendFailure failure, String message) {
+		return new BackendException(failure, message, null);
+	}
+
+	/**
+	 * Returns an error of the given kind with its cause.
+	 * @param failure the kind
+	 * @param message what was tried and found
+	 * @param cause the cause
+	 * @return the error
+	 */
+	public static BackendException of(BackendFailure failure, String message, Throwable cause) {
+		return new BackendException(failure, message, cause);
+	}
+
+	/**
+	 * Returns the kind of the failure.
+	 * @return the kind
+	 */
+	public BackendFailure failure() {
+		return this.failure;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/request/RefusalReason.java
@@ -0,0 +1,148 @@
+package org.sardineport.core.request;
+
+import java.util.Locale;
+
+/**
+ * Why a request got a problem document in place of a backend server's answer. Each reason
+ * fixes the HTTP status, the outcome told to the caller, and the remedy.
+ */
+public enum RefusalReason {
+
+	/** A required header is missing. */
+	MISSING_HEADER(400, Outcome.NOT_RUN, "Send the headers that the detail names."),
+
+	/** A header holds a value that is not allowed. */
+	INVALID_HEADER(400, Outcome.NOT_RUN, "Correct the header that the detail names."),
+
+	/** The body is larger than the route allows. */
+	BODY_TOO_LARGE(413, Outcome.NOT_RUN, "Send a smaller body, or ask the operators to raise the route's limit."),
+
+	/** The caller sent its body too slowly. */
+	BODY_TOO_SLOW(408, Outcome.NOT_RUN, "Send the whole body within the time limit."),
+
+	/** No profile of that name is in force. */
+	UNKNOWN_PROFILE(404, Outcome.NOT_RUN, "Use the name of a published profile."),
+
+	/** The profile has no such organisation. */
+	UNKNOWN_ORGANISATION(403, Outcome.NOT_RUN, "Ask the operators to add the organisation to the profile."),
+
+	/** The organisation's token is missing or wrong. */
+	UNAUTHORIZED(401, Outcome.NOT_RUN, "Send one of the organisation's tokens as a bearer token."),
+
+	/** The profile has no route for the method and path. */
+	NO_ROUTE(404, Outcome.NOT_RUN, "Use a method and path that the profile lists."),
+
+	/** A non-idempotent request came without a key. */
+	KEY_REQUIRED(400, Outcome.NOT_RUN, "Send an Idempotency-Key, a UUID version 7 made for this request."),
+
+	/** The key has no acceptable form. */
+	KEY_INVALID(400, Outcome.NOT_RUN, "Send a UUID version 7, or any other key together with Sardineport-Issued-At."),
+
+	/** The key was made before the replay window, or in the future. */
+	KEY_OUT_OF_WINDOW(422, Outcome.NOT_RUN, "Make a new key, after a check that the old request did not run."),
+
+	/** The key was used before with another body. */
+	KEY_REUSED(422, Outcome.NOT_RUN, "Make a new key for each different request."),
+
+	/** The journal has not been replayed yet, or its log service is down. */
+	JOURNAL_UNAVAILABLE(503, Outcome.NOT_RUN, "Send the request again with the same key."),
+
+	/** The journal's append budget is used up. */
+	JOURNAL_BUSY(503, Outcome.NOT_RUN, "Send the request again with the same key after the given time."),
+
+	/** The journal could not settle in time whether the request may run. */
+	JOURNAL_UNSETTLED(504, Outcome.UNKNOWN, "Ask for the state of the key before sending again."),
+
+	/** The organisation used up its limit. */
+	ORGANISATION_LIMIT(429, Outcome.NOT_RUN, "Send again after the given time, or ask the operators for more."),
+
+	/** More urgent work leaves no room for this tier. */
+	OVERLOADED(503, Outcome.NOT_RUN, "Send again after the given time."),
+
+	/** The request cannot finish before its deadline. */
+	DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, "Allow more time, or send again after the given time."),
+
+	/** The deadline passed while the request waited. */
+	DEADLINE_PASSED(504, Outcome.NOT_RUN, "Send again after the given time."),
+
+	/** No backend server of the pool is up. */
+	NO_BACKEND_SERVER(503, Outcome.NOT_RUN, "Send again after the given time; operators see the pool in status."),
+
+	/** A ring between two duties is full. */
+	RING_FULL(503, Outcome.NOT_RUN, "Send to another entry address."),
+
+	/** Requests like this one crashed the backend servers that ran them. */
+	QUARANTINED(422, Outcome.NOT_RUN, "Change the request; it has crashed the backend servers that ran it."),
+
+	/** The daemon is stopping and the caller's address is past its keep time. */
+	STOPPING(503, Outcome.NOT_RUN, "Use another address from the entry list."),
+
+	/** The daemon is not ready to serve. */
+	NOT_READY(503, Outcome.NOT_RUN, "Use another address from the entry list."),
+
+	/** The retry budget is used up. */
+	RETRY_BUDGET_SPENT(503, Outcome.NOT_RUN, "Send again after the given time."),
+
+	/** The connection to the backend server could not be made. */
+	BACKEND_UNREACHABLE(502, Outcome.NOT_RUN, "Send again after the given time."),
+
+	/** The backend server failed after the request was dispatched. */
+	BACKEND_FAILED(502, Outcome.UNKNOWN, "Check whether the request took effect before sending it again."),
+
+	/** The answer ended before its end mark. */
+	ANSWER_TRUNCATED(502, Outcome.UNKNOWN, "Discard the partial answer."),
+
+	/** The backend server did not answer within the deadline. */
+	BACKEND_TIMEOUT(504, Outcome.UNKNOWN, "Check whether the request took effect before sending it again."),
+
+	/** Running work was cancelled to make room for the top tier. */
+	PREEMPTED(503, Outcome.UNKNOWN, "Send again after the given time."),
+
+	/** The caller left before the answer began. */
+	CALLER_GONE(499, Outcome.NOT_RUN, "Keep the connection open until the answer has come.");
+
+	private final int status;
+
+	private final Outcome outcome;
+
+	private final String remedy;
+
+	RefusalReason(int status, Outcome outcome, String remedy) {
+		this.status = status;
+		this.outcome = outcome;
+		this.remedy = remedy;
+	}
+
+	/**
+	 * Returns the HTTP status of the refusal.
+	 * @return the status code
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns what the caller is told of the request.
+	 * @return the outcome
+	 */
+	public Outcome outcome() {
+		return this.outcome;
+	}
+
+	/**
+	 * Returns what the caller can do.
+	 * @return one sentence
+	 */
+	public String remedy() {
+		return this.remedy;
+	}
+
+	/**
+	 * Returns the name in problem documents, metrics and logs.
+	 * @return the name in lower case with dashes
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/telemetry/Telemetry.java
@@ -0,0 +1,102 @@
+package org.sardineport.daemon.telemetry;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.request.Tier;
+
+/**
+ * The daemon's metrics. Counters of all refusal and retry reasons exist at zero from the
+ * start. Safe for use by any thread.
+ */
+public final class Telemetry {
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private Telemetry() {
+		for (RefusalReason reason : RefusalReason.values()) {
+			refused(reason);
+		}
+		for (RetryReason reason : RetryReason.values()) {
+			retried(reason);
+		}
+		for (Tier tier : Tier.values()) {
+			completed(tier);
+			duration(tier);
+			timeToFirstByte(tier);
+		}
+	}
+
+	/**
+	 * Returns new metrics.
+	 * @return the metrics, with counters at zero
+	 */
+	public static Telemetry create() {
+		return new Telemetry();
+	}
+
+	/**
+	 * Returns the registry that holds all metrics.
+	 * @return the registry
+	 */
+	public MetricRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Returns the counter of a refusal reason.
+	 * @param reason the reason
+	 * @return the counter
+	 */
+	public Counter refused(RefusalReason reason) {
+		return this.registry.counter("requests.refused." + reason.label());
+	}
+
+	/**
+	 * Returns the counter of a retry reason.
+	 * @param reason the reason
+	 * @return the counter
+	 */
+	public Counter retried(RetryReason reason) {
+		return this.registry.counter("requests.retried." + reason.label());
+	}
+
+	/**
+	 * Returns the counter of whole answers given.
+	 * @param tier the tier
+	 * @return the counter
+	 */
+	public Counter completed(Tier tier) {
+		return this.registry.counter("requests.completed." + tier.label());
+	}
+
+	/**
+	 * Returns the timer from a request's arrival to the end of its answer.
+	 * @param tier the tier
+	 * @return the timer
+	 */
+	public Timer duration(Tier tier) {
+		return this.registry.timer("requests.duration." + tier.label());
+	}
+
+	/**
+	 * Returns the timer from a request's arrival to the first byte of its answer's body.
+	 * @param tier the tier
+	 * @return the timer
+	 */
+	public Timer timeToFirstByte(Tier tier) {
+		return this.registry.timer("requests.first-byte." + tier.label());
+	}
+
+	/**
+	 * Returns a counter by name, for what has no typed reason.
+	 * @param name the name, words joined by dots and dashes
+	 * @return the counter
+	 */
+	public Counter counter(String name) {
+		return this.registry.counter(name);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/duty/DutyTests.java
@@ -0,0 +1,74 @@
+package org.sardineport.daemon.duty;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DutyTests {
+
+	private static final Duration NEVER = Duration.ofDays(1);
+
+	private static Duty duty(int ringSize) {
+		return Duty.create("test", ringSize, NEVER, () -> {
+		});
+	}
+
+	@Test
+	void runsCommandsInOrderOnOneThread() {
+		Duty duty = duty(16);
+		List<String> seen = new ArrayList<>();
+		duty.start();
+		CompletableFuture<Void> done = new CompletableFuture<>();
+		duty.offer(() -> seen.add("first " + Thread.currentThread().getName()));
+		duty.offer(() -> {
+			seen.add("second " + Thread.currentThread().getName());
+			done.complete(null);
+		});
+		done.join();
+		assertThat(seen).containsExactly("first test", "second test");
+		duty.stop().toCompletableFuture().join();
+	}
+
+	@Test
+	void refusesCommandsWhenTheRingIsFull() {
+		Duty duty = duty(2);
+		Runnable nothing = () -> {
+		};
+		assertThat(duty.offer(nothing)).isTrue();
+		assertThat(duty.offer(nothing)).isTrue();
+		assertThat(duty.offer(nothing)).isFalse();
+		assertThat(duty.waiting()).isEqualTo(2);
+	}
+
+	@Test
+	void goesOnAfterACommandThatFailed() {
+		Duty duty = duty(16);
+		CompletableFuture<Void> done = new CompletableFuture<>();
+		duty.offer(() -> {
+			throw new IllegalStateException("expected by the test");
+		});
+		duty.offer(() -> done.complete(null));
+		duty.start();
+		done.join();
+		duty.stop().toCompletableFuture().join();
+	}
+
+	@Test
+	void runsWaitingCommandsBeforeItStops() {
+		Duty duty = duty(16);
+		List<Integer> seen = new ArrayList<>();
+		for (int i = 0; i < 10; i++) {
+			int number = i;
+			duty.offer(() -> seen.add(number));
+		}
+		duty.start();
+		duty.stop().toCompletableFuture().join();
+		assertThat(seen).hasSize(10);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/telemetry/EventLogTests.java
@@ -0,0 +1,27 @@
+package org.sardineport.daemon.telemetry;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class EventLogTests {
+
+	@Test
+	void writesPlainValuesAsTheyAre() {
+		assertThat(EventLog.line("request.refused", "reason", "overloaded", "count", 3))
+			.isEqualTo("event=request.refused reason=overloaded count=3");
+	}
+
+	@Test
+	void quotesValuesThatCouldForgeAPairOrALine() {
+		assertThat(EventLog.line("x", "header", "a b=c\n\"d\"")).isEqualTo("event=x header=\"a b=c\\u000a\\\"d\\\"\"");
+	}
+
+	@Test
+	void refusesAKeyWithoutValue() {
+		assertThatIllegalArgumentException().isThrownBy(() -> EventLog.line("x", "key"))
+			.withMessageContaining("keys and values in turn");
+	}
+
+}
