Add ownership by rendezvous hashing and the transport between daemons

Cause: the other areas need owners of backend servers and a way to send their messages.

Change: Ownership ranks eligible daemons, the backend server's own failure domain first. Areas register a PeerCodec each.

Ruled out: TCP, which would need a connection for each pair that probes each other and gives an order and delivery that the port does not promise.

--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/membership/LeavingNews.java
@@ -0,0 +1,27 @@
+package org.sardineport.core.membership;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.sardineport.core.identity.BackendServerId;
+
+/**
+ * A backend server said of itself that it is leaving.
+ *
+ * @param backendServer the backend server
+ * @param age time since it said so
+ */
+public record LeavingNews(BackendServerId backendServer, Duration age) {
+
+	/**
+	 * Creates the news.
+	 * @throws IllegalArgumentException if the age is negative
+	 */
+	public LeavingNews {
+		Objects.requireNonNull(backendServer, "backendServer must not be null");
+		if (age.isNegative()) {
+			throw new IllegalArgumentException("age must not be negative, found %s".formatted(age));
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/membership/StrikeNews.java
@@ -0,0 +1,30 @@
+package org.sardineport.core.membership;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.request.Fingerprint;
+
+/**
+ * A strike against a request: its connection broke as a backend server died.
+ *
+ * @param fingerprint the request
+ * @param backendServer the backend server that died
+ * @param remaining time for which the strike still counts
+ */
+public record StrikeNews(Fingerprint fingerprint, BackendServerId backendServer, Duration remaining) {
+
+	/**
+	 * Creates the strike.
+	 * @throws IllegalArgumentException if the remaining time is negative
+	 */
+	public StrikeNews {
+		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
+		Objects.requireNonNull(backendServer, "backendServer must not be null");
+		if (remaining.isNegative()) {
+			throw new IllegalArgumentException("remaining must not be negative, found %s".formatted(remaining));
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/ownership/Ownership.java
@@ -0,0 +1,106 @@
+package org.sardineport.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+
+/**
+ * Rendezvous hashing of backend servers over the eligible daemons: each daemon has a
+ * score for each backend server, and the highest score owns it. Daemons of the backend
+ * server's own failure domain go before all others. When a daemon comes or goes, only
+ * what it wins or held moves.
+ *
+ * <p>
+ * Ownership is a hint that avoids waste. Daemons whose views differ for a while may both
+ * take themselves for the owner. Pure and safe for use by any thread.
+ */
+public final class Ownership {
+
+	private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+	private Ownership() {
+	}
+
+	/**
+	 * Returns the owner of a backend server.
+	 * @param server the backend server
+	 * @param members the daemons known, in any order; those not eligible are passed over
+	 * @return the owner, or empty if no daemon is eligible
+	 */
+	public static Optional<Member> owner(BackendServer server, Collection<Member> members) {
+		Objects.requireNonNull(server, "server must not be null");
+		return rank(server.failureDomain(), server.id().value(), members, 1).stream().findFirst();
+	}
+
+	/**
+	 * Returns the daemons to ask in turn, the owner first.
+	 * @param server the backend server
+	 * @param members the daemons known, in any order; those not eligible are passed over
+	 * @param maximum most daemons to return, at least 1
+	 * @return the owner and those that follow it
+	 * @throws IllegalArgumentException if {@code maximum} is less than 1
+	 */
+	public static List<Member> successors(BackendServer server, Collection<Member> members, int maximum) {
+		Objects.requireNonNull(server, "server must not be null");
+		return rank(server.failureDomain(), server.id().value(), members, maximum);
+	}
+
+	/**
+	 * Returns the daemon that keeps a fleet-wide matter known by a name, such as an
+	 * organisation's quota, with no failure domain preferred.
+	 * @param key the name
+	 * @param members the daemons known, in any order; those not eligible are passed over
+	 * @return the owner, or empty if no daemon is eligible
+	 */
+	public static Optional<Member> ownerOfKey(String key, Collection<Member> members) {
+		Objects.requireNonNull(key, "key must not be null");
+		return members.stream()
+			.filter((member) -> member.status().isEligible())
+			.map((member) -> new Scored(member, true, score(key, member.id())))
+			.min(Scored.ORDER)
+			.map(Scored::member);
+	}
+
+	private static List<Member> rank(FailureDomain preferred, String key, Collection<Member> members, int maximum) {
+		if (maximum < 1) {
+			throw new IllegalArgumentException("maximum must be at least 1, found %d".formatted(maximum));
+		}
+		List<Scored> scored = new ArrayList<>(members.size());
+		for (Member member : members) {
+			if (member.status().isEligible()) {
+				scored.add(new Scored(member, member.failureDomain().equals(preferred), score(key, member.id())));
+			}
+		}
+		return scored.stream().sorted(Scored.ORDER).limit(maximum).map(Scored::member).toList();
+	}
+
+	private static long score(String key, DaemonId daemon) {
+		return HASHER.hashStream().putString(key).putString(daemon.value()).getAsLong();
+	}
+
+	/**
+	 * A daemon with its score.
+	 *
+	 * @param member the daemon
+	 * @param local whether it is in the preferred failure domain
+	 * @param score its score, unsigned
+	 */
+	private record Scored(Member member, boolean local, long score) {
+
+		private static final Comparator<Scored> ORDER = Comparator.comparing((Scored scored) -> !scored.local())
+			.thenComparing((first, second) -> Long.compareUnsigned(second.score(), first.score()))
+			.thenComparing((scored) -> scored.member().id());
+
+	}
+
+}
--- a/wire/src/main/java/org/sardineport/wire/message/Envelope.java
+++ b/wire/src/main/java/org/sardineport/wire/message/Envelope.java
@@ -322,6 +322,44 @@
     sentAtMillis_ = 0L;
   }
 
+  public static final int SEQUENCE_FIELD_NUMBER = 7;
+  private long sequence_;
+  /**
+   * <pre>
+   * Grows by one with each frame of this incarnation; repeated frames are dropped.
+   * </pre>
+   *
+   * <code>uint64 sequence = 7;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+  /**
+   * <pre>
+   * Grows by one with each frame of this incarnation; repeated frames are dropped.
+   * </pre>
+   *
+   * <code>uint64 sequence = 7;</code>
+   * @param value The sequence to set.
+   */
+  private void setSequence(long value) {
+    
+    sequence_ = value;
+  }
+  /**
+   * <pre>
+   * Grows by one with each frame of this incarnation; repeated frames are dropped.
+   * </pre>
+   *
+   * <code>uint64 sequence = 7;</code>
+   */
+  private void clearSequence() {
+
+    sequence_ = 0L;
+  }
+
   public static final int MEMBERSHIP_FIELD_NUMBER = 10;
   /**
    * <code>.sardineport.MembershipMessage membership = 10;</code>
@@ -854,6 +892,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Grows by one with each frame of this incarnation; repeated frames are dropped.
+     * </pre>
+     *
+     * <code>uint64 sequence = 7;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return instance.getSequence();
+    }
+    /**
+     * <pre>
+     * Grows by one with each frame of this incarnation; repeated frames are dropped.
+     * </pre>
+     *
+     * <code>uint64 sequence = 7;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+      copyOnWrite();
+      instance.setSequence(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Grows by one with each frame of this incarnation; repeated frames are dropped.
+     * </pre>
+     *
+     * <code>uint64 sequence = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      copyOnWrite();
+      instance.clearSequence();
+      return this;
+    }
+
     /**
      * <code>.sardineport.MembershipMessage membership = 10;</code>
      */
@@ -1022,13 +1100,14 @@
             "senderIp_",
             "senderPort_",
             "sentAtMillis_",
+            "sequence_",
             org.sardineport.wire.message.MembershipMessage.class,
             org.sardineport.wire.message.SchedulingMessage.class,
             org.sardineport.wire.message.ConfigurationMessage.class,
           };
           java.lang.String info =
-              "\u0000\t\u0001\u0000\u0001\f\t\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0003" +
-              "\u0004\u0208\u0005\u000b\u0006\u0003\n<\u0000\u000b<\u0000\f<\u0000";
+              "\u0000\n\u0001\u0000\u0001\f\n\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0003" +
+              "\u0004\u0208\u0005\u000b\u0006\u0003\u0007\u0003\n<\u0000\u000b<\u0000\f<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
@@ -76,6 +76,16 @@
    */
   long getSentAtMillis();
 
+  /**
+   * <pre>
+   * Grows by one with each frame of this incarnation; repeated frames are dropped.
+   * </pre>
+   *
+   * <code>uint64 sequence = 7;</code>
+   * @return The sequence.
+   */
+  long getSequence();
+
   /**
    * <code>.sardineport.MembershipMessage membership = 10;</code>
    * @return Whether the membership field is set.
--- a/wire/src/main/java/org/sardineport/wire/message/MembershipMessage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MembershipMessage.java
@@ -17,6 +17,7 @@
   private MembershipMessage() {
     updates_ = emptyProtobufList();
     strikes_ = emptyProtobufList();
+    leavingBackends_ = emptyProtobufList();
   }
   private int bodyCase_ = 0;
   private java.lang.Object body_;
@@ -305,6 +306,103 @@
     strikes_.remove(index);
   }
 
+  public static final int LEAVING_BACKENDS_FIELD_NUMBER = 3;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.LeavingBackend> leavingBackends_;
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.LeavingBackend> getLeavingBackendsList() {
+    return leavingBackends_;
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.LeavingBackendOrBuilder> 
+      getLeavingBackendsOrBuilderList() {
+    return leavingBackends_;
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.Override
+  public int getLeavingBackendsCount() {
+    return leavingBackends_.size();
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.LeavingBackend getLeavingBackends(int index) {
+    return leavingBackends_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  public org.sardineport.wire.message.LeavingBackendOrBuilder getLeavingBackendsOrBuilder(
+      int index) {
+    return leavingBackends_.get(index);
+  }
+  private void ensureLeavingBackendsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.LeavingBackend> tmp = leavingBackends_;
+    if (!tmp.isModifiable()) {
+      leavingBackends_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setLeavingBackends(
+      int index, org.sardineport.wire.message.LeavingBackend value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLeavingBackendsIsMutable();
+    leavingBackends_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addLeavingBackends(org.sardineport.wire.message.LeavingBackend value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLeavingBackendsIsMutable();
+    leavingBackends_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addLeavingBackends(
+      int index, org.sardineport.wire.message.LeavingBackend value) {
+    value.getClass();  // minimal bytecode null check
+    ensureLeavingBackendsIsMutable();
+    leavingBackends_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  private void addAllLeavingBackends(
+      java.lang.Iterable<? extends org.sardineport.wire.message.LeavingBackend> values) {
+    ensureLeavingBackendsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, leavingBackends_);
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  private void clearLeavingBackends() {
+    leavingBackends_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  private void removeLeavingBackends(int index) {
+    ensureLeavingBackendsIsMutable();
+    leavingBackends_.remove(index);
+  }
+
   public static final int PROBE_FIELD_NUMBER = 10;
   /**
    * <code>.sardineport.Probe probe = 10;</code>
@@ -926,6 +1024,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.LeavingBackend> getLeavingBackendsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getLeavingBackendsList());
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    @java.lang.Override
+    public int getLeavingBackendsCount() {
+      return instance.getLeavingBackendsCount();
+    }/**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.LeavingBackend getLeavingBackends(int index) {
+      return instance.getLeavingBackends(index);
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder setLeavingBackends(
+        int index, org.sardineport.wire.message.LeavingBackend value) {
+      copyOnWrite();
+      instance.setLeavingBackends(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder setLeavingBackends(
+        int index, org.sardineport.wire.message.LeavingBackend.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLeavingBackends(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder addLeavingBackends(org.sardineport.wire.message.LeavingBackend value) {
+      copyOnWrite();
+      instance.addLeavingBackends(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder addLeavingBackends(
+        int index, org.sardineport.wire.message.LeavingBackend value) {
+      copyOnWrite();
+      instance.addLeavingBackends(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder addLeavingBackends(
+        org.sardineport.wire.message.LeavingBackend.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLeavingBackends(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder addLeavingBackends(
+        int index, org.sardineport.wire.message.LeavingBackend.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLeavingBackends(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder addAllLeavingBackends(
+        java.lang.Iterable<? extends org.sardineport.wire.message.LeavingBackend> values) {
+      copyOnWrite();
+      instance.addAllLeavingBackends(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder clearLeavingBackends() {
+      copyOnWrite();
+      instance.clearLeavingBackends();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+     */
+    public Builder removeLeavingBackends(int index) {
+      copyOnWrite();
+      instance.removeLeavingBackends(index);
+      return this;
+    }
+
     /**
      * <code>.sardineport.Probe probe = 10;</code>
      */
@@ -1188,6 +1388,8 @@
             org.sardineport.wire.message.MemberUpdate.class,
             "strikes_",
             org.sardineport.wire.message.Strike.class,
+            "leavingBackends_",
+            org.sardineport.wire.message.LeavingBackend.class,
             org.sardineport.wire.message.Probe.class,
             org.sardineport.wire.message.ProbeAnswer.class,
             org.sardineport.wire.message.IndirectProbe.class,
@@ -1195,8 +1397,8 @@
             org.sardineport.wire.message.JoinAnswer.class,
           };
           java.lang.String info =
-              "\u0000\u0007\u0001\u0000\u0001\u000e\u0007\u0000\u0002\u0000\u0001\u001b\u0002\u001b" +
-              "\n<\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000";
+              "\u0000\b\u0001\u0000\u0001\u000e\b\u0000\u0003\u0000\u0001\u001b\u0002\u001b\u0003" +
+              "\u001b\n<\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/MembershipMessageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MembershipMessageOrBuilder.java
@@ -50,6 +50,20 @@
    */
   int getStrikesCount();
 
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  java.util.List<org.sardineport.wire.message.LeavingBackend> 
+      getLeavingBackendsList();
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  org.sardineport.wire.message.LeavingBackend getLeavingBackends(int index);
+  /**
+   * <code>repeated .sardineport.LeavingBackend leaving_backends = 3;</code>
+   */
+  int getLeavingBackendsCount();
+
   /**
    * <code>.sardineport.Probe probe = 10;</code>
    * @return Whether the probe field is set.
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/transport/FrameDroppedException.java
@@ -0,0 +1,31 @@
+package org.sardineport.wire.transport;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.error.SardineportException;
+
+/**
+ * A frame was not sent or not heard.
+ */
+final class FrameDroppedException extends SardineportException {
+
+	private final DropReason reason;
+
+	private FrameDroppedException(DropReason reason, @Nullable Throwable cause) {
+		super("frame dropped: " + reason.label(), "Compare fleet name, keys, clocks and release of the daemons.",
+				cause);
+		this.reason = reason;
+	}
+
+	static FrameDroppedException of(DropReason reason) {
+		return new FrameDroppedException(reason, null);
+	}
+
+	static FrameDroppedException of(DropReason reason, Throwable cause) {
+		return new FrameDroppedException(reason, cause);
+	}
+
+	DropReason reason() {
+		return this.reason;
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -0,0 +1,190 @@
+package org.sardineport.wire.transport;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.membership.IndirectProbeRequest;
+import org.sardineport.core.membership.JoinRequest;
+import org.sardineport.core.membership.JoinResponse;
+import org.sardineport.core.membership.LeavingNews;
+import org.sardineport.core.membership.MembershipMessage;
+import org.sardineport.core.membership.News;
+import org.sardineport.core.membership.ProbeRequest;
+import org.sardineport.core.membership.ProbeResponse;
+import org.sardineport.core.membership.StrikeNews;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.wire.message.Envelope;
+import org.sardineport.wire.message.IndirectProbe;
+import org.sardineport.wire.message.Join;
+import org.sardineport.wire.message.JoinAnswer;
+import org.sardineport.wire.message.LeavingBackend;
+import org.sardineport.wire.message.MemberState;
+import org.sardineport.wire.message.MemberUpdate;
+import org.sardineport.wire.message.Probe;
+import org.sardineport.wire.message.ProbeAnswer;
+import org.sardineport.wire.message.Strike;
+
+/**
+ * Codec of the membership messages.
+ */
+public final class MembershipCodec implements PeerCodec<MembershipMessage> {
+
+	private MembershipCodec() {
+	}
+
+	/**
+	 * Returns the codec.
+	 * @return the codec
+	 */
+	public static MembershipCodec create() {
+		return new MembershipCodec();
+	}
+
+	@Override
+	public Class<MembershipMessage> type() {
+		return MembershipMessage.class;
+	}
+
+	@Override
+	public Envelope.BodyCase bodyCase() {
+		return Envelope.BodyCase.MEMBERSHIP;
+	}
+
+	@Override
+	public void encode(MembershipMessage message, Envelope.Builder envelope) {
+		org.sardineport.wire.message.MembershipMessage.Builder body = org.sardineport.wire.message.MembershipMessage
+			.newBuilder();
+		encodeNews(message.news(), body);
+		if (message instanceof ProbeRequest probe) {
+			body.setProbe(Probe.newBuilder().setSequence(probe.sequence()));
+		}
+		else if (message instanceof ProbeResponse answer) {
+			body.setAnswer(ProbeAnswer.newBuilder().setSequence(answer.sequence()));
+		}
+		else if (message instanceof IndirectProbeRequest indirect) {
+			body.setIndirect(IndirectProbe.newBuilder()
+				.setSequence(indirect.sequence())
+				.setTarget(indirect.target().value())
+				.setTargetIp(indirect.targetAddress().ip())
+				.setTargetPort(indirect.targetAddress().port()));
+		}
+		else if (message instanceof JoinRequest) {
+			body.setJoin(Join.getDefaultInstance());
+		}
+		else {
+			body.setJoinAnswer(JoinAnswer.getDefaultInstance());
+		}
+		envelope.setMembership(body);
+	}
+
+	@Override
+	public MembershipMessage decode(Envelope envelope) throws MalformedMessageException {
+		org.sardineport.wire.message.MembershipMessage body = envelope.getMembership();
+		News news = decodeNews(body);
+		return switch (body.getBodyCase()) {
+			case PROBE -> new ProbeRequest(body.getProbe().getSequence(), news);
+			case ANSWER -> new ProbeResponse(body.getAnswer().getSequence(), news);
+			case INDIRECT -> decodeIndirect(body.getIndirect(), news);
+			case JOIN -> new JoinRequest(news);
+			case JOIN_ANSWER -> new JoinResponse(news);
+			case BODY_NOT_SET -> throw MalformedMessageException.of("membership message without a body");
+		};
+	}
+
+	private static IndirectProbeRequest decodeIndirect(IndirectProbe probe, News news) {
+		return new IndirectProbeRequest(probe.getSequence(), DaemonId.of(probe.getTarget()),
+				NetworkAddress.of(probe.getTargetIp(), probe.getTargetPort()), news);
+	}
+
+	private static void encodeNews(News news, org.sardineport.wire.message.MembershipMessage.Builder body) {
+		news.members().forEach((member) -> body.addUpdates(encodeMember(member)));
+		news.strikes().forEach((strike) -> body.addStrikes(encodeStrike(strike)));
+		news.leavingBackends().forEach((leaving) -> body.addLeavingBackends(encodeLeaving(leaving)));
+	}
+
+	private static News decodeNews(org.sardineport.wire.message.MembershipMessage body)
+			throws MalformedMessageException {
+		Member[] members = new Member[body.getUpdatesCount()];
+		for (int i = 0; i < members.length; i++) {
+			members[i] = decodeMember(body.getUpdates(i));
+		}
+		return new News(List.of(members), body.getStrikesList().stream().map(MembershipCodec::decodeStrike).toList(),
+				body.getLeavingBackendsList().stream().map(MembershipCodec::decodeLeaving).toList());
+	}
+
+	private static MemberUpdate encodeMember(Member member) {
+		return MemberUpdate.newBuilder()
+			.setDaemon(member.id().value())
+			.setIncarnation(member.incarnation())
+			.setState(encodeStatus(member.status()))
+			.setFailureDomain(member.failureDomain().value())
+			.setPeerIp(member.peerAddress().ip())
+			.setPeerPort(member.peerAddress().port())
+			.setCallerIp(member.callerAddress().ip())
+			.setCallerPort(member.callerAddress().port())
+			.setConfigurationVersion(member.configurationVersion())
+			.setLoadPercent(member.load())
+			.build();
+	}
+
+	private static Member decodeMember(MemberUpdate update) throws MalformedMessageException {
+		return new Member(DaemonId.of(update.getDaemon()), update.getIncarnation(), decodeStatus(update.getState()),
+				FailureDomain.of(update.getFailureDomain()),
+				NetworkAddress.of(update.getPeerIp(), update.getPeerPort()),
+				NetworkAddress.of(update.getCallerIp(), update.getCallerPort()), update.getConfigurationVersion(),
+				update.getLoadPercent());
+	}
+
+	private static MemberState encodeStatus(MemberStatus status) {
+		return switch (status) {
+			case ALIVE -> MemberState.MEMBER_STATE_ALIVE;
+			case SUSPECT -> MemberState.MEMBER_STATE_SUSPECT;
+			case LEAVING -> MemberState.MEMBER_STATE_LEAVING;
+			case DEAD -> MemberState.MEMBER_STATE_DEAD;
+		};
+	}
+
+	private static MemberStatus decodeStatus(MemberState state) throws MalformedMessageException {
+		return switch (state) {
+			case MEMBER_STATE_ALIVE -> MemberStatus.ALIVE;
+			case MEMBER_STATE_SUSPECT -> MemberStatus.SUSPECT;
+			case MEMBER_STATE_LEAVING -> MemberStatus.LEAVING;
+			case MEMBER_STATE_DEAD -> MemberStatus.DEAD;
+			case MEMBER_STATE_UNSPECIFIED, UNRECOGNIZED ->
+				throw MalformedMessageException.of("unknown member state %s".formatted(state));
+		};
+	}
+
+	private static Strike encodeStrike(StrikeNews strike) {
+		return Strike.newBuilder()
+			.setFingerprintHigh(strike.fingerprint().high())
+			.setFingerprintLow(strike.fingerprint().low())
+			.setBackendServer(strike.backendServer().value())
+			.setRemainingMillis((int) Math.min(strike.remaining().toMillis(), Integer.MAX_VALUE))
+			.build();
+	}
+
+	private static StrikeNews decodeStrike(Strike strike) {
+		return new StrikeNews(Fingerprint.of(strike.getFingerprintHigh(), strike.getFingerprintLow()),
+				BackendServerId.of(strike.getBackendServer()), Duration.ofMillis(strike.getRemainingMillis()));
+	}
+
+	private static LeavingBackend encodeLeaving(LeavingNews leaving) {
+		return LeavingBackend.newBuilder()
+			.setBackendServer(leaving.backendServer().value())
+			.setAgeMillis((int) Math.min(leaving.age().toMillis(), Integer.MAX_VALUE))
+			.build();
+	}
+
+	private static LeavingNews decodeLeaving(LeavingBackend leaving) {
+		return new LeavingNews(BackendServerId.of(leaving.getBackendServer()),
+				Duration.ofMillis(leaving.getAgeMillis()));
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/transport/TransportListener.java
@@ -0,0 +1,44 @@
+package org.sardineport.wire.transport;
+
+/**
+ * Hears what passes through a transport, to count it. Called on the transport's thread
+ * and, for a full send queue, on the sender's; returns at once.
+ */
+public interface TransportListener {
+
+	/** Counts nothing. */
+	TransportListener NONE = new TransportListener() {
+
+		@Override
+		public void sent(int bytes) {
+		}
+
+		@Override
+		public void received(int bytes) {
+		}
+
+		@Override
+		public void dropped(DropReason reason) {
+		}
+
+	};
+
+	/**
+	 * A frame was sent.
+	 * @param bytes its size without the headers of IP and UDP
+	 */
+	void sent(int bytes);
+
+	/**
+	 * A frame was received and accepted.
+	 * @param bytes its size without the headers of IP and UDP
+	 */
+	void received(int bytes);
+
+	/**
+	 * A frame or message was dropped.
+	 * @param reason why
+	 */
+	void dropped(DropReason reason);
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/transport/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Authenticated datagrams between daemons.
+ */
+@NullMarked
+package org.sardineport.wire.transport;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -0,0 +1,81 @@
+package org.sardineport.wire.transport;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.membership.IndirectProbeRequest;
+import org.sardineport.core.membership.JoinRequest;
+import org.sardineport.core.membership.JoinResponse;
+import org.sardineport.core.membership.LeavingNews;
+import org.sardineport.core.membership.MembershipMessage;
+import org.sardineport.core.membership.News;
+import org.sardineport.core.membership.ProbeRequest;
+import org.sardineport.core.membership.ProbeResponse;
+import org.sardineport.core.membership.StrikeNews;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.wire.message.Envelope;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class MembershipCodecTests {
+
+	private static final NetworkAddress PEER = NetworkAddress.of("10.0.0.1", 7000);
+
+	private final MembershipCodec codec = MembershipCodec.create();
+
+	private static Member member(MemberStatus status) {
+		return new Member(DaemonId.of("a"), Long.MAX_VALUE, status, FailureDomain.of("bole"), PEER,
+				NetworkAddress.of("fe80:0:0:0:0:0:0:1", 8000), -1, 100);
+	}
+
+	static Stream<MembershipMessage> messages() {
+		News news = new News(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)),
+				List.of(new StrikeNews(Fingerprint.of(-1, 2), BackendServerId.of("w1"), Duration.ofSeconds(9))),
+				List.of(new LeavingNews(BackendServerId.of("w2"), Duration.ofMillis(250))));
+		return Stream.of(new ProbeRequest(-1, news), new ProbeResponse(7, news),
+				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, news), new JoinRequest(news),
+				new JoinResponse(news));
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void carriesEachMessage(MembershipMessage message) throws Exception {
+		assertThat(throughTheWire(message)).isEqualTo(message);
+	}
+
+	@ParameterizedTest
+	@EnumSource(MemberStatus.class)
+	void carriesEachStatus(MemberStatus status) throws Exception {
+		MembershipMessage message = new JoinRequest(News.of(member(status)));
+		assertThat(throughTheWire(message)).isEqualTo(message);
+	}
+
+	@Test
+	void refusesAMessageWithoutABody() {
+		Envelope envelope = Envelope.newBuilder()
+			.setMembership(org.sardineport.wire.message.MembershipMessage.getDefaultInstance())
+			.build();
+		assertThatExceptionOfType(MalformedMessageException.class).isThrownBy(() -> this.codec.decode(envelope));
+	}
+
+	private MembershipMessage throughTheWire(MembershipMessage message)
+			throws InvalidProtocolBufferException, MalformedMessageException {
+		Envelope.Builder envelope = Envelope.newBuilder();
+		this.codec.encode(message, envelope);
+		return this.codec.decode(Envelope.parseFrom(envelope.build().toByteArray()));
+	}
+
+}
