--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/InMemoryLogServiceTests.java
@@ -0,0 +1,23 @@
+package org.sardineport.daemon.platform;
+
+import org.sardineport.core.port.log.LogService;
+import org.sardineport.standins.log.InMemoryLogService;
+
+/**
+ * The contract on the fake.
+ */
+class InMemoryLogServiceTests extends LogServiceContract {
+
+	private final InMemoryLogService service = InMemoryLogService.create();
+
+	@Override
+	LogService log() {
+		return this.service;
+	}
+
+	@Override
+	InMemoryLogService service() {
+		return this.service;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
@@ -0,0 +1,280 @@
+package org.sardineport.standins.log;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.port.log.LogFailure;
+import org.sardineport.core.port.log.LogRecord;
+import org.sardineport.core.port.log.LogService;
+import org.sardineport.core.port.log.LogServiceException;
+import org.sardineport.core.port.log.LogSlice;
+
+/**
+ * Log service in memory. Safe for use by any thread; answers come on the thread of the
+ * call, of an append, or of the runner.
+ */
+public final class InMemoryLogService implements LogService {
+
+	private static final int MAXIMUM_RECORD_BYTES = 1024 * 1024;
+
+	private static final Duration RATE_WINDOW = Duration.ofSeconds(1);
+
+	private final InstantSource clock;
+
+	private final DelayedRunner runner;
+
+	private final LogFaults faults = LogFaults.create();
+
+	private final Map<String, StoredStream> streams = new HashMap<>();
+
+	private final Deque<Instant> recentAppends = new ArrayDeque<>();
+
+	private final List<Runnable> lateAppends = new ArrayList<>();
+
+	private final AtomicLong appendCount = new AtomicLong();
+
+	private InMemoryLogService(InstantSource clock, DelayedRunner runner) {
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.runner = Objects.requireNonNull(runner, "runner must not be null");
+	}
+
+	/**
+	 * Returns an empty service on the system's time.
+	 * @return the service
+	 */
+	public static InMemoryLogService create() {
+		return new InMemoryLogService(InstantSource.system(), DelayedRunner.system());
+	}
+
+	/**
+	 * Returns an empty service.
+	 * @param clock time of the records
+	 * @param runner brings what happens later
+	 * @return the service
+	 */
+	public static InMemoryLogService create(InstantSource clock, DelayedRunner runner) {
+		return new InMemoryLogService(clock, runner);
+	}
+
+	/**
+	 * Returns the switches for faults.
+	 * @return the switches
+	 */
+	public LogFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Returns how many records were taken so far, in all streams.
+	 * @return the number
+	 */
+	public long appends() {
+		return this.appendCount.get();
+	}
+
+	/**
+	 * Lets all appends that were held back take effect.
+	 */
+	public void releaseLateAppends() {
+		List<Runnable> released;
+		synchronized (this) {
+			released = List.copyOf(this.lateAppends);
+			this.lateAppends.clear();
+		}
+		released.forEach(Runnable::run);
+	}
+
+	/**
+	 * Drops the older records of a stream.
+	 * @param stream name of the stream
+	 * @param beforeOffset first offset to keep
+	 */
+	public synchronized void truncate(String stream, long beforeOffset) {
+		stream(stream).truncate(beforeOffset);
+	}
+
+	/**
+	 * Returns all records that a stream keeps, lagging or not.
+	 * @param stream name of the stream
+	 * @return the records in order of offset
+	 */
+	public synchronized List<LogRecord> records(String stream) {
+		return stream(stream).records();
+	}
+
+	@Override
+	public CompletionStage<Long> append(String stream, byte[] value) {
+		Objects.requireNonNull(stream, "stream must not be null");
+		Objects.requireNonNull(value, "value must not be null");
+		CompletableFuture<Long> answer = new CompletableFuture<>();
+		afterHalfRoundTrip(() -> take(stream, value, answer));
+		return answer;
+	}
+
+	@Override
+	public CompletionStage<LogSlice> read(String stream, long fromOffset, int maximumRecords, Duration wait) {
+		Objects.requireNonNull(stream, "stream must not be null");
+		if (maximumRecords < 1) {
+			throw new IllegalArgumentException("maximumRecords must be at least 1, found " + maximumRecords);
+		}
+		CompletableFuture<LogSlice> answer = new CompletableFuture<>();
+		Read read = new Read(stream, fromOffset, maximumRecords, this.clock.instant().plus(wait), answer);
+		afterHalfRoundTrip(() -> tryRead(read));
+		return answer;
+	}
+
+	private void take(String stream, byte[] value, CompletableFuture<Long> answer) {
+		if (this.faults.isDown()) {
+			fail(answer, LogFailure.UNAVAILABLE, "log service is down");
+			return;
+		}
+		if (value.length > MAXIMUM_RECORD_BYTES) {
+			fail(answer, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
+			return;
+		}
+		AppendFault fault = this.faults.takeAppendFault();
+		if (fault != null) {
+			failAppend(fault, stream, value, answer);
+		}
+		else if (!takeFromBudget()) {
+			fail(answer, LogFailure.UNAVAILABLE, "too many appends a second");
+		}
+		else {
+			long offset = apply(stream, value);
+			afterHalfRoundTrip(() -> answer.complete(offset));
+		}
+	}
+
+	private void failAppend(AppendFault fault, String stream, byte[] value, CompletableFuture<Long> answer) {
+		if (fault.isApplied()) {
+			apply(stream, value);
+		}
+		if (fault == AppendFault.LATE_EFFECT) {
+			synchronized (this) {
+				this.lateAppends.add(() -> apply(stream, value));
+			}
+		}
+		fail(answer, (fault == AppendFault.REFUSED) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN,
+				"append failed: " + fault);
+	}
+
+	private synchronized boolean takeFromBudget() {
+		Instant now = this.clock.instant();
+		while (!this.recentAppends.isEmpty() && !this.recentAppends.peek().plus(RATE_WINDOW).isAfter(now)) {
+			this.recentAppends.poll();
+		}
+		if (this.recentAppends.size() >= this.faults.appendsPerSecond()) {
+			return false;
+		}
+		this.recentAppends.add(now);
+		return true;
+	}
+
+	private long apply(String stream, byte[] value) {
+		long offset;
+		List<Runnable> readers;
+		synchronized (this) {
+			StoredStream stored = stream(stream);
+			offset = stored.append(this.clock.instant(), value, this.faults.offsetStep());
+			readers = stored.takeReaders();
+		}
+		this.appendCount.incrementAndGet();
+		readers.forEach(Runnable::run);
+		return offset;
+	}
+
+	private void tryRead(Read read) {
+		if (read.answer().isDone()) {
+			return;
+		}
+		if (this.faults.isDown()) {
+			fail(read.answer(), LogFailure.UNAVAILABLE, "log service is down");
+			return;
+		}
+		Result result = find(read);
+		if (result.expired()) {
+			fail(read.answer(), LogFailure.OFFSET_EXPIRED,
+					"offset %d of stream %s is not kept any more".formatted(read.fromOffset(), read.stream()));
+		}
+		else if (result.slice() != null) {
+			afterHalfRoundTrip(() -> read.answer().complete(result.slice()));
+		}
+	}
+
+	private synchronized Result find(Read read) {
+		StoredStream stored = stream(read.stream());
+		if (stored.isExpired(read.fromOffset())) {
+			return new Result(null, true);
+		}
+		Instant now = this.clock.instant();
+		Instant visibleUntil = now.minus(this.faults.readLag());
+		if (!stored.hasVisible(read.fromOffset(), visibleUntil) && now.isBefore(read.until())) {
+			await(stored, read, now);
+			return new Result(null, false);
+		}
+		return new Result(
+				stored.slice(read.fromOffset(), read.maximumRecords(), visibleUntil, this.faults.hasDuplicates()),
+				false);
+	}
+
+	private void await(StoredStream stored, Read read, Instant now) {
+		Duration left = Duration.between(now, read.until());
+		Duration lag = this.faults.readLag();
+		if (lag.isZero()) {
+			Runnable reader = () -> tryRead(read);
+			stored.await(reader);
+			this.runner.run(left, () -> {
+				synchronized (this) {
+					stored.forget(reader);
+				}
+				tryRead(read);
+			});
+		}
+		else {
+			this.runner.run((lag.compareTo(left) < 0) ? lag : left, () -> tryRead(read));
+		}
+	}
+
+	private StoredStream stream(String name) {
+		StoredStream stored = this.streams.computeIfAbsent(name, (key) -> StoredStream.create());
+		Duration retention = this.faults.retention();
+		if (retention != null) {
+			stored.expire(this.clock.instant().minus(retention));
+		}
+		return stored;
+	}
+
+	private void fail(CompletableFuture<?> answer, LogFailure failure, String message) {
+		afterHalfRoundTrip(() -> answer.completeExceptionally(LogServiceException.of(failure, message)));
+	}
+
+	private void afterHalfRoundTrip(Runnable command) {
+		Duration roundTrip = this.faults.roundTrip();
+		if (roundTrip.isZero()) {
+			command.run();
+		}
+		else {
+			this.runner.run(roundTrip.dividedBy(2), command);
+		}
+	}
+
+	private record Read(String stream, long fromOffset, int maximumRecords, Instant until,
+			CompletableFuture<LogSlice> answer) {
+	}
+
+	private record Result(@Nullable LogSlice slice, boolean expired) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
@@ -0,0 +1,116 @@
+package org.sardineport.standins.log;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.sardineport.core.port.log.LogRecord;
+import org.sardineport.core.port.log.LogService;
+import org.sardineport.core.port.log.LogSlice;
+
+/**
+ * One stream of the stand-in. Not safe for use by several threads.
+ */
+final class StoredStream {
+
+	private final List<LogRecord> records = new ArrayList<>();
+
+	private final List<Runnable> readers = new ArrayList<>();
+
+	private long nextOffset;
+
+	/** Records before this offset are gone. */
+	private long firstOffset;
+
+	static StoredStream create() {
+		return new StoredStream();
+	}
+
+	long append(Instant now, byte[] value, int offsetStep) {
+		long offset = this.nextOffset;
+		this.records.add(new LogRecord(offset, now, value));
+		this.nextOffset = offset + offsetStep;
+		return offset;
+	}
+
+	boolean isExpired(long fromOffset) {
+		return fromOffset != LogService.EARLIEST && fromOffset < this.firstOffset;
+	}
+
+	void truncate(long beforeOffset) {
+		this.firstOffset = Math.max(this.firstOffset, Math.min(beforeOffset, this.nextOffset));
+		int kept = indexOf(this.firstOffset);
+		this.records.subList(0, kept).clear();
+	}
+
+	void expire(Instant before) {
+		int expired = 0;
+		while (expired < this.records.size() && this.records.get(expired).appendedAt().isBefore(before)) {
+			expired++;
+		}
+		if (expired > 0) {
+			truncate((expired < this.records.size()) ? this.records.get(expired).offset() : this.nextOffset);
+		}
+	}
+
+	LogSlice slice(long fromOffset, int maximumRecords, Instant visibleUntil, boolean duplicates) {
+		long from = Math.max(fromOffset, this.firstOffset);
+		int first = indexOf(from);
+		int end = visibleEnd(visibleUntil);
+		int last = Math.max(first, (int) Math.min(end, (long) first + maximumRecords));
+		List<LogRecord> found = new ArrayList<>(this.records.subList(first, last));
+		long endOffset = (end < this.records.size()) ? this.records.get(end).offset() : this.nextOffset;
+		long next = (last < end) ? this.records.get(last).offset() : Math.max(from, endOffset);
+		if (duplicates && first > 0 && !found.isEmpty()) {
+			found.add(0, this.records.get(first - 1));
+		}
+		return new LogSlice(found, next, endOffset);
+	}
+
+	boolean hasVisible(long fromOffset, Instant visibleUntil) {
+		return indexOf(Math.max(fromOffset, this.firstOffset)) < visibleEnd(visibleUntil);
+	}
+
+	void await(Runnable reader) {
+		this.readers.add(reader);
+	}
+
+	void forget(Runnable reader) {
+		this.readers.remove(reader);
+	}
+
+	List<Runnable> takeReaders() {
+		List<Runnable> taken = List.copyOf(this.readers);
+		this.readers.clear();
+		return taken;
+	}
+
+	List<LogRecord> records() {
+		return List.copyOf(this.records);
+	}
+
+	private int visibleEnd(Instant visibleUntil) {
+		int end = this.records.size();
+		while (end > 0 && this.records.get(end - 1).appendedAt().isAfter(visibleUntil)) {
+			end--;
+		}
+		return end;
+	}
+
+	// Index of the first record at or after the offset.
+	private int indexOf(long offset) {
+		int low = 0;
+		int high = this.records.size();
+		while (low < high) {
+			int middle = (low + high) >>> 1;
+			if (this.records.get(middle).offset() < offset) {
+				low = middle + 1;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+}
