--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -0,0 +1,51 @@
+package org.sardineport.bench;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/**
+ * Runs one measurement by name and prints its table and its CSV.
+ */
+@Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
+		commands = { Help.class })
+public final class Main {
+
+	/** Exit code when every target was met. */
+	static final int TARGETS_MET = 0;
+
+	/** Exit code when a target was missed. */
+	static final int TARGETS_MISSED = 1;
+
+	/** Exit code for a wrong command line. */
+	static final int USAGE = 2;
+
+	private Main() {
+	}
+
+	/**
+	 * Runs the measurement that the arguments name.
+	 * @param arguments name of the measurement and its options
+	 * @throws Exception if the measurement could not be made
+	 */
+	public static void main(String[] arguments) throws Exception {
+		System.exit(run(arguments));
+	}
+
+	private static int run(String[] arguments) throws Exception {
+		Object command;
+		try {
+			command = new com.github.rvesse.airline.Cli<>(Main.class).parse(arguments);
+		}
+		catch (ParseException ex) {
+			System.err.println(ex.getMessage());
+			return USAGE;
+		}
+		if (command instanceof Measurement measurement) {
+			return measurement.run() ? TARGETS_MET : TARGETS_MISSED;
+		}
+		((Runnable) command).run();
+		return TARGETS_MET;
+	}
+
+}
