--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/engine/CancelledJson.java
@@ -0,0 +1,8 @@
+package org.sardineport.standins.engine;
+
+/**
+ * Answer to a cancellation.
+ */
+record CancelledJson(boolean ran) {
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -0,0 +1,301 @@
+package org.sardineport.standins.engine;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.exchange.RequestHashes;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.StandInServer;
+
+/**
+ * Stand-in for a model engine over HTTP: chat completions with streamed events, control
+ * of streams and their cache, late load reports and cache events, and orders.
+ */
+public final class ModelEngineStandIn implements Service {
+
+	private static final int STATUS_OK = 200;
+
+	private static final int STATUS_BAD_REQUEST = 400;
+
+	private static final int STATUS_NOT_FOUND = 404;
+
+	private static final int STATUS_CONFLICT = 409;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private static final int BYTES_PER_TOKEN = 4;
+
+	/** Share of a prompt's tokens that a cached prefix saves, in percent. */
+	private static final int CACHED_PERCENT = 80;
+
+	private static final long CACHE_TOKENS = 100_000;
+
+	private static final int LOAD_SAMPLES = 1000;
+
+	private static final String STREAMS = "/v1/streams/";
+
+	private final StandInServer server;
+
+	private final EngineOptions options;
+
+	private final InstantSource clock;
+
+	private final EngineFaults faults = new EngineFaults();
+
+	private final EngineCounters counters = new EngineCounters();
+
+	private final EngineBatch batch;
+
+	private final PrefixCache cache;
+
+	private final Deque<EngineLoadJson> loads = new ArrayDeque<>();
+
+	private final ObjectMapper json = new ObjectMapper();
+
+	private OrderRecord order = new OrderRecord("LOAD_MODEL", "none", -1);
+
+	private volatile boolean leaving;
+
+	private ModelEngineStandIn(Vertx vertx, InstantSource clock, EngineOptions options) {
+		this.options = Objects.requireNonNull(options, "options must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.batch = new EngineBatch(vertx, options, this.faults, this.counters);
+		this.cache = new PrefixCache(options.cachedPrefixes(), options.eventLag(), clock);
+		this.server = StandInServer.create(vertx, this::handle);
+	}
+
+	/**
+	 * Returns an engine that is not started yet.
+	 * @param vertx carries input and output
+	 * @param clock the engine's time
+	 * @param options how fast and able it is
+	 * @return the stand-in
+	 */
+	public static ModelEngineStandIn create(Vertx vertx, InstantSource clock, EngineOptions options) {
+		return new ModelEngineStandIn(vertx, clock, options);
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return this.server.start();
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		return this.server.stop();
+	}
+
+	/**
+	 * Returns where the engine listens.
+	 * @return the address
+	 */
+	public NetworkAddress address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Returns the switches for faults.
+	 * @return the faults
+	 */
+	public EngineFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Returns what the engine counted.
+	 * @return the counters
+	 */
+	public EngineCounters counters() {
+		return this.counters;
+	}
+
+	/**
+	 * Sets whether load reports announce that the engine will leave.
+	 * @param isLeaving whether it will leave
+	 */
+	public void setLeaving(boolean isLeaving) {
+		this.leaving = isLeaving;
+	}
+
+	/**
+	 * Crashes: all streams and the cache are lost, all connections break.
+	 * @return completes when the port is closed
+	 */
+	public CompletionStage<Void> crash() {
+		this.server.execute(this::lose);
+		return this.server.crash();
+	}
+
+	/**
+	 * Comes back on the same port after a crash.
+	 * @return completes when the port is open
+	 */
+	public CompletionStage<Void> restart() {
+		return this.server.restart();
+	}
+
+	private void lose() {
+		this.batch.clear();
+		this.cache.clear();
+	}
+
+	private void handle(HttpServerRequest request) {
+		request.bodyHandler((body) -> {
+			try {
+				route(request, body);
+			}
+			catch (IOException ex) {
+				Answers.status(request.response(), STATUS_BAD_REQUEST);
+			}
+		});
+	}
+
+	private void route(HttpServerRequest request, Buffer body) throws IOException {
+		String path = request.path();
+		HttpServerResponse response = request.response();
+		if (path.equals("/v1/chat/completions") || path.equals("/v1/completions")) {
+			complete(request, body);
+		}
+		else if (path.equals("/v1/load")) {
+			Answers.json(response, STATUS_OK, load());
+		}
+		else if (path.equals("/v1/cache-events")) {
+			long after = Long.parseLong(request.getParam("after", "0"));
+			Answers.json(response, STATUS_OK, this.cache.events(after, this.faults.isDroppingEvents()));
+		}
+		else if (path.equals("/v1/orders/current")) {
+			Answers.json(response, STATUS_OK, this.order);
+		}
+		else if (path.equals("/v1/orders") && request.method().equals(HttpMethod.POST)) {
+			take(response, this.json.readValue(body.getBytes(), OrderRecord.class));
+		}
+		else if (path.startsWith(STREAMS)) {
+			controlStream(request, path.substring(STREAMS.length()), body);
+		}
+		else {
+			Answers.status(response, STATUS_NOT_FOUND);
+		}
+	}
+
+	private void complete(HttpServerRequest request, Buffer body) throws IOException {
+		String text = body.toString();
+		String id = request.getHeader("X-Request-Id");
+		ChatRequest chat = ChatRequest.parse(body.getBytes());
+		String tag = (chat.user() != null) ? chat.user() : "token";
+		if (this.faults.isRefusing()) {
+			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			return;
+		}
+		this.counters.received(tag);
+		if (this.faults.crashesOn(text)) {
+			crash();
+			return;
+		}
+		int prompt = Math.max(1, body.length() / BYTES_PER_TOKEN);
+		boolean hit = this.cache.use(RequestHashes.prefix(body.getBytes()));
+		EngineStream stream = new EngineStream((id != null) ? id : tag, tag, chat.stream(), prompt,
+				(hit) ? prompt * CACHED_PERCENT / 100 : 0, chat.maximumTokens());
+		attach(stream, request.response(), 0);
+		this.batch.add(stream);
+	}
+
+	private void attach(EngineStream stream, HttpServerResponse response, int fromByte) {
+		response.closeHandler((ignored) -> {
+			if (stream.response() == response && !stream.isOver()) {
+				stream.detach();
+				if (!this.options.resumesStreams()) {
+					cancel(stream);
+				}
+			}
+		});
+		stream.attach(response, fromByte);
+	}
+
+	private boolean cancel(@Nullable EngineStream stream) {
+		if (stream == null || !this.batch.remove(stream)) {
+			return false;
+		}
+		this.counters.cancelled(stream);
+		return true;
+	}
+
+	private void controlStream(HttpServerRequest request, String rest, Buffer body) throws IOException {
+		int slash = rest.indexOf('/');
+		String id = (slash < 0) ? rest : rest.substring(0, slash);
+		String operation = (slash < 0) ? "" : rest.substring(slash + 1);
+		EngineStream stream = this.batch.find(id);
+		HttpServerResponse response = request.response();
+		if (operation.equals("cancel")) {
+			Answers.json(response, STATUS_OK, new CancelledJson(cancel(stream)));
+		}
+		else if (!this.options.resumesStreams()) {
+			Answers.status(response, STATUS_NOT_FOUND);
+		}
+		else if (operation.equals("cache")) {
+			this.batch.hold(EngineStream.of(this.json.readValue(body.getBytes(), ExportJson.class)));
+			Answers.json(response, STATUS_OK, new CancelledJson(false));
+		}
+		else if (stream == null) {
+			Answers.status(response, STATUS_NOT_FOUND);
+		}
+		else if (operation.equals("export")) {
+			this.batch.remove(stream);
+			Answers.json(response, STATUS_OK, stream.export());
+		}
+		else {
+			continueStream(stream, response, Integer.parseInt(request.getParam("from", "0")));
+		}
+	}
+
+	private void continueStream(EngineStream stream, HttpServerResponse response, int fromByte) {
+		boolean suspended = stream.response() == null && !stream.isOver() && !this.batch.isScheduled(stream);
+		attach(stream, response, fromByte);
+		if (stream.isOver()) {
+			response.end();
+		}
+		else if (suspended) {
+			this.batch.resume(stream);
+		}
+	}
+
+	private EngineLoadJson load() {
+		EngineLoadJson now = new EngineLoadJson(this.batch.running(), this.batch.waiting(), CACHE_TOKENS, this.leaving,
+				this.options.resumesStreams(), this.clock.instant().toString());
+		this.loads.add(now);
+		if (this.loads.size() > LOAD_SAMPLES) {
+			this.loads.removeFirst();
+		}
+		Instant shown = this.clock.instant().minus(this.options.loadLag());
+		EngineLoadJson newest = this.loads.getFirst();
+		for (EngineLoadJson sample : this.loads) {
+			if (!Instant.parse(sample.observedAt()).isAfter(shown)) {
+				newest = sample;
+			}
+		}
+		return newest;
+	}
+
+	private void take(HttpServerResponse response, OrderRecord newOrder) {
+		if (this.options.checksFencing() && newOrder.fencingNumber() < this.order.fencingNumber()) {
+			Answers.status(response, STATUS_CONFLICT);
+			return;
+		}
+		this.order = newOrder;
+		Answers.json(response, STATUS_OK, newOrder);
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
@@ -0,0 +1,81 @@
+package org.sardineport.standins.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Prefix cache of limited size that drops the prefix that was not used for the longest
+ * time, and publishes its events late.
+ */
+final class PrefixCache {
+
+	private static final int MAXIMUM_EVENTS = 1000;
+
+	private final int capacity;
+
+	private final Duration eventLag;
+
+	private final InstantSource clock;
+
+	private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final List<TimedEvent> events = new ArrayList<>();
+
+	private long sequence;
+
+	PrefixCache(int capacity, Duration eventLag, InstantSource clock) {
+		this.capacity = capacity;
+		this.eventLag = eventLag;
+		this.clock = clock;
+	}
+
+	boolean use(long prefixHash) {
+		if (prefixHash == 0 || this.capacity == 0) {
+			return false;
+		}
+		if (this.prefixes.put(prefixHash, true) != null) {
+			return true;
+		}
+		publish(prefixHash, true);
+		if (this.prefixes.size() > this.capacity) {
+			Long oldest = this.prefixes.keySet().iterator().next();
+			this.prefixes.remove(oldest);
+			publish(oldest, false);
+		}
+		return false;
+	}
+
+	void clear() {
+		this.prefixes.clear();
+	}
+
+	List<CacheEventRecord> events(long after, boolean withGaps) {
+		Instant shown = this.clock.instant().minus(this.eventLag);
+		return this.events.stream()
+			.filter((event) -> !event.at().isAfter(shown) && event.event().sequence() > after)
+			.map(TimedEvent::event)
+			.filter((event) -> !withGaps || event.sequence() % 2 == 0)
+			.toList();
+	}
+
+	private void publish(long prefixHash, boolean stored) {
+		this.sequence++;
+		this.events.add(new TimedEvent(this.clock.instant(), new CacheEventRecord(this.sequence, prefixHash, stored)));
+		if (this.events.size() > MAXIMUM_EVENTS) {
+			this.events.remove(0);
+		}
+	}
+
+	/**
+	 * An event and when it happened.
+	 */
+	private record TimedEvent(Instant at, CacheEventRecord event) {
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
@@ -0,0 +1,162 @@
+package org.sardineport.standins.service;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.StandInServer;
+
+/**
+ * Stand-in for a ledger: a plain service that executes each posting it gets, also a
+ * second time, and counts the executions of each key. Safe for use by any thread.
+ */
+public final class LedgerStandIn implements Service {
+
+	private static final int STATUS_OK = 200;
+
+	private static final int STATUS_CREATED = 201;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private static final String KEY = "Idempotency-Key";
+
+	private final Vertx vertx;
+
+	private final StandInServer server;
+
+	private final Duration latency;
+
+	private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private volatile ServiceFault fault = ServiceFault.NONE;
+
+	private volatile boolean leaving;
+
+	private LedgerStandIn(Vertx vertx, Duration latency) {
+		this.vertx = vertx;
+		this.latency = Objects.requireNonNull(latency, "latency must not be null");
+		this.server = StandInServer.create(vertx, this::handle);
+	}
+
+	/**
+	 * Returns a ledger that is not started yet.
+	 * @param vertx carries input and output
+	 * @param latency time that each call takes
+	 * @return the stand-in
+	 */
+	public static LedgerStandIn create(Vertx vertx, Duration latency) {
+		return new LedgerStandIn(vertx, latency);
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return this.server.start();
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		return this.server.stop();
+	}
+
+	/**
+	 * Returns where the ledger listens.
+	 * @return the address
+	 */
+	public NetworkAddress address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Returns the server, to crash it and bring it back.
+	 * @return the server
+	 */
+	public StandInServer server() {
+		return this.server;
+	}
+
+	/**
+	 * Returns how often the posting of each key was executed.
+	 * @return the numbers by key
+	 */
+	public Map<String, Integer> executions() {
+		Map<String, Integer> counts = new ConcurrentHashMap<>();
+		this.executions.forEach((key, count) -> counts.put(key, count.get()));
+		return Map.copyOf(counts);
+	}
+
+	/**
+	 * Sets what goes wrong from now on.
+	 * @param newFault the fault
+	 */
+	public void setFault(ServiceFault newFault) {
+		this.fault = Objects.requireNonNull(newFault, "newFault must not be null");
+	}
+
+	/**
+	 * Sets whether the load report announces that this backend server will leave.
+	 * @param isLeaving whether it will leave
+	 */
+	public void setLeaving(boolean isLeaving) {
+		this.leaving = isLeaving;
+	}
+
+	private void handle(HttpServerRequest request) {
+		if (request.path().equals("/v1/load")) {
+			Answers.json(request.response(), STATUS_OK,
+					new ServiceLoadJson(this.running.get(), 0, 0, this.leaving, false, Instant.now().toString()));
+			return;
+		}
+		if (this.fault == ServiceFault.REFUSED) {
+			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			return;
+		}
+		request.bodyHandler((body) -> call(request, body));
+	}
+
+	private void call(HttpServerRequest request, Buffer body) {
+		this.running.incrementAndGet();
+		if (request.method().equals(HttpMethod.POST)) {
+			String key = request.getHeader(KEY);
+			this.executions.computeIfAbsent((key != null) ? key : "none", (ignored) -> new AtomicInteger())
+				.incrementAndGet();
+		}
+		this.vertx.setTimer(Math.max(1, this.latency.toMillis()), (id) -> {
+			this.running.decrementAndGet();
+			answer(request, body);
+		});
+	}
+
+	private void answer(HttpServerRequest request, Buffer body) {
+		HttpServerResponse response = request.response();
+		switch (this.fault) {
+			case NONE, REFUSED -> {
+				boolean posting = request.method().equals(HttpMethod.POST);
+				String key = request.getHeader(KEY);
+				Answers.json(response, (posting) ? STATUS_CREATED : STATUS_OK,
+						new LedgerAnswerJson((key != null) ? key : request.path(), body.length()));
+			}
+			case ANSWER_LOST -> request.connection().close();
+			case TRUNCATED -> response.putHeader("Content-Length", "1000")
+				.write("{\"key\":")
+				.onComplete((ignored) -> request.connection().close());
+			case SILENT -> {
+				// the caller waits for ever
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/vm/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-in for the platform's list of VMs.
+ */
+@NullMarked
+package org.sardineport.standins.vm;
+
+import org.jspecify.annotations.NullMarked;
