--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerServerTests.java
@@ -0,0 +1,104 @@
+package org.sardineport.daemon.http;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.Tier;
+import org.sardineport.standins.engine.EngineOptions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Answers that go through whole.
+ */
+class CallerServerTests {
+
+	private static final String CHAT = "/v1/chat/completions";
+
+	private CallerFixture fixture;
+
+	@BeforeEach
+	void start() {
+		this.fixture = new CallerFixture(EngineOptions.fast());
+	}
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	@Test
+	void streamsTheWholeAnswer() throws Exception {
+		HttpResponse<String> answer = this.fixture.send("POST", CHAT, CallerFixture.chat("amare", 5), (request) -> {
+		});
+		assertThat(answer.statusCode()).isEqualTo(200);
+		assertThat(answer.headers().firstValue("Content-Type")).hasValue("text/event-stream");
+		assertThat(answer.headers().firstValue("Sardineport-Request-Id")).isPresent();
+		assertThat(answer.body()).contains("amare:1 ", "amare:5 ").endsWith("data: [DONE]\n\n");
+		assertThat(this.fixture.telemetry.completed(Tier.URGENT).getCount()).isOne();
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.COMPLETED);
+		assertThat(this.fixture.scheduler.released().get(0).answerTokens()).isEqualTo(5);
+	}
+
+	@Test
+	void givesEachCallerItsOwnWholeAnswer() {
+		List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+		int callers = 200;
+		for (int i = 0; i < callers; i++) {
+			answers.add(this.fixture.client.sendAsync(this.fixture.request("POST", CHAT,
+					CallerFixture.chat("caller" + i + "x", 1 + i % 20), (request) -> {
+					}), HttpResponse.BodyHandlers.ofString()));
+		}
+		for (int i = 0; i < callers; i++) {
+			String body = answers.get(i).join().body();
+			String tag = "caller" + i + "x:";
+			assertThat(body).endsWith("data: [DONE]\n\n");
+			assertThat(body.split("caller", -1)).hasSize(2 + i % 20);
+			assertThat(body.split(tag, -1)).hasSize(2 + i % 20);
+		}
+		assertThat(this.fixture.engine.counters().dispatches().values()).containsOnly(1).hasSize(callers);
+		assertThat(this.fixture.scheduler.released()).hasSize(callers);
+	}
+
+	@Test
+	void tellsEntryAddresses() throws Exception {
+		HttpResponse<String> answer = this.fixture.send("GET", "/v1/entry", "", (request) -> {
+		});
+		assertThat(answer.statusCode()).isEqualTo(200);
+		assertThat(answer.body()).contains(this.fixture.address.toString()).contains("\"keepSeconds\":10");
+	}
+
+	@Test
+	void passesPlainServicesThrough() throws Exception {
+		this.fixture.scheduler.serve(this.fixture.ledgerServer());
+		HttpResponse<String> answer = this.fixture.send("GET", "/accounts/7?year=2026", "", (request) -> {
+		});
+		assertThat(answer.statusCode()).isEqualTo(200);
+		assertThat(answer.body()).contains("/accounts/7");
+	}
+
+	@Test
+	void servesWhatWasInFlightWhenItBeganToRefuse() throws Exception {
+		CompletableFuture<HttpResponse<String>> running = this.fixture.client
+			.sendAsync(this.fixture.request("POST", CHAT, CallerFixture.chat("long", 300), (request) -> {
+			}), HttpResponse.BodyHandlers.ofString());
+		while (this.fixture.engine.counters().prefillTokens() == 0) {
+			Thread.onSpinWait();
+		}
+		this.fixture.server.refuseNewRequests();
+		HttpResponse<String> refused = this.fixture.send("POST", CHAT, CallerFixture.chat("late", 1), (request) -> {
+		});
+		assertThat(refused.statusCode()).isEqualTo(RefusalReason.STOPPING.status());
+		assertThat(running.join().body()).endsWith("data: [DONE]\n\n");
+		CallerFixture.await(this.fixture.server.whenDrained());
+		assertThat(this.fixture.engine.counters().dispatches()).doesNotContainKey("late");
+	}
+
+}
