--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
@@ -0,0 +1,169 @@
+package org.sardineport.core.limit;
+
+/**
+ * What one daemon may spend for one organisation: slices leased from the quota owner, and
+ * an even share of the limit while no slice is valid. A request may overdraw the account
+ * once, and the top tier by up to one period; later slices repay the debt. Times are
+ * milliseconds of one clock. Not safe for use by several threads.
+ */
+public final class QuotaAccount {
+
+	/** Period over which demand is told, in milliseconds. */
+	public static final long PERIOD_MILLIS = 500;
+
+	/** Shortest and longest time after which a refused caller is told to come back. */
+	private static final long LEAST_RETRY_MILLIS = 500;
+
+	private static final long MOST_RETRY_MILLIS = 30_000;
+
+	/** Time without requests after which no more slices are asked for. */
+	private static final long IDLE_MILLIS = 5000;
+
+	private long limit;
+
+	private double balance;
+
+	private double share;
+
+	private long leasedUntil;
+
+	private long accruedAt;
+
+	private long demand;
+
+	private long lastDemandAt;
+
+	private long askedAt;
+
+	private long sequence;
+
+	private long answeredSequence;
+
+	private QuotaAccount(long limit, int members, long now) {
+		this.limit = limit;
+		this.share = (double) limit / Math.max(1, members);
+		this.balance = this.share;
+		this.accruedAt = now;
+		this.lastDemandAt = now;
+		this.askedAt = now - PERIOD_MILLIS;
+	}
+
+	/**
+	 * Returns an account that starts with one second of the even share.
+	 * @param limit fleet-wide limit in tokens a second
+	 * @param members daemons that share it
+	 * @param now the current time
+	 * @return the account
+	 */
+	public static QuotaAccount open(long limit, int members, long now) {
+		return new QuotaAccount(limit, members, now);
+	}
+
+	/**
+	 * Spends tokens for a request, or counts them as demand only.
+	 * @param tokens tokens of the request
+	 * @param top whether it is of the top tier
+	 * @param newLimit the limit in force
+	 * @param members daemons that share it
+	 * @param now the current time
+	 * @return whether the request may go on
+	 */
+	public boolean spend(long tokens, boolean top, long newLimit, int members, long now) {
+		this.limit = newLimit;
+		this.demand += tokens;
+		this.lastDemandAt = now;
+		accrue(members, now);
+		if (this.balance <= ((top) ? -this.limit : 0)) {
+			return false;
+		}
+		this.balance -= tokens;
+		return true;
+	}
+
+	private void accrue(int members, long now) {
+		if (now >= this.leasedUntil) {
+			this.share = (double) this.limit / Math.max(1, members);
+			double seconds = (now - Math.max(this.accruedAt, this.leasedUntil)) / 1000.0;
+			this.balance = Math.max(this.balance, Math.min(this.share, this.balance + this.share * seconds));
+		}
+		this.accruedAt = now;
+	}
+
+	/**
+	 * Gives back tokens of a request that did not run.
+	 * @param tokens tokens of the request
+	 */
+	public void refund(long tokens) {
+		this.balance += tokens;
+	}
+
+	/**
+	 * Takes a slice.
+	 * @param tokens tokens leased
+	 * @param validMillis time for which they may be spent
+	 * @param answered sequence of the demand that it answers
+	 * @param now the current time
+	 */
+	public void lease(long tokens, long validMillis, long answered, long now) {
+		if (answered <= this.answeredSequence) {
+			return;
+		}
+		this.answeredSequence = answered;
+		this.leasedUntil = now + validMillis;
+		this.accruedAt = now;
+		double cap = Math.max(tokens, this.limit * PERIOD_MILLIS / 1000.0);
+		this.balance = Math.min(this.balance + tokens, cap);
+	}
+
+	/**
+	 * Returns the demand to tell the quota owner, if it is time to.
+	 * @param now the current time
+	 * @return tokens wanted for a period, or -1 if nothing is to be told
+	 */
+	public long demandToTell(long now) {
+		if (now - this.askedAt < PERIOD_MILLIS || isIdle(now)) {
+			return -1;
+		}
+		long debt = (long) Math.max(0, -this.balance);
+		long wanted = this.demand + this.demand / 4 + debt;
+		this.demand = 0;
+		this.askedAt = now;
+		this.sequence++;
+		return wanted;
+	}
+
+	/**
+	 * Returns the sequence of the demand told last.
+	 * @return the sequence
+	 */
+	public long sequence() {
+		return this.sequence;
+	}
+
+	/**
+	 * Returns the limit in force.
+	 * @return tokens a second
+	 */
+	public long limit() {
+		return this.limit;
+	}
+
+	/**
+	 * Returns whether no request came for a while.
+	 * @param now the current time
+	 * @return whether the account may be closed
+	 */
+	public boolean isIdle(long now) {
+		return now - this.lastDemandAt > IDLE_MILLIS;
+	}
+
+	/**
+	 * Returns when a refused request may be sent again.
+	 * @return milliseconds to wait
+	 */
+	public long retryAfterMillis() {
+		double millis = -this.balance / Math.max(1, this.share) * 1000;
+		return Math.max(LEAST_RETRY_MILLIS, Math.min(MOST_RETRY_MILLIS, (long) millis));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -0,0 +1,192 @@
+package org.sardineport.core.routing;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * Chooses a backend server of one pool by predicted finish. Small pools are looked at
+ * whole; of large ones a few are sampled, besides those that this daemon owns and the
+ * home of the prompt's prefix. Not safe for use by several threads.
+ */
+public final class PoolRouter {
+
+	/** Largest pool that is looked at whole. */
+	private static final int SCANNED = 16;
+
+	/** Backend servers sampled from a larger pool. */
+	private static final int SAMPLES = 6;
+
+	/** Most backend servers looked at because this daemon owns them. */
+	private static final int MOST_OWNED = 6;
+
+	/** Share of a new measurement in the mean share of cached prompts. */
+	private static final double HIT_WEIGHT = 0.05;
+
+	private final ServerView[] servers;
+
+	private final ServerView[] owned;
+
+	private final PrefixRing ring;
+
+	private final RandomGenerator random;
+
+	private double hitShare;
+
+	private PoolRouter(List<ServerView> servers, List<ServerView> owned, RandomGenerator random) {
+		this.servers = servers.toArray(new ServerView[0]);
+		this.owned = owned.stream().limit(MOST_OWNED).toArray(ServerView[]::new);
+		this.ring = PrefixRing.of(servers.stream().map(ServerView::server).toList());
+		this.random = Objects.requireNonNull(random, "random must not be null");
+	}
+
+	/**
+	 * Returns a router.
+	 * @param servers the pool
+	 * @param owned those of the pool whose permits this daemon grants
+	 * @param random source of randomness
+	 * @return the router
+	 */
+	public static PoolRouter of(List<ServerView> servers, List<ServerView> owned, RandomGenerator random) {
+		return new PoolRouter(servers, owned, random);
+	}
+
+	/**
+	 * Returns whether a backend server is where prompts with a prefix are sent to.
+	 * @param view the backend server
+	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * @return whether it is the prefix's home
+	 */
+	public boolean isHome(ServerView view, long prefixHash) {
+		return view == home(prefixHash);
+	}
+
+	private @Nullable ServerView home(long prefixHash) {
+		int index = (prefixHash == 0) ? -1 : this.ring.home(prefixHash);
+		return (index < 0) ? null : this.servers[index];
+	}
+
+	/**
+	 * Learns what the cache of a prefix's home saved.
+	 * @param promptTokens tokens of the prompt
+	 * @param cachedTokens tokens of it that were cached
+	 */
+	public void observeHome(int promptTokens, int cachedTokens) {
+		if (promptTokens > 0) {
+			this.hitShare += HIT_WEIGHT * ((double) cachedTokens / promptTokens - this.hitShare);
+		}
+	}
+
+	/**
+	 * Chooses a backend server.
+	 * @param estimate size of the request
+	 * @param top whether it is of the top tier
+	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * @param allowed which ones may be chosen
+	 * @param now the current time in milliseconds
+	 * @return the one that finishes first, or {@code null} if none is allowed
+	 */
+	public @Nullable ServerView choose(TokenEstimate estimate, boolean top, long prefixHash,
+			Predicate<ServerView> allowed, long now) {
+		ServerView home = home(prefixHash);
+		Best best = new Best(estimate, top, home, allowed, now);
+		if (this.servers.length <= SCANNED) {
+			best.consider(this.servers);
+			return best.view;
+		}
+		best.consider(this.owned);
+		if (home != null) {
+			best.consider(home);
+		}
+		for (int i = 0; i < SAMPLES; i++) {
+			best.consider(this.servers[this.random.nextInt(this.servers.length)]);
+		}
+		if (best.view == null) {
+			best.considerAnyFrom(this.random.nextInt(this.servers.length));
+		}
+		return best.view;
+	}
+
+	/**
+	 * Predicts the finish of a request on one backend server.
+	 * @param view the backend server
+	 * @param estimate size of the request
+	 * @param top whether it is of the top tier
+	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * @param now the current time in milliseconds
+	 * @return milliseconds from now
+	 */
+	public double finishMillis(ServerView view, TokenEstimate estimate, boolean top, long prefixHash, long now) {
+		return view.finishMillis(estimate, top, cachedShare(view, home(prefixHash)), now);
+	}
+
+	private double cachedShare(ServerView view, @Nullable ServerView home) {
+		return (view == home && view.hasRoom()) ? this.hitShare : 0;
+	}
+
+	/**
+	 * The best backend server seen so far.
+	 */
+	private final class Best {
+
+		private final TokenEstimate estimate;
+
+		private final boolean top;
+
+		private final @Nullable ServerView home;
+
+		private final Predicate<ServerView> allowed;
+
+		private final long now;
+
+		private @Nullable ServerView view;
+
+		private double finish = Double.POSITIVE_INFINITY;
+
+		Best(TokenEstimate estimate, boolean top, @Nullable ServerView home, Predicate<ServerView> allowed, long now) {
+			this.estimate = estimate;
+			this.top = top;
+			this.home = home;
+			this.allowed = allowed;
+			this.now = now;
+		}
+
+		void consider(ServerView[] candidates) {
+			for (ServerView candidate : candidates) {
+				consider(candidate);
+			}
+		}
+
+		void consider(ServerView candidate) {
+			if (!this.allowed.test(candidate)) {
+				return;
+			}
+			double candidateFinish = candidate.finishMillis(this.estimate, this.top, cachedShare(candidate, this.home),
+					this.now);
+			if (candidate.state().isolated()) {
+				candidateFinish = Double.MAX_VALUE;
+			}
+			if (candidateFinish < this.finish) {
+				this.finish = candidateFinish;
+				this.view = candidate;
+			}
+		}
+
+		/**
+		 * Looks through the whole pool for any that is allowed, after samples found none.
+		 * @param start index to begin at
+		 */
+		void considerAnyFrom(int start) {
+			ServerView[] all = PoolRouter.this.servers;
+			for (int i = 0; i < all.length && this.view == null; i++) {
+				consider(all[(start + i) % all.length]);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -0,0 +1,156 @@
+package org.sardineport.core.routing;
+
+import java.util.Objects;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * A backend server as an entry sees it: the state its owner told last, corrected by what
+ * the entry has asked for since. Times are milliseconds of one clock. Not safe for use by
+ * several threads.
+ */
+public final class ServerView {
+
+	private final BackendServer server;
+
+	private final boolean local;
+
+	private final double networkMillis;
+
+	private @Nullable DaemonId owner;
+
+	private ServerState state;
+
+	private long stateAt;
+
+	private int pendingAsks;
+
+	private double pendingPrefillMillis;
+
+	private ServerView(BackendServer server, boolean local, double networkMillis) {
+		this.server = server;
+		this.local = local;
+		this.networkMillis = networkMillis;
+		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, 0, 0, Speed.UNKNOWN);
+	}
+
+	/**
+	 * Returns a view of a backend server of which nothing is known.
+	 * @param server the backend server
+	 * @param local whether it is in the failure domain of this daemon
+	 * @param networkMillis time that a request loses on the way there
+	 * @return the view
+	 */
+	public static ServerView of(BackendServer server, boolean local, double networkMillis) {
+		Objects.requireNonNull(server, "server must not be null");
+		return new ServerView(server, local, networkMillis);
+	}
+
+	/**
+	 * Returns the backend server.
+	 * @return the backend server
+	 */
+	public BackendServer server() {
+		return this.server;
+	}
+
+	/**
+	 * Returns whether it is in the failure domain of this daemon.
+	 * @return whether it is near
+	 */
+	public boolean isLocal() {
+		return this.local;
+	}
+
+	/**
+	 * Returns the daemon that grants its permits.
+	 * @return the owner, or {@code null} if no daemon can own it
+	 */
+	public @Nullable DaemonId owner() {
+		return this.owner;
+	}
+
+	/**
+	 * Changes the owner.
+	 * @param newOwner the owner, or {@code null}
+	 */
+	public void ownedBy(@Nullable DaemonId newOwner) {
+		this.owner = newOwner;
+	}
+
+	/**
+	 * Returns the state heard last.
+	 * @return the state
+	 */
+	public ServerState state() {
+		return this.state;
+	}
+
+	/**
+	 * Takes a newer state.
+	 * @param newState the state
+	 * @param now the current time
+	 */
+	public void update(ServerState newState, long now) {
+		this.state = newState;
+		this.stateAt = now;
+	}
+
+	/**
+	 * Counts a request for a permit that is not answered yet.
+	 * @param promptTokens tokens of its prompt
+	 */
+	public void asked(int promptTokens) {
+		this.pendingAsks++;
+		this.pendingPrefillMillis += this.state.speed().prefillMillis(promptTokens);
+	}
+
+	/**
+	 * Counts the answer to a request for a permit, or that none is waited for any more.
+	 * @param promptTokens tokens of its prompt
+	 */
+	public void answered(int promptTokens) {
+		this.pendingAsks = Math.max(0, this.pendingAsks - 1);
+		this.pendingPrefillMillis = (this.pendingAsks == 0) ? 0
+				: Math.max(0, this.pendingPrefillMillis - this.state.speed().prefillMillis(promptTokens));
+	}
+
+	/**
+	 * Returns whether it seems to have room for one more request below the top tier.
+	 * @return whether its limit is not reached
+	 */
+	public boolean hasRoom() {
+		return this.state.running() + this.pendingAsks < this.state.limit();
+	}
+
+	/**
+	 * Predicts when a request would be finished.
+	 * @param estimate size of the request
+	 * @param top whether it is of the top tier, which waits for no lower tier
+	 * @param cachedShare share of its prompt that is expected to be cached there
+	 * @param now the current time
+	 * @return milliseconds from now
+	 */
+	public double finishMillis(TokenEstimate estimate, boolean top, double cachedShare, long now) {
+		ServerState current = this.state;
+		int running = current.running() + this.pendingAsks;
+		double run = (estimate.total() == 0) ? current.serviceMillis()
+				: current.speed().prefillMillis(estimate.prompt() * (1 - cachedShare))
+						+ current.speed().decodeMillis(estimate.answer(), running + 1);
+		double backlog = Math.max(0, current.prefillBacklogMillis() - (now - this.stateAt));
+		return this.networkMillis + waitMillis(running, top) + backlog + this.pendingPrefillMillis + run;
+	}
+
+	private double waitMillis(int running, boolean top) {
+		ServerState current = this.state;
+		if (running < current.limit() || (top && current.lowerTierRunning())) {
+			return 0;
+		}
+		int ahead = running - current.limit() + current.waiting() + 1;
+		return (double) ahead * current.serviceMillis() / current.limit();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -0,0 +1,504 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.Permit;
+import org.sardineport.core.admission.PermitListener;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.limit.RetryBudget;
+import org.sardineport.core.quarantine.StrikeBook;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.routing.ServerView;
+
+/**
+ * The entry side: holds this daemon's requests until they have a permit or a refusal.
+ * Each is at one owner at a time; it is asked again while no answer comes, moves when
+ * another backend server would finish it much sooner, and is tried elsewhere after a
+ * denial as long as the budget of retries lasts. Not safe for use by several threads.
+ */
+final class EntryScheduler {
+
+	/** Retries of a request below the top tier. */
+	private static final int MOST_RETRIES = 3;
+
+	/** Moves of a queued request to another backend server. */
+	private static final int MOST_MOVES = 8;
+
+	/** Owner silences in a row, each of one timeout, after which another is tried. */
+	private static final int MOST_SILENCES = 2;
+
+	/** Time between two questions for a queued request. */
+	private static final long REFRESH_MILLIS = 2000;
+
+	/** Time at an owner before a queued request may move. */
+	private static final long SETTLE_MILLIS = 200;
+
+	/** Gain for which a queued request moves, in milliseconds. */
+	private static final long LEAST_GAIN_MILLIS = 100;
+
+	/** Time to wait for news of the fleet when no backend server may be asked. */
+	private static final long BACKOFF_MILLIS = 100;
+
+	/** Time for which the backend servers of a silent owner are not chosen. */
+	private static final long SILENT_MILLIS = 3000;
+
+	/** Time after which a caller is told to come back when nothing better is known. */
+	private static final long RETRY_AFTER_MILLIS = 1000;
+
+	/** Reports after a release, so that an owner which missed it frees the permit. */
+	private static final int REPORTS_AFTER_RELEASE = 3;
+
+	private final SchedulingLimits limits;
+
+	private final PoolDirectory directory;
+
+	private final InstantSource clock;
+
+	private final SchedulingEffects effects;
+
+	private final OwnerReplies outbox;
+
+	private final StrikeBook strikes;
+
+	private final QuotaDesk quotas;
+
+	private final RetryBudget budget = RetryBudget.create();
+
+	private final Map<RequestId, PendingRequest> pending = new LinkedHashMap<>();
+
+	private final Map<RequestId, RunningRequest> running = new LinkedHashMap<>();
+
+	private final Map<BackendServerId, Integer> reportsDue = new HashMap<>();
+
+	private final Map<DaemonId, Long> silentUntil = new HashMap<>();
+
+	EntryScheduler(SchedulingLimits limits, PoolDirectory directory, InstantSource clock, SchedulingEffects effects,
+			OwnerReplies outbox, StrikeBook strikes, QuotaDesk quotas) {
+		this.limits = limits;
+		this.directory = directory;
+		this.clock = clock;
+		this.effects = effects;
+		this.outbox = outbox;
+		this.strikes = strikes;
+		this.quotas = quotas;
+	}
+
+	void submit(SchedulingRequest request, PermitListener listener) {
+		PendingRequest added = new PendingRequest(request, listener);
+		Optional<Refusal> refusal = refusalOnArrival(request);
+		if (refusal.isPresent()) {
+			listener.refused(refusal.get());
+			return;
+		}
+		this.budget.tried();
+		this.pending.put(request.id(), added);
+		askBest(added);
+	}
+
+	private Optional<Refusal> refusalOnArrival(SchedulingRequest request) {
+		if (!this.clock.instant().isBefore(request.deadline())) {
+			return Optional.of(retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed", RETRY_AFTER_MILLIS));
+		}
+		Optional<Refusal> quarantine = quarantine(request);
+		if (quarantine.isPresent()) {
+			return quarantine;
+		}
+		if (this.pending.size() >= this.limits.maximumWaiting() && !evictFor(request)) {
+			return Optional.of(retryAfter(RefusalReason.OVERLOADED, "too many requests wait here", RETRY_AFTER_MILLIS));
+		}
+		return this.quotas.spend(request, this.clock.millis());
+	}
+
+	private Optional<Refusal> quarantine(SchedulingRequest request) {
+		Instant now = this.clock.instant();
+		return this.strikes.quarantinedUntil(request.fingerprint(), now)
+			.map((until) -> retryAfter(RefusalReason.QUARANTINED, "backend servers died while they ran this request",
+					Duration.between(now, until).toMillis()));
+	}
+
+	/**
+	 * Refuses the least urgent request that waits, if it is less urgent than a new one.
+	 * @param request the new request
+	 * @return whether one was refused
+	 */
+	private boolean evictFor(SchedulingRequest request) {
+		Optional<PendingRequest> victim = this.pending.values()
+			.stream()
+			.filter((waiting) -> request.tier().isMoreUrgentThan(waiting.request().tier()))
+			.max(Comparator.comparing((waiting) -> waiting.request().tier()));
+		victim.ifPresent((waiting) -> {
+			withdraw(waiting);
+			refuse(waiting, retryAfter(RefusalReason.OVERLOADED, "more urgent requests wait here", RETRY_AFTER_MILLIS));
+		});
+		return victim.isPresent();
+	}
+
+	void abandon(RequestId request) {
+		PendingRequest waiting = this.pending.remove(request);
+		if (waiting != null) {
+			withdraw(waiting);
+			this.quotas.refund(waiting.request());
+		}
+	}
+
+	void release(Permit permit, RunMeasurement measurement) {
+		RunningRequest run = this.running.remove(permit.request());
+		if (run == null) {
+			return;
+		}
+		learn(run, measurement);
+		PermitRelease release = new PermitRelease(permit.request(), permit.backendServer().id(), measurement);
+		this.outbox.send(run.owner(), release);
+		ServerView view = this.directory.view(permit.backendServer().id());
+		if (view != null && view.owner() != null && !view.owner().equals(run.owner())) {
+			this.outbox.send(view.owner(), release);
+		}
+		this.reportsDue.put(permit.backendServer().id(), REPORTS_AFTER_RELEASE);
+	}
+
+	private void learn(RunningRequest run, RunMeasurement measurement) {
+		SchedulingRequest request = run.request();
+		if (measurement.end() == RunEnd.BROKEN) {
+			this.strikes.strike(request.fingerprint(), run.permit().backendServer().id(), this.clock.instant());
+		}
+		else if (measurement.end() == RunEnd.COMPLETED) {
+			this.strikes.clear(request.fingerprint());
+			PoolRouter router = this.directory.router(request.pool());
+			ServerView view = this.directory.view(run.permit().backendServer().id());
+			if (router != null && view != null && router.isHome(view, request.prefixHash())) {
+				router.observeHome(measurement.promptTokens(), measurement.cachedPromptTokens());
+			}
+		}
+		else if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
+			this.quotas.refund(request);
+		}
+	}
+
+	void granted(DaemonId owner, PermitGrant grant) {
+		ServerView view = seen(grant.backendServer(), grant.state());
+		PendingRequest waiting = this.pending.get(grant.request());
+		if (waiting == null || view == null || !waiting.isAt(grant.backendServer())) {
+			giveBack(owner, grant);
+			return;
+		}
+		this.pending.remove(grant.request());
+		waiting.answered();
+		Optional<Refusal> quarantine = quarantine(waiting.request());
+		if (quarantine.isPresent()) {
+			giveBack(owner, grant);
+			refuse(waiting, quarantine.get());
+			return;
+		}
+		Permit permit = new Permit(grant.request(), view.server(), this.clock.instant().plus(grant.valid()));
+		PermitRequest ask = waiting.ask(view, this.clock.millis());
+		this.running.put(grant.request(),
+				new RunningRequest(waiting.request(), waiting.listener(), permit, ask, owner));
+		waiting.listener().granted(permit);
+	}
+
+	private void giveBack(DaemonId owner, PermitGrant grant) {
+		RunningRequest run = this.running.get(grant.request());
+		boolean repeated = run != null && run.permit().backendServer().id().equals(grant.backendServer())
+				&& run.owner().equals(owner);
+		if (!repeated) {
+			this.outbox.send(owner,
+					new PermitRelease(grant.request(), grant.backendServer(), RunMeasurement.none(RunEnd.UNUSED)));
+		}
+	}
+
+	void queued(DaemonId owner, PermitQueued queued) {
+		seen(queued.backendServer(), queued.state());
+		PendingRequest waiting = this.pending.get(queued.request());
+		if (waiting != null && waiting.isAt(queued.backendServer())) {
+			waiting.queued(queued.expectedWait().toMillis(), this.clock.millis());
+		}
+		else {
+			this.outbox.send(owner, new PermitWithdrawal(queued.request(), queued.backendServer()));
+		}
+	}
+
+	void denied(PermitRefusal refusal) {
+		seen(refusal.backendServer(), refusal.state());
+		PendingRequest waiting = this.pending.get(refusal.request());
+		if (waiting != null && waiting.isAt(refusal.backendServer())) {
+			waiting.denied(refusal.denial(), refusal.retryAfter());
+			waiting.left();
+			retry(waiting, refusal.denial().retryReason(), refusal.denial() == PermitDenial.NOT_OWNER);
+		}
+	}
+
+	void preempted(PermitPreemption preemption) {
+		RunningRequest run = this.running.get(preemption.request());
+		if (run != null && run.permit().backendServer().id().equals(preemption.backendServer())) {
+			run.listener().preempted(run.permit());
+		}
+	}
+
+	@Nullable ServerView seen(BackendServerId id, @Nullable ServerState state) {
+		ServerView view = this.directory.view(id);
+		if (view != null && state != null) {
+			view.update(state, this.clock.millis());
+		}
+		return view;
+	}
+
+	private void retry(PendingRequest waiting, RetryReason reason, boolean newsExpected) {
+		boolean top = waiting.request().tier().isTop();
+		if (!top && waiting.retried() > MOST_RETRIES) {
+			refuseDenied(waiting);
+		}
+		else if (!top && !this.budget.spend()) {
+			refuse(waiting, retryAfter(RefusalReason.RETRY_BUDGET_SPENT, "the budget of retries is spent",
+					Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+		}
+		else {
+			this.effects.retried(reason);
+			if (newsExpected && best(waiting) == null) {
+				waiting.backOff(this.clock.millis() + BACKOFF_MILLIS);
+			}
+			else {
+				askBest(waiting);
+			}
+		}
+	}
+
+	private void askBest(PendingRequest waiting) {
+		ServerView best = best(waiting);
+		if (best == null) {
+			refuseDenied(waiting);
+		}
+		else {
+			ask(waiting, best);
+		}
+	}
+
+	private @Nullable ServerView best(PendingRequest waiting) {
+		PoolRouter router = this.directory.router(waiting.request().pool());
+		if (router == null) {
+			return null;
+		}
+		long now = this.clock.millis();
+		SchedulingRequest request = waiting.request();
+		Predicate<ServerView> allowed = (view) -> !waiting.hasTried(view) && !isSilent(view.owner(), now);
+		return router.choose(request.estimate(), request.tier().isTop(), request.prefixHash(), allowed, now);
+	}
+
+	private boolean isSilent(@Nullable DaemonId owner, long now) {
+		if (this.silentUntil.isEmpty() || owner == null) {
+			return owner == null;
+		}
+		Long until = this.silentUntil.get(owner);
+		return until != null && until > now;
+	}
+
+	private void ask(PendingRequest waiting, ServerView view) {
+		DaemonId owner = view.owner();
+		if (owner == null) {
+			refuseDenied(waiting);
+			return;
+		}
+		long now = this.clock.millis();
+		waiting.asking(view, owner, now);
+		this.outbox.send(owner, waiting.ask(view, now));
+	}
+
+	private void refuseDenied(PendingRequest waiting) {
+		RefusalReason reason = waiting.denial().refusalReason();
+		refuse(waiting, retryAfter(reason, "no backend server of the pool has room in time",
+				Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+	}
+
+	private void refuse(PendingRequest waiting, Refusal refusal) {
+		this.pending.remove(waiting.request().id());
+		this.quotas.refund(waiting.request());
+		waiting.listener().refused(refusal);
+	}
+
+	private void withdraw(PendingRequest waiting) {
+		ServerView view = waiting.server();
+		DaemonId owner = waiting.owner();
+		if (view != null && owner != null) {
+			this.outbox.send(owner, new PermitWithdrawal(waiting.request().id(), view.server().id()));
+		}
+		waiting.left();
+	}
+
+	private static Refusal retryAfter(RefusalReason reason, String detail, long millis) {
+		return Refusal.retryAfter(reason, detail, Duration.ofMillis(millis));
+	}
+
+	void tick() {
+		long now = this.clock.millis();
+		this.silentUntil.values().removeIf((until) -> until <= now);
+		for (PendingRequest waiting : new ArrayList<>(this.pending.values())) {
+			if (this.pending.containsKey(waiting.request().id())) {
+				tick(waiting, now);
+			}
+		}
+	}
+
+	private void tick(PendingRequest waiting, long now) {
+		if (waiting.deadline() <= now) {
+			withdraw(waiting);
+			refuse(waiting, retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed before its turn",
+					Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+		}
+		else if (waiting.isBackingOff()) {
+			if (waiting.backoffUntil() <= now) {
+				askBest(waiting);
+			}
+		}
+		else if (waiting.isSilentSince(now - patience(waiting))) {
+			askAgain(waiting, now);
+		}
+		else if (waiting.isQueued()) {
+			moveIfBetter(waiting, now);
+		}
+	}
+
+	private long patience(PendingRequest waiting) {
+		boolean refreshed = waiting.isQueued() && waiting.silences() == 0;
+		return (refreshed) ? REFRESH_MILLIS : this.limits.ownerTimeout().toMillis();
+	}
+
+	private void askAgain(PendingRequest waiting, long now) {
+		ServerView view = waiting.server();
+		DaemonId owner = waiting.owner();
+		if (view == null || owner == null) {
+			return;
+		}
+		if (waiting.silences() < MOST_SILENCES) {
+			waiting.askedAgain(now);
+			this.outbox.send(owner, waiting.ask(view, now));
+			return;
+		}
+		this.silentUntil.put(owner, now + SILENT_MILLIS);
+		withdraw(waiting);
+		retry(waiting, RetryReason.OWNER_SILENT, true);
+	}
+
+	private void moveIfBetter(PendingRequest waiting, long now) {
+		ServerView current = waiting.server();
+		PoolRouter router = this.directory.router(waiting.request().pool());
+		if (current == null || router == null || waiting.moves() >= MOST_MOVES
+				|| !waiting.isPlacedBefore(now - SETTLE_MILLIS)) {
+			return;
+		}
+		SchedulingRequest request = waiting.request();
+		boolean top = request.tier().isTop();
+		ServerView other = router.choose(request.estimate(), top, request.prefixHash(),
+				(view) -> view != current && view.hasRoom() && !view.state().isolated() && !isSilent(view.owner(), now),
+				now);
+		if (other == null) {
+			return;
+		}
+		double there = router.finishMillis(other, request.estimate(), top, request.prefixHash(), now);
+		double here = router.finishMillis(current, request.estimate(), true, request.prefixHash(), now)
+				+ waiting.remainingWaitMillis(now);
+		if (there + LEAST_GAIN_MILLIS < here) {
+			waiting.moved();
+			this.effects.retried(RetryReason.OWNER_FULL);
+			withdraw(waiting);
+			ask(waiting, other);
+		}
+	}
+
+	/**
+	 * Moves what waits at former owners or backend servers that are gone, and tells new
+	 * owners what runs.
+	 */
+	void fleetChanged() {
+		for (PendingRequest waiting : new ArrayList<>(this.pending.values())) {
+			ServerView view = waiting.server();
+			if (view == null || !this.pending.containsKey(waiting.request().id())) {
+				continue;
+			}
+			ServerView now = this.directory.view(view.server().id());
+			if (now == null) {
+				waiting.denied(PermitDenial.LEAVING, Duration.ZERO);
+				withdraw(waiting);
+				retry(waiting, RetryReason.BACKEND_LEAVING, true);
+			}
+			else if (!Objects.equals(now.owner(), waiting.owner())) {
+				withdraw(waiting);
+				ask(waiting, now);
+			}
+		}
+		tellNewOwners();
+	}
+
+	/**
+	 * Tells other daemons all that this one runs on their backend servers, also where its
+	 * last run has ended lately.
+	 */
+	void report() {
+		Set<BackendServerId> due = new LinkedHashSet<>(this.reportsDue.keySet());
+		this.running.values().forEach((run) -> due.add(run.permit().backendServer().id()));
+		this.reportsDue.replaceAll((id, times) -> times - 1);
+		this.reportsDue.values().removeIf((times) -> times <= 0);
+		due.forEach(this::report);
+	}
+
+	private void report(BackendServerId id) {
+		ServerView view = this.directory.view(id);
+		if (view != null && view.owner() != null && !this.directory.isOwner(id)) {
+			this.outbox.send(view.owner(), runningPermits(id));
+		}
+	}
+
+	private RunningPermits runningPermits(BackendServerId id) {
+		return new RunningPermits(id,
+				this.running.values()
+					.stream()
+					.filter((run) -> run.permit().backendServer().id().equals(id))
+					.map(RunningRequest::ask)
+					.toList());
+	}
+
+	private void tellNewOwners() {
+		Set<BackendServerId> moved = new LinkedHashSet<>();
+		for (RunningRequest run : this.running.values()) {
+			BackendServerId id = run.permit().backendServer().id();
+			if (!this.directory.isOwner(run.owner(), id)) {
+				moved.add(id);
+			}
+		}
+		for (BackendServerId id : moved) {
+			ServerView view = this.directory.view(id);
+			if (view != null && view.owner() != null) {
+				this.outbox.send(view.owner(), runningPermits(id));
+			}
+		}
+	}
+
+	int waiting() {
+		return this.pending.size();
+	}
+
+	int running() {
+		return this.running.size();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -0,0 +1,204 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.PermitListener;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.routing.ServerView;
+
+/**
+ * A request of this daemon that has no permit yet.
+ */
+final class PendingRequest {
+
+	private final SchedulingRequest request;
+
+	private final PermitListener listener;
+
+	private final long deadline;
+
+	private final Set<BackendServerId> tried = new HashSet<>();
+
+	private @Nullable ServerView server;
+
+	private @Nullable DaemonId owner;
+
+	private boolean answerPending;
+
+	private boolean queued;
+
+	private long askedAt;
+
+	private long placedAt;
+
+	private long expectedWaitMillis;
+
+	private long backoffUntil;
+
+	private int retries;
+
+	private int moves;
+
+	private int silences;
+
+	private PermitDenial denial = PermitDenial.ISOLATED;
+
+	private long retryAfterMillis;
+
+	PendingRequest(SchedulingRequest request, PermitListener listener) {
+		this.request = request;
+		this.listener = listener;
+		this.deadline = request.deadline().toEpochMilli();
+	}
+
+	SchedulingRequest request() {
+		return this.request;
+	}
+
+	PermitListener listener() {
+		return this.listener;
+	}
+
+	long deadline() {
+		return this.deadline;
+	}
+
+	@Nullable ServerView server() {
+		return this.server;
+	}
+
+	@Nullable DaemonId owner() {
+		return this.owner;
+	}
+
+	boolean isQueued() {
+		return this.queued;
+	}
+
+	boolean isAt(BackendServerId id) {
+		return this.server != null && this.server.server().id().equals(id);
+	}
+
+	boolean hasTried(ServerView view) {
+		return this.tried.contains(view.server().id());
+	}
+
+	void asking(ServerView newServer, DaemonId newOwner, long now) {
+		this.server = newServer;
+		this.owner = newOwner;
+		this.askedAt = now;
+		this.placedAt = now;
+		this.silences = 0;
+		this.queued = false;
+		this.answerPending = true;
+		newServer.asked(this.request.estimate().prompt());
+	}
+
+	void askedAgain(long now) {
+		this.askedAt = now;
+		this.silences++;
+	}
+
+	/**
+	 * An answer came, or none is waited for any more.
+	 */
+	void answered() {
+		this.silences = 0;
+		if (this.answerPending && this.server != null) {
+			this.server.answered(this.request.estimate().prompt());
+		}
+		this.answerPending = false;
+	}
+
+	void queued(long waitMillis, long now) {
+		answered();
+		this.queued = true;
+		this.askedAt = now;
+		this.expectedWaitMillis = waitMillis;
+	}
+
+	/**
+	 * Leaves the present backend server, which is not tried again soon.
+	 */
+	void left() {
+		answered();
+		if (this.server != null) {
+			this.tried.add(this.server.server().id());
+		}
+		this.server = null;
+		this.owner = null;
+		this.queued = false;
+	}
+
+	void denied(PermitDenial newDenial, Duration retryAfter) {
+		this.denial = newDenial;
+		this.retryAfterMillis = Math.max(this.retryAfterMillis, retryAfter.toMillis());
+	}
+
+	PermitDenial denial() {
+		return this.denial;
+	}
+
+	long retryAfterMillis() {
+		return this.retryAfterMillis;
+	}
+
+	int retried() {
+		return ++this.retries;
+	}
+
+	int moved() {
+		return ++this.moves;
+	}
+
+	int moves() {
+		return this.moves;
+	}
+
+	void backOff(long until) {
+		this.tried.clear();
+		this.backoffUntil = until;
+	}
+
+	boolean isBackingOff() {
+		return this.server == null;
+	}
+
+	long backoffUntil() {
+		return this.backoffUntil;
+	}
+
+	boolean isSilentSince(long instant) {
+		return this.askedAt <= instant;
+	}
+
+	int silences() {
+		return this.silences;
+	}
+
+	boolean isPlacedBefore(long instant) {
+		return this.placedAt < instant;
+	}
+
+	/**
+	 * Returns the wait that is left where it is queued.
+	 * @param now the current time
+	 * @return milliseconds
+	 */
+	long remainingWaitMillis(long now) {
+		return Math.max(0, this.expectedWaitMillis - (now - this.askedAt));
+	}
+
+	PermitRequest ask(ServerView view, long now) {
+		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
+				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
+				this.request.runningPolicy(), this.request.fingerprint(),
+				Duration.ofMillis(Math.max(0, this.deadline - now)));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -0,0 +1,166 @@
+package org.sardineport.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.ServerView;
+
+/**
+ * Backend servers by pool and their owners, as the newest view of the fleet tells. Not
+ * safe for use by several threads.
+ */
+final class PoolDirectory {
+
+	/** Time lost on the way to another daemon and back, in milliseconds. */
+	private static final double OWNER_MILLIS = 1;
+
+	/** Time lost on the way to another failure domain and back, in milliseconds. */
+	private static final double DOMAIN_MILLIS = 3;
+
+	private final DaemonId self;
+
+	private final Ownership ownership;
+
+	private final RandomGenerator random;
+
+	private final Map<BackendServerId, ServerView> views = new LinkedHashMap<>();
+
+	private final Map<PoolName, PoolRouter> routers = new HashMap<>();
+
+	private final Map<OrganisationId, DaemonId> quotaOwners = new HashMap<>();
+
+	private List<Member> eligible = List.of();
+
+	private Set<DaemonId> present = Set.of();
+
+	private List<BackendServer> servers = List.of();
+
+	PoolDirectory(DaemonId self, Ownership ownership, RandomGenerator random) {
+		this.self = self;
+		this.ownership = ownership;
+		this.random = random;
+	}
+
+	/**
+	 * Takes a new view of the fleet.
+	 * @param fleet the view
+	 * @return whether owners or backend servers may have changed
+	 */
+	boolean update(FleetSnapshot fleet) {
+		List<Member> newEligible = fleet.members().stream().filter((member) -> member.status().isEligible()).toList();
+		this.present = new HashSet<>();
+		fleet.members().stream().filter((member) -> isPresent(member)).map(Member::id).forEach(this.present::add);
+		this.present.add(this.self);
+		if (ids(newEligible).equals(ids(this.eligible)) && fleet.backendServers().equals(this.servers)) {
+			return false;
+		}
+		this.eligible = newEligible;
+		this.servers = fleet.backendServers();
+		this.quotaOwners.clear();
+		rebuild(fleet);
+		return true;
+	}
+
+	private static boolean isPresent(Member member) {
+		return switch (member.status()) {
+			case ALIVE, SUSPECT, LEAVING -> true;
+			case DEAD -> false;
+		};
+	}
+
+	private static List<DaemonId> ids(List<Member> members) {
+		return members.stream().map(Member::id).toList();
+	}
+
+	private void rebuild(FleetSnapshot fleet) {
+		Map<BackendServerId, ServerView> old = new HashMap<>(this.views);
+		this.views.clear();
+		this.routers.clear();
+		FailureDomain domain = fleet.member(this.self).map(Member::failureDomain).orElse(null);
+		Map<PoolName, List<ServerView>> pools = new LinkedHashMap<>();
+		for (BackendServer server : this.servers) {
+			DaemonId owner = owner(server);
+			ServerView view = old.get(server.id());
+			if (view == null || !view.server().equals(server)) {
+				boolean local = server.failureDomain().equals(domain);
+				view = ServerView.of(server, local,
+						((local) ? 0 : DOMAIN_MILLIS) + (this.self.equals(owner) ? 0 : OWNER_MILLIS));
+			}
+			view.ownedBy(owner);
+			this.views.put(server.id(), view);
+			pools.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>()).add(view);
+		}
+		pools.forEach((pool, members) -> this.routers.put(pool, PoolRouter.of(members, owned(members), this.random)));
+	}
+
+	private DaemonId owner(BackendServer server) {
+		return this.ownership.owner(server, this.eligible).orElse(this.self);
+	}
+
+	private List<ServerView> owned(List<ServerView> members) {
+		return members.stream().filter((view) -> this.self.equals(view.owner())).toList();
+	}
+
+	@Nullable ServerView view(BackendServerId id) {
+		return this.views.get(id);
+	}
+
+	@Nullable PoolRouter router(PoolName pool) {
+		return this.routers.get(pool);
+	}
+
+	List<BackendServer> owned() {
+		return this.views.values()
+			.stream()
+			.filter((view) -> this.self.equals(view.owner()))
+			.map(ServerView::server)
+			.toList();
+	}
+
+	boolean isOwner(BackendServerId id) {
+		return isOwner(this.self, id);
+	}
+
+	boolean isOwner(DaemonId daemon, BackendServerId id) {
+		ServerView view = this.views.get(id);
+		return view != null && daemon.equals(view.owner());
+	}
+
+	/**
+	 * Returns the daemons whose requests may still run.
+	 * @return all that are not taken to be dead
+	 */
+	Set<DaemonId> present() {
+		return this.present;
+	}
+
+	/**
+	 * Returns how many daemons share a limit.
+	 * @return the number, at least 1
+	 */
+	int sharers() {
+		return Math.max(1, this.eligible.size());
+	}
+
+	DaemonId quotaOwner(OrganisationId organisation) {
+		return this.quotaOwners.computeIfAbsent(organisation,
+				(key) -> RendezvousOwnership.winner(key.value(), this.eligible).orElse(this.self));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/scheduling/QuotaDesk.java
@@ -0,0 +1,90 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.limit.QuotaAccount;
+import org.sardineport.core.limit.QuotaLedger;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+
+/**
+ * Both sides of organisations' limits: accounts of this daemon as an entry, and ledgers
+ * of the organisations whose limits it shares out. Not safe for use by several threads.
+ */
+final class QuotaDesk {
+
+	private final PoolDirectory directory;
+
+	private final OwnerReplies outbox;
+
+	private final Map<OrganisationId, QuotaAccount> accounts = new HashMap<>();
+
+	private final Map<OrganisationId, QuotaLedger> ledgers = new HashMap<>();
+
+	QuotaDesk(PoolDirectory directory, OwnerReplies outbox) {
+		this.directory = directory;
+		this.outbox = outbox;
+	}
+
+	/**
+	 * Spends the tokens of a request that arrives.
+	 * @param request the request
+	 * @param now the current time in milliseconds
+	 * @return the refusal, or empty if the organisation may go on
+	 */
+	Optional<Refusal> spend(SchedulingRequest request, long now) {
+		long limit = request.organisationTokensPerSecond();
+		if (limit <= 0) {
+			return Optional.empty();
+		}
+		QuotaAccount account = this.accounts.computeIfAbsent(request.organisation(),
+				(key) -> QuotaAccount.open(limit, this.directory.sharers(), now));
+		boolean allowed = account.spend(request.estimate().total(), request.tier().isTop(), limit,
+				this.directory.sharers(), now);
+		return (allowed) ? Optional.empty() : Optional.of(Refusal.retryAfter(RefusalReason.ORGANISATION_LIMIT,
+				"the organisation used up its tokens", Duration.ofMillis(account.retryAfterMillis())));
+	}
+
+	/**
+	 * Gives back the tokens of a request that did not run.
+	 * @param request the request
+	 */
+	void refund(SchedulingRequest request) {
+		QuotaAccount account = this.accounts.get(request.organisation());
+		if (account != null && request.organisationTokensPerSecond() > 0) {
+			account.refund(request.estimate().total());
+		}
+	}
+
+	void tick(long now) {
+		this.accounts.forEach((organisation, account) -> {
+			long wanted = account.demandToTell(now);
+			if (wanted >= 0) {
+				this.outbox.send(this.directory.quotaOwner(organisation),
+						new QuotaRequest(organisation, wanted, account.limit(), account.sequence()));
+			}
+		});
+		this.accounts.values().removeIf((account) -> account.isIdle(now));
+	}
+
+	void asked(DaemonId entry, QuotaRequest request, long now) {
+		QuotaLedger ledger = this.ledgers.computeIfAbsent(request.organisation(), (key) -> QuotaLedger.create());
+		long tokens = ledger.lease(entry, request.tokens(), request.limitTokensPerSecond(), now);
+		this.outbox.send(entry, new QuotaSlice(request.organisation(), tokens,
+				Duration.ofMillis(QuotaLedger.SLICE_MILLIS), request.sequence()));
+	}
+
+	void leased(QuotaSlice slice, long now) {
+		QuotaAccount account = this.accounts.get(slice.organisation());
+		if (account != null) {
+			account.lease(slice.tokens(), slice.valid().toMillis(), slice.sequence(), now);
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -0,0 +1,290 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+
+import org.sardineport.core.admission.Permit;
+import org.sardineport.core.admission.PermitListener;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * Schedulers of a few daemons in virtual time. Messages between them wait in a list until
+ * the test delivers or drops them.
+ */
+final class SchedulingFixture implements InstantSource {
+
+	static final PoolName POOL = PoolName.of("model");
+
+	static final FailureDomain DOMAIN = FailureDomain.of("bole");
+
+	static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 9);
+
+	final Map<DaemonId, Scheduler> schedulers = new LinkedHashMap<>();
+
+	final Map<BackendServerId, DaemonId> owners = new LinkedHashMap<>();
+
+	final List<BackendServer> servers = new ArrayList<>();
+
+	final List<Sent> sent = new ArrayList<>();
+
+	final List<RetryReason> retries = new ArrayList<>();
+
+	Instant now = Instant.ofEpochSecond(1_000_000);
+
+	private int requests;
+
+	SchedulingFixture daemons(String... names) {
+		for (String name : names) {
+			DaemonId id = DaemonId.of(name);
+			this.schedulers.put(id,
+					Scheduler.create(id, new SchedulingLimits(Duration.ofSeconds(1), Duration.ofMillis(500), 100),
+							(server, members) -> Optional.ofNullable(this.owners.get(server.id()))
+								.filter((owner) -> members.stream().anyMatch((member) -> member.id().equals(owner))),
+							this, new SplittableRandom(1), new Effects(id)));
+		}
+		return this;
+	}
+
+	SchedulingFixture server(String name, int concurrency, String owner) {
+		BackendServerId id = BackendServerId.of(name);
+		this.servers.add(new BackendServer(id, BackendKind.MODEL_ENGINE, POOL, DOMAIN, ADDRESS, concurrency));
+		this.owners.put(id, DaemonId.of(owner));
+		return this;
+	}
+
+	SchedulingFixture tellFleet(String... dead) {
+		for (String daemon : this.schedulers.keySet().stream().map(DaemonId::value).toList()) {
+			tellFleetTo(daemon, dead);
+		}
+		return this;
+	}
+
+	void tellFleetTo(String daemon, String... dead) {
+		List<Member> members = this.schedulers.keySet()
+			.stream()
+			.map((id) -> new Member(id, 1,
+					(List.of(dead).contains(id.value())) ? MemberStatus.DEAD : MemberStatus.ALIVE, DOMAIN, ADDRESS,
+					ADDRESS, 0, 0))
+			.toList();
+		scheduler(daemon).fleet(new FleetSnapshot(DaemonId.of(daemon), members, this.servers));
+	}
+
+	Scheduler scheduler(String daemon) {
+		return this.schedulers.get(DaemonId.of(daemon));
+	}
+
+	Caller submit(String daemon, Tier tier) {
+		return submit(daemon, request(tier));
+	}
+
+	Caller submit(String daemon, SchedulingRequest request) {
+		Caller caller = new Caller(scheduler(daemon), request);
+		scheduler(daemon).submit(request, caller);
+		return caller;
+	}
+
+	SchedulingRequest request(Tier tier) {
+		return request(tier, RunningPolicy.CANCELLABLE, Duration.ofSeconds(60));
+	}
+
+	SchedulingRequest request(Tier tier, RunningPolicy policy, Duration deadline) {
+		return request(tier, policy, deadline, "organisation", 0, TokenEstimate.of(100, 100));
+	}
+
+	SchedulingRequest request(Tier tier, RunningPolicy policy, Duration deadline, String organisation, long limit,
+			TokenEstimate estimate) {
+		int number = ++this.requests;
+		return new SchedulingRequest(RequestId.of("request-" + number), POOL, OrganisationId.of(organisation), tier,
+				estimate, 0, Fingerprint.of(number, 1), policy, limit, this.now, this.now.plus(deadline));
+	}
+
+	SchedulingRequest again(SchedulingRequest old) {
+		return new SchedulingRequest(old.id(), old.pool(), old.organisation(), old.tier(), old.estimate(),
+				old.prefixHash(), old.fingerprint(), old.runningPolicy(), old.organisationTokensPerSecond(), this.now,
+				this.now.plusSeconds(60));
+	}
+
+	/**
+	 * Delivers all messages, and those sent in answer.
+	 */
+	void deliver() {
+		while (!this.sent.isEmpty()) {
+			deliver(this.sent.remove(0));
+		}
+	}
+
+	void deliver(Sent message) {
+		Scheduler to = this.schedulers.get(message.to());
+		if (to != null) {
+			to.received(message.from(), message.message());
+		}
+	}
+
+	void drop(Predicate<SchedulingMessage> condition) {
+		this.sent.removeIf((message) -> condition.test(message.message()));
+	}
+
+	void advance(Duration time) {
+		for (long left = time.toMillis(); left > 0; left -= 25) {
+			this.now = this.now.plusMillis(Math.min(25, left));
+			this.schedulers.values().forEach(Scheduler::tick);
+		}
+	}
+
+	void advanceAndDeliver(Duration time) {
+		for (long left = time.toMillis(); left > 0; left -= 25) {
+			advance(Duration.ofMillis(Math.min(25, left)));
+			deliver();
+		}
+	}
+
+	@Override
+	public Instant instant() {
+		return this.now;
+	}
+
+	/**
+	 * A message between daemons.
+	 *
+	 * @param from sender
+	 * @param to receiver
+	 * @param message the message
+	 */
+	record Sent(DaemonId from, DaemonId to, SchedulingMessage message) {
+
+	}
+
+	/**
+	 * Hears what was decided for one request.
+	 */
+	static final class Caller implements PermitListener {
+
+		private final Scheduler scheduler;
+
+		private final SchedulingRequest request;
+
+		private final List<Permit> permits = new ArrayList<>();
+
+		private final List<Refusal> refusals = new ArrayList<>();
+
+		private final List<Permit> preemptions = new ArrayList<>();
+
+		Caller(Scheduler scheduler, SchedulingRequest request) {
+			this.scheduler = scheduler;
+			this.request = request;
+		}
+
+		@Override
+		public void granted(Permit permit) {
+			this.permits.add(permit);
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			this.refusals.add(refusal);
+		}
+
+		@Override
+		public void preempted(Permit permit) {
+			this.preemptions.add(permit);
+		}
+
+		SchedulingRequest request() {
+			return this.request;
+		}
+
+		boolean isGranted() {
+			return this.permits.size() == 1;
+		}
+
+		boolean isRefused() {
+			return !this.refusals.isEmpty();
+		}
+
+		boolean isPreempted() {
+			return !this.preemptions.isEmpty();
+		}
+
+		boolean isWaiting() {
+			return this.permits.isEmpty() && this.refusals.isEmpty();
+		}
+
+		int answers() {
+			return this.permits.size() + this.refusals.size();
+		}
+
+		Refusal refusal() {
+			return this.refusals.get(0);
+		}
+
+		Permit permit() {
+			return this.permits.get(0);
+		}
+
+		void abandon() {
+			this.scheduler.abandon(this.request.id());
+		}
+
+		void end(RunEnd end) {
+			this.scheduler.release(permit(), RunMeasurement.none(end));
+		}
+
+		void complete(Duration first, Duration total) {
+			this.scheduler.release(permit(), new RunMeasurement(RunEnd.COMPLETED, this.request.estimate().prompt(), 0,
+					this.request.estimate().answer(), first, total));
+		}
+
+	}
+
+	/**
+	 * Effects of one daemon.
+	 */
+	private final class Effects implements SchedulingEffects {
+
+		private final DaemonId from;
+
+		Effects(DaemonId from) {
+			this.from = from;
+		}
+
+		@Override
+		public void send(DaemonId to, SchedulingMessage message) {
+			SchedulingFixture.this.sent.add(new Sent(this.from, to, message));
+		}
+
+		@Override
+		public void retried(RetryReason reason) {
+			SchedulingFixture.this.retries.add(reason);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
@@ -0,0 +1,248 @@
+package org.sardineport.daemon.scheduling;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import java.util.Queue;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.random.RandomGenerator;
+
+import org.sardineport.core.admission.Permit;
+import org.sardineport.core.admission.PermitListener;
+import org.sardineport.core.admission.RequestScheduler;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.backend.ModelEngine;
+import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeExchange;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.scheduling.Ownership;
+import org.sardineport.core.scheduling.Scheduler;
+import org.sardineport.core.scheduling.SchedulingEffects;
+import org.sardineport.core.scheduling.SchedulingLimits;
+import org.sardineport.core.scheduling.SchedulingMessage;
+import org.sardineport.daemon.duty.Duty;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.settings.SchedulingSettings;
+
+/**
+ * Runs scheduling on one thread: joins callers, other daemons, the view of the fleet and
+ * load reports to the decisions of {@link Scheduler}. Safe for use by any thread.
+ */
+public final class SchedulingDuty implements RequestScheduler, StrikeExchange, Service {
+
+	private static final int RING_SIZE = 16_384;
+
+	private static final Duration TICK = Duration.ofMillis(25);
+
+	/** Most strikes that wait to be told to other daemons. */
+	private static final int MOST_STRIKES = 16;
+
+	private static final EventLog LOG = EventLog.of(SchedulingDuty.class);
+
+	private final FleetView fleet;
+
+	private final PeerTransport transport;
+
+	private final ModelEngine engine;
+
+	private final InstantSource clock;
+
+	private final Telemetry telemetry;
+
+	private final Duration loadReportInterval;
+
+	private final Scheduler scheduler;
+
+	private final Duty duty;
+
+	private final Queue<Runnable> kept = new ConcurrentLinkedQueue<>();
+
+	private volatile FleetSnapshot newest;
+
+	private volatile List<ServerState> states = List.of();
+
+	private volatile List<Strike> strikes = List.of();
+
+	private long reportsAskedAt;
+
+	private SchedulingDuty(SchedulingSettings settings, FleetView fleet, Ownership ownership, PeerTransport transport,
+			ModelEngine engine, InstantSource clock, RandomGenerator random, Telemetry telemetry) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
+		this.transport = Objects.requireNonNull(transport, "transport must not be null");
+		this.engine = Objects.requireNonNull(engine, "engine must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
+		this.loadReportInterval = settings.loadReportInterval();
+		this.newest = fleet.current();
+		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
+				settings.maximumWaiting());
+		this.scheduler = Scheduler.create(this.newest.self(), limits, ownership, clock, random, new Effects());
+		this.duty = Duty.create("scheduling", RING_SIZE, TICK, this::tick);
+	}
+
+	/**
+	 * Returns a duty that is not started yet. Created before the transport's start, as it
+	 * listens for messages.
+	 * @param settings limits of scheduling
+	 * @param fleet the view of the fleet
+	 * @param ownership tells who owns a backend server
+	 * @param transport carries messages to other daemons
+	 * @param engine asked for load reports
+	 * @param clock the clock
+	 * @param random source of randomness
+	 * @param telemetry where retries are counted
+	 * @return the duty
+	 */
+	public static SchedulingDuty create(SchedulingSettings settings, FleetView fleet, Ownership ownership,
+			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
+			Telemetry telemetry) {
+		SchedulingDuty created = new SchedulingDuty(settings, fleet, ownership, transport, engine, clock, random,
+				telemetry);
+		created.listen();
+		return created;
+	}
+
+	private void listen() {
+		this.transport.listen(SchedulingMessage.class, (sender, incarnation, address, message) -> {
+			if (message instanceof SchedulingMessage scheduling) {
+				offer("message", () -> this.scheduler.received(sender, scheduling));
+			}
+		});
+		this.fleet.listen((snapshot) -> {
+			this.newest = snapshot;
+			offer("fleet", () -> this.scheduler.fleet(snapshot));
+		});
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		offer("fleet", () -> this.scheduler.fleet(this.newest));
+		return this.duty.start();
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		return this.duty.stop();
+	}
+
+	@Override
+	public void submit(SchedulingRequest request, PermitListener listener) {
+		if (!this.duty.offer(() -> this.scheduler.submit(request, listener))) {
+			listener.refused(Refusal.retryAfter(RefusalReason.RING_FULL, "the scheduling ring is full", TICK));
+		}
+	}
+
+	@Override
+	public void abandon(RequestId request) {
+		offerOrKeep(() -> this.scheduler.abandon(request));
+	}
+
+	@Override
+	public void release(Permit permit, RunMeasurement measurement) {
+		offerOrKeep(() -> this.scheduler.release(permit, measurement));
+	}
+
+	@Override
+	public List<Strike> strikesToShare(int most) {
+		List<Strike> current = this.strikes;
+		return current.subList(0, Math.min(most, current.size()));
+	}
+
+	@Override
+	public void acceptStrikes(List<Strike> heard) {
+		if (!heard.isEmpty()) {
+			offer("strikes", () -> heard.forEach(this.scheduler::accept));
+		}
+	}
+
+	/**
+	 * Returns the state of the backend servers that this daemon owns, as of the last
+	 * tick.
+	 * @return the states
+	 */
+	public List<ServerState> states() {
+		return this.states;
+	}
+
+	private void offer(String what, Runnable command) {
+		if (!this.duty.offer(command)) {
+			this.telemetry.counter("scheduling.ring-full." + what).inc();
+		}
+	}
+
+	/**
+	 * Hands over a command that must not be lost. There are never more of them than
+	 * requests in flight, so those that find the ring full may wait for the next tick.
+	 * @param command the command
+	 */
+	private void offerOrKeep(Runnable command) {
+		if (!this.duty.offer(command)) {
+			this.kept.add(command);
+		}
+	}
+
+	private void tick() {
+		for (Runnable command = this.kept.poll(); command != null; command = this.kept.poll()) {
+			command.run();
+		}
+		this.scheduler.tick();
+		this.states = this.scheduler.states();
+		this.strikes = this.scheduler.strikesToShare(MOST_STRIKES);
+		if (this.scheduler.isTopTierBehindLower()) {
+			this.telemetry.counter("scheduling.top-tier-behind-lower").inc();
+			LOG.warn("scheduling.top-tier-behind-lower");
+		}
+		long now = this.clock.millis();
+		if (now - this.reportsAskedAt >= this.loadReportInterval.toMillis()) {
+			this.reportsAskedAt = now;
+			this.scheduler.owned().forEach(this::askLoad);
+		}
+	}
+
+	private void askLoad(BackendServer server) {
+		this.engine.load(server).whenComplete((report, failure) -> {
+			if (failure == null) {
+				offer("load", () -> this.scheduler.loaded(report));
+			}
+			else {
+				this.telemetry.counter("scheduling.load-report-failed").inc();
+			}
+		});
+	}
+
+	/**
+	 * Effects of the decisions: messages to other daemons and counters.
+	 */
+	private final class Effects implements SchedulingEffects {
+
+		@Override
+		public void send(DaemonId to, SchedulingMessage message) {
+			SchedulingDuty.this.newest.member(to)
+				.map(Member::peerAddress)
+				.ifPresentOrElse((address) -> SchedulingDuty.this.transport.send(address, message),
+						() -> SchedulingDuty.this.telemetry.counter("scheduling.unknown-daemon").inc());
+		}
+
+		@Override
+		public void retried(RetryReason reason) {
+			SchedulingDuty.this.telemetry.retried(reason).inc();
+		}
+
+	}
+
+}
--- a/wire/src/main/java/org/sardineport/wire/message/PermitGrant.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitGrant.java
@@ -22,6 +22,7 @@
     request_ = "";
     backendServer_ = "";
   }
+  private int bitField0_;
   public static final int REQUEST_FIELD_NUMBER = 1;
   private java.lang.String request_;
   /**
@@ -144,6 +145,54 @@
     validMillis_ = 0;
   }
 
+  public static final int DIGEST_FIELD_NUMBER = 4;
+  private org.sardineport.wire.message.ServerDigest digest_;
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   */
+  @java.lang.Override
+  public boolean hasDigest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ServerDigest getDigest() {
+    return digest_ == null ? org.sardineport.wire.message.ServerDigest.getDefaultInstance() : digest_;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    digest_ = value;
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   */
+  @java.lang.SuppressWarnings({"ReferenceEquality", "ReturnValueIgnored"})
+  private void mergeDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    if (digest_ != null &&
+        digest_ != org.sardineport.wire.message.ServerDigest.getDefaultInstance()) {
+      digest_ =
+        org.sardineport.wire.message.ServerDigest.newBuilder(digest_).mergeFrom(value).buildPartial();
+    } else {
+      digest_ = value;
+    }
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   */
+  private void clearDigest() {
+    digest_ = null;
+    bitField0_ = (bitField0_ & ~0x00000001);
+  }
+
   public static org.sardineport.wire.message.PermitGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -371,6 +420,53 @@
       return this;
     }
 
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    @java.lang.Override
+    public boolean hasDigest() {
+      return instance.hasDigest();
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ServerDigest getDigest() {
+      return instance.getDigest();
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    public Builder setDigest(org.sardineport.wire.message.ServerDigest value) {
+      copyOnWrite();
+      instance.setDigest(value);
+      return this;
+      }
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    public Builder setDigest(
+        org.sardineport.wire.message.ServerDigest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDigest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    public Builder mergeDigest(org.sardineport.wire.message.ServerDigest value) {
+      copyOnWrite();
+      instance.mergeDigest(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 4;</code>
+     */
+    public Builder clearDigest() {  copyOnWrite();
+      instance.clearDigest();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.PermitGrant)
   }
   @java.lang.Override
@@ -387,13 +483,15 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "request_",
             "backendServer_",
             "validMillis_",
+            "digest_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u000b";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u000b\u0004\u1009\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitGrantOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitGrantOrBuilder.java
@@ -39,4 +39,15 @@
    * @return The validMillis.
    */
   int getValidMillis();
+
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   * @return Whether the digest field is set.
+   */
+  boolean hasDigest();
+  /**
+   * <code>.sardineport.ServerDigest digest = 4;</code>
+   * @return The digest.
+   */
+  org.sardineport.wire.message.ServerDigest getDigest();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRefusal.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRefusal.java
@@ -23,6 +23,7 @@
     backendServer_ = "";
     reason_ = "";
   }
+  private int bitField0_;
   public static final int REQUEST_FIELD_NUMBER = 1;
   private java.lang.String request_;
   /**
@@ -213,42 +214,52 @@
     retryAfterMillis_ = 0;
   }
 
-  public static final int LOWER_TIER_RUNNING_FIELD_NUMBER = 5;
-  private boolean lowerTierRunning_;
+  public static final int DIGEST_FIELD_NUMBER = 6;
+  private org.sardineport.wire.message.ServerDigest digest_;
   /**
-   * <pre>
-   * Whether the owner has lower-tier work running there.
-   * </pre>
-   *
-   * <code>bool lower_tier_running = 5;</code>
-   * @return The lowerTierRunning.
+   * <code>.sardineport.ServerDigest digest = 6;</code>
    */
   @java.lang.Override
-  public boolean getLowerTierRunning() {
-    return lowerTierRunning_;
+  public boolean hasDigest() {
+    return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <pre>
-   * Whether the owner has lower-tier work running there.
-   * </pre>
-   *
-   * <code>bool lower_tier_running = 5;</code>
-   * @param value The lowerTierRunning to set.
+   * <code>.sardineport.ServerDigest digest = 6;</code>
    */
-  private void setLowerTierRunning(boolean value) {
-    
-    lowerTierRunning_ = value;
+  @java.lang.Override
+  public org.sardineport.wire.message.ServerDigest getDigest() {
+    return digest_ == null ? org.sardineport.wire.message.ServerDigest.getDefaultInstance() : digest_;
   }
   /**
-   * <pre>
-   * Whether the owner has lower-tier work running there.
-   * </pre>
-   *
-   * <code>bool lower_tier_running = 5;</code>
+   * <code>.sardineport.ServerDigest digest = 6;</code>
    */
-  private void clearLowerTierRunning() {
-
-    lowerTierRunning_ = false;
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    digest_ = value;
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 6;</code>
+   */
+  @java.lang.SuppressWarnings({"ReferenceEquality", "ReturnValueIgnored"})
+  private void mergeDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    if (digest_ != null &&
+        digest_ != org.sardineport.wire.message.ServerDigest.getDefaultInstance()) {
+      digest_ =
+        org.sardineport.wire.message.ServerDigest.newBuilder(digest_).mergeFrom(value).buildPartial();
+    } else {
+      digest_ = value;
+    }
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 6;</code>
+   */
+  private void clearDigest() {
+    digest_ = null;
+    bitField0_ = (bitField0_ & ~0x00000001);
   }
 
   public static org.sardineport.wire.message.PermitRefusal parseFrom(
@@ -548,42 +559,49 @@
     }
 
     /**
-     * <pre>
-     * Whether the owner has lower-tier work running there.
-     * </pre>
-     *
-     * <code>bool lower_tier_running = 5;</code>
-     * @return The lowerTierRunning.
+     * <code>.sardineport.ServerDigest digest = 6;</code>
      */
     @java.lang.Override
-    public boolean getLowerTierRunning() {
-      return instance.getLowerTierRunning();
+    public boolean hasDigest() {
+      return instance.hasDigest();
     }
     /**
-     * <pre>
-     * Whether the owner has lower-tier work running there.
-     * </pre>
-     *
-     * <code>bool lower_tier_running = 5;</code>
-     * @param value The lowerTierRunning to set.
-     * @return This builder for chaining.
+     * <code>.sardineport.ServerDigest digest = 6;</code>
      */
-    public Builder setLowerTierRunning(boolean value) {
+    @java.lang.Override
+    public org.sardineport.wire.message.ServerDigest getDigest() {
+      return instance.getDigest();
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 6;</code>
+     */
+    public Builder setDigest(org.sardineport.wire.message.ServerDigest value) {
       copyOnWrite();
-      instance.setLowerTierRunning(value);
+      instance.setDigest(value);
+      return this;
+      }
+    /**
+     * <code>.sardineport.ServerDigest digest = 6;</code>
+     */
+    public Builder setDigest(
+        org.sardineport.wire.message.ServerDigest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDigest(builderForValue.build());
       return this;
     }
     /**
-     * <pre>
-     * Whether the owner has lower-tier work running there.
-     * </pre>
-     *
-     * <code>bool lower_tier_running = 5;</code>
-     * @return This builder for chaining.
+     * <code>.sardineport.ServerDigest digest = 6;</code>
      */
-    public Builder clearLowerTierRunning() {
+    public Builder mergeDigest(org.sardineport.wire.message.ServerDigest value) {
       copyOnWrite();
-      instance.clearLowerTierRunning();
+      instance.mergeDigest(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 6;</code>
+     */
+    public Builder clearDigest() {  copyOnWrite();
+      instance.clearDigest();
       return this;
     }
 
@@ -603,15 +621,16 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "request_",
             "backendServer_",
             "reason_",
             "retryAfterMillis_",
-            "lowerTierRunning_",
+            "digest_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u000b\u0005\u0007";
+              "\u0000\u0005\u0000\u0001\u0001\u0006\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u000b\u0006\u1009\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRefusalOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRefusalOrBuilder.java
@@ -61,12 +61,13 @@
   int getRetryAfterMillis();
 
   /**
-   * <pre>
-   * Whether the owner has lower-tier work running there.
-   * </pre>
-   *
-   * <code>bool lower_tier_running = 5;</code>
-   * @return The lowerTierRunning.
+   * <code>.sardineport.ServerDigest digest = 6;</code>
+   * @return Whether the digest field is set.
+   */
+  boolean hasDigest();
+  /**
+   * <code>.sardineport.ServerDigest digest = 6;</code>
+   * @return The digest.
    */
-  boolean getLowerTierRunning();
+  org.sardineport.wire.message.ServerDigest getDigest();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/SchedulingMessage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/SchedulingMessage.java
@@ -28,6 +28,8 @@
     RUNNING(7),
     QUOTA_REQUEST(8),
     QUOTA_SLICE(9),
+    QUEUED(10),
+    DIGEST(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -52,6 +54,8 @@
         case 7: return RUNNING;
         case 8: return QUOTA_REQUEST;
         case 9: return QUOTA_SLICE;
+        case 10: return QUEUED;
+        case 11: return DIGEST;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -541,6 +545,110 @@
     }
   }
 
+  public static final int QUEUED_FIELD_NUMBER = 10;
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   */
+  @java.lang.Override
+  public boolean hasQueued() {
+    return bodyCase_ == 10;
+  }
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.PermitQueued getQueued() {
+    if (bodyCase_ == 10) {
+       return (org.sardineport.wire.message.PermitQueued) body_;
+    }
+    return org.sardineport.wire.message.PermitQueued.getDefaultInstance();
+  }
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setQueued(org.sardineport.wire.message.PermitQueued value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeQueued(org.sardineport.wire.message.PermitQueued value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 10 &&
+        body_ != org.sardineport.wire.message.PermitQueued.getDefaultInstance()) {
+      body_ = org.sardineport.wire.message.PermitQueued.newBuilder((org.sardineport.wire.message.PermitQueued) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   */
+  private void clearQueued() {
+    if (bodyCase_ == 10) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 11;
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   */
+  @java.lang.Override
+  public boolean hasDigest() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ServerDigest getDigest() {
+    if (bodyCase_ == 11) {
+       return (org.sardineport.wire.message.ServerDigest) body_;
+    }
+    return org.sardineport.wire.message.ServerDigest.getDefaultInstance();
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeDigest(org.sardineport.wire.message.ServerDigest value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 11 &&
+        body_ != org.sardineport.wire.message.ServerDigest.getDefaultInstance()) {
+      body_ = org.sardineport.wire.message.ServerDigest.newBuilder((org.sardineport.wire.message.ServerDigest) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   */
+  private void clearDigest() {
+    if (bodyCase_ == 11) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.sardineport.wire.message.SchedulingMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1082,6 +1190,102 @@
       return this;
     }
 
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    @java.lang.Override
+    public boolean hasQueued() {
+      return instance.hasQueued();
+    }
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.PermitQueued getQueued() {
+      return instance.getQueued();
+    }
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    public Builder setQueued(org.sardineport.wire.message.PermitQueued value) {
+      copyOnWrite();
+      instance.setQueued(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    public Builder setQueued(
+        org.sardineport.wire.message.PermitQueued.Builder builderForValue) {
+      copyOnWrite();
+      instance.setQueued(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    public Builder mergeQueued(org.sardineport.wire.message.PermitQueued value) {
+      copyOnWrite();
+      instance.mergeQueued(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.PermitQueued queued = 10;</code>
+     */
+    public Builder clearQueued() {
+      copyOnWrite();
+      instance.clearQueued();
+      return this;
+    }
+
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    @java.lang.Override
+    public boolean hasDigest() {
+      return instance.hasDigest();
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ServerDigest getDigest() {
+      return instance.getDigest();
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    public Builder setDigest(org.sardineport.wire.message.ServerDigest value) {
+      copyOnWrite();
+      instance.setDigest(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    public Builder setDigest(
+        org.sardineport.wire.message.ServerDigest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDigest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    public Builder mergeDigest(org.sardineport.wire.message.ServerDigest value) {
+      copyOnWrite();
+      instance.mergeDigest(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.ServerDigest digest = 11;</code>
+     */
+    public Builder clearDigest() {
+      copyOnWrite();
+      instance.clearDigest();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.SchedulingMessage)
   }
   @java.lang.Override
@@ -1109,10 +1313,13 @@
             org.sardineport.wire.message.RunningPermits.class,
             org.sardineport.wire.message.QuotaRequest.class,
             org.sardineport.wire.message.QuotaSlice.class,
+            org.sardineport.wire.message.PermitQueued.class,
+            org.sardineport.wire.message.ServerDigest.class,
           };
           java.lang.String info =
-              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001<\u0000\u0002<\u0000\u0003" +
-              "<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000";
+              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001<\u0000\u0002<" +
+              "\u0000\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000" +
+              "\t<\u0000\n<\u0000\u000b<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/SchedulingMessageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/SchedulingMessageOrBuilder.java
@@ -109,5 +109,27 @@
    */
   org.sardineport.wire.message.QuotaSlice getQuotaSlice();
 
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   * @return Whether the queued field is set.
+   */
+  boolean hasQueued();
+  /**
+   * <code>.sardineport.PermitQueued queued = 10;</code>
+   * @return The queued.
+   */
+  org.sardineport.wire.message.PermitQueued getQueued();
+
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   * @return Whether the digest field is set.
+   */
+  boolean hasDigest();
+  /**
+   * <code>.sardineport.ServerDigest digest = 11;</code>
+   * @return The digest.
+   */
+  org.sardineport.wire.message.ServerDigest getDigest();
+
   public org.sardineport.wire.message.SchedulingMessage.BodyCase getBodyCase();
 }
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -0,0 +1,127 @@
+package org.sardineport.wire.scheduling;
+
+import java.time.Duration;
+
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.routing.Speed;
+import org.sardineport.core.scheduling.PermitDenial;
+import org.sardineport.core.scheduling.PermitGrant;
+import org.sardineport.core.scheduling.PermitPreemption;
+import org.sardineport.core.scheduling.PermitQueued;
+import org.sardineport.core.scheduling.PermitRefusal;
+import org.sardineport.core.scheduling.PermitRelease;
+import org.sardineport.core.scheduling.PermitRequest;
+import org.sardineport.core.scheduling.PermitWithdrawal;
+import org.sardineport.core.scheduling.QuotaRequest;
+import org.sardineport.core.scheduling.QuotaSlice;
+import org.sardineport.core.scheduling.RunningPermits;
+import org.sardineport.core.scheduling.SchedulingMessage;
+import org.sardineport.core.scheduling.ServerDigest;
+
+/**
+ * Translates scheduling messages. A message with a value out of range is rejected whole.
+ */
+public final class SchedulingCodec {
+
+	private SchedulingCodec() {
+	}
+
+	/**
+	 * Returns the wire form of a message.
+	 * @param message the message
+	 * @return its wire form
+	 */
+	public static org.sardineport.wire.message.SchedulingMessage encode(SchedulingMessage message) {
+		return SchedulingEncoder.encode(message);
+	}
+
+	/**
+	 * Returns the message of a wire form.
+	 * @param wire the wire form
+	 * @return the message
+	 * @throws IllegalArgumentException if the form is empty or a value is out of range
+	 */
+	public static SchedulingMessage decode(org.sardineport.wire.message.SchedulingMessage wire) {
+		return switch (wire.getBodyCase()) {
+			case REQUEST -> request(wire.getRequest());
+			case GRANT -> new PermitGrant(id(wire.getGrant().getRequest()), server(wire.getGrant().getBackendServer()),
+					Duration.ofMillis(wire.getGrant().getValidMillis()), state(wire.getGrant().getDigest()));
+			case QUEUED -> new PermitQueued(id(wire.getQueued().getRequest()),
+					server(wire.getQueued().getBackendServer()),
+					Duration.ofMillis(wire.getQueued().getExpectedWaitMillis()), state(wire.getQueued().getDigest()));
+			case REFUSAL -> refusal(wire.getRefusal());
+			case RELEASE -> release(wire.getRelease());
+			case WITHDRAWAL -> new PermitWithdrawal(id(wire.getWithdrawal().getRequest()),
+					server(wire.getWithdrawal().getBackendServer()));
+			case PREEMPTION -> new PermitPreemption(id(wire.getPreemption().getRequest()),
+					server(wire.getPreemption().getBackendServer()));
+			case RUNNING -> new RunningPermits(server(wire.getRunning().getCompleteForBackendServer()),
+					wire.getRunning().getRunningList().stream().map(SchedulingCodec::request).toList());
+			case QUOTA_REQUEST -> new QuotaRequest(OrganisationId.of(wire.getQuotaRequest().getOrganisation()),
+					wire.getQuotaRequest().getTokens(), wire.getQuotaRequest().getLimitTokensPerSecond(),
+					wire.getQuotaRequest().getSequence());
+			case QUOTA_SLICE -> new QuotaSlice(OrganisationId.of(wire.getQuotaSlice().getOrganisation()),
+					wire.getQuotaSlice().getTokens(), Duration.ofMillis(wire.getQuotaSlice().getValidMillis()),
+					wire.getQuotaSlice().getSequence());
+			case DIGEST -> new ServerDigest(state(wire.getDigest()));
+			case BODY_NOT_SET -> throw new IllegalArgumentException("scheduling message has no body");
+		};
+	}
+
+	private static RequestId id(String value) {
+		return RequestId.of(value);
+	}
+
+	private static BackendServerId server(String value) {
+		return BackendServerId.of(value);
+	}
+
+	private static PermitRequest request(org.sardineport.wire.message.PermitRequest wire) {
+		return new PermitRequest(id(wire.getRequest()), server(wire.getBackendServer()), PoolName.of(wire.getPool()),
+				OrganisationId.of(wire.getOrganisation()), constant(Tier.values(), wire.getTier()),
+				TokenEstimate.of(wire.getPromptTokens(), wire.getAnswerTokens()), wire.getPrefixHash(),
+				constant(RunningPolicy.values(), wire.getRunningPolicy()),
+				Fingerprint.of(wire.getFingerprintHigh(), wire.getFingerprintLow()),
+				Duration.ofMillis(wire.getRemainingMillis()));
+	}
+
+	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
+		return new PermitRefusal(id(wire.getRequest()), server(wire.getBackendServer()),
+				PermitDenial.valueOf(wire.getReason()), Duration.ofMillis(wire.getRetryAfterMillis()),
+				wire.hasDigest() ? state(wire.getDigest()) : null);
+	}
+
+	private static PermitRelease release(org.sardineport.wire.message.PermitRelease wire) {
+		Duration first = (wire.getFirstTokenMillis() == 0) ? null : Duration.ofMillis(wire.getFirstTokenMillis() - 1);
+		return new PermitRelease(id(wire.getRequest()), server(wire.getBackendServer()),
+				new RunMeasurement(constant(RunEnd.values(), wire.getEnd()), wire.getPromptTokens(),
+						wire.getCachedPromptTokens(), wire.getAnswerTokens(), first,
+						Duration.ofMillis(wire.getDurationMillis())));
+	}
+
+	private static ServerState state(org.sardineport.wire.message.ServerDigest wire) {
+		return new ServerState(server(wire.getBackendServer()), wire.getRunning(), wire.getWaiting(),
+				Math.max(1, wire.getLimit()), wire.getLowerTierRunning(), wire.getIsolated(),
+				wire.getPrefillBacklogMillis(), wire.getServiceMillis(), new Speed(wire.getPrefillMillisPerToken(),
+						wire.getDecodeMillisBase(), wire.getDecodeMillisPerRunning()));
+	}
+
+	private static <T> T constant(T[] values, int ordinal) {
+		if (ordinal < 0 || ordinal >= values.length) {
+			throw new IllegalArgumentException(
+					"constant must be from 0 to %d, found %d".formatted(values.length - 1, ordinal));
+		}
+		return values[ordinal];
+	}
+
+}
--- /dev/null
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -0,0 +1,90 @@
+package org.sardineport.wire.scheduling;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.routing.Speed;
+import org.sardineport.core.scheduling.PermitDenial;
+import org.sardineport.core.scheduling.PermitGrant;
+import org.sardineport.core.scheduling.PermitPreemption;
+import org.sardineport.core.scheduling.PermitQueued;
+import org.sardineport.core.scheduling.PermitRefusal;
+import org.sardineport.core.scheduling.PermitRelease;
+import org.sardineport.core.scheduling.PermitRequest;
+import org.sardineport.core.scheduling.PermitWithdrawal;
+import org.sardineport.core.scheduling.QuotaRequest;
+import org.sardineport.core.scheduling.QuotaSlice;
+import org.sardineport.core.scheduling.RunningPermits;
+import org.sardineport.core.scheduling.SchedulingMessage;
+import org.sardineport.core.scheduling.ServerDigest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class SchedulingCodecTests {
+
+	private static final RequestId REQUEST = RequestId.of("r1");
+
+	private static final BackendServerId SERVER = BackendServerId.of("s1");
+
+	private static final ServerState STATE = new ServerState(SERVER, 3, 2, 8, true, false, 17, 900,
+			new Speed(0.25, 12.5, 1.5));
+
+	private static PermitRequest request() {
+		return new PermitRequest(REQUEST, SERVER, PoolName.of("model"), OrganisationId.of("o"), Tier.BATCH,
+				TokenEstimate.of(12, 34), -5, RunningPolicy.RESUMABLE_ONLY, Fingerprint.of(-1, 7),
+				Duration.ofMillis(1234));
+	}
+
+	static Stream<SchedulingMessage> messages() {
+		return Stream.of(request(), new PermitGrant(REQUEST, SERVER, Duration.ofMillis(900), STATE),
+				new PermitQueued(REQUEST, SERVER, Duration.ofMillis(70), STATE),
+				new PermitRefusal(REQUEST, SERVER, PermitDenial.OVERLOADED, Duration.ofMillis(80), STATE),
+				new PermitRefusal(REQUEST, SERVER, PermitDenial.NOT_OWNER, Duration.ZERO, null),
+				new PermitRelease(REQUEST, SERVER,
+						new RunMeasurement(RunEnd.COMPLETED, 12, 3, 34, Duration.ofMillis(5), Duration.ofMillis(99))),
+				new PermitRelease(REQUEST, SERVER,
+						new RunMeasurement(RunEnd.COMPLETED, 12, 3, 34, Duration.ZERO, Duration.ofMillis(99))),
+				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.UNUSED)),
+				new PermitWithdrawal(REQUEST, SERVER), new PermitPreemption(REQUEST, SERVER),
+				new RunningPermits(SERVER, List.of(request())), new RunningPermits(SERVER, List.of()),
+				new QuotaRequest(OrganisationId.of("o"), 100, 2000, 3),
+				new QuotaSlice(OrganisationId.of("o"), 50, Duration.ofSeconds(1), 3), new ServerDigest(STATE));
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void messageComesBackAsItWas(SchedulingMessage message) {
+		assertThat(SchedulingCodec.decode(SchedulingCodec.encode(message))).isEqualTo(message);
+	}
+
+	@Test
+	void rejectsAnEmptyMessage() {
+		assertThatIllegalArgumentException().isThrownBy(
+				() -> SchedulingCodec.decode(org.sardineport.wire.message.SchedulingMessage.getDefaultInstance()));
+	}
+
+	@Test
+	void rejectsAnUnknownTier() {
+		var wire = SchedulingCodec.encode(request()).toBuilder();
+		wire.setRequest(wire.getRequest().toBuilder().setTier(99));
+		assertThatIllegalArgumentException().isThrownBy(() -> SchedulingCodec.decode(wire.build()))
+			.withMessageContaining("99");
+	}
+
+}
