Join scheduling to the fleet's ownership and frames

The codec takes part in the registry of frames, and owners come from the fleet's rendezvous hashing; the interim function of scheduling is gone.

--- a/core/src/main/java/org/sardineport/core/scheduling/Ownership.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerLookup.java
@@ -6,6 +6,7 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.ownership.Ownership;
 
 /**
  * Tells which daemon grants the permits of a backend server. Daemons with the same view
@@ -13,7 +14,7 @@
  * which over-admits for a while and does no other harm.
  */
 @FunctionalInterface
-public interface Ownership {
+public interface OwnerLookup {
 
 	/**
 	 * Returns the owner.
@@ -23,4 +24,12 @@
 	 */
 	Optional<DaemonId> owner(BackendServer server, List<Member> members);
 
+	/**
+	 * Returns the lookup by rendezvous hashing.
+	 * @return the lookup that all daemons of a fleet use
+	 */
+	static OwnerLookup rendezvous() {
+		return (server, members) -> Ownership.owner(server, members).map(Member::id);
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -18,6 +18,7 @@
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.ownership.Ownership;
 import org.sardineport.core.routing.PoolRouter;
 import org.sardineport.core.routing.ServerView;
 
@@ -35,7 +36,7 @@
 
 	private final DaemonId self;
 
-	private final Ownership ownership;
+	private final OwnerLookup ownerLookup;
 
 	private final RandomGenerator random;
 
@@ -51,9 +52,9 @@
 
 	private List<BackendServer> servers = List.of();
 
-	PoolDirectory(DaemonId self, Ownership ownership, RandomGenerator random) {
+	PoolDirectory(DaemonId self, OwnerLookup ownerLookup, RandomGenerator random) {
 		this.self = self;
-		this.ownership = ownership;
+		this.ownerLookup = ownerLookup;
 		this.random = random;
 	}
 
@@ -110,7 +111,7 @@
 	}
 
 	private DaemonId owner(BackendServer server) {
-		return this.ownership.owner(server, this.eligible).orElse(this.self);
+		return this.ownerLookup.owner(server, this.eligible).orElse(this.self);
 	}
 
 	private List<ServerView> owned(List<ServerView> members) {
@@ -160,7 +161,7 @@
 
 	DaemonId quotaOwner(OrganisationId organisation) {
 		return this.quotaOwners.computeIfAbsent(organisation,
-				(key) -> RendezvousOwnership.winner(key.value(), this.eligible).orElse(this.self));
+				(key) -> Ownership.ownerOfKey(key.value(), this.eligible).map(Member::id).orElse(this.self));
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -73,13 +73,13 @@
 
 	private long digestedAt;
 
-	private Scheduler(DaemonId self, SchedulingLimits limits, Ownership ownership, InstantSource clock,
+	private Scheduler(DaemonId self, SchedulingLimits limits, OwnerLookup ownerLookup, InstantSource clock,
 			RandomGenerator random, SchedulingEffects effects) {
 		this.self = Objects.requireNonNull(self, "self must not be null");
 		this.limits = Objects.requireNonNull(limits, "limits must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
-		this.directory = new PoolDirectory(self, ownership, random);
+		this.directory = new PoolDirectory(self, ownerLookup, random);
 		this.quotas = new QuotaDesk(this.directory, this::send);
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send, this.strikes, this.quotas);
 	}
@@ -88,15 +88,15 @@
 	 * Returns the scheduling of a daemon that knows no fleet yet.
 	 * @param self the daemon
 	 * @param limits its limits
-	 * @param ownership tells who owns a backend server
+	 * @param ownerLookup tells who owns a backend server
 	 * @param clock the clock
 	 * @param random source of randomness
 	 * @param effects where messages and counts go
 	 * @return the scheduler
 	 */
-	public static Scheduler create(DaemonId self, SchedulingLimits limits, Ownership ownership, InstantSource clock,
+	public static Scheduler create(DaemonId self, SchedulingLimits limits, OwnerLookup ownerLookup, InstantSource clock,
 			RandomGenerator random, SchedulingEffects effects) {
-		return new Scheduler(self, limits, ownership, clock, random, effects);
+		return new Scheduler(self, limits, ownerLookup, clock, random, effects);
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
@@ -29,7 +29,7 @@
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
 import org.sardineport.core.routing.ServerState;
-import org.sardineport.core.scheduling.Ownership;
+import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.core.scheduling.Scheduler;
 import org.sardineport.core.scheduling.SchedulingEffects;
 import org.sardineport.core.scheduling.SchedulingLimits;
@@ -80,8 +80,9 @@
 
 	private long reportsAskedAt;
 
-	private SchedulingDuty(SchedulingSettings settings, FleetView fleet, Ownership ownership, PeerTransport transport,
-			ModelEngine engine, InstantSource clock, RandomGenerator random, Telemetry telemetry) {
+	private SchedulingDuty(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
+			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
+			Telemetry telemetry) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
 		this.transport = Objects.requireNonNull(transport, "transport must not be null");
 		this.engine = Objects.requireNonNull(engine, "engine must not be null");
@@ -91,7 +92,7 @@
 		this.newest = fleet.current();
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
 				settings.maximumWaiting());
-		this.scheduler = Scheduler.create(this.newest.self(), limits, ownership, clock, random, new Effects());
+		this.scheduler = Scheduler.create(this.newest.self(), limits, ownerLookup, clock, random, new Effects());
 		this.duty = Duty.create("scheduling", RING_SIZE, TICK, this::tick);
 	}
 
@@ -100,7 +101,7 @@
 	 * listens for messages.
 	 * @param settings limits of scheduling
 	 * @param fleet the view of the fleet
-	 * @param ownership tells who owns a backend server
+	 * @param ownerLookup tells who owns a backend server
 	 * @param transport carries messages to other daemons
 	 * @param engine asked for load reports
 	 * @param clock the clock
@@ -108,10 +109,10 @@
 	 * @param telemetry where retries are counted
 	 * @return the duty
 	 */
-	public static SchedulingDuty create(SchedulingSettings settings, FleetView fleet, Ownership ownership,
+	public static SchedulingDuty create(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
 			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
 			Telemetry telemetry) {
-		SchedulingDuty created = new SchedulingDuty(settings, fleet, ownership, transport, engine, clock, random,
+		SchedulingDuty created = new SchedulingDuty(settings, fleet, ownerLookup, transport, engine, clock, random,
 				telemetry);
 		created.listen();
 		return created;
--- a/daemon/src/test/java/org/sardineport/daemon/scheduling/SchedulingDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/scheduling/SchedulingDutyTests.java
@@ -36,7 +36,7 @@
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
 import org.sardineport.core.request.TokenEstimate;
-import org.sardineport.core.scheduling.RendezvousOwnership;
+import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.daemon.time.SteadyInstantSource;
 import org.sardineport.settings.SchedulingSettings;
@@ -57,7 +57,7 @@
 		Member self = new Member(SELF, 1, MemberStatus.ALIVE, DOMAIN, ADDRESS, ADDRESS, 0, 0);
 		FleetSnapshot snapshot = new FleetSnapshot(SELF, List.of(self), servers);
 		this.duty = SchedulingDuty.create(SchedulingSettings.defaults(), new FixedFleet(snapshot),
-				RendezvousOwnership.create(), silent(PeerTransport.class), silent(ModelEngine.class),
+				OwnerLookup.rendezvous(), silent(PeerTransport.class), silent(ModelEngine.class),
 				SteadyInstantSource.create(), new SplittableRandom(1), Telemetry.create());
 		this.duty.start().toCompletableFuture().join();
 		return this.duty;
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -27,31 +27,52 @@
 import org.sardineport.core.scheduling.RunningPermits;
 import org.sardineport.core.scheduling.SchedulingMessage;
 import org.sardineport.core.scheduling.ServerDigest;
+import org.sardineport.wire.message.Envelope;
+import org.sardineport.wire.transport.MalformedMessageException;
+import org.sardineport.wire.transport.PeerCodec;
 
 /**
  * Translates scheduling messages. A message with a value out of range is rejected whole.
  */
-public final class SchedulingCodec {
+public final class SchedulingCodec implements PeerCodec<SchedulingMessage> {
 
 	private SchedulingCodec() {
 	}
 
 	/**
-	 * Returns the wire form of a message.
-	 * @param message the message
-	 * @return its wire form
+	 * Returns the codec.
+	 * @return the codec
 	 */
-	public static org.sardineport.wire.message.SchedulingMessage encode(SchedulingMessage message) {
-		return SchedulingEncoder.encode(message);
+	public static SchedulingCodec create() {
+		return new SchedulingCodec();
 	}
 
-	/**
-	 * Returns the message of a wire form.
-	 * @param wire the wire form
-	 * @return the message
-	 * @throws IllegalArgumentException if the form is empty or a value is out of range
-	 */
-	public static SchedulingMessage decode(org.sardineport.wire.message.SchedulingMessage wire) {
+	@Override
+	public Class<SchedulingMessage> type() {
+		return SchedulingMessage.class;
+	}
+
+	@Override
+	public Envelope.BodyCase bodyCase() {
+		return Envelope.BodyCase.SCHEDULING;
+	}
+
+	@Override
+	public void encode(SchedulingMessage message, Envelope.Builder envelope) {
+		envelope.setScheduling(SchedulingEncoder.encode(message));
+	}
+
+	@Override
+	public SchedulingMessage decode(Envelope envelope) throws MalformedMessageException {
+		try {
+			return decode(envelope.getScheduling());
+		}
+		catch (IllegalArgumentException ex) {
+			throw MalformedMessageException.of("scheduling message has a value out of range", ex);
+		}
+	}
+
+	private static SchedulingMessage decode(org.sardineport.wire.message.SchedulingMessage wire) {
 		return switch (wire.getBodyCase()) {
 			case REQUEST -> request(wire.getRequest());
 			case GRANT -> new PermitGrant(id(wire.getGrant().getRequest()), server(wire.getGrant().getBackendServer()),
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -32,9 +32,11 @@
 import org.sardineport.core.scheduling.RunningPermits;
 import org.sardineport.core.scheduling.SchedulingMessage;
 import org.sardineport.core.scheduling.ServerDigest;
+import org.sardineport.wire.message.Envelope;
+import org.sardineport.wire.transport.MalformedMessageException;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 class SchedulingCodecTests {
 
@@ -67,24 +69,32 @@
 				new QuotaSlice(OrganisationId.of("o"), 50, Duration.ofSeconds(1), 3), new ServerDigest(STATE));
 	}
 
+	private static Envelope encode(SchedulingMessage message) {
+		Envelope.Builder envelope = Envelope.newBuilder();
+		SchedulingCodec.create().encode(message, envelope);
+		return envelope.build();
+	}
+
 	@ParameterizedTest
 	@MethodSource("messages")
-	void messageComesBackAsItWas(SchedulingMessage message) {
-		assertThat(SchedulingCodec.decode(SchedulingCodec.encode(message))).isEqualTo(message);
+	void messageComesBackAsItWas(SchedulingMessage message) throws MalformedMessageException {
+		assertThat(SchedulingCodec.create().decode(encode(message))).isEqualTo(message);
 	}
 
 	@Test
 	void rejectsAnEmptyMessage() {
-		assertThatIllegalArgumentException().isThrownBy(
-				() -> SchedulingCodec.decode(org.sardineport.wire.message.SchedulingMessage.getDefaultInstance()));
+		assertThatExceptionOfType(MalformedMessageException.class)
+			.isThrownBy(() -> SchedulingCodec.create().decode(Envelope.getDefaultInstance()));
 	}
 
 	@Test
 	void rejectsAnUnknownTier() {
-		var wire = SchedulingCodec.encode(request()).toBuilder();
-		wire.setRequest(wire.getRequest().toBuilder().setTier(99));
-		assertThatIllegalArgumentException().isThrownBy(() -> SchedulingCodec.decode(wire.build()))
-			.withMessageContaining("99");
+		Envelope.Builder envelope = encode(request()).toBuilder();
+		var ask = envelope.getScheduling().getRequest().toBuilder().setTier(99);
+		envelope.setScheduling(envelope.getScheduling().toBuilder().setRequest(ask));
+		assertThatExceptionOfType(MalformedMessageException.class)
+			.isThrownBy(() -> SchedulingCodec.create().decode(envelope.build()))
+			.withStackTraceContaining("99");
 	}
 
 }
