--- a/daemon/src/main/java/org/sardineport/daemon/Main.java
+++ b/daemon/src/main/java/org/sardineport/daemon/Main.java
@@ -11,11 +11,11 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.sardineport.core.error.InvalidDocumentException;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.time.SteadyInstantSource;
 import org.sardineport.settings.DaemonSettings;
 import org.sardineport.settings.DaemonSettingsReader;
-import org.sardineport.core.error.InvalidDocumentException;
 
 /**
  * Command line of the daemon.
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -12,11 +12,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.sardineport.core.exchange.RetryBudget;
-import org.sardineport.core.fleet.Member;
 import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.core.ownership.Ownership;
 import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.daemon.engine.HttpModelEngine;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
@@ -32,6 +31,7 @@
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.settings.DaemonSettings;
+import org.sardineport.wire.scheduling.SchedulingCodec;
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
 import org.sardineport.wire.transport.PeerIdentity;
@@ -67,9 +67,8 @@
 		EmptyConfiguration configuration = EmptyConfiguration.create();
 		RequestJournal journal = AbsentJournal.create();
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
-		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet,
-				(server, members) -> Ownership.owner(server, members).map(Member::id), transport, engines, clock,
-				new SplittableRandom(incarnation), telemetry);
+		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
+				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
 		this.runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
@@ -120,7 +119,8 @@
 	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
-		return NettyPeerTransport.create(identity, List.of(MembershipCodec.create()), clock, TransportListener.NONE);
+		return NettyPeerTransport.create(identity, List.of(MembershipCodec.create(), SchedulingCodec.create()), clock,
+				TransportListener.NONE);
 	}
 
 }
