--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationState.java
@@ -0,0 +1,218 @@
+package org.sardineport.core.configuration;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.sardineport.core.error.InvalidDocumentException;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.Profile;
+
+/**
+ * All that decides about the next publication: profiles in force, and which names changed
+ * when. Immutable.
+ */
+public final class ConfigurationState {
+
+	/** Most retirements that are remembered one by one. */
+	static final int MAXIMUM_RETIREMENTS = 1000;
+
+	/** The state before the first record. */
+	public static final ConfigurationState EMPTY = new ConfigurationState(ConfigurationSnapshot.NO_VERSION,
+			ConfigurationSnapshot.NO_VERSION, new TreeMap<>(), new TreeMap<>());
+
+	private final long forgottenVersion;
+
+	private final SortedMap<ProfileName, StoredProfile> profiles;
+
+	private final SortedMap<ProfileName, Long> retirements;
+
+	private final ConfigurationSnapshot snapshot;
+
+	private ConfigurationState(long version, long forgottenVersion, SortedMap<ProfileName, StoredProfile> profiles,
+			SortedMap<ProfileName, Long> retirements) {
+		this.forgottenVersion = forgottenVersion;
+		this.profiles = Collections.unmodifiableSortedMap(profiles);
+		this.retirements = Collections.unmodifiableSortedMap(retirements);
+		Map<ProfileName, Profile> inForce = new HashMap<>();
+		profiles.forEach((name, stored) -> inForce.put(name, stored.profile()));
+		this.snapshot = new ConfigurationSnapshot(version, inForce);
+	}
+
+	/**
+	 * Returns the version in force.
+	 * @return offset of the newest accepted record, or
+	 * {@link ConfigurationSnapshot#NO_VERSION}
+	 */
+	public long version() {
+		return this.snapshot.version();
+	}
+
+	/**
+	 * Returns the profiles in force, for requests.
+	 * @return the snapshot, the same object for the same state
+	 */
+	public ConfigurationSnapshot snapshot() {
+		return this.snapshot;
+	}
+
+	/**
+	 * Returns the profiles in force with their texts.
+	 * @return the profiles by name, in order
+	 */
+	public SortedMap<ProfileName, StoredProfile> profiles() {
+		return this.profiles;
+	}
+
+	/**
+	 * Returns a profile in force with its text.
+	 * @param name its name
+	 * @return the profile, or empty if it is not in force
+	 */
+	public Optional<StoredProfile> profile(ProfileName name) {
+		return Optional.ofNullable(this.profiles.get(name));
+	}
+
+	/**
+	 * Returns the version up to which retirements are not remembered one by one.
+	 * @return the version
+	 */
+	public long forgottenVersion() {
+		return this.forgottenVersion;
+	}
+
+	/**
+	 * Returns a version at or after the last change of a name: of a name whose retirement
+	 * is forgotten, the version up to which retirements are forgotten.
+	 * @param name the name
+	 * @return the version
+	 */
+	public long changedAt(ProfileName name) {
+		StoredProfile stored = this.profiles.get(name);
+		if (stored != null) {
+			return stored.changedAt();
+		}
+		return this.retirements.getOrDefault(name, this.forgottenVersion);
+	}
+
+	/**
+	 * Returns the length of all texts together.
+	 * @return characters of the profiles in force
+	 */
+	public long characters() {
+		return this.profiles.values().stream().mapToLong((stored) -> stored.text().length()).sum();
+	}
+
+	/**
+	 * Returns the state after an accepted change.
+	 * @param version version of the change
+	 * @param changed profiles that are published or replaced
+	 * @param retired profiles that are retired
+	 * @return the new state
+	 */
+	ConfigurationState with(long version, Collection<StoredProfile> changed, Collection<ProfileName> retired) {
+		TreeMap<ProfileName, StoredProfile> nextProfiles = new TreeMap<>(this.profiles);
+		TreeMap<ProfileName, Long> nextRetirements = new TreeMap<>(this.retirements);
+		for (ProfileName name : retired) {
+			nextProfiles.remove(name);
+			nextRetirements.put(name, version);
+		}
+		for (StoredProfile stored : changed) {
+			nextProfiles.put(stored.profile().name(), stored);
+			nextRetirements.remove(stored.profile().name());
+		}
+		long forgotten = forgetOldest(nextRetirements, this.forgottenVersion);
+		return new ConfigurationState(version, forgotten, nextProfiles, nextRetirements);
+	}
+
+	private static long forgetOldest(TreeMap<ProfileName, Long> retirements, long forgottenBefore) {
+		long forgotten = forgottenBefore;
+		while (retirements.size() > MAXIMUM_RETIREMENTS) {
+			Map.Entry<ProfileName, Long> oldest = Collections.min(retirements.entrySet(),
+					Comparator.comparingLong((Map.Entry<ProfileName, Long> entry) -> entry.getValue())
+						.thenComparing(Map.Entry::getKey));
+			forgotten = Math.max(forgotten, oldest.getValue());
+			retirements.remove(oldest.getKey());
+		}
+		long limit = forgotten;
+		retirements.values().removeIf((version) -> version <= limit);
+		return forgotten;
+	}
+
+	/**
+	 * Returns what changed since a version.
+	 * @param asOf last offset that this state contains
+	 * @param newerThan version that the receiver has
+	 * @return the changes, or all if the retirements since then are not all remembered
+	 */
+	public ConfigurationImage image(long asOf, long newerThan) {
+		long since = (newerThan < this.forgottenVersion || newerThan > version()) ? ConfigurationSnapshot.NO_VERSION
+				: newerThan;
+		List<ImageProfile> changed = this.profiles.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().changedAt() > since)
+			.map((entry) -> new ImageProfile(new ProfileDocument(entry.getKey(), entry.getValue().text()),
+					entry.getValue().changedAt()))
+			.toList();
+		List<Retirement> retired = this.retirements.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() > since)
+			.map((entry) -> new Retirement(entry.getKey(), entry.getValue()))
+			.toList();
+		return new ConfigurationImage(asOf, version(), since, this.forgottenVersion, changed, retired);
+	}
+
+	/**
+	 * Returns the state that an image describes.
+	 * @param image the image; its {@code newerThan} must not be above this version
+	 * @param parser parses the profiles
+	 * @return the state of the image
+	 * @throws InvalidDocumentException if a profile of the image has faults
+	 */
+	ConfigurationState merged(ConfigurationImage image, ProfileParser parser) throws InvalidDocumentException {
+		if (image.newerThan() > version()) {
+			throw new IllegalArgumentException(
+					"image must begin at version %d or before, found %d".formatted(version(), image.newerThan()));
+		}
+		ConfigurationState base = image.isComplete() ? EMPTY : this;
+		TreeMap<ProfileName, StoredProfile> nextProfiles = new TreeMap<>(base.profiles);
+		TreeMap<ProfileName, Long> nextRetirements = new TreeMap<>(base.retirements);
+		for (Retirement retirement : image.retirements()) {
+			nextProfiles.remove(retirement.name());
+			nextRetirements.put(retirement.name(), retirement.version());
+		}
+		for (ImageProfile changed : image.profiles()) {
+			ProfileDocument document = changed.document();
+			nextProfiles.put(document.name(),
+					new StoredProfile(document.text(), changed.changedAt(), parser.parse(document.text())));
+			nextRetirements.remove(document.name());
+		}
+		nextRetirements.values().removeIf((version) -> version <= image.forgottenVersion());
+		return new ConfigurationState(image.version(), image.forgottenVersion(), nextProfiles, nextRetirements);
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ConfigurationState that && this.forgottenVersion == that.forgottenVersion
+				&& this.snapshot.version() == that.snapshot.version() && this.profiles.equals(that.profiles)
+				&& this.retirements.equals(that.retirements);
+	}
+
+	@Override
+	public int hashCode() {
+		return Long.hashCode(this.snapshot.version());
+	}
+
+	@Override
+	public String toString() {
+		return "ConfigurationState[version=%d, profiles=%s, retirements=%s, forgottenVersion=%d]".formatted(version(),
+				this.profiles.keySet(), this.retirements, this.forgottenVersion);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/configuration/ImageAssembly.java
@@ -0,0 +1,96 @@
+package org.sardineport.core.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Puts pages of images together. Pages may come twice, in any order, and mixed with those
+ * of other images; the images that were not added to for the longest time are dropped.
+ * Not safe for use by several threads.
+ */
+public final class ImageAssembly {
+
+	/** Most images that are put together at once. */
+	private static final int MAXIMUM_IMAGES = 4;
+
+	/** Most bytes of one image. */
+	private static final long MAXIMUM_BYTES = 32L * 1024 * 1024;
+
+	private final ImageCodec codec;
+
+	private final Map<String, TreeMap<Integer, ImagePage>> images = new LinkedHashMap<>();
+
+	private ImageAssembly(ImageCodec codec) {
+		this.codec = Objects.requireNonNull(codec, "codec must not be null");
+	}
+
+	/**
+	 * Returns an empty assembly.
+	 * @param codec decodes whole images
+	 * @return the assembly
+	 */
+	public static ImageAssembly create(ImageCodec codec) {
+		return new ImageAssembly(codec);
+	}
+
+	/**
+	 * Adds a page.
+	 * @param page the page
+	 * @return the whole image, if this page was the last one that was missing and the
+	 * pages make an image
+	 */
+	public Optional<ConfigurationImage> add(ImagePage page) {
+		TreeMap<Integer, ImagePage> pages = this.images.remove(page.id());
+		if (pages == null || !fits(pages.firstEntry().getValue(), page)) {
+			pages = new TreeMap<>();
+		}
+		pages.put(page.index(), page);
+		if (length(pages) > MAXIMUM_BYTES) {
+			return Optional.empty();
+		}
+		if (pages.size() == page.count()) {
+			return this.codec.decode(join(pages)).filter((image) -> image.version() == page.version());
+		}
+		this.images.put(page.id(), pages);
+		if (this.images.size() > MAXIMUM_IMAGES) {
+			this.images.remove(this.images.keySet().iterator().next());
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns the first page of an image that has not come yet.
+	 * @param id identity of the image
+	 * @return number of the page; 0 if the image is not known
+	 */
+	public int firstMissing(String id) {
+		TreeMap<Integer, ImagePage> pages = this.images.get(id);
+		int index = 0;
+		while (pages != null && pages.containsKey(index)) {
+			index++;
+		}
+		return index;
+	}
+
+	private static boolean fits(ImagePage known, ImagePage page) {
+		return known.count() == page.count() && known.version() == page.version();
+	}
+
+	private static long length(TreeMap<Integer, ImagePage> pages) {
+		return pages.values().stream().mapToLong((page) -> page.part().length).sum();
+	}
+
+	private static byte[] join(TreeMap<Integer, ImagePage> pages) {
+		byte[] image = new byte[(int) length(pages)];
+		int position = 0;
+		for (ImagePage page : pages.values()) {
+			System.arraycopy(page.part(), 0, image, position, page.part().length);
+			position += page.part().length;
+		}
+		return image;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/configuration/UnreadableRecord.java
@@ -0,0 +1,19 @@
+package org.sardineport.core.configuration;
+
+import java.util.Objects;
+
+/**
+ * A record of the configuration stream that is no record of this system.
+ *
+ * @param reason why it cannot be read
+ */
+public record UnreadableRecord(String reason) implements ConfigurationRecord {
+
+	/**
+	 * Creates the record.
+	 */
+	public UnreadableRecord {
+		Objects.requireNonNull(reason, "reason must not be null");
+	}
+
+}
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationState.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncement.java
@@ -7,19 +7,18 @@
 
 /**
  * <pre>
- * A configuration in force at the sender.
+ * Tells which version is in force at the sender.
  * </pre>
  *
- * Protobuf type {@code sardineport.ConfigurationState}
+ * Protobuf type {@code sardineport.ConfigurationAnnouncement}
  */
 @com.google.protobuf.Generated
-public  final class ConfigurationState extends
+public  final class ConfigurationAnnouncement extends
     com.google.protobuf.GeneratedMessageLite<
-        ConfigurationState, ConfigurationState.Builder> implements
-    // @@protoc_insertion_point(message_implements:sardineport.ConfigurationState)
-    ConfigurationStateOrBuilder {
-  private ConfigurationState() {
-    snapshot_ = com.google.protobuf.ByteString.EMPTY;
+        ConfigurationAnnouncement, ConfigurationAnnouncement.Builder> implements
+    // @@protoc_insertion_point(message_implements:sardineport.ConfigurationAnnouncement)
+    ConfigurationAnnouncementOrBuilder {
+  private ConfigurationAnnouncement() {
   }
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_;
@@ -47,77 +46,76 @@
     version_ = 0L;
   }
 
-  public static final int SNAPSHOT_FIELD_NUMBER = 2;
-  private com.google.protobuf.ByteString snapshot_;
+  public static final int READY_FIELD_NUMBER = 2;
+  private boolean ready_;
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @return The snapshot.
+   * <code>bool ready = 2;</code>
+   * @return The ready.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getSnapshot() {
-    return snapshot_;
+  public boolean getReady() {
+    return ready_;
   }
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @param value The snapshot to set.
+   * <code>bool ready = 2;</code>
+   * @param value The ready to set.
    */
-  private void setSnapshot(com.google.protobuf.ByteString value) {
-    java.lang.Class<?> valueClass = value.getClass();
-  
-    snapshot_ = value;
+  private void setReady(boolean value) {
+    
+    ready_ = value;
   }
   /**
-   * <code>bytes snapshot = 2;</code>
+   * <code>bool ready = 2;</code>
    */
-  private void clearSnapshot() {
+  private void clearReady() {
 
-    snapshot_ = getDefaultInstance().getSnapshot();
+    ready_ = false;
   }
 
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(byte[] data)
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(java.io.InputStream input)
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -125,24 +123,24 @@
         DEFAULT_INSTANCE, input, extensionRegistry);
   }
 
-  public static org.sardineport.wire.message.ConfigurationState parseDelimitedFrom(java.io.InputStream input)
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input);
   }
 
-  public static org.sardineport.wire.message.ConfigurationState parseDelimitedFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input, extensionRegistry);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.sardineport.wire.message.ConfigurationState parseFrom(
+  public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -153,23 +151,23 @@
   public static Builder newBuilder() {
     return (Builder) DEFAULT_INSTANCE.createBuilder();
   }
-  public static Builder newBuilder(org.sardineport.wire.message.ConfigurationState prototype) {
+  public static Builder newBuilder(org.sardineport.wire.message.ConfigurationAnnouncement prototype) {
     return DEFAULT_INSTANCE.createBuilder(prototype);
   }
 
   /**
    * <pre>
-   * A configuration in force at the sender.
+   * Tells which version is in force at the sender.
    * </pre>
    *
-   * Protobuf type {@code sardineport.ConfigurationState}
+   * Protobuf type {@code sardineport.ConfigurationAnnouncement}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageLite.Builder<
-        org.sardineport.wire.message.ConfigurationState, Builder> implements
-      // @@protoc_insertion_point(builder_implements:sardineport.ConfigurationState)
-      org.sardineport.wire.message.ConfigurationStateOrBuilder {
-    // Construct using org.sardineport.wire.message.ConfigurationState.newBuilder()
+        org.sardineport.wire.message.ConfigurationAnnouncement, Builder> implements
+      // @@protoc_insertion_point(builder_implements:sardineport.ConfigurationAnnouncement)
+      org.sardineport.wire.message.ConfigurationAnnouncementOrBuilder {
+    // Construct using org.sardineport.wire.message.ConfigurationAnnouncement.newBuilder()
     private Builder() {
       super(DEFAULT_INSTANCE);
     }
@@ -204,34 +202,34 @@
     }
 
     /**
-     * <code>bytes snapshot = 2;</code>
-     * @return The snapshot.
+     * <code>bool ready = 2;</code>
+     * @return The ready.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getSnapshot() {
-      return instance.getSnapshot();
+    public boolean getReady() {
+      return instance.getReady();
     }
     /**
-     * <code>bytes snapshot = 2;</code>
-     * @param value The snapshot to set.
+     * <code>bool ready = 2;</code>
+     * @param value The ready to set.
      * @return This builder for chaining.
      */
-    public Builder setSnapshot(com.google.protobuf.ByteString value) {
+    public Builder setReady(boolean value) {
       copyOnWrite();
-      instance.setSnapshot(value);
+      instance.setReady(value);
       return this;
     }
     /**
-     * <code>bytes snapshot = 2;</code>
+     * <code>bool ready = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSnapshot() {
+    public Builder clearReady() {
       copyOnWrite();
-      instance.clearSnapshot();
+      instance.clearReady();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:sardineport.ConfigurationState)
+    // @@protoc_insertion_point(builder_scope:sardineport.ConfigurationAnnouncement)
   }
   @java.lang.Override
   @java.lang.SuppressWarnings({"ThrowNull"})
@@ -240,7 +238,7 @@
       java.lang.Object arg0, java.lang.Object arg1) {
     switch (method) {
       case NEW_MUTABLE_INSTANCE: {
-        return new org.sardineport.wire.message.ConfigurationState();
+        return new org.sardineport.wire.message.ConfigurationAnnouncement();
       }
       case NEW_BUILDER: {
         return new Builder();
@@ -248,10 +246,10 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "version_",
-            "snapshot_",
+            "ready_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0010\u0002\n" +
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0010\u0002\u0007" +
               "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
@@ -259,13 +257,13 @@
         return DEFAULT_INSTANCE;
       }
       case GET_PARSER: {
-        com.google.protobuf.Parser<org.sardineport.wire.message.ConfigurationState> parser = PARSER;
+        com.google.protobuf.Parser<org.sardineport.wire.message.ConfigurationAnnouncement> parser = PARSER;
         if (parser == null) {
-          synchronized (org.sardineport.wire.message.ConfigurationState.class) {
+          synchronized (org.sardineport.wire.message.ConfigurationAnnouncement.class) {
             parser = PARSER;
             if (parser == null) {
               parser =
-                  new DefaultInstanceBasedParser<org.sardineport.wire.message.ConfigurationState>(
+                  new DefaultInstanceBasedParser<org.sardineport.wire.message.ConfigurationAnnouncement>(
                       DEFAULT_INSTANCE);
               PARSER = parser;
             }
@@ -285,24 +283,24 @@
   }
 
 
-  // @@protoc_insertion_point(class_scope:sardineport.ConfigurationState)
-  private static final org.sardineport.wire.message.ConfigurationState DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:sardineport.ConfigurationAnnouncement)
+  private static final org.sardineport.wire.message.ConfigurationAnnouncement DEFAULT_INSTANCE;
   static {
-    ConfigurationState defaultInstance = new ConfigurationState();
+    ConfigurationAnnouncement defaultInstance = new ConfigurationAnnouncement();
     // New instances are implicitly immutable so no need to make
     // immutable.
     DEFAULT_INSTANCE = defaultInstance;
     com.google.protobuf.GeneratedMessageLite.registerDefaultInstance(
-      ConfigurationState.class, defaultInstance);
+      ConfigurationAnnouncement.class, defaultInstance);
   }
 
-  public static org.sardineport.wire.message.ConfigurationState getDefaultInstance() {
+  public static org.sardineport.wire.message.ConfigurationAnnouncement getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static volatile com.google.protobuf.Parser<ConfigurationState> PARSER;
+  private static volatile com.google.protobuf.Parser<ConfigurationAnnouncement> PARSER;
 
-  public static com.google.protobuf.Parser<ConfigurationState> parser() {
+  public static com.google.protobuf.Parser<ConfigurationAnnouncement> parser() {
     return DEFAULT_INSTANCE.getParserForType();
   }
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationStateOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncementOrBuilder.java
@@ -6,8 +6,8 @@
 package org.sardineport.wire.message;
 
 @com.google.protobuf.Generated
-public interface ConfigurationStateOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:sardineport.ConfigurationState)
+public interface ConfigurationAnnouncementOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:sardineport.ConfigurationAnnouncement)
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
@@ -17,8 +17,8 @@
   long getVersion();
 
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @return The snapshot.
+   * <code>bool ready = 2;</code>
+   * @return The ready.
    */
-  com.google.protobuf.ByteString getSnapshot();
+  boolean getReady();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationFetch.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationFetch.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks a peer for its configuration if it is newer than a version.
+ * Asks a peer for a page of what changed in its configuration since a version.
  * </pre>
  *
  * Protobuf type {@code sardineport.ConfigurationFetch}
@@ -46,6 +46,32 @@
     newerThan_ = 0L;
   }
 
+  public static final int INDEX_FIELD_NUMBER = 2;
+  private int index_;
+  /**
+   * <code>uint32 index = 2;</code>
+   * @return The index.
+   */
+  @java.lang.Override
+  public int getIndex() {
+    return index_;
+  }
+  /**
+   * <code>uint32 index = 2;</code>
+   * @param value The index to set.
+   */
+  private void setIndex(int value) {
+    
+    index_ = value;
+  }
+  /**
+   * <code>uint32 index = 2;</code>
+   */
+  private void clearIndex() {
+
+    index_ = 0;
+  }
+
   public static org.sardineport.wire.message.ConfigurationFetch parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -131,7 +157,7 @@
 
   /**
    * <pre>
-   * Asks a peer for its configuration if it is newer than a version.
+   * Asks a peer for a page of what changed in its configuration since a version.
    * </pre>
    *
    * Protobuf type {@code sardineport.ConfigurationFetch}
@@ -175,6 +201,34 @@
       return this;
     }
 
+    /**
+     * <code>uint32 index = 2;</code>
+     * @return The index.
+     */
+    @java.lang.Override
+    public int getIndex() {
+      return instance.getIndex();
+    }
+    /**
+     * <code>uint32 index = 2;</code>
+     * @param value The index to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIndex(int value) {
+      copyOnWrite();
+      instance.setIndex(value);
+      return this;
+    }
+    /**
+     * <code>uint32 index = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIndex() {
+      copyOnWrite();
+      instance.clearIndex();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ConfigurationFetch)
   }
   @java.lang.Override
@@ -192,9 +246,11 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "newerThan_",
+            "index_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0010";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0010\u0002\u000b" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationFetchOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationFetchOrBuilder.java
@@ -15,4 +15,10 @@
    * @return The newerThan.
    */
   long getNewerThan();
+
+  /**
+   * <code>uint32 index = 2;</code>
+   * @return The index.
+   */
+  int getIndex();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationMessage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationMessage.java
@@ -20,7 +20,7 @@
   private java.lang.Object body_;
   public enum BodyCase {
     FETCH(1),
-    STATE(2),
+    ANNOUNCEMENT(2),
     PAGE(3),
     BODY_NOT_SET(0);
     private final int value;
@@ -38,7 +38,7 @@
     public static BodyCase forNumber(int value) {
       switch (value) {
         case 1: return FETCH;
-        case 2: return STATE;
+        case 2: return ANNOUNCEMENT;
         case 3: return PAGE;
         case 0: return BODY_NOT_SET;
         default: return null;
@@ -113,42 +113,42 @@
     }
   }
 
-  public static final int STATE_FIELD_NUMBER = 2;
+  public static final int ANNOUNCEMENT_FIELD_NUMBER = 2;
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
    */
   @java.lang.Override
-  public boolean hasState() {
+  public boolean hasAnnouncement() {
     return bodyCase_ == 2;
   }
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
    */
   @java.lang.Override
-  public org.sardineport.wire.message.ConfigurationState getState() {
+  public org.sardineport.wire.message.ConfigurationAnnouncement getAnnouncement() {
     if (bodyCase_ == 2) {
-       return (org.sardineport.wire.message.ConfigurationState) body_;
+       return (org.sardineport.wire.message.ConfigurationAnnouncement) body_;
     }
-    return org.sardineport.wire.message.ConfigurationState.getDefaultInstance();
+    return org.sardineport.wire.message.ConfigurationAnnouncement.getDefaultInstance();
   }
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setState(org.sardineport.wire.message.ConfigurationState value) {
+  private void setAnnouncement(org.sardineport.wire.message.ConfigurationAnnouncement value) {
     value.getClass();  // minimal bytecode null check
     body_ = value;
     bodyCase_ = 2;
   }
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void mergeState(org.sardineport.wire.message.ConfigurationState value) {
+  private void mergeAnnouncement(org.sardineport.wire.message.ConfigurationAnnouncement value) {
     value.getClass();  // minimal bytecode null check
     if (bodyCase_ == 2 &&
-        body_ != org.sardineport.wire.message.ConfigurationState.getDefaultInstance()) {
-      body_ = org.sardineport.wire.message.ConfigurationState.newBuilder((org.sardineport.wire.message.ConfigurationState) body_)
+        body_ != org.sardineport.wire.message.ConfigurationAnnouncement.getDefaultInstance()) {
+      body_ = org.sardineport.wire.message.ConfigurationAnnouncement.newBuilder((org.sardineport.wire.message.ConfigurationAnnouncement) body_)
           .mergeFrom(value).buildPartial();
     } else {
       body_ = value;
@@ -156,9 +156,9 @@
     bodyCase_ = 2;
   }
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
    */
-  private void clearState() {
+  private void clearAnnouncement() {
     if (bodyCase_ == 2) {
       bodyCase_ = 0;
       body_ = null;
@@ -375,50 +375,50 @@
     }
 
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
     @java.lang.Override
-    public boolean hasState() {
-      return instance.hasState();
+    public boolean hasAnnouncement() {
+      return instance.hasAnnouncement();
     }
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
     @java.lang.Override
-    public org.sardineport.wire.message.ConfigurationState getState() {
-      return instance.getState();
+    public org.sardineport.wire.message.ConfigurationAnnouncement getAnnouncement() {
+      return instance.getAnnouncement();
     }
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
-    public Builder setState(org.sardineport.wire.message.ConfigurationState value) {
+    public Builder setAnnouncement(org.sardineport.wire.message.ConfigurationAnnouncement value) {
       copyOnWrite();
-      instance.setState(value);
+      instance.setAnnouncement(value);
       return this;
     }
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
-    public Builder setState(
-        org.sardineport.wire.message.ConfigurationState.Builder builderForValue) {
+    public Builder setAnnouncement(
+        org.sardineport.wire.message.ConfigurationAnnouncement.Builder builderForValue) {
       copyOnWrite();
-      instance.setState(builderForValue.build());
+      instance.setAnnouncement(builderForValue.build());
       return this;
     }
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
-    public Builder mergeState(org.sardineport.wire.message.ConfigurationState value) {
+    public Builder mergeAnnouncement(org.sardineport.wire.message.ConfigurationAnnouncement value) {
       copyOnWrite();
-      instance.mergeState(value);
+      instance.mergeAnnouncement(value);
       return this;
     }
     /**
-     * <code>.sardineport.ConfigurationState state = 2;</code>
+     * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
      */
-    public Builder clearState() {
+    public Builder clearAnnouncement() {
       copyOnWrite();
-      instance.clearState();
+      instance.clearAnnouncement();
       return this;
     }
 
@@ -489,7 +489,7 @@
             "body_",
             "bodyCase_",
             org.sardineport.wire.message.ConfigurationFetch.class,
-            org.sardineport.wire.message.ConfigurationState.class,
+            org.sardineport.wire.message.ConfigurationAnnouncement.class,
             org.sardineport.wire.message.ConfigurationPage.class,
           };
           java.lang.String info =
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationMessageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationMessageOrBuilder.java
@@ -22,15 +22,15 @@
   org.sardineport.wire.message.ConfigurationFetch getFetch();
 
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
-   * @return Whether the state field is set.
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
+   * @return Whether the announcement field is set.
    */
-  boolean hasState();
+  boolean hasAnnouncement();
   /**
-   * <code>.sardineport.ConfigurationState state = 2;</code>
-   * @return The state.
+   * <code>.sardineport.ConfigurationAnnouncement announcement = 2;</code>
+   * @return The announcement.
    */
-  org.sardineport.wire.message.ConfigurationState getState();
+  org.sardineport.wire.message.ConfigurationAnnouncement getAnnouncement();
 
   /**
    * <code>.sardineport.ConfigurationPage page = 3;</code>
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Part of a configuration too large for one frame.
+ * Page of the configuration as of an offset, or of what changed in it since a version.
  * </pre>
  *
  * Protobuf type {@code sardineport.ConfigurationPage}
@@ -19,32 +19,76 @@
     // @@protoc_insertion_point(message_implements:sardineport.ConfigurationPage)
     ConfigurationPageOrBuilder {
   private ConfigurationPage() {
-    part_ = com.google.protobuf.ByteString.EMPTY;
+    id_ = "";
+    profiles_ = emptyProtobufList();
+    retirements_ = emptyProtobufList();
   }
-  public static final int VERSION_FIELD_NUMBER = 1;
-  private long version_;
+  public static final int ID_FIELD_NUMBER = 1;
+  private java.lang.String id_;
   /**
-   * <code>sint64 version = 1;</code>
-   * @return The version.
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The id.
    */
   @java.lang.Override
-  public long getVersion() {
-    return version_;
+  public java.lang.String getId() {
+    return id_;
   }
   /**
-   * <code>sint64 version = 1;</code>
-   * @param value The version to set.
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The bytes for id.
    */
-  private void setVersion(long value) {
-    
-    version_ = value;
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIdBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(id_);
   }
   /**
-   * <code>sint64 version = 1;</code>
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @param value The id to set.
    */
-  private void clearVersion() {
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setId(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    id_ = value;
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   */
+  private void clearId() {
+
+    id_ = getDefaultInstance().getId();
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @param value The bytes for id to set.
+   */
+  private void setIdBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    id_ = value.toStringUtf8();
 
-    version_ = 0L;
   }
 
   public static final int INDEX_FIELD_NUMBER = 2;
@@ -99,31 +143,326 @@
     count_ = 0;
   }
 
-  public static final int PART_FIELD_NUMBER = 4;
-  private com.google.protobuf.ByteString part_;
+  public static final int AS_OF_FIELD_NUMBER = 4;
+  private long asOf_;
   /**
-   * <code>bytes part = 4;</code>
-   * @return The part.
+   * <code>sint64 as_of = 4;</code>
+   * @return The asOf.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getPart() {
-    return part_;
+  public long getAsOf() {
+    return asOf_;
   }
   /**
-   * <code>bytes part = 4;</code>
-   * @param value The part to set.
+   * <code>sint64 as_of = 4;</code>
+   * @param value The asOf to set.
    */
-  private void setPart(com.google.protobuf.ByteString value) {
-    java.lang.Class<?> valueClass = value.getClass();
-  
-    part_ = value;
+  private void setAsOf(long value) {
+    
+    asOf_ = value;
   }
   /**
-   * <code>bytes part = 4;</code>
+   * <code>sint64 as_of = 4;</code>
    */
-  private void clearPart() {
+  private void clearAsOf() {
 
-    part_ = getDefaultInstance().getPart();
+    asOf_ = 0L;
+  }
+
+  public static final int VERSION_FIELD_NUMBER = 5;
+  private long version_;
+  /**
+   * <code>sint64 version = 5;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public long getVersion() {
+    return version_;
+  }
+  /**
+   * <code>sint64 version = 5;</code>
+   * @param value The version to set.
+   */
+  private void setVersion(long value) {
+    
+    version_ = value;
+  }
+  /**
+   * <code>sint64 version = 5;</code>
+   */
+  private void clearVersion() {
+
+    version_ = 0L;
+  }
+
+  public static final int NEWER_THAN_FIELD_NUMBER = 6;
+  private long newerThan_;
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 6;</code>
+   * @return The newerThan.
+   */
+  @java.lang.Override
+  public long getNewerThan() {
+    return newerThan_;
+  }
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 6;</code>
+   * @param value The newerThan to set.
+   */
+  private void setNewerThan(long value) {
+    
+    newerThan_ = value;
+  }
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 6;</code>
+   */
+  private void clearNewerThan() {
+
+    newerThan_ = 0L;
+  }
+
+  public static final int FORGOTTEN_VERSION_FIELD_NUMBER = 7;
+  private long forgottenVersion_;
+  /**
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 7;</code>
+   * @return The forgottenVersion.
+   */
+  @java.lang.Override
+  public long getForgottenVersion() {
+    return forgottenVersion_;
+  }
+  /**
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 7;</code>
+   * @param value The forgottenVersion to set.
+   */
+  private void setForgottenVersion(long value) {
+    
+    forgottenVersion_ = value;
+  }
+  /**
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 7;</code>
+   */
+  private void clearForgottenVersion() {
+
+    forgottenVersion_ = 0L;
+  }
+
+  public static final int PROFILES_FIELD_NUMBER = 8;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> profiles_;
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
+    return profiles_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.ProfileTextOrBuilder> 
+      getProfilesOrBuilderList() {
+    return profiles_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.Override
+  public int getProfilesCount() {
+    return profiles_.size();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ProfileText getProfiles(int index) {
+    return profiles_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  public org.sardineport.wire.message.ProfileTextOrBuilder getProfilesOrBuilder(
+      int index) {
+    return profiles_.get(index);
+  }
+  private void ensureProfilesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> tmp = profiles_;
+    if (!tmp.isModifiable()) {
+      profiles_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setProfiles(
+      int index, org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addProfiles(org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addProfiles(
+      int index, org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  private void addAllProfiles(
+      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
+    ensureProfilesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, profiles_);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  private void clearProfiles() {
+    profiles_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  private void removeProfiles(int index) {
+    ensureProfilesIsMutable();
+    profiles_.remove(index);
+  }
+
+  public static final int RETIREMENTS_FIELD_NUMBER = 9;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> retirements_;
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
+    return retirements_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.ProfileRetirementOrBuilder> 
+      getRetirementsOrBuilderList() {
+    return retirements_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.Override
+  public int getRetirementsCount() {
+    return retirements_.size();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
+    return retirements_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  public org.sardineport.wire.message.ProfileRetirementOrBuilder getRetirementsOrBuilder(
+      int index) {
+    return retirements_.get(index);
+  }
+  private void ensureRetirementsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> tmp = retirements_;
+    if (!tmp.isModifiable()) {
+      retirements_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setRetirements(
+      int index, org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRetirements(
+      int index, org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  private void addAllRetirements(
+      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
+    ensureRetirementsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, retirements_);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  private void clearRetirements() {
+    retirements_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  private void removeRetirements(int index) {
+    ensureRetirementsIsMutable();
+    retirements_.remove(index);
   }
 
   public static org.sardineport.wire.message.ConfigurationPage parseFrom(
@@ -211,7 +550,7 @@
 
   /**
    * <pre>
-   * Part of a configuration too large for one frame.
+   * Page of the configuration as of an offset, or of what changed in it since a version.
    * </pre>
    *
    * Protobuf type {@code sardineport.ConfigurationPage}
@@ -228,30 +567,71 @@
 
 
     /**
-     * <code>sint64 version = 1;</code>
-     * @return The version.
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The id.
      */
     @java.lang.Override
-    public long getVersion() {
-      return instance.getVersion();
+    public java.lang.String getId() {
+      return instance.getId();
     }
     /**
-     * <code>sint64 version = 1;</code>
-     * @param value The version to set.
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdBytes() {
+      return instance.getIdBytes();
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @param value The id to set.
      * @return This builder for chaining.
      */
-    public Builder setVersion(long value) {
+    public Builder setId(
+        java.lang.String value) {
       copyOnWrite();
-      instance.setVersion(value);
+      instance.setId(value);
       return this;
     }
     /**
-     * <code>sint64 version = 1;</code>
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearVersion() {
+    public Builder clearId() {
       copyOnWrite();
-      instance.clearVersion();
+      instance.clearId();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @param value The bytes for id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setIdBytes(value);
       return this;
     }
 
@@ -312,30 +692,342 @@
     }
 
     /**
-     * <code>bytes part = 4;</code>
-     * @return The part.
+     * <code>sint64 as_of = 4;</code>
+     * @return The asOf.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getPart() {
-      return instance.getPart();
+    public long getAsOf() {
+      return instance.getAsOf();
     }
     /**
-     * <code>bytes part = 4;</code>
-     * @param value The part to set.
+     * <code>sint64 as_of = 4;</code>
+     * @param value The asOf to set.
      * @return This builder for chaining.
      */
-    public Builder setPart(com.google.protobuf.ByteString value) {
+    public Builder setAsOf(long value) {
       copyOnWrite();
-      instance.setPart(value);
+      instance.setAsOf(value);
       return this;
     }
     /**
-     * <code>bytes part = 4;</code>
+     * <code>sint64 as_of = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPart() {
+    public Builder clearAsOf() {
       copyOnWrite();
-      instance.clearPart();
+      instance.clearAsOf();
+      return this;
+    }
+
+    /**
+     * <code>sint64 version = 5;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return instance.getVersion();
+    }
+    /**
+     * <code>sint64 version = 5;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(long value) {
+      copyOnWrite();
+      instance.setVersion(value);
+      return this;
+    }
+    /**
+     * <code>sint64 version = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      copyOnWrite();
+      instance.clearVersion();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 6;</code>
+     * @return The newerThan.
+     */
+    @java.lang.Override
+    public long getNewerThan() {
+      return instance.getNewerThan();
+    }
+    /**
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 6;</code>
+     * @param value The newerThan to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNewerThan(long value) {
+      copyOnWrite();
+      instance.setNewerThan(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNewerThan() {
+      copyOnWrite();
+      instance.clearNewerThan();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 7;</code>
+     * @return The forgottenVersion.
+     */
+    @java.lang.Override
+    public long getForgottenVersion() {
+      return instance.getForgottenVersion();
+    }
+    /**
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 7;</code>
+     * @param value The forgottenVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setForgottenVersion(long value) {
+      copyOnWrite();
+      instance.setForgottenVersion(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearForgottenVersion() {
+      copyOnWrite();
+      instance.clearForgottenVersion();
+      return this;
+    }
+
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getProfilesList());
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    @java.lang.Override
+    public int getProfilesCount() {
+      return instance.getProfilesCount();
+    }/**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ProfileText getProfiles(int index) {
+      return instance.getProfiles(index);
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder setProfiles(
+        int index, org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.setProfiles(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder setProfiles(
+        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.setProfiles(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder addProfiles(org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.addProfiles(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder addProfiles(
+        int index, org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.addProfiles(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder addProfiles(
+        org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.addProfiles(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder addProfiles(
+        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.addProfiles(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder addAllProfiles(
+        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
+      copyOnWrite();
+      instance.addAllProfiles(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder clearProfiles() {
+      copyOnWrite();
+      instance.clearProfiles();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+     */
+    public Builder removeProfiles(int index) {
+      copyOnWrite();
+      instance.removeProfiles(index);
+      return this;
+    }
+
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getRetirementsList());
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    @java.lang.Override
+    public int getRetirementsCount() {
+      return instance.getRetirementsCount();
+    }/**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
+      return instance.getRetirements(index);
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder setRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.setRetirements(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder setRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRetirements(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.addRetirements(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder addRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.addRetirements(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder addRetirements(
+        org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRetirements(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder addRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRetirements(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder addAllRetirements(
+        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
+      copyOnWrite();
+      instance.addAllRetirements(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder clearRetirements() {
+      copyOnWrite();
+      instance.clearRetirements();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     */
+    public Builder removeRetirements(int index) {
+      copyOnWrite();
+      instance.removeRetirements(index);
       return this;
     }
 
@@ -355,14 +1047,21 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
-            "version_",
+            "id_",
             "index_",
             "count_",
-            "part_",
+            "asOf_",
+            "version_",
+            "newerThan_",
+            "forgottenVersion_",
+            "profiles_",
+            org.sardineport.wire.message.ProfileText.class,
+            "retirements_",
+            org.sardineport.wire.message.ProfileRetirement.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0010\u0002\u000b" +
-              "\u0003\u000b\u0004\n";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0002\u0000\u0001\u0208\u0002\u000b\u0003\u000b" +
+              "\u0004\u0010\u0005\u0010\u0006\u0010\u0007\u0010\b\u001b\t\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
@@ -11,10 +11,24 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>sint64 version = 1;</code>
-   * @return The version.
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The id.
    */
-  long getVersion();
+  java.lang.String getId();
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The bytes for id.
+   */
+  com.google.protobuf.ByteString
+      getIdBytes();
 
   /**
    * <code>uint32 index = 2;</code>
@@ -29,8 +43,62 @@
   int getCount();
 
   /**
-   * <code>bytes part = 4;</code>
-   * @return The part.
+   * <code>sint64 as_of = 4;</code>
+   * @return The asOf.
+   */
+  long getAsOf();
+
+  /**
+   * <code>sint64 version = 5;</code>
+   * @return The version.
+   */
+  long getVersion();
+
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 6;</code>
+   * @return The newerThan.
+   */
+  long getNewerThan();
+
+  /**
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 7;</code>
+   * @return The forgottenVersion.
+   */
+  long getForgottenVersion();
+
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  java.util.List<org.sardineport.wire.message.ProfileText> 
+      getProfilesList();
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  org.sardineport.wire.message.ProfileText getProfiles(int index);
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   */
+  int getProfilesCount();
+
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  java.util.List<org.sardineport.wire.message.ProfileRetirement> 
+      getRetirementsList();
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   */
+  org.sardineport.wire.message.ProfileRetirement getRetirements(int index);
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
    */
-  com.google.protobuf.ByteString getPart();
+  int getRetirementsCount();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecord.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecord.java
@@ -117,40 +117,40 @@
 
   public static final int SNAPSHOT_FIELD_NUMBER = 2;
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    */
   @java.lang.Override
   public boolean hasSnapshot() {
     return bodyCase_ == 2;
   }
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    */
   @java.lang.Override
-  public org.sardineport.wire.message.Snapshot getSnapshot() {
+  public org.sardineport.wire.message.ConfigurationPage getSnapshot() {
     if (bodyCase_ == 2) {
-       return (org.sardineport.wire.message.Snapshot) body_;
+       return (org.sardineport.wire.message.ConfigurationPage) body_;
     }
-    return org.sardineport.wire.message.Snapshot.getDefaultInstance();
+    return org.sardineport.wire.message.ConfigurationPage.getDefaultInstance();
   }
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setSnapshot(org.sardineport.wire.message.Snapshot value) {
+  private void setSnapshot(org.sardineport.wire.message.ConfigurationPage value) {
     value.getClass();  // minimal bytecode null check
     body_ = value;
     bodyCase_ = 2;
   }
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void mergeSnapshot(org.sardineport.wire.message.Snapshot value) {
+  private void mergeSnapshot(org.sardineport.wire.message.ConfigurationPage value) {
     value.getClass();  // minimal bytecode null check
     if (bodyCase_ == 2 &&
-        body_ != org.sardineport.wire.message.Snapshot.getDefaultInstance()) {
-      body_ = org.sardineport.wire.message.Snapshot.newBuilder((org.sardineport.wire.message.Snapshot) body_)
+        body_ != org.sardineport.wire.message.ConfigurationPage.getDefaultInstance()) {
+      body_ = org.sardineport.wire.message.ConfigurationPage.newBuilder((org.sardineport.wire.message.ConfigurationPage) body_)
           .mergeFrom(value).buildPartial();
     } else {
       body_ = value;
@@ -158,7 +158,7 @@
     bodyCase_ = 2;
   }
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    */
   private void clearSnapshot() {
     if (bodyCase_ == 2) {
@@ -329,46 +329,46 @@
     }
 
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
     @java.lang.Override
     public boolean hasSnapshot() {
       return instance.hasSnapshot();
     }
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
     @java.lang.Override
-    public org.sardineport.wire.message.Snapshot getSnapshot() {
+    public org.sardineport.wire.message.ConfigurationPage getSnapshot() {
       return instance.getSnapshot();
     }
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
-    public Builder setSnapshot(org.sardineport.wire.message.Snapshot value) {
+    public Builder setSnapshot(org.sardineport.wire.message.ConfigurationPage value) {
       copyOnWrite();
       instance.setSnapshot(value);
       return this;
     }
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
     public Builder setSnapshot(
-        org.sardineport.wire.message.Snapshot.Builder builderForValue) {
+        org.sardineport.wire.message.ConfigurationPage.Builder builderForValue) {
       copyOnWrite();
       instance.setSnapshot(builderForValue.build());
       return this;
     }
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
-    public Builder mergeSnapshot(org.sardineport.wire.message.Snapshot value) {
+    public Builder mergeSnapshot(org.sardineport.wire.message.ConfigurationPage value) {
       copyOnWrite();
       instance.mergeSnapshot(value);
       return this;
     }
     /**
-     * <code>.sardineport.Snapshot snapshot = 2;</code>
+     * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
      */
     public Builder clearSnapshot() {
       copyOnWrite();
@@ -395,7 +395,7 @@
             "body_",
             "bodyCase_",
             org.sardineport.wire.message.Publication.class,
-            org.sardineport.wire.message.Snapshot.class,
+            org.sardineport.wire.message.ConfigurationPage.class,
           };
           java.lang.String info =
               "\u0000\u0002\u0001\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001<\u0000\u0002<" +
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecordOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecordOrBuilder.java
@@ -22,15 +22,15 @@
   org.sardineport.wire.message.Publication getPublication();
 
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    * @return Whether the snapshot field is set.
    */
   boolean hasSnapshot();
   /**
-   * <code>.sardineport.Snapshot snapshot = 2;</code>
+   * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
    * @return The snapshot.
    */
-  org.sardineport.wire.message.Snapshot getSnapshot();
+  org.sardineport.wire.message.ConfigurationPage getSnapshot();
 
   public org.sardineport.wire.message.ConfigurationRecord.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ProfileText.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ProfileText.java
@@ -114,6 +114,44 @@
 
   }
 
+  public static final int CHANGED_AT_FIELD_NUMBER = 3;
+  private long changedAt_;
+  /**
+   * <pre>
+   * Version that published or replaced the profile; only in pages.
+   * </pre>
+   *
+   * <code>sint64 changed_at = 3;</code>
+   * @return The changedAt.
+   */
+  @java.lang.Override
+  public long getChangedAt() {
+    return changedAt_;
+  }
+  /**
+   * <pre>
+   * Version that published or replaced the profile; only in pages.
+   * </pre>
+   *
+   * <code>sint64 changed_at = 3;</code>
+   * @param value The changedAt to set.
+   */
+  private void setChangedAt(long value) {
+    
+    changedAt_ = value;
+  }
+  /**
+   * <pre>
+   * Version that published or replaced the profile; only in pages.
+   * </pre>
+   *
+   * <code>sint64 changed_at = 3;</code>
+   */
+  private void clearChangedAt() {
+
+    changedAt_ = 0L;
+  }
+
   public static org.sardineport.wire.message.ProfileText parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -309,6 +347,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version that published or replaced the profile; only in pages.
+     * </pre>
+     *
+     * <code>sint64 changed_at = 3;</code>
+     * @return The changedAt.
+     */
+    @java.lang.Override
+    public long getChangedAt() {
+      return instance.getChangedAt();
+    }
+    /**
+     * <pre>
+     * Version that published or replaced the profile; only in pages.
+     * </pre>
+     *
+     * <code>sint64 changed_at = 3;</code>
+     * @param value The changedAt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setChangedAt(long value) {
+      copyOnWrite();
+      instance.setChangedAt(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that published or replaced the profile; only in pages.
+     * </pre>
+     *
+     * <code>sint64 changed_at = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearChangedAt() {
+      copyOnWrite();
+      instance.clearChangedAt();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ProfileText)
   }
   @java.lang.Override
@@ -327,10 +405,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "name_",
             "yaml_",
+            "changedAt_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0010";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ProfileTextOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ProfileTextOrBuilder.java
@@ -33,4 +33,14 @@
    */
   com.google.protobuf.ByteString
       getYamlBytes();
+
+  /**
+   * <pre>
+   * Version that published or replaced the profile; only in pages.
+   * </pre>
+   *
+   * <code>sint64 changed_at = 3;</code>
+   * @return The changedAt.
+   */
+  long getChangedAt();
 }
