--- a/core/src/main/java/org/sardineport/core/configuration/ConfigurationReplica.java
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationReplica.java
@@ -192,6 +192,20 @@
 		return new Adoption(true, List.of(), "");
 	}
 
+	/**
+	 * Tells that a daemon with the same version has seen all records up to an offset.
+	 * @param version version in force there
+	 * @param offset the offset
+	 * @return verdicts on records that had been held back
+	 */
+	public List<Verdict> confirmed(long version, long offset) {
+		if (!this.gap || version != this.state.version()) {
+			return List.of();
+		}
+		this.asOf = Math.max(this.asOf, offset);
+		return closeGap();
+	}
+
 	private List<Verdict> closeGap() {
 		boolean reaches = this.firstKept != UNKNOWN_OFFSET && this.asOf >= this.firstKept - 1;
 		if (!reaches) {
--- a/core/src/main/java/org/sardineport/core/configuration/ImagePage.java
+++ b/core/src/main/java/org/sardineport/core/configuration/ImagePage.java
@@ -14,8 +14,8 @@
  * @param count how many pages the image has
  * @param part bytes of the page; the array is not copied and must not be changed
  */
-public record ImagePage(String id, long version, int index, int count, byte[] part)
-		implements ConfigurationRecord, ConfigurationMessage {
+public record ImagePage(String id, long version, int index, int count,
+		byte[] part) implements ConfigurationRecord, ConfigurationMessage {
 
 	/** Most pages of an image. */
 	public static final int MAXIMUM_COUNT = 4096;
--- a/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
+++ b/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
@@ -23,6 +23,9 @@
  */
 public final class PeerCatchUp {
 
+	/** Most peers that are asked at once for their versions. */
+	private static final int CONFIRMING_PEERS = 8;
+
 	private final Duration timeout;
 
 	private final Map<DaemonId, Long> versions = new HashMap<>();
@@ -33,6 +36,8 @@
 
 	private @Nullable Pending pending;
 
+	private Instant nextConfirmation = Instant.MIN;
+
 	private PeerCatchUp(Duration timeout, ImageCodec codec) {
 		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
 		this.assembly = ImageAssembly.create(codec);
@@ -90,6 +95,27 @@
 		return image;
 	}
 
+	/**
+	 * Returns questions to some peers about their versions, for a daemon that cannot
+	 * learn from the log whether it holds the newest.
+	 * @param now the time
+	 * @param version version in force on this daemon
+	 * @param fleet the fleet as this daemon knows it
+	 * @return the questions; empty if they were sent a short time ago
+	 */
+	public List<Question> confirmations(Instant now, long version, FleetSnapshot fleet) {
+		if (now.isBefore(this.nextConfirmation)) {
+			return List.of();
+		}
+		this.nextConfirmation = now.plus(this.timeout);
+		return fleet.members()
+			.stream()
+			.filter((member) -> !member.id().equals(fleet.self()) && member.status().isEligible())
+			.limit(CONFIRMING_PEERS)
+			.map((member) -> new Question(member.peerAddress(), new ConfigurationFetch(version, 0)))
+			.toList();
+	}
+
 	/**
 	 * Returns the question for the next page of an image.
 	 * @param now the time
--- a/core/src/main/java/org/sardineport/core/configuration/SnapshotSchedule.java
+++ b/core/src/main/java/org/sardineport/core/configuration/SnapshotSchedule.java
@@ -36,11 +36,13 @@
 	}
 
 	/**
-	 * Tells of a whole snapshot in the stream, or of an attempt to write one.
-	 * @param now the time
+	 * Tells of a whole snapshot in the stream.
+	 * @param now when it was written
 	 */
 	public void seen(Instant now) {
-		this.last = now;
+		if (now.isAfter(this.last)) {
+			this.last = now;
+		}
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
@@ -0,0 +1,268 @@
+package org.sardineport.daemon.configuration;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+
+import org.sardineport.core.configuration.ConfigurationAnnouncement;
+import org.sardineport.core.configuration.ConfigurationFetch;
+import org.sardineport.core.configuration.ConfigurationImage;
+import org.sardineport.core.configuration.ConfigurationMessage;
+import org.sardineport.core.configuration.ConfigurationReadiness;
+import org.sardineport.core.configuration.ConfigurationRecord;
+import org.sardineport.core.configuration.ConfigurationReplica;
+import org.sardineport.core.configuration.ConfigurationReplica.Adoption;
+import org.sardineport.core.configuration.ConfigurationSnapshot;
+import org.sardineport.core.configuration.ConfigurationSpread;
+import org.sardineport.core.configuration.ConfigurationView;
+import org.sardineport.core.configuration.ImagePage;
+import org.sardineport.core.configuration.PeerCatchUp;
+import org.sardineport.core.configuration.PeerCatchUp.Question;
+import org.sardineport.core.configuration.ProfileParser;
+import org.sardineport.core.configuration.Verdict;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.log.LogFailure;
+import org.sardineport.core.port.log.LogRecord;
+import org.sardineport.core.port.log.LogService;
+import org.sardineport.core.port.log.LogSlice;
+import org.sardineport.core.port.peer.PeerMessage;
+import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.daemon.duty.Duty;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.settings.ConfigurationSettings;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+import org.sardineport.wire.configuration.DeflatedImageCodec;
+
+/**
+ * Keeps the configuration in force: replays the stream of the log service, and catches up
+ * from peers where the log cannot be read. The view may be used by any thread; all else
+ * runs on the duty's own thread.
+ */
+public final class ConfigurationDuty implements ConfigurationView, Service {
+
+	private static final EventLog LOG = EventLog.of(ConfigurationDuty.class);
+
+	private static final int RING_SIZE = 1024;
+
+	private static final Duration TICK = Duration.ofMillis(20);
+
+	private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
+
+	private final FleetView fleet;
+
+	private final PeerTransport transport;
+
+	private final InstantSource clock;
+
+	private final Duty duty;
+
+	private final ConfigurationRecordCodec records = ConfigurationRecordCodec.create();
+
+	private final ConfigurationReplica replica;
+
+	private final ConfigurationReadiness readiness;
+
+	private final PeerCatchUp catchUp;
+
+	private final StreamReader reader;
+
+	private final SnapshotWriter snapshots;
+
+	private final ImageServer images;
+
+	private final ConfigurationCounters counters;
+
+	private volatile ConfigurationSnapshot current = ConfigurationSnapshot.EMPTY;
+
+	private volatile boolean ready;
+
+	private ConfigurationDuty(ConfigurationSettings settings, ProfileParser parser, LogService log, FleetView fleet,
+			PeerTransport transport, InstantSource clock, Telemetry telemetry) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
+		this.transport = Objects.requireNonNull(transport, "transport must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		DaemonId self = fleet.current().self();
+		DeflatedImageCodec codec = DeflatedImageCodec.create();
+		this.duty = Duty.create("configuration-" + self, RING_SIZE, TICK, this::tick);
+		this.replica = ConfigurationReplica.create(parser, codec);
+		this.readiness = ConfigurationReadiness.create(self);
+		this.catchUp = PeerCatchUp.create(PEER_TIMEOUT, codec);
+		this.reader = StreamReader.create(settings, log, clock, this.duty, this::read, this::readFailed);
+		this.snapshots = SnapshotWriter.create(settings, log, self, clock, codec);
+		this.images = ImageServer.create(codec);
+		this.counters = ConfigurationCounters.create(telemetry);
+	}
+
+	/**
+	 * Returns a duty that is not started yet.
+	 * @param settings its settings
+	 * @param parser parses the texts of profiles
+	 * @param log the log service
+	 * @param fleet the other daemons
+	 * @param transport carries messages to them; not started yet
+	 * @param clock the clock
+	 * @param telemetry counts verdicts and faults
+	 * @return the duty
+	 */
+	public static ConfigurationDuty create(ConfigurationSettings settings, ProfileParser parser, LogService log,
+			FleetView fleet, PeerTransport transport, InstantSource clock, Telemetry telemetry) {
+		return new ConfigurationDuty(settings, parser, log, fleet, transport, clock, telemetry);
+	}
+
+	@Override
+	public ConfigurationSnapshot current() {
+		return this.current;
+	}
+
+	@Override
+	public boolean isReady() {
+		return this.ready;
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		this.transport.listen(ConfigurationMessage.class, this::received);
+		return this.duty.start();
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		return this.duty.stop();
+	}
+
+	private void tick() {
+		Instant now = this.clock.instant();
+		FleetSnapshot view = this.fleet.current();
+		readOn(view);
+		this.catchUp.next(now, this.replica.state().version(), view).ifPresent(this::send);
+		confirmWithPeers(view, now);
+		if (this.reader.isAtEnd() && !this.replica.hasGap()) {
+			this.snapshots.tick(this.replica, this.reader.isLogBehind(this.replica.asOf()));
+		}
+		publish(view);
+	}
+
+	private void readOn(FleetSnapshot view) {
+		boolean continuously = ConfigurationSpread.isReader(view) || !this.ready;
+		this.reader.tick(this.replica.nextOffset(), continuously);
+	}
+
+	private void read(LogSlice slice) {
+		for (LogRecord record : slice.records()) {
+			ConfigurationRecord decoded = this.records.decode(record.value());
+			report(this.replica.apply(record.offset(), decoded));
+			if (decoded instanceof ImagePage page) {
+				this.snapshots.observe(record, page);
+			}
+		}
+		report(this.replica.readUpTo(slice.nextOffset()));
+		if (slice.isAtEnd() && !this.replica.hasGap()) {
+			this.readiness.logAtEnd();
+		}
+		FleetSnapshot view = this.fleet.current();
+		publish(view);
+		readOn(view);
+	}
+
+	private void readFailed(LogFailure failure) {
+		this.counters.readFailed(failure);
+		if (failure == LogFailure.OFFSET_EXPIRED) {
+			LOG.warn("configuration.offset-expired", "offset", this.replica.nextOffset());
+			this.replica.expired();
+		}
+		else {
+			this.readiness.logFailed();
+		}
+	}
+
+	private void received(DaemonId sender, long incarnation, NetworkAddress address, PeerMessage message) {
+		if (!this.duty.offer(() -> handle(sender, address, message))) {
+			this.counters.ringFull();
+		}
+	}
+
+	private void handle(DaemonId sender, NetworkAddress address, PeerMessage message) {
+		if (message instanceof ConfigurationFetch fetch) {
+			this.transport.send(address, this.images.answer(fetch, this.replica, this.ready));
+		}
+		else if (message instanceof ConfigurationAnnouncement announcement) {
+			this.catchUp.heard(sender, announcement.version());
+			this.readiness.peerSaid(sender, announcement.version(), announcement.ready());
+			report(this.replica.confirmed(announcement.version(), announcement.asOf()));
+			this.catchUp.next(this.clock.instant(), this.replica.state().version(), this.fleet.current())
+				.ifPresent(this::send);
+		}
+		else if (message instanceof ImagePage page) {
+			takePage(sender, address, page);
+		}
+		publish(this.fleet.current());
+	}
+
+	private void takePage(DaemonId sender, NetworkAddress address, ImagePage page) {
+		long version = this.replica.state().version();
+		if (page.version() <= version) {
+			return;
+		}
+		this.catchUp.received(sender, page)
+			.ifPresentOrElse(this::adopt,
+					() -> send(this.catchUp.following(this.clock.instant(), sender, address, page, version)));
+	}
+
+	private void adopt(ConfigurationImage image) {
+		Adoption adoption = this.replica.adopt(image);
+		if (!adoption.fault().isEmpty()) {
+			this.counters.imageFaulty();
+			LOG.warn("configuration.image-faulty", "version", image.version(), "fault", adoption.fault());
+		}
+		if (adoption.taken()) {
+			this.counters.caughtUpFromPeer();
+			LOG.info("configuration.caught-up", "version", image.version(), "profiles", image.profiles().size());
+		}
+		report(adoption.verdicts());
+	}
+
+	private void confirmWithPeers(FleetSnapshot view, Instant now) {
+		if ((!this.ready && this.reader.isFailing()) || this.replica.hasGap()) {
+			this.catchUp.confirmations(now, this.replica.state().version(), view).forEach(this::send);
+		}
+	}
+
+	private void publish(FleetSnapshot view) {
+		ConfigurationSnapshot next = this.replica.state().snapshot();
+		boolean changed = next.version() > this.current.version();
+		if (changed) {
+			this.current = next;
+			LOG.info("configuration.in-force", "version", next.version(), "profiles", next.profiles().size());
+		}
+		this.ready = this.readiness.update(next.version(), view.members());
+		if (changed) {
+			ConfigurationAnnouncement news = new ConfigurationAnnouncement(next.version(), this.replica.asOf(),
+					this.ready);
+			for (Member member : ConfigurationSpread.audience(view)) {
+				this.transport.send(member.peerAddress(), news);
+			}
+		}
+	}
+
+	private void send(Question question) {
+		this.transport.send(question.peer(), question.fetch());
+	}
+
+	private void report(List<Verdict> verdicts) {
+		for (Verdict verdict : verdicts) {
+			this.counters.judged(verdict.kind());
+			LOG.info("configuration.verdict", "offset", verdict.offset(), "verdict", verdict.kind().label(), "operator",
+					verdict.operator(), "token", verdict.token(), "reason", verdict.reason());
+		}
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationRecordCodec.java
@@ -0,0 +1,90 @@
+package org.sardineport.wire.configuration;
+
+import java.util.List;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.sardineport.core.configuration.ConfigurationRecord;
+import org.sardineport.core.configuration.ImagePage;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.configuration.UnreadableRecord;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.wire.message.ProfileText;
+
+/**
+ * Codec of the records of the configuration stream. Pure: the same bytes give the same
+ * record on every daemon. Safe for use by any thread.
+ */
+public final class ConfigurationRecordCodec {
+
+	private ConfigurationRecordCodec() {
+	}
+
+	/**
+	 * Returns the codec.
+	 * @return the codec
+	 */
+	public static ConfigurationRecordCodec create() {
+		return new ConfigurationRecordCodec();
+	}
+
+	/**
+	 * Encodes a publication.
+	 * @param publication the publication
+	 * @return the bytes of its record
+	 */
+	public byte[] encode(Publication publication) {
+		org.sardineport.wire.message.Publication.Builder body = org.sardineport.wire.message.Publication.newBuilder()
+			.setToken(publication.token())
+			.setBaseVersion(publication.baseVersion())
+			.setOperator(publication.operator());
+		for (ProfileDocument document : publication.profiles()) {
+			body.addProfiles(
+					ProfileText.newBuilder().setName(document.name().value()).setYaml(document.text()).build());
+		}
+		publication.retired().forEach((name) -> body.addRetired(name.value()));
+		return org.sardineport.wire.message.ConfigurationRecord.newBuilder().setPublication(body).build().toByteArray();
+	}
+
+	/**
+	 * Encodes a page of a snapshot.
+	 * @param page the page
+	 * @return the bytes of its record
+	 */
+	public byte[] encode(ImagePage page) {
+		return org.sardineport.wire.message.ConfigurationRecord.newBuilder()
+			.setSnapshot(PageCodec.encode(page))
+			.build()
+			.toByteArray();
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param value bytes of the record
+	 * @return the record; an unreadable one if the bytes are none
+	 */
+	public ConfigurationRecord decode(byte[] value) {
+		try {
+			org.sardineport.wire.message.ConfigurationRecord body = org.sardineport.wire.message.ConfigurationRecord
+				.parseFrom(value);
+			return switch (body.getBodyCase()) {
+				case PUBLICATION -> publication(body.getPublication());
+				case SNAPSHOT -> PageCodec.decode(body.getSnapshot());
+				case BODY_NOT_SET -> new UnreadableRecord("record of no known kind");
+			};
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return new UnreadableRecord("record that cannot be decoded");
+		}
+	}
+
+	private static Publication publication(org.sardineport.wire.message.Publication body) {
+		List<ProfileDocument> profiles = body.getProfilesList()
+			.stream()
+			.map((text) -> new ProfileDocument(ProfileName.of(text.getName()), text.getYaml()))
+			.toList();
+		List<ProfileName> retired = body.getRetiredList().stream().map(ProfileName::of).toList();
+		return new Publication(body.getToken(), body.getBaseVersion(), profiles, retired, body.getOperator());
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
@@ -0,0 +1,96 @@
+package org.sardineport.wire.configuration;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+import org.sardineport.core.configuration.ConfigurationImage;
+import org.sardineport.core.configuration.ImageCodec;
+import org.sardineport.core.configuration.ImageProfile;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Retirement;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.wire.message.ConfigurationState;
+import org.sardineport.wire.message.ProfileRetirement;
+import org.sardineport.wire.message.ProfileText;
+
+/**
+ * Encodes images as protobuf under DEFLATE. Safe for use by any thread.
+ */
+public final class DeflatedImageCodec implements ImageCodec {
+
+	/** Most bytes of an image once inflated. */
+	private static final int MAXIMUM_BYTES = 32 * 1024 * 1024;
+
+	private DeflatedImageCodec() {
+	}
+
+	/**
+	 * Returns the codec.
+	 * @return the codec
+	 */
+	public static DeflatedImageCodec create() {
+		return new DeflatedImageCodec();
+	}
+
+	@Override
+	public byte[] encode(ConfigurationImage image) {
+		ConfigurationState.Builder body = ConfigurationState.newBuilder()
+			.setAsOf(image.asOf())
+			.setVersion(image.version())
+			.setNewerThan(image.newerThan())
+			.setForgottenVersion(image.forgottenVersion());
+		for (ImageProfile profile : image.profiles()) {
+			body.addProfiles(ProfileText.newBuilder()
+				.setName(profile.document().name().value())
+				.setYaml(profile.document().text())
+				.setChangedAt(profile.changedAt()));
+		}
+		for (Retirement retirement : image.retirements()) {
+			body.addRetirements(
+					ProfileRetirement.newBuilder().setName(retirement.name().value()).setVersion(retirement.version()));
+		}
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (OutputStream deflater = new DeflaterOutputStream(bytes)) {
+			body.build().writeTo(deflater);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return bytes.toByteArray();
+	}
+
+	@Override
+	public Optional<ConfigurationImage> decode(byte[] bytes) {
+		try (InputStream inflater = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+			byte[] inflated = inflater.readNBytes(MAXIMUM_BYTES + 1);
+			return (inflated.length <= MAXIMUM_BYTES) ? Optional.of(image(ConfigurationState.parseFrom(inflated)))
+					: Optional.empty();
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static ConfigurationImage image(ConfigurationState body) {
+		List<ImageProfile> profiles = body.getProfilesList()
+			.stream()
+			.map((text) -> new ImageProfile(new ProfileDocument(ProfileName.of(text.getName()), text.getYaml()),
+					text.getChangedAt()))
+			.toList();
+		List<Retirement> retirements = body.getRetirementsList()
+			.stream()
+			.map((retirement) -> new Retirement(ProfileName.of(retirement.getName()), retirement.getVersion()))
+			.toList();
+		return new ConfigurationImage(body.getAsOf(), body.getVersion(), body.getNewerThan(),
+				body.getForgottenVersion(), profiles, retirements);
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/configuration/PageCodec.java
@@ -0,0 +1,36 @@
+package org.sardineport.wire.configuration;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.sardineport.core.configuration.ImagePage;
+import org.sardineport.wire.message.ConfigurationPage;
+
+/**
+ * Codec of pages of images.
+ */
+final class PageCodec {
+
+	private PageCodec() {
+	}
+
+	static ConfigurationPage encode(ImagePage page) {
+		return ConfigurationPage.newBuilder()
+			.setId(page.id())
+			.setVersion(page.version())
+			.setIndex(page.index())
+			.setCount(page.count())
+			.setPart(UnsafeByteOperations.unsafeWrap(page.part()))
+			.build();
+	}
+
+	/**
+	 * Decodes a page.
+	 * @param page the page
+	 * @return the page
+	 * @throws IllegalArgumentException if a number is out of range
+	 */
+	static ImagePage decode(ConfigurationPage page) {
+		return new ImagePage(page.getId(), page.getVersion(), page.getIndex(), page.getCount(),
+				page.getPart().toByteArray());
+	}
+
+}
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncement.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncement.java
@@ -72,6 +72,32 @@
     ready_ = false;
   }
 
+  public static final int AS_OF_FIELD_NUMBER = 3;
+  private long asOf_;
+  /**
+   * <code>sint64 as_of = 3;</code>
+   * @return The asOf.
+   */
+  @java.lang.Override
+  public long getAsOf() {
+    return asOf_;
+  }
+  /**
+   * <code>sint64 as_of = 3;</code>
+   * @param value The asOf to set.
+   */
+  private void setAsOf(long value) {
+    
+    asOf_ = value;
+  }
+  /**
+   * <code>sint64 as_of = 3;</code>
+   */
+  private void clearAsOf() {
+
+    asOf_ = 0L;
+  }
+
   public static org.sardineport.wire.message.ConfigurationAnnouncement parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -229,6 +255,34 @@
       return this;
     }
 
+    /**
+     * <code>sint64 as_of = 3;</code>
+     * @return The asOf.
+     */
+    @java.lang.Override
+    public long getAsOf() {
+      return instance.getAsOf();
+    }
+    /**
+     * <code>sint64 as_of = 3;</code>
+     * @param value The asOf to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsOf(long value) {
+      copyOnWrite();
+      instance.setAsOf(value);
+      return this;
+    }
+    /**
+     * <code>sint64 as_of = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsOf() {
+      copyOnWrite();
+      instance.clearAsOf();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ConfigurationAnnouncement)
   }
   @java.lang.Override
@@ -247,10 +301,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "version_",
             "ready_",
+            "asOf_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0010\u0002\u0007" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0010\u0002\u0007" +
+              "\u0003\u0010";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncementOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationAnnouncementOrBuilder.java
@@ -21,4 +21,10 @@
    * @return The ready.
    */
   boolean getReady();
+
+  /**
+   * <code>sint64 as_of = 3;</code>
+   * @return The asOf.
+   */
+  long getAsOf();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Page of the configuration as of an offset, or of what changed in it since a version.
+ * Part of an encoded image.
  * </pre>
  *
  * Protobuf type {@code sardineport.ConfigurationPage}
@@ -20,8 +20,7 @@
     ConfigurationPageOrBuilder {
   private ConfigurationPage() {
     id_ = "";
-    profiles_ = emptyProtobufList();
-    retirements_ = emptyProtobufList();
+    part_ = com.google.protobuf.ByteString.EMPTY;
   }
   public static final int ID_FIELD_NUMBER = 1;
   private java.lang.String id_;
@@ -91,88 +90,10 @@
 
   }
 
-  public static final int INDEX_FIELD_NUMBER = 2;
-  private int index_;
-  /**
-   * <code>uint32 index = 2;</code>
-   * @return The index.
-   */
-  @java.lang.Override
-  public int getIndex() {
-    return index_;
-  }
-  /**
-   * <code>uint32 index = 2;</code>
-   * @param value The index to set.
-   */
-  private void setIndex(int value) {
-    
-    index_ = value;
-  }
-  /**
-   * <code>uint32 index = 2;</code>
-   */
-  private void clearIndex() {
-
-    index_ = 0;
-  }
-
-  public static final int COUNT_FIELD_NUMBER = 3;
-  private int count_;
-  /**
-   * <code>uint32 count = 3;</code>
-   * @return The count.
-   */
-  @java.lang.Override
-  public int getCount() {
-    return count_;
-  }
-  /**
-   * <code>uint32 count = 3;</code>
-   * @param value The count to set.
-   */
-  private void setCount(int value) {
-    
-    count_ = value;
-  }
-  /**
-   * <code>uint32 count = 3;</code>
-   */
-  private void clearCount() {
-
-    count_ = 0;
-  }
-
-  public static final int AS_OF_FIELD_NUMBER = 4;
-  private long asOf_;
-  /**
-   * <code>sint64 as_of = 4;</code>
-   * @return The asOf.
-   */
-  @java.lang.Override
-  public long getAsOf() {
-    return asOf_;
-  }
-  /**
-   * <code>sint64 as_of = 4;</code>
-   * @param value The asOf to set.
-   */
-  private void setAsOf(long value) {
-    
-    asOf_ = value;
-  }
-  /**
-   * <code>sint64 as_of = 4;</code>
-   */
-  private void clearAsOf() {
-
-    asOf_ = 0L;
-  }
-
-  public static final int VERSION_FIELD_NUMBER = 5;
+  public static final int VERSION_FIELD_NUMBER = 2;
   private long version_;
   /**
-   * <code>sint64 version = 5;</code>
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   @java.lang.Override
@@ -180,7 +101,7 @@
     return version_;
   }
   /**
-   * <code>sint64 version = 5;</code>
+   * <code>sint64 version = 2;</code>
    * @param value The version to set.
    */
   private void setVersion(long value) {
@@ -188,281 +109,90 @@
     version_ = value;
   }
   /**
-   * <code>sint64 version = 5;</code>
+   * <code>sint64 version = 2;</code>
    */
   private void clearVersion() {
 
     version_ = 0L;
   }
 
-  public static final int NEWER_THAN_FIELD_NUMBER = 6;
-  private long newerThan_;
+  public static final int INDEX_FIELD_NUMBER = 3;
+  private int index_;
   /**
-   * <pre>
-   * Version that the receiver must have at least; -1 if the image is complete.
-   * </pre>
-   *
-   * <code>sint64 newer_than = 6;</code>
-   * @return The newerThan.
+   * <code>uint32 index = 3;</code>
+   * @return The index.
    */
   @java.lang.Override
-  public long getNewerThan() {
-    return newerThan_;
+  public int getIndex() {
+    return index_;
   }
   /**
-   * <pre>
-   * Version that the receiver must have at least; -1 if the image is complete.
-   * </pre>
-   *
-   * <code>sint64 newer_than = 6;</code>
-   * @param value The newerThan to set.
+   * <code>uint32 index = 3;</code>
+   * @param value The index to set.
    */
-  private void setNewerThan(long value) {
+  private void setIndex(int value) {
     
-    newerThan_ = value;
+    index_ = value;
   }
   /**
-   * <pre>
-   * Version that the receiver must have at least; -1 if the image is complete.
-   * </pre>
-   *
-   * <code>sint64 newer_than = 6;</code>
+   * <code>uint32 index = 3;</code>
    */
-  private void clearNewerThan() {
+  private void clearIndex() {
 
-    newerThan_ = 0L;
+    index_ = 0;
   }
 
-  public static final int FORGOTTEN_VERSION_FIELD_NUMBER = 7;
-  private long forgottenVersion_;
+  public static final int COUNT_FIELD_NUMBER = 4;
+  private int count_;
   /**
-   * <pre>
-   * Retirements up to this version are not listed any more.
-   * </pre>
-   *
-   * <code>sint64 forgotten_version = 7;</code>
-   * @return The forgottenVersion.
+   * <code>uint32 count = 4;</code>
+   * @return The count.
    */
   @java.lang.Override
-  public long getForgottenVersion() {
-    return forgottenVersion_;
+  public int getCount() {
+    return count_;
   }
   /**
-   * <pre>
-   * Retirements up to this version are not listed any more.
-   * </pre>
-   *
-   * <code>sint64 forgotten_version = 7;</code>
-   * @param value The forgottenVersion to set.
+   * <code>uint32 count = 4;</code>
+   * @param value The count to set.
    */
-  private void setForgottenVersion(long value) {
+  private void setCount(int value) {
     
-    forgottenVersion_ = value;
-  }
-  /**
-   * <pre>
-   * Retirements up to this version are not listed any more.
-   * </pre>
-   *
-   * <code>sint64 forgotten_version = 7;</code>
-   */
-  private void clearForgottenVersion() {
-
-    forgottenVersion_ = 0L;
-  }
-
-  public static final int PROFILES_FIELD_NUMBER = 8;
-  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> profiles_;
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
-    return profiles_;
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  public java.util.List<? extends org.sardineport.wire.message.ProfileTextOrBuilder> 
-      getProfilesOrBuilderList() {
-    return profiles_;
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.Override
-  public int getProfilesCount() {
-    return profiles_.size();
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.Override
-  public org.sardineport.wire.message.ProfileText getProfiles(int index) {
-    return profiles_.get(index);
+    count_ = value;
   }
   /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   * <code>uint32 count = 4;</code>
    */
-  public org.sardineport.wire.message.ProfileTextOrBuilder getProfilesOrBuilder(
-      int index) {
-    return profiles_.get(index);
-  }
-  private void ensureProfilesIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> tmp = profiles_;
-    if (!tmp.isModifiable()) {
-      profiles_ =
-          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
-     }
-  }
+  private void clearCount() {
 
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setProfiles(
-      int index, org.sardineport.wire.message.ProfileText value) {
-    value.getClass();  // minimal bytecode null check
-    ensureProfilesIsMutable();
-    profiles_.set(index, value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addProfiles(org.sardineport.wire.message.ProfileText value) {
-    value.getClass();  // minimal bytecode null check
-    ensureProfilesIsMutable();
-    profiles_.add(value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addProfiles(
-      int index, org.sardineport.wire.message.ProfileText value) {
-    value.getClass();  // minimal bytecode null check
-    ensureProfilesIsMutable();
-    profiles_.add(index, value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  private void addAllProfiles(
-      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
-    ensureProfilesIsMutable();
-    com.google.protobuf.AbstractMessageLite.addAll(
-        values, profiles_);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  private void clearProfiles() {
-    profiles_ = emptyProtobufList();
-  }
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  private void removeProfiles(int index) {
-    ensureProfilesIsMutable();
-    profiles_.remove(index);
+    count_ = 0;
   }
 
-  public static final int RETIREMENTS_FIELD_NUMBER = 9;
-  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> retirements_;
+  public static final int PART_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString part_;
   /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   * <code>bytes part = 5;</code>
+   * @return The part.
    */
   @java.lang.Override
-  public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
-    return retirements_;
+  public com.google.protobuf.ByteString getPart() {
+    return part_;
   }
   /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   * <code>bytes part = 5;</code>
+   * @param value The part to set.
    */
-  public java.util.List<? extends org.sardineport.wire.message.ProfileRetirementOrBuilder> 
-      getRetirementsOrBuilderList() {
-    return retirements_;
+  private void setPart(com.google.protobuf.ByteString value) {
+    java.lang.Class<?> valueClass = value.getClass();
+  
+    part_ = value;
   }
   /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   * <code>bytes part = 5;</code>
    */
-  @java.lang.Override
-  public int getRetirementsCount() {
-    return retirements_.size();
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  @java.lang.Override
-  public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
-    return retirements_.get(index);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  public org.sardineport.wire.message.ProfileRetirementOrBuilder getRetirementsOrBuilder(
-      int index) {
-    return retirements_.get(index);
-  }
-  private void ensureRetirementsIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> tmp = retirements_;
-    if (!tmp.isModifiable()) {
-      retirements_ =
-          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
-     }
-  }
+  private void clearPart() {
 
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setRetirements(
-      int index, org.sardineport.wire.message.ProfileRetirement value) {
-    value.getClass();  // minimal bytecode null check
-    ensureRetirementsIsMutable();
-    retirements_.set(index, value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
-    value.getClass();  // minimal bytecode null check
-    ensureRetirementsIsMutable();
-    retirements_.add(value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addRetirements(
-      int index, org.sardineport.wire.message.ProfileRetirement value) {
-    value.getClass();  // minimal bytecode null check
-    ensureRetirementsIsMutable();
-    retirements_.add(index, value);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  private void addAllRetirements(
-      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
-    ensureRetirementsIsMutable();
-    com.google.protobuf.AbstractMessageLite.addAll(
-        values, retirements_);
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  private void clearRetirements() {
-    retirements_ = emptyProtobufList();
-  }
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  private void removeRetirements(int index) {
-    ensureRetirementsIsMutable();
-    retirements_.remove(index);
+    part_ = getDefaultInstance().getPart();
   }
 
   public static org.sardineport.wire.message.ConfigurationPage parseFrom(
@@ -550,7 +280,7 @@
 
   /**
    * <pre>
-   * Page of the configuration as of an offset, or of what changed in it since a version.
+   * Part of an encoded image.
    * </pre>
    *
    * Protobuf type {@code sardineport.ConfigurationPage}
@@ -636,91 +366,7 @@
     }
 
     /**
-     * <code>uint32 index = 2;</code>
-     * @return The index.
-     */
-    @java.lang.Override
-    public int getIndex() {
-      return instance.getIndex();
-    }
-    /**
-     * <code>uint32 index = 2;</code>
-     * @param value The index to set.
-     * @return This builder for chaining.
-     */
-    public Builder setIndex(int value) {
-      copyOnWrite();
-      instance.setIndex(value);
-      return this;
-    }
-    /**
-     * <code>uint32 index = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearIndex() {
-      copyOnWrite();
-      instance.clearIndex();
-      return this;
-    }
-
-    /**
-     * <code>uint32 count = 3;</code>
-     * @return The count.
-     */
-    @java.lang.Override
-    public int getCount() {
-      return instance.getCount();
-    }
-    /**
-     * <code>uint32 count = 3;</code>
-     * @param value The count to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCount(int value) {
-      copyOnWrite();
-      instance.setCount(value);
-      return this;
-    }
-    /**
-     * <code>uint32 count = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCount() {
-      copyOnWrite();
-      instance.clearCount();
-      return this;
-    }
-
-    /**
-     * <code>sint64 as_of = 4;</code>
-     * @return The asOf.
-     */
-    @java.lang.Override
-    public long getAsOf() {
-      return instance.getAsOf();
-    }
-    /**
-     * <code>sint64 as_of = 4;</code>
-     * @param value The asOf to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAsOf(long value) {
-      copyOnWrite();
-      instance.setAsOf(value);
-      return this;
-    }
-    /**
-     * <code>sint64 as_of = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAsOf() {
-      copyOnWrite();
-      instance.clearAsOf();
-      return this;
-    }
-
-    /**
-     * <code>sint64 version = 5;</code>
+     * <code>sint64 version = 2;</code>
      * @return The version.
      */
     @java.lang.Override
@@ -728,7 +374,7 @@
       return instance.getVersion();
     }
     /**
-     * <code>sint64 version = 5;</code>
+     * <code>sint64 version = 2;</code>
      * @param value The version to set.
      * @return This builder for chaining.
      */
@@ -738,7 +384,7 @@
       return this;
     }
     /**
-     * <code>sint64 version = 5;</code>
+     * <code>sint64 version = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearVersion() {
@@ -748,286 +394,86 @@
     }
 
     /**
-     * <pre>
-     * Version that the receiver must have at least; -1 if the image is complete.
-     * </pre>
-     *
-     * <code>sint64 newer_than = 6;</code>
-     * @return The newerThan.
+     * <code>uint32 index = 3;</code>
+     * @return The index.
      */
     @java.lang.Override
-    public long getNewerThan() {
-      return instance.getNewerThan();
+    public int getIndex() {
+      return instance.getIndex();
     }
     /**
-     * <pre>
-     * Version that the receiver must have at least; -1 if the image is complete.
-     * </pre>
-     *
-     * <code>sint64 newer_than = 6;</code>
-     * @param value The newerThan to set.
+     * <code>uint32 index = 3;</code>
+     * @param value The index to set.
      * @return This builder for chaining.
      */
-    public Builder setNewerThan(long value) {
+    public Builder setIndex(int value) {
       copyOnWrite();
-      instance.setNewerThan(value);
+      instance.setIndex(value);
       return this;
     }
     /**
-     * <pre>
-     * Version that the receiver must have at least; -1 if the image is complete.
-     * </pre>
-     *
-     * <code>sint64 newer_than = 6;</code>
+     * <code>uint32 index = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearNewerThan() {
+    public Builder clearIndex() {
       copyOnWrite();
-      instance.clearNewerThan();
+      instance.clearIndex();
       return this;
     }
 
     /**
-     * <pre>
-     * Retirements up to this version are not listed any more.
-     * </pre>
-     *
-     * <code>sint64 forgotten_version = 7;</code>
-     * @return The forgottenVersion.
+     * <code>uint32 count = 4;</code>
+     * @return The count.
      */
     @java.lang.Override
-    public long getForgottenVersion() {
-      return instance.getForgottenVersion();
+    public int getCount() {
+      return instance.getCount();
     }
     /**
-     * <pre>
-     * Retirements up to this version are not listed any more.
-     * </pre>
-     *
-     * <code>sint64 forgotten_version = 7;</code>
-     * @param value The forgottenVersion to set.
+     * <code>uint32 count = 4;</code>
+     * @param value The count to set.
      * @return This builder for chaining.
      */
-    public Builder setForgottenVersion(long value) {
+    public Builder setCount(int value) {
       copyOnWrite();
-      instance.setForgottenVersion(value);
+      instance.setCount(value);
       return this;
     }
     /**
-     * <pre>
-     * Retirements up to this version are not listed any more.
-     * </pre>
-     *
-     * <code>sint64 forgotten_version = 7;</code>
+     * <code>uint32 count = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearForgottenVersion() {
-      copyOnWrite();
-      instance.clearForgottenVersion();
-      return this;
-    }
-
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
-      return java.util.Collections.unmodifiableList(
-          instance.getProfilesList());
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    @java.lang.Override
-    public int getProfilesCount() {
-      return instance.getProfilesCount();
-    }/**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    @java.lang.Override
-    public org.sardineport.wire.message.ProfileText getProfiles(int index) {
-      return instance.getProfiles(index);
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder setProfiles(
-        int index, org.sardineport.wire.message.ProfileText value) {
-      copyOnWrite();
-      instance.setProfiles(index, value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder setProfiles(
-        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
-      copyOnWrite();
-      instance.setProfiles(index,
-          builderForValue.build());
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder addProfiles(org.sardineport.wire.message.ProfileText value) {
-      copyOnWrite();
-      instance.addProfiles(value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder addProfiles(
-        int index, org.sardineport.wire.message.ProfileText value) {
-      copyOnWrite();
-      instance.addProfiles(index, value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder addProfiles(
-        org.sardineport.wire.message.ProfileText.Builder builderForValue) {
-      copyOnWrite();
-      instance.addProfiles(builderForValue.build());
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder addProfiles(
-        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
-      copyOnWrite();
-      instance.addProfiles(index,
-          builderForValue.build());
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder addAllProfiles(
-        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
-      copyOnWrite();
-      instance.addAllProfiles(values);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder clearProfiles() {
-      copyOnWrite();
-      instance.clearProfiles();
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-     */
-    public Builder removeProfiles(int index) {
+    public Builder clearCount() {
       copyOnWrite();
-      instance.removeProfiles(index);
+      instance.clearCount();
       return this;
     }
 
     /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
-      return java.util.Collections.unmodifiableList(
-          instance.getRetirementsList());
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    @java.lang.Override
-    public int getRetirementsCount() {
-      return instance.getRetirementsCount();
-    }/**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     * <code>bytes part = 5;</code>
+     * @return The part.
      */
     @java.lang.Override
-    public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
-      return instance.getRetirements(index);
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder setRetirements(
-        int index, org.sardineport.wire.message.ProfileRetirement value) {
-      copyOnWrite();
-      instance.setRetirements(index, value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder setRetirements(
-        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
-      copyOnWrite();
-      instance.setRetirements(index,
-          builderForValue.build());
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
-      copyOnWrite();
-      instance.addRetirements(value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder addRetirements(
-        int index, org.sardineport.wire.message.ProfileRetirement value) {
-      copyOnWrite();
-      instance.addRetirements(index, value);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder addRetirements(
-        org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
-      copyOnWrite();
-      instance.addRetirements(builderForValue.build());
-      return this;
+    public com.google.protobuf.ByteString getPart() {
+      return instance.getPart();
     }
     /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder addRetirements(
-        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
-      copyOnWrite();
-      instance.addRetirements(index,
-          builderForValue.build());
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-     */
-    public Builder addAllRetirements(
-        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
-      copyOnWrite();
-      instance.addAllRetirements(values);
-      return this;
-    }
-    /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     * <code>bytes part = 5;</code>
+     * @param value The part to set.
+     * @return This builder for chaining.
      */
-    public Builder clearRetirements() {
+    public Builder setPart(com.google.protobuf.ByteString value) {
       copyOnWrite();
-      instance.clearRetirements();
+      instance.setPart(value);
       return this;
     }
     /**
-     * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+     * <code>bytes part = 5;</code>
+     * @return This builder for chaining.
      */
-    public Builder removeRetirements(int index) {
+    public Builder clearPart() {
       copyOnWrite();
-      instance.removeRetirements(index);
+      instance.clearPart();
       return this;
     }
 
@@ -1048,20 +494,14 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "id_",
+            "version_",
             "index_",
             "count_",
-            "asOf_",
-            "version_",
-            "newerThan_",
-            "forgottenVersion_",
-            "profiles_",
-            org.sardineport.wire.message.ProfileText.class,
-            "retirements_",
-            org.sardineport.wire.message.ProfileRetirement.class,
+            "part_",
           };
           java.lang.String info =
-              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0002\u0000\u0001\u0208\u0002\u000b\u0003\u000b" +
-              "\u0004\u0010\u0005\u0010\u0006\u0010\u0007\u0010\b\u001b\t\u001b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0010" +
+              "\u0003\u000b\u0004\u000b\u0005\n";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
@@ -31,74 +31,26 @@
       getIdBytes();
 
   /**
-   * <code>uint32 index = 2;</code>
-   * @return The index.
-   */
-  int getIndex();
-
-  /**
-   * <code>uint32 count = 3;</code>
-   * @return The count.
-   */
-  int getCount();
-
-  /**
-   * <code>sint64 as_of = 4;</code>
-   * @return The asOf.
-   */
-  long getAsOf();
-
-  /**
-   * <code>sint64 version = 5;</code>
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   long getVersion();
 
   /**
-   * <pre>
-   * Version that the receiver must have at least; -1 if the image is complete.
-   * </pre>
-   *
-   * <code>sint64 newer_than = 6;</code>
-   * @return The newerThan.
-   */
-  long getNewerThan();
-
-  /**
-   * <pre>
-   * Retirements up to this version are not listed any more.
-   * </pre>
-   *
-   * <code>sint64 forgotten_version = 7;</code>
-   * @return The forgottenVersion.
+   * <code>uint32 index = 3;</code>
+   * @return The index.
    */
-  long getForgottenVersion();
+  int getIndex();
 
   /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  java.util.List<org.sardineport.wire.message.ProfileText> 
-      getProfilesList();
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
-   */
-  org.sardineport.wire.message.ProfileText getProfiles(int index);
-  /**
-   * <code>repeated .sardineport.ProfileText profiles = 8;</code>
+   * <code>uint32 count = 4;</code>
+   * @return The count.
    */
-  int getProfilesCount();
+  int getCount();
 
   /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  java.util.List<org.sardineport.wire.message.ProfileRetirement> 
-      getRetirementsList();
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
-   */
-  org.sardineport.wire.message.ProfileRetirement getRetirements(int index);
-  /**
-   * <code>repeated .sardineport.ProfileRetirement retirements = 9;</code>
+   * <code>bytes part = 5;</code>
+   * @return The part.
    */
-  int getRetirementsCount();
+  com.google.protobuf.ByteString getPart();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ProfileText.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ProfileText.java
@@ -118,7 +118,7 @@
   private long changedAt_;
   /**
    * <pre>
-   * Version that published or replaced the profile; only in pages.
+   * Version that published or replaced the profile; only in images.
    * </pre>
    *
    * <code>sint64 changed_at = 3;</code>
@@ -130,7 +130,7 @@
   }
   /**
    * <pre>
-   * Version that published or replaced the profile; only in pages.
+   * Version that published or replaced the profile; only in images.
    * </pre>
    *
    * <code>sint64 changed_at = 3;</code>
@@ -142,7 +142,7 @@
   }
   /**
    * <pre>
-   * Version that published or replaced the profile; only in pages.
+   * Version that published or replaced the profile; only in images.
    * </pre>
    *
    * <code>sint64 changed_at = 3;</code>
@@ -349,7 +349,7 @@
 
     /**
      * <pre>
-     * Version that published or replaced the profile; only in pages.
+     * Version that published or replaced the profile; only in images.
      * </pre>
      *
      * <code>sint64 changed_at = 3;</code>
@@ -361,7 +361,7 @@
     }
     /**
      * <pre>
-     * Version that published or replaced the profile; only in pages.
+     * Version that published or replaced the profile; only in images.
      * </pre>
      *
      * <code>sint64 changed_at = 3;</code>
@@ -375,7 +375,7 @@
     }
     /**
      * <pre>
-     * Version that published or replaced the profile; only in pages.
+     * Version that published or replaced the profile; only in images.
      * </pre>
      *
      * <code>sint64 changed_at = 3;</code>
--- a/wire/src/main/java/org/sardineport/wire/message/ProfileTextOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ProfileTextOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * Version that published or replaced the profile; only in pages.
+   * Version that published or replaced the profile; only in images.
    * </pre>
    *
    * <code>sint64 changed_at = 3;</code>
