--- a/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 import org.sardineport.core.configuration.ConfigurationAnnouncement;
 import org.sardineport.core.configuration.ConfigurationFetch;
@@ -81,6 +83,8 @@
 
 	private final ConfigurationCounters counters;
 
+	private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
+
 	private volatile ConfigurationSnapshot current = ConfigurationSnapshot.EMPTY;
 
 	private volatile boolean ready;
@@ -128,6 +132,15 @@
 		return this.ready;
 	}
 
+	/**
+	 * Adds a listener for each new configuration. It is called on the duty's thread and
+	 * must return at once.
+	 * @param listener hears each new configuration
+	 */
+	public void listen(Consumer<ConfigurationSnapshot> listener) {
+		this.listeners.add(Objects.requireNonNull(listener, "listener must not be null"));
+	}
+
 	@Override
 	public CompletionStage<Void> start() {
 		this.transport.listen(ConfigurationMessage.class, this::received);
@@ -250,6 +263,7 @@
 			for (Member member : ConfigurationSpread.audience(view)) {
 				this.transport.send(member.peerAddress(), news);
 			}
+			this.listeners.forEach((listener) -> listener.accept(next));
 		}
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/configuration/ConfigurationDutyTests.java
@@ -0,0 +1,213 @@
+package org.sardineport.daemon.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sardineport.core.configuration.ConfigurationSnapshot;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.Profile;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.daemon.time.SteadyInstantSource;
+import org.sardineport.settings.ConfigurationSettings;
+import org.sardineport.settings.profile.ProfileReader;
+import org.sardineport.standins.log.InMemoryLogService;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+@Timeout(60)
+class ConfigurationDutyTests {
+
+	private static final ConfigurationSettings SETTINGS = new ConfigurationSettings("configuration",
+			Duration.ofMillis(50), Duration.ofHours(1));
+
+	private final InMemoryLogService log = InMemoryLogService.create();
+
+	/** The log as the daemon sees it that a test cuts off. */
+	private final InMemoryLogService downLog = InMemoryLogService.create();
+
+	private final List<ConfigurationDuty> duties = new ArrayList<>();
+
+	private final List<Telemetry> telemetries = new ArrayList<>();
+
+	private PeerHub hub = new PeerHub(3);
+
+	@AfterEach
+	void stopAll() {
+		this.duties.forEach((duty) -> duty.stop().toCompletableFuture().join());
+	}
+
+	@Test
+	void publicationIsInForceOnAllDaemons() throws Exception {
+		List<ConfigurationDuty> all = List.of(duty(0, this.log), duty(1, this.log), duty(2, this.log));
+		long version = publish("ledger", -1);
+		for (ConfigurationDuty duty : all) {
+			awaitVersion(duty, version);
+			assertThat(duty.current().profile(ProfileName.of("ledger"))).isPresent();
+			awaitReady(duty);
+		}
+	}
+
+	@Test
+	void mistakenPublicationChangesNothing() throws Exception {
+		ConfigurationDuty duty = duty(0, this.log);
+		long first = publish("ledger", -1);
+		this.log.append("configuration", new byte[] { 1, 2, 3 });
+		append(new Publication("bad", first, List.of(new ProfileDocument(ProfileName.of("x"), "name: [")), List.of(),
+				"test"));
+		long last = publish("lookup", first);
+		awaitVersion(duty, last);
+		assertThat(duty.current().profiles()).containsOnlyKeys(ProfileName.of("ledger"), ProfileName.of("lookup"));
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void daemonCutOff(Cut cut) throws Exception {
+		this.hub = new PeerHub(2);
+		this.downLog.faults().outage(cut.fromLog);
+		ConfigurationDuty healthy = duty(0, this.log);
+		long version = publish("ledger", -1);
+		awaitVersion(healthy, version);
+		this.hub.setVersion(0, version);
+		this.hub.cut(1, cut.fromPeers);
+		ConfigurationDuty affected = duty(1, cut.fromLog ? this.downLog : this.log);
+		if (cut.serves) {
+			awaitReady(affected);
+			assertThat(affected.current().version()).isEqualTo(version);
+		}
+		else {
+			awaitFailedReads();
+			assertThat(affected.isReady()).isFalse();
+			assertThat(affected.current()).isEqualTo(ConfigurationSnapshot.EMPTY);
+			this.hub.cut(1, false);
+			awaitReady(affected);
+			assertThat(affected.current().version()).isEqualTo(version);
+		}
+	}
+
+	@Test
+	void servesOnWithTheNewestVersionThroughAnOutage() throws Exception {
+		ConfigurationDuty duty = duty(0, this.log);
+		long first = publish("ledger", -1);
+		awaitVersion(duty, first);
+		this.log.faults().outage(true);
+		awaitFailedReads();
+		assertThat(duty.isReady()).isTrue();
+		assertThat(duty.current().version()).isEqualTo(first);
+		this.log.faults().outage(false);
+		awaitVersion(duty, publish("ledger", first));
+	}
+
+	@Test
+	void daemonStartsFromASnapshotOnceRecordsAreDropped() throws Exception {
+		ConfigurationSettings eager = new ConfigurationSettings("configuration", Duration.ofMillis(50),
+				Duration.ofMillis(1));
+		long first = publish("ledger", -1);
+		ConfigurationDuty writer = duty(0, this.log, eager);
+		awaitRecords(2);
+		writer.stop().toCompletableFuture().join();
+		this.log.truncate("configuration", first + 1);
+		ConfigurationDuty fresh = duty(1, this.log);
+		awaitVersion(fresh, first);
+		long second = publish("lookup", first);
+		awaitVersion(fresh, second);
+		assertThat(fresh.current().profiles()).hasSize(2);
+	}
+
+	private ConfigurationDuty duty(int number, InMemoryLogService log) {
+		return duty(number, log, SETTINGS);
+	}
+
+	private ConfigurationDuty duty(int number, InMemoryLogService log, ConfigurationSettings settings) {
+		Telemetry telemetry = Telemetry.create();
+		this.telemetries.add(telemetry);
+		ConfigurationDuty duty = ConfigurationDuty.create(settings, ProfileReader.create(), log, this.hub.view(number),
+				this.hub.transport(number), SteadyInstantSource.create(), telemetry);
+		this.duties.add(duty);
+		duty.start();
+		return duty;
+	}
+
+	private long publish(String name, long base) throws Exception {
+		String text = """
+				name: %s
+				routes: [{path: /a, pool: p, tier: urgent, deadline: 1s}]
+				organisations: [{name: o}]
+				""".formatted(name);
+		Profile profile = ProfileReader.create().parse(text);
+		return append(new Publication(name + base, base, List.of(new ProfileDocument(profile.name(), text)), List.of(),
+				"test"));
+	}
+
+	private long append(Publication publication) {
+		byte[] record = ConfigurationRecordCodec.create().encode(publication);
+		return this.log.append("configuration", record).toCompletableFuture().join();
+	}
+
+	private static void awaitVersion(ConfigurationDuty duty, long version) throws Exception {
+		CompletableFuture<Void> reached = new CompletableFuture<>();
+		duty.listen((snapshot) -> {
+			if (snapshot.version() >= version) {
+				reached.complete(null);
+			}
+		});
+		if (duty.current().version() < version) {
+			reached.get(30, TimeUnit.SECONDS);
+		}
+	}
+
+	private static void awaitReady(ConfigurationDuty duty) {
+		while (!duty.isReady()) {
+			Thread.onSpinWait();
+		}
+	}
+
+	private void awaitFailedReads() {
+		long before = failedReads();
+		while (failedReads() < before + 2) {
+			Thread.onSpinWait();
+		}
+	}
+
+	private long failedReads() {
+		return this.telemetries.stream()
+			.mapToLong((telemetry) -> telemetry.counter("configuration.read-failed.unavailable").getCount())
+			.sum();
+	}
+
+	private void awaitRecords(int count) {
+		while (this.log.records("configuration").size() < count) {
+			Thread.onSpinWait();
+		}
+	}
+
+	enum Cut {
+
+		FROM_NOTHING(false, false, true), FROM_LOG(true, false, true), FROM_PEERS(false, true, true),
+		FROM_BOTH(true, true, false);
+
+		private final boolean fromLog;
+
+		private final boolean fromPeers;
+
+		private final boolean serves;
+
+		Cut(boolean fromLog, boolean fromPeers, boolean serves) {
+			this.fromLog = fromLog;
+			this.fromPeers = fromPeers;
+			this.serves = serves;
+		}
+
+	}
+
+}
