--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Part of a configuration too large for one frame.
+ * Part of an encoded image.
  * </pre>
  *
  * Protobuf type {@code sardineport.ConfigurationPage}
@@ -19,12 +19,81 @@
     // @@protoc_insertion_point(message_implements:sardineport.ConfigurationPage)
     ConfigurationPageOrBuilder {
   private ConfigurationPage() {
+    id_ = "";
     part_ = com.google.protobuf.ByteString.EMPTY;
   }
-  public static final int VERSION_FIELD_NUMBER = 1;
+  public static final int ID_FIELD_NUMBER = 1;
+  private java.lang.String id_;
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The id.
+   */
+  @java.lang.Override
+  public java.lang.String getId() {
+    return id_;
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The bytes for id.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIdBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(id_);
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @param value The id to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setId(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    id_ = value;
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   */
+  private void clearId() {
+
+    id_ = getDefaultInstance().getId();
+  }
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @param value The bytes for id to set.
+   */
+  private void setIdBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    id_ = value.toStringUtf8();
+
+  }
+
+  public static final int VERSION_FIELD_NUMBER = 2;
   private long version_;
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   @java.lang.Override
@@ -32,7 +101,7 @@
     return version_;
   }
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    * @param value The version to set.
    */
   private void setVersion(long value) {
@@ -40,17 +109,17 @@
     version_ = value;
   }
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    */
   private void clearVersion() {
 
     version_ = 0L;
   }
 
-  public static final int INDEX_FIELD_NUMBER = 2;
+  public static final int INDEX_FIELD_NUMBER = 3;
   private int index_;
   /**
-   * <code>uint32 index = 2;</code>
+   * <code>uint32 index = 3;</code>
    * @return The index.
    */
   @java.lang.Override
@@ -58,7 +127,7 @@
     return index_;
   }
   /**
-   * <code>uint32 index = 2;</code>
+   * <code>uint32 index = 3;</code>
    * @param value The index to set.
    */
   private void setIndex(int value) {
@@ -66,17 +135,17 @@
     index_ = value;
   }
   /**
-   * <code>uint32 index = 2;</code>
+   * <code>uint32 index = 3;</code>
    */
   private void clearIndex() {
 
     index_ = 0;
   }
 
-  public static final int COUNT_FIELD_NUMBER = 3;
+  public static final int COUNT_FIELD_NUMBER = 4;
   private int count_;
   /**
-   * <code>uint32 count = 3;</code>
+   * <code>uint32 count = 4;</code>
    * @return The count.
    */
   @java.lang.Override
@@ -84,7 +153,7 @@
     return count_;
   }
   /**
-   * <code>uint32 count = 3;</code>
+   * <code>uint32 count = 4;</code>
    * @param value The count to set.
    */
   private void setCount(int value) {
@@ -92,17 +161,17 @@
     count_ = value;
   }
   /**
-   * <code>uint32 count = 3;</code>
+   * <code>uint32 count = 4;</code>
    */
   private void clearCount() {
 
     count_ = 0;
   }
 
-  public static final int PART_FIELD_NUMBER = 4;
+  public static final int PART_FIELD_NUMBER = 5;
   private com.google.protobuf.ByteString part_;
   /**
-   * <code>bytes part = 4;</code>
+   * <code>bytes part = 5;</code>
    * @return The part.
    */
   @java.lang.Override
@@ -110,7 +179,7 @@
     return part_;
   }
   /**
-   * <code>bytes part = 4;</code>
+   * <code>bytes part = 5;</code>
    * @param value The part to set.
    */
   private void setPart(com.google.protobuf.ByteString value) {
@@ -119,7 +188,7 @@
     part_ = value;
   }
   /**
-   * <code>bytes part = 4;</code>
+   * <code>bytes part = 5;</code>
    */
   private void clearPart() {
 
@@ -211,7 +280,7 @@
 
   /**
    * <pre>
-   * Part of a configuration too large for one frame.
+   * Part of an encoded image.
    * </pre>
    *
    * Protobuf type {@code sardineport.ConfigurationPage}
@@ -228,7 +297,76 @@
 
 
     /**
-     * <code>sint64 version = 1;</code>
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The id.
+     */
+    @java.lang.Override
+    public java.lang.String getId() {
+      return instance.getId();
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdBytes() {
+      return instance.getIdBytes();
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @param value The id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setId(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setId(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearId() {
+      copyOnWrite();
+      instance.clearId();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identity of the image, the same on all its pages.
+     * </pre>
+     *
+     * <code>string id = 1;</code>
+     * @param value The bytes for id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setIdBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>sint64 version = 2;</code>
      * @return The version.
      */
     @java.lang.Override
@@ -236,7 +374,7 @@
       return instance.getVersion();
     }
     /**
-     * <code>sint64 version = 1;</code>
+     * <code>sint64 version = 2;</code>
      * @param value The version to set.
      * @return This builder for chaining.
      */
@@ -246,7 +384,7 @@
       return this;
     }
     /**
-     * <code>sint64 version = 1;</code>
+     * <code>sint64 version = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearVersion() {
@@ -256,7 +394,7 @@
     }
 
     /**
-     * <code>uint32 index = 2;</code>
+     * <code>uint32 index = 3;</code>
      * @return The index.
      */
     @java.lang.Override
@@ -264,7 +402,7 @@
       return instance.getIndex();
     }
     /**
-     * <code>uint32 index = 2;</code>
+     * <code>uint32 index = 3;</code>
      * @param value The index to set.
      * @return This builder for chaining.
      */
@@ -274,7 +412,7 @@
       return this;
     }
     /**
-     * <code>uint32 index = 2;</code>
+     * <code>uint32 index = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearIndex() {
@@ -284,7 +422,7 @@
     }
 
     /**
-     * <code>uint32 count = 3;</code>
+     * <code>uint32 count = 4;</code>
      * @return The count.
      */
     @java.lang.Override
@@ -292,7 +430,7 @@
       return instance.getCount();
     }
     /**
-     * <code>uint32 count = 3;</code>
+     * <code>uint32 count = 4;</code>
      * @param value The count to set.
      * @return This builder for chaining.
      */
@@ -302,7 +440,7 @@
       return this;
     }
     /**
-     * <code>uint32 count = 3;</code>
+     * <code>uint32 count = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearCount() {
@@ -312,7 +450,7 @@
     }
 
     /**
-     * <code>bytes part = 4;</code>
+     * <code>bytes part = 5;</code>
      * @return The part.
      */
     @java.lang.Override
@@ -320,7 +458,7 @@
       return instance.getPart();
     }
     /**
-     * <code>bytes part = 4;</code>
+     * <code>bytes part = 5;</code>
      * @param value The part to set.
      * @return This builder for chaining.
      */
@@ -330,7 +468,7 @@
       return this;
     }
     /**
-     * <code>bytes part = 4;</code>
+     * <code>bytes part = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearPart() {
@@ -355,14 +493,15 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "id_",
             "version_",
             "index_",
             "count_",
             "part_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0010\u0002\u000b" +
-              "\u0003\u000b\u0004\n";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0010" +
+              "\u0003\u000b\u0004\u000b\u0005\n";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
