--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -16,6 +16,7 @@
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
+import org.sardineport.daemon.configuration.ConfigurationDuty;
 import org.sardineport.daemon.engine.HttpModelEngine;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
@@ -23,14 +24,17 @@
 import org.sardineport.daemon.http.CallerServices;
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
+import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.placeholder.AbsentJournal;
-import org.sardineport.daemon.placeholder.EmptyConfiguration;
 import org.sardineport.daemon.placeholder.SingleFleet;
+import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
 import org.sardineport.daemon.scheduling.SchedulingDuty;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.settings.DaemonSettings;
+import org.sardineport.settings.profile.ProfileReader;
+import org.sardineport.wire.configuration.ConfigurationPeerCodec;
 import org.sardineport.wire.scheduling.SchedulingCodec;
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
@@ -64,7 +68,10 @@
 		PeerTransport transport = transport(settings, incarnation, clock);
 		HttpVmList vmList = HttpVmList.create(this.vertx, settings.platform().vmList(), settings.platform().timeout());
 		SingleFleet fleet = SingleFleet.create(this.vertx, settings, incarnation, vmList);
-		EmptyConfiguration configuration = EmptyConfiguration.create();
+		HttpLogService log = HttpLogService.create(this.vertx, settings.platform().logService(),
+				settings.platform().timeout());
+		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
+				log, fleet, transport, clock, telemetry);
 		RequestJournal journal = AbsentJournal.create();
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
@@ -73,10 +80,12 @@
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, this.runner, clock, telemetry));
+		Readiness readiness = () -> (configuration.isReady()) ? List.of() : List.of("The configuration is being read.");
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
-				new OperatorServices(configuration, fleet, List::of, this.callers::inFlight, telemetry));
-		this.services = List.of(transport, vmList, engines, fleet, scheduling, this.callers, operators);
+				new OperatorServices(configuration, fleet, readiness, this.callers::inFlight, telemetry));
+		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, this.callers,
+				operators);
 	}
 
 	/**
@@ -119,7 +128,8 @@
 	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
-		return NettyPeerTransport.create(identity, List.of(MembershipCodec.create(), SchedulingCodec.create()), clock,
+		return NettyPeerTransport.create(identity,
+				List.of(MembershipCodec.create(), SchedulingCodec.create(), ConfigurationPeerCodec.create()), clock,
 				TransportListener.NONE);
 	}
 
