--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -0,0 +1,105 @@
+package org.sardineport.core.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
+
+/**
+ * Backend servers that may get new work: those that the newest list names as live, less
+ * those that said of themselves that they leave. Whichever says so first counts. Not safe
+ * for use by several threads.
+ */
+public final class BackendDirectory {
+
+	/**
+	 * Time for which a backend server's own word counts, if it is not repeated, after
+	 * which the list alone decides.
+	 */
+	public static final Duration OWN_WORD_RETENTION = Duration.ofSeconds(60);
+
+	private final InstantSource clock;
+
+	private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
+
+	private @Nullable VmListing listing;
+
+	private BackendDirectory(InstantSource clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns a directory without a list.
+	 * @param clock the clock
+	 * @return the directory
+	 */
+	public static BackendDirectory create(InstantSource clock) {
+		return new BackendDirectory(Objects.requireNonNull(clock, "clock must not be null"));
+	}
+
+	/**
+	 * Takes a list, unless it is older than the one held.
+	 * @param fetched the list
+	 * @return whether it was taken
+	 */
+	public boolean listed(VmListing fetched) {
+		Objects.requireNonNull(fetched, "fetched must not be null");
+		if (this.listing != null && fetched.asOf().isBefore(this.listing.asOf())) {
+			return false;
+		}
+		this.listing = fetched;
+		return true;
+	}
+
+	/**
+	 * Takes what a backend server reports of itself.
+	 * @param report the report
+	 * @return whether it is news that the backend server leaves
+	 */
+	public boolean reported(LoadReport report) {
+		if (report.leaving()) {
+			return this.leavingSince.put(report.backendServer(), this.clock.instant()) == null;
+		}
+		this.leavingSince.remove(report.backendServer());
+		return false;
+	}
+
+	/**
+	 * Takes what another daemon heard of a backend server.
+	 * @param server the backend server, which said that it leaves
+	 * @param age time since it said so
+	 */
+	public void leavingHeard(BackendServerId server, Duration age) {
+		Instant said = this.clock.instant().minus(age);
+		this.leavingSince.merge(server, said, (held, heard) -> (heard.isAfter(held)) ? heard : held);
+	}
+
+	/**
+	 * Returns the backend servers that may get new work.
+	 * @return the backend servers in the order of the list
+	 */
+	public List<BackendServer> eligible() {
+		Instant oldest = this.clock.instant().minus(OWN_WORD_RETENTION);
+		this.leavingSince.values().removeIf((said) -> said.isBefore(oldest));
+		if (this.listing == null) {
+			return List.of();
+		}
+		return this.listing.backendServers()
+			.stream()
+			.filter((listed) -> listed.state() == VmState.LIVE)
+			.map(VmListing.ListedBackend::server)
+			.filter((server) -> !this.leavingSince.containsKey(server.id()))
+			.toList();
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/membership/JoinRequest.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinRequest.java
@@ -3,11 +3,12 @@
 import java.util.Objects;
 
 /**
- * Asks a daemon for the members that it knows.
+ * Asks a daemon for members that it knows.
  *
+ * @param complete whether all members are wanted, in several answers; otherwise a sample
  * @param news news of the sender
  */
-public record JoinRequest(News news) implements MembershipMessage {
+public record JoinRequest(boolean complete, News news) implements MembershipMessage {
 
 	/**
 	 * Creates the message.
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
@@ -0,0 +1,280 @@
+package org.sardineport.daemon.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.fleet.BackendDirectory;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.ListedMembers;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.membership.LeavingNews;
+import org.sardineport.core.membership.Membership;
+import org.sardineport.core.membership.MembershipMessage;
+import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.core.membership.StrikeNews;
+import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.port.platform.VmList;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
+import org.sardineport.daemon.duty.Duty;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.settings.DaemonSettings;
+import org.sardineport.settings.MembershipSettings;
+
+/**
+ * The thread that knows the fleet: it runs the membership, fetches the list of VMs, and
+ * publishes a new view after each change. Methods may be called from any thread.
+ */
+public final class FleetDuty implements FleetView, Service {
+
+	private static final EventLog LOG = EventLog.of(FleetDuty.class);
+
+	private static final int RING_SIZE = 4096;
+
+	private static final Duration TICK = Duration.ofMillis(20);
+
+	private final Duty duty;
+
+	private final Telemetry telemetry;
+
+	private final InstantSource clock;
+
+	private final VmList vmList;
+
+	private final Duration vmListInterval;
+
+	private final List<NetworkAddress> seeds;
+
+	private final SelfReport selfReport;
+
+	private final BackendDirectory backends;
+
+	private final MembershipReporter reporter;
+
+	private final Membership membership;
+
+	private final List<Consumer<FleetSnapshot>> listeners = new CopyOnWriteArrayList<>();
+
+	private @Nullable VmListing listing;
+
+	private Instant nextFetch = Instant.MIN;
+
+	private final AtomicBoolean fetching = new AtomicBoolean();
+
+	private boolean listReachable = true;
+
+	private final CompletableFuture<Void> leaving = new CompletableFuture<>();
+
+	private volatile boolean leaveRequested;
+
+	private volatile FleetSnapshot snapshot;
+
+	private FleetDuty(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
+			SelfReport selfReport, InstantSource clock, Telemetry telemetry) {
+		this.duty = Duty.create("membership", RING_SIZE, TICK, this::tick);
+		this.telemetry = telemetry;
+		this.clock = clock;
+		this.vmList = vmList;
+		this.vmListInterval = settings.membership().vmListInterval();
+		this.seeds = settings.seeds();
+		this.selfReport = selfReport;
+		this.backends = BackendDirectory.create(clock);
+		this.reporter = new MembershipReporter(transport, telemetry, this.backends);
+		Member self = new Member(settings.daemon(), incarnation, MemberStatus.ALIVE, settings.failureDomain(),
+				settings.peerAddress(), settings.callerAddress(), selfReport.configurationVersion(), selfReport.load());
+		this.membership = Membership.create(self, timing(settings.membership()), clock,
+				new SplittableRandom(settings.daemon().hashCode() ^ incarnation), this.reporter);
+		this.membership.contacts(this.seeds);
+		this.snapshot = new FleetSnapshot(self.id(), List.of(self), List.of());
+		transport.listen(MembershipMessage.class, (sender, senderIncarnation, address,
+				message) -> offer(() -> received(sender, address, (MembershipMessage) message)));
+	}
+
+	/**
+	 * Returns a duty that is not started yet. Its transport must be started before it.
+	 * @param settings the daemon's settings
+	 * @param incarnation number of this run, greater than that of any earlier run:
+	 * milliseconds since the epoch at its start
+	 * @param transport carries the messages
+	 * @param vmList the platform's list
+	 * @param selfReport what this daemon tells of itself
+	 * @param clock the clock
+	 * @param telemetry counts the events
+	 * @return the duty
+	 */
+	public static FleetDuty create(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
+			SelfReport selfReport, InstantSource clock, Telemetry telemetry) {
+		Objects.requireNonNull(transport, "transport must not be null");
+		Objects.requireNonNull(vmList, "vmList must not be null");
+		Objects.requireNonNull(selfReport, "selfReport must not be null");
+		return new FleetDuty(settings, incarnation, transport, vmList, selfReport, clock, telemetry);
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return this.duty.start();
+	}
+
+	/**
+	 * Tells the others that this daemon ends now, and stops the thread.
+	 * @return completes when the thread has ended
+	 */
+	@Override
+	public CompletionStage<Void> stop() {
+		offer(this.membership::left);
+		return this.duty.stop();
+	}
+
+	/**
+	 * Announces a planned stop to the other daemons.
+	 * @return completes when it was sent and this daemon's own view says so
+	 */
+	public CompletionStage<Void> leave() {
+		this.leaveRequested = true;
+		return this.leaving.copy();
+	}
+
+	/**
+	 * Takes a load report, for what it says about leaving.
+	 * @param report the report
+	 */
+	public void reported(LoadReport report) {
+		Objects.requireNonNull(report, "report must not be null");
+		offer(() -> {
+			if (this.backends.reported(report)) {
+				LOG.info("backend.leaving", "backend-server", report.backendServer(), "source", "load-report");
+				this.membership.tell(new LeavingNews(report.backendServer(), Duration.ZERO));
+			}
+			publish();
+		});
+	}
+
+	/**
+	 * Tells the other daemons of a strike.
+	 * @param strike the strike
+	 */
+	public void tell(StrikeNews strike) {
+		Objects.requireNonNull(strike, "strike must not be null");
+		offer(() -> this.membership.tell(strike));
+	}
+
+	/**
+	 * Adds a listener for strikes that other daemons tell of. It is called on the
+	 * membership thread and must return at once.
+	 * @param listener hears the strikes
+	 */
+	public void listenToStrikes(Consumer<StrikeNews> listener) {
+		this.reporter.listenToStrikes(listener);
+	}
+
+	@Override
+	public FleetSnapshot current() {
+		return this.snapshot;
+	}
+
+	@Override
+	public void listen(Consumer<FleetSnapshot> listener) {
+		this.listeners.add(Objects.requireNonNull(listener, "listener must not be null"));
+	}
+
+	private void offer(Runnable command) {
+		if (!this.duty.offer(command)) {
+			this.telemetry.counter("membership.ring-full").inc();
+		}
+	}
+
+	private void received(DaemonId sender, NetworkAddress address, MembershipMessage message) {
+		this.membership.received(sender, address, message);
+		publish();
+	}
+
+	private void tick() {
+		if (this.leaveRequested && !this.leaving.isDone()) {
+			this.membership.leave();
+			publish();
+			this.leaving.complete(null);
+		}
+		this.membership.report(this.selfReport.configurationVersion(), this.selfReport.load());
+		this.membership.tick();
+		fetchIfDue();
+		publish();
+	}
+
+	private void fetchIfDue() {
+		Instant now = this.clock.instant();
+		if (now.isBefore(this.nextFetch) || !this.fetching.compareAndSet(false, true)) {
+			return;
+		}
+		this.nextFetch = now.plus(this.vmListInterval);
+		this.vmList.fetch().whenComplete((fetched, failure) -> {
+			this.fetching.set(false);
+			offer(() -> fetched(fetched, failure));
+		});
+	}
+
+	private void fetched(@Nullable VmListing fetched, @Nullable Throwable failure) {
+		if (fetched == null) {
+			this.telemetry.counter("vm-list.failed").inc();
+			listReachable(false, String.valueOf(failure));
+			return;
+		}
+		listReachable(true, "");
+		if (!this.backends.listed(fetched)) {
+			this.telemetry.counter("vm-list.older-ignored").inc();
+			return;
+		}
+		this.listing = fetched;
+		List<NetworkAddress> contacts = new ArrayList<>(this.seeds);
+		for (VmListing.EntryVm vm : fetched.entryVms()) {
+			if (vm.state() == VmState.LIVE) {
+				contacts.add(vm.peerAddress());
+			}
+		}
+		this.membership.contacts(contacts);
+		publish();
+	}
+
+	private void listReachable(boolean reachable, String reason) {
+		if (reachable && !this.listReachable) {
+			LOG.info("vm-list.reached-again");
+		}
+		if (!reachable && this.listReachable) {
+			LOG.warn("vm-list.unreachable", "reason", reason);
+		}
+		this.listReachable = reachable;
+	}
+
+	private void publish() {
+		List<Member> members = this.membership.members();
+		VmListing listed = this.listing;
+		FleetSnapshot next = new FleetSnapshot(this.snapshot.self(),
+				(listed != null) ? ListedMembers.apply(members, listed) : members, this.backends.eligible());
+		if (!next.equals(this.snapshot)) {
+			this.snapshot = next;
+			this.listeners.forEach((listener) -> listener.accept(next));
+		}
+	}
+
+	private static MembershipTiming timing(MembershipSettings settings) {
+		return new MembershipTiming(settings.probeInterval(), settings.probeTimeout(), settings.suspicionTimeout());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
@@ -0,0 +1,76 @@
+package org.sardineport.daemon.fleet;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+import org.sardineport.core.fleet.BackendDirectory;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.membership.LeavingNews;
+import org.sardineport.core.membership.MembershipEvent;
+import org.sardineport.core.membership.MembershipMessage;
+import org.sardineport.core.membership.MembershipOutput;
+import org.sardineport.core.membership.StrikeNews;
+import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+/**
+ * Carries out what the membership asks for: sends its messages, counts and logs its
+ * events, hands on its news.
+ */
+final class MembershipReporter implements MembershipOutput {
+
+	private static final EventLog LOG = EventLog.of(MembershipReporter.class);
+
+	private final PeerTransport transport;
+
+	private final Telemetry telemetry;
+
+	private final BackendDirectory backends;
+
+	private final List<Consumer<StrikeNews>> strikeListeners = new CopyOnWriteArrayList<>();
+
+	MembershipReporter(PeerTransport transport, Telemetry telemetry, BackendDirectory backends) {
+		this.transport = transport;
+		this.telemetry = telemetry;
+		this.backends = backends;
+		for (MembershipEvent event : MembershipEvent.values()) {
+			telemetry.counter("membership." + event.label());
+		}
+	}
+
+	void listenToStrikes(Consumer<StrikeNews> listener) {
+		this.strikeListeners.add(listener);
+	}
+
+	@Override
+	public void send(NetworkAddress to, MembershipMessage message) {
+		this.transport.send(to, message);
+	}
+
+	@Override
+	public void happened(MembershipEvent event, Member member) {
+		this.telemetry.counter("membership." + event.label()).inc();
+		if (event == MembershipEvent.NAME_IN_USE) {
+			LOG.warn("membership.name-in-use", "daemon", member.id(), "remedy",
+					"Give each daemon a name of its own, and restart this one.");
+		}
+		else {
+			LOG.info("membership." + event.label(), "daemon", member.id(), "incarnation", member.incarnation(),
+					"status", member.status());
+		}
+	}
+
+	@Override
+	public void strikeHeard(StrikeNews strike) {
+		this.strikeListeners.forEach((listener) -> listener.accept(strike));
+	}
+
+	@Override
+	public void leavingHeard(LeavingNews leaving) {
+		this.backends.leavingHeard(leaving.backendServer(), leaving.age());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The duty that knows the fleet: other daemons and backend servers.
+ */
+@NullMarked
+package org.sardineport.daemon.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/FleetDutyTests.java
@@ -0,0 +1,215 @@
+package org.sardineport.daemon.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.membership.StrikeNews;
+import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.port.platform.VmListException;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.daemon.time.SteadyInstantSource;
+import org.sardineport.settings.CallerSettings;
+import org.sardineport.settings.ConfigurationSettings;
+import org.sardineport.settings.DaemonSettings;
+import org.sardineport.settings.JournalSettings;
+import org.sardineport.settings.MembershipSettings;
+import org.sardineport.settings.PlatformSettings;
+import org.sardineport.settings.SchedulingSettings;
+import org.sardineport.settings.StopSettings;
+import org.sardineport.standins.peer.InMemoryPeerNetwork;
+import org.sardineport.standins.peer.NetworkConditions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FleetDutyTests {
+
+	private static final long PATIENCE_SECONDS = 20;
+
+	private static final PoolName POOL = PoolName.of("dictionary");
+
+	private final InstantSource clock = SteadyInstantSource.create();
+
+	private final InMemoryPeerNetwork network = InMemoryPeerNetwork.create(this.clock, new Random(1),
+			NetworkConditions.PERFECT);
+
+	private final List<FleetDuty> duties = new ArrayList<>();
+
+	private volatile VmListing listing = listing(1, VmState.LIVE);
+
+	private volatile boolean listDown;
+
+	private static BackendServer server(int number) {
+		return new BackendServer(BackendServerId.of("worker-" + number), BackendKind.MODEL_ENGINE, POOL,
+				FailureDomain.of("bole"), NetworkAddress.of("10.0.1.1", number), 4);
+	}
+
+	private static VmListing listing(long asOfMillis, VmState stateOfFirst) {
+		return new VmListing(Instant.ofEpochMilli(asOfMillis),
+				List.of(new VmListing.EntryVm(address(1), VmState.LIVE),
+						new VmListing.EntryVm(address(2), VmState.LIVE)),
+				List.of(new VmListing.ListedBackend(server(1), stateOfFirst),
+						new VmListing.ListedBackend(server(2), VmState.LIVE)));
+	}
+
+	private static NetworkAddress address(int number) {
+		return NetworkAddress.of("127.0.0.1", 7000 + number);
+	}
+
+	private FleetDuty start(int number) {
+		DaemonSettings settings = new DaemonSettings("test", DaemonId.of("daemon-" + number), FailureDomain.of("bole"),
+				NetworkAddress.of("127.0.0.1", 8000 + number), NetworkAddress.of("127.0.0.1", 9000 + number),
+				address(number), List.of(), List.of(), "",
+				new PlatformSettings(address(99), address(98), Duration.ofSeconds(1)), CallerSettings.defaults(),
+				SchedulingSettings.defaults(), JournalSettings.defaults(),
+				new MembershipSettings(Duration.ofMillis(200), Duration.ofMillis(100), Duration.ofMillis(500),
+						Duration.ofMillis(50)),
+				ConfigurationSettings.defaults(), StopSettings.defaults());
+		long incarnation = this.clock.millis();
+		PeerTransport transport = this.network.transport(settings.daemon(), incarnation, address(number));
+		FleetDuty duty = FleetDuty.create(settings, incarnation, transport,
+				() -> (this.listDown)
+						? CompletableFuture.failedFuture(VmListException.of("down", new IllegalStateException()))
+						: CompletableFuture.completedFuture(this.listing),
+				new FixedReport(40 + number, number), this.clock, Telemetry.create());
+		transport.start();
+		duty.start();
+		this.duties.add(duty);
+		return duty;
+	}
+
+	@AfterEach
+	void stopAll() {
+		this.duties.forEach((duty) -> duty.stop().toCompletableFuture().join());
+	}
+
+	private static FleetSnapshot await(FleetView view, Predicate<FleetSnapshot> condition) throws Exception {
+		CompletableFuture<FleetSnapshot> met = new CompletableFuture<>();
+		view.listen((snapshot) -> {
+			if (condition.test(snapshot)) {
+				met.complete(snapshot);
+			}
+		});
+		FleetSnapshot current = view.current();
+		return (condition.test(current)) ? current : met.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static Predicate<FleetSnapshot> holds(int number, MemberStatus status) {
+		return (snapshot) -> snapshot.member(DaemonId.of("daemon-" + number))
+			.filter((member) -> member.status() == status)
+			.isPresent();
+	}
+
+	private static Predicate<FleetSnapshot> offersOnly(int... numbers) {
+		return (snapshot) -> {
+			List<String> names = snapshot.pool(POOL).stream().map((server) -> server.id().value()).toList();
+			List<String> wanted = new ArrayList<>();
+			for (int number : numbers) {
+				wanted.add("worker-" + number);
+			}
+			return names.equals(wanted);
+		};
+	}
+
+	@Test
+	void daemonsFindEachOtherByTheListAndTellOfThemselves() throws Exception {
+		FleetDuty first = start(1);
+		FleetDuty second = start(2);
+		FleetSnapshot seen = await(first, holds(2, MemberStatus.ALIVE));
+		await(second, holds(1, MemberStatus.ALIVE));
+		assertThat(seen.member(DaemonId.of("daemon-2")).orElseThrow().configurationVersion()).isEqualTo(42);
+		assertThat(seen.self()).isEqualTo(DaemonId.of("daemon-1"));
+	}
+
+	@Test
+	void aPlannedStopIsSeenByTheOthersAndByItself() throws Exception {
+		FleetDuty first = start(1);
+		FleetDuty second = start(2);
+		await(first, holds(2, MemberStatus.ALIVE));
+		second.leave().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+		assertThat(holds(2, MemberStatus.LEAVING).test(second.current())).isTrue();
+		await(first, holds(2, MemberStatus.LEAVING));
+		second.stop();
+		await(first, holds(2, MemberStatus.DEAD));
+	}
+
+	@Test
+	void aStopRequestedBeforeTheFirstTickIsAnnounced() throws Exception {
+		FleetDuty first = start(1);
+		first.leave().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+		assertThat(holds(1, MemberStatus.LEAVING).test(first.current())).isTrue();
+	}
+
+	@Test
+	void aBackendServerThatTheListNamesLeavingGetsNoWork() throws Exception {
+		FleetDuty first = start(1);
+		await(first, offersOnly(1, 2));
+		this.listing = listing(2, VmState.LEAVING);
+		await(first, offersOnly(2));
+	}
+
+	@Test
+	void aBackendServerThatSaysItLeavesGetsNoWorkFromAnyDaemon() throws Exception {
+		FleetDuty first = start(1);
+		FleetDuty second = start(2);
+		await(first, holds(2, MemberStatus.ALIVE));
+		await(second, offersOnly(1, 2));
+		first.reported(new LoadReport(server(2).id(), 0, 0, 0, true, false, this.clock.instant()));
+		await(first, offersOnly(1));
+		await(second, offersOnly(1));
+	}
+
+	@Test
+	void keepsTheLastListWhileNoneCanBeFetched() throws Exception {
+		FleetDuty first = start(1);
+		await(first, offersOnly(1, 2));
+		this.listDown = true;
+		start(2);
+		await(first, holds(2, MemberStatus.ALIVE));
+		assertThat(offersOnly(1, 2).test(first.current())).isTrue();
+	}
+
+	@Test
+	void passesStrikesOn() throws Exception {
+		FleetDuty first = start(1);
+		FleetDuty second = start(2);
+		await(first, holds(2, MemberStatus.ALIVE));
+		CompletableFuture<StrikeNews> heard = new CompletableFuture<>();
+		second.listenToStrikes(heard::complete);
+		first.tell(new StrikeNews(Fingerprint.of(1, 2), server(1).id(), Duration.ofMinutes(5)));
+		assertThat(heard.get(PATIENCE_SECONDS, TimeUnit.SECONDS).fingerprint()).isEqualTo(Fingerprint.of(1, 2));
+	}
+
+	/**
+	 * Report that never changes.
+	 *
+	 * @param configurationVersion the version
+	 * @param load the load
+	 */
+	private record FixedReport(long configurationVersion, int load) implements SelfReport {
+
+	}
+
+}
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/PeerTransportContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/PeerTransportContract.java
@@ -75,7 +75,7 @@
 				(sender, incarnation, address, message) -> this.heard.add(new Heard(sender, -1, address, message)));
 		this.first.send(this.secondAddress, new ProbeRequest(1, News.NONE));
 		assertThat(next().incarnation()).isEqualTo(11);
-		this.first.send(this.secondAddress, new JoinRequest(News.NONE));
+		this.first.send(this.secondAddress, new JoinRequest(true, News.NONE));
 		assertThat(List.of(next().incarnation(), next().incarnation())).containsExactlyInAnyOrder(11L, -1L);
 		assertThat(this.heard).isEmpty();
 	}
@@ -92,7 +92,7 @@
 		this.second.listen(JoinRequest.class, (sender, incarnation, address, message) -> {
 			throw new IllegalStateException("expected by the test");
 		});
-		this.first.send(this.secondAddress, new JoinRequest(News.NONE));
+		this.first.send(this.secondAddress, new JoinRequest(true, News.NONE));
 		assertThat(next()).isNotNull();
 		this.first.send(this.secondAddress, new ProbeRequest(2, News.NONE));
 		assertThat(next().message()).isEqualTo(new ProbeRequest(2, News.NONE));
--- a/settings/src/main/java/org/sardineport/settings/MembershipSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/MembershipSettings.java
@@ -18,7 +18,7 @@
 	 * @return the settings that hold where a file says nothing
 	 */
 	public static MembershipSettings defaults() {
-		return new MembershipSettings(Duration.ofMillis(500), Duration.ofMillis(200), Duration.ofMillis(1500),
+		return new MembershipSettings(Duration.ofMillis(400), Duration.ofMillis(200), Duration.ofMillis(1000),
 				Duration.ofSeconds(1));
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/message/Join.java
+++ b/wire/src/main/java/org/sardineport/wire/message/Join.java
@@ -16,6 +16,44 @@
     JoinOrBuilder {
   private Join() {
   }
+  public static final int COMPLETE_FIELD_NUMBER = 1;
+  private boolean complete_;
+  /**
+   * <pre>
+   * Whether all members are wanted; otherwise a sample.
+   * </pre>
+   *
+   * <code>bool complete = 1;</code>
+   * @return The complete.
+   */
+  @java.lang.Override
+  public boolean getComplete() {
+    return complete_;
+  }
+  /**
+   * <pre>
+   * Whether all members are wanted; otherwise a sample.
+   * </pre>
+   *
+   * <code>bool complete = 1;</code>
+   * @param value The complete to set.
+   */
+  private void setComplete(boolean value) {
+    
+    complete_ = value;
+  }
+  /**
+   * <pre>
+   * Whether all members are wanted; otherwise a sample.
+   * </pre>
+   *
+   * <code>bool complete = 1;</code>
+   */
+  private void clearComplete() {
+
+    complete_ = false;
+  }
+
   public static org.sardineport.wire.message.Join parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -113,6 +151,46 @@
     }
 
 
+    /**
+     * <pre>
+     * Whether all members are wanted; otherwise a sample.
+     * </pre>
+     *
+     * <code>bool complete = 1;</code>
+     * @return The complete.
+     */
+    @java.lang.Override
+    public boolean getComplete() {
+      return instance.getComplete();
+    }
+    /**
+     * <pre>
+     * Whether all members are wanted; otherwise a sample.
+     * </pre>
+     *
+     * <code>bool complete = 1;</code>
+     * @param value The complete to set.
+     * @return This builder for chaining.
+     */
+    public Builder setComplete(boolean value) {
+      copyOnWrite();
+      instance.setComplete(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether all members are wanted; otherwise a sample.
+     * </pre>
+     *
+     * <code>bool complete = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearComplete() {
+      copyOnWrite();
+      instance.clearComplete();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.Join)
   }
   @java.lang.Override
@@ -128,9 +206,11 @@
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
-          java.lang.Object[] objects = null;
+          java.lang.Object[] objects = new java.lang.Object[] {
+            "complete_",
+          };
           java.lang.String info =
-              "\u0000\u0000";
+              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JoinOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JoinOrBuilder.java
@@ -9,4 +9,14 @@
 public interface JoinOrBuilder extends
     // @@protoc_insertion_point(interface_extends:sardineport.Join)
     com.google.protobuf.MessageLiteOrBuilder {
+
+  /**
+   * <pre>
+   * Whether all members are wanted; otherwise a sample.
+   * </pre>
+   *
+   * <code>bool complete = 1;</code>
+   * @return The complete.
+   */
+  boolean getComplete();
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -74,8 +74,8 @@
 				.setTargetIp(indirect.targetAddress().ip())
 				.setTargetPort(indirect.targetAddress().port()));
 		}
-		else if (message instanceof JoinRequest) {
-			body.setJoin(Join.getDefaultInstance());
+		else if (message instanceof JoinRequest join) {
+			body.setJoin(Join.newBuilder().setComplete(join.complete()));
 		}
 		else {
 			body.setJoinAnswer(JoinAnswer.getDefaultInstance());
@@ -91,7 +91,7 @@
 			case PROBE -> new ProbeRequest(body.getProbe().getSequence(), news);
 			case ANSWER -> new ProbeResponse(body.getAnswer().getSequence(), news);
 			case INDIRECT -> decodeIndirect(body.getIndirect(), news);
-			case JOIN -> new JoinRequest(news);
+			case JOIN -> new JoinRequest(body.getJoin().getComplete(), news);
 			case JOIN_ANSWER -> new JoinResponse(news);
 			case BODY_NOT_SET -> throw MalformedMessageException.of("membership message without a body");
 		};
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -46,8 +46,8 @@
 				List.of(new StrikeNews(Fingerprint.of(-1, 2), BackendServerId.of("w1"), Duration.ofSeconds(9))),
 				List.of(new LeavingNews(BackendServerId.of("w2"), Duration.ofMillis(250))));
 		return Stream.of(new ProbeRequest(-1, news), new ProbeResponse(7, news),
-				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, news), new JoinRequest(news),
-				new JoinResponse(news));
+				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, news), new JoinRequest(true, news),
+				new JoinRequest(false, news), new JoinResponse(news));
 	}
 
 	@ParameterizedTest
@@ -59,7 +59,7 @@
 	@ParameterizedTest
 	@EnumSource(MemberStatus.class)
 	void carriesEachStatus(MemberStatus status) throws Exception {
-		MembershipMessage message = new JoinRequest(News.of(member(status)));
+		MembershipMessage message = new JoinRequest(true, News.of(member(status)));
 		assertThat(throughTheWire(message)).isEqualTo(message);
 	}
 
