--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationPageOrBuilder.java
@@ -11,25 +11,45 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>sint64 version = 1;</code>
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The id.
+   */
+  java.lang.String getId();
+  /**
+   * <pre>
+   * Identity of the image, the same on all its pages.
+   * </pre>
+   *
+   * <code>string id = 1;</code>
+   * @return The bytes for id.
+   */
+  com.google.protobuf.ByteString
+      getIdBytes();
+
+  /**
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   long getVersion();
 
   /**
-   * <code>uint32 index = 2;</code>
+   * <code>uint32 index = 3;</code>
    * @return The index.
    */
   int getIndex();
 
   /**
-   * <code>uint32 count = 3;</code>
+   * <code>uint32 count = 4;</code>
    * @return The count.
    */
   int getCount();
 
   /**
-   * <code>bytes part = 4;</code>
+   * <code>bytes part = 5;</code>
    * @return The part.
    */
   com.google.protobuf.ByteString getPart();
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationState.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationState.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * A configuration in force at the sender.
+ * The configuration as of an offset, or what changed in it since a version. Compressed
+ * with DEFLATE before it is split into pages.
  * </pre>
  *
  * Protobuf type {@code sardineport.ConfigurationState}
@@ -19,12 +20,39 @@
     // @@protoc_insertion_point(message_implements:sardineport.ConfigurationState)
     ConfigurationStateOrBuilder {
   private ConfigurationState() {
-    snapshot_ = com.google.protobuf.ByteString.EMPTY;
+    profiles_ = emptyProtobufList();
+    retirements_ = emptyProtobufList();
   }
-  public static final int VERSION_FIELD_NUMBER = 1;
+  public static final int AS_OF_FIELD_NUMBER = 1;
+  private long asOf_;
+  /**
+   * <code>sint64 as_of = 1;</code>
+   * @return The asOf.
+   */
+  @java.lang.Override
+  public long getAsOf() {
+    return asOf_;
+  }
+  /**
+   * <code>sint64 as_of = 1;</code>
+   * @param value The asOf to set.
+   */
+  private void setAsOf(long value) {
+    
+    asOf_ = value;
+  }
+  /**
+   * <code>sint64 as_of = 1;</code>
+   */
+  private void clearAsOf() {
+
+    asOf_ = 0L;
+  }
+
+  public static final int VERSION_FIELD_NUMBER = 2;
   private long version_;
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   @java.lang.Override
@@ -32,7 +60,7 @@
     return version_;
   }
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    * @param value The version to set.
    */
   private void setVersion(long value) {
@@ -40,38 +68,281 @@
     version_ = value;
   }
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 version = 2;</code>
    */
   private void clearVersion() {
 
     version_ = 0L;
   }
 
-  public static final int SNAPSHOT_FIELD_NUMBER = 2;
-  private com.google.protobuf.ByteString snapshot_;
+  public static final int NEWER_THAN_FIELD_NUMBER = 3;
+  private long newerThan_;
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 3;</code>
+   * @return The newerThan.
+   */
+  @java.lang.Override
+  public long getNewerThan() {
+    return newerThan_;
+  }
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 3;</code>
+   * @param value The newerThan to set.
+   */
+  private void setNewerThan(long value) {
+    
+    newerThan_ = value;
+  }
+  /**
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 3;</code>
+   */
+  private void clearNewerThan() {
+
+    newerThan_ = 0L;
+  }
+
+  public static final int FORGOTTEN_VERSION_FIELD_NUMBER = 4;
+  private long forgottenVersion_;
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @return The snapshot.
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 4;</code>
+   * @return The forgottenVersion.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getSnapshot() {
-    return snapshot_;
+  public long getForgottenVersion() {
+    return forgottenVersion_;
   }
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @param value The snapshot to set.
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 4;</code>
+   * @param value The forgottenVersion to set.
    */
-  private void setSnapshot(com.google.protobuf.ByteString value) {
-    java.lang.Class<?> valueClass = value.getClass();
-  
-    snapshot_ = value;
+  private void setForgottenVersion(long value) {
+    
+    forgottenVersion_ = value;
   }
   /**
-   * <code>bytes snapshot = 2;</code>
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 4;</code>
    */
-  private void clearSnapshot() {
+  private void clearForgottenVersion() {
+
+    forgottenVersion_ = 0L;
+  }
 
-    snapshot_ = getDefaultInstance().getSnapshot();
+  public static final int PROFILES_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> profiles_;
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
+    return profiles_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.ProfileTextOrBuilder> 
+      getProfilesOrBuilderList() {
+    return profiles_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.Override
+  public int getProfilesCount() {
+    return profiles_.size();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ProfileText getProfiles(int index) {
+    return profiles_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  public org.sardineport.wire.message.ProfileTextOrBuilder getProfilesOrBuilder(
+      int index) {
+    return profiles_.get(index);
+  }
+  private void ensureProfilesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileText> tmp = profiles_;
+    if (!tmp.isModifiable()) {
+      profiles_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setProfiles(
+      int index, org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addProfiles(org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addProfiles(
+      int index, org.sardineport.wire.message.ProfileText value) {
+    value.getClass();  // minimal bytecode null check
+    ensureProfilesIsMutable();
+    profiles_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  private void addAllProfiles(
+      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
+    ensureProfilesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, profiles_);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  private void clearProfiles() {
+    profiles_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  private void removeProfiles(int index) {
+    ensureProfilesIsMutable();
+    profiles_.remove(index);
+  }
+
+  public static final int RETIREMENTS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> retirements_;
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
+    return retirements_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.ProfileRetirementOrBuilder> 
+      getRetirementsOrBuilderList() {
+    return retirements_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.Override
+  public int getRetirementsCount() {
+    return retirements_.size();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
+    return retirements_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  public org.sardineport.wire.message.ProfileRetirementOrBuilder getRetirementsOrBuilder(
+      int index) {
+    return retirements_.get(index);
+  }
+  private void ensureRetirementsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileRetirement> tmp = retirements_;
+    if (!tmp.isModifiable()) {
+      retirements_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setRetirements(
+      int index, org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRetirements(
+      int index, org.sardineport.wire.message.ProfileRetirement value) {
+    value.getClass();  // minimal bytecode null check
+    ensureRetirementsIsMutable();
+    retirements_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  private void addAllRetirements(
+      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
+    ensureRetirementsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, retirements_);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  private void clearRetirements() {
+    retirements_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  private void removeRetirements(int index) {
+    ensureRetirementsIsMutable();
+    retirements_.remove(index);
   }
 
   public static org.sardineport.wire.message.ConfigurationState parseFrom(
@@ -159,7 +430,8 @@
 
   /**
    * <pre>
-   * A configuration in force at the sender.
+   * The configuration as of an offset, or what changed in it since a version. Compressed
+   * with DEFLATE before it is split into pages.
    * </pre>
    *
    * Protobuf type {@code sardineport.ConfigurationState}
@@ -176,7 +448,35 @@
 
 
     /**
-     * <code>sint64 version = 1;</code>
+     * <code>sint64 as_of = 1;</code>
+     * @return The asOf.
+     */
+    @java.lang.Override
+    public long getAsOf() {
+      return instance.getAsOf();
+    }
+    /**
+     * <code>sint64 as_of = 1;</code>
+     * @param value The asOf to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsOf(long value) {
+      copyOnWrite();
+      instance.setAsOf(value);
+      return this;
+    }
+    /**
+     * <code>sint64 as_of = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsOf() {
+      copyOnWrite();
+      instance.clearAsOf();
+      return this;
+    }
+
+    /**
+     * <code>sint64 version = 2;</code>
      * @return The version.
      */
     @java.lang.Override
@@ -184,7 +484,7 @@
       return instance.getVersion();
     }
     /**
-     * <code>sint64 version = 1;</code>
+     * <code>sint64 version = 2;</code>
      * @param value The version to set.
      * @return This builder for chaining.
      */
@@ -194,7 +494,7 @@
       return this;
     }
     /**
-     * <code>sint64 version = 1;</code>
+     * <code>sint64 version = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearVersion() {
@@ -204,30 +504,286 @@
     }
 
     /**
-     * <code>bytes snapshot = 2;</code>
-     * @return The snapshot.
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 3;</code>
+     * @return The newerThan.
+     */
+    @java.lang.Override
+    public long getNewerThan() {
+      return instance.getNewerThan();
+    }
+    /**
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 3;</code>
+     * @param value The newerThan to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNewerThan(long value) {
+      copyOnWrite();
+      instance.setNewerThan(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that the receiver must have at least; -1 if the image is complete.
+     * </pre>
+     *
+     * <code>sint64 newer_than = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNewerThan() {
+      copyOnWrite();
+      instance.clearNewerThan();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 4;</code>
+     * @return The forgottenVersion.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getSnapshot() {
-      return instance.getSnapshot();
+    public long getForgottenVersion() {
+      return instance.getForgottenVersion();
     }
     /**
-     * <code>bytes snapshot = 2;</code>
-     * @param value The snapshot to set.
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 4;</code>
+     * @param value The forgottenVersion to set.
      * @return This builder for chaining.
      */
-    public Builder setSnapshot(com.google.protobuf.ByteString value) {
+    public Builder setForgottenVersion(long value) {
       copyOnWrite();
-      instance.setSnapshot(value);
+      instance.setForgottenVersion(value);
       return this;
     }
     /**
-     * <code>bytes snapshot = 2;</code>
+     * <pre>
+     * Retirements up to this version are not listed any more.
+     * </pre>
+     *
+     * <code>sint64 forgotten_version = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSnapshot() {
+    public Builder clearForgottenVersion() {
+      copyOnWrite();
+      instance.clearForgottenVersion();
+      return this;
+    }
+
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.ProfileText> getProfilesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getProfilesList());
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    @java.lang.Override
+    public int getProfilesCount() {
+      return instance.getProfilesCount();
+    }/**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ProfileText getProfiles(int index) {
+      return instance.getProfiles(index);
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder setProfiles(
+        int index, org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.setProfiles(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder setProfiles(
+        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.setProfiles(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder addProfiles(org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.addProfiles(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder addProfiles(
+        int index, org.sardineport.wire.message.ProfileText value) {
+      copyOnWrite();
+      instance.addProfiles(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder addProfiles(
+        org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.addProfiles(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder addProfiles(
+        int index, org.sardineport.wire.message.ProfileText.Builder builderForValue) {
+      copyOnWrite();
+      instance.addProfiles(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder addAllProfiles(
+        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileText> values) {
+      copyOnWrite();
+      instance.addAllProfiles(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder clearProfiles() {
+      copyOnWrite();
+      instance.clearProfiles();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+     */
+    public Builder removeProfiles(int index) {
+      copyOnWrite();
+      instance.removeProfiles(index);
+      return this;
+    }
+
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.ProfileRetirement> getRetirementsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getRetirementsList());
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    @java.lang.Override
+    public int getRetirementsCount() {
+      return instance.getRetirementsCount();
+    }/**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ProfileRetirement getRetirements(int index) {
+      return instance.getRetirements(index);
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder setRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.setRetirements(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder setRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRetirements(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder addRetirements(org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.addRetirements(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder addRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement value) {
+      copyOnWrite();
+      instance.addRetirements(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder addRetirements(
+        org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRetirements(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder addRetirements(
+        int index, org.sardineport.wire.message.ProfileRetirement.Builder builderForValue) {
+      copyOnWrite();
+      instance.addRetirements(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder addAllRetirements(
+        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileRetirement> values) {
+      copyOnWrite();
+      instance.addAllRetirements(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder clearRetirements() {
+      copyOnWrite();
+      instance.clearRetirements();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+     */
+    public Builder removeRetirements(int index) {
       copyOnWrite();
-      instance.clearSnapshot();
+      instance.removeRetirements(index);
       return this;
     }
 
@@ -247,12 +803,18 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "asOf_",
             "version_",
-            "snapshot_",
+            "newerThan_",
+            "forgottenVersion_",
+            "profiles_",
+            org.sardineport.wire.message.ProfileText.class,
+            "retirements_",
+            org.sardineport.wire.message.ProfileRetirement.class,
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0010\u0002\n" +
-              "";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0002\u0000\u0001\u0010\u0002\u0010" +
+              "\u0003\u0010\u0004\u0010\u0005\u001b\u0006\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
