Add the operators' command line

Operators publish, replace and retire profiles all or none, see the difference and warnings of probable slips first, and learn truthfully what became of a publication whose append answer was lost: the log is read for the token, and the same record is appended again, since at most one copy can be accepted.

--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/command/PublishingView.java
@@ -0,0 +1,63 @@
+package org.sardineport.cli.command;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import org.jspecify.annotations.Nullable;
+import org.sardineport.cli.ExitCode;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.configuration.Verdict;
+import org.sardineport.core.publishing.PublicationSettlement;
+
+/**
+ * What became of a publication, as it is shown.
+ *
+ * @param outcome what became of it, in lower case
+ * @param version version in force by it; null if it is not in force
+ * @param token its identity; null if nothing was published
+ * @param behind live daemons that do not report the version yet
+ * @param sentence the result in a sentence
+ * @param plan the difference and the warnings
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record PublishingView(String outcome, @Nullable Long version, @Nullable String token, List<String> behind,
+		String sentence, PlanView plan) {
+
+	static PublishingView refused(PlanView plan, ExitCode code) {
+		String sentence = switch (code) {
+			case INVALID -> "Nothing was published: correct the faults.";
+			case WARNINGS -> "Nothing was published: repeat with --accept-warnings if this is what you mean.";
+			default -> "Nothing was published.";
+		};
+		return new PublishingView("not-published", null, null, List.of(), sentence, plan);
+	}
+
+	static PublishingView settled(PlanView plan, Publication publication, PublicationSettlement settlement,
+			List<String> behind, boolean checked) {
+		String reason = settlement.verdict().map((verdict) -> verdict.reason() + ". " + verdict.remedy()).orElse("");
+		Long version = settlement.verdict().filter(Verdict::isAccepted).map(Verdict::offset).orElse(null);
+		String token = publication.token();
+		return switch (settlement.outcome()) {
+			case ACCEPTED ->
+				new PublishingView("accepted", version, token, behind, accepted(version, behind, checked), plan);
+			case CONFLICT ->
+				new PublishingView("conflict", null, token, behind, "Refused, in conflict: " + reason, plan);
+			case INVALID -> new PublishingView("invalid", null, token, behind, "Refused, invalid: " + reason, plan);
+			case NOT_PUBLISHED -> new PublishingView("not-published", null, token, behind,
+					"Not published: the log service did not take it. Publish again later.", plan);
+			case UNKNOWN -> new PublishingView("unknown", null, token, behind,
+					"It cannot be told whether the publication is or will be in force: the log service did not answer. "
+							+ "Look at 'sardineport profile show' before you publish again.",
+					plan);
+		};
+	}
+
+	private static String accepted(@Nullable Long version, List<String> behind, boolean checked) {
+		if (!checked) {
+			return "Accepted as version %d.".formatted(version);
+		}
+		return behind.isEmpty() ? "Accepted as version %d; all live daemons report it.".formatted(version)
+				: "Accepted as version %d; not yet reported by %s.".formatted(version, behind);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/command/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The commands of the command line.
+ */
+@NullMarked
+package org.sardineport.cli.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/configuration/StreamReplica.java
@@ -0,0 +1,137 @@
+package org.sardineport.cli.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.sardineport.core.configuration.ConfigurationReplica;
+import org.sardineport.core.configuration.ConfigurationState;
+import org.sardineport.core.configuration.Verdict;
+import org.sardineport.core.port.log.LogFailure;
+import org.sardineport.core.port.log.LogRecord;
+import org.sardineport.core.port.log.LogService;
+import org.sardineport.core.port.log.LogServiceException;
+import org.sardineport.core.port.log.LogSlice;
+import org.sardineport.settings.profile.ProfileReader;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+import org.sardineport.wire.configuration.DeflatedImageCodec;
+
+/**
+ * Replays the configuration stream, waiting for each answer of the log service. Not safe
+ * for use by several threads.
+ */
+public final class StreamReplica {
+
+	private static final int RECORDS_PER_READ = 256;
+
+	private final LogService log;
+
+	private final String stream;
+
+	private final Duration timeout;
+
+	private final ConfigurationRecordCodec records = ConfigurationRecordCodec.create();
+
+	private final ConfigurationReplica replica = ConfigurationReplica.create(ProfileReader.create(),
+			DeflatedImageCodec.create());
+
+	private StreamReplica(LogService log, String stream, Duration timeout) {
+		this.log = Objects.requireNonNull(log, "log must not be null");
+		this.stream = Objects.requireNonNull(stream, "stream must not be null");
+		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
+	}
+
+	/**
+	 * Returns a replica that has read nothing yet.
+	 * @param log the log service
+	 * @param stream name of the stream
+	 * @param timeout time to wait for an answer of the log service
+	 * @return the replica
+	 */
+	public static StreamReplica create(LogService log, String stream, Duration timeout) {
+		return new StreamReplica(log, stream, timeout);
+	}
+
+	/**
+	 * Returns the state as far as it was read.
+	 * @return the state
+	 */
+	public ConfigurationState state() {
+		return this.replica.state();
+	}
+
+	/**
+	 * Returns whether records are missing that the log does not keep any more.
+	 * @return whether the state is not known
+	 */
+	public boolean hasGap() {
+		return this.replica.hasGap();
+	}
+
+	/**
+	 * Reads the stream to its end.
+	 * @return verdicts that were reached
+	 * @throws LogServiceException if the log service fails
+	 */
+	public List<Verdict> readToEnd() throws LogServiceException {
+		List<Verdict> verdicts = new ArrayList<>();
+		LogSlice slice;
+		do {
+			slice = read();
+			for (LogRecord record : slice.records()) {
+				verdicts.addAll(this.replica.apply(record.offset(), this.records.decode(record.value())));
+			}
+			verdicts.addAll(this.replica.readUpTo(slice.nextOffset()));
+		}
+		while (!slice.isAtEnd());
+		return verdicts;
+	}
+
+	private LogSlice read() throws LogServiceException {
+		try {
+			return await(this.log.read(this.stream, this.replica.nextOffset(), RECORDS_PER_READ, Duration.ZERO));
+		}
+		catch (LogServiceException ex) {
+			if (ex.failure() != LogFailure.OFFSET_EXPIRED) {
+				throw ex;
+			}
+			this.replica.expired();
+			return await(this.log.read(this.stream, this.replica.nextOffset(), RECORDS_PER_READ, Duration.ZERO));
+		}
+	}
+
+	/**
+	 * Appends a record to the stream.
+	 * @param record the record
+	 * @return its offset
+	 * @throws LogServiceException if the log service fails
+	 */
+	long append(byte[] record) throws LogServiceException {
+		return await(this.log.append(this.stream, record));
+	}
+
+	private <T> T await(CompletionStage<T> stage) throws LogServiceException {
+		try {
+			return stage.toCompletableFuture().get(this.timeout.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (ExecutionException ex) {
+			if (ex.getCause() instanceof LogServiceException known) {
+				throw known;
+			}
+			throw LogServiceException.of(LogFailure.UNKNOWN, "log service failed: " + ex.getCause(), ex);
+		}
+		catch (TimeoutException ex) {
+			throw LogServiceException.of(LogFailure.UNKNOWN, "no answer from the log service in time", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw LogServiceException.of(LogFailure.UNKNOWN, "interrupted", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/configuration/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Reading and writing of the configuration stream by the command line.
+ */
+@NullMarked
+package org.sardineport.cli.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/publishing/ProfileComparison.java
@@ -0,0 +1,178 @@
+package org.sardineport.core.publishing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.OrganisationPolicy;
+import org.sardineport.core.profile.Profile;
+import org.sardineport.core.profile.Route;
+
+/**
+ * Compares two states of a profile.
+ */
+final class ProfileComparison {
+
+	/** Factor by which a number must shrink to be a probable slip. */
+	private static final int SLIP_FACTOR = 10;
+
+	private final ProfileName name;
+
+	private final List<String> lines = new ArrayList<>();
+
+	private final List<SlipWarning> warnings = new ArrayList<>();
+
+	private ProfileComparison(ProfileName name) {
+		this.name = name;
+	}
+
+	/**
+	 * Compares two states.
+	 * @param name name of the profile
+	 * @param before the profile in force, or null
+	 * @param after the profile wanted, or null
+	 * @return the comparison
+	 */
+	static ProfileComparison of(ProfileName name, @Nullable Profile before, @Nullable Profile after) {
+		ProfileComparison comparison = new ProfileComparison(name);
+		comparison.compareRoutes(routes(before), routes(after), after == null);
+		comparison.compareOrganisations((before != null) ? before.organisations() : Map.of(),
+				(after != null) ? after.organisations() : Map.of(), after == null);
+		if (after == null) {
+			comparison.warn(Slip.PROFILE_RETIRED, "profile " + name);
+		}
+		return comparison;
+	}
+
+	List<String> lines() {
+		return this.lines;
+	}
+
+	List<SlipWarning> warnings() {
+		return this.warnings;
+	}
+
+	private static Map<String, Route> routes(@Nullable Profile profile) {
+		Map<String, Route> routes = new LinkedHashMap<>();
+		if (profile != null) {
+			profile.routes().forEach((route) -> routes.put(route.method() + " " + route.path(), route));
+		}
+		return routes;
+	}
+
+	private void compareRoutes(Map<String, Route> before, Map<String, Route> after, boolean retired) {
+		before.forEach((key, route) -> {
+			Route next = after.get(key);
+			if (next != null) {
+				compareRoute("route " + key, route, next);
+			}
+			else {
+				this.lines.add("- route " + key + " " + describe(route));
+				warnUnless(retired, Slip.ROUTE_REMOVED, "route " + key);
+			}
+		});
+		after.forEach((key, route) -> {
+			if (!before.containsKey(key)) {
+				this.lines.add("+ route " + key + " " + describe(route));
+			}
+		});
+		List<String> kept = before.keySet().stream().filter(after::containsKey).toList();
+		List<String> keptAfter = after.keySet().stream().filter(before::containsKey).toList();
+		if (!kept.equals(keptAfter)) {
+			this.lines.add("~ order of routes: " + String.join(", ", keptAfter));
+		}
+	}
+
+	private void compareRoute(String place, Route before, Route after) {
+		change(place, "pool", before.pool(), after.pool());
+		change(place, "tier", before.tier().label(), after.tier().label());
+		change(place, "deadline", before.deadline(), after.deadline());
+		change(place, "nonIdempotent", before.nonIdempotent(), after.nonIdempotent());
+		change(place, "durable", before.durable(), after.durable());
+		change(place, "maximumBodyBytes", before.maximumBodyBytes(), after.maximumBodyBytes());
+		change(place, "answerTokens", before.answerTokens(), after.answerTokens());
+		warnIf(before.nonIdempotent() && !after.nonIdempotent(), Slip.NON_IDEMPOTENT_DROPPED, place);
+		warnIf(before.durable() && !after.durable(), Slip.DURABLE_DROPPED, place);
+		warnIf(before.tier().isMoreUrgentThan(after.tier()), Slip.TIER_LOWERED, place);
+		warnIf(isSlip(before.deadline().toMillis(), after.deadline().toMillis()), Slip.DEADLINE_CUT, place);
+		warnIf(isSlip(before.maximumBodyBytes(), after.maximumBodyBytes()), Slip.BODY_LIMIT_CUT, place);
+	}
+
+	private void compareOrganisations(Map<OrganisationId, OrganisationPolicy> before,
+			Map<OrganisationId, OrganisationPolicy> after, boolean retired) {
+		new TreeMap<>(before).forEach((id, policy) -> {
+			OrganisationPolicy next = after.get(id);
+			if (next != null) {
+				compareOrganisation("organisation " + id, policy, next);
+			}
+			else {
+				this.lines.add("- organisation " + id);
+				warnUnless(retired, Slip.ORGANISATION_REMOVED, "organisation " + id);
+			}
+		});
+		new TreeMap<>(after).forEach((id, policy) -> {
+			if (!before.containsKey(id)) {
+				this.lines.add("+ organisation %s tokensPerSecond=%s tokens=%d".formatted(id, limit(policy),
+						policy.tokenHashes().size()));
+			}
+		});
+	}
+
+	private void compareOrganisation(String place, OrganisationPolicy before, OrganisationPolicy after) {
+		change(place, "tokensPerSecond", limit(before), limit(after));
+		if (!before.tokenHashes().equals(after.tokenHashes())) {
+			this.lines.add("~ %s tokenHashes: %d -> %d, %d of them kept".formatted(place, before.tokenHashes().size(),
+					after.tokenHashes().size(), kept(before, after)));
+		}
+		boolean limited = after.tokensPerSecond() > 0;
+		warnIf(limited && isSlip(before.tokensPerSecond(), after.tokensPerSecond()), Slip.LIMIT_CUT, place);
+		boolean hadTokens = !before.tokenHashes().isEmpty();
+		warnIf(hadTokens && after.tokenHashes().isEmpty(), Slip.TOKEN_CHECK_DROPPED, place);
+		warnIf(hadTokens && !after.tokenHashes().isEmpty() && kept(before, after) == 0, Slip.ALL_TOKENS_REPLACED,
+				place);
+	}
+
+	private static long kept(OrganisationPolicy before, OrganisationPolicy after) {
+		return after.tokenHashes().stream().filter(before.tokenHashes()::contains).count();
+	}
+
+	private static boolean isSlip(long before, long after) {
+		return after < before && after <= before / SLIP_FACTOR;
+	}
+
+	private void change(String place, String what, Object before, Object after) {
+		if (!Objects.equals(before, after)) {
+			this.lines.add("~ %s %s: %s -> %s".formatted(place, what, before, after));
+		}
+	}
+
+	private void warnUnless(boolean condition, Slip slip, String place) {
+		warnIf(!condition, slip, place);
+	}
+
+	private void warnIf(boolean condition, Slip slip, String place) {
+		if (condition) {
+			warn(slip, place);
+		}
+	}
+
+	private void warn(Slip slip, String place) {
+		this.warnings.add(new SlipWarning(slip, this.name, place));
+	}
+
+	private static String limit(OrganisationPolicy policy) {
+		return (policy.tokensPerSecond() > 0) ? Long.toString(policy.tokensPerSecond()) : "none";
+	}
+
+	private static String describe(Route route) {
+		return "pool=%s tier=%s deadline=%s nonIdempotent=%s durable=%s".formatted(route.pool(), route.tier().label(),
+				route.deadline(), route.nonIdempotent(), route.durable());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/publishing/PublicationPlan.java
@@ -0,0 +1,177 @@
+package org.sardineport.core.publishing;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.configuration.ConfigurationState;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.ProfileParser;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.configuration.StoredProfile;
+import org.sardineport.core.error.DocumentFault;
+import org.sardineport.core.error.InvalidDocumentException;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.Profile;
+import org.sardineport.core.profile.Route;
+
+/**
+ * What a draft would change, and what speaks against it. Immutable.
+ *
+ * @param baseVersion version that the publication is based on
+ * @param differences what changes, profile by profile; empty if there are faults
+ * @param warnings changes that are probably not meant
+ * @param faults what makes the draft impossible
+ */
+public record PublicationPlan(long baseVersion, List<ProfileDifference> differences, List<SlipWarning> warnings,
+		List<DocumentFault> faults) {
+
+	/**
+	 * Creates the plan.
+	 */
+	public PublicationPlan {
+		differences = List.copyOf(differences);
+		warnings = List.copyOf(warnings);
+		faults = List.copyOf(faults);
+	}
+
+	/**
+	 * Makes the plan of a draft.
+	 * @param state the state in force, as far as it is known
+	 * @param draft the draft
+	 * @param pools pools that have backend servers; empty if they are not known
+	 * @param parser parses the texts of profiles
+	 * @return the plan
+	 */
+	public static PublicationPlan of(ConfigurationState state, PublicationDraft draft, Set<PoolName> pools,
+			ProfileParser parser) {
+		Builder builder = new Builder(state, pools, parser);
+		draft.published().forEach((document) -> builder.change(document, ChangeKind.PUBLISHED));
+		draft.replaced().forEach((document) -> builder.change(document, ChangeKind.REPLACED));
+		draft.retired().forEach(builder::retire);
+		builder.checkNames(draft);
+		long base = draft.base().orElse(state.version());
+		boolean impossible = !builder.faults.isEmpty();
+		return new PublicationPlan(base, impossible ? List.of() : builder.differences,
+				impossible ? List.of() : builder.warnings, builder.faults);
+	}
+
+	/**
+	 * Returns whether the draft changes nothing.
+	 * @return whether there is neither a fault nor a difference
+	 */
+	public boolean isEmpty() {
+		return this.faults.isEmpty()
+				&& this.differences.stream().allMatch((difference) -> difference.lines().isEmpty());
+	}
+
+	/**
+	 * Returns the publication of a draft.
+	 * @param draft the draft that this plan was made of
+	 * @param token identity of the publication
+	 * @param operator who publishes
+	 * @return the publication
+	 */
+	public Publication publication(PublicationDraft draft, String token, String operator) {
+		List<ProfileDocument> documents = Stream.concat(draft.published().stream(), draft.replaced().stream()).toList();
+		return new Publication(token, this.baseVersion, documents, draft.retired(), operator);
+	}
+
+	/**
+	 * Gathers a plan.
+	 */
+	private static final class Builder {
+
+		private final ConfigurationState state;
+
+		private final Set<PoolName> pools;
+
+		private final ProfileParser parser;
+
+		private final List<ProfileDifference> differences = new ArrayList<>();
+
+		private final List<SlipWarning> warnings = new ArrayList<>();
+
+		private final List<DocumentFault> faults = new ArrayList<>();
+
+		private Builder(ConfigurationState state, Set<PoolName> pools, ProfileParser parser) {
+			this.state = state;
+			this.pools = pools;
+			this.parser = parser;
+		}
+
+		private void change(ProfileDocument document, ChangeKind kind) {
+			ProfileName name = document.name();
+			Optional<StoredProfile> inForce = this.state.profile(name);
+			if (kind == ChangeKind.PUBLISHED && inForce.isPresent()) {
+				fault(name, "a profile of this name in force", "replace it, or choose another name");
+			}
+			if (kind == ChangeKind.REPLACED && inForce.isEmpty()) {
+				fault(name, "no profile of this name in force", "publish it, or correct the name");
+			}
+			try {
+				Profile after = this.parser.parse(document.text());
+				compare(name, kind, inForce.map(StoredProfile::profile).orElse(null), after);
+				checkPools(after);
+			}
+			catch (InvalidDocumentException ex) {
+				ex.faults()
+					.forEach((fault) -> this.faults.add(new DocumentFault(name + ": " + fault.path(), fault.line(),
+							fault.found(), fault.remedy())));
+			}
+		}
+
+		private void retire(ProfileName name) {
+			Optional<StoredProfile> inForce = this.state.profile(name);
+			if (inForce.isEmpty()) {
+				fault(name, "no profile of this name in force", "correct the name, or leave it out");
+				return;
+			}
+			compare(name, ChangeKind.RETIRED, inForce.get().profile(), null);
+		}
+
+		private void compare(ProfileName name, ChangeKind kind, @Nullable Profile before, @Nullable Profile after) {
+			ProfileComparison comparison = ProfileComparison.of(name, before, after);
+			this.differences.add(new ProfileDifference(name, kind, comparison.lines()));
+			this.warnings.addAll(comparison.warnings());
+		}
+
+		private void checkPools(Profile profile) {
+			if (this.pools.isEmpty()) {
+				return;
+			}
+			profile.routes()
+				.stream()
+				.map(Route::pool)
+				.distinct()
+				.filter((pool) -> !this.pools.contains(pool))
+				.forEach((pool) -> this.warnings
+					.add(new SlipWarning(Slip.POOL_UNKNOWN, profile.name(), "pool " + pool)));
+		}
+
+		private void checkNames(PublicationDraft draft) {
+			List<ProfileName> names = Stream
+				.concat(Stream.concat(draft.published().stream(), draft.replaced().stream()).map(ProfileDocument::name),
+						draft.retired().stream())
+				.toList();
+			Set<ProfileName> seen = new HashSet<>();
+			names.stream()
+				.filter((name) -> !seen.add(name))
+				.forEach((name) -> fault(name, "the name a second time", "name each profile once"));
+			if (names.isEmpty()) {
+				this.faults.add(new DocumentFault("", 0, "no profile", "name at least one"));
+			}
+		}
+
+		private void fault(ProfileName name, String found, String remedy) {
+			this.faults.add(new DocumentFault(name.value(), 0, found, remedy));
+		}
+
+	}
+
+}
