Move a preempted stream to another engine by its KV cache

Cause: a preempted run was cancelled in every case, also durable work that only an engine which resumes may give up, so long work was lost to the top tier.

Change: a preempted stream is exported, waits for another permit, is imported and goes on after the last byte received; the engine continues the same stream, so it stays one dispatch. Where the engine can't, cancellable work is cancelled and told, other work runs on. Late events of an exchange that was given up change nothing.

Ruled out: cancelling and dispatching anew, which would be a second dispatch.

--- a/core/src/main/java/org/sardineport/core/port/backend/Exchange.java
+++ b/core/src/main/java/org/sardineport/core/port/backend/Exchange.java
@@ -22,4 +22,10 @@
 	 */
 	void cancel();
 
+	/**
+	 * Lets go of the exchange without a cancellation on the backend server. The listener
+	 * hears {@link BackendFailure#CANCELLED} unless the answer ended before.
+	 */
+	void detach();
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.sardineport.core.exchange.RetryBudget;
-import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -20,14 +19,13 @@
 import org.sardineport.daemon.engine.HttpModelEngine;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
-import org.sardineport.daemon.fleet.FleetDuty;
-import org.sardineport.daemon.fleet.TransportCounters;
 import org.sardineport.daemon.http.CallerServer;
 import org.sardineport.daemon.http.CallerServices;
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
-import org.sardineport.daemon.placeholder.AbsentJournal;
+import org.sardineport.daemon.journal.JournalDuty;
+import org.sardineport.daemon.placeholder.SingleFleet;
 import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
 import org.sardineport.daemon.scheduling.SchedulingDuty;
@@ -40,6 +38,7 @@
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
 import org.sardineport.wire.transport.PeerIdentity;
+import org.sardineport.wire.transport.TransportListener;
 
 /**
  * One daemon: all its parts, started and stopped together. Several can run in one
@@ -65,29 +64,28 @@
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(1));
 		long incarnation = clock.instant().toEpochMilli();
 		Telemetry telemetry = Telemetry.create();
-		PeerTransport transport = transport(settings, incarnation, clock, telemetry);
+		PeerTransport transport = transport(settings, incarnation, clock);
 		HttpVmList vmList = HttpVmList.create(this.vertx, settings.platform().vmList(), settings.platform().timeout());
-		OwnReport self = new OwnReport(settings.callers().maximumInFlight());
-		FleetDuty fleet = FleetDuty.create(settings, incarnation, transport, vmList, self, clock, telemetry);
+		SingleFleet fleet = SingleFleet.create(this.vertx, settings, incarnation, vmList);
 		HttpLogService log = HttpLogService.create(this.vertx, settings.platform().logService(),
 				settings.platform().timeout());
 		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
 				log, fleet, transport, clock, telemetry);
-		RequestJournal journal = AbsentJournal.create();
+		JournalDuty journal = JournalDuty.create(settings.fleet(), settings.daemon(), incarnation, settings.journal(),
+				log, fleet, clock, telemetry);
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
-		this.runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
+		this.runner = RequestRunner.create(RunServices.create(scheduling, journal, engines, clock, telemetry,
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, this.runner, clock, telemetry));
-		Readiness readiness = () -> (configuration.isReady()) ? List.of() : List.of("The configuration is being read.");
+		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, this.callers::inFlight, telemetry));
-		self.connect(configuration, this.callers);
-		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, this.callers,
-				operators);
+		this.services = List.of(transport, log, vmList, engines, fleet, configuration, journal, scheduling,
+				this.callers, operators);
 	}
 
 	/**
@@ -127,13 +125,23 @@
 			.thenRun(() -> LOG.info("daemon.stopped", "daemon", this.settings.daemon()));
 	}
 
-	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock,
-			Telemetry telemetry) {
+	private static List<String> missing(boolean configurationReady, boolean journalReady) {
+		List<String> missing = new ArrayList<>();
+		if (!configurationReady) {
+			missing.add("The configuration is being read.");
+		}
+		if (!journalReady) {
+			missing.add("The journal is being read.");
+		}
+		return missing;
+	}
+
+	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
 		return NettyPeerTransport.create(identity,
 				List.of(MembershipCodec.create(), SchedulingCodec.create(), ConfigurationPeerCodec.create()), clock,
-				TransportCounters.create(telemetry));
+				TransportListener.NONE);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
@@ -97,6 +97,11 @@
 		});
 	}
 
+	@Override
+	public void detach() {
+		onContext(() -> abort(BackendFailure.CANCELLED, "exchange was let go of", null));
+	}
+
 	private void connect(HttpClient client, InstantSource clock, BackendRequest sent) {
 		long left = Duration.between(clock.instant(), sent.deadline()).toMillis();
 		if (left <= 0) {
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/ClaimRecords.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/ClaimRecords.java
@@ -7,6 +7,7 @@
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.journal.DispatchDecision;
 import org.sardineport.core.journal.JournalClaim;
+import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.journal.StoredAnswer;
 import org.sardineport.core.request.Outcome;
@@ -36,8 +37,8 @@
 	}
 
 	@Override
-	public void release(Refusal refusal) {
-		this.journal.release(this.claim, refusal);
+	public CompletionStage<KeyState> release(Refusal refusal) {
+		return this.journal.release(this.claim, refusal);
 	}
 
 	@Override
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/DispatchRecords.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/DispatchRecords.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.journal.DispatchDecision;
+import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.journal.StoredAnswer;
 import org.sardineport.core.request.Outcome;
 import org.sardineport.core.request.Refusal;
@@ -27,8 +28,9 @@
 	/**
 	 * Records that the request will not run.
 	 * @param refusal why
+	 * @return what is known of the request once the record is in the log
 	 */
-	void release(Refusal refusal);
+	CompletionStage<KeyState> release(Refusal refusal);
 
 	/**
 	 * Records the end of a dispatched request.
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletionStage;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
@@ -13,12 +14,11 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
-import org.sardineport.core.exchange.HeaderNames;
 import org.sardineport.core.exchange.RequestLife;
 import org.sardineport.core.exchange.RequestPhase;
 import org.sardineport.core.exchange.RunVerdict;
 import org.sardineport.core.journal.DispatchDecision;
-import org.sardineport.core.port.backend.AnswerListener;
+import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.port.backend.BackendException;
 import org.sardineport.core.port.backend.BackendFailure;
 import org.sardineport.core.port.backend.BackendRequest;
@@ -34,14 +34,12 @@
  * One request from its wait for a permit to its last byte. All state is touched on the
  * run's executor only; callbacks may come on any thread.
  */
-final class RequestRun implements PermitListener, AnswerListener {
+final class RequestRun implements PermitListener {
 
 	private static final EventLog LOG = EventLog.of(RequestRun.class);
 
 	private static final int MAXIMUM_CONNECT_RETRIES = 3;
 
-	private static final int FIRST_SERVER_ERROR = 500;
-
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
 	private final RunServices services;
@@ -60,15 +58,17 @@
 
 	private final RequestLife life = RequestLife.create();
 
-	private final AnswerRecorder recorder;
+	private final AnswerRelay relay;
 
 	private @Nullable Permit permit;
 
-	private @Nullable Exchange exchange;
+	private final Preemption preemption;
 
-	private @Nullable RunMeter meter;
+	private final StreamMove move;
 
-	private @Nullable RunVerdict rejection;
+	private @Nullable Exchange exchange;
+
+	private @Nullable RunAttempt attempt;
 
 	private Runnable cancelDeadline = () -> {
 	};
@@ -88,14 +88,21 @@
 		this.executor = executor;
 		this.records = records;
 		this.whenEnded = whenEnded;
-		this.recorder = new AnswerRecorder(records.maximumAnswerBytes());
+		this.relay = new AnswerRelay(this.scheduling, sink, services.telemetry(), records.maximumAnswerBytes());
+		this.preemption = new Preemption(this, services, this.scheduling, executor);
+		this.move = this.preemption.move();
 	}
 
 	void start() {
 		this.life.tryEnter(RequestPhase.ADMITTED);
 		this.life.tryEnter(RequestPhase.WAITING);
 		this.sink.whenDrained(this::resumeExchange);
-		Duration left = Duration.between(this.services.clock().instant(), this.scheduling.deadline());
+		submit();
+	}
+
+	private void submit() {
+		Duration left = Duration.between(now(), this.scheduling.deadline());
+		this.cancelDeadline.run();
 		this.cancelDeadline = this.executor.schedule(left, this::onDeadline);
 		this.services.scheduler().submit(this.scheduling, this);
 	}
@@ -103,12 +110,7 @@
 	void callerLeft() {
 		this.callerLeft = true;
 		if (this.life.phase() == RequestPhase.DISPATCHED) {
-			if (this.records.outlivesCaller()) {
-				resumeExchange();
-			}
-			else {
-				cancelExchange();
-			}
+			leaveDispatched();
 		}
 		else if (this.life.phase() == RequestPhase.WAITING && this.permit == null && !this.request.durable()) {
 			this.services.scheduler().abandon(this.scheduling.id());
@@ -116,6 +118,19 @@
 		}
 	}
 
+	private void leaveDispatched() {
+		if (this.records.outlivesCaller()) {
+			resumeExchange();
+		}
+		else if (this.move.isSuspended()) {
+			this.services.scheduler().abandon(this.scheduling.id());
+			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
+		}
+		else {
+			cancelExchange();
+		}
+	}
+
 	@Override
 	public void granted(Permit granted) {
 		this.executor.execute(() -> onGranted(granted));
@@ -127,6 +142,9 @@
 			if (this.life.phase() == RequestPhase.WAITING && this.permit == null) {
 				refuseUnsent(RequestPhase.FAILED, refusal);
 			}
+			else if (this.move.isSuspended() && this.permit == null) {
+				this.preemption.refused(refusal);
+			}
 		});
 	}
 
@@ -134,23 +152,77 @@
 	public void preempted(Permit taken) {
 		this.executor.execute(() -> {
 			if (taken.equals(this.permit)) {
-				this.preempted = true;
-				cancelExchange();
+				onPreempted(taken);
 			}
 		});
 	}
 
+	private void onPreempted(Permit taken) {
+		if (this.life.phase() == RequestPhase.DISPATCHED) {
+			this.preemption.preempt(taken);
+		}
+		else {
+			this.preempted = true;
+		}
+	}
+
+	void cancelPreempted() {
+		this.preempted = true;
+		cancelExchange();
+	}
+
+	/**
+	 * Lets go of the backend server, as the stream is held here, and asks for another
+	 * permit.
+	 * @return whether the run goes on
+	 */
+	boolean suspend() {
+		detachExchange();
+		if (this.life.phase() != RequestPhase.DISPATCHED) {
+			return false;
+		}
+		returnPermit(this.relay.measurement(RunEnd.CANCELLED, now()));
+		if (this.callerLeft && !this.records.outlivesCaller()) {
+			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
+			return false;
+		}
+		submit();
+		return true;
+	}
+
+	void submitSuspended() {
+		if (this.move.isSuspended() && this.permit == null) {
+			submit();
+		}
+	}
+
+	void resumed(RunAttempt resumed, Exchange continued) {
+		this.relay.begin(RunMeter.resumed(now(), this.scheduling.estimate()));
+		this.attempt = resumed;
+		this.exchange = continued;
+	}
+
+	/** Ends a run whose stream could not go on elsewhere. */
+	void failMoved() {
+		fail(RunVerdict.of(BackendFailure.CANCELLED, true), BackendFailure.CANCELLED);
+	}
+
 	private void onGranted(Permit granted) {
-		if (this.life.phase() != RequestPhase.WAITING || this.permit != null) {
+		boolean wanted = this.life.phase() == RequestPhase.WAITING || this.move.isSuspended();
+		if (!wanted || this.permit != null) {
 			giveBack(granted);
 			return;
 		}
-		if (!granted.isValidAt(this.services.clock().instant())) {
+		if (!granted.isValidAt(now())) {
 			giveBack(granted);
 			retry(RetryReason.PERMIT_LAPSED);
 			return;
 		}
 		this.permit = granted;
+		if (this.move.isSuspended()) {
+			this.preemption.continueOn(granted);
+			return;
+		}
 		this.records.dispatch(granted.backendServer().id(), streamId(), this.scheduling.deadline())
 			.whenComplete((decision, failure) -> this.executor.execute(() -> onDecision(decision, failure)));
 	}
@@ -174,7 +246,7 @@
 	}
 
 	private void onWon(Permit won) {
-		Instant now = this.services.clock().instant();
+		Instant now = now();
 		if (this.callerLeft && !this.request.durable()) {
 			returnPermit(RunMeasurement.none(RunEnd.UNUSED));
 			refuseUnsent(RequestPhase.CANCELLED, RunVerdict.callerGone(Outcome.NOT_RUN));
@@ -194,85 +266,67 @@
 			throw new IllegalStateException("request must wait before it is dispatched, found " + this.life.phase());
 		}
 		this.cancelDeadline.run();
-		this.meter = new RunMeter(now, this.scheduling.estimate());
+		this.relay.begin(RunMeter.dispatched(now, this.scheduling.estimate()));
 		BackendRequest sent = new BackendRequest(streamId(), this.request.method(), this.request.pathAndQuery(),
 				this.request.headers(), this.request.body(), this.scheduling.deadline());
-		this.exchange = this.services.backends().send(won.backendServer(), sent, this);
+		this.attempt = new RunAttempt(this, this.executor, false);
+		this.exchange = this.services.engines().send(won.backendServer(), sent, this.attempt);
 	}
 
-	@Override
-	public void head(int status, List<Map.Entry<String, String>> headers) {
-		this.executor.execute(() -> onHead(status, HeaderNames.forCaller(headers)));
-	}
-
-	private void onHead(int status, List<Map.Entry<String, String>> headers) {
-		if (status >= FIRST_SERVER_ERROR) {
-			this.rejection = RunVerdict.rejected(status);
-			this.sink.refuse(this.rejection.refusal());
-			return;
-		}
-		this.recorder.head(status, headers);
-		this.sink.head(status, headers);
+	boolean isCurrent(RunAttempt candidate) {
+		return this.attempt == candidate;
 	}
 
-	@Override
-	public void chunk(ByteBuffer bytes) {
-		ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
-		this.executor.execute(() -> onChunk(copy));
+	void onHead(int status, List<Map.Entry<String, String>> fields) {
+		this.relay.head(status, fields);
 	}
 
-	private void onChunk(ByteBuffer bytes) {
-		if (this.meter == null || this.rejection != null) {
-			return;
-		}
-		Instant now = this.services.clock().instant();
-		if (this.meter.chunk(bytes, now)) {
-			telemetry().timeToFirstByte(this.scheduling.tier())
-				.update(Duration.between(this.scheduling.arrival(), now));
-		}
-		this.recorder.chunk(bytes);
-		if (!this.sink.chunk(bytes) && !this.callerLeft && this.exchange != null) {
+	void onChunk(ByteBuffer bytes) {
+		this.move.received(bytes.remaining());
+		if (!this.relay.chunk(bytes, now()) && !this.callerLeft && this.exchange != null) {
 			this.exchange.pause();
 		}
 	}
 
-	@Override
-	public void end() {
-		this.executor.execute(this::onEnd);
-	}
-
-	private void onEnd() {
-		if (this.rejection != null) {
-			fail(this.rejection, BackendFailure.NOT_SUPPORTED);
+	void onEnd() {
+		RunVerdict rejection = this.relay.rejection();
+		if (rejection != null) {
+			fail(rejection, BackendFailure.NOT_SUPPORTED);
 			return;
 		}
 		enterFinal(RequestPhase.COMPLETED);
-		this.sink.end();
-		Instant now = this.services.clock().instant();
-		telemetry().completed(this.scheduling.tier()).inc();
-		telemetry().duration(this.scheduling.tier()).update(Duration.between(this.scheduling.arrival(), now));
-		this.records.finish(Outcome.COMPLETED, this.recorder.answer());
-		returnPermit(measurement(RunEnd.COMPLETED));
+		this.move.close();
+		this.records.finish(Outcome.COMPLETED, this.relay.complete(now()));
+		returnPermit(this.relay.measurement(RunEnd.COMPLETED, now()));
 		finishRun();
 	}
 
-	@Override
-	public void failed(BackendException failure) {
-		this.executor.execute(() -> onFailed(failure));
+	void onExchangeLost(BackendException lost) {
+		RunAttempt held = this.attempt;
+		if (held != null) {
+			onFailed(held, lost);
+		}
 	}
 
-	private void onFailed(BackendException failure) {
+	void onFailed(RunAttempt failed, BackendException failure) {
+		if (this.preemption.holdsBack(failure)) {
+			return;
+		}
+		if (failed.isResumed() && failure.failure().isCertainlyUnsent()) {
+			failMoved();
+			return;
+		}
 		if (this.life.tryReturnToWaiting(failure.failure())) {
 			this.exchange = null;
+			this.attempt = null;
 			returnPermit(RunMeasurement.none(RunEnd.NOT_CONNECTED));
 			onNotConnected(failure);
 			return;
 		}
 		LOG.debug("run.failed", "request", this.scheduling.id(), "failure", failure.failure(), "message",
 				failure.getMessage());
-		RunVerdict verdict = (this.rejection != null) ? this.rejection
-				: RunVerdict.of(failure.failure(), this.preempted);
-		fail(verdict, failure.failure());
+		RunVerdict rejection = this.relay.rejection();
+		fail((rejection != null) ? rejection : RunVerdict.of(failure.failure(), this.preempted), failure.failure());
 	}
 
 	private void onNotConnected(BackendException failure) {
@@ -294,18 +348,23 @@
 		if (!this.life.tryEnter((failure == BackendFailure.CANCELLED) ? RequestPhase.CANCELLED : RequestPhase.FAILED)) {
 			return;
 		}
-		if (this.rejection == null) {
-			this.sink.refuse(verdict.refusal());
-		}
-		if (this.meter != null) {
-			telemetry().counter("prefill.wasted-tokens").inc(this.meter.promptTokens());
-		}
+		this.relay.fail(verdict);
+		this.move.close();
 		this.records.finish(Outcome.UNKNOWN, null);
-		returnPermit(measurement(verdict.end()));
+		returnPermit(this.relay.measurement(verdict.end(), now()));
 		finishRun();
 	}
 
 	private void onDeadline() {
+		if (this.life.phase() == RequestPhase.DISPATCHED && (this.move.isSuspended() || this.move.hasMoved())) {
+			this.services.scheduler().abandon(this.scheduling.id());
+			Exchange late = this.exchange;
+			fail(RunVerdict.of(BackendFailure.TIMED_OUT, false), BackendFailure.TIMED_OUT);
+			if (late != null) {
+				late.cancel();
+			}
+			return;
+		}
 		if (this.life.phase() == RequestPhase.WAITING && this.permit == null) {
 			this.services.scheduler().abandon(this.scheduling.id());
 			refuseUnsent(RequestPhase.FAILED, Refusal.retryAfter(RefusalReason.DEADLINE_PASSED,
@@ -315,21 +374,24 @@
 
 	private void refuseUnsent(RequestPhase end, Refusal refusal) {
 		enterFinal(end);
-		this.records.release(refusal);
-		this.sink.refuse(refusal);
-		finishRun();
+		CompletionStage<KeyState> released = this.records.release(refusal);
+		if (!this.request.durable()) {
+			// nobody else dispatches under this run's claim
+			this.sink.refuse(refusal);
+			finishRun();
+			return;
+		}
+		UnsentEnd unsent = new UnsentEnd(this.services, this.request, this.sink, this.executor, this::finishRun);
+		unsent.settle(refusal, released);
 	}
 
 	private void retry(RetryReason reason) {
 		telemetry().retried(reason).inc();
-		if (!this.services.clock().instant().isBefore(this.scheduling.deadline())) {
+		if (!now().isBefore(this.scheduling.deadline())) {
 			onDeadline();
 			return;
 		}
-		Duration left = Duration.between(this.services.clock().instant(), this.scheduling.deadline());
-		this.cancelDeadline.run();
-		this.cancelDeadline = this.executor.schedule(left, this::onDeadline);
-		this.services.scheduler().submit(this.scheduling, this);
+		submit();
 	}
 
 	private void enterFinal(RequestPhase phase) {
@@ -355,9 +417,8 @@
 		}
 	}
 
-	private RunMeasurement measurement(RunEnd end) {
-		return (this.meter != null) ? this.meter.measurement(end, this.services.clock().instant())
-				: RunMeasurement.none(end);
+	private Instant now() {
+		return this.services.clock().instant();
 	}
 
 	private void cancelExchange() {
@@ -366,6 +427,15 @@
 		}
 	}
 
+	private void detachExchange() {
+		Exchange held = this.exchange;
+		this.attempt = null;
+		this.exchange = null;
+		if (held != null) {
+			held.detach();
+		}
+	}
+
 	private void resumeExchange() {
 		if (this.exchange != null) {
 			this.exchange.resume();
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RunMeter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RunMeter.java
@@ -21,11 +21,29 @@
 
 	private final AnswerMeter answer = AnswerMeter.create();
 
+	private final boolean resumed;
+
 	private @Nullable Duration timeToFirstByte;
 
-	RunMeter(Instant dispatched, TokenEstimate estimate) {
+	private RunMeter(Instant dispatched, TokenEstimate estimate, boolean resumed) {
 		this.dispatched = dispatched;
 		this.estimate = estimate;
+		this.resumed = resumed;
+	}
+
+	static RunMeter dispatched(Instant dispatched, TokenEstimate estimate) {
+		return new RunMeter(dispatched, estimate, false);
+	}
+
+	/**
+	 * Returns the meter of a stream that goes on from its imported cache, without
+	 * prefill.
+	 * @param resumed when it was resumed
+	 * @param estimate size of the request
+	 * @return the meter
+	 */
+	static RunMeter resumed(Instant resumed, TokenEstimate estimate) {
+		return new RunMeter(resumed, estimate, true);
 	}
 
 	boolean chunk(ByteBuffer bytes, Instant now) {
@@ -43,8 +61,9 @@
 	}
 
 	RunMeasurement measurement(RunEnd end, Instant now) {
-		return new RunMeasurement(end, promptTokens(), this.answer.cachedPromptTokens(), this.answer.answerTokens(),
-				this.timeToFirstByte, Duration.between(this.dispatched, now));
+		int cached = (this.resumed) ? promptTokens() : this.answer.cachedPromptTokens();
+		return new RunMeasurement(end, promptTokens(), cached, this.answer.answerTokens(), this.timeToFirstByte,
+				Duration.between(this.dispatched, now));
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/UnkeyedRecords.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/UnkeyedRecords.java
@@ -7,6 +7,8 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.journal.DispatchDecision;
+import org.sardineport.core.journal.KeyPhase;
+import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.journal.StoredAnswer;
 import org.sardineport.core.request.Outcome;
 import org.sardineport.core.request.Refusal;
@@ -21,6 +23,9 @@
 	private static final CompletionStage<DispatchDecision> WON = CompletableFuture
 		.completedStage(new DispatchDecision.Won());
 
+	private static final CompletionStage<KeyState> NOT_RUN = CompletableFuture
+		.completedStage(new KeyState(KeyPhase.ABSENT, Outcome.NOT_RUN, null));
+
 	private UnkeyedRecords() {
 	}
 
@@ -31,8 +36,8 @@
 	}
 
 	@Override
-	public void release(Refusal refusal) {
-		// there is nothing to release
+	public CompletionStage<KeyState> release(Refusal refusal) {
+		return NOT_RUN;
 	}
 
 	@Override
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -40,6 +41,8 @@
 
 	private final List<Permit> granted = new CopyOnWriteArrayList<>();
 
+	private final Map<Permit, PermitListener> listeners = new ConcurrentHashMap<>();
+
 	private volatile Refusal refusal;
 
 	private volatile boolean holding;
@@ -99,6 +102,12 @@
 		new ArrayList<>(listeners.entrySet()).forEach((entry) -> grant(entry.getKey(), entry.getValue()));
 	}
 
+	/** Takes the permit that was granted last away for the top tier. */
+	public void preemptLast() {
+		Permit last = this.granted.get(this.granted.size() - 1);
+		this.listeners.get(last).preempted(last);
+	}
+
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
 		this.submitted.add(request.id());
@@ -134,6 +143,7 @@
 		Instant lapses = this.clock.instant().plus(this.lifetime);
 		Permit permit = new Permit(id, next, lapses);
 		this.granted.add(permit);
+		this.listeners.put(permit, listener);
 		listener.granted(permit);
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -97,7 +97,7 @@
 		start(this.engine);
 		start(this.ledger);
 		this.backends = HttpModelEngine.create(this.vertx, this.clock);
-		this.runner = RequestRunner.create(new RunServices(this.scheduler, this.journal, this.backends, this.clock,
+		this.runner = RequestRunner.create(RunServices.create(this.scheduler, this.journal, this.backends, this.clock,
 				this.telemetry, RetryBudget.create(), 1024 * 1024));
 		this.scheduler.serve(engineServer());
 		CallerSettings settings = new CallerSettings(BODY_LIMIT, BODY_TIMEOUT, maximumInFlight, Duration.ofSeconds(10));
@@ -110,6 +110,13 @@
 		return server("engine", BackendKind.MODEL_ENGINE, this.engine.address());
 	}
 
+	/** Starts another engine of the same kind. */
+	ModelEngineStandIn startSecondEngine(EngineOptions options) {
+		ModelEngineStandIn second = ModelEngineStandIn.create(this.vertx, this.clock, options);
+		start(second);
+		return second;
+	}
+
 	BackendServer ledgerServer() {
 		return server("ledger", BackendKind.PLAIN_SERVICE, this.ledger.address());
 	}
