--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -19,13 +19,14 @@
 import org.sardineport.daemon.engine.HttpModelEngine;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
+import org.sardineport.daemon.fleet.FleetDuty;
+import org.sardineport.daemon.fleet.TransportCounters;
 import org.sardineport.daemon.http.CallerServer;
 import org.sardineport.daemon.http.CallerServices;
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.journal.JournalDuty;
-import org.sardineport.daemon.placeholder.SingleFleet;
 import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
 import org.sardineport.daemon.scheduling.SchedulingDuty;
@@ -38,7 +39,6 @@
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
 import org.sardineport.wire.transport.PeerIdentity;
-import org.sardineport.wire.transport.TransportListener;
 
 /**
  * One daemon: all its parts, started and stopped together. Several can run in one
@@ -64,9 +64,10 @@
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(1));
 		long incarnation = clock.instant().toEpochMilli();
 		Telemetry telemetry = Telemetry.create();
-		PeerTransport transport = transport(settings, incarnation, clock);
+		PeerTransport transport = transport(settings, incarnation, clock, telemetry);
 		HttpVmList vmList = HttpVmList.create(this.vertx, settings.platform().vmList(), settings.platform().timeout());
-		SingleFleet fleet = SingleFleet.create(this.vertx, settings, incarnation, vmList);
+		OwnReport self = new OwnReport(settings.callers().maximumInFlight());
+		FleetDuty fleet = FleetDuty.create(settings, incarnation, transport, vmList, self, clock, telemetry);
 		HttpLogService log = HttpLogService.create(this.vertx, settings.platform().logService(),
 				settings.platform().timeout());
 		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
@@ -84,6 +85,7 @@
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, this.callers::inFlight, telemetry));
+		self.connect(configuration, this.callers);
 		this.services = List.of(transport, log, vmList, engines, fleet, configuration, journal, scheduling,
 				this.callers, operators);
 	}
@@ -136,12 +138,13 @@
 		return missing;
 	}
 
-	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
+	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock,
+			Telemetry telemetry) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
 		return NettyPeerTransport.create(identity,
 				List.of(MembershipCodec.create(), SchedulingCodec.create(), ConfigurationPeerCodec.create()), clock,
-				TransportListener.NONE);
+				TransportCounters.create(telemetry));
 	}
 
 }
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -0,0 +1,223 @@
+package org.sardineport.daemon;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
+
+import io.vertx.core.Vertx;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.port.platform.VmState;
+import org.sardineport.daemon.time.SteadyInstantSource;
+import org.sardineport.settings.CallerSettings;
+import org.sardineport.settings.ConfigurationSettings;
+import org.sardineport.settings.DaemonSettings;
+import org.sardineport.settings.JournalSettings;
+import org.sardineport.settings.MembershipSettings;
+import org.sardineport.settings.PlatformSettings;
+import org.sardineport.settings.SchedulingSettings;
+import org.sardineport.settings.StopSettings;
+import org.sardineport.standins.engine.EngineOptions;
+import org.sardineport.standins.engine.ModelEngineStandIn;
+import org.sardineport.standins.log.InMemoryLogService;
+import org.sardineport.standins.log.LogServiceStandIn;
+import org.sardineport.standins.service.LedgerStandIn;
+import org.sardineport.standins.vm.VmListStandIn;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+
+/**
+ * A fleet in one process: daemons in three failure domains before stand-ins for the
+ * platform, two engines and a ledger, with a profile published through the log.
+ */
+final class FleetFixture implements AutoCloseable {
+
+	static final String OPERATOR_TOKEN = "operators-token-of-the-test";
+
+	static final Duration PATIENCE = Duration.ofSeconds(30);
+
+	private static final List<String> DOMAINS = List.of("bole", "kaliti", "piassa");
+
+	private static final String PROFILE = """
+			name: dictionary
+			routes:
+			  - {method: POST, path: /v1/chat/completions, pool: engines, tier: urgent, deadline: 20s, answerTokens: 50}
+			  - {method: POST, path: /v1/completions, pool: engines, tier: batch, deadline: 30s, durable: true, answerTokens: 500}
+			  - {method: POST, path: /postings, pool: ledger, tier: standard, deadline: 20s, nonIdempotent: true}
+			  - {method: GET, path: /accounts/*, pool: ledger, tier: interactive, deadline: 20s}
+			organisations:
+			  - name: schools
+			  - name: courts
+			""";
+
+	final SteadyInstantSource clock = SteadyInstantSource.create();
+
+	final Vertx vertx = Vertx.vertx();
+
+	final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	final InMemoryLogService log = InMemoryLogService.create();
+
+	final LogServiceStandIn logServer = LogServiceStandIn.create(this.vertx, this.log);
+
+	final VmListStandIn vmList = VmListStandIn.create(this.vertx, this.clock);
+
+	final List<ModelEngineStandIn> engines = new ArrayList<>();
+
+	final LedgerStandIn ledger = LedgerStandIn.create(this.vertx, Duration.ofMillis(2));
+
+	final List<DaemonSettings> settings = new ArrayList<>();
+
+	final List<SardineportDaemon> daemons = new ArrayList<>();
+
+	FleetFixture(int size, EngineOptions options) throws Exception {
+		await(this.logServer.start());
+		await(this.vmList.start());
+		await(this.ledger.start());
+		list("ledger", BackendKind.PLAIN_SERVICE, "ledger", this.ledger.address(), 0, 16);
+		for (int i = 0; i < 2; i++) {
+			ModelEngineStandIn engine = ModelEngineStandIn.create(this.vertx, this.clock, options);
+			await(engine.start());
+			this.engines.add(engine);
+			list("engine" + i, BackendKind.MODEL_ENGINE, "engines", engine.address(), i, options.concurrency());
+		}
+		publish(PROFILE);
+		for (int i = 0; i < size; i++) {
+			addSettings(i);
+		}
+		for (DaemonSettings each : this.settings) {
+			SardineportDaemon daemon = SardineportDaemon.create(each, this.clock);
+			this.daemons.add(daemon);
+			await(daemon.start());
+		}
+	}
+
+	/** Waits until each daemon serves, knows all others and all backend servers. */
+	void awaitReady() throws Exception {
+		for (DaemonSettings each : this.settings) {
+			until(() -> {
+				String status = operators(each, "/status");
+				return status.contains("\"ready\":true") && count(status, "\"alive\"") == this.settings.size()
+						&& count(status, "\"nominalConcurrency\"") == 3;
+			});
+		}
+	}
+
+	HttpRequest request(int daemon, String method, String path, String body, Map<String, String> headers) {
+		HttpRequest.Builder builder = HttpRequest
+			.newBuilder(URI.create("http://" + this.settings.get(daemon).callerAddress() + path))
+			.timeout(PATIENCE)
+			.setHeader("Sardineport-Profile", "dictionary")
+			.setHeader("Sardineport-Organisation", "schools")
+			.method(method, HttpRequest.BodyPublishers.ofString(body));
+		headers.forEach(builder::setHeader);
+		return builder.build();
+	}
+
+	HttpResponse<String> send(int daemon, String method, String path, String body, Map<String, String> headers)
+			throws Exception {
+		return this.client.send(request(daemon, method, path, body, headers), HttpResponse.BodyHandlers.ofString());
+	}
+
+	String operators(DaemonSettings each, String path) {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + each.operatorAddress() + path))
+			.timeout(PATIENCE)
+			.header("Authorization", "Bearer " + OPERATOR_TOKEN)
+			.build();
+		try {
+			return this.client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException("the operators' server must answer", ex);
+		}
+	}
+
+	static String chat(String user, int tokens) {
+		return "{\"stream\":true,\"user\":\"%s\",\"max_tokens\":%d,\"messages\":[]}".formatted(user, tokens);
+	}
+
+	static String key() {
+		long millis = Instant.now().toEpochMilli();
+		UUID random = UUID.randomUUID();
+		long high = (millis << 16) | 0x7000 | (random.getMostSignificantBits() & 0x0fff);
+		return new UUID(high, random.getLeastSignificantBits()).toString();
+	}
+
+	static void until(BooleanSupplier condition) {
+		Instant end = Instant.now().plus(PATIENCE);
+		while (!condition.getAsBoolean()) {
+			if (Instant.now().isAfter(end)) {
+				throw new IllegalStateException("the condition did not come true within " + PATIENCE);
+			}
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+		}
+	}
+
+	static <T> T await(CompletionStage<T> stage) throws Exception {
+		return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (SardineportDaemon daemon : this.daemons) {
+			await(daemon.stop());
+		}
+		await(this.vertx.close().toCompletionStage());
+	}
+
+	private void publish(String text) throws Exception {
+		Publication publication = new Publication("t1", -1,
+				List.of(new ProfileDocument(ProfileName.of("dictionary"), text)), List.of(), "test");
+		await(this.log.append("configuration", ConfigurationRecordCodec.create().encode(publication)));
+	}
+
+	private void list(String id, BackendKind kind, String pool, NetworkAddress address, int domain, int concurrency) {
+		this.vmList.putBackendServer(new BackendServer(BackendServerId.of(id), kind, PoolName.of(pool),
+				FailureDomain.of(DOMAINS.get(domain)), address, concurrency), VmState.LIVE);
+	}
+
+	private void addSettings(int index) throws IOException {
+		NetworkAddress peer = freeAddress();
+		List<NetworkAddress> seeds = this.settings.stream().map(DaemonSettings::peerAddress).limit(2).toList();
+		this.settings.add(new DaemonSettings("fleet", DaemonId.of("d" + index),
+				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), freeAddress(), freeAddress(), peer, seeds,
+				List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
+				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)),
+				CallerSettings.defaults(), SchedulingSettings.defaults(), JournalSettings.defaults(),
+				MembershipSettings.defaults(), ConfigurationSettings.defaults(),
+				new StopSettings(Duration.ofMillis(500), Duration.ZERO)));
+		this.vmList.putEntryVm(peer, VmState.LIVE);
+	}
+
+	private static int count(String text, String part) {
+		return text.split(Pattern.quote(part), -1).length - 1;
+	}
+
+	private static NetworkAddress freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return NetworkAddress.of("127.0.0.1", socket.getLocalPort());
+		}
+	}
+
+}
