--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/journal/AnswerAssembly.java
@@ -0,0 +1,75 @@
+package org.sardineport.core.journal;
+
+import java.nio.ByteBuffer;
+import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.request.Outcome;
+
+/**
+ * Puts an answer together from its entries, in the order of the log. Not safe for use by
+ * several threads.
+ */
+public final class AnswerAssembly {
+
+	private final AnswerLocation location;
+
+	private final SortedMap<Integer, byte[]> parts = new TreeMap<>();
+
+	private JournalEntry.@Nullable Finished end;
+
+	private AnswerAssembly(AnswerLocation location) {
+		this.location = Objects.requireNonNull(location, "location must not be null");
+	}
+
+	/**
+	 * Returns an assembly without parts.
+	 * @param location where the answer is
+	 * @return the assembly
+	 */
+	public static AnswerAssembly of(AnswerLocation location) {
+		return new AnswerAssembly(location);
+	}
+
+	/**
+	 * Adds an entry; entries of other runs are left out.
+	 * @param entry the entry
+	 * @return whether the end of the answer was found
+	 */
+	public boolean add(JournalEntry entry) {
+		if (this.end == null && this.location.matches(entry)) {
+			if (entry instanceof JournalEntry.AnswerPart part) {
+				this.parts.putIfAbsent(part.index(), part.part());
+			}
+			else if (entry instanceof JournalEntry.Finished finished && finished.outcome() == Outcome.COMPLETED) {
+				this.end = finished;
+			}
+		}
+		return this.end != null;
+	}
+
+	/**
+	 * Returns the answer.
+	 * @return the whole answer, or {@code null} if it was not kept or parts are missing
+	 */
+	public @Nullable StoredAnswer answer() {
+		JournalEntry.Finished found = this.end;
+		if (found == null || found.status() == 0 || this.parts.size() < found.parts()) {
+			return null;
+		}
+		int length = found.lastPart().length;
+		for (int index = 0; index < found.parts(); index++) {
+			if (!this.parts.containsKey(index)) {
+				return null;
+			}
+			length += this.parts.get(index).length;
+		}
+		ByteBuffer body = ByteBuffer.allocate(length);
+		this.parts.headMap(found.parts()).values().forEach(body::put);
+		body.put(found.lastPart());
+		return new StoredAnswer(found.status(), found.headers(), body.array());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/journal/FinishingRuns.java
@@ -0,0 +1,128 @@
+package org.sardineport.core.journal;
+
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.request.Outcome;
+
+/**
+ * Ends of requests on their way to the log. The parts of an answer go first; the end is
+ * written only after all parts were read back, so that they are before it in the log. Not
+ * safe for use by several threads.
+ */
+final class FinishingRuns {
+
+	private static final long MAXIMUM_BYTES = 16 * 1024 * 1024;
+
+	private static final byte[] NOTHING = new byte[0];
+
+	private final AppendQueue queue;
+
+	private final int partBytes;
+
+	private final Map<String, Run> runs = new HashMap<>();
+
+	private long bytes;
+
+	private FinishingRuns(AppendQueue queue, int partBytes) {
+		this.queue = queue;
+		this.partBytes = partBytes;
+	}
+
+	static FinishingRuns create(AppendQueue queue, int partBytes) {
+		return new FinishingRuns(queue, partBytes);
+	}
+
+	// Returns whether the answer is kept.
+	boolean finish(JournalClaim claim, Outcome outcome, @Nullable StoredAnswer answer, Instant now, Runnable reply) {
+		if (this.runs.containsKey(claim.token())) {
+			reply.run();
+			return true;
+		}
+		boolean kept = answer != null && this.bytes + answer.body().length <= MAXIMUM_BYTES;
+		Run run = new Run(claim, outcome, (kept) ? answer : null, reply);
+		this.runs.put(claim.token(), run);
+		this.bytes += run.bytes();
+		int parts = partsBefore(run.bytes());
+		run.partsLeft = parts;
+		for (int index = 0; index < parts; index++) {
+			byte[] part = Arrays.copyOfRange(run.body(), index * this.partBytes, (index + 1) * this.partBytes);
+			this.queue.add(new JournalEntry.AnswerPart(claim.key().organisation(), claim.key().value(), claim.token(),
+					index, part), now);
+		}
+		if (parts == 0) {
+			this.queue.add(end(run), now);
+		}
+		return kept || answer == null;
+	}
+
+	void seen(JournalEntry entry, boolean wasUnsettled, Instant now) {
+		Run run = this.runs.get(entry.token());
+		if (run == null || !wasUnsettled) {
+			return;
+		}
+		if (entry instanceof JournalEntry.AnswerPart) {
+			run.partsLeft--;
+			if (run.partsLeft == 0) {
+				this.queue.add(end(run), now);
+			}
+		}
+		else if (entry instanceof JournalEntry.Finished) {
+			this.runs.remove(entry.token());
+			this.bytes -= run.bytes();
+			run.reply.run();
+		}
+	}
+
+	private int partsBefore(int length) {
+		return (length == 0) ? 0 : (length - 1) / this.partBytes;
+	}
+
+	private JournalEntry end(Run run) {
+		int parts = partsBefore(run.bytes());
+		byte[] rest = Arrays.copyOfRange(run.body(), parts * this.partBytes, run.bytes());
+		IdempotencyKey key = run.claim.key();
+		StoredAnswer answer = run.answer;
+		return (answer != null)
+				? new JournalEntry.Finished(key.organisation(), key.value(), run.claim.token(), run.outcome,
+						answer.status(), answer.headers(), parts, rest)
+				: new JournalEntry.Finished(key.organisation(), key.value(), run.claim.token(), run.outcome, 0,
+						Map.of(), 0, NOTHING);
+	}
+
+	/**
+	 * One run that has ended.
+	 */
+	private static final class Run {
+
+		private final JournalClaim claim;
+
+		private final Outcome outcome;
+
+		private final @Nullable StoredAnswer answer;
+
+		private final Runnable reply;
+
+		private int partsLeft;
+
+		Run(JournalClaim claim, Outcome outcome, @Nullable StoredAnswer answer, Runnable reply) {
+			this.claim = claim;
+			this.outcome = outcome;
+			this.answer = answer;
+			this.reply = reply;
+		}
+
+		byte[] body() {
+			return (this.answer != null) ? this.answer.body() : NOTHING;
+		}
+
+		int bytes() {
+			return body().length;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/journal/ReadPosition.java
@@ -0,0 +1,92 @@
+package org.sardineport.core.journal;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.sardineport.core.port.log.LogService;
+
+/**
+ * How far a partition was read, and from when on nothing is missing. Not safe for use by
+ * several threads.
+ */
+final class ReadPosition {
+
+	private final Duration clockTolerance;
+
+	private long nextOffset = LogService.EARLIEST;
+
+	private boolean afterGap = true;
+
+	private long expectedOffset;
+
+	private Instant completeSince = Instant.MIN;
+
+	private boolean atEndOnce;
+
+	private long reads;
+
+	private ReadPosition(Duration clockTolerance) {
+		this.clockTolerance = clockTolerance;
+	}
+
+	static ReadPosition create(Duration clockTolerance) {
+		return new ReadPosition(clockTolerance);
+	}
+
+	long beginRead() {
+		return ++this.reads;
+	}
+
+	long newestRead() {
+		return this.reads;
+	}
+
+	long nextOffset() {
+		return this.nextOffset;
+	}
+
+	// Returns whether the record is new.
+	boolean advance(long offset, Instant appendedAt) {
+		if (offset < this.expectedOffset) {
+			return false;
+		}
+		if (this.afterGap) {
+			startAt(offset, appendedAt);
+		}
+		this.expectedOffset = offset + 1;
+		this.nextOffset = this.expectedOffset;
+		return true;
+	}
+
+	void readEnded(long next, boolean atEnd, Instant now) {
+		if (this.afterGap) {
+			startAt(next, now);
+		}
+		this.nextOffset = Math.max(next, this.expectedOffset);
+		this.expectedOffset = this.nextOffset;
+		this.atEndOnce |= atEnd;
+	}
+
+	void expired() {
+		this.nextOffset = LogService.EARLIEST;
+		this.afterGap = true;
+	}
+
+	boolean isReady(Instant now) {
+		return this.atEndOnce && (!this.afterGap) && remembers(now);
+	}
+
+	// Whether no record of a key issued at that time can have been missed.
+	boolean remembers(Instant issuedAt) {
+		return this.completeSince.equals(Instant.MIN)
+				|| !issuedAt.isBefore(this.completeSince.plus(this.clockTolerance));
+	}
+
+	private void startAt(long offset, Instant time) {
+		this.afterGap = false;
+		if (offset > this.expectedOffset) {
+			this.completeSince = time;
+		}
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/journal/RequestJournal.java
+++ b/core/src/main/java/org/sardineport/core/journal/RequestJournal.java
@@ -38,10 +38,12 @@
 	 * {@link #dispatch} was called, or after it won while nothing was sent.
 	 * @param claim claim of the request
 	 * @param refusal why, told to those who joined
-	 * @return completes when the record is sure to be in the log, or the claim is known
-	 * to be void
+	 * @return the state once the record is in the log, or the claim is known to be void:
+	 * with {@link org.sardineport.core.request.Outcome#NOT_RUN} the request did not run
+	 * and the caller may be told so; in any other state another daemon holds it or has
+	 * ended it, and the caller gets the outcome of {@link #await}
 	 */
-	CompletionStage<Void> release(JournalClaim claim, Refusal refusal);
+	CompletionStage<KeyState> release(JournalClaim claim, Refusal refusal);
 
 	/**
 	 * Records the end of a dispatched request.
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/journal/JournalDutyTests.java
@@ -0,0 +1,252 @@
+package org.sardineport.daemon.journal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.journal.AcceptDecision;
+import org.sardineport.core.journal.DispatchDecision;
+import org.sardineport.core.journal.DispatchedRun;
+import org.sardineport.core.journal.DurableRunner;
+import org.sardineport.core.journal.JournalClaim;
+import org.sardineport.core.journal.KeyPhase;
+import org.sardineport.core.journal.KeyState;
+import org.sardineport.core.journal.KeyedRequest;
+import org.sardineport.core.journal.StoredAnswer;
+import org.sardineport.core.request.Outcome;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.settings.JournalSettings;
+import org.sardineport.standins.log.AppendFault;
+import org.sardineport.standins.log.InMemoryLogService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class JournalDutyTests {
+
+	private static final Duration MINUTE = Duration.ofMinutes(1);
+
+	private static final Duration TAKEOVER_AFTER = Duration.ofMillis(100);
+
+	private static final BackendServerId SERVER = BackendServerId.of("worker-1");
+
+	private static final JournalSettings SETTINGS = new JournalSettings(2, Duration.ofHours(1), 1000,
+			Duration.ofMillis(1), 1024 * 1024, TAKEOVER_AFTER);
+
+	private final InMemoryLogService log = InMemoryLogService.create();
+
+	private final FakeFleet fleet = new FakeFleet();
+
+	private final List<JournalDuty> started = new ArrayList<>();
+
+	@AfterEach
+	void stop() {
+		this.log.faults().outage(false);
+		this.started.forEach((journal) -> get(journal.stop()));
+	}
+
+	private static <T> T get(CompletionStage<T> stage) {
+		return stage.toCompletableFuture().join();
+	}
+
+	private JournalDuty start(String daemon) {
+		this.fleet.set(DaemonId.of(daemon), MemberStatus.ALIVE);
+		JournalDuty journal = JournalDuty.create("test", DaemonId.of(daemon), this.started.size() + 1, SETTINGS,
+				this.log, this.fleet, InstantSource.system(), Telemetry.create());
+		this.started.add(journal);
+		journal.start();
+		while (!journal.isReady()) {
+			Thread.onSpinWait();
+		}
+		return journal;
+	}
+
+	private static KeyedRequest request(String key, boolean durable) {
+		return KeyedRequests.request(key, durable, Instant.now(), MINUTE);
+	}
+
+	private static Instant deadline() {
+		return Instant.now().plus(MINUTE);
+	}
+
+	private static JournalClaim accepted(AcceptDecision decision) {
+		assertThat(decision).isInstanceOf(AcceptDecision.Accepted.class);
+		return ((AcceptDecision.Accepted) decision).claim();
+	}
+
+	private static StoredAnswer answer(int length) {
+		byte[] body = new byte[length];
+		for (int i = 0; i < length; i++) {
+			body[i] = (byte) (i * 31);
+		}
+		return new StoredAnswer(200, Map.of("content-type", "text/plain"), body);
+	}
+
+	private static void run(JournalDuty journal, KeyedRequest request, StoredAnswer answer) {
+		JournalClaim claim = accepted(get(journal.accept(request)));
+		assertThat(get(journal.dispatch(claim, SERVER, "stream", deadline()))).isInstanceOf(DispatchDecision.Won.class);
+		get(journal.finish(claim, Outcome.COMPLETED, answer));
+	}
+
+	@Test
+	void runsARequestOnceAndKeepsItsAnswerForAllDaemons() {
+		JournalDuty first = start("first");
+		JournalDuty second = start("second");
+		KeyedRequest request = request("key", false);
+		run(first, request, answer(100));
+		KeyState state = get(second.await(request.key(), deadline()));
+		assertThat(get(second.accept(request))).isInstanceOf(AcceptDecision.Finished.class);
+		assertThat(state.outcome()).isEqualTo(Outcome.COMPLETED);
+		assertThat(state.answer()).isNotNull();
+		assertThat(state.answer().body()).isEqualTo(answer(100).body());
+	}
+
+	@Test
+	void servesALongAnswerWholeFromAnotherDaemon() {
+		JournalDuty first = start("first");
+		KeyedRequest request = request("long", true);
+		run(first, request, answer(900_001));
+		JournalDuty second = start("second");
+		KeyState state = get(second.lookup(KeyedRequests.ORGANISATION, "long"));
+		assertThat(state.phase()).isEqualTo(KeyPhase.FINISHED);
+		assertThat(state.answer()).isNotNull();
+		assertThat(state.answer().body()).isEqualTo(answer(900_001).body());
+		assertThat(state.answer().status()).isEqualTo(200);
+	}
+
+	@Test
+	void joinsARepetitionToTheRunOfAnotherDaemon() {
+		JournalDuty first = start("first");
+		JournalDuty second = start("second");
+		KeyedRequest request = request("joined", false);
+		JournalClaim claim = accepted(get(first.accept(request)));
+		assertThat(get(second.accept(request))).isInstanceOf(AcceptDecision.Joined.class);
+		CompletionStage<KeyState> waiting = second.await(request.key(), deadline());
+		get(first.dispatch(claim, SERVER, "stream", deadline()));
+		get(first.finish(claim, Outcome.COMPLETED, answer(10)));
+		assertThat(get(waiting).answer()).isNotNull();
+	}
+
+	@Test
+	void refusesAKeyWithAnotherBody() {
+		JournalDuty journal = start("first");
+		run(journal, request("reused", false), answer(1));
+		AcceptDecision decision = get(
+				journal.accept(KeyedRequests.request("reused", false, Instant.now(), MINUTE, "other")));
+		assertThat(decision).isInstanceOfSatisfying(AcceptDecision.Refused.class,
+				(refused) -> assertThat(refused.refusal().reason()).isEqualTo(RefusalReason.KEY_REUSED));
+	}
+
+	@Test
+	void tellsNotRunAfterARelease() {
+		JournalDuty journal = start("first");
+		JournalClaim claim = accepted(get(journal.accept(request("released", false))));
+		KeyState state = get(journal.release(claim, Refusal.of(RefusalReason.OVERLOADED, "full")));
+		assertThat(state.outcome()).isEqualTo(Outcome.NOT_RUN);
+		assertThat(accepted(get(journal.accept(request("released", false))))).isNotEqualTo(claim);
+	}
+
+	@Test
+	void settlesLostAnswersOfAppends() {
+		JournalDuty journal = start("first");
+		this.log.faults()
+			.failNextAppends(AppendFault.ANSWER_LOST_AFTER_EFFECT, AppendFault.LOST_BEFORE_EFFECT,
+					AppendFault.LATE_EFFECT);
+		run(journal, request("lost", false), answer(10));
+		this.log.releaseLateAppends();
+		assertThat(get(journal.lookup(KeyedRequests.ORGANISATION, "lost")).outcome()).isEqualTo(Outcome.COMPLETED);
+	}
+
+	@Test
+	void doesNotSayNotRunWhileTheLogIsDown() {
+		JournalDuty journal = start("first");
+		this.log.faults().outage(true);
+		AcceptDecision decision = get(
+				journal.accept(KeyedRequests.request("outage", false, Instant.now(), Duration.ofMillis(200))));
+		assertThat(decision).isInstanceOfSatisfying(AcceptDecision.Refused.class,
+				(refused) -> assertThat(refused.refusal().outcome()).isEqualTo(Outcome.UNKNOWN));
+	}
+
+	@Test
+	void goesOnAfterAnOutage() {
+		JournalDuty journal = start("first");
+		this.log.faults().outage(true);
+		CompletionStage<AcceptDecision> waiting = journal.accept(request("outage", false));
+		this.log.faults().outage(false);
+		accepted(get(waiting));
+	}
+
+	@Test
+	void takesOverWhatADeadDaemonHadNotDispatched() {
+		JournalDuty dying = start("dying");
+		JournalDuty other = start("other");
+		CompletableFuture<KeyedRequest> taken = new CompletableFuture<>();
+		other.runner(new Runner(taken, new CompletableFuture<>()));
+		KeyedRequest request = request("durable", true);
+		JournalClaim old = accepted(get(dying.accept(request)));
+		this.fleet.set(DaemonId.of("dying"), MemberStatus.DEAD);
+		assertThat(get(taken)).usingRecursiveComparison().isEqualTo(request);
+		assertThat(get(dying.dispatch(old, SERVER, "stream", deadline()))).isInstanceOf(DispatchDecision.Lost.class);
+	}
+
+	@Test
+	void collectsWhatADeadDaemonHadDispatched() {
+		JournalDuty dying = start("dying");
+		JournalDuty other = start("other");
+		CompletableFuture<DispatchedRun> run = new CompletableFuture<>();
+		other.runner(new Runner(new CompletableFuture<>(), run));
+		KeyedRequest request = request("durable", true);
+		JournalClaim claim = accepted(get(dying.accept(request)));
+		get(dying.dispatch(claim, SERVER, "stream-7", deadline()));
+		this.fleet.set(DaemonId.of("dying"), MemberStatus.DEAD);
+		assertThat(get(run).streamId()).isEqualTo("stream-7");
+		get(other.finish(get(run).claim(), Outcome.COMPLETED, answer(5)));
+		assertThat(get(other.lookup(KeyedRequests.ORGANISATION, "durable")).answer()).isNotNull();
+	}
+
+	@Test
+	void tellsUnknownOfAPlainRunThatADeadDaemonLeft() {
+		JournalDuty dying = start("dying");
+		JournalDuty other = start("other");
+		KeyedRequest request = request("plain", false);
+		JournalClaim claim = accepted(get(dying.accept(request)));
+		get(dying.dispatch(claim, SERVER, "stream", deadline()));
+		get(other.accept(request));
+		CompletionStage<KeyState> waiting = other.await(request.key(), deadline());
+		this.fleet.set(DaemonId.of("dying"), MemberStatus.DEAD);
+		assertThat(get(waiting).outcome()).isEqualTo(Outcome.UNKNOWN);
+	}
+
+	/**
+	 * Notes what it is given.
+	 *
+	 * @param taken completes with the request to run
+	 * @param collected completes with the run to collect
+	 */
+	private record Runner(CompletableFuture<KeyedRequest> taken,
+			CompletableFuture<DispatchedRun> collected) implements DurableRunner {
+
+		@Override
+		public void run(KeyedRequest request, JournalClaim claim) {
+			this.taken.complete(request);
+		}
+
+		@Override
+		public void resume(DispatchedRun run) {
+			this.collected.complete(run);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wire/src/main/java/org/sardineport/wire/journal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Codec of the journal's records.
+ */
+@NullMarked
+package org.sardineport.wire.journal;
+
+import org.jspecify.annotations.NullMarked;
--- a/wire/src/main/java/org/sardineport/wire/message/JournalAccepted.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalAccepted.java
@@ -16,6 +16,7 @@
     JournalAcceptedOrBuilder {
   private JournalAccepted() {
     daemon_ = "";
+    supersedes_ = "";
   }
   private int bitField0_;
   public static final int FINGERPRINT_HIGH_FIELD_NUMBER = 1;
@@ -170,30 +171,42 @@
 
   }
 
-  public static final int INCARNATION_FIELD_NUMBER = 6;
-  private long incarnation_;
+  public static final int BOOT_FIELD_NUMBER = 6;
+  private long boot_;
   /**
-   * <code>uint64 incarnation = 6;</code>
-   * @return The incarnation.
+   * <pre>
+   * Number of the daemon's process.
+   * </pre>
+   *
+   * <code>fixed64 boot = 6;</code>
+   * @return The boot.
    */
   @java.lang.Override
-  public long getIncarnation() {
-    return incarnation_;
+  public long getBoot() {
+    return boot_;
   }
   /**
-   * <code>uint64 incarnation = 6;</code>
-   * @param value The incarnation to set.
+   * <pre>
+   * Number of the daemon's process.
+   * </pre>
+   *
+   * <code>fixed64 boot = 6;</code>
+   * @param value The boot to set.
    */
-  private void setIncarnation(long value) {
+  private void setBoot(long value) {
     
-    incarnation_ = value;
+    boot_ = value;
   }
   /**
-   * <code>uint64 incarnation = 6;</code>
+   * <pre>
+   * Number of the daemon's process.
+   * </pre>
+   *
+   * <code>fixed64 boot = 6;</code>
    */
-  private void clearIncarnation() {
+  private void clearBoot() {
 
-    incarnation_ = 0L;
+    boot_ = 0L;
   }
 
   public static final int REQUEST_FIELD_NUMBER = 7;
@@ -264,6 +277,74 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int SUPERSEDES_FIELD_NUMBER = 8;
+  private java.lang.String supersedes_;
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @return The supersedes.
+   */
+  @java.lang.Override
+  public java.lang.String getSupersedes() {
+    return supersedes_;
+  }
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @return The bytes for supersedes.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSupersedesBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(supersedes_);
+  }
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @param value The supersedes to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setSupersedes(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    supersedes_ = value;
+  }
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   */
+  private void clearSupersedes() {
+
+    supersedes_ = getDefaultInstance().getSupersedes();
+  }
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @param value The bytes for supersedes to set.
+   */
+  private void setSupersedesBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    supersedes_ = value.toStringUtf8();
+
+  }
+
   public static org.sardineport.wire.message.JournalAccepted parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -523,30 +604,42 @@
     }
 
     /**
-     * <code>uint64 incarnation = 6;</code>
-     * @return The incarnation.
+     * <pre>
+     * Number of the daemon's process.
+     * </pre>
+     *
+     * <code>fixed64 boot = 6;</code>
+     * @return The boot.
      */
     @java.lang.Override
-    public long getIncarnation() {
-      return instance.getIncarnation();
+    public long getBoot() {
+      return instance.getBoot();
     }
     /**
-     * <code>uint64 incarnation = 6;</code>
-     * @param value The incarnation to set.
+     * <pre>
+     * Number of the daemon's process.
+     * </pre>
+     *
+     * <code>fixed64 boot = 6;</code>
+     * @param value The boot to set.
      * @return This builder for chaining.
      */
-    public Builder setIncarnation(long value) {
+    public Builder setBoot(long value) {
       copyOnWrite();
-      instance.setIncarnation(value);
+      instance.setBoot(value);
       return this;
     }
     /**
-     * <code>uint64 incarnation = 6;</code>
+     * <pre>
+     * Number of the daemon's process.
+     * </pre>
+     *
+     * <code>fixed64 boot = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearIncarnation() {
+    public Builder clearBoot() {
       copyOnWrite();
-      instance.clearIncarnation();
+      instance.clearBoot();
       return this;
     }
 
@@ -621,6 +714,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Claim that is taken over, if any.
+     * </pre>
+     *
+     * <code>string supersedes = 8;</code>
+     * @return The supersedes.
+     */
+    @java.lang.Override
+    public java.lang.String getSupersedes() {
+      return instance.getSupersedes();
+    }
+    /**
+     * <pre>
+     * Claim that is taken over, if any.
+     * </pre>
+     *
+     * <code>string supersedes = 8;</code>
+     * @return The bytes for supersedes.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSupersedesBytes() {
+      return instance.getSupersedesBytes();
+    }
+    /**
+     * <pre>
+     * Claim that is taken over, if any.
+     * </pre>
+     *
+     * <code>string supersedes = 8;</code>
+     * @param value The supersedes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSupersedes(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setSupersedes(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Claim that is taken over, if any.
+     * </pre>
+     *
+     * <code>string supersedes = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSupersedes() {
+      copyOnWrite();
+      instance.clearSupersedes();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claim that is taken over, if any.
+     * </pre>
+     *
+     * <code>string supersedes = 8;</code>
+     * @param value The bytes for supersedes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSupersedesBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setSupersedesBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.JournalAccepted)
   }
   @java.lang.Override
@@ -643,12 +805,13 @@
             "issuedAtMillis_",
             "deadlineMillis_",
             "daemon_",
-            "incarnation_",
+            "boot_",
             "request_",
+            "supersedes_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0005\u0002\u0005" +
-              "\u0003\u0003\u0004\u0003\u0005\u0208\u0006\u0003\u0007\u1009\u0000";
+              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0000\u0000\u0001\u0005\u0002\u0005\u0003\u0003" +
+              "\u0004\u0003\u0005\u0208\u0006\u0005\u0007\u1009\u0000\b\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JournalAcceptedOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalAcceptedOrBuilder.java
@@ -47,10 +47,14 @@
       getDaemonBytes();
 
   /**
-   * <code>uint64 incarnation = 6;</code>
-   * @return The incarnation.
+   * <pre>
+   * Number of the daemon's process.
+   * </pre>
+   *
+   * <code>fixed64 boot = 6;</code>
+   * @return The boot.
    */
-  long getIncarnation();
+  long getBoot();
 
   /**
    * <pre>
@@ -70,4 +74,24 @@
    * @return The request.
    */
   org.sardineport.wire.message.JournalRequest getRequest();
+
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @return The supersedes.
+   */
+  java.lang.String getSupersedes();
+  /**
+   * <pre>
+   * Claim that is taken over, if any.
+   * </pre>
+   *
+   * <code>string supersedes = 8;</code>
+   * @return The bytes for supersedes.
+   */
+  com.google.protobuf.ByteString
+      getSupersedesBytes();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/JournalDispatched.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalDispatched.java
@@ -114,6 +114,44 @@
 
   }
 
+  public static final int ATTEMPT_FIELD_NUMBER = 3;
+  private int attempt_;
+  /**
+   * <pre>
+   * Number of the dispatch under its claim, from 1.
+   * </pre>
+   *
+   * <code>uint32 attempt = 3;</code>
+   * @return The attempt.
+   */
+  @java.lang.Override
+  public int getAttempt() {
+    return attempt_;
+  }
+  /**
+   * <pre>
+   * Number of the dispatch under its claim, from 1.
+   * </pre>
+   *
+   * <code>uint32 attempt = 3;</code>
+   * @param value The attempt to set.
+   */
+  private void setAttempt(int value) {
+    
+    attempt_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the dispatch under its claim, from 1.
+   * </pre>
+   *
+   * <code>uint32 attempt = 3;</code>
+   */
+  private void clearAttempt() {
+
+    attempt_ = 0;
+  }
+
   public static org.sardineport.wire.message.JournalDispatched parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -309,6 +347,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Number of the dispatch under its claim, from 1.
+     * </pre>
+     *
+     * <code>uint32 attempt = 3;</code>
+     * @return The attempt.
+     */
+    @java.lang.Override
+    public int getAttempt() {
+      return instance.getAttempt();
+    }
+    /**
+     * <pre>
+     * Number of the dispatch under its claim, from 1.
+     * </pre>
+     *
+     * <code>uint32 attempt = 3;</code>
+     * @param value The attempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAttempt(int value) {
+      copyOnWrite();
+      instance.setAttempt(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the dispatch under its claim, from 1.
+     * </pre>
+     *
+     * <code>uint32 attempt = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAttempt() {
+      copyOnWrite();
+      instance.clearAttempt();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.JournalDispatched)
   }
   @java.lang.Override
@@ -327,10 +405,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "backendServer_",
             "streamId_",
+            "attempt_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JournalDispatchedOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalDispatchedOrBuilder.java
@@ -33,4 +33,14 @@
    */
   com.google.protobuf.ByteString
       getStreamIdBytes();
+
+  /**
+   * <pre>
+   * Number of the dispatch under its claim, from 1.
+   * </pre>
+   *
+   * <code>uint32 attempt = 3;</code>
+   * @return The attempt.
+   */
+  int getAttempt();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/JournalFinished.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalFinished.java
@@ -15,59 +15,41 @@
     // @@protoc_insertion_point(message_implements:sardineport.JournalFinished)
     JournalFinishedOrBuilder {
   private JournalFinished() {
-    outcome_ = "";
+    lastPart_ = com.google.protobuf.ByteString.EMPTY;
   }
   public static final int OUTCOME_FIELD_NUMBER = 1;
-  private java.lang.String outcome_;
+  private int outcome_;
   /**
-   * <code>string outcome = 1;</code>
+   * <code>uint32 outcome = 1;</code>
    * @return The outcome.
    */
   @java.lang.Override
-  public java.lang.String getOutcome() {
+  public int getOutcome() {
     return outcome_;
   }
   /**
-   * <code>string outcome = 1;</code>
-   * @return The bytes for outcome.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getOutcomeBytes() {
-    return com.google.protobuf.ByteString.copyFromUtf8(outcome_);
-  }
-  /**
-   * <code>string outcome = 1;</code>
+   * <code>uint32 outcome = 1;</code>
    * @param value The outcome to set.
    */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setOutcome(
-      java.lang.String value) {
-    value.getClass();  // minimal bytecode null check
-
+  private void setOutcome(int value) {
+    
     outcome_ = value;
   }
   /**
-   * <code>string outcome = 1;</code>
+   * <code>uint32 outcome = 1;</code>
    */
   private void clearOutcome() {
 
-    outcome_ = getDefaultInstance().getOutcome();
-  }
-  /**
-   * <code>string outcome = 1;</code>
-   * @param value The bytes for outcome to set.
-   */
-  private void setOutcomeBytes(
-      com.google.protobuf.ByteString value) {
-    checkByteStringIsUtf8(value);
-    outcome_ = value.toStringUtf8();
-
+    outcome_ = 0;
   }
 
   public static final int STATUS_FIELD_NUMBER = 2;
   private int status_;
   /**
+   * <pre>
+   * Status of the answer, 0 if none is kept.
+   * </pre>
+   *
    * <code>uint32 status = 2;</code>
    * @return The status.
    */
@@ -76,6 +58,10 @@
     return status_;
   }
   /**
+   * <pre>
+   * Status of the answer, 0 if none is kept.
+   * </pre>
+   *
    * <code>uint32 status = 2;</code>
    * @param value The status to set.
    */
@@ -84,6 +70,10 @@
     status_ = value;
   }
   /**
+   * <pre>
+   * Status of the answer, 0 if none is kept.
+   * </pre>
+   *
    * <code>uint32 status = 2;</code>
    */
   private void clearStatus() {
@@ -189,6 +179,10 @@
   public static final int ANSWER_PARTS_FIELD_NUMBER = 4;
   private int answerParts_;
   /**
+   * <pre>
+   * Number of the parts that came before.
+   * </pre>
+   *
    * <code>uint32 answer_parts = 4;</code>
    * @return The answerParts.
    */
@@ -197,6 +191,10 @@
     return answerParts_;
   }
   /**
+   * <pre>
+   * Number of the parts that came before.
+   * </pre>
+   *
    * <code>uint32 answer_parts = 4;</code>
    * @param value The answerParts to set.
    */
@@ -205,6 +203,10 @@
     answerParts_ = value;
   }
   /**
+   * <pre>
+   * Number of the parts that came before.
+   * </pre>
+   *
    * <code>uint32 answer_parts = 4;</code>
    */
   private void clearAnswerParts() {
@@ -212,6 +214,33 @@
     answerParts_ = 0;
   }
 
+  public static final int LAST_PART_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString lastPart_;
+  /**
+   * <code>bytes last_part = 5;</code>
+   * @return The lastPart.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getLastPart() {
+    return lastPart_;
+  }
+  /**
+   * <code>bytes last_part = 5;</code>
+   * @param value The lastPart to set.
+   */
+  private void setLastPart(com.google.protobuf.ByteString value) {
+    java.lang.Class<?> valueClass = value.getClass();
+  
+    lastPart_ = value;
+  }
+  /**
+   * <code>bytes last_part = 5;</code>
+   */
+  private void clearLastPart() {
+
+    lastPart_ = getDefaultInstance().getLastPart();
+  }
+
   public static org.sardineport.wire.message.JournalFinished parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -310,35 +339,25 @@
 
 
     /**
-     * <code>string outcome = 1;</code>
+     * <code>uint32 outcome = 1;</code>
      * @return The outcome.
      */
     @java.lang.Override
-    public java.lang.String getOutcome() {
+    public int getOutcome() {
       return instance.getOutcome();
     }
     /**
-     * <code>string outcome = 1;</code>
-     * @return The bytes for outcome.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getOutcomeBytes() {
-      return instance.getOutcomeBytes();
-    }
-    /**
-     * <code>string outcome = 1;</code>
+     * <code>uint32 outcome = 1;</code>
      * @param value The outcome to set.
      * @return This builder for chaining.
      */
-    public Builder setOutcome(
-        java.lang.String value) {
+    public Builder setOutcome(int value) {
       copyOnWrite();
       instance.setOutcome(value);
       return this;
     }
     /**
-     * <code>string outcome = 1;</code>
+     * <code>uint32 outcome = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearOutcome() {
@@ -346,19 +365,12 @@
       instance.clearOutcome();
       return this;
     }
-    /**
-     * <code>string outcome = 1;</code>
-     * @param value The bytes for outcome to set.
-     * @return This builder for chaining.
-     */
-    public Builder setOutcomeBytes(
-        com.google.protobuf.ByteString value) {
-      copyOnWrite();
-      instance.setOutcomeBytes(value);
-      return this;
-    }
 
     /**
+     * <pre>
+     * Status of the answer, 0 if none is kept.
+     * </pre>
+     *
      * <code>uint32 status = 2;</code>
      * @return The status.
      */
@@ -367,6 +379,10 @@
       return instance.getStatus();
     }
     /**
+     * <pre>
+     * Status of the answer, 0 if none is kept.
+     * </pre>
+     *
      * <code>uint32 status = 2;</code>
      * @param value The status to set.
      * @return This builder for chaining.
@@ -377,6 +393,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Status of the answer, 0 if none is kept.
+     * </pre>
+     *
      * <code>uint32 status = 2;</code>
      * @return This builder for chaining.
      */
@@ -487,6 +507,10 @@
     }
 
     /**
+     * <pre>
+     * Number of the parts that came before.
+     * </pre>
+     *
      * <code>uint32 answer_parts = 4;</code>
      * @return The answerParts.
      */
@@ -495,6 +519,10 @@
       return instance.getAnswerParts();
     }
     /**
+     * <pre>
+     * Number of the parts that came before.
+     * </pre>
+     *
      * <code>uint32 answer_parts = 4;</code>
      * @param value The answerParts to set.
      * @return This builder for chaining.
@@ -505,6 +533,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Number of the parts that came before.
+     * </pre>
+     *
      * <code>uint32 answer_parts = 4;</code>
      * @return This builder for chaining.
      */
@@ -514,6 +546,34 @@
       return this;
     }
 
+    /**
+     * <code>bytes last_part = 5;</code>
+     * @return The lastPart.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getLastPart() {
+      return instance.getLastPart();
+    }
+    /**
+     * <code>bytes last_part = 5;</code>
+     * @param value The lastPart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLastPart(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setLastPart(value);
+      return this;
+    }
+    /**
+     * <code>bytes last_part = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLastPart() {
+      copyOnWrite();
+      instance.clearLastPart();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.JournalFinished)
   }
   @java.lang.Override
@@ -535,10 +595,11 @@
             "headers_",
             HeadersDefaultEntryHolder.defaultEntry,
             "answerParts_",
+            "lastPart_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0001\u0000\u0000\u0001\u0208\u0002\u000b" +
-              "\u00032\u0004\u000b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0001\u0000\u0000\u0001\u000b\u0002\u000b" +
+              "\u00032\u0004\u000b\u0005\n";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JournalFinishedOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalFinishedOrBuilder.java
@@ -11,18 +11,16 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>string outcome = 1;</code>
+   * <code>uint32 outcome = 1;</code>
    * @return The outcome.
    */
-  java.lang.String getOutcome();
-  /**
-   * <code>string outcome = 1;</code>
-   * @return The bytes for outcome.
-   */
-  com.google.protobuf.ByteString
-      getOutcomeBytes();
+  int getOutcome();
 
   /**
+   * <pre>
+   * Status of the answer, 0 if none is kept.
+   * </pre>
+   *
    * <code>uint32 status = 2;</code>
    * @return The status.
    */
@@ -65,8 +63,18 @@
       java.lang.String key);
 
   /**
+   * <pre>
+   * Number of the parts that came before.
+   * </pre>
+   *
    * <code>uint32 answer_parts = 4;</code>
    * @return The answerParts.
    */
   int getAnswerParts();
+
+  /**
+   * <code>bytes last_part = 5;</code>
+   * @return The lastPart.
+   */
+  com.google.protobuf.ByteString getLastPart();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/JournalReleased.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalReleased.java
@@ -15,56 +15,7 @@
     // @@protoc_insertion_point(message_implements:sardineport.JournalReleased)
     JournalReleasedOrBuilder {
   private JournalReleased() {
-    reason_ = "";
   }
-  public static final int REASON_FIELD_NUMBER = 1;
-  private java.lang.String reason_;
-  /**
-   * <code>string reason = 1;</code>
-   * @return The reason.
-   */
-  @java.lang.Override
-  public java.lang.String getReason() {
-    return reason_;
-  }
-  /**
-   * <code>string reason = 1;</code>
-   * @return The bytes for reason.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getReasonBytes() {
-    return com.google.protobuf.ByteString.copyFromUtf8(reason_);
-  }
-  /**
-   * <code>string reason = 1;</code>
-   * @param value The reason to set.
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setReason(
-      java.lang.String value) {
-    value.getClass();  // minimal bytecode null check
-
-    reason_ = value;
-  }
-  /**
-   * <code>string reason = 1;</code>
-   */
-  private void clearReason() {
-
-    reason_ = getDefaultInstance().getReason();
-  }
-  /**
-   * <code>string reason = 1;</code>
-   * @param value The bytes for reason to set.
-   */
-  private void setReasonBytes(
-      com.google.protobuf.ByteString value) {
-    checkByteStringIsUtf8(value);
-    reason_ = value.toStringUtf8();
-
-  }
-
   public static org.sardineport.wire.message.JournalReleased parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -162,55 +113,6 @@
     }
 
 
-    /**
-     * <code>string reason = 1;</code>
-     * @return The reason.
-     */
-    @java.lang.Override
-    public java.lang.String getReason() {
-      return instance.getReason();
-    }
-    /**
-     * <code>string reason = 1;</code>
-     * @return The bytes for reason.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getReasonBytes() {
-      return instance.getReasonBytes();
-    }
-    /**
-     * <code>string reason = 1;</code>
-     * @param value The reason to set.
-     * @return This builder for chaining.
-     */
-    public Builder setReason(
-        java.lang.String value) {
-      copyOnWrite();
-      instance.setReason(value);
-      return this;
-    }
-    /**
-     * <code>string reason = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearReason() {
-      copyOnWrite();
-      instance.clearReason();
-      return this;
-    }
-    /**
-     * <code>string reason = 1;</code>
-     * @param value The bytes for reason to set.
-     * @return This builder for chaining.
-     */
-    public Builder setReasonBytes(
-        com.google.protobuf.ByteString value) {
-      copyOnWrite();
-      instance.setReasonBytes(value);
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:sardineport.JournalReleased)
   }
   @java.lang.Override
@@ -226,11 +128,9 @@
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
-          java.lang.Object[] objects = new java.lang.Object[] {
-            "reason_",
-          };
+          java.lang.Object[] objects = null;
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0208";
+              "\u0000\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JournalReleasedOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalReleasedOrBuilder.java
@@ -9,16 +9,4 @@
 public interface JournalReleasedOrBuilder extends
     // @@protoc_insertion_point(interface_extends:sardineport.JournalReleased)
     com.google.protobuf.MessageLiteOrBuilder {
-
-  /**
-   * <code>string reason = 1;</code>
-   * @return The reason.
-   */
-  java.lang.String getReason();
-  /**
-   * <code>string reason = 1;</code>
-   * @return The bytes for reason.
-   */
-  com.google.protobuf.ByteString
-      getReasonBytes();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/JournalRequest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalRequest.java
@@ -19,6 +19,7 @@
     pathAndQuery_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
     pool_ = "";
+    requestId_ = "";
   }
   public static final int METHOD_FIELD_NUMBER = 1;
   private java.lang.String method_;
@@ -416,6 +417,106 @@
     runningPolicy_ = 0;
   }
 
+  public static final int ORGANISATION_TOKENS_PER_SECOND_FIELD_NUMBER = 11;
+  private long organisationTokensPerSecond_;
+  /**
+   * <code>uint64 organisation_tokens_per_second = 11;</code>
+   * @return The organisationTokensPerSecond.
+   */
+  @java.lang.Override
+  public long getOrganisationTokensPerSecond() {
+    return organisationTokensPerSecond_;
+  }
+  /**
+   * <code>uint64 organisation_tokens_per_second = 11;</code>
+   * @param value The organisationTokensPerSecond to set.
+   */
+  private void setOrganisationTokensPerSecond(long value) {
+    
+    organisationTokensPerSecond_ = value;
+  }
+  /**
+   * <code>uint64 organisation_tokens_per_second = 11;</code>
+   */
+  private void clearOrganisationTokensPerSecond() {
+
+    organisationTokensPerSecond_ = 0L;
+  }
+
+  public static final int REQUEST_ID_FIELD_NUMBER = 12;
+  private java.lang.String requestId_;
+  /**
+   * <code>string request_id = 12;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    return requestId_;
+  }
+  /**
+   * <code>string request_id = 12;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(requestId_);
+  }
+  /**
+   * <code>string request_id = 12;</code>
+   * @param value The requestId to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setRequestId(
+      java.lang.String value) {
+    value.getClass();  // minimal bytecode null check
+
+    requestId_ = value;
+  }
+  /**
+   * <code>string request_id = 12;</code>
+   */
+  private void clearRequestId() {
+
+    requestId_ = getDefaultInstance().getRequestId();
+  }
+  /**
+   * <code>string request_id = 12;</code>
+   * @param value The bytes for requestId to set.
+   */
+  private void setRequestIdBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    requestId_ = value.toStringUtf8();
+
+  }
+
+  public static final int ARRIVAL_MILLIS_FIELD_NUMBER = 13;
+  private long arrivalMillis_;
+  /**
+   * <code>uint64 arrival_millis = 13;</code>
+   * @return The arrivalMillis.
+   */
+  @java.lang.Override
+  public long getArrivalMillis() {
+    return arrivalMillis_;
+  }
+  /**
+   * <code>uint64 arrival_millis = 13;</code>
+   * @param value The arrivalMillis to set.
+   */
+  private void setArrivalMillis(long value) {
+    
+    arrivalMillis_ = value;
+  }
+  /**
+   * <code>uint64 arrival_millis = 13;</code>
+   */
+  private void clearArrivalMillis() {
+
+    arrivalMillis_ = 0L;
+  }
+
   public static org.sardineport.wire.message.JournalRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -928,6 +1029,111 @@
       return this;
     }
 
+    /**
+     * <code>uint64 organisation_tokens_per_second = 11;</code>
+     * @return The organisationTokensPerSecond.
+     */
+    @java.lang.Override
+    public long getOrganisationTokensPerSecond() {
+      return instance.getOrganisationTokensPerSecond();
+    }
+    /**
+     * <code>uint64 organisation_tokens_per_second = 11;</code>
+     * @param value The organisationTokensPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationTokensPerSecond(long value) {
+      copyOnWrite();
+      instance.setOrganisationTokensPerSecond(value);
+      return this;
+    }
+    /**
+     * <code>uint64 organisation_tokens_per_second = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisationTokensPerSecond() {
+      copyOnWrite();
+      instance.clearOrganisationTokensPerSecond();
+      return this;
+    }
+
+    /**
+     * <code>string request_id = 12;</code>
+     * @return The requestId.
+     */
+    @java.lang.Override
+    public java.lang.String getRequestId() {
+      return instance.getRequestId();
+    }
+    /**
+     * <code>string request_id = 12;</code>
+     * @return The bytes for requestId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      return instance.getRequestIdBytes();
+    }
+    /**
+     * <code>string request_id = 12;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setRequestId(value);
+      return this;
+    }
+    /**
+     * <code>string request_id = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      copyOnWrite();
+      instance.clearRequestId();
+      return this;
+    }
+    /**
+     * <code>string request_id = 12;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setRequestIdBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>uint64 arrival_millis = 13;</code>
+     * @return The arrivalMillis.
+     */
+    @java.lang.Override
+    public long getArrivalMillis() {
+      return instance.getArrivalMillis();
+    }
+    /**
+     * <code>uint64 arrival_millis = 13;</code>
+     * @param value The arrivalMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setArrivalMillis(long value) {
+      copyOnWrite();
+      instance.setArrivalMillis(value);
+      return this;
+    }
+    /**
+     * <code>uint64 arrival_millis = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearArrivalMillis() {
+      copyOnWrite();
+      instance.clearArrivalMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.JournalRequest)
   }
   @java.lang.Override
@@ -955,10 +1161,14 @@
             "answerTokens_",
             "prefixHash_",
             "runningPolicy_",
+            "organisationTokensPerSecond_",
+            "requestId_",
+            "arrivalMillis_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0000\u0001\n\n\u0001\u0000\u0000\u0001\u0208\u0002\u0208\u00032\u0004" +
-              "\n\u0005\u0208\u0006\u000b\u0007\u000b\b\u000b\t\u0005\n\u000b";
+              "\u0000\r\u0000\u0000\u0001\r\r\u0001\u0000\u0000\u0001\u0208\u0002\u0208\u00032\u0004" +
+              "\n\u0005\u0208\u0006\u000b\u0007\u000b\b\u000b\t\u0005\n\u000b\u000b\u0003\f\u0208" +
+              "\r\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/JournalRequestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/JournalRequestOrBuilder.java
@@ -117,4 +117,28 @@
    * @return The runningPolicy.
    */
   int getRunningPolicy();
+
+  /**
+   * <code>uint64 organisation_tokens_per_second = 11;</code>
+   * @return The organisationTokensPerSecond.
+   */
+  long getOrganisationTokensPerSecond();
+
+  /**
+   * <code>string request_id = 12;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <code>string request_id = 12;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
+
+  /**
+   * <code>uint64 arrival_millis = 13;</code>
+   * @return The arrivalMillis.
+   */
+  long getArrivalMillis();
 }
