--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationStateOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationStateOrBuilder.java
@@ -11,14 +11,62 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>sint64 version = 1;</code>
+   * <code>sint64 as_of = 1;</code>
+   * @return The asOf.
+   */
+  long getAsOf();
+
+  /**
+   * <code>sint64 version = 2;</code>
    * @return The version.
    */
   long getVersion();
 
   /**
-   * <code>bytes snapshot = 2;</code>
-   * @return The snapshot.
+   * <pre>
+   * Version that the receiver must have at least; -1 if the image is complete.
+   * </pre>
+   *
+   * <code>sint64 newer_than = 3;</code>
+   * @return The newerThan.
+   */
+  long getNewerThan();
+
+  /**
+   * <pre>
+   * Retirements up to this version are not listed any more.
+   * </pre>
+   *
+   * <code>sint64 forgotten_version = 4;</code>
+   * @return The forgottenVersion.
+   */
+  long getForgottenVersion();
+
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  java.util.List<org.sardineport.wire.message.ProfileText> 
+      getProfilesList();
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  org.sardineport.wire.message.ProfileText getProfiles(int index);
+  /**
+   * <code>repeated .sardineport.ProfileText profiles = 5;</code>
+   */
+  int getProfilesCount();
+
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  java.util.List<org.sardineport.wire.message.ProfileRetirement> 
+      getRetirementsList();
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
+   */
+  org.sardineport.wire.message.ProfileRetirement getRetirements(int index);
+  /**
+   * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
    */
-  com.google.protobuf.ByteString getSnapshot();
+  int getRetirementsCount();
 }
