--- a/core/src/main/java/org/sardineport/core/journal/AppendQueue.java
+++ b/core/src/main/java/org/sardineport/core/journal/AppendQueue.java
@@ -146,6 +146,10 @@
 		}
 	}
 
+	boolean isInDoubt() {
+		return this.doubtful;
+	}
+
 	int size() {
 		return this.unsettled.size();
 	}
--- a/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
+++ b/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
@@ -313,6 +313,15 @@
 		return this.position.isReady(now);
 	}
 
+	/**
+	 * Returns whether the append of an entry is in doubt, so that a read to the end of
+	 * the log is wanted.
+	 * @return whether there is one
+	 */
+	public boolean isInDoubt() {
+		return this.queue.isInDoubt();
+	}
+
 	/**
 	 * Returns how many entries have not been read back.
 	 * @return the number
--- a/daemon/src/main/java/org/sardineport/daemon/journal/PartitionIo.java
+++ b/daemon/src/main/java/org/sardineport/daemon/journal/PartitionIo.java
@@ -96,7 +96,8 @@
 		}
 		this.reading = true;
 		long number = this.partition.beginRead();
-		this.log.read(this.stream, this.partition.nextOffset(), PAGE_RECORDS, READ_WAIT)
+		Duration wait = (this.partition.isReady(now) && !this.partition.isInDoubt()) ? READ_WAIT : Duration.ZERO;
+		this.log.read(this.stream, this.partition.nextOffset(), PAGE_RECORDS, wait)
 			.whenComplete((slice, error) -> readEnded(number, slice, error));
 	}
 
@@ -136,7 +137,9 @@
 		}
 		int again = this.partition.readEnded(number, slice.nextOffset(), slice.isAtEnd(), now);
 		this.telemetry.counter("journal.entries-sent-again").inc(again);
-		read(now);
+		if (!slice.records().isEmpty()) {
+			read(now);
+		}
 	}
 
 	private void readFailed(@Nullable Throwable error) {
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeJournal.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeJournal.java
@@ -79,10 +79,11 @@
 	}
 
 	@Override
-	public synchronized CompletionStage<Void> release(JournalClaim claim, Refusal refusal) {
+	public synchronized CompletionStage<KeyState> release(JournalClaim claim, Refusal refusal) {
 		Entry released = this.entries.remove(name(claim.key()));
-		released.ended.complete(new KeyState(KeyPhase.FINISHED, Outcome.NOT_RUN, null));
-		return CompletableFuture.completedStage(null);
+		KeyState state = new KeyState(KeyPhase.ABSENT, Outcome.NOT_RUN, null);
+		released.ended.complete(state);
+		return CompletableFuture.completedStage(state);
 	}
 
 	@Override
