--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.sardineport.core.exchange.RetryBudget;
-import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -25,7 +24,7 @@
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
-import org.sardineport.daemon.placeholder.AbsentJournal;
+import org.sardineport.daemon.journal.JournalDuty;
 import org.sardineport.daemon.placeholder.SingleFleet;
 import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
@@ -72,7 +71,8 @@
 				settings.platform().timeout());
 		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
 				log, fleet, transport, clock, telemetry);
-		RequestJournal journal = AbsentJournal.create();
+		JournalDuty journal = JournalDuty.create(settings.fleet(), settings.daemon(), incarnation, settings.journal(),
+				log, fleet, clock, telemetry);
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
@@ -80,12 +80,12 @@
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, this.runner, clock, telemetry));
-		Readiness readiness = () -> (configuration.isReady()) ? List.of() : List.of("The configuration is being read.");
+		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, this.callers::inFlight, telemetry));
-		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, this.callers,
-				operators);
+		this.services = List.of(transport, log, vmList, engines, fleet, configuration, journal, scheduling,
+				this.callers, operators);
 	}
 
 	/**
@@ -125,6 +125,17 @@
 			.thenRun(() -> LOG.info("daemon.stopped", "daemon", this.settings.daemon()));
 	}
 
+	private static List<String> missing(boolean configurationReady, boolean journalReady) {
+		List<String> missing = new ArrayList<>();
+		if (!configurationReady) {
+			missing.add("The configuration is being read.");
+		}
+		if (!journalReady) {
+			missing.add("The journal is being read.");
+		}
+		return missing;
+	}
+
 	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
--- a/daemon/src/main/java/org/sardineport/daemon/journal/PartitionIo.java
+++ b/daemon/src/main/java/org/sardineport/daemon/journal/PartitionIo.java
@@ -33,6 +33,8 @@
 
 	private static final Duration READ_WAIT = Duration.ofMillis(500);
 
+	private static final Duration DOUBT_WAIT = Duration.ofMillis(20);
+
 	private static final EventLog LOG = EventLog.of(PartitionIo.class);
 
 	private final JournalPartition partition;
@@ -96,7 +98,8 @@
 		}
 		this.reading = true;
 		long number = this.partition.beginRead();
-		Duration wait = (this.partition.isReady(now) && !this.partition.isInDoubt()) ? READ_WAIT : Duration.ZERO;
+		Duration wait = (this.partition.isInDoubt()) ? DOUBT_WAIT : READ_WAIT;
+		wait = (this.partition.isReady(now)) ? wait : Duration.ZERO;
 		this.log.read(this.stream, this.partition.nextOffset(), PAGE_RECORDS, wait)
 			.whenComplete((slice, error) -> readEnded(number, slice, error));
 	}
