--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -77,7 +77,7 @@
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
-		this.runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
+		this.runner = RequestRunner.create(RunServices.create(scheduling, journal, engines, clock, telemetry,
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, this.runner, clock, telemetry));
