--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/configuration/ConfigurationReplicaTests.java
@@ -0,0 +1,174 @@
+package org.sardineport.core.configuration;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.configuration.ConfigurationReplica.Adoption;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.port.log.LogService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConfigurationReplicaTests {
+
+	private static final Publication FIRST = TestProfiles.publish("first", -1, TestProfiles.document("a", "1"));
+
+	private static final Publication SECOND = TestProfiles.publish("second", 0, TestProfiles.document("a", "2"));
+
+	private static final Publication THIRD = TestProfiles.publish("third", 1, TestProfiles.document("b", "1"));
+
+	private final ConfigurationReplica replica = replica();
+
+	private static ConfigurationReplica replica() {
+		return ConfigurationReplica.create(TestProfiles.PARSER, TestProfiles.MemoryCodec.INSTANCE);
+	}
+
+	/** A replica that has replayed publications from offset 0 on. */
+	private static ConfigurationReplica after(Publication... publications) {
+		ConfigurationReplica replica = replica();
+		for (int offset = 0; offset < publications.length; offset++) {
+			assertThat(replica.apply(offset, publications[offset])).allMatch(Verdict::isAccepted);
+		}
+		return replica;
+	}
+
+	private static List<ImagePage> snapshot(ConfigurationReplica source, int pageBytes) {
+		return TestProfiles.pages("s" + source.asOf(), source.state(), source.asOf(), -1, pageBytes);
+	}
+
+	@Test
+	void startsAgainFromASnapshotWhenRecordsWereDropped() {
+		this.replica.expired();
+		assertThat(this.replica.nextOffset()).isEqualTo(LogService.EARLIEST);
+		ConfigurationReplica writer = after(FIRST, SECOND);
+		assertThat(this.replica.apply(2, THIRD)).as("not judged without the records before").isEmpty();
+		assertThat(this.replica.hasGap()).isTrue();
+		assertThat(this.replica.apply(3, snapshot(writer, 100).get(0))).singleElement()
+			.satisfies((verdict) -> assertThat(verdict.offset()).isEqualTo(2));
+		assertThat(this.replica.hasGap()).isFalse();
+		assertThat(this.replica.state()).isEqualTo(after(FIRST, SECOND, THIRD).state());
+		assertThat(this.replica.nextOffset()).isEqualTo(4);
+	}
+
+	@Test
+	void snapshotTooOldForWhatIsKeptIsNotUsed() {
+		this.replica.expired();
+		this.replica.apply(2, THIRD);
+		this.replica.apply(3, snapshot(after(FIRST), 100).get(0));
+		assertThat(this.replica.hasGap()).as("the record of offset 1 is missing").isTrue();
+		assertThat(this.replica.state().profiles()).doesNotContainKey(ProfileName.of("b"));
+	}
+
+	@Test
+	void snapshotWithoutItsFirstPageIsNotUsed() {
+		this.replica.expired();
+		List<ImagePage> pages = snapshot(after(FIRST, SECOND), 2);
+		this.replica.apply(3, pages.get(1));
+		assertThat(this.replica.hasGap()).isTrue();
+		this.replica.apply(4, pages.get(0));
+		assertThat(this.replica.state().version()).isEqualTo(1);
+		assertThat(this.replica.hasGap()).as("the record of offset 2 is missing").isTrue();
+	}
+
+	@Test
+	void snapshotWrittenLateByAPausedDaemonIsHarmless() {
+		ConfigurationReplica current = after(FIRST, SECOND, THIRD);
+		ConfigurationState before = current.state();
+		snapshot(after(FIRST), 100).forEach((page) -> current.apply(3, page));
+		assertThat(current.state()).isSameAs(before);
+	}
+
+	@Test
+	void stalePeerChangesNothing() {
+		ConfigurationReplica current = after(FIRST, SECOND);
+		ConfigurationState before = current.state();
+		assertThat(current.adopt(after(FIRST).state().image(0, -1)).taken()).isFalse();
+		assertThat(current.state()).isSameAs(before);
+	}
+
+	@Test
+	void peersChangesAreTakenOnlyOnTopOfTheVersionTheyBeginAt() {
+		ConfigurationReplica newest = after(FIRST, SECOND, THIRD);
+		assertThat(this.replica.adopt(newest.state().image(2, 1)).taken()).isFalse();
+		assertThat(this.replica.adopt(newest.state().image(2, -1)).taken()).isTrue();
+		assertThat(this.replica.state()).isEqualTo(newest.state());
+		assertThat(this.replica.apply(1, SECOND)).as("contained already").isEmpty();
+	}
+
+	@Test
+	void retirementReachesAPeerThatIsBehind() {
+		ConfigurationReplica behind = after(FIRST, SECOND, THIRD);
+		ConfigurationReplica newest = after(FIRST, SECOND, THIRD, TestProfiles.retire("r", 2, "a"));
+		behind.adopt(newest.state().image(newest.asOf(), behind.state().version()));
+		assertThat(behind.state()).isEqualTo(newest.state());
+		assertThat(behind.state().profiles()).containsOnlyKeys(ProfileName.of("b"));
+	}
+
+	@Test
+	void imageWithAFaultyProfileChangesNothing() {
+		ConfigurationImage faulty = new ConfigurationImage(5, 5, -1, -1,
+				List.of(new ImageProfile(TestProfiles.document("bad", "1"), 5)), List.of());
+		Adoption adoption = this.replica.adopt(faulty);
+		assertThat(adoption.taken()).isFalse();
+		assertThat(adoption.fault()).isNotEmpty();
+		assertThat(this.replica.state()).isSameAs(ConfigurationState.EMPTY);
+	}
+
+	@Test
+	void versionStaysWhenTheLogLosesRecords() {
+		ConfigurationReplica holder = after(FIRST, SECOND, THIRD);
+		ConfigurationState before = holder.state();
+		holder.readUpTo(1);
+		assertThat(holder.apply(1, TestProfiles.publish("x", 0, TestProfiles.document("a", "lost")))).isEmpty();
+		assertThat(holder.state()).isSameAs(before);
+		assertThat(holder.nextOffset()).isEqualTo(3);
+	}
+
+	@Test
+	void replicasThatKnowOnlyTheLogAgreeAgainAfterItLostRecords() {
+		ConfigurationReplica holder = after(FIRST, SECOND, THIRD);
+		ConfigurationReplica fresh = after(FIRST);
+		fresh.apply(1, TestProfiles.publish("x", 0, TestProfiles.document("c", "1")));
+		fresh.apply(2, snapshot(holder, 100).get(0));
+		assertThat(fresh.state()).isEqualTo(holder.state());
+		Publication next = TestProfiles.publish("next", 2, TestProfiles.document("c", "2"));
+		assertThat(fresh.apply(3, next)).isEqualTo(holder.apply(3, next)).allMatch(Verdict::isAccepted);
+	}
+
+	@Test
+	void peerClosesTheGapOfADaemonThatHasTheSameVersion() {
+		ConfigurationReplica paused = after(FIRST);
+		paused.expired();
+		paused.apply(7, TestProfiles.publish("late", 0, TestProfiles.document("a", "2")));
+		assertThat(paused.state().version()).isZero();
+		assertThat(paused.confirmed(0, 4)).isEmpty();
+		assertThat(paused.hasGap()).isTrue();
+		assertThat(paused.confirmed(0, 6)).singleElement().matches(Verdict::isAccepted);
+		assertThat(paused.hasGap()).isFalse();
+		assertThat(paused.state().version()).isEqualTo(7);
+	}
+
+	@Test
+	void holdsBackABoundedNumberOfRecords() {
+		this.replica.expired();
+		int count = ConfigurationReplica.MAXIMUM_HELD_BACK + 100;
+		for (int offset = 1; offset <= count; offset++) {
+			this.replica.apply(offset,
+					TestProfiles.publish("t" + offset, -1, TestProfiles.document("p" + offset, "1")));
+		}
+		ConfigurationState early = after(FIRST).state();
+		assertThat(this.replica.adopt(early.image(0, -1)).verdicts()).as("records after the image were dropped")
+			.isEmpty();
+		assertThat(this.replica.hasGap()).isTrue();
+		assertThat(this.replica.confirmed(0, 100)).hasSize(ConfigurationReplica.MAXIMUM_HELD_BACK);
+	}
+
+	@Test
+	void garbageIsNamedAndChangesNothing() {
+		assertThat(this.replica.apply(0, new UnreadableRecord("garbage"))).singleElement()
+			.satisfies((verdict) -> assertThat(verdict.kind()).isEqualTo(VerdictKind.UNREADABLE));
+		assertThat(this.replica.apply(1, new ImagePage("x", 9, 0, 1, new byte[] { 1 }))).isEmpty();
+		assertThat(this.replica.state()).isSameAs(ConfigurationState.EMPTY);
+	}
+
+}
