Measure the slopes of every role and multiply them to the designed size

One command measures memory, processor time and bytes of each role at growing sizes, three runs each, fits lines, writes CSV and plots, and holds the products against a daemon's budget.

--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
@@ -0,0 +1,66 @@
+package org.sardineport.bench.slope;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.settings.MembershipSettings;
+import org.sardineport.standins.fleet.VirtualFleet;
+import org.sardineport.standins.peer.NetworkConditions;
+
+/**
+ * Costs of membership. Daemons of other regions cost nothing here: each region keeps its
+ * own view.
+ */
+final class MembershipSlopes {
+
+	private static final List<String> FAILURE_DOMAINS = List.of("region-1.domain-1", "region-1.domain-2",
+			"region-1.domain-3");
+
+	private static final int DAEMONS = 64;
+
+	private static final Duration SETTLED = Duration.ofSeconds(30);
+
+	private MembershipSlopes() {
+	}
+
+	static List<SlopeProbe> probes() {
+		List<Integer> seconds = List.of(30, 60, 120);
+		return List.of(
+				new SlopeProbe("member-memory", Role.MEMBER, "daemons of the region", CostUnit.HEAP_BYTES,
+						List.of(16, 32, 64), MembershipSlopes::memory),
+				new SlopeProbe("member-probe-bytes", Role.MEMBER, "seconds", CostUnit.WIRE_BYTES, seconds,
+						MembershipSlopes::probeBytes),
+				new SlopeProbe("member-probe-time", Role.MEMBER, "seconds", CostUnit.PROCESSOR_NANOSECONDS, seconds,
+						MembershipSlopes::probeTime));
+	}
+
+	private static double memory(int daemons, long seed) {
+		double whole = HeapMeter.retainedBytes(() -> settled(daemons, seed));
+		return whole / daemons;
+	}
+
+	private static double probeBytes(int seconds, long seed) {
+		VirtualFleet fleet = settled(DAEMONS, seed);
+		FrameMeter meter = new FrameMeter();
+		double[] bytes = new double[1];
+		fleet.listenToSends((message) -> bytes[0] += 2 * meter.bytes(message));
+		fleet.run(Duration.ofSeconds(seconds));
+		return bytes[0] / DAEMONS;
+	}
+
+	private static double probeTime(int seconds, long seed) {
+		VirtualFleet fleet = settled(DAEMONS, seed);
+		return ProcessorMeter.processorNanos(() -> fleet.run(Duration.ofSeconds(seconds))) / DAEMONS;
+	}
+
+	private static VirtualFleet settled(int daemons, long seed) {
+		MembershipSettings settings = MembershipSettings.defaults();
+		MembershipTiming timing = new MembershipTiming(settings.probeInterval(), settings.probeTimeout(),
+				settings.suspicionTimeout());
+		VirtualFleet fleet = VirtualFleet.create(daemons, FAILURE_DOMAINS, timing, NetworkConditions.PERFECT, seed);
+		fleet.run(SETTLED);
+		return fleet;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/slope/ScheduledDaemons.java
@@ -0,0 +1,211 @@
+package org.sardineport.bench.slope;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.Permit;
+import org.sardineport.core.admission.PermitListener;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+import org.sardineport.core.scheduling.OwnerLookup;
+import org.sardineport.core.scheduling.Scheduler;
+import org.sardineport.core.scheduling.SchedulingEffects;
+import org.sardineport.core.scheduling.SchedulingLimits;
+import org.sardineport.core.scheduling.SchedulingMessage;
+
+/**
+ * Schedulers of some daemons in virtual time. With one daemon it owns all backend
+ * servers; with more, the first owns none, so that all its requests spill to an owner.
+ */
+final class ScheduledDaemons {
+
+	private static final Duration DEADLINE = Duration.ofMinutes(10);
+
+	private static final int WAITING = 100_000;
+
+	private static final int CONCURRENCY = 64;
+
+	private static final PoolName POOL = PoolName.of("model");
+
+	private static final FailureDomain FAILURE_DOMAIN = FailureDomain.of("region-1.domain-1");
+
+	private final List<Scheduler> schedulers = new ArrayList<>();
+
+	private final Deque<Runnable> deliveries = new ArrayDeque<>();
+
+	private Instant now = Instant.EPOCH;
+
+	private long nextRequest;
+
+	private @Nullable Permit granted;
+
+	private Consumer<SchedulingMessage> listener = (message) -> {
+	};
+
+	private ScheduledDaemons() {
+	}
+
+	static ScheduledDaemons create(int daemons, int servers, long seed) {
+		ScheduledDaemons created = new ScheduledDaemons();
+		SplittableRandom random = new SplittableRandom(seed);
+		SchedulingLimits limits = new SchedulingLimits(Duration.ofSeconds(1), Duration.ofMillis(500), WAITING);
+		OwnerLookup owners = (daemons == 1) ? (server, members) -> OwnerLookup.rendezvous().owner(server, members)
+				: (server, members) -> OwnerLookup.rendezvous().owner(server, members.subList(1, members.size()));
+		for (int i = 0; i < daemons; i++) {
+			created.schedulers
+				.add(Scheduler.create(id(i), limits, owners, () -> created.now, random.split(), created.effects(i)));
+		}
+		created.tell(daemons, servers);
+		return created;
+	}
+
+	private void tell(int daemons, int servers) {
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < daemons; i++) {
+			members.add(new Member(id(i), 1, MemberStatus.ALIVE, FAILURE_DOMAIN, address(i), address(i), 1, 10));
+		}
+		List<BackendServer> pool = new ArrayList<>();
+		for (int i = 0; i < servers; i++) {
+			pool.add(new BackendServer(BackendServerId.of("worker-" + i), BackendKind.MODEL_ENGINE, POOL,
+					FAILURE_DOMAIN, address(1000 + i), CONCURRENCY));
+		}
+		for (int i = 0; i < daemons; i++) {
+			Scheduler scheduler = this.schedulers.get(i);
+			scheduler.fleet(new FleetSnapshot(id(i), members, pool));
+			pool.forEach(
+					(server) -> scheduler.loaded(new LoadReport(server.id(), 0, 0, 1_000_000, false, true, this.now)));
+		}
+		deliver();
+	}
+
+	void listenToMessages(Consumer<SchedulingMessage> newListener) {
+		this.listener = newListener;
+	}
+
+	void advance(Duration time) {
+		this.now = this.now.plus(time);
+	}
+
+	/**
+	 * Submits a request that must get its permit at once.
+	 * @param daemon number of the daemon
+	 * @return the permit
+	 */
+	Permit submit(int daemon) {
+		this.granted = null;
+		this.schedulers.get(daemon).submit(request(), new Recorder());
+		deliver();
+		Permit permit = this.granted;
+		if (permit == null) {
+			throw new IllegalStateException("an idle pool must grant a permit");
+		}
+		return permit;
+	}
+
+	/**
+	 * Submits requests whose questions get no answer.
+	 * @param requests how many
+	 */
+	void submitWithoutAnswers(int requests) {
+		for (int i = 0; i < requests; i++) {
+			this.schedulers.get(0).submit(request(), new Recorder());
+			this.deliveries.clear();
+		}
+	}
+
+	void release(int daemon, Permit permit, RunMeasurement measurement) {
+		this.schedulers.get(daemon).release(permit, measurement);
+		deliver();
+	}
+
+	private SchedulingRequest request() {
+		long number = this.nextRequest++;
+		return new SchedulingRequest(RequestId.of("entry-vm-1234-" + number), POOL,
+				OrganisationId.of("organisation-" + number % FleetSize.ORGANISATIONS), Tier.STANDARD,
+				TokenEstimate.of(400, 200), number % 64 + 1, Fingerprint.of(number, number), RunningPolicy.CANCELLABLE,
+				0, this.now, this.now.plus(DEADLINE));
+	}
+
+	private void deliver() {
+		while (!this.deliveries.isEmpty()) {
+			this.deliveries.removeFirst().run();
+		}
+	}
+
+	private SchedulingEffects effects(int from) {
+		return new SchedulingEffects() {
+
+			@Override
+			public void send(DaemonId to, SchedulingMessage message) {
+				ScheduledDaemons.this.listener.accept(message);
+				ScheduledDaemons.this.deliveries
+					.addLast(() -> ScheduledDaemons.this.schedulers.get(number(to)).received(id(from), message));
+			}
+
+			@Override
+			public void retried(RetryReason reason) {
+			}
+
+		};
+	}
+
+	private static DaemonId id(int number) {
+		return DaemonId.of("entry-vm-" + number);
+	}
+
+	private static int number(DaemonId id) {
+		return Integer.parseInt(id.value().substring("entry-vm-".length()));
+	}
+
+	private static NetworkAddress address(int number) {
+		return NetworkAddress.of("10.1.%d.%d".formatted(number / 250, number % 250 + 1), 7000);
+	}
+
+	/**
+	 * Keeps the permit that was granted last.
+	 */
+	private final class Recorder implements PermitListener {
+
+		@Override
+		public void granted(Permit permit) {
+			ScheduledDaemons.this.granted = permit;
+		}
+
+		@Override
+		public void refused(Refusal refusal) {
+			throw new IllegalStateException("an idle pool must not refuse: " + refusal);
+		}
+
+		@Override
+		public void preempted(Permit permit) {
+		}
+
+	}
+
+}
