--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
@@ -0,0 +1,102 @@
+package org.sardineport.bench.configuration;
+
+import java.time.Duration;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.ranges.IntegerRange;
+import org.HdrHistogram.Histogram;
+import org.sardineport.bench.Measurement;
+
+/**
+ * Measures how soon a change of the configuration is in force on all daemons, and what it
+ * costs a daemon.
+ */
+@Command(name = "configuration", description = "Time until a change is in force on all daemons, and its cost")
+public final class ConfigurationMeasurement implements Measurement {
+
+	private static final int DAEMONS = 8;
+
+	private static final Duration OUTAGE = Duration.ofSeconds(4);
+
+	private static final double TARGET_SECONDS = 1;
+
+	private static final double OUTAGE_TARGET_SECONDS = 6;
+
+	/** Changes of configuration a day in the whole fleet. */
+	private static final double CHANGES_PER_SECOND = 9900.0 / Duration.ofDays(1).toSeconds();
+
+	/** Bytes a second that a daemon may spend for control. */
+	private static final double CONTROL_BYTES_PER_SECOND = 3 * 1024;
+
+	/** Share of a core that a daemon may spend for control. */
+	private static final double CONTROL_CORE_SHARE = 0.01;
+
+	/** Memory that a daemon may spend for control. */
+	private static final double CONTROL_BYTES = 64.0 * 1024 * 1024;
+
+	/** As many profiles of the large kind as the rules allow, roughly. */
+	private static final int LARGE_PROFILES = 150;
+
+	private static final int LARGE_ORGANISATIONS = 380;
+
+	@Option(name = "--changes", title = "COUNT", description = "Changes to publish; default: 200")
+	@IntegerRange(min = 10, max = 10_000)
+	private int changes = 200;
+
+	@Option(name = "--outages", title = "COUNT", description = "Outages of the log to measure; default: 3")
+	@IntegerRange(min = 0, max = 100)
+	private int outages = 3;
+
+	private boolean allMet = true;
+
+	@Override
+	public boolean run() throws Exception {
+		System.out.println("measure,value,unit,target,result");
+		try (Fleet fleet = Fleet.start(DAEMONS)) {
+			Propagation propagation = new Propagation(fleet);
+			Histogram plain = propagation.changes(this.changes);
+			print("in-force-p50", seconds(plain, 50), "s", TARGET_SECONDS);
+			print("in-force-p99", seconds(plain, 99), "s", TARGET_SECONDS);
+			print("in-force-max", seconds(plain, 100), "s", OUTAGE_TARGET_SECONDS);
+			if (this.outages > 0) {
+				Histogram outage = propagation.publishedDuringOutages(this.outages, OUTAGE);
+				print("in-force-outage-max", seconds(outage, 100), "s", OUTAGE_TARGET_SECONDS);
+				Histogram lag = propagation.readsHeldBack(this.outages, OUTAGE);
+				print("in-force-reads-held-back-max", seconds(lag, 100), "s", OUTAGE_TARGET_SECONDS);
+			}
+		}
+		costs(ProfileTexts.small(), 4, "small");
+		costs(ProfileTexts.withOrganisations(LARGE_ORGANISATIONS), LARGE_PROFILES, "large");
+		return this.allMet;
+	}
+
+	private void costs(ProfileTexts texts, int profiles, String size) {
+		ReplicaCost cost = ReplicaCost.measure(texts, profiles);
+		String suffix = "-" + size;
+		info("profiles" + suffix, profiles, "profiles");
+		info("record" + suffix, cost.recordBytes(), "B");
+		info("delta" + suffix, cost.deltaBytes(), "B");
+		info("apply" + suffix, cost.applyMicros(), "us");
+		print("core-share" + suffix, cost.applyMicros() * CHANGES_PER_SECOND / 1e6, "core", CONTROL_CORE_SHARE);
+		print("reader-bytes" + suffix, cost.recordBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
+		print("spread-bytes" + suffix, cost.spreadBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
+		info("memory-per-profile" + suffix, cost.memoryPerProfile(), "B");
+		print("memory" + suffix, cost.memoryPerProfile() * profiles, "B", CONTROL_BYTES);
+	}
+
+	private static double seconds(Histogram histogram, double percentile) {
+		return histogram.getValueAtPercentile(percentile) / 1e6;
+	}
+
+	private static void info(String measure, double value, String unit) {
+		System.out.println("%s,%.6g,%s,,".formatted(measure, value, unit));
+	}
+
+	private void print(String measure, double value, String unit, double target) {
+		boolean met = value < target;
+		this.allMet &= met;
+		System.out.println("%s,%.6g,%s,%.6g,%s".formatted(measure, value, unit, target, met ? "met" : "missed"));
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ProfileTexts.java
@@ -0,0 +1,76 @@
+package org.sardineport.bench.configuration;
+
+import java.util.SplittableRandom;
+
+/**
+ * Makes texts of profiles of one size.
+ */
+final class ProfileTexts {
+
+	private static final long SEED = 1;
+
+	private static final int HASH_DIGITS = 64;
+
+	private final int organisations;
+
+	private ProfileTexts(int organisations) {
+		this.organisations = organisations;
+	}
+
+	/**
+	 * Returns texts with as many organisations as a deployment of today has.
+	 * @return the texts
+	 */
+	static ProfileTexts small() {
+		return new ProfileTexts(5);
+	}
+
+	static ProfileTexts withOrganisations(int count) {
+		return new ProfileTexts(count);
+	}
+
+	/**
+	 * Returns the text of a profile.
+	 * @param name its name
+	 * @param edition a number that makes texts of the same profile differ
+	 * @return the text
+	 */
+	String text(String name, int edition) {
+		StringBuilder text = new StringBuilder("name: ").append(name).append("\nroutes:\n");
+		route(text, "/v1/explanations", "urgent", 5 + edition % 20);
+		route(text, "/v1/summaries", "interactive", 20);
+		route(text, "/v1/senses", "standard", 60);
+		route(text, "/v1/reports", "batch", 1800);
+		text.append("organisations:\n");
+		SplittableRandom random = new SplittableRandom(SEED + name.hashCode());
+		for (int i = 0; i < this.organisations; i++) {
+			text.append("  - {name: organisation-")
+				.append(i)
+				.append(", tokensPerSecond: ")
+				.append(1000 + i)
+				.append(", tokenHashes: [")
+				.append(hash(random))
+				.append("]}\n");
+		}
+		return text.toString();
+	}
+
+	private static void route(StringBuilder text, String path, String tier, int seconds) {
+		text.append("  - {method: POST, path: ")
+			.append(path)
+			.append(", pool: model, tier: ")
+			.append(tier)
+			.append(", deadline: ")
+			.append(seconds)
+			.append("s, answerTokens: 400}\n");
+	}
+
+	private static String hash(SplittableRandom random) {
+		StringBuilder hash = new StringBuilder();
+		for (int i = 0; i < HASH_DIGITS; i++) {
+			hash.append(Character.forDigit(random.nextInt(16), 16));
+		}
+		return hash.toString();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/configuration/Propagation.java
@@ -0,0 +1,144 @@
+package org.sardineport.bench.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.HdrHistogram.Histogram;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+
+/**
+ * Measures the time from the start of an append until the change is in force on all
+ * daemons, in microseconds.
+ */
+final class Propagation {
+
+	private static final long MAXIMUM_MICROS = TimeUnit.MINUTES.toMicros(1);
+
+	private static final Duration PAUSE = Duration.ofMillis(30);
+
+	private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+
+	private static final ProfileName PROFILE = ProfileName.of("measured");
+
+	private final Fleet fleet;
+
+	private final ProfileTexts texts = ProfileTexts.small();
+
+	private final AtomicLong awaited = new AtomicLong(Long.MAX_VALUE);
+
+	private final AtomicInteger missing = new AtomicInteger();
+
+	private volatile CompletableFuture<Void> everywhere = new CompletableFuture<>();
+
+	private long version = -1;
+
+	private int edition;
+
+	Propagation(Fleet fleet) {
+		this.fleet = fleet;
+		this.fleet.duties().forEach((duty) -> duty.listen((snapshot) -> {
+			if (snapshot.version() >= this.awaited.get() && this.missing.decrementAndGet() == 0) {
+				this.everywhere.complete(null);
+			}
+		}));
+	}
+
+	/**
+	 * Publishes changes one after the other.
+	 * @param count how many
+	 * @return the times
+	 */
+	Histogram changes(int count) {
+		Histogram times = histogram();
+		for (int i = 0; i < count; i++) {
+			pause(PAUSE);
+			times.recordValue(publish());
+		}
+		return times;
+	}
+
+	/**
+	 * Publishes while the log service refuses all calls, trying again until it is back.
+	 * @param count how many outages
+	 * @param outage how long each lasts
+	 * @return the times, from the first try on
+	 */
+	Histogram publishedDuringOutages(int count, Duration outage) {
+		Histogram times = histogram();
+		for (int i = 0; i < count; i++) {
+			this.fleet.log().faults().outage(true);
+			end(outage, () -> this.fleet.log().faults().outage(false));
+			times.recordValue(publish());
+		}
+		return times;
+	}
+
+	/**
+	 * Publishes while the log service takes records but answers no read with them.
+	 * @param count how many times
+	 * @param lag time until a record can be read
+	 * @return the times
+	 */
+	Histogram readsHeldBack(int count, Duration lag) {
+		Histogram times = histogram();
+		this.fleet.log().faults().readLag(lag);
+		for (int i = 0; i < count; i++) {
+			times.recordValue(publish());
+		}
+		this.fleet.log().faults().readLag(Duration.ZERO);
+		return times;
+	}
+
+	private long publish() {
+		byte[] record = record();
+		this.everywhere = new CompletableFuture<>();
+		this.missing.set(this.fleet.duties().size());
+		this.awaited.set(this.version + 1);
+		long start = System.nanoTime();
+		this.version = append(record);
+		this.everywhere.join();
+		return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - start);
+	}
+
+	private long append(byte[] record) {
+		while (true) {
+			try {
+				return this.fleet.client().append("configuration", record).toCompletableFuture().join();
+			}
+			catch (CompletionException ex) {
+				pause(RETRY_PAUSE);
+			}
+		}
+	}
+
+	private byte[] record() {
+		this.edition++;
+		ProfileDocument document = new ProfileDocument(PROFILE, this.texts.text(PROFILE.value(), this.edition));
+		return ConfigurationRecordCodec.create()
+			.encode(new Publication("token-" + this.edition, this.version, List.of(document), List.of(), "bench"));
+	}
+
+	private static void end(Duration after, Runnable command) {
+		Executor later = CompletableFuture.delayedExecutor(after.toMillis(), TimeUnit.MILLISECONDS);
+		later.execute(command);
+	}
+
+	private static void pause(Duration duration) {
+		CompletableFuture.runAsync(() -> {
+		}, CompletableFuture.delayedExecutor(duration.toMillis(), TimeUnit.MILLISECONDS)).join();
+	}
+
+	private static Histogram histogram() {
+		return new Histogram(MAXIMUM_MICROS, 3);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
@@ -0,0 +1,99 @@
+package org.sardineport.bench.configuration;
+
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.sardineport.core.configuration.ConfigurationReplica;
+import org.sardineport.core.configuration.ConfigurationSpread;
+import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.identity.ProfileName;
+import org.sardineport.settings.profile.ProfileReader;
+import org.sardineport.wire.configuration.ConfigurationRecordCodec;
+import org.sardineport.wire.configuration.DeflatedImageCodec;
+
+/**
+ * What the configuration costs one daemon.
+ *
+ * @param recordBytes bytes of the record of one change
+ * @param deltaBytes bytes of one change between daemons
+ * @param spreadBytes bytes a daemon sends and receives for one change
+ * @param applyMicros processor time to decode and apply one change, in microseconds
+ * @param memoryPerProfile memory of one profile in force, in bytes
+ */
+record ReplicaCost(double recordBytes, double deltaBytes, double spreadBytes, double applyMicros,
+		double memoryPerProfile) {
+
+	private static final int WARM_UP_CHANGES = 500;
+
+	private static final int MEASURED_CHANGES = 500;
+
+	private static final int MEMORY_PROFILES = 100;
+
+	/** Bytes of the frames of an announcement and a fetch together. */
+	private static final int QUESTION_BYTES = 2 * 200;
+
+	static ReplicaCost measure(ProfileTexts texts, int profiles) {
+		ConfigurationRecordCodec codec = ConfigurationRecordCodec.create();
+		ConfigurationReplica replica = replica(codec, texts, profiles);
+		run(codec, texts, replica, profiles, WARM_UP_CHANGES);
+		double micros = run(codec, texts, replica, profiles, MEASURED_CHANGES);
+		long version = replica.state().version();
+		double delta = DeflatedImageCodec.create().encode(replica.state().image(version, version - 1)).length;
+		double spread = (1 + ConfigurationSpread.FAN_OUT) * (delta + QUESTION_BYTES);
+		return new ReplicaCost(record(codec, texts, 0, 1, 0).length, delta, spread, micros,
+				memoryPerProfile(codec, texts));
+	}
+
+	private static ConfigurationReplica replica(ConfigurationRecordCodec codec, ProfileTexts texts, int profiles) {
+		ConfigurationReplica replica = ConfigurationReplica.create(ProfileReader.create(), DeflatedImageCodec.create());
+		for (int i = 0; i < profiles; i++) {
+			replica.apply(i, codec.decode(record(codec, texts, i, i, i - 1)));
+		}
+		return replica;
+	}
+
+	private static double memoryPerProfile(ConfigurationRecordCodec codec, ProfileTexts texts) {
+		ConfigurationReplica few = replica(codec, texts, 1);
+		long before = usedMemory();
+		ConfigurationReplica many = replica(codec, texts, MEMORY_PROFILES + 1);
+		long after = usedMemory();
+		Reference.reachabilityFence(few);
+		Reference.reachabilityFence(many);
+		return (double) (after - before) / MEMORY_PROFILES;
+	}
+
+	private static double run(ConfigurationRecordCodec codec, ProfileTexts texts, ConfigurationReplica replica,
+			int profiles, int changes) {
+		long first = replica.nextOffset();
+		List<byte[]> records = new ArrayList<>();
+		for (int i = 0; i < changes; i++) {
+			records.add(record(codec, texts, i % profiles, i, first + i - 1));
+		}
+		long start = System.nanoTime();
+		for (int i = 0; i < changes; i++) {
+			replica.apply(first + i, codec.decode(records.get(i)));
+		}
+		double micros = (System.nanoTime() - start) / 1e3 / changes;
+		if (replica.state().version() != first + changes - 1) {
+			throw new IllegalStateException("every change must be accepted");
+		}
+		return micros;
+	}
+
+	private static byte[] record(ConfigurationRecordCodec codec, ProfileTexts texts, int profile, int edition,
+			long base) {
+		String name = "profile-" + profile;
+		ProfileDocument document = new ProfileDocument(ProfileName.of(name), texts.text(name, edition));
+		return codec.encode(new Publication("token-" + edition, base, List.of(document), List.of(), "operator"));
+	}
+
+	private static long usedMemory() {
+		for (int i = 0; i < 4; i++) {
+			System.gc();
+		}
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+}
--- a/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationRecordCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationRecordCodec.java
@@ -1,8 +1,10 @@
 package org.sardineport.wire.configuration;
 
+import java.io.IOException;
 import java.util.List;
 
-import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
 import org.sardineport.core.configuration.ConfigurationRecord;
 import org.sardineport.core.configuration.ImagePage;
 import org.sardineport.core.configuration.ProfileDocument;
@@ -17,6 +19,9 @@
  */
 public final class ConfigurationRecordCodec {
 
+	/** Most bytes of a publication once inflated. */
+	private static final int MAXIMUM_BYTES = 16 * 1024 * 1024;
+
 	private ConfigurationRecordCodec() {
 	}
 
@@ -43,7 +48,10 @@
 					ProfileText.newBuilder().setName(document.name().value()).setYaml(document.text()).build());
 		}
 		publication.retired().forEach((name) -> body.addRetired(name.value()));
-		return org.sardineport.wire.message.ConfigurationRecord.newBuilder().setPublication(body).build().toByteArray();
+		return org.sardineport.wire.message.ConfigurationRecord.newBuilder()
+			.setDeflatedPublication(UnsafeByteOperations.unsafeWrap(Compression.deflate(body.build().toByteArray())))
+			.build()
+			.toByteArray();
 	}
 
 	/**
@@ -68,16 +76,21 @@
 			org.sardineport.wire.message.ConfigurationRecord body = org.sardineport.wire.message.ConfigurationRecord
 				.parseFrom(value);
 			return switch (body.getBodyCase()) {
-				case PUBLICATION -> publication(body.getPublication());
+				case DEFLATED_PUBLICATION -> publication(inflate(body.getDeflatedPublication()));
 				case SNAPSHOT -> PageCodec.decode(body.getSnapshot());
 				case BODY_NOT_SET -> new UnreadableRecord("record of no known kind");
 			};
 		}
-		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			return new UnreadableRecord("record that cannot be decoded");
 		}
 	}
 
+	private static org.sardineport.wire.message.Publication inflate(ByteString deflated) throws IOException {
+		return org.sardineport.wire.message.Publication
+			.parseFrom(Compression.inflate(deflated.toByteArray(), MAXIMUM_BYTES));
+	}
+
 	private static Publication publication(org.sardineport.wire.message.Publication body) {
 		List<ProfileDocument> profiles = body.getProfilesList()
 			.stream()
--- a/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
@@ -1,15 +1,8 @@
 package org.sardineport.wire.configuration;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.zip.DeflaterOutputStream;
-import java.util.zip.InflaterInputStream;
 
 import org.sardineport.core.configuration.ConfigurationImage;
 import org.sardineport.core.configuration.ImageCodec;
@@ -57,22 +50,13 @@
 			body.addRetirements(
 					ProfileRetirement.newBuilder().setName(retirement.name().value()).setVersion(retirement.version()));
 		}
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		try (OutputStream deflater = new DeflaterOutputStream(bytes)) {
-			body.build().writeTo(deflater);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		return bytes.toByteArray();
+		return Compression.deflate(body.build().toByteArray());
 	}
 
 	@Override
 	public Optional<ConfigurationImage> decode(byte[] bytes) {
-		try (InputStream inflater = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
-			byte[] inflated = inflater.readNBytes(MAXIMUM_BYTES + 1);
-			return (inflated.length <= MAXIMUM_BYTES) ? Optional.of(image(ConfigurationState.parseFrom(inflated)))
-					: Optional.empty();
+		try {
+			return Optional.of(image(ConfigurationState.parseFrom(Compression.inflate(bytes, MAXIMUM_BYTES))));
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Optional.empty();
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecord.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecord.java
@@ -23,7 +23,7 @@
   private int bodyCase_ = 0;
   private java.lang.Object body_;
   public enum BodyCase {
-    PUBLICATION(1),
+    DEFLATED_PUBLICATION(1),
     SNAPSHOT(2),
     BODY_NOT_SET(0);
     private final int value;
@@ -40,7 +40,7 @@
 
     public static BodyCase forNumber(int value) {
       switch (value) {
-        case 1: return PUBLICATION;
+        case 1: return DEFLATED_PUBLICATION;
         case 2: return SNAPSHOT;
         case 0: return BODY_NOT_SET;
         default: return null;
@@ -63,52 +63,55 @@
     body_ = null;
   }
 
-  public static final int PUBLICATION_FIELD_NUMBER = 1;
+  public static final int DEFLATED_PUBLICATION_FIELD_NUMBER = 1;
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
+   * @return Whether the deflatedPublication field is set.
    */
   @java.lang.Override
-  public boolean hasPublication() {
+  public boolean hasDeflatedPublication() {
     return bodyCase_ == 1;
   }
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
+   * @return The deflatedPublication.
    */
   @java.lang.Override
-  public org.sardineport.wire.message.Publication getPublication() {
+  public com.google.protobuf.ByteString getDeflatedPublication() {
     if (bodyCase_ == 1) {
-       return (org.sardineport.wire.message.Publication) body_;
+      return (com.google.protobuf.ByteString) body_;
     }
-    return org.sardineport.wire.message.Publication.getDefaultInstance();
+    return com.google.protobuf.ByteString.EMPTY;
   }
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
+   * @param value The deflatedPublication to set.
    */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setPublication(org.sardineport.wire.message.Publication value) {
-    value.getClass();  // minimal bytecode null check
+  private void setDeflatedPublication(com.google.protobuf.ByteString value) {
+    java.lang.Class<?> valueClass = value.getClass();
+  bodyCase_ = 1;
     body_ = value;
-    bodyCase_ = 1;
   }
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
-   */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void mergePublication(org.sardineport.wire.message.Publication value) {
-    value.getClass();  // minimal bytecode null check
-    if (bodyCase_ == 1 &&
-        body_ != org.sardineport.wire.message.Publication.getDefaultInstance()) {
-      body_ = org.sardineport.wire.message.Publication.newBuilder((org.sardineport.wire.message.Publication) body_)
-          .mergeFrom(value).buildPartial();
-    } else {
-      body_ = value;
-    }
-    bodyCase_ = 1;
-  }
-  /**
-   * <code>.sardineport.Publication publication = 1;</code>
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
    */
-  private void clearPublication() {
+  private void clearDeflatedPublication() {
     if (bodyCase_ == 1) {
       bodyCase_ = 0;
       body_ = null;
@@ -281,50 +284,54 @@
 
 
     /**
-     * <code>.sardineport.Publication publication = 1;</code>
+     * <pre>
+     * A Publication, compressed with DEFLATE.
+     * </pre>
+     *
+     * <code>bytes deflated_publication = 1;</code>
+     * @return Whether the deflatedPublication field is set.
      */
     @java.lang.Override
-    public boolean hasPublication() {
-      return instance.hasPublication();
+    public boolean hasDeflatedPublication() {
+      return instance.hasDeflatedPublication();
     }
     /**
-     * <code>.sardineport.Publication publication = 1;</code>
+     * <pre>
+     * A Publication, compressed with DEFLATE.
+     * </pre>
+     *
+     * <code>bytes deflated_publication = 1;</code>
+     * @return The deflatedPublication.
      */
     @java.lang.Override
-    public org.sardineport.wire.message.Publication getPublication() {
-      return instance.getPublication();
-    }
-    /**
-     * <code>.sardineport.Publication publication = 1;</code>
-     */
-    public Builder setPublication(org.sardineport.wire.message.Publication value) {
-      copyOnWrite();
-      instance.setPublication(value);
-      return this;
-    }
-    /**
-     * <code>.sardineport.Publication publication = 1;</code>
-     */
-    public Builder setPublication(
-        org.sardineport.wire.message.Publication.Builder builderForValue) {
-      copyOnWrite();
-      instance.setPublication(builderForValue.build());
-      return this;
+    public com.google.protobuf.ByteString getDeflatedPublication() {
+      return instance.getDeflatedPublication();
     }
     /**
-     * <code>.sardineport.Publication publication = 1;</code>
+     * <pre>
+     * A Publication, compressed with DEFLATE.
+     * </pre>
+     *
+     * <code>bytes deflated_publication = 1;</code>
+     * @param value The deflatedPublication to set.
+     * @return This builder for chaining.
      */
-    public Builder mergePublication(org.sardineport.wire.message.Publication value) {
+    public Builder setDeflatedPublication(com.google.protobuf.ByteString value) {
       copyOnWrite();
-      instance.mergePublication(value);
+      instance.setDeflatedPublication(value);
       return this;
     }
     /**
-     * <code>.sardineport.Publication publication = 1;</code>
+     * <pre>
+     * A Publication, compressed with DEFLATE.
+     * </pre>
+     *
+     * <code>bytes deflated_publication = 1;</code>
+     * @return This builder for chaining.
      */
-    public Builder clearPublication() {
+    public Builder clearDeflatedPublication() {
       copyOnWrite();
-      instance.clearPublication();
+      instance.clearDeflatedPublication();
       return this;
     }
 
@@ -394,11 +401,10 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "body_",
             "bodyCase_",
-            org.sardineport.wire.message.Publication.class,
             org.sardineport.wire.message.ConfigurationPage.class,
           };
           java.lang.String info =
-              "\u0000\u0002\u0001\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001<\u0000\u0002<" +
+              "\u0000\u0002\u0001\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001=\u0000\u0002<" +
               "\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecordOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationRecordOrBuilder.java
@@ -11,15 +11,23 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
-   * @return Whether the publication field is set.
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
+   * @return Whether the deflatedPublication field is set.
    */
-  boolean hasPublication();
+  boolean hasDeflatedPublication();
   /**
-   * <code>.sardineport.Publication publication = 1;</code>
-   * @return The publication.
+   * <pre>
+   * A Publication, compressed with DEFLATE.
+   * </pre>
+   *
+   * <code>bytes deflated_publication = 1;</code>
+   * @return The deflatedPublication.
    */
-  org.sardineport.wire.message.Publication getPublication();
+  com.google.protobuf.ByteString getDeflatedPublication();
 
   /**
    * <code>.sardineport.ConfigurationPage snapshot = 2;</code>
