--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -0,0 +1,100 @@
+package org.sardineport.core.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BackendDirectoryTests {
+
+	private static final Instant START = Instant.parse("2026-12-03T08:00:00Z");
+
+	private Instant now = START;
+
+	private final BackendDirectory directory = BackendDirectory.create(() -> this.now);
+
+	private static BackendServer server(String name) {
+		return new BackendServer(BackendServerId.of(name), BackendKind.PLAIN_SERVICE, PoolName.of("ledger"),
+				FailureDomain.of("lalitpur"), NetworkAddress.of("10.0.0.1", 80), 1);
+	}
+
+	private static VmListing listing(Instant asOf, VmState one, VmState two) {
+		return new VmListing(asOf, List.of(), List.of(new VmListing.ListedBackend(server("one"), one),
+				new VmListing.ListedBackend(server("two"), two)));
+	}
+
+	private LoadReport report(String name, boolean leaving) {
+		return new LoadReport(BackendServerId.of(name), 0, 0, 0, leaving, false, this.now);
+	}
+
+	@BeforeEach
+	void listBoth() {
+		this.directory.listed(listing(START, VmState.LIVE, VmState.LIVE));
+	}
+
+	@Test
+	void offersNothingBeforeTheFirstList() {
+		assertThat(BackendDirectory.create(() -> START).eligible()).isEmpty();
+	}
+
+	@Test
+	void dropsWhatTheListNamesLeaving() {
+		assertThat(this.directory.eligible()).containsExactly(server("one"), server("two"));
+		this.directory.listed(listing(START.plusSeconds(1), VmState.LEAVING, VmState.LIVE));
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void ignoresAnOlderListThatComesLate() {
+		this.directory.listed(listing(START.plusSeconds(2), VmState.LEAVING, VmState.LIVE));
+		assertThat(this.directory.listed(listing(START.plusSeconds(1), VmState.LIVE, VmState.LIVE))).isFalse();
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void dropsWhatSaysThatItLeavesWhileTheListLags() {
+		assertThat(this.directory.reported(report("one", true))).isTrue();
+		assertThat(this.directory.reported(report("one", true))).as("news only once").isFalse();
+		this.directory.listed(listing(START.plusSeconds(5), VmState.LIVE, VmState.LIVE));
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void takesBackWhatSaysThatItStays() {
+		this.directory.reported(report("one", true));
+		this.directory.reported(report("one", false));
+		assertThat(this.directory.eligible()).containsExactly(server("one"), server("two"));
+	}
+
+	@Test
+	void keepsTheOwnWordForAsLongAsItIsRepeated() {
+		Duration half = BackendDirectory.OWN_WORD_RETENTION.dividedBy(2).plusSeconds(1);
+		this.directory.reported(report("one", true));
+		this.now = this.now.plus(half);
+		this.directory.reported(report("one", true));
+		this.now = this.now.plus(half);
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+		this.now = this.now.plus(half);
+		assertThat(this.directory.eligible()).containsExactly(server("one"), server("two"));
+	}
+
+	@Test
+	void heedsWhatAnotherDaemonHeard() {
+		this.directory.leavingHeard(BackendServerId.of("two"), Duration.ofSeconds(1));
+		assertThat(this.directory.eligible()).containsExactly(server("one"));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/stop/PlannedStopTests.java
@@ -0,0 +1,122 @@
+package org.sardineport.core.stop;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PlannedStopTests {
+
+	private static final Duration LINGER = Duration.ofSeconds(15);
+
+	private static final Duration NO_LIMIT = Duration.ZERO;
+
+	private Instant now = Instant.parse("2026-12-03T08:00:00Z");
+
+	private PlannedStop stop(Duration limit) {
+		return PlannedStop.create(new StopTiming(LINGER, limit), () -> this.now);
+	}
+
+	private void pass(Duration duration) {
+		this.now = this.now.plus(duration);
+	}
+
+	@Test
+	void servesUntilAStopIsAskedFor() {
+		PlannedStop stop = stop(NO_LIMIT);
+		pass(Duration.ofDays(1));
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.SERVING);
+	}
+
+	@Test
+	void takesRequestsWhileItLingersThenRefusesThem() {
+		PlannedStop stop = stop(NO_LIMIT);
+		stop.request(false);
+		stop.announced();
+		pass(LINGER.minusMillis(1));
+		assertThat(stop.advance(3, false).acceptsRequests()).isTrue();
+		pass(Duration.ofMillis(1));
+		assertThat(stop.advance(3, false)).isEqualTo(StopPhase.DRAINING);
+		assertThat(stop.phase().acceptsRequests()).isFalse();
+	}
+
+	@Test
+	void lingersFromTheAnnouncementNotFromTheRequest() {
+		PlannedStop stop = stop(NO_LIMIT);
+		stop.request(false);
+		pass(LINGER);
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.LINGERING);
+		stop.announced();
+		pass(LINGER.minusMillis(1));
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.LINGERING);
+	}
+
+	@Test
+	void waitsForWorkInFlightHoweverLong() {
+		PlannedStop stop = stop(NO_LIMIT);
+		stop.request(false);
+		stop.announced();
+		pass(LINGER);
+		for (int hour = 0; hour < 48; hour++) {
+			assertThat(stop.advance(1, true)).isEqualTo(StopPhase.DRAINING);
+			pass(Duration.ofHours(1));
+		}
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.ENDED);
+		assertThat(stop.isCutOff()).isFalse();
+	}
+
+	@Test
+	void waitsForTheFlushThroughAnOutage() {
+		PlannedStop stop = stop(NO_LIMIT);
+		stop.request(false);
+		stop.announced();
+		pass(LINGER);
+		assertThat(stop.advance(0, false)).isEqualTo(StopPhase.FLUSHING);
+		pass(Duration.ofHours(2));
+		assertThat(stop.advance(0, false)).isEqualTo(StopPhase.FLUSHING);
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.ENDED);
+	}
+
+	@Test
+	void ignoresFurtherRequests() {
+		PlannedStop stop = stop(Duration.ofSeconds(60));
+		assertThat(stop.request(false)).isTrue();
+		stop.announced();
+		pass(Duration.ofSeconds(10));
+		assertThat(stop.request(true)).isFalse();
+		stop.announced();
+		pass(Duration.ofSeconds(5));
+		assertThat(stop.advance(1, false)).isEqualTo(StopPhase.DRAINING);
+	}
+
+	@Test
+	void lingersForNobodyWhenItNeverServed() {
+		PlannedStop stop = stop(NO_LIMIT);
+		stop.request(true);
+		assertThat(stop.advance(0, true)).isEqualTo(StopPhase.ENDED);
+	}
+
+	@Test
+	void cutsWorkOffOnlyAtTheOperatorsLimit() {
+		PlannedStop stop = stop(Duration.ofSeconds(60));
+		stop.request(false);
+		stop.announced();
+		pass(Duration.ofSeconds(60).minusMillis(1));
+		assertThat(stop.advance(1, false)).isEqualTo(StopPhase.DRAINING);
+		pass(Duration.ofMillis(1));
+		assertThat(stop.advance(1, false)).isEqualTo(StopPhase.ENDED);
+		assertThat(stop.isCutOff()).isTrue();
+	}
+
+	@Test
+	void lingersLongerThanAnyAnswerThatNamesIt() {
+		Duration keepTime = Duration.ofSeconds(10);
+		Duration newsBound = Duration.ofSeconds(3);
+		assertThat(StopTiming.covering(Duration.ofSeconds(1), NO_LIMIT, keepTime, newsBound).linger())
+			.isEqualTo(Duration.ofSeconds(13));
+		assertThat(StopTiming.covering(LINGER, NO_LIMIT, keepTime, newsBound).linger()).isEqualTo(LINGER);
+	}
+
+}
