--- a/core/src/main/java/org/sardineport/core/membership/JoinAnswers.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinAnswers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.Member;
 
 /**
@@ -27,12 +28,17 @@
 
 	/**
 	 * Builds the answers.
-	 * @param complete whether all members are wanted; otherwise a sample
+	 * @param request the request
+	 * @param asker who asks, or {@code null} if it is of another region, which learns of
+	 * this daemon only
 	 * @param news news for the asker, with this daemon first
 	 * @return at least one message
 	 */
-	List<MembershipMessage> answer(boolean complete, News news) {
-		int wanted = (complete) ? MEMBERS_PER_MESSAGE * MAXIMUM_MESSAGES : MEMBERS_PER_MESSAGE;
+	List<MembershipMessage> answer(JoinRequest request, @Nullable Peer asker, News news) {
+		if (asker == null) {
+			return List.of(new JoinResponse(news));
+		}
+		int wanted = (request.complete()) ? MEMBERS_PER_MESSAGE * MAXIMUM_MESSAGES : MEMBERS_PER_MESSAGE;
 		List<Peer> named = this.schedule.sample(this.table.present(), wanted);
 		List<MembershipMessage> answers = new ArrayList<>();
 		answers.add(new JoinResponse(news));
--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -52,6 +52,8 @@
 
 	private final NewsComposer news;
 
+	private final Outbox outbox;
+
 	private final ProbeSchedule schedule;
 
 	private final JoinAnswers joinAnswers;
@@ -66,16 +68,10 @@
 
 	private @Nullable ProbeRound round;
 
-	private long nextSequence;
-
 	private Instant lastTick;
 
 	private Instant nextProbe;
 
-	private int urgentRounds;
-
-	private int urgentFanout;
-
 	private Membership(Member self, MembershipTiming timing, InstantSource clock, RandomGenerator random,
 			MembershipOutput output) {
 		this.self = new SelfState(self);
@@ -85,6 +81,7 @@
 		this.table = new MemberTable(self.id());
 		this.news = new NewsComposer(this.table, this.shared);
 		this.schedule = new ProbeSchedule(this.table, random);
+		this.outbox = new Outbox(this.self, this.table, this.news, this.schedule, clock, output);
 		this.joinAnswers = new JoinAnswers(this.table, this.schedule);
 		this.lastTick = clock.instant();
 		this.contacts = new JoinContacts(self.peerAddress(), random);
@@ -153,7 +150,7 @@
 	public void leave() {
 		if (this.self.member().status() == MemberStatus.ALIVE) {
 			this.self.become(MemberStatus.LEAVING);
-			hurry(URGENT_ROUNDS, URGENT_FANOUT);
+			this.outbox.hurry(URGENT_ROUNDS, URGENT_FANOUT);
 		}
 	}
 
@@ -162,7 +159,7 @@
 	 */
 	public void left() {
 		this.self.become(MemberStatus.DEAD);
-		tellSome(URGENT_FANOUT);
+		this.outbox.tellSome(URGENT_FANOUT);
 	}
 
 	/**
@@ -197,13 +194,10 @@
 			this.table.forgetDead(now);
 			this.shared.forgetEnded(now);
 		}
-		if (this.urgentRounds > 0) {
-			this.urgentRounds--;
-			tellSome(this.urgentFanout);
-		}
+		this.outbox.sendUrgent();
 		this.contacts.due(now, this.table)
-			.forEach((contact) -> this.output.send(contact.address(),
-					new JoinRequest(contact.complete(), newsFor(null))));
+			.forEach((contact) -> this.outbox.send(contact.address(),
+					new JoinRequest(contact.complete(), this.outbox.newsFor(null))));
 	}
 
 	/**
@@ -221,7 +215,8 @@
 		hear(sender, message.news(), now);
 		heardFrom(sender, now);
 		if (message instanceof ProbeRequest probe) {
-			this.output.send(address, new ProbeResponse(probe.sequence(), newsFor(this.table.peer(sender))));
+			this.outbox.send(address,
+					new ProbeResponse(probe.sequence(), this.outbox.newsFor(this.table.peer(sender))));
 		}
 		else if (message instanceof ProbeResponse answer) {
 			answered(answer.sequence(), now);
@@ -230,7 +225,9 @@
 			relay(indirect, address, now);
 		}
 		else if (message instanceof JoinRequest join) {
-			answerJoin(join, sender, address);
+			Peer asker = this.table.peer(sender);
+			this.joinAnswers.answer(join, asker, this.outbox.newsFor(asker))
+				.forEach((answer) -> this.outbox.send(address, answer));
 		}
 		else {
 			this.contacts.joined();
@@ -251,8 +248,9 @@
 		if (target == null) {
 			return;
 		}
-		this.round = new ProbeRound(this.nextSequence++, target, now.plus(this.timing.probeTimeout()));
-		this.output.send(target.member().peerAddress(), new ProbeRequest(this.round.sequence(), newsFor(target)));
+		this.round = new ProbeRound(this.outbox.nextSequence(), target, now.plus(this.timing.probeTimeout()));
+		this.outbox.send(target.member().peerAddress(),
+				new ProbeRequest(this.round.sequence(), this.outbox.newsFor(target)));
 	}
 
 	private void askOthersIfDue(Instant now) {
@@ -264,8 +262,8 @@
 		List<Peer> others = this.table.present();
 		others.removeIf((peer) -> peer == target || peer.suspectedAt() != null);
 		for (Peer other : this.schedule.sample(others, INDIRECT_PROBES)) {
-			this.output.send(other.member().peerAddress(), new IndirectProbeRequest(current.sequence(),
-					target.member().id(), target.member().peerAddress(), newsFor(other)));
+			this.outbox.send(other.member().peerAddress(), new IndirectProbeRequest(current.sequence(),
+					target.member().id(), target.member().peerAddress(), this.outbox.newsFor(other)));
 		}
 	}
 
@@ -282,11 +280,11 @@
 		boolean isNew = target.suspectedAt() == null;
 		if (target.accuse(!this.doubt.isActive(), now)) {
 			this.news.spread(target.member().id());
-			hurry(1, URGENT_FANOUT);
+			this.outbox.hurry(1, URGENT_FANOUT);
 		}
 		if (isNew) {
 			this.output.happened(MembershipEvent.SUSPECTED, target.member());
-			ask(target);
+			this.outbox.ask(target);
 		}
 	}
 
@@ -303,11 +301,7 @@
 	private void askSuspectsAgain(Instant now) {
 		List<Peer> suspects = this.table.present();
 		suspects.removeIf((peer) -> !peer.isAccusedBySelf() || now.equals(peer.suspectedAt()));
-		this.schedule.sample(suspects, SUSPECTS_ASKED).forEach(this::ask);
-	}
-
-	private void ask(Peer peer) {
-		this.output.send(peer.member().peerAddress(), new ProbeRequest(this.nextSequence++, newsFor(peer)));
+		this.schedule.sample(suspects, SUSPECTS_ASKED).forEach(this.outbox::ask);
 	}
 
 	private void declareDeaths(Instant now) {
@@ -318,7 +312,7 @@
 			if (peer.isOverdue(now, this.timing.suspicionTimeout())) {
 				peer.die(now);
 				this.news.spread(peer.member().id());
-				hurry(1, URGENT_FANOUT);
+				this.outbox.hurry(1, URGENT_FANOUT);
 				this.output.happened(MembershipEvent.DIED, peer.member());
 			}
 		}
@@ -352,7 +346,7 @@
 		}
 		this.news.spread(update.id());
 		if (change.isUrgent()) {
-			hurry(1, RELAYED_FANOUT);
+			this.outbox.hurry(1, RELAYED_FANOUT);
 		}
 		MembershipEvent event = change.event();
 		if (event != null) {
@@ -364,7 +358,7 @@
 		MembershipEvent event = this.self.hear(update);
 		if (event != null) {
 			this.output.happened(event, this.self.member());
-			hurry(1, URGENT_FANOUT);
+			this.outbox.hurry(1, URGENT_FANOUT);
 		}
 	}
 
@@ -377,7 +371,7 @@
 			this.output.happened(MembershipEvent.CLEARED, peer.member());
 		}
 		else if (peer.status() != MemberStatus.LEAVING && peer.challenge(now, now.minus(this.timing.probeInterval()))) {
-			ask(peer);
+			this.outbox.ask(peer);
 		}
 	}
 
@@ -391,38 +385,15 @@
 		}
 		Relays.Relay relay = this.relays.take(sequence, now);
 		if (relay != null) {
-			this.output.send(relay.origin(), new ProbeResponse(relay.originSequence(), newsFor(null)));
+			this.outbox.send(relay.origin(), new ProbeResponse(relay.originSequence(), this.outbox.newsFor(null)));
 		}
 	}
 
 	private void relay(IndirectProbeRequest request, NetworkAddress origin, Instant now) {
-		long sequence = this.nextSequence++;
+		long sequence = this.outbox.nextSequence();
 		this.relays.add(sequence, origin, request.sequence(), now.plus(this.timing.probeInterval()));
-		this.output.send(request.targetAddress(),
-				new ProbeRequest(sequence, newsFor(this.table.peer(request.target()))));
-	}
-
-	private void answerJoin(JoinRequest join, DaemonId sender, NetworkAddress address) {
-		Peer peer = this.table.peer(sender);
-		News news = newsFor(peer);
-		if (peer == null) {
-			this.output.send(address, new JoinResponse(news));
-			return;
-		}
-		this.joinAnswers.answer(join.complete(), news).forEach((answer) -> this.output.send(address, answer));
-	}
-
-	private void hurry(int rounds, int fanout) {
-		this.urgentFanout = (this.urgentRounds > 0) ? Math.max(this.urgentFanout, fanout) : fanout;
-		this.urgentRounds = Math.max(this.urgentRounds, rounds);
-	}
-
-	private void tellSome(int fanout) {
-		this.schedule.sample(this.table.present(), fanout).forEach(this::ask);
-	}
-
-	private News newsFor(@Nullable Peer receiver) {
-		return this.news.compose(this.self.member(), receiver, this.clock.instant());
+		this.outbox.send(request.targetAddress(),
+				new ProbeRequest(sequence, this.outbox.newsFor(this.table.peer(request.target()))));
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
@@ -33,6 +33,8 @@
 import org.sardineport.core.port.platform.VmList;
 import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
+import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeExchange;
 import org.sardineport.daemon.duty.Duty;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -51,6 +53,8 @@
 
 	private static final Duration TICK = Duration.ofMillis(20);
 
+	private static final int STRIKES_PER_TICK = 16;
+
 	private final Duty duty;
 
 	private final Telemetry telemetry;
@@ -79,6 +83,8 @@
 
 	private final AtomicBoolean fetching = new AtomicBoolean();
 
+	private volatile @Nullable StrikeExchange strikes;
+
 	private boolean listReachable = true;
 
 	private final CompletableFuture<Void> leaving = new CompletableFuture<>();
@@ -97,7 +103,7 @@
 		this.seeds = settings.seeds();
 		this.selfReport = selfReport;
 		this.backends = BackendDirectory.create(clock);
-		this.reporter = new MembershipReporter(transport, telemetry, this.backends);
+		this.reporter = new MembershipReporter(transport, telemetry, this.backends, clock);
 		Member self = new Member(settings.daemon(), incarnation, MemberStatus.ALIVE, settings.failureDomain(),
 				settings.peerAddress(), settings.callerAddress(), selfReport.configurationVersion(), selfReport.load());
 		this.membership = Membership.create(self, timing(settings.membership()), clock,
@@ -168,21 +174,13 @@
 	}
 
 	/**
-	 * Tells the other daemons of a strike.
-	 * @param strike the strike
+	 * Carries strikes between this daemon's scheduling and that of the others. Called
+	 * before the start.
+	 * @param exchange gives and takes the strikes
 	 */
-	public void tell(StrikeNews strike) {
-		Objects.requireNonNull(strike, "strike must not be null");
-		offer(() -> this.membership.tell(strike));
-	}
-
-	/**
-	 * Adds a listener for strikes that other daemons tell of. It is called on the
-	 * membership thread and must return at once.
-	 * @param listener hears the strikes
-	 */
-	public void listenToStrikes(Consumer<StrikeNews> listener) {
-		this.reporter.listenToStrikes(listener);
+	public void exchangeStrikes(StrikeExchange exchange) {
+		this.strikes = Objects.requireNonNull(exchange, "exchange must not be null");
+		this.reporter.handStrikesTo(exchange);
 	}
 
 	@Override
@@ -213,11 +211,25 @@
 			this.leaving.complete(null);
 		}
 		this.membership.report(this.selfReport.configurationVersion(), this.selfReport.load());
+		tellStrikes();
 		this.membership.tick();
 		fetchIfDue();
 		publish();
 	}
 
+	private void tellStrikes() {
+		if (this.strikes == null) {
+			return;
+		}
+		Instant now = this.clock.instant();
+		for (Strike strike : this.strikes.strikesToShare(STRIKES_PER_TICK)) {
+			if (now.isBefore(strike.expires())) {
+				this.membership.tell(new StrikeNews(strike.fingerprint(), strike.backendServer(),
+						Duration.between(now, strike.expires())));
+			}
+		}
+	}
+
 	private void fetchIfDue() {
 		Instant now = this.clock.instant();
 		if (now.isBefore(this.nextFetch) || !this.fetching.compareAndSet(false, true)) {
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
@@ -1,9 +1,9 @@
 package org.sardineport.daemon.fleet;
 
+import java.time.InstantSource;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Consumer;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.BackendDirectory;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.identity.NetworkAddress;
@@ -13,6 +13,8 @@
 import org.sardineport.core.membership.MembershipOutput;
 import org.sardineport.core.membership.StrikeNews;
 import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeExchange;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
@@ -30,19 +32,22 @@
 
 	private final BackendDirectory backends;
 
-	private final List<Consumer<StrikeNews>> strikeListeners = new CopyOnWriteArrayList<>();
+	private final InstantSource clock;
 
-	MembershipReporter(PeerTransport transport, Telemetry telemetry, BackendDirectory backends) {
+	private volatile @Nullable StrikeExchange strikes;
+
+	MembershipReporter(PeerTransport transport, Telemetry telemetry, BackendDirectory backends, InstantSource clock) {
 		this.transport = transport;
 		this.telemetry = telemetry;
 		this.backends = backends;
+		this.clock = clock;
 		for (MembershipEvent event : MembershipEvent.values()) {
 			telemetry.counter("membership." + event.label());
 		}
 	}
 
-	void listenToStrikes(Consumer<StrikeNews> listener) {
-		this.strikeListeners.add(listener);
+	void handStrikesTo(StrikeExchange exchange) {
+		this.strikes = exchange;
 	}
 
 	@Override
@@ -65,7 +70,10 @@
 
 	@Override
 	public void strikeHeard(StrikeNews strike) {
-		this.strikeListeners.forEach((listener) -> listener.accept(strike));
+		if (this.strikes != null) {
+			this.strikes.acceptStrikes(List.of(new Strike(strike.fingerprint(), strike.backendServer(),
+					this.clock.instant().plus(strike.remaining()))));
+		}
 	}
 
 	@Override
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/FleetDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/FleetDutyTests.java
@@ -23,11 +23,12 @@
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.identity.PoolName;
-import org.sardineport.core.membership.StrikeNews;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.port.platform.VmListException;
 import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
+import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeExchange;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.daemon.time.SteadyInstantSource;
@@ -196,10 +197,15 @@
 		FleetDuty first = start(1);
 		FleetDuty second = start(2);
 		await(first, holds(2, MemberStatus.ALIVE));
-		CompletableFuture<StrikeNews> heard = new CompletableFuture<>();
-		second.listenToStrikes(heard::complete);
-		first.tell(new StrikeNews(Fingerprint.of(1, 2), server(1).id(), Duration.ofMinutes(5)));
-		assertThat(heard.get(PATIENCE_SECONDS, TimeUnit.SECONDS).fingerprint()).isEqualTo(Fingerprint.of(1, 2));
+		Strike strike = new Strike(Fingerprint.of(1, 2), server(1).id(),
+				this.clock.instant().plus(Duration.ofMinutes(5)));
+		CompletableFuture<Strike> heard = new CompletableFuture<>();
+		second.exchangeStrikes(new Strikes(List.of(), heard));
+		first.exchangeStrikes(new Strikes(List.of(strike), new CompletableFuture<>()));
+		Strike found = heard.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+		assertThat(found.fingerprint()).isEqualTo(strike.fingerprint());
+		assertThat(found.backendServer()).isEqualTo(strike.backendServer());
+		assertThat(found.expires()).isAfterOrEqualTo(strike.expires());
 	}
 
 	/**
@@ -212,4 +218,24 @@
 
 	}
 
+	/**
+	 * Strikes of one daemon.
+	 *
+	 * @param told what it tells
+	 * @param heard completes with the first that it hears
+	 */
+	private record Strikes(List<Strike> told, CompletableFuture<Strike> heard) implements StrikeExchange {
+
+		@Override
+		public List<Strike> strikesToShare(int most) {
+			return this.told;
+		}
+
+		@Override
+		public void acceptStrikes(List<Strike> strikes) {
+			this.heard.complete(strikes.get(0));
+		}
+
+	}
+
 }
