Take the daemon through its planned stop, and wire the fleet's reports

Cause: a stop refused new requests at once, although callers may hold the address for the keep time; load reports and strikes did not reach the membership.

Change: StopDuty announces, lingers for keep time plus the time until no daemon names this one, refuses with other addresses, waits for what is in flight and for the flush. Entry answers and refusals use EntrySelector. SchedulingDuty hands load reports on. The transport shuts down behind the messages that wait, so that the news of the end is sent.

--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -8,28 +9,33 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RetryBudget;
 import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
+import org.sardineport.core.stop.StopTiming;
 import org.sardineport.daemon.configuration.ConfigurationDuty;
 import org.sardineport.daemon.engine.HttpModelEngine;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
+import org.sardineport.daemon.fleet.FleetDuty;
+import org.sardineport.daemon.fleet.TransportCounters;
 import org.sardineport.daemon.http.CallerServer;
 import org.sardineport.daemon.http.CallerServices;
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.placeholder.AbsentJournal;
-import org.sardineport.daemon.placeholder.SingleFleet;
 import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
 import org.sardineport.daemon.scheduling.SchedulingDuty;
+import org.sardineport.daemon.stop.StopDuty;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.settings.DaemonSettings;
@@ -39,7 +45,6 @@
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
 import org.sardineport.wire.transport.PeerIdentity;
-import org.sardineport.wire.transport.TransportListener;
 
 /**
  * One daemon: all its parts, started and stopped together. Several can run in one
@@ -53,9 +58,13 @@
 
 	private final Vertx vertx;
 
-	private final RequestRunner runner;
+	private final DaemonStopActions stopActions;
 
-	private final CallerServer callers;
+	private final StopDuty stop;
+
+	private final AtomicBoolean released = new AtomicBoolean();
+
+	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
 	/** In the order in which they are started. */
 	private final List<Service> services;
@@ -65,9 +74,9 @@
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(1));
 		long incarnation = clock.instant().toEpochMilli();
 		Telemetry telemetry = Telemetry.create();
-		PeerTransport transport = transport(settings, incarnation, clock);
+		PeerTransport transport = transport(settings, incarnation, clock, telemetry);
 		HttpVmList vmList = HttpVmList.create(this.vertx, settings.platform().vmList(), settings.platform().timeout());
-		SingleFleet fleet = SingleFleet.create(this.vertx, settings, incarnation, vmList);
+		FleetDuty fleet = FleetDuty.create(settings, incarnation, transport, vmList, clock, telemetry);
 		HttpLogService log = HttpLogService.create(this.vertx, settings.platform().logService(),
 				settings.platform().timeout());
 		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
@@ -76,16 +85,21 @@
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
-		this.runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
+		scheduling.listenToLoad(fleet::reported);
+		fleet.exchangeStrikes(scheduling);
+		RequestRunner runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
-		this.callers = CallerServer.create(this.vertx, settings.callerAddress(),
-				new CallerServices(settings.callers(), configuration, fleet, journal, this.runner, clock, telemetry));
+		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
+				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
+		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
 		Readiness readiness = () -> (configuration.isReady()) ? List.of() : List.of("The configuration is being read.");
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
-				new OperatorServices(configuration, fleet, readiness, this.callers::inFlight, telemetry));
-		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, this.callers,
-				operators);
+				new OperatorServices(configuration, fleet, readiness, callers::inFlight, telemetry));
+		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, callers, operators);
+		this.stopActions = new DaemonStopActions(fleet, configuration, callers, runner,
+				() -> CompletableFuture.completedStage(null));
+		this.stop = StopDuty.create(stopTiming(settings), this.stopActions, clock, telemetry);
 	}
 
 	/**
@@ -104,33 +118,60 @@
 		for (Service service : this.services) {
 			started = started.thenCompose((ignored) -> service.start());
 		}
-		return started.thenRun(() -> LOG.info("daemon.started", "daemon", this.settings.daemon(), "failure-domain",
-				this.settings.failureDomain(), "callers", this.settings.callerAddress()));
+		return started.thenRun(() -> {
+			this.stopActions.started();
+			LOG.info("daemon.started", "daemon", this.settings.daemon(), "failure-domain",
+					this.settings.failureDomain(), "callers", this.settings.callerAddress());
+		});
 	}
 
 	/**
-	 * Stops after the work in flight, in a planned way.
+	 * Stops in a planned way: serves callers that still hold the address, then refuses
+	 * new requests, and ends after the work in flight. Further calls wait for the first.
 	 * @return completes when nothing is left running
 	 */
 	@Override
 	public CompletionStage<Void> stop() {
-		this.callers.refuseNewRequests();
-		List<Service> reversed = new ArrayList<>(this.services);
-		Collections.reverse(reversed);
-		CompletionStage<Void> stopped = this.callers.whenDrained().thenCompose((ignored) -> this.runner.whenDrained());
-		for (Service service : reversed) {
-			stopped = stopped.thenCompose((ignored) -> service.stop());
+		return this.stop.request().thenCompose((ignored) -> release());
+	}
+
+	private CompletionStage<Void> release() {
+		if (this.released.compareAndSet(false, true)) {
+			List<Service> reversed = new ArrayList<>(this.services);
+			Collections.reverse(reversed);
+			CompletionStage<Void> stopped = CompletableFuture.completedStage(null);
+			for (Service service : reversed) {
+				stopped = stopped.thenCompose((ignored) -> service.stop());
+			}
+			stopped.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
+				.whenComplete((ignored, failure) -> ended(failure));
 		}
-		return stopped.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
-			.thenRun(() -> LOG.info("daemon.stopped", "daemon", this.settings.daemon()));
+		return this.ended.copy();
+	}
+
+	private void ended(@Nullable Throwable failure) {
+		if (failure != null) {
+			LOG.error("daemon.stop-failed", failure, "daemon", this.settings.daemon());
+			this.ended.completeExceptionally(failure);
+			return;
+		}
+		LOG.info("daemon.stopped", "daemon", this.settings.daemon());
+		this.ended.complete(null);
+	}
+
+	private static StopTiming stopTiming(DaemonSettings settings) {
+		Duration newsBound = FleetDuty.timing(settings.membership()).detectionBound();
+		return StopTiming.covering(settings.stop().linger(), settings.stop().limit(), settings.callers().keepTime(),
+				newsBound);
 	}
 
-	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock) {
+	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock,
+			Telemetry telemetry) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
 				settings.peerAddress(), settings.peerKeys());
 		return NettyPeerTransport.create(identity,
 				List.of(MembershipCodec.create(), SchedulingCodec.create(), ConfigurationPeerCodec.create()), clock,
-				TransportListener.NONE);
+				TransportCounters.create(telemetry));
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
@@ -67,7 +67,7 @@
 
 	private final List<NetworkAddress> seeds;
 
-	private final SelfReport selfReport;
+	private volatile SelfReport selfReport = SelfReport.NONE;
 
 	private final BackendDirectory backends;
 
@@ -94,18 +94,18 @@
 	private volatile FleetSnapshot snapshot;
 
 	private FleetDuty(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
-			SelfReport selfReport, InstantSource clock, Telemetry telemetry) {
+			InstantSource clock, Telemetry telemetry) {
 		this.duty = Duty.create("membership", RING_SIZE, TICK, this::tick);
 		this.telemetry = telemetry;
 		this.clock = clock;
 		this.vmList = vmList;
 		this.vmListInterval = settings.membership().vmListInterval();
 		this.seeds = settings.seeds();
-		this.selfReport = selfReport;
 		this.backends = BackendDirectory.create(clock);
 		this.reporter = new MembershipReporter(transport, telemetry, this.backends, clock);
 		Member self = new Member(settings.daemon(), incarnation, MemberStatus.ALIVE, settings.failureDomain(),
-				settings.peerAddress(), settings.callerAddress(), selfReport.configurationVersion(), selfReport.load());
+				settings.peerAddress(), settings.callerAddress(), this.selfReport.configurationVersion(),
+				this.selfReport.load());
 		this.membership = Membership.create(self, timing(settings.membership()), clock,
 				new SplittableRandom(settings.daemon().hashCode() ^ incarnation), this.reporter);
 		this.membership.contacts(this.seeds);
@@ -121,17 +121,15 @@
 	 * milliseconds since the epoch at its start
 	 * @param transport carries the messages
 	 * @param vmList the platform's list
-	 * @param selfReport what this daemon tells of itself
 	 * @param clock the clock
 	 * @param telemetry counts the events
 	 * @return the duty
 	 */
 	public static FleetDuty create(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
-			SelfReport selfReport, InstantSource clock, Telemetry telemetry) {
+			InstantSource clock, Telemetry telemetry) {
 		Objects.requireNonNull(transport, "transport must not be null");
 		Objects.requireNonNull(vmList, "vmList must not be null");
-		Objects.requireNonNull(selfReport, "selfReport must not be null");
-		return new FleetDuty(settings, incarnation, transport, vmList, selfReport, clock, telemetry);
+		return new FleetDuty(settings, incarnation, transport, vmList, clock, telemetry);
 	}
 
 	@Override
@@ -173,6 +171,14 @@
 		});
 	}
 
+	/**
+	 * Sets what this daemon tells of itself. Called before the start.
+	 * @param report gives the version and load
+	 */
+	public void reportFrom(SelfReport report) {
+		this.selfReport = Objects.requireNonNull(report, "report must not be null");
+	}
+
 	/**
 	 * Carries strikes between this daemon's scheduling and that of the others. Called
 	 * before the start.
@@ -285,7 +291,12 @@
 		}
 	}
 
-	private static MembershipTiming timing(MembershipSettings settings) {
+	/**
+	 * Returns the times of the membership.
+	 * @param settings the settings
+	 * @return the times
+	 */
+	public static MembershipTiming timing(MembershipSettings settings) {
 		return new MembershipTiming(settings.probeInterval(), settings.probeTimeout(), settings.suspicionTimeout());
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
@@ -1,6 +1,5 @@
 package org.sardineport.daemon.http;
 
-import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -118,7 +117,7 @@
 	private void handle(HttpServerRequest request) {
 		RequestId id = this.ids.next();
 		int held = this.inFlight.incrementAndGet();
-		HttpAnswerSink sink = new HttpAnswerSink(request, id.value(), this.services.telemetry(), this::otherEntries,
+		HttpAnswerSink sink = new HttpAnswerSink(request, id.value(), this.services.telemetry(), this.entry::addresses,
 				this::end);
 		request.response().setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
 		Refusal refusal = refusal(held);
@@ -150,10 +149,6 @@
 		return null;
 	}
 
-	private List<NetworkAddress> otherEntries() {
-		return List.of();
-	}
-
 	private void end() {
 		CompletableFuture<Void> waiting = this.drained;
 		if (this.inFlight.decrementAndGet() == 0 && waiting != null) {
--- a/daemon/src/main/java/org/sardineport/daemon/http/EntryResource.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/EntryResource.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.sardineport.core.entry.EntryAnswer;
+import org.sardineport.core.entry.EntrySelector;
 import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.identity.NetworkAddress;
 
 /**
  * Tells callers which addresses to use.
@@ -26,13 +30,9 @@
 	}
 
 	void answer(HttpAnswerSink sink) {
-		List<String> addresses = this.fleet.current()
-			.members()
-			.stream()
-			.filter((member) -> member.status().isEligible())
-			.map((member) -> member.callerAddress().toString())
-			.toList();
-		byte[] body = toBytes(new EntryJson(addresses, this.keepTime.toSeconds()));
+		EntryAnswer entry = select();
+		List<String> addresses = entry.addresses().stream().map(NetworkAddress::toString).toList();
+		byte[] body = toBytes(new EntryJson(addresses, entry.keepTime().toSeconds()));
 		sink.head(200,
 				List.of(Map.entry("Content-Type", "application/json"),
 						Map.entry("Cache-Control", "max-age=" + this.keepTime.toSeconds()),
@@ -41,6 +41,14 @@
 		sink.end();
 	}
 
+	List<NetworkAddress> addresses() {
+		return select().addresses();
+	}
+
+	private EntryAnswer select() {
+		return EntrySelector.create(this.keepTime, ThreadLocalRandom.current()).select(this.fleet.current());
+	}
+
 	private byte[] toBytes(EntryJson answer) {
 		try {
 			return this.json.writeValueAsBytes(answer);
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.sardineport.core.admission.Permit;
@@ -15,6 +16,7 @@
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.fleet.Member;
@@ -78,6 +80,9 @@
 
 	private volatile List<Strike> strikes = List.of();
 
+	private volatile Consumer<LoadReport> loadListener = (report) -> {
+	};
+
 	private long reportsAskedAt;
 
 	private SchedulingDuty(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
@@ -180,6 +185,15 @@
 		return this.states;
 	}
 
+	/**
+	 * Sets who hears each load report. Called before the start; the listener returns at
+	 * once.
+	 * @param listener hears the reports
+	 */
+	public void listenToLoad(Consumer<LoadReport> listener) {
+		this.loadListener = Objects.requireNonNull(listener, "listener must not be null");
+	}
+
 	private void offer(String what, Runnable command) {
 		if (!this.duty.offer(command)) {
 			this.telemetry.counter("scheduling.ring-full." + what).inc();
@@ -219,6 +233,7 @@
 		this.engine.load(server).whenComplete((report, failure) -> {
 			if (failure == null) {
 				offer("load", () -> this.scheduler.loaded(report));
+				this.loadListener.accept(report);
 			}
 			else {
 				this.telemetry.counter("scheduling.load-report-failed").inc();
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/stop/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Carries out planned stops.
+ */
+@NullMarked
+package org.sardineport.daemon.stop;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
@@ -121,9 +121,11 @@
 		return new DaemonSettings("fleet", DaemonId.of("d1"), FailureDomain.of("bole"), freeAddress(), freeAddress(),
 				peer, List.of(), List.of("0123456789abcdef0123456789abcdef"), TOKEN,
 				new PlatformSettings(this.log.address(), this.vmList.address(), Duration.ofSeconds(2)),
-				CallerSettings.defaults(), SchedulingSettings.defaults(), JournalSettings.defaults(),
-				MembershipSettings.defaults(), ConfigurationSettings.defaults(),
-				new StopSettings(Duration.ofMillis(100), Duration.ZERO));
+				new CallerSettings(1024, Duration.ofSeconds(1), 100, Duration.ofMillis(100)),
+				SchedulingSettings.defaults(), JournalSettings.defaults(),
+				new MembershipSettings(Duration.ofMillis(100), Duration.ofMillis(50), Duration.ofMillis(100),
+						Duration.ofMillis(100)),
+				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(100), Duration.ZERO));
 	}
 
 	private static NetworkAddress freeAddress() throws IOException {
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/FleetDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/FleetDutyTests.java
@@ -94,7 +94,8 @@
 				() -> (this.listDown)
 						? CompletableFuture.failedFuture(VmListException.of("down", new IllegalStateException()))
 						: CompletableFuture.completedFuture(this.listing),
-				new FixedReport(40 + number, number), this.clock, Telemetry.create());
+				this.clock, Telemetry.create());
+		duty.reportFrom(new FixedReport(40 + number, number));
 		transport.start();
 		duty.start();
 		this.duties.add(duty);
@@ -138,9 +139,11 @@
 	void daemonsFindEachOtherByTheListAndTellOfThemselves() throws Exception {
 		FleetDuty first = start(1);
 		FleetDuty second = start(2);
-		FleetSnapshot seen = await(first, holds(2, MemberStatus.ALIVE));
+		FleetSnapshot seen = await(first,
+				holds(2, MemberStatus.ALIVE).and((snapshot) -> snapshot.members()
+					.stream()
+					.anyMatch((member) -> member.configurationVersion() == 42 && member.load() == 2)));
 		await(second, holds(1, MemberStatus.ALIVE));
-		assertThat(seen.member(DaemonId.of("daemon-2")).orElseThrow().configurationVersion()).isEqualTo(42);
 		assertThat(seen.self()).isEqualTo(DaemonId.of("daemon-1"));
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -125,11 +126,23 @@
 	@Override
 	public CompletionStage<Void> stop() {
 		CompletableFuture<Void> stopped = new CompletableFuture<>();
-		this.group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-			.addListener((future) -> stopped.complete(null));
+		this.group.terminationFuture().addListener((future) -> stopped.complete(null));
+		Channel open = this.channel;
+		this.channel = null;
+		if (open == null) {
+			shutDown();
+		}
+		else {
+			// Behind the messages that wait to be sent.
+			open.eventLoop().execute(this::shutDown);
+		}
 		return stopped;
 	}
 
+	private void shutDown() {
+		this.group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	@Override
 	public void send(NetworkAddress to, PeerMessage message) {
 		Objects.requireNonNull(to, "to must not be null");
@@ -144,7 +157,13 @@
 			this.counts.dropped(DropReason.SEND_QUEUE_FULL);
 			return;
 		}
-		open.eventLoop().execute(() -> write(open, to, message));
+		try {
+			open.eventLoop().execute(() -> write(open, to, message));
+		}
+		catch (RejectedExecutionException ex) {
+			this.queued.decrementAndGet();
+			this.counts.dropped(DropReason.SEND_FAILED);
+		}
 	}
 
 	private void write(Channel open, NetworkAddress to, PeerMessage message) {
