--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -116,7 +116,7 @@
 	public CompletionStage<Void> start() {
 		CompletionStage<Void> started = CompletableFuture.completedStage(null);
 		for (Service service : this.services) {
-			started = started.thenCompose((ignored) -> service.start());
+			started = started.thenCompose((ignored) -> startUnlessStopped(service));
 		}
 		return started.thenRun(() -> {
 			this.stopActions.started();
@@ -135,6 +135,13 @@
 		return this.stop.request().thenCompose((ignored) -> release());
 	}
 
+	private CompletionStage<Void> startUnlessStopped(Service service) {
+		if (this.released.get()) {
+			return CompletableFuture.failedStage(new IllegalStateException("the daemon was stopped while it started"));
+		}
+		return service.start();
+	}
+
 	private CompletionStage<Void> release() {
 		if (this.released.compareAndSet(false, true)) {
 			List<Service> reversed = new ArrayList<>(this.services);
