--- a/daemon/src/main/java/org/sardineport/daemon/DaemonStopActions.java
+++ b/daemon/src/main/java/org/sardineport/daemon/DaemonStopActions.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
@@ -50,7 +51,7 @@
 
 	@Override
 	public CompletionStage<Void> announce() {
-		return this.fleet.leave();
+		return (this.started.get()) ? this.fleet.leave() : CompletableFuture.completedStage(null);
 	}
 
 	@Override
@@ -65,7 +66,7 @@
 
 	@Override
 	public CompletionStage<Void> flush() {
-		return this.flush.get();
+		return (this.started.get()) ? this.flush.get() : CompletableFuture.completedStage(null);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -9,13 +9,13 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RetryBudget;
-import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -31,7 +31,7 @@
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
-import org.sardineport.daemon.placeholder.AbsentJournal;
+import org.sardineport.daemon.journal.JournalDuty;
 import org.sardineport.daemon.platform.HttpLogService;
 import org.sardineport.daemon.platform.HttpVmList;
 import org.sardineport.daemon.scheduling.SchedulingDuty;
@@ -66,6 +66,8 @@
 
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
+	private final List<Service> running = new CopyOnWriteArrayList<>();
+
 	/** In the order in which they are started. */
 	private final List<Service> services;
 
@@ -81,24 +83,25 @@
 				settings.platform().timeout());
 		ConfigurationDuty configuration = ConfigurationDuty.create(settings.configuration(), ProfileReader.create(),
 				log, fleet, transport, clock, telemetry);
-		RequestJournal journal = AbsentJournal.create();
+		JournalDuty journal = JournalDuty.create(settings.fleet(), settings.daemon(), incarnation, settings.journal(),
+				log, fleet, clock, telemetry);
 		HttpModelEngine engines = HttpModelEngine.create(this.vertx, clock);
 		SchedulingDuty scheduling = SchedulingDuty.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
 		scheduling.listenToLoad(fleet::reported);
 		fleet.exchangeStrikes(scheduling);
-		RequestRunner runner = RequestRunner.create(new RunServices(scheduling, journal, engines, clock, telemetry,
+		RequestRunner runner = RequestRunner.create(RunServices.create(scheduling, journal, engines, clock, telemetry,
 				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
-		Readiness readiness = () -> (configuration.isReady()) ? List.of() : List.of("The configuration is being read.");
+		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, callers::inFlight, telemetry));
-		this.services = List.of(transport, log, vmList, engines, fleet, configuration, scheduling, callers, operators);
-		this.stopActions = new DaemonStopActions(fleet, configuration, callers, runner,
-				() -> CompletableFuture.completedStage(null));
+		this.services = List.of(transport, log, vmList, engines, fleet, configuration, journal, scheduling, callers,
+				operators);
+		this.stopActions = new DaemonStopActions(fleet, configuration, callers, runner, journal::stop);
 		this.stop = StopDuty.create(stopTiming(settings), this.stopActions, clock, telemetry);
 	}
 
@@ -139,12 +142,13 @@
 		if (this.released.get()) {
 			return CompletableFuture.failedStage(new IllegalStateException("the daemon was stopped while it started"));
 		}
+		this.running.add(service);
 		return service.start();
 	}
 
 	private CompletionStage<Void> release() {
 		if (this.released.compareAndSet(false, true)) {
-			List<Service> reversed = new ArrayList<>(this.services);
+			List<Service> reversed = new ArrayList<>(this.running);
 			Collections.reverse(reversed);
 			CompletionStage<Void> stopped = CompletableFuture.completedStage(null);
 			for (Service service : reversed) {
@@ -172,6 +176,17 @@
 				newsBound);
 	}
 
+	private static List<String> missing(boolean configurationReady, boolean journalReady) {
+		List<String> missing = new ArrayList<>();
+		if (!configurationReady) {
+			missing.add("The configuration is being read.");
+		}
+		if (!journalReady) {
+			missing.add("The journal is being read.");
+		}
+		return missing;
+	}
+
 	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock,
 			Telemetry telemetry) {
 		PeerIdentity identity = new PeerIdentity(settings.fleet(), settings.daemon(), incarnation,
