--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -3,12 +3,13 @@
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.sardineport.bench.policy.PolicyMeasurement;
 
 /**
  * Runs one measurement by name and prints its table and its CSV.
  */
 @Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
-		commands = { Help.class })
+		commands = { Help.class, PolicyMeasurement.class })
 public final class Main {
 
 	/** Exit code when every target was met. */
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
@@ -0,0 +1,129 @@
+package org.sardineport.bench.policy;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+
+/**
+ * A fake engine with continuous batching: each iteration prefills up to a chunk of prompt
+ * tokens and generates one token of each other sequence. Prefixes are kept in a small
+ * cache, least recently used out first.
+ */
+final class FakeModelEngine implements FakeServer {
+
+	/** Prompt tokens prefilled in one iteration. */
+	private static final int CHUNK = 512;
+
+	/** Prefixes that fit in the cache. */
+	private static final int CACHED_PREFIXES = 8;
+
+	/** Share of a prompt that is its prefix. */
+	private static final double PREFIX_SHARE = 0.6;
+
+	private final BackendServer server;
+
+	private final EngineSpeed speed;
+
+	private final VirtualTime time;
+
+	private final Deque<Job> queue = new ArrayDeque<>();
+
+	private final List<Job> batch = new ArrayList<>();
+
+	private final LinkedHashSet<Long> prefixes = new LinkedHashSet<>();
+
+	private double factor = 1;
+
+	private boolean iterating;
+
+	FakeModelEngine(BackendServer server, EngineSpeed speed, VirtualTime time) {
+		this.server = server;
+		this.speed = speed;
+		this.time = time;
+	}
+
+	@Override
+	public BackendServer server() {
+		return this.server;
+	}
+
+	@Override
+	public void admit(Job job) {
+		this.queue.add(job);
+		if (!this.iterating) {
+			iterate();
+		}
+	}
+
+	@Override
+	public void cancel(Job job) {
+		this.queue.remove(job);
+		this.batch.remove(job);
+	}
+
+	@Override
+	public void slowDown(double newFactor) {
+		this.factor = newFactor;
+	}
+
+	@Override
+	public LoadReport load() {
+		return new LoadReport(this.server.id(), this.batch.size(), this.queue.size(), 0, false, false,
+				this.time.instant());
+	}
+
+	private void iterate() {
+		while (this.batch.size() < this.server.nominalConcurrency() && !this.queue.isEmpty()) {
+			join(this.queue.poll());
+		}
+		this.iterating = !this.batch.isEmpty();
+		if (!this.iterating) {
+			return;
+		}
+		int budget = CHUNK;
+		List<Job> generating = new ArrayList<>();
+		for (Job job : this.batch) {
+			int tokens = Math.min(budget, job.promptTokensLeft());
+			if (tokens == 0 && job.promptTokensLeft() == 0) {
+				generating.add(job);
+			}
+			job.prefill(tokens);
+			budget -= tokens;
+		}
+		double millis = this.speed.iterationMillis() + this.speed.sequenceMillis() * generating.size()
+				+ this.speed.prefillMillisPerToken() * (CHUNK - budget);
+		this.time.after(millis * this.factor, () -> finish(generating));
+	}
+
+	private void join(Job job) {
+		long prefix = job.request().prefixHash();
+		if (this.prefixes.remove(prefix)) {
+			job.cached((int) (job.request().estimate().prompt() * PREFIX_SHARE));
+		}
+		this.prefixes.add(prefix);
+		if (this.prefixes.size() > CACHED_PREFIXES) {
+			this.prefixes.remove(this.prefixes.iterator().next());
+		}
+		this.batch.add(job);
+	}
+
+	private void finish(List<Job> generating) {
+		for (Job job : generating) {
+			if (!this.batch.contains(job)) {
+				continue;
+			}
+			job.generate(this.time.millisNow());
+			if (job.isWhole()) {
+				this.batch.remove(job);
+				job.completed();
+			}
+		}
+		iterate();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakePlainService.java
@@ -0,0 +1,76 @@
+package org.sardineport.bench.policy;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+
+/**
+ * A fake plain service that runs a few calls at once and lets the others wait.
+ */
+final class FakePlainService implements FakeServer {
+
+	private final BackendServer server;
+
+	private final VirtualTime time;
+
+	private final Deque<Job> queue = new ArrayDeque<>();
+
+	private final Set<Job> running = new HashSet<>();
+
+	private double factor = 1;
+
+	FakePlainService(BackendServer server, VirtualTime time) {
+		this.server = server;
+		this.time = time;
+	}
+
+	@Override
+	public BackendServer server() {
+		return this.server;
+	}
+
+	@Override
+	public void admit(Job job) {
+		this.queue.add(job);
+		fill();
+	}
+
+	@Override
+	public void cancel(Job job) {
+		this.queue.remove(job);
+		if (this.running.remove(job)) {
+			fill();
+		}
+	}
+
+	@Override
+	public void slowDown(double newFactor) {
+		this.factor = newFactor;
+	}
+
+	@Override
+	public LoadReport load() {
+		return new LoadReport(this.server.id(), this.running.size(), this.queue.size(), 0, false, false,
+				this.time.instant());
+	}
+
+	private void fill() {
+		while (this.running.size() < this.server.nominalConcurrency() && !this.queue.isEmpty()) {
+			Job job = this.queue.remove();
+			this.running.add(job);
+			this.time.after(job.callMillis() * this.factor, () -> finish(job));
+		}
+	}
+
+	private void finish(Job job) {
+		if (this.running.remove(job)) {
+			job.completed();
+			fill();
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyMeasurement.java
@@ -0,0 +1,152 @@
+package org.sardineport.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import org.sardineport.bench.Measurement;
+import org.sardineport.core.request.Tier;
+
+/**
+ * Compares policies by goodput of each tier and by wasted prefill.
+ */
+@Command(name = "policy", description = "Goodput and wasted prefill of the decisions under load")
+public final class PolicyMeasurement implements Measurement {
+
+	/** Least goodput of the top tier. */
+	private static final double TOP_GOODPUT = 0.99;
+
+	/** Least ratio to the best baseline's goodput of the top tier, where load changes. */
+	private static final double TOP_RATIO = 1.5;
+
+	/** Most wasted prefill, as a share of the best baseline's. */
+	private static final double WASTE_SHARE = 0.25;
+
+	@Option(name = "--seeds", description = "Number of seeds, counted from 1")
+	private int seeds = 3;
+
+	@Option(name = "--site", description = "Only this site")
+	private String onlySite = "";
+
+	@Option(name = "--case", description = "Only this case")
+	private String onlyCase = "";
+
+	@Option(name = "--details", description = "Print refusals, messages and retries too")
+	private boolean details;
+
+	private boolean met = true;
+
+	@Override
+	public boolean run() {
+		List<String> csv = new ArrayList<>();
+		csv.add("site,case,seed,policy,urgent,interactive,standard,batch,good_tokens,wasted_prefill,preemptions,"
+				+ "messages_per_request,checked_events,broken_events,top_refused,top_shed_behind_lower");
+		for (Site site : Site.values()) {
+			for (LoadCase loadCase : LoadCase.values()) {
+				if (isChosen(this.onlySite, site) && isChosen(this.onlyCase, loadCase)) {
+					measure(site, loadCase, csv);
+				}
+			}
+		}
+		System.out.println();
+		csv.forEach(System.out::println);
+		System.out.println((this.met) ? "all targets met" : "targets missed");
+		return this.met;
+	}
+
+	private static boolean isChosen(String only, Enum<?> value) {
+		return only.isEmpty() || only.equalsIgnoreCase(value.name());
+	}
+
+	private void measure(Site site, LoadCase loadCase, List<String> csv) {
+		System.out.printf("%n%s %s, %d seeds%n", site, loadCase, this.seeds);
+		System.out.printf("%-20s %8s %11s %9s %7s %12s %14s %9s%n", "policy", "urgent", "interactive", "standard",
+				"batch", "good tokens", "wasted prefill", "preempted");
+		List<List<PolicyResult>> baselines = new ArrayList<>();
+		List<PolicyResult> own = List.of();
+		for (PolicyKind kind : PolicyKind.values()) {
+			List<PolicyResult> results = new ArrayList<>();
+			for (int seed = 1; seed <= this.seeds; seed++) {
+				results.add(PolicyRun.run(kind, site, loadCase, seed));
+			}
+			results.forEach((result) -> csv.add(csvLine(result)));
+			print(kind, results);
+			if (kind.isBaseline()) {
+				baselines.add(results);
+			}
+			else {
+				own = results;
+			}
+		}
+		check(loadCase, own, baselines);
+	}
+
+	private void print(PolicyKind kind, List<PolicyResult> results) {
+		System.out.printf(Locale.ROOT, "%-20s %7.2f%% %10.2f%% %8.2f%% %6.2f%% %12.0f %14.0f %9.0f%n", kind,
+				100 * goodput(results, Tier.URGENT), 100 * goodput(results, Tier.INTERACTIVE),
+				100 * goodput(results, Tier.STANDARD), 100 * goodput(results, Tier.BATCH),
+				mean(results, PolicyResult::goodTokens), mean(results, PolicyResult::wastedPrefill),
+				mean(results, PolicyResult::preemptions));
+		if (this.details && !kind.isBaseline()) {
+			results.forEach((result) -> System.out.printf("  seed %d: refusals %s, %d retries, %d messages for %d%n",
+					result.seed(), result.refusals(), result.retries(), result.messages(), result.requests()));
+		}
+	}
+
+	private void check(LoadCase loadCase, List<PolicyResult> own, List<List<PolicyResult>> baselines) {
+		double top = goodput(own, Tier.URGENT);
+		target("top-tier goodput", top, ">=", TOP_GOODPUT, top >= TOP_GOODPUT);
+		double bestTop = baselines.stream().mapToDouble((results) -> goodput(results, Tier.URGENT)).max().orElse(0);
+		if (!loadCase.isSteady()) {
+			double ratio = top / bestTop;
+			target("top-tier goodput over best baseline", ratio, ">=", TOP_RATIO, ratio >= TOP_RATIO);
+		}
+		double bestTokens = baselines.stream()
+			.mapToDouble((results) -> mean(results, PolicyResult::goodTokens))
+			.max()
+			.orElse(0);
+		if (loadCase.isSteady()) {
+			double tokens = mean(own, PolicyResult::goodTokens) / bestTokens;
+			target("good tokens over best baseline", tokens, ">=", 1, tokens >= 1);
+		}
+		double leastWaste = baselines.stream()
+			.mapToDouble((results) -> mean(results, PolicyResult::wastedPrefill))
+			.min()
+			.orElse(0);
+		double waste = mean(own, PolicyResult::wastedPrefill);
+		target("wasted prefill", waste, "<=", WASTE_SHARE * leastWaste, waste <= WASTE_SHARE * leastWaste);
+		double broken = own.stream().mapToLong(PolicyResult::brokenEvents).sum();
+		long checked = own.stream().mapToLong(PolicyResult::checkedEvents).sum();
+		target("top tier behind lower, of " + checked + " events", broken, "<=", 0, broken == 0);
+		int refused = own.stream().mapToInt(PolicyResult::topRefused).sum();
+		double shed = own.stream().mapToInt(PolicyResult::shedBehindLower).sum();
+		target("top tier shed while lower ran, of " + refused + " refused", shed, "<=", 0, shed == 0);
+	}
+
+	private void target(String name, double value, String relation, double bound, boolean isMet) {
+		this.met &= isMet;
+		System.out.printf(Locale.ROOT, "  %-52s %12.4f %s %-12.4f %s%n", name, value, relation, bound,
+				(isMet) ? "met" : "MISSED");
+	}
+
+	private static double goodput(List<PolicyResult> results, Tier tier) {
+		return mean(results, (result) -> result.goodput(tier));
+	}
+
+	private static double mean(List<PolicyResult> results, ToDoubleFunction<PolicyResult> value) {
+		return results.stream().mapToDouble(value).average().orElse(0);
+	}
+
+	private static String csvLine(PolicyResult result) {
+		return String.format(Locale.ROOT, "%s,%s,%d,%s,%.4f,%.4f,%.4f,%.4f,%d,%d,%d,%.2f,%d,%d,%d,%d", result.site(),
+				result.loadCase(), result.seed(), result.policy(), result.goodput(Tier.URGENT),
+				result.goodput(Tier.INTERACTIVE), result.goodput(Tier.STANDARD), result.goodput(Tier.BATCH),
+				result.goodTokens(), result.wastedPrefill(), result.preemptions(),
+				(double) result.messages() / result.requests(), result.checkedEvents(), result.brokenEvents(),
+				result.topRefused(), result.shedBehindLower());
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
@@ -0,0 +1,180 @@
+package org.sardineport.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.request.Refusal;
+
+/**
+ * One run: a policy, a site, a course of the load and a seed, in virtual time.
+ */
+final class PolicyRun {
+
+	/** Time between two load reports. */
+	private static final double REPORT_MILLIS = 1000;
+
+	/** Time by which load reports are late. */
+	private static final double REPORT_DELAY_MILLIS = 2000;
+
+	private final Site site;
+
+	private final LoadCase loadCase;
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final List<FakeServer> servers = new ArrayList<>();
+
+	private final Map<BackendServerId, FakeServer> byId = new HashMap<>();
+
+	private final PolicyResult result;
+
+	private final Policy policy;
+
+	private final List<Workload.Arrival> arrivals;
+
+	private int open;
+
+	private PolicyRun(PolicyKind kind, Site site, LoadCase loadCase, long seed) {
+		this.site = site;
+		this.loadCase = loadCase;
+		this.result = new PolicyResult(kind, site, loadCase, seed);
+		this.arrivals = Workload.of(site, loadCase, seed);
+		this.open = this.arrivals.size();
+		for (BackendServer server : site.servers()) {
+			FakeServer fake = (server.kind() == BackendKind.MODEL_ENGINE)
+					? new FakeModelEngine(server, EngineSpeed.of(this.servers.size()), this.time)
+					: new FakePlainService(server, this.time);
+			this.servers.add(fake);
+			this.byId.put(server.id(), fake);
+		}
+		this.policy = kind.create(this, seed);
+	}
+
+	static PolicyResult run(PolicyKind kind, Site site, LoadCase loadCase, long seed) {
+		PolicyRun run = new PolicyRun(kind, site, loadCase, seed);
+		run.run();
+		return run.result;
+	}
+
+	private void run() {
+		for (Workload.Arrival arrival : this.arrivals) {
+			this.time.after(arrival.at(), () -> arrive(arrival.job()));
+		}
+		this.servers.forEach(this::report);
+		if (this.loadCase.slowsDown()) {
+			this.time.after(LoadCase.CHANGE_MILLIS, () -> this.servers.get(0).slowDown(LoadCase.SLOWDOWN));
+		}
+		while (this.open > 0 && this.time.step()) {
+			this.result.checked(this.policy.holds());
+		}
+	}
+
+	private void arrive(Job job) {
+		this.result.offered(job);
+		this.time.after(job.deadline() - this.time.millisNow(), () -> expire(job));
+		this.policy.arrive(job);
+	}
+
+	private void report(FakeServer server) {
+		LoadReport report = server.load();
+		this.time.after(REPORT_DELAY_MILLIS, () -> this.policy.loaded(report));
+		if (!isOver()) {
+			this.time.after(REPORT_MILLIS, () -> report(server));
+		}
+	}
+
+	Site site() {
+		return this.site;
+	}
+
+	VirtualTime time() {
+		return this.time;
+	}
+
+	List<FakeServer> servers() {
+		return this.servers;
+	}
+
+	FakeServer server(BackendServer server) {
+		FakeServer fake = this.byId.get(server.id());
+		if (fake == null) {
+			throw new IllegalArgumentException("no fake of " + server.id());
+		}
+		return fake;
+	}
+
+	boolean isOver() {
+		return this.open == 0;
+	}
+
+	void dispatch(Job job, FakeServer server) {
+		job.dispatch(server, this.time.millisNow(), () -> complete(job));
+		double delay = this.site.delayMillis(this.site.domain(job.entry()), server.server().failureDomain());
+		this.time.after(delay, () -> {
+			if (!job.isEnded()) {
+				server.admit(job);
+			}
+		});
+	}
+
+	private void complete(Job job) {
+		if (end(job)) {
+			this.result.good(job);
+			this.policy.ended(job, RunEnd.COMPLETED);
+		}
+	}
+
+	private boolean end(Job job) {
+		boolean first = job.end();
+		if (first) {
+			this.open--;
+		}
+		return first;
+	}
+
+	private void expire(Job job) {
+		FakeServer server = job.server();
+		if (!end(job)) {
+			return;
+		}
+		if (server != null) {
+			server.cancel(job);
+			this.result.wasted(job);
+			this.policy.ended(job, RunEnd.TIMED_OUT);
+		}
+		else {
+			this.policy.expired(job);
+		}
+	}
+
+	void refused(Job job, Refusal refusal, boolean shedBehindLower) {
+		if (end(job)) {
+			this.result.refused(job, refusal.reason(), shedBehindLower);
+		}
+	}
+
+	void preempt(Job job) {
+		FakeServer server = job.server();
+		if (server != null && end(job)) {
+			server.cancel(job);
+			this.result.preempted(job);
+			this.policy.ended(job, RunEnd.CANCELLED);
+		}
+	}
+
+	void countMessage() {
+		this.result.message();
+	}
+
+	void countRetry() {
+		this.result.retry();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/Site.java
@@ -0,0 +1,91 @@
+package org.sardineport.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+
+/**
+ * Backend servers and distances of the two sites.
+ */
+enum Site {
+
+	/** Six workers of a language model, three of a plain service. */
+	BAGMATI(6, 3, 1.5, List.of("lalitpur", "baneshwor", "bhaktapur")),
+
+	/** Thirteen workers of a language model, three of a plain service. */
+	LEXICA(13, 3, 0.5, List.of("bole", "kaliti", "piassa"));
+
+	static final PoolName MODEL = PoolName.of("model");
+
+	static final PoolName SERVICE = PoolName.of("service");
+
+	static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 1);
+
+	/** Requests that a fake engine batches at most. */
+	static final int ENGINE_CONCURRENCY = 16;
+
+	/** Calls that a fake service runs at most. */
+	static final int SERVICE_CONCURRENCY = 4;
+
+	/** Daemons of each site. */
+	static final int DAEMONS = 8;
+
+	private static final double NEAR_MILLIS = 0.2;
+
+	private final int engines;
+
+	private final int services;
+
+	private final double domainMillis;
+
+	private final List<String> domains;
+
+	Site(int engines, int services, double domainMillis, List<String> domains) {
+		this.engines = engines;
+		this.services = services;
+		this.domainMillis = domainMillis;
+		this.domains = domains;
+	}
+
+	FailureDomain domain(int index) {
+		return FailureDomain.of(this.domains.get(index % this.domains.size()));
+	}
+
+	/**
+	 * Returns the time of a message on its way.
+	 * @param from failure domain of the sender
+	 * @param to failure domain of the receiver
+	 * @return milliseconds
+	 */
+	double delayMillis(FailureDomain from, FailureDomain to) {
+		return (from.equals(to)) ? NEAR_MILLIS : this.domainMillis;
+	}
+
+	List<BackendServer> servers() {
+		List<BackendServer> servers = new ArrayList<>();
+		for (int i = 0; i < this.engines; i++) {
+			servers.add(new BackendServer(BackendServerId.of("engine-" + i), BackendKind.MODEL_ENGINE, MODEL, domain(i),
+					ADDRESS, ENGINE_CONCURRENCY));
+		}
+		for (int i = 0; i < this.services; i++) {
+			servers.add(new BackendServer(BackendServerId.of("service-" + i), BackendKind.PLAIN_SERVICE, SERVICE,
+					domain(i), ADDRESS, SERVICE_CONCURRENCY));
+		}
+		return servers;
+	}
+
+	int engines() {
+		return this.engines;
+	}
+
+	int services() {
+		return this.services;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/VirtualTime.java
@@ -0,0 +1,77 @@
+package org.sardineport.bench.policy;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.PriorityQueue;
+
+/**
+ * Events in the order of their virtual time, and the clock that they move.
+ */
+final class VirtualTime implements InstantSource {
+
+	private static final Instant START = Instant.ofEpochSecond(1_000_000);
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private double now;
+
+	private long sequence;
+
+	/**
+	 * Runs an action later.
+	 * @param delayMillis time from now, in milliseconds
+	 * @param action the action
+	 */
+	void after(double delayMillis, Runnable action) {
+		this.events.add(new Event(this.now + delayMillis, this.sequence++, action));
+	}
+
+	/**
+	 * Runs the next event.
+	 * @return whether there was one
+	 */
+	boolean step() {
+		Event next = this.events.poll();
+		if (next == null) {
+			return false;
+		}
+		this.now = next.at;
+		next.action.run();
+		return true;
+	}
+
+	/**
+	 * Returns the virtual time.
+	 * @return milliseconds since the start
+	 */
+	double millisNow() {
+		return this.now;
+	}
+
+	@Override
+	public Instant instant() {
+		return at(this.now);
+	}
+
+	static Instant at(double millis) {
+		return START.plusNanos((long) (millis * 1e6));
+	}
+
+	/**
+	 * An action at its time.
+	 *
+	 * @param at time in milliseconds
+	 * @param sequence order of events of the same time
+	 * @param action the action
+	 */
+	private record Event(double at, long sequence, Runnable action) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			int byTime = Double.compare(this.at, other.at);
+			return (byTime != 0) ? byTime : Long.compare(this.sequence, other.sequence);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/policy/Workload.java
@@ -0,0 +1,145 @@
+package org.sardineport.bench.policy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * Requests of one run, the same for every policy.
+ */
+final class Workload {
+
+	/** Shares of the five organisations. */
+	private static final double[] ORGANISATIONS = { 0.4, 0.3, 0.15, 0.1, 0.05 };
+
+	/** Prompt prefixes of each organisation. */
+	private static final int PREFIXES = 8;
+
+	/** Bounds of the ratio between estimated and true answer tokens. */
+	private static final double LEAST_ESTIMATE = 0.7;
+
+	private static final double MOST_ESTIMATE = 1.4;
+
+	private final Site site;
+
+	private final LoadCase loadCase;
+
+	private final SplittableRandom random;
+
+	private final List<Arrival> arrivals = new ArrayList<>();
+
+	private Workload(Site site, LoadCase loadCase, long seed) {
+		this.site = site;
+		this.loadCase = loadCase;
+		this.random = new SplittableRandom(seed);
+	}
+
+	static List<Arrival> of(Site site, LoadCase loadCase, long seed) {
+		Workload workload = new Workload(site, loadCase, seed);
+		workload.arrive(Site.MODEL, workload.modelCapacity());
+		workload.arrive(Site.SERVICE, workload.serviceCapacity());
+		return workload.arrivals;
+	}
+
+	private double modelCapacity() {
+		double prompt = 0;
+		double answer = 0;
+		for (RequestClass each : classes(Site.MODEL)) {
+			prompt += each.share() * each.meanPrompt();
+			answer += each.share() * each.meanAnswer();
+		}
+		double capacity = 0;
+		for (int i = 0; i < this.site.engines(); i++) {
+			capacity += EngineSpeed.of(i).capacity(prompt, answer);
+		}
+		return capacity;
+	}
+
+	private double serviceCapacity() {
+		double meanMillis = RequestClass.mean(RequestClass.SHORTEST_CALL, RequestClass.LONGEST_CALL);
+		return this.site.services() * Site.SERVICE_CONCURRENCY * 1000 / meanMillis;
+	}
+
+	private static List<RequestClass> classes(PoolName pool) {
+		return Arrays.stream(RequestClass.values()).filter((each) -> each.pool().equals(pool)).toList();
+	}
+
+	private void arrive(PoolName pool, double capacity) {
+		List<RequestClass> classes = classes(pool);
+		double at = 0;
+		while (at < LoadCase.DURATION_MILLIS) {
+			double ratePerMilli = capacity * this.loadCase.load(at) / 1000;
+			at += -Math.log(1 - this.random.nextDouble()) / ratePerMilli;
+			this.arrivals.add(arrival(at, choose(classes)));
+		}
+	}
+
+	private RequestClass choose(List<RequestClass> classes) {
+		double left = this.random.nextDouble();
+		for (RequestClass each : classes) {
+			left -= each.share();
+			if (left < 0) {
+				return each;
+			}
+		}
+		return classes.get(classes.size() - 1);
+	}
+
+	private Arrival arrival(double at, RequestClass kind) {
+		int number = this.arrivals.size();
+		int organisation = organisation();
+		int prompt = kind.prompt(this.random);
+		int answer = kind.answer(this.random);
+		double ratio = LEAST_ESTIMATE + this.random.nextDouble() * (MOST_ESTIMATE - LEAST_ESTIMATE);
+		long prefix = (prompt == 0) ? 0
+				: 1 + kind.ordinal() + 16L * (organisation * PREFIXES + this.random.nextInt(PREFIXES));
+		Instant arrival = VirtualTime.at(at);
+		SchedulingRequest request = new SchedulingRequest(RequestId.of("r" + number), kind.pool(),
+				OrganisationId.of("organisation-" + organisation), kind.tier(),
+				TokenEstimate.of(prompt, (int) (answer * ratio)), prefix, Fingerprint.of(number, 0), kind.policy(), 0,
+				arrival, arrival.plus(kind.deadline()));
+		int entry = this.random.nextInt(Site.DAEMONS);
+		double call = RequestClass.between(RequestClass.SHORTEST_CALL, RequestClass.LONGEST_CALL, this.random);
+		return new Arrival(at, request, entry, answer, call);
+	}
+
+	private int organisation() {
+		double left = this.random.nextDouble();
+		for (int i = 0; i < ORGANISATIONS.length; i++) {
+			left -= ORGANISATIONS[i];
+			if (left < 0) {
+				return i;
+			}
+		}
+		return ORGANISATIONS.length - 1;
+	}
+
+	/**
+	 * A request that arrives.
+	 *
+	 * @param at when, in milliseconds
+	 * @param request the request
+	 * @param entry number of the daemon that accepts it
+	 * @param answerTokens true length of its answer
+	 * @param callMillis duration of its call, for plain services
+	 */
+	record Arrival(double at, SchedulingRequest request, int entry, int answerTokens, double callMillis) {
+
+		Job job() {
+			double deadline = this.at + Duration.between(this.request.arrival(), this.request.deadline()).toMillis();
+			return new Job(this.request, this.entry, deadline, this.answerTokens, this.callMillis);
+		}
+
+	}
+
+}
