Let the top tier wait for work that cannot be preempted

Cause: a top-tier request exceeded the limit without bound while any lower tier ran, so engines and services queued it themselves, runs seemed slow and later requests were refused. Now it waits first in line, and exceeds the limit only at the last moment at which it can still finish.

--- a/bench/src/main/java/org/sardineport/bench/policy/Job.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Job.java
@@ -12,6 +12,8 @@
  */
 final class Job {
 
+	private final RequestClass kind;
+
 	private final SchedulingRequest request;
 
 	private final int entry;
@@ -39,7 +41,8 @@
 
 	private boolean ended;
 
-	Job(SchedulingRequest request, int entry, double deadline, int answerTokens, double callMillis) {
+	Job(RequestClass kind, SchedulingRequest request, int entry, double deadline, int answerTokens, double callMillis) {
+		this.kind = kind;
 		this.request = request;
 		this.entry = entry;
 		this.deadline = deadline;
@@ -47,6 +50,10 @@
 		this.callMillis = callMillis;
 	}
 
+	RequestClass kind() {
+		return this.kind;
+	}
+
 	SchedulingRequest request() {
 		return this.request;
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/LoadCase.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/LoadCase.java
@@ -1,5 +1,7 @@
 package org.sardineport.bench.policy;
 
+import org.sardineport.core.identity.PoolName;
+
 /**
  * Course of the load in one run.
  */
@@ -55,6 +57,15 @@
 		return this.slowsDown;
 	}
 
+	/**
+	 * Returns whether the load or the speed of a pool changes during the run.
+	 * @param pool the pool
+	 * @return whether it is not steady
+	 */
+	boolean changes(PoolName pool) {
+		return this.burst > 1 || (this.slowsDown && pool.equals(Site.MODEL));
+	}
+
 	boolean isSteady() {
 		return this.burst == 1 && !this.slowsDown;
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyResult.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyResult.java
@@ -2,9 +2,9 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.sardineport.core.request.RefusalReason;
-import org.sardineport.core.request.Tier;
 
 /**
  * What one run gave.
@@ -19,11 +19,11 @@
 
 	private final long seed;
 
-	private final Map<Tier, Integer> offered = new EnumMap<>(Tier.class);
+	private final Map<RequestClass, Integer> offered = new EnumMap<>(RequestClass.class);
 
-	private final Map<Tier, Integer> good = new EnumMap<>(Tier.class);
+	private final Map<RequestClass, Integer> good = new EnumMap<>(RequestClass.class);
 
-	private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
+	private final Map<String, Integer> refusals = new TreeMap<>();
 
 	private long goodTokens;
 
@@ -51,15 +51,20 @@
 	}
 
 	void offered(Job job) {
-		this.offered.merge(job.request().tier(), 1, Integer::sum);
+		this.offered.merge(job.kind(), 1, Integer::sum);
 	}
 
 	void good(Job job) {
-		this.good.merge(job.request().tier(), 1, Integer::sum);
+		this.good.merge(job.kind(), 1, Integer::sum);
 		this.goodTokens += job.answerTokens();
 	}
 
-	void wasted(Job job) {
+	void timedOut(Job job) {
+		this.refusals.merge(job.kind() + " timed out", 1, Integer::sum);
+		wasted(job);
+	}
+
+	private void wasted(Job job) {
 		this.wastedPrefill += job.prefilledTokens();
 	}
 
@@ -69,7 +74,7 @@
 	}
 
 	void refused(Job job, RefusalReason reason, boolean behindLower) {
-		this.refusals.merge(reason, 1, Integer::sum);
+		this.refusals.merge(job.kind() + " " + reason, 1, Integer::sum);
 		this.topRefused += (job.request().tier().isTop()) ? 1 : 0;
 		this.shedBehindLower += (behindLower) ? 1 : 0;
 	}
@@ -104,13 +109,13 @@
 	}
 
 	/**
-	 * Returns the share of a tier's requests that were complete and on time.
-	 * @param tier the tier
+	 * Returns the share of a kind's requests that were complete and on time.
+	 * @param kind the kind
 	 * @return from 0 to 1
 	 */
-	double goodput(Tier tier) {
-		int all = this.offered.getOrDefault(tier, 0);
-		return (all == 0) ? 1 : (double) this.good.getOrDefault(tier, 0) / all;
+	double goodput(RequestClass kind) {
+		int all = this.offered.getOrDefault(kind, 0);
+		return (all == 0) ? 1 : (double) this.good.getOrDefault(kind, 0) / all;
 	}
 
 	long goodTokens() {
@@ -153,7 +158,7 @@
 		return this.topRefused;
 	}
 
-	Map<RefusalReason, Integer> refusals() {
+	Map<String, Integer> refusals() {
 		return this.refusals;
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
@@ -146,7 +146,7 @@
 		}
 		if (server != null) {
 			server.cancel(job);
-			this.result.wasted(job);
+			this.result.timedOut(job);
 			this.policy.ended(job, RunEnd.TIMED_OUT);
 		}
 		else {
--- a/bench/src/main/java/org/sardineport/bench/policy/Workload.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Workload.java
@@ -110,7 +110,7 @@
 				arrival, arrival.plus(kind.deadline()));
 		int entry = this.random.nextInt(Site.DAEMONS);
 		double call = RequestClass.between(RequestClass.SHORTEST_CALL, RequestClass.LONGEST_CALL, this.random);
-		return new Arrival(at, request, entry, answer, call);
+		return new Arrival(at, kind, request, entry, answer, call);
 	}
 
 	private int organisation() {
@@ -128,16 +128,18 @@
 	 * A request that arrives.
 	 *
 	 * @param at when, in milliseconds
+	 * @param kind kind of the request
 	 * @param request the request
 	 * @param entry number of the daemon that accepts it
 	 * @param answerTokens true length of its answer
 	 * @param callMillis duration of its call, for plain services
 	 */
-	record Arrival(double at, SchedulingRequest request, int entry, int answerTokens, double callMillis) {
+	record Arrival(double at, RequestClass kind, SchedulingRequest request, int entry, int answerTokens,
+			double callMillis) {
 
 		Job job() {
 			double deadline = this.at + Duration.between(this.request.arrival(), this.request.deadline()).toMillis();
-			return new Job(this.request, this.entry, deadline, this.answerTokens, this.callMillis);
+			return new Job(this.kind, this.request, this.entry, deadline, this.answerTokens, this.callMillis);
 		}
 
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.backend.BackendServer;
@@ -31,6 +32,9 @@
 	/** Time for which the permits of an entry that is gone still count. */
 	private static final long ORPHAN_GRACE_MILLIS = 5000;
 
+	/** Slack before a top-tier request that waits must run whatever else does. */
+	private static final long LAST_MOMENT_MILLIS = 100;
+
 	/** Time for which a new owner without a load report grants only half. */
 	private static final long SETTLING_MILLIS = 1000;
 
@@ -100,7 +104,7 @@
 		else if (hasRoom(waiting.ask().tier(), now) && this.queue.sizeUpTo(waiting.ask().tier()) == 0) {
 			grant(waiting, now);
 		}
-		else if (waiting.ask().tier().isTop() && makeRoom(now)) {
+		else if (waiting.ask().tier().isTop() && (makeRoom(now) || isLastMoment(waiting, now))) {
 			grant(waiting, now);
 		}
 		else {
@@ -119,7 +123,8 @@
 
 	private void enqueue(WaitingRequest waiting, long now) {
 		long wait = expectedWait(waiting.ask().tier(), now);
-		if (canFinish(waiting, wait, now)) {
+		boolean behindLower = waiting.ask().tier().isTop() && isLowerTierRunning();
+		if (behindLower || canFinish(waiting, wait, now)) {
 			this.queue.add(waiting);
 			sendQueued(waiting, now);
 		}
@@ -141,23 +146,35 @@
 	}
 
 	/**
-	 * Makes room for the top tier beyond the hard limit, which it may exceed as long as a
-	 * lower tier runs.
+	 * Makes room for the top tier beyond the hard limit by the preemption that wastes the
+	 * least prefill.
 	 * @param now the current time
-	 * @return whether a top-tier request may run now
+	 * @return whether room was made
 	 */
 	private boolean makeRoom(long now) {
-		Optional<Outstanding> victim = this.running.permits()
-			.filter((out) -> !out.isTop() && !out.isPreempting()
-					&& out.ask().runningPolicy().isPreemptible(this.resumesStreams))
-			.min(Comparator.comparingDouble((out) -> out.wastedPrefill(now)));
-		if (victim.isPresent()) {
-			Outstanding out = victim.get();
+		Optional<Outstanding> victim = preemptible().min(Comparator.comparingDouble((out) -> out.wastedPrefill(now)));
+		victim.ifPresent((out) -> {
 			out.preempt();
 			this.replies.send(out.entry(), new PermitPreemption(out.ask().request(), this.server.id()));
-			return true;
-		}
-		return isLowerTierRunning();
+		});
+		return victim.isPresent();
+	}
+
+	/**
+	 * Returns whether a top-tier request must run now, in whatever company, as it would
+	 * be shed otherwise while a lower tier runs.
+	 * @param waiting the request
+	 * @param now the current time
+	 * @return whether its time runs out behind work that cannot be preempted
+	 */
+	private boolean isLastMoment(WaitingRequest waiting, long now) {
+		return waiting.ask().tier().isTop() && isLowerTierRunning() && !canFinish(waiting, LAST_MOMENT_MILLIS, now);
+	}
+
+	private Stream<Outstanding> preemptible() {
+		return this.running.permits()
+			.filter((out) -> !out.isTop() && !out.isPreempting()
+					&& out.ask().runningPolicy().isPreemptible(this.resumesStreams));
 	}
 
 	private boolean canFinish(WaitingRequest waiting, long waitMillis, long now) {
@@ -299,7 +316,8 @@
 		if (this.model.health().isIsolated()) {
 			return false;
 		}
-		return hasRoom(next.ask().tier(), now) || (next.ask().tier().isTop() && makeRoom(now));
+		return hasRoom(next.ask().tier(), now)
+				|| (next.ask().tier().isTop() && (makeRoom(now) || isLastMoment(next, now)));
 	}
 
 	/**
@@ -311,11 +329,13 @@
 	}
 
 	/**
-	 * Returns whether a top-tier request waits here.
-	 * @return whether one waits
+	 * Returns whether a top-tier request waits here although a lower tier could give up
+	 * its place.
+	 * @return whether the order of tiers is broken
 	 */
-	boolean isTopTierWaiting() {
-		return this.queue.isWaiting(Tier.URGENT);
+	boolean isTopTierBehindLower() {
+		return this.queue.isWaiting(Tier.URGENT) && !this.model.health().isIsolated()
+				&& preemptible().findAny().isPresent();
 	}
 
 	ServerState state(long now) {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -229,13 +229,11 @@
 
 	/**
 	 * Returns whether, on some backend server owned here, a top-tier request waits while
-	 * a permit of a lower tier is out. It must never be so.
+	 * a lower tier could give up its place. It must never be so.
 	 * @return whether the order of tiers is broken
 	 */
 	public boolean isTopTierBehindLower() {
-		return this.owners.values()
-			.stream()
-			.anyMatch((owner) -> owner.isTopTierWaiting() && owner.isLowerTierRunning());
+		return this.owners.values().stream().anyMatch(PermitOwner::isTopTierBehindLower);
 	}
 
 	/**
