Keep no headroom where places become free at once

Cause: one place in four of a small plain service stood empty at full load, so its queue grew to the deadline. Headroom now only where the mean time to a free place exceeds 100 ms.

--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -137,7 +137,7 @@
 		if (tier.isTop()) {
 			return this.running.size() < this.model.limit().hardLimit();
 		}
-		int limit = this.model.limit().lowerTierLimit();
+		int limit = this.model.lowerTierLimit(now);
 		return this.running.size() < (isSettled(now) ? limit : (limit + 1) / 2);
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -34,6 +34,9 @@
 	/** Ratio from which the backend server is isolated. */
 	private static final double STALLED = 6;
 
+	/** Mean time until a place becomes free for which no headroom is kept. */
+	private static final double SHORT_WAIT_MILLIS = 100;
+
 	/** Idle time after which a learned slowness is trusted less and less. */
 	private static final double TRUST_MILLIS = 5000;
 
@@ -71,6 +74,17 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns the limit below the top tier. It leaves headroom, but for backend servers
+	 * whose places become free so fast that the top tier can wait for one.
+	 * @param now the current time
+	 * @return requests at once
+	 */
+	int lowerTierLimit(long now) {
+		boolean fast = serviceMillis(now) / this.limit.limit() < SHORT_WAIT_MILLIS;
+		return (fast) ? this.limit.limit() : this.limit.lowerTierLimit();
+	}
+
 	ServerHealth health() {
 		return this.health;
 	}
@@ -184,7 +198,7 @@
 	}
 
 	ServerState state(RunningCount running, int waiting, long now) {
-		return new ServerState(this.server.id(), running.size(), waiting, this.limit.lowerTierLimit(),
+		return new ServerState(this.server.id(), running.size(), waiting, lowerTierLimit(now),
 				running.isLowerTierRunning(), this.health.isIsolated(), (long) Math.max(0, this.prefillBusyUntil - now),
 				(long) serviceMillis(now), speed(now));
 	}
