Prefer servers that finish in time when full, and need no preemption

Cause: the choice took the earliest finish at the present concurrency, so requests timed out as the server filled up, and the top tier preempted on the fastest server while others had room. Servers that still finish in time when full and need no preemption now go before all others.

--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -6,7 +6,6 @@
 import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
-import org.sardineport.core.request.TokenEstimate;
 
 /**
  * Chooses a backend server of one pool by predicted finish. Small pools are looked at
@@ -82,18 +81,16 @@
 	}
 
 	/**
-	 * Chooses a backend server.
-	 * @param estimate size of the request
-	 * @param top whether it is of the top tier
-	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * Chooses a backend server: of those that suit, or else of all, the one that finishes
+	 * first.
+	 * @param request the request
 	 * @param allowed which ones may be chosen
 	 * @param now the current time in milliseconds
-	 * @return the one that finishes first, or {@code null} if none is allowed
+	 * @return the choice, or {@code null} if none is allowed
 	 */
-	public @Nullable ServerView choose(TokenEstimate estimate, boolean top, long prefixHash,
-			Predicate<ServerView> allowed, long now) {
-		ServerView home = home(prefixHash);
-		Best best = new Best(estimate, top, home, allowed, now);
+	public @Nullable ServerView choose(RoutingRequest request, Predicate<ServerView> allowed, long now) {
+		ServerView home = home(request.prefixHash());
+		Best best = new Best(request, home, allowed, now);
 		if (this.servers.length <= SCANNED) {
 			best.consider(this.servers);
 			return best.view;
@@ -114,14 +111,23 @@
 	/**
 	 * Predicts the finish of a request on one backend server.
 	 * @param view the backend server
-	 * @param estimate size of the request
-	 * @param top whether it is of the top tier
-	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * @param request the request
 	 * @param now the current time in milliseconds
 	 * @return milliseconds from now
 	 */
-	public double finishMillis(ServerView view, TokenEstimate estimate, boolean top, long prefixHash, long now) {
-		return view.finishMillis(estimate, top, cachedShare(view, home(prefixHash)), now);
+	public double finishMillis(ServerView view, RoutingRequest request, long now) {
+		return view.finishMillis(request, cachedShare(view, home(request.prefixHash())), now);
+	}
+
+	/**
+	 * Returns whether a backend server suits a request.
+	 * @param view the backend server
+	 * @param request the request
+	 * @param now the current time in milliseconds
+	 * @return whether it is expected to finish in time without harm to others
+	 */
+	public boolean suits(ServerView view, RoutingRequest request, long now) {
+		return !view.state().isolated() && view.suits(request, cachedShare(view, home(request.prefixHash())), now);
 	}
 
 	private double cachedShare(ServerView view, @Nullable ServerView home) {
@@ -133,9 +139,7 @@
 	 */
 	private final class Best {
 
-		private final TokenEstimate estimate;
-
-		private final boolean top;
+		private final RoutingRequest request;
 
 		private final @Nullable ServerView home;
 
@@ -145,11 +149,12 @@
 
 		private @Nullable ServerView view;
 
+		private boolean suits;
+
 		private double finish = Double.POSITIVE_INFINITY;
 
-		Best(TokenEstimate estimate, boolean top, @Nullable ServerView home, Predicate<ServerView> allowed, long now) {
-			this.estimate = estimate;
-			this.top = top;
+		Best(RoutingRequest request, @Nullable ServerView home, Predicate<ServerView> allowed, long now) {
+			this.request = request;
 			this.home = home;
 			this.allowed = allowed;
 			this.now = now;
@@ -165,12 +170,13 @@
 			if (!this.allowed.test(candidate)) {
 				return;
 			}
-			double candidateFinish = candidate.finishMillis(this.estimate, this.top, cachedShare(candidate, this.home),
-					this.now);
-			if (candidate.state().isolated()) {
-				candidateFinish = Double.MAX_VALUE;
-			}
-			if (candidateFinish < this.finish) {
+			double cached = cachedShare(candidate, this.home);
+			boolean isolated = candidate.state().isolated();
+			boolean candidateSuits = !isolated && candidate.suits(this.request, cached, this.now);
+			double candidateFinish = (isolated) ? Double.MAX_VALUE
+					: candidate.finishMillis(this.request, cached, this.now);
+			if ((candidateSuits == this.suits) ? candidateFinish < this.finish : candidateSuits) {
+				this.suits = candidateSuits;
 				this.finish = candidateFinish;
 				this.view = candidate;
 			}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
@@ -0,0 +1,24 @@
+package org.sardineport.core.routing;
+
+import java.util.Objects;
+
+import org.sardineport.core.request.TokenEstimate;
+
+/**
+ * What the choice of a backend server needs to know of a request.
+ *
+ * @param estimate its size
+ * @param top whether it is of the top tier
+ * @param prefixHash hash of the prompt's first block; 0 if none
+ * @param remainingMillis time left until its deadline
+ */
+public record RoutingRequest(TokenEstimate estimate, boolean top, long prefixHash, long remainingMillis) {
+
+	/**
+	 * Creates the request.
+	 */
+	public RoutingRequest {
+		Objects.requireNonNull(estimate, "estimate must not be null");
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -128,20 +128,41 @@
 
 	/**
 	 * Predicts when a request would be finished.
-	 * @param estimate size of the request
-	 * @param top whether it is of the top tier, which waits for no lower tier
+	 * @param request the request
 	 * @param cachedShare share of its prompt that is expected to be cached there
 	 * @param now the current time
 	 * @return milliseconds from now
 	 */
-	public double finishMillis(TokenEstimate estimate, boolean top, double cachedShare, long now) {
+	public double finishMillis(RoutingRequest request, double cachedShare, long now) {
+		return finishMillis(request, cachedShare, this.state.running() + this.pendingAsks + 1, now);
+	}
+
+	/**
+	 * Returns whether a request would be finished in time without harm to others: also if
+	 * the backend server becomes full meanwhile, and without a preemption.
+	 * @param request the request
+	 * @param cachedShare share of its prompt that is expected to be cached there
+	 * @param now the current time
+	 * @return whether it suits
+	 */
+	public boolean suits(RoutingRequest request, double cachedShare, long now) {
+		int running = this.state.running() + this.pendingAsks;
+		if (request.top() && running >= this.server.nominalConcurrency()) {
+			return false;
+		}
+		int full = Math.max(running + 1, this.state.limit());
+		return finishMillis(request, cachedShare, full, now) < request.remainingMillis();
+	}
+
+	private double finishMillis(RoutingRequest request, double cachedShare, int beside, long now) {
 		ServerState current = this.state;
+		TokenEstimate estimate = request.estimate();
 		int running = current.running() + this.pendingAsks;
 		double run = (estimate.total() == 0) ? current.serviceMillis()
 				: current.speed().prefillMillis(estimate.prompt() * (1 - cachedShare))
-						+ current.speed().decodeMillis(estimate.answer(), running + 1);
+						+ current.speed().decodeMillis(estimate.answer(), beside);
 		double backlog = Math.max(0, current.prefillBacklogMillis() - (now - this.stateAt));
-		return this.networkMillis + waitMillis(running, top) + backlog + this.pendingPrefillMillis + run;
+		return this.networkMillis + waitMillis(running, request.top()) + backlog + this.pendingPrefillMillis + run;
 	}
 
 	private double waitMillis(int running, boolean top) {
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -29,6 +29,7 @@
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
 import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.routing.ServerView;
 
@@ -300,9 +301,8 @@
 			return null;
 		}
 		long now = this.clock.millis();
-		SchedulingRequest request = waiting.request();
 		Predicate<ServerView> allowed = (view) -> !waiting.hasTried(view) && !isSilent(view.owner(), now);
-		return router.choose(request.estimate(), request.tier().isTop(), request.prefixHash(), allowed, now);
+		return router.choose(waiting.routing(now), allowed, now);
 	}
 
 	private boolean isSilent(@Nullable DaemonId owner, long now) {
@@ -406,17 +406,15 @@
 				|| !waiting.isPlacedBefore(now - SETTLE_MILLIS)) {
 			return;
 		}
-		SchedulingRequest request = waiting.request();
-		boolean top = request.tier().isTop();
-		ServerView other = router.choose(request.estimate(), top, request.prefixHash(),
+		RoutingRequest request = waiting.routing(now);
+		ServerView other = router.choose(request,
 				(view) -> view != current && view.hasRoom() && !view.state().isolated() && !isSilent(view.owner(), now),
 				now);
 		if (other == null) {
 			return;
 		}
-		double there = router.finishMillis(other, request.estimate(), top, request.prefixHash(), now);
-		double here = router.finishMillis(current, request.estimate(), true, request.prefixHash(), now)
-				+ waiting.remainingWaitMillis(now);
+		double there = router.finishMillis(other, request, now);
+		double here = router.finishMillis(current, waiting.routing(now, true), now) + waiting.remainingWaitMillis(now);
 		if (there + LEAST_GAIN_MILLIS < here) {
 			waiting.moved();
 			this.effects.retried(RetryReason.OWNER_FULL);
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -9,6 +9,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerView;
 
 /**
@@ -194,6 +195,21 @@
 		return Math.max(0, this.expectedWaitMillis - (now - this.askedAt));
 	}
 
+	RoutingRequest routing(long now) {
+		return routing(now, this.request.tier().isTop());
+	}
+
+	/**
+	 * Returns what the choice of a backend server needs to know.
+	 * @param now the current time
+	 * @param waitsForNone whether to leave out the wait for a place
+	 * @return the request
+	 */
+	RoutingRequest routing(long now, boolean waitsForNone) {
+		return new RoutingRequest(this.request.estimate(), waitsForNone, this.request.prefixHash(),
+				this.deadline - now);
+	}
+
 	PermitRequest ask(ServerView view, long now) {
 		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
 				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
