Judge slowness against a full server, and let limits recover

Causes: a plain service's limit was halved by timeouts and never rose again; runs that began on a nearly empty engine seemed overdue as it filled up.

--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -194,7 +194,7 @@
 	}
 
 	private void grant(WaitingRequest waiting, long now) {
-		RunForecast forecast = this.model.forecast(waiting.ask(), this.running.size() + 1, now);
+		RunForecast forecast = this.model.forecastFull(waiting.ask(), now);
 		Outstanding out = new Outstanding(waiting.ask(), waiting.entry(), now, forecast, this.running.size() + 1);
 		this.running.add(out, now);
 		this.model.began(out, now);
@@ -228,7 +228,7 @@
 	void reported(DaemonId entry, List<PermitRequest> permits, long now) {
 		for (PermitRequest permit : permits) {
 			if (this.running.get(permit.request()) == null) {
-				RunForecast forecast = this.model.forecast(permit, this.running.size() + 1, now);
+				RunForecast forecast = this.model.forecastFull(permit, now);
 				this.running.add(new Outstanding(permit, entry, now, forecast, this.running.size() + 1), now);
 			}
 			WaitingRequest waiting = this.queue.get(permit.request());
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -29,7 +29,7 @@
 	private static final long OVERDUE_GRACE_MILLIS = 250;
 
 	/** Ratio of age to expected duration from which runs show a slow backend server. */
-	private static final double SLOW = 1.5;
+	private static final double SLOW = 2;
 
 	/** Ratio from which the backend server is isolated. */
 	private static final double STALLED = 6;
@@ -124,6 +124,17 @@
 				current.decodeMillis(estimate.answer(), running));
 	}
 
+	/**
+	 * Returns the expected course of a run that begins now on a backend server that
+	 * becomes full.
+	 * @param ask the request
+	 * @param now the current time
+	 * @return the forecast
+	 */
+	RunForecast forecastFull(PermitRequest ask, long now) {
+		return forecast(ask, this.server.nominalConcurrency(), now);
+	}
+
 	private Speed speed(long now) {
 		return this.speed.speed().times(factor(now));
 	}
@@ -140,9 +151,8 @@
 		if (measurement.end() == RunEnd.COMPLETED) {
 			completed(out, measurement, runningNow);
 		}
-		else if (measurement.end() == RunEnd.TIMED_OUT && measurement.timeToFirstToken() != null) {
-			this.limit.observe(measurement.duration().toMillis(), out.expectedMillis());
-			this.health.ended();
+		else if (measurement.end() == RunEnd.TIMED_OUT) {
+			timedOut(out, measurement, now);
 		}
 		else if (measurement.end().isBackendFailure()) {
 			this.limit.failed();
@@ -156,6 +166,16 @@
 		}
 	}
 
+	private void timedOut(Outstanding out, RunMeasurement measurement, long now) {
+		this.limit.observe(measurement.duration().toMillis(), out.expectedMillis());
+		if (measurement.timeToFirstToken() != null) {
+			this.health.ended();
+		}
+		else {
+			this.health.failed(now);
+		}
+	}
+
 	private void completed(Outstanding out, RunMeasurement measurement, int runningNow) {
 		this.health.succeeded();
 		double millis = measurement.duration().toNanos() / 1e6;
@@ -169,6 +189,9 @@
 				this.limit.observe(millis, expected);
 			}
 		}
+		if (measurement.promptTokens() == 0) {
+			this.limit.observe(1, 1);
+		}
 		if (this.prefixes.cachedShare(out.ask().prefixHash()) > 0 || measurement.cachedPromptTokens() > 0) {
 			this.prefixes.observe(measurement.promptTokens(), measurement.cachedPromptTokens());
 		}
