Fit time to the first token as a line over the prompts ahead

Cause: printing the owners' states at each top-tier refusal showed learned prefill times five times too long and backlogs of up to 11 s that were not there: the floor on a sample fed a backlog estimate that grew with it. Ruled out: false slowness, as no server was called slow then. Now the time to the first token is a line over all prompt tokens ahead, and the backlog never exceeds the prompts of the permits that are out.

--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -105,7 +105,7 @@
 	 */
 	public void asked(int promptTokens) {
 		this.pendingAsks++;
-		this.pendingPrefillMillis += this.state.speed().prefillMillis(promptTokens);
+		this.pendingPrefillMillis += promptTokens * this.state.speed().prefillMillisPerToken();
 	}
 
 	/**
@@ -115,7 +115,7 @@
 	public void answered(int promptTokens) {
 		this.pendingAsks = Math.max(0, this.pendingAsks - 1);
 		this.pendingPrefillMillis = (this.pendingAsks == 0) ? 0
-				: Math.max(0, this.pendingPrefillMillis - this.state.speed().prefillMillis(promptTokens));
+				: Math.max(0, this.pendingPrefillMillis - promptTokens * this.state.speed().prefillMillisPerToken());
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/routing/Speed.java
+++ b/core/src/main/java/org/sardineport/core/routing/Speed.java
@@ -1,17 +1,19 @@
 package org.sardineport.core.routing;
 
 /**
- * Speed of a backend server: time per prompt token, and time per answer token as a line
- * over the number of requests that run beside each other.
+ * Speed of a backend server: time to the first token as a line over prompt tokens, and
+ * time per answer token as a line over the number of requests that run beside each other.
  *
+ * @param prefillMillisBase milliseconds to the first token of an empty prompt
  * @param prefillMillisPerToken milliseconds to prefill one prompt token
  * @param decodeMillisBase milliseconds for each answer token of a request that runs alone
  * @param decodeMillisPerRunning milliseconds that each further running request adds
  */
-public record Speed(double prefillMillisPerToken, double decodeMillisBase, double decodeMillisPerRunning) {
+public record Speed(double prefillMillisBase, double prefillMillisPerToken, double decodeMillisBase,
+		double decodeMillisPerRunning) {
 
 	/** Assumed until something was measured; fast, so that nothing is refused unseen. */
-	public static final Speed UNKNOWN = new Speed(0.05, 5, 0);
+	public static final Speed UNKNOWN = new Speed(0, 0.05, 5, 0);
 
 	/**
 	 * Returns the time to prefill a prompt.
@@ -19,7 +21,7 @@
 	 * @return milliseconds
 	 */
 	public double prefillMillis(double tokens) {
-		return tokens * this.prefillMillisPerToken;
+		return this.prefillMillisBase + tokens * this.prefillMillisPerToken;
 	}
 
 	/**
@@ -38,8 +40,8 @@
 	 * @return the speed
 	 */
 	public Speed times(double factor) {
-		return (factor == 1) ? this : new Speed(this.prefillMillisPerToken * factor, this.decodeMillisBase * factor,
-				this.decodeMillisPerRunning * factor);
+		return (factor == 1) ? this : new Speed(this.prefillMillisBase * factor, this.prefillMillisPerToken * factor,
+				this.decodeMillisBase * factor, this.decodeMillisPerRunning * factor);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/Outstanding.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Outstanding.java
@@ -19,6 +19,10 @@
 
 	private final double prefillMillis;
 
+	private final double prefillTokens;
+
+	private final double backlogTokens;
+
 	private final double expectedMillis;
 
 	private final int runningAtGrant;
@@ -33,6 +37,8 @@
 		this.grantedAt = grantedAt;
 		this.backlogMillis = forecast.backlogMillis();
 		this.prefillMillis = forecast.prefillMillis();
+		this.prefillTokens = forecast.prefillTokens();
+		this.backlogTokens = forecast.backlogTokens();
 		this.expectedMillis = forecast.totalMillis();
 		this.runningAtGrant = runningAtGrant;
 	}
@@ -57,6 +63,14 @@
 		return this.prefillMillis;
 	}
 
+	double prefillTokens() {
+		return this.prefillTokens;
+	}
+
+	double backlogTokens() {
+		return this.backlogTokens;
+	}
+
 	double expectedMillis() {
 		return this.expectedMillis;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -34,6 +34,9 @@
 	/** Ratio from which the backend server is isolated. */
 	private static final double STALLED = 6;
 
+	/** Least time for a prompt token, so that a backlog drains in finite time. */
+	private static final double LEAST_MILLIS_PER_TOKEN = 1e-3;
+
 	/** Mean time until a place becomes free for which no headroom is kept. */
 	private static final double SHORT_WAIT_MILLIS = 100;
 
@@ -55,7 +58,11 @@
 
 	private final ServerHealth health = ServerHealth.create();
 
-	private double prefillBusyUntil;
+	private double backlog;
+
+	private long backlogAt;
+
+	private double outstandingTokens;
 
 	private double serviceMillis = UNKNOWN_SERVICE_MILLIS;
 
@@ -117,11 +124,23 @@
 		Speed current = speed(now);
 		TokenEstimate estimate = ask.estimate();
 		if (estimate.total() == 0) {
-			return new RunForecast(0, 0, (this.measured) ? serviceMillis(now) : 0);
+			return new RunForecast(0, 0, 0, 0, (this.measured) ? serviceMillis(now) : 0);
 		}
 		double uncached = estimate.prompt() * (1 - this.prefixes.cachedShare(ask.prefixHash()));
-		return new RunForecast(Math.max(0, this.prefillBusyUntil - now), current.prefillMillis(uncached),
-				current.decodeMillis(estimate.answer(), running));
+		double backlog = backlogTokens(now);
+		return new RunForecast(backlog, uncached, backlog * current.prefillMillisPerToken(),
+				current.prefillMillis(uncached), current.decodeMillis(estimate.answer(), running));
+	}
+
+	/**
+	 * Returns the prompt tokens that are still to be prefilled: those granted, drained at
+	 * the learned speed, and never more than those of the permits that are out.
+	 * @param now the current time
+	 * @return tokens
+	 */
+	private double backlogTokens(long now) {
+		double drained = (now - this.backlogAt) / Math.max(speed(now).prefillMillisPerToken(), LEAST_MILLIS_PER_TOKEN);
+		return Math.max(0, Math.min(this.backlog - drained, this.outstandingTokens));
 	}
 
 	/**
@@ -143,10 +162,13 @@
 		this.health.began();
 		this.idleSince = NEVER;
 		this.prefixes.used(out.ask().prefixHash());
-		this.prefillBusyUntil = Math.max(now, this.prefillBusyUntil) + out.prefillMillis();
+		this.outstandingTokens += out.prefillTokens();
+		this.backlog = backlogTokens(now) + out.prefillTokens();
+		this.backlogAt = now;
 	}
 
 	void ended(Outstanding out, RunMeasurement measurement, int runningNow, long now) {
+		this.outstandingTokens = (runningNow <= 1) ? 0 : Math.max(0, this.outstandingTokens - out.prefillTokens());
 		this.idleSince = (runningNow <= 1) ? now : NEVER;
 		if (measurement.end() == RunEnd.COMPLETED) {
 			completed(out, measurement, runningNow);
@@ -162,7 +184,8 @@
 			this.health.ended();
 		}
 		if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
-			this.prefillBusyUntil = Math.max(now, this.prefillBusyUntil - out.prefillMillis());
+			this.backlog = Math.max(0, backlogTokens(now) - out.prefillTokens());
+			this.backlogAt = now;
 		}
 	}
 
@@ -195,7 +218,7 @@
 		if (this.prefixes.cachedShare(out.ask().prefixHash()) > 0 || measurement.cachedPromptTokens() > 0) {
 			this.prefixes.observe(measurement.promptTokens(), measurement.cachedPromptTokens());
 		}
-		this.speed.observe(measurement, meanRunning, out.backlogMillis());
+		this.speed.observe(measurement, meanRunning, out.backlogTokens());
 		this.serviceMillis = (this.measured) ? this.serviceMillis + SERVICE_WEIGHT * (millis - this.serviceMillis)
 				: millis;
 		this.measured = true;
@@ -222,8 +245,9 @@
 
 	ServerState state(RunningCount running, int waiting, long now) {
 		return new ServerState(this.server.id(), running.size(), waiting, lowerTierLimit(now),
-				running.isLowerTierRunning(), this.health.isIsolated(), (long) Math.max(0, this.prefillBusyUntil - now),
-				(long) serviceMillis(now), speed(now));
+				running.isLowerTierRunning(), this.health.isIsolated(),
+				(long) (backlogTokens(now) * speed(now).prefillMillisPerToken()), (long) serviceMillis(now),
+				speed(now));
 	}
 
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
@@ -329,6 +329,32 @@
     decodeMillisPerRunning_ = 0D;
   }
 
+  public static final int PREFILL_MILLIS_BASE_FIELD_NUMBER = 12;
+  private double prefillMillisBase_;
+  /**
+   * <code>double prefill_millis_base = 12;</code>
+   * @return The prefillMillisBase.
+   */
+  @java.lang.Override
+  public double getPrefillMillisBase() {
+    return prefillMillisBase_;
+  }
+  /**
+   * <code>double prefill_millis_base = 12;</code>
+   * @param value The prefillMillisBase to set.
+   */
+  private void setPrefillMillisBase(double value) {
+    
+    prefillMillisBase_ = value;
+  }
+  /**
+   * <code>double prefill_millis_base = 12;</code>
+   */
+  private void clearPrefillMillisBase() {
+
+    prefillMillisBase_ = 0D;
+  }
+
   public static org.sardineport.wire.message.ServerDigest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -759,6 +785,34 @@
       return this;
     }
 
+    /**
+     * <code>double prefill_millis_base = 12;</code>
+     * @return The prefillMillisBase.
+     */
+    @java.lang.Override
+    public double getPrefillMillisBase() {
+      return instance.getPrefillMillisBase();
+    }
+    /**
+     * <code>double prefill_millis_base = 12;</code>
+     * @param value The prefillMillisBase to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPrefillMillisBase(double value) {
+      copyOnWrite();
+      instance.setPrefillMillisBase(value);
+      return this;
+    }
+    /**
+     * <code>double prefill_millis_base = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPrefillMillisBase() {
+      copyOnWrite();
+      instance.clearPrefillMillisBase();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ServerDigest)
   }
   @java.lang.Override
@@ -786,11 +840,12 @@
             "prefillMillisPerToken_",
             "decodeMillisBase_",
             "decodeMillisPerRunning_",
+            "prefillMillisBase_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
-              "\u0003\u000b\u0004\u000b\u0005\u0007\u0006\u0007\u0007\u000b\b\u000b\t\u0000\n\u0000" +
-              "\u000b\u0000";
+              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0208\u0002\u000b\u0003\u000b" +
+              "\u0004\u000b\u0005\u0007\u0006\u0007\u0007\u000b\b\u000b\t\u0000\n\u0000\u000b\u0000" +
+              "\f\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
@@ -81,4 +81,10 @@
    * @return The decodeMillisPerRunning.
    */
   double getDecodeMillisPerRunning();
+
+  /**
+   * <code>double prefill_millis_base = 12;</code>
+   * @return The prefillMillisBase.
+   */
+  double getPrefillMillisBase();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -133,8 +133,8 @@
 	private static ServerState state(org.sardineport.wire.message.ServerDigest wire) {
 		return new ServerState(server(wire.getBackendServer()), wire.getRunning(), wire.getWaiting(),
 				Math.max(1, wire.getLimit()), wire.getLowerTierRunning(), wire.getIsolated(),
-				wire.getPrefillBacklogMillis(), wire.getServiceMillis(), new Speed(wire.getPrefillMillisPerToken(),
-						wire.getDecodeMillisBase(), wire.getDecodeMillisPerRunning()));
+				wire.getPrefillBacklogMillis(), wire.getServiceMillis(), new Speed(wire.getPrefillMillisBase(),
+						wire.getPrefillMillisPerToken(), wire.getDecodeMillisBase(), wire.getDecodeMillisPerRunning()));
 	}
 
 	private static <T> T constant(T[] values, int ordinal) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -163,6 +163,7 @@
 			.setIsolated(state.isolated())
 			.setPrefillBacklogMillis((int) Math.min(Integer.MAX_VALUE, state.prefillBacklogMillis()))
 			.setServiceMillis((int) Math.min(Integer.MAX_VALUE, state.serviceMillis()))
+			.setPrefillMillisBase(state.speed().prefillMillisBase())
 			.setPrefillMillisPerToken(state.speed().prefillMillisPerToken())
 			.setDecodeMillisBase(state.speed().decodeMillisBase())
 			.setDecodeMillisPerRunning(state.speed().decodeMillisPerRunning());
