--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -88,7 +88,7 @@
 	 * @return requests at once
 	 */
 	int lowerTierLimit(long now) {
-		boolean fast = serviceMillis(now) / this.limit.limit() < SHORT_WAIT_MILLIS;
+		boolean fast = this.measured && serviceMillis(now) / this.limit.limit() < SHORT_WAIT_MILLIS;
 		return (fast) ? this.limit.limit() : this.limit.lowerTierLimit();
 	}
 
