Look for room before the top tier preempts

Cause: owners preempted for requests that had room elsewhere, as an entry's view of other owners is up to a second old. An entry now says whether lower tiers should give way; while it knows of another server with room it does not, and the owner sends it on. Retries of lower tiers need a server that suits, and the budget is the one that dispatch uses.

--- a/core/src/main/java/org/sardineport/core/limit/package-info.java
+++ b/core/src/main/java/org/sardineport/core/limit/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Limits: concurrency of backend servers, isolation of failing ones, shares of
- * organisations and budgets of retries.
+ * Limits: concurrency of backend servers, isolation of failing ones, and shares of
+ * organisations.
  */
 @NullMarked
 package org.sardineport.core.limit;
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -20,10 +20,10 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.exchange.RetryBudget;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.limit.RetryBudget;
 import org.sardineport.core.quarantine.StrikeBook;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
@@ -113,7 +113,7 @@
 			listener.refused(refusal.get());
 			return;
 		}
-		this.budget.tried();
+		this.budget.earn();
 		this.pending.put(request.id(), added);
 		askBest(added);
 	}
@@ -267,16 +267,18 @@
 
 	private void retry(PendingRequest waiting, RetryReason reason, boolean newsExpected) {
 		boolean top = waiting.request().tier().isTop();
-		if (!top && waiting.retried() > MOST_RETRIES) {
+		ServerView next = best(waiting);
+		boolean hopeless = next != null && !newsExpected && !suits(waiting, next);
+		if (!top && (hopeless || waiting.retried() > MOST_RETRIES)) {
 			refuseDenied(waiting);
 		}
-		else if (!top && !this.budget.spend()) {
+		else if (!top && !this.budget.trySpend()) {
 			refuse(waiting, retryAfter(RefusalReason.RETRY_BUDGET_SPENT, "the budget of retries is spent",
 					Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
 		}
 		else {
 			this.effects.retried(reason);
-			if (newsExpected && best(waiting) == null) {
+			if (newsExpected && next == null) {
 				waiting.backOff(this.clock.millis() + BACKOFF_MILLIS);
 			}
 			else {
@@ -286,13 +288,25 @@
 	}
 
 	private void askBest(PendingRequest waiting) {
+		boolean top = waiting.request().tier().isTop();
 		ServerView best = best(waiting);
+		if (best == null && top && waiting.beginPreemption()) {
+			best = best(waiting);
+		}
 		if (best == null) {
 			refuseDenied(waiting);
+			return;
 		}
-		else {
-			ask(waiting, best);
+		if (top && !suits(waiting, best)) {
+			waiting.allowPreemption();
 		}
+		ask(waiting, best);
+	}
+
+	private boolean suits(PendingRequest waiting, ServerView view) {
+		PoolRouter router = this.directory.router(waiting.request().pool());
+		long now = this.clock.millis();
+		return router != null && router.suits(view, waiting.routing(now), now);
 	}
 
 	private @Nullable ServerView best(PendingRequest waiting) {
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -47,6 +47,8 @@
 
 	private int silences;
 
+	private boolean mayPreempt;
+
 	private PermitDenial denial = PermitDenial.ISOLATED;
 
 	private long retryAfterMillis;
@@ -89,6 +91,24 @@
 		return this.tried.contains(view.server().id());
 	}
 
+	/**
+	 * Begins a second round over all backend servers, in which lower tiers give way.
+	 * @return whether there was no such round yet
+	 */
+	boolean beginPreemption() {
+		boolean first = !this.mayPreempt;
+		this.mayPreempt = true;
+		this.tried.clear();
+		return first;
+	}
+
+	/**
+	 * Asks where no room is known, so that lower tiers give way at once.
+	 */
+	void allowPreemption() {
+		this.mayPreempt = true;
+	}
+
 	void asking(ServerView newServer, DaemonId newOwner, long now) {
 		this.server = newServer;
 		this.owner = newOwner;
@@ -214,7 +234,7 @@
 		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
 				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
 				this.request.runningPolicy(), this.request.fingerprint(),
-				Duration.ofMillis(Math.max(0, this.deadline - now)));
+				Duration.ofMillis(Math.max(0, this.deadline - now)), this.mayPreempt);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitDenial.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitDenial.java
@@ -14,6 +14,9 @@
 	/** More urgent work leaves no room in time. */
 	OVERLOADED(RetryReason.OWNER_FULL, RefusalReason.OVERLOADED),
 
+	/** There is no room without a preemption, which the entry did not ask for. */
+	NO_ROOM(RetryReason.OWNER_FULL, RefusalReason.OVERLOADED),
+
 	/** The backend server is too slow to finish before the deadline, even at once. */
 	DEADLINE_UNREACHABLE(RetryReason.OWNER_FULL, RefusalReason.DEADLINE_UNREACHABLE),
 
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -104,6 +104,9 @@
 		else if (hasRoom(waiting.ask().tier(), now) && this.queue.sizeUpTo(waiting.ask().tier()) == 0) {
 			grant(waiting, now);
 		}
+		else if (waiting.ask().tier().isTop() && !waiting.ask().mayPreempt()) {
+			refuse(waiting, PermitDenial.NO_ROOM, 0, now);
+		}
 		else if (waiting.ask().tier().isTop() && (makeRoom(now) || isLastMoment(waiting, now))) {
 			grant(waiting, now);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
@@ -26,10 +26,12 @@
  * @param runningPolicy what may be done to it once it runs
  * @param fingerprint hash by which a repeated request is known
  * @param remaining time left until the deadline
+ * @param mayPreempt whether lower tiers should give way if there is no room, as the entry
+ * knows of no backend server with room
  */
 public record PermitRequest(RequestId request, BackendServerId backendServer, PoolName pool,
 		OrganisationId organisation, Tier tier, TokenEstimate estimate, long prefixHash, RunningPolicy runningPolicy,
-		Fingerprint fingerprint, Duration remaining) implements SchedulingMessage {
+		Fingerprint fingerprint, Duration remaining, boolean mayPreempt) implements SchedulingMessage {
 
 	/**
 	 * Creates the record.
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
@@ -436,6 +436,44 @@
     fingerprintLow_ = 0L;
   }
 
+  public static final int MAY_PREEMPT_FIELD_NUMBER = 13;
+  private boolean mayPreempt_;
+  /**
+   * <pre>
+   * Whether lower tiers should give way if there is no room.
+   * </pre>
+   *
+   * <code>bool may_preempt = 13;</code>
+   * @return The mayPreempt.
+   */
+  @java.lang.Override
+  public boolean getMayPreempt() {
+    return mayPreempt_;
+  }
+  /**
+   * <pre>
+   * Whether lower tiers should give way if there is no room.
+   * </pre>
+   *
+   * <code>bool may_preempt = 13;</code>
+   * @param value The mayPreempt to set.
+   */
+  private void setMayPreempt(boolean value) {
+    
+    mayPreempt_ = value;
+  }
+  /**
+   * <pre>
+   * Whether lower tiers should give way if there is no room.
+   * </pre>
+   *
+   * <code>bool may_preempt = 13;</code>
+   */
+  private void clearMayPreempt() {
+
+    mayPreempt_ = false;
+  }
+
   public static org.sardineport.wire.message.PermitRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -969,6 +1007,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Whether lower tiers should give way if there is no room.
+     * </pre>
+     *
+     * <code>bool may_preempt = 13;</code>
+     * @return The mayPreempt.
+     */
+    @java.lang.Override
+    public boolean getMayPreempt() {
+      return instance.getMayPreempt();
+    }
+    /**
+     * <pre>
+     * Whether lower tiers should give way if there is no room.
+     * </pre>
+     *
+     * <code>bool may_preempt = 13;</code>
+     * @param value The mayPreempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMayPreempt(boolean value) {
+      copyOnWrite();
+      instance.setMayPreempt(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether lower tiers should give way if there is no room.
+     * </pre>
+     *
+     * <code>bool may_preempt = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMayPreempt() {
+      copyOnWrite();
+      instance.clearMayPreempt();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.PermitRequest)
   }
   @java.lang.Override
@@ -997,11 +1075,12 @@
             "remainingMillis_",
             "fingerprintHigh_",
             "fingerprintLow_",
+            "mayPreempt_",
           };
           java.lang.String info =
-              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
               "\u0004\u0208\u0005\u000b\u0006\u000b\u0007\u000b\b\u0005\t\u000b\n\u000b\u000b\u0005" +
-              "\f\u0005";
+              "\f\u0005\r\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
@@ -109,4 +109,14 @@
    * @return The fingerprintLow.
    */
   long getFingerprintLow();
+
+  /**
+   * <pre>
+   * Whether lower tiers should give way if there is no room.
+   * </pre>
+   *
+   * <code>bool may_preempt = 13;</code>
+   * @return The mayPreempt.
+   */
+  boolean getMayPreempt();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -113,7 +113,7 @@
 				TokenEstimate.of(wire.getPromptTokens(), wire.getAnswerTokens()), wire.getPrefixHash(),
 				constant(RunningPolicy.values(), wire.getRunningPolicy()),
 				Fingerprint.of(wire.getFingerprintHigh(), wire.getFingerprintLow()),
-				Duration.ofMillis(wire.getRemainingMillis()));
+				Duration.ofMillis(wire.getRemainingMillis()), wire.getMayPreempt());
 	}
 
 	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -103,7 +103,8 @@
 			.setRunningPolicy(ask.runningPolicy().ordinal())
 			.setRemainingMillis(millis(ask.remaining()))
 			.setFingerprintHigh(ask.fingerprint().high())
-			.setFingerprintLow(ask.fingerprint().low());
+			.setFingerprintLow(ask.fingerprint().low())
+			.setMayPreempt(ask.mayPreempt());
 	}
 
 	private static org.sardineport.wire.message.PermitGrant.Builder grant(PermitGrant grant) {
