Count a timeout as a fault only where the run stalled

Cause: calls granted late and ended by their deadline isolated healthy plain services under overload.

--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -191,11 +191,12 @@
 
 	private void timedOut(Outstanding out, RunMeasurement measurement, long now) {
 		this.limit.observe(measurement.duration().toMillis(), out.expectedMillis());
-		if (measurement.timeToFirstToken() != null) {
-			this.health.ended();
+		boolean stalled = measurement.duration().toMillis() > STALLED * Math.max(1, out.expectedMillis());
+		if (measurement.timeToFirstToken() == null && stalled) {
+			this.health.failed(now);
 		}
 		else {
-			this.health.failed(now);
+			this.health.ended();
 		}
 	}
 
