--- a/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -57,6 +57,8 @@
 
 	static final Duration PATIENCE = Duration.ofSeconds(30);
 
+	static final Duration KEEP_TIME = Duration.ofMillis(300);
+
 	private static final List<String> DOMAINS = List.of("bole", "kaliti", "piassa");
 
 	private static final String PROFILE = """
@@ -180,8 +182,9 @@
 
 	@Override
 	public void close() throws Exception {
-		for (SardineportDaemon daemon : this.daemons) {
-			await(daemon.stop());
+		List<CompletionStage<Void>> stops = this.daemons.stream().map(SardineportDaemon::stop).toList();
+		for (CompletionStage<Void> stop : stops) {
+			await(stop);
 		}
 		await(this.vertx.close().toCompletionStage());
 	}
@@ -203,13 +206,18 @@
 		this.settings.add(new DaemonSettings("fleet", DaemonId.of("d" + index),
 				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), freeAddress(), freeAddress(), peer, seeds,
 				List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
-				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)),
-				CallerSettings.defaults(), SchedulingSettings.defaults(), JournalSettings.defaults(),
-				MembershipSettings.defaults(), ConfigurationSettings.defaults(),
-				new StopSettings(Duration.ofMillis(500), Duration.ZERO)));
+				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)), callers(),
+				SchedulingSettings.defaults(), JournalSettings.defaults(), MembershipSettings.defaults(),
+				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(500), Duration.ZERO)));
 		this.vmList.putEntryVm(peer, VmState.LIVE);
 	}
 
+	private static CallerSettings callers() {
+		CallerSettings defaults = CallerSettings.defaults();
+		return new CallerSettings(defaults.maximumBodyBytes(), defaults.bodyTimeout(), defaults.maximumInFlight(),
+				KEEP_TIME);
+	}
+
 	private static int count(String text, String part) {
 		return text.split(Pattern.quote(part), -1).length - 1;
 	}
