Split the run of a request into permit, exchange and unsent end

The permit (each given back once) and the exchange that counts now are classes of their own; how an unsent request ends has its tests.

--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.CompletionStage;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
@@ -18,7 +17,6 @@
 import org.sardineport.core.exchange.RequestPhase;
 import org.sardineport.core.exchange.RunVerdict;
 import org.sardineport.core.journal.DispatchDecision;
-import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.port.backend.BackendException;
 import org.sardineport.core.port.backend.BackendFailure;
 import org.sardineport.core.port.backend.BackendRequest;
@@ -28,7 +26,6 @@
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
 import org.sardineport.daemon.telemetry.EventLog;
-import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
  * One request from its wait for a permit to its last byte. All state is touched on the
@@ -60,15 +57,13 @@
 
 	private final AnswerRelay relay;
 
-	private @Nullable Permit permit;
+	private final PermitHolder permit;
 
 	private final Preemption preemption;
 
 	private final StreamMove move;
 
-	private @Nullable Exchange exchange;
-
-	private @Nullable RunAttempt attempt;
+	private final CurrentExchange exchange = new CurrentExchange();
 
 	private Runnable cancelDeadline = () -> {
 	};
@@ -88,6 +83,7 @@
 		this.executor = executor;
 		this.records = records;
 		this.whenEnded = whenEnded;
+		this.permit = new PermitHolder(services.scheduler(), this.scheduling);
 		this.relay = new AnswerRelay(this.scheduling, sink, services.telemetry(), records.maximumAnswerBytes());
 		this.preemption = new Preemption(this, services, this.scheduling, executor);
 		this.move = this.preemption.move();
@@ -96,7 +92,7 @@
 	void start() {
 		this.life.tryEnter(RequestPhase.ADMITTED);
 		this.life.tryEnter(RequestPhase.WAITING);
-		this.sink.whenDrained(this::resumeExchange);
+		this.sink.whenDrained(this.exchange::resume);
 		submit();
 	}
 
@@ -104,7 +100,7 @@
 		Duration left = Duration.between(now(), this.scheduling.deadline());
 		this.cancelDeadline.run();
 		this.cancelDeadline = this.executor.schedule(left, this::onDeadline);
-		this.services.scheduler().submit(this.scheduling, this);
+		this.permit.ask(this);
 	}
 
 	void callerLeft() {
@@ -112,22 +108,22 @@
 		if (this.life.phase() == RequestPhase.DISPATCHED) {
 			leaveDispatched();
 		}
-		else if (this.life.phase() == RequestPhase.WAITING && this.permit == null && !this.request.durable()) {
-			this.services.scheduler().abandon(this.scheduling.id());
+		else if (this.life.phase() == RequestPhase.WAITING && !this.permit.isHeld() && !this.request.durable()) {
+			this.permit.stopAsking();
 			refuseUnsent(RequestPhase.CANCELLED, RunVerdict.callerGone(Outcome.NOT_RUN));
 		}
 	}
 
 	private void leaveDispatched() {
 		if (this.records.outlivesCaller()) {
-			resumeExchange();
+			this.exchange.resume();
 		}
 		else if (this.move.isSuspended()) {
-			this.services.scheduler().abandon(this.scheduling.id());
+			this.permit.stopAsking();
 			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
 		}
 		else {
-			cancelExchange();
+			this.exchange.cancel();
 		}
 	}
 
@@ -139,10 +135,10 @@
 	@Override
 	public void refused(Refusal refusal) {
 		this.executor.execute(() -> {
-			if (this.life.phase() == RequestPhase.WAITING && this.permit == null) {
+			if (this.life.phase() == RequestPhase.WAITING && !this.permit.isHeld()) {
 				refuseUnsent(RequestPhase.FAILED, refusal);
 			}
-			else if (this.move.isSuspended() && this.permit == null) {
+			else if (this.move.isSuspended() && !this.permit.isHeld()) {
 				this.preemption.refused(refusal);
 			}
 		});
@@ -151,7 +147,7 @@
 	@Override
 	public void preempted(Permit taken) {
 		this.executor.execute(() -> {
-			if (taken.equals(this.permit)) {
+			if (this.permit.holds(taken)) {
 				onPreempted(taken);
 			}
 		});
@@ -168,7 +164,7 @@
 
 	void cancelPreempted() {
 		this.preempted = true;
-		cancelExchange();
+		this.exchange.cancel();
 	}
 
 	/**
@@ -177,11 +173,11 @@
 	 * @return whether the run goes on
 	 */
 	boolean suspend() {
-		detachExchange();
+		this.exchange.detach();
 		if (this.life.phase() != RequestPhase.DISPATCHED) {
 			return false;
 		}
-		returnPermit(this.relay.measurement(RunEnd.CANCELLED, now()));
+		this.permit.release(this.relay.measurement(RunEnd.CANCELLED, now()));
 		if (this.callerLeft && !this.records.outlivesCaller()) {
 			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
 			return false;
@@ -191,15 +187,15 @@
 	}
 
 	void submitSuspended() {
-		if (this.move.isSuspended() && this.permit == null) {
+		if (this.move.isSuspended() && !this.permit.isHeld()) {
 			submit();
 		}
 	}
 
 	void resumed(RunAttempt resumed, Exchange continued) {
 		this.relay.begin(RunMeter.resumed(now(), this.scheduling.estimate()));
-		this.attempt = resumed;
-		this.exchange = continued;
+		this.exchange.expect(resumed);
+		this.exchange.began(continued);
 	}
 
 	/** Ends a run whose stream could not go on elsewhere. */
@@ -209,16 +205,16 @@
 
 	private void onGranted(Permit granted) {
 		boolean wanted = this.life.phase() == RequestPhase.WAITING || this.move.isSuspended();
-		if (!wanted || this.permit != null) {
-			giveBack(granted);
+		if (!wanted || this.permit.isHeld()) {
+			this.permit.refuse(granted);
 			return;
 		}
 		if (!granted.isValidAt(now())) {
-			giveBack(granted);
+			this.permit.refuse(granted);
 			retry(RetryReason.PERMIT_LAPSED);
 			return;
 		}
-		this.permit = granted;
+		this.permit.hold(granted);
 		if (this.move.isSuspended()) {
 			this.preemption.continueOn(granted);
 			return;
@@ -229,10 +225,10 @@
 
 	private void onDecision(@Nullable DispatchDecision decision, @Nullable Throwable failure) {
 		if (decision instanceof DispatchDecision.Won) {
-			onWon(Objects.requireNonNull(this.permit, "permit is held until the decision"));
+			onWon(Objects.requireNonNull(this.permit.permit(), "permit is held until the decision"));
 			return;
 		}
-		returnPermit(RunMeasurement.none(RunEnd.UNUSED));
+		this.permit.release(RunMeasurement.none(RunEnd.UNUSED));
 		if (decision instanceof DispatchDecision.Lost) {
 			this.life.tryEnter(RequestPhase.FAILED);
 			JoinedAnswer.follow(this.services, this.request, this.sink, this.executor, this::finishRun);
@@ -248,11 +244,11 @@
 	private void onWon(Permit won) {
 		Instant now = now();
 		if (this.callerLeft && !this.request.durable()) {
-			returnPermit(RunMeasurement.none(RunEnd.UNUSED));
+			this.permit.release(RunMeasurement.none(RunEnd.UNUSED));
 			refuseUnsent(RequestPhase.CANCELLED, RunVerdict.callerGone(Outcome.NOT_RUN));
 		}
 		else if (this.preempted || !won.isValidAt(now) || !now.isBefore(this.scheduling.deadline())) {
-			returnPermit(RunMeasurement.none(RunEnd.UNUSED));
+			this.permit.release(RunMeasurement.none(RunEnd.UNUSED));
 			refuseUnsent(RequestPhase.FAILED, Refusal.retryAfter(RefusalReason.JOURNAL_BUSY,
 					"The permit was gone when the journal had recorded the dispatch.", RETRY_AFTER));
 		}
@@ -269,12 +265,13 @@
 		this.relay.begin(RunMeter.dispatched(now, this.scheduling.estimate()));
 		BackendRequest sent = new BackendRequest(streamId(), this.request.method(), this.request.pathAndQuery(),
 				this.request.headers(), this.request.body(), this.scheduling.deadline());
-		this.attempt = new RunAttempt(this, this.executor, false);
-		this.exchange = this.services.engines().send(won.backendServer(), sent, this.attempt);
+		RunAttempt attempt = new RunAttempt(this, this.executor, false);
+		this.exchange.expect(attempt);
+		this.exchange.began(this.services.engines().send(won.backendServer(), sent, attempt));
 	}
 
 	boolean isCurrent(RunAttempt candidate) {
-		return this.attempt == candidate;
+		return this.exchange.isOf(candidate);
 	}
 
 	void onHead(int status, List<Map.Entry<String, String>> fields) {
@@ -283,7 +280,7 @@
 
 	void onChunk(ByteBuffer bytes) {
 		this.move.received(bytes.remaining());
-		if (!this.relay.chunk(bytes, now()) && !this.callerLeft && this.exchange != null) {
+		if (!this.relay.chunk(bytes, now()) && !this.callerLeft) {
 			this.exchange.pause();
 		}
 	}
@@ -297,12 +294,12 @@
 		enterFinal(RequestPhase.COMPLETED);
 		this.move.close();
 		this.records.finish(Outcome.COMPLETED, this.relay.complete(now()));
-		returnPermit(this.relay.measurement(RunEnd.COMPLETED, now()));
+		this.permit.release(this.relay.measurement(RunEnd.COMPLETED, now()));
 		finishRun();
 	}
 
 	void onExchangeLost(BackendException lost) {
-		RunAttempt held = this.attempt;
+		RunAttempt held = this.exchange.attempt();
 		if (held != null) {
 			onFailed(held, lost);
 		}
@@ -317,9 +314,8 @@
 			return;
 		}
 		if (this.life.tryReturnToWaiting(failure.failure())) {
-			this.exchange = null;
-			this.attempt = null;
-			returnPermit(RunMeasurement.none(RunEnd.NOT_CONNECTED));
+			this.exchange.forget();
+			this.permit.release(RunMeasurement.none(RunEnd.NOT_CONNECTED));
 			onNotConnected(failure);
 			return;
 		}
@@ -351,22 +347,19 @@
 		this.relay.fail(verdict);
 		this.move.close();
 		this.records.finish(Outcome.UNKNOWN, null);
-		returnPermit(this.relay.measurement(verdict.end(), now()));
+		this.permit.release(this.relay.measurement(verdict.end(), now()));
 		finishRun();
 	}
 
 	private void onDeadline() {
 		if (this.life.phase() == RequestPhase.DISPATCHED && (this.move.isSuspended() || this.move.hasMoved())) {
-			this.services.scheduler().abandon(this.scheduling.id());
-			Exchange late = this.exchange;
+			this.permit.stopAsking();
 			fail(RunVerdict.of(BackendFailure.TIMED_OUT, false), BackendFailure.TIMED_OUT);
-			if (late != null) {
-				late.cancel();
-			}
+			this.exchange.cancel();
 			return;
 		}
-		if (this.life.phase() == RequestPhase.WAITING && this.permit == null) {
-			this.services.scheduler().abandon(this.scheduling.id());
+		if (this.life.phase() == RequestPhase.WAITING && !this.permit.isHeld()) {
+			this.permit.stopAsking();
 			refuseUnsent(RequestPhase.FAILED, Refusal.retryAfter(RefusalReason.DEADLINE_PASSED,
 					"The deadline passed while the request waited.", RETRY_AFTER));
 		}
@@ -374,19 +367,12 @@
 
 	private void refuseUnsent(RequestPhase end, Refusal refusal) {
 		enterFinal(end);
-		CompletionStage<KeyState> released = this.records.release(refusal);
-		if (!this.request.durable()) {
-			// nobody else dispatches under this run's claim
-			this.sink.refuse(refusal);
-			finishRun();
-			return;
-		}
-		UnsentEnd unsent = new UnsentEnd(this.services, this.request, this.sink, this.executor, this::finishRun);
-		unsent.settle(refusal, released);
+		new UnsentEnd(this.services, this.request, this.sink, this.executor, this::finishRun).tell(refusal,
+				this.records.release(refusal));
 	}
 
 	private void retry(RetryReason reason) {
-		telemetry().retried(reason).inc();
+		this.services.telemetry().retried(reason).inc();
 		if (!now().isBefore(this.scheduling.deadline())) {
 			onDeadline();
 			return;
@@ -405,49 +391,12 @@
 		this.whenEnded.run();
 	}
 
-	private void giveBack(Permit unused) {
-		this.services.scheduler().release(unused, RunMeasurement.none(RunEnd.UNUSED));
-	}
-
-	private void returnPermit(RunMeasurement measurement) {
-		Permit held = this.permit;
-		if (held != null) {
-			this.permit = null;
-			this.services.scheduler().release(held, measurement);
-		}
-	}
-
 	private Instant now() {
 		return this.services.clock().instant();
 	}
 
-	private void cancelExchange() {
-		if (this.exchange != null) {
-			this.exchange.cancel();
-		}
-	}
-
-	private void detachExchange() {
-		Exchange held = this.exchange;
-		this.attempt = null;
-		this.exchange = null;
-		if (held != null) {
-			held.detach();
-		}
-	}
-
-	private void resumeExchange() {
-		if (this.exchange != null) {
-			this.exchange.resume();
-		}
-	}
-
 	private String streamId() {
 		return this.scheduling.id().value();
 	}
 
-	private Telemetry telemetry() {
-		return this.services.telemetry();
-	}
-
 }
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/UnsentEnd.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/UnsentEnd.java
@@ -10,9 +10,9 @@
 import org.sardineport.core.request.RefusalReason;
 
 /**
- * Ends a durable request that this daemon did not send. Its caller is told {@code
- * not-run} only once the journal has it that nobody will run it: until then another
- * daemon may take it over. Touched on the run's executor only.
+ * Ends a request that this daemon did not send. The caller of a durable one is told
+ * {@code not-run} only once the journal has it that nobody will run it: until then
+ * another daemon may take it over. Touched on the run's executor only.
  */
 final class UnsentEnd {
 
@@ -40,11 +40,17 @@
 	}
 
 	/**
-	 * Tells the caller what became of the request.
+	 * Tells the caller what became of the request. Only durable requests wait for the
+	 * journal: nobody else dispatches under the claim of another.
 	 * @param refusal what to tell if it did not run
 	 * @param released what the journal has of it
 	 */
-	void settle(Refusal refusal, CompletionStage<KeyState> released) {
+	void tell(Refusal refusal, CompletionStage<KeyState> released) {
+		if (!this.request.durable()) {
+			this.sink.refuse(refusal);
+			this.whenEnded.run();
+			return;
+		}
 		Runnable cancelTimeout = this.executor.schedule(SETTLE_TIMEOUT, this::onTimeout);
 		released.whenComplete((state, failure) -> this.executor.execute(() -> {
 			cancelTimeout.run();
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/UnsentEndTests.java
@@ -0,0 +1,92 @@
+package org.sardineport.daemon.exchange;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.exchange.RetryBudget;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.journal.KeyPhase;
+import org.sardineport.core.journal.KeyState;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.Outcome;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+import org.sardineport.daemon.engine.HttpModelEngine;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnsentEndTests {
+
+	private static final Instant NOW = Instant.parse("2026-12-03T08:00:00Z");
+
+	private static final Refusal OVERLOADED = Refusal.of(RefusalReason.OVERLOADED, "no room");
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final ManualExecutor executor = new ManualExecutor();
+
+	private final RecordingSink sink = new RecordingSink();
+
+	private final CompletableFuture<KeyState> released = new CompletableFuture<>();
+
+	private int ended;
+
+	@AfterEach
+	void close() {
+		this.vertx.close().toCompletionStage().toCompletableFuture().join();
+	}
+
+	@Test
+	void requestThatIsNotDurableIsToldAtOnce() {
+		end(false);
+		assertThat(this.sink.refusals()).containsExactly(OVERLOADED);
+		assertThat(this.ended).isOne();
+	}
+
+	@Test
+	void durableRequestIsToldNotRunOnlyOnceTheJournalHasIt() {
+		end(true);
+		assertThat(this.sink.refusals()).isEmpty();
+		this.released.complete(new KeyState(KeyPhase.ABSENT, Outcome.NOT_RUN, null));
+		this.executor.elapse();
+		assertThat(this.sink.refusals()).containsExactly(OVERLOADED);
+		assertThat(this.ended).isOne();
+	}
+
+	@Test
+	void durableRequestIsToldUnknownWhenTheJournalStaysSilent() {
+		end(true);
+		this.executor.elapse();
+		this.released.complete(new KeyState(KeyPhase.ABSENT, Outcome.NOT_RUN, null));
+		assertThat(this.sink.refusals()).extracting(Refusal::outcome).containsExactly(Outcome.UNKNOWN);
+		assertThat(this.ended).isOne();
+	}
+
+	private void end(boolean durable) {
+		InstantSource clock = InstantSource.fixed(NOW);
+		RunServices services = RunServices.create(new FakeScheduler(clock), new FakeJournal(),
+				HttpModelEngine.create(this.vertx, clock), clock, Telemetry.create(), RetryBudget.create(), 1024);
+		new UnsentEnd(services, request(durable), this.sink, this.executor, () -> this.ended++).tell(OVERLOADED,
+				this.released);
+	}
+
+	private static RunRequest request(boolean durable) {
+		SchedulingRequest scheduling = new SchedulingRequest(RequestId.of("r1"), PoolName.of("model"),
+				OrganisationId.of("schools"), Tier.BATCH, TokenEstimate.NONE, 0, Fingerprint.of(1, 2),
+				RunningPolicy.RESUMABLE_ONLY, 0, NOW, NOW.plusSeconds(60));
+		return new RunRequest(scheduling, "POST", "/", List.of(), new byte[0], null, durable);
+	}
+
+}
