Free the peer address before the transport's stop completes

Cause: shutting the event loop down without closing its channel first completed the stop while the socket was still bound, so a daemon replaced at the same address failed to start (BindException in PlannedStopTests and the new contract test). Change: close the channel behind the waiting messages, then shut the loop down. Conclusion: the contract's 20 restarts at one address pass.

--- a/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -93,7 +93,14 @@
 
 	final List<SardineportDaemon> daemons = new ArrayList<>();
 
+	private final MembershipSettings membership;
+
 	FleetFixture(int size, EngineOptions options) throws Exception {
+		this(size, options, MembershipSettings.defaults());
+	}
+
+	FleetFixture(int size, EngineOptions options, MembershipSettings membership) throws Exception {
+		this.membership = membership;
 		await(this.logServer.start());
 		await(this.vmList.start());
 		await(this.ledger.start());
@@ -200,16 +207,25 @@
 				FailureDomain.of(DOMAINS.get(domain)), address, concurrency), VmState.LIVE);
 	}
 
+	/** Returns settings of a daemon that is not among those started. */
+	DaemonSettings settingsOfAnother() throws IOException {
+		return settings(this.settings.size());
+	}
+
 	private void addSettings(int index) throws IOException {
-		NetworkAddress peer = freeAddress();
+		DaemonSettings added = settings(index);
+		this.settings.add(added);
+		this.vmList.putEntryVm(added.peerAddress(), VmState.LIVE);
+	}
+
+	private DaemonSettings settings(int index) throws IOException {
 		List<NetworkAddress> seeds = this.settings.stream().map(DaemonSettings::peerAddress).limit(2).toList();
-		this.settings.add(new DaemonSettings("fleet", DaemonId.of("d" + index),
-				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), freeAddress(), freeAddress(), peer, seeds,
-				List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
+		return new DaemonSettings("fleet", DaemonId.of("d" + index),
+				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), freeAddress(), freeAddress(), freeAddress(),
+				seeds, List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
 				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)), callers(),
-				SchedulingSettings.defaults(), JournalSettings.defaults(), MembershipSettings.defaults(),
-				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(500), Duration.ZERO)));
-		this.vmList.putEntryVm(peer, VmState.LIVE);
+				SchedulingSettings.defaults(), JournalSettings.defaults(), this.membership,
+				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(500), Duration.ZERO));
 	}
 
 	private static CallerSettings callers() {
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/PeerTransportContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/PeerTransportContract.java
@@ -110,6 +110,24 @@
 		third.stop().toCompletableFuture().join();
 	}
 
+	@Test
+	void leavesItsAddressFreeForTheNextRun() throws InterruptedException {
+		for (int run = 0; run < 20; run++) {
+			this.first.stop().toCompletableFuture().join();
+			this.first = transport(DaemonId.of("first"), 12 + run, this.firstAddress);
+			this.first.start().toCompletableFuture().join();
+			this.first.send(this.secondAddress, new ProbeRequest(run, News.NONE));
+			assertThat(next().incarnation()).isEqualTo(12 + run);
+		}
+	}
+
+	@Test
+	void sendsWhatWasHandedOverBeforeTheStop() throws InterruptedException {
+		this.first.send(this.secondAddress, new ProbeRequest(1, News.NONE));
+		this.first.stop().toCompletableFuture().join();
+		assertThat(next().message()).isEqualTo(new ProbeRequest(1, News.NONE));
+	}
+
 	@Test
 	void stopsTwiceWithoutHarm() {
 		this.first.stop().toCompletableFuture().join();
--- a/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
@@ -134,7 +134,7 @@
 		}
 		else {
 			// Behind the messages that wait to be sent.
-			open.eventLoop().execute(this::shutDown);
+			open.eventLoop().execute(() -> open.close().addListener((future) -> shutDown()));
 		}
 		return stopped;
 	}
