--- a/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -1,7 +1,6 @@
 package org.sardineport.daemon;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -221,8 +220,8 @@
 	private DaemonSettings settings(int index) throws IOException {
 		List<NetworkAddress> seeds = this.settings.stream().map(DaemonSettings::peerAddress).limit(2).toList();
 		return new DaemonSettings("fleet", DaemonId.of("d" + index),
-				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), freeAddress(), freeAddress(), freeAddress(),
-				seeds, List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
+				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), FreeAddresses.next(), FreeAddresses.next(),
+				FreeAddresses.next(), seeds, List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
 				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)), callers(),
 				SchedulingSettings.defaults(), JournalSettings.defaults(), this.membership,
 				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(500), Duration.ZERO));
@@ -238,10 +237,4 @@
 		return text.split(Pattern.quote(part), -1).length - 1;
 	}
 
-	private static NetworkAddress freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return NetworkAddress.of("127.0.0.1", socket.getLocalPort());
-		}
-	}
-
 }
--- a/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
@@ -1,7 +1,6 @@
 package org.sardineport.daemon;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -117,9 +116,9 @@
 	}
 
 	private DaemonSettings settings() throws IOException {
-		NetworkAddress peer = freeAddress();
-		return new DaemonSettings("fleet", DaemonId.of("d1"), FailureDomain.of("bole"), freeAddress(), freeAddress(),
-				peer, List.of(), List.of("0123456789abcdef0123456789abcdef"), TOKEN,
+		NetworkAddress peer = FreeAddresses.next();
+		return new DaemonSettings("fleet", DaemonId.of("d1"), FailureDomain.of("bole"), FreeAddresses.next(),
+				FreeAddresses.next(), peer, List.of(), List.of("0123456789abcdef0123456789abcdef"), TOKEN,
 				new PlatformSettings(this.log.address(), this.vmList.address(), Duration.ofSeconds(2)),
 				new CallerSettings(1024, Duration.ofSeconds(1), 100, Duration.ofMillis(100)),
 				SchedulingSettings.defaults(), JournalSettings.defaults(),
@@ -128,12 +127,6 @@
 				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(100), Duration.ZERO));
 	}
 
-	private static NetworkAddress freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return NetworkAddress.of("127.0.0.1", socket.getLocalPort());
-		}
-	}
-
 	private static <T> T await(CompletionStage<T> stage) throws Exception {
 		return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
 	}
