--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -32,6 +33,8 @@
 
 	private final Map<RequestId, PermitListener> held = new LinkedHashMap<>();
 
+	private final Map<RequestId, PermitListener> listeners = new ConcurrentHashMap<>();
+
 	private final List<RequestId> submitted = new CopyOnWriteArrayList<>();
 
 	private final List<RequestId> abandoned = new CopyOnWriteArrayList<>();
@@ -88,6 +91,11 @@
 		return this.granted;
 	}
 
+	/** Takes a permit away for the top tier. */
+	public void preempt(Permit permit) {
+		this.listeners.get(permit.request()).preempted(permit);
+	}
+
 	/** Grants all requests that are held. */
 	public void grantHeld() {
 		this.holding = false;
@@ -102,6 +110,7 @@
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
 		this.submitted.add(request.id());
+		this.listeners.put(request.id(), listener);
 		if (this.refusal != null) {
 			listener.refused(this.refusal);
 		}
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -57,6 +57,8 @@
 
 	static final Duration DEADLINE = Duration.ofSeconds(20);
 
+	private static final String WITHOUT = "Test-Without";
+
 	private static final Duration BODY_TIMEOUT = Duration.ofMillis(300);
 
 	private static final int BODY_LIMIT = 100_000;
@@ -130,7 +132,15 @@
 			.setHeader("Sardineport-Organisation", "schools")
 			.method(method, HttpRequest.BodyPublishers.ofString(body));
 		change.accept(builder);
-		return builder.build();
+		HttpRequest request = builder.build();
+		String absent = request.headers().firstValue(WITHOUT).orElse("");
+		return HttpRequest.newBuilder(request, (name, value) -> !name.equalsIgnoreCase(absent) && !name.equals(WITHOUT))
+			.build();
+	}
+
+	/** Leaves a header out of the request. */
+	static Consumer<HttpRequest.Builder> without(String header) {
+		return (request) -> request.setHeader(WITHOUT, header);
 	}
 
 	URI uri(String path) {
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -0,0 +1,228 @@
+package org.sardineport.daemon.http;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.standins.engine.EngineOptions;
+import org.sardineport.standins.service.ServiceFault;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Refusals: each typed, counted, with its outcome and remedy, and without any dispatch if
+ * it says so.
+ */
+class CallerRefusalTests {
+
+	private static final String CHAT = "/v1/chat/completions";
+
+	private static final String KEY = "01890a5d-ac96-774b-bcce-b302099a8057";
+
+	private CallerFixture fixture;
+
+	@BeforeEach
+	void start() {
+		this.fixture = new CallerFixture(EngineOptions.fast());
+	}
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	/**
+	 * Requests that must be refused from their heads and bodies alone.
+	 */
+	enum Fault {
+
+		PROFILE_MISSING("POST", CHAT, RefusalReason.MISSING_HEADER, CallerFixture.without("Sardineport-Profile")),
+		ORGANISATION_MISSING("POST", CHAT, RefusalReason.MISSING_HEADER,
+				CallerFixture.without("Sardineport-Organisation")),
+		PROFILE_TWICE("POST", CHAT, RefusalReason.INVALID_HEADER,
+				(request) -> request.header("Sardineport-Profile", "dictionary")),
+		PROFILE_WITH_STRANGE_CHARACTERS("POST", CHAT, RefusalReason.INVALID_HEADER,
+				(request) -> request.setHeader("Sardineport-Profile", "a b/c")),
+		PROFILE_UNKNOWN("POST", CHAT, RefusalReason.UNKNOWN_PROFILE,
+				(request) -> request.setHeader("Sardineport-Profile", "absent")),
+		ORGANISATION_UNKNOWN("POST", CHAT, RefusalReason.UNKNOWN_ORGANISATION,
+				(request) -> request.setHeader("Sardineport-Organisation", "absent")),
+		TOKEN_MISSING("POST", CHAT, RefusalReason.UNAUTHORIZED,
+				(request) -> request.setHeader("Sardineport-Organisation", "guthi")),
+		TOKEN_WRONG("POST", CHAT, RefusalReason.UNAUTHORIZED,
+				(request) -> request.setHeader("Sardineport-Organisation", "guthi")
+					.setHeader("Authorization", "Bearer wrong")),
+		TOKEN_OF_OTHER_SCHEME("POST", CHAT, RefusalReason.UNAUTHORIZED,
+				(request) -> request.setHeader("Sardineport-Organisation", "guthi")
+					.setHeader("Authorization", "Basic " + CallerFixture.TOKEN)),
+		PATH_UNKNOWN("POST", "/v2/other", RefusalReason.NO_ROUTE, (request) -> {
+		}), METHOD_UNKNOWN("DELETE", CHAT, RefusalReason.NO_ROUTE, (request) -> {
+		}), PATH_WITH_ENCODED_DOTS("GET", "/accounts/%2e%2e/postings", RefusalReason.NO_ROUTE, (request) -> {
+		}), PATH_WITH_ENCODED_SLASH("GET", "/accounts/x%2Fy", RefusalReason.NO_ROUTE, (request) -> {
+		}), PATH_WITH_EMPTY_SEGMENT("GET", "/accounts//7", RefusalReason.NO_ROUTE, (request) -> {
+		}), KEY_MISSING("POST", "/postings", RefusalReason.KEY_REQUIRED, (request) -> {
+		}),
+		KEY_WITHOUT_TIME("POST", "/postings", RefusalReason.KEY_INVALID,
+				(request) -> request.header("Idempotency-Key", "posting-7")),
+		KEY_WITH_STRANGE_TIME("POST", "/postings", RefusalReason.KEY_INVALID,
+				(request) -> request.header("Idempotency-Key", "posting-7")
+					.header("Sardineport-Issued-At", "yesterday")),
+		BODY_OVER_THE_LIMIT("POST", "/postings", RefusalReason.BODY_TOO_LARGE,
+				(request) -> request.header("Idempotency-Key", KEY)
+					.POST(HttpRequest.BodyPublishers.ofString("x".repeat(1001))));
+
+		private final String method;
+
+		private final String path;
+
+		private final RefusalReason reason;
+
+		private final Consumer<HttpRequest.Builder> change;
+
+		Fault(String method, String path, RefusalReason reason, Consumer<HttpRequest.Builder> change) {
+			this.method = method;
+			this.path = path;
+			this.reason = reason;
+			this.change = change;
+		}
+
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void isRefusedBeforeAnyDispatch(Fault fault) throws Exception {
+		HttpResponse<String> answer = this.fixture.send(fault.method, fault.path,
+				(fault.method.equals("GET")) ? "" : "{}", fault.change);
+		assertProblem(answer, fault.reason, "not-run");
+		assertThat(this.fixture.scheduler.submitted()).isEmpty();
+		assertThat(this.fixture.refused(fault.reason)).isOne();
+	}
+
+	@Test
+	void acceptsTheOrganisationsToken() throws Exception {
+		HttpResponse<String> answer = this.fixture.send("POST", CHAT, CallerFixture.chat("g", 1),
+				(request) -> request.setHeader("Sardineport-Organisation", "guthi")
+					.setHeader("Authorization", "Bearer " + CallerFixture.TOKEN));
+		assertThat(answer.statusCode()).isEqualTo(200);
+	}
+
+	@Test
+	void tellsWhenToComeBackAfterASchedulersRefusal() throws Exception {
+		this.fixture.scheduler.refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, "busy", Duration.ofMillis(2500)));
+		HttpResponse<String> answer = chat("busy");
+		assertProblem(answer, RefusalReason.OVERLOADED, "not-run");
+		assertThat(answer.headers().firstValue("Retry-After")).hasValue("3");
+	}
+
+	@Test
+	void refusesAtTheDeadlineWhileWaiting() throws Exception {
+		this.fixture.scheduler.hold();
+		HttpResponse<String> answer = this.fixture.send("POST", "/v1/quick", "{}", (request) -> {
+		});
+		assertProblem(answer, RefusalReason.DEADLINE_PASSED, "not-run");
+		assertThat(this.fixture.scheduler.abandoned()).hasSize(1);
+		this.fixture.scheduler.grantHeld();
+		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
+	}
+
+	@Test
+	void refusesWhileNotReady() throws Exception {
+		this.fixture.ready = false;
+		assertProblem(chat("early"), RefusalReason.NOT_READY, "not-run");
+	}
+
+	@Test
+	void refusesWhileStopping() throws Exception {
+		this.fixture.server.refuseNewRequests();
+		assertProblem(chat("late"), RefusalReason.STOPPING, "not-run");
+	}
+
+	@Test
+	void saysNotRunIfNoConnectionCouldBeMade() throws Exception {
+		this.fixture.scheduler.serve(
+				CallerFixture.server("gone", BackendKind.MODEL_ENGINE, CallerFixture.freeAddress()),
+				CallerFixture.server("gone2", BackendKind.MODEL_ENGINE, CallerFixture.freeAddress()));
+		assertProblem(chat("nowhere"), RefusalReason.BACKEND_UNREACHABLE, "not-run");
+		assertThat(this.fixture.scheduler.ends()).containsOnly(RunEnd.NOT_CONNECTED).hasSize(4);
+	}
+
+	@Test
+	void triesAnotherBackendServerIfNoConnectionCouldBeMade() throws Exception {
+		this.fixture.scheduler.serve(
+				CallerFixture.server("gone", BackendKind.MODEL_ENGINE, CallerFixture.freeAddress()),
+				this.fixture.engineServer());
+		assertThat(chat("second").body()).endsWith("data: [DONE]\n\n");
+		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("second", 1);
+	}
+
+	@Test
+	void saysUnknownAfterACrashAndNeverDispatchesAgain() throws Exception {
+		this.fixture.engine.faults().crashOn("poison");
+		assertProblem(chat("poison"), RefusalReason.BACKEND_FAILED, "unknown");
+		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("poison", 1);
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.BROKEN);
+	}
+
+	@Test
+	void saysUnknownAfterTheBackendServersOwnRefusal() throws Exception {
+		this.fixture.engine.faults().refuse(true);
+		assertProblem(chat("refused"), RefusalReason.BACKEND_FAILED, "unknown");
+		assertThat(this.fixture.scheduler.submitted()).hasSize(1);
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.REJECTED);
+	}
+
+	@Test
+	void saysUnknownAtTheDeadlineAfterDispatch() throws Exception {
+		this.fixture.engine.faults().slowDown(10_000);
+		HttpResponse<String> answer = this.fixture.send("POST", "/v1/quick", "{}", (request) -> {
+		});
+		// the stand-in does not know the path and answers with status 404 at once
+		assertThat(answer.statusCode()).isEqualTo(404);
+		this.fixture.scheduler.serve(this.fixture.ledgerServer());
+		this.fixture.ledger.setFault(ServiceFault.SILENT);
+		HttpResponse<String> late = this.fixture.send("POST", "/v1/quick", "{}", (request) -> {
+		});
+		assertProblem(late, RefusalReason.BACKEND_TIMEOUT, "unknown");
+		assertThat(this.fixture.scheduler.ends()).endsWith(RunEnd.TIMED_OUT);
+	}
+
+	@Test
+	void refusesWhatIsOverTheNumberInFlight() throws Exception {
+		try (CallerFixture small = new CallerFixture(EngineOptions.fast(), 0)) {
+			HttpResponse<String> answer = small.send("POST", CHAT, "{}", (request) -> {
+			});
+			assertThat(answer.statusCode()).isEqualTo(503);
+			assertThat(answer.body()).contains("ring-full");
+		}
+	}
+
+	private HttpResponse<String> chat(String user) throws Exception {
+		return this.fixture.send("POST", CHAT, CallerFixture.chat(user, 3), (request) -> {
+		});
+	}
+
+	private static void assertProblem(HttpResponse<String> answer, RefusalReason reason, String outcome)
+			throws Exception {
+		assertThat(answer.headers().firstValue("Content-Type")).as(answer.body()).hasValue("application/problem+json");
+		JsonNode problem = new ObjectMapper().readTree(answer.body());
+		assertThat(problem.path("kind").asText()).isEqualTo(reason.label());
+		assertThat(problem.path("outcome").asText()).isEqualTo(outcome);
+		assertThat(problem.path("remedy").asText()).isEqualTo(reason.remedy());
+		assertThat(problem.path("status").asInt()).isEqualTo(reason.status()).isEqualTo(answer.statusCode());
+		assertThat(problem.path("requestId").asText()).isNotEmpty();
+		assertThat(answer.headers().firstValue("Sardineport-Outcome")).hasValue(outcome);
+	}
+
+}
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
@@ -33,6 +33,8 @@
 
 	private final Set<EngineStream> active = new HashSet<>();
 
+	private volatile int heldBack;
+
 	EngineBatch(Vertx vertx, EngineOptions options, EngineFaults faults, EngineCounters counters) {
 		this.vertx = vertx;
 		this.options = options;
@@ -44,6 +46,10 @@
 		return this.active.size();
 	}
 
+	int heldBack() {
+		return this.heldBack;
+	}
+
 	int waiting() {
 		return this.waiting.size();
 	}
@@ -125,6 +131,11 @@
 	}
 
 	private void decode(EngineStream stream) {
+		if (stream.isHeldBack()) {
+			this.heldBack++;
+			stream.whenDrained(() -> decode(stream));
+			return;
+		}
 		after(this.options.tokenInterval().toMillis(), () -> {
 			if (!stream.isOver()) {
 				step(stream);
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
@@ -87,6 +87,16 @@
 		}
 	}
 
+	boolean isHeldBack() {
+		return this.response != null && !this.response.closed() && this.response.writeQueueFull();
+	}
+
+	void whenDrained(Runnable action) {
+		if (this.response != null) {
+			this.response.drainHandler((ignored) -> action.run());
+		}
+	}
+
 	void detach() {
 		this.response = null;
 	}
--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -123,6 +123,14 @@
 		return this.counters;
 	}
 
+	/**
+	 * Returns whether a slow reader has ever held back a stream.
+	 * @return whether a stream had to wait for its reader
+	 */
+	public boolean isHeldBack() {
+		return this.batch.heldBack() > 0;
+	}
+
 	/**
 	 * Sets whether load reports announce that the engine will leave.
 	 * @param isLeaving whether it will leave
