--- a/cli/src/main/java/org/sardineport/cli/Main.java
+++ b/cli/src/main/java/org/sardineport/cli/Main.java
@@ -16,6 +16,7 @@
 import org.sardineport.cli.command.ProfileRetireCommand;
 import org.sardineport.cli.command.ProfileShowCommand;
 import org.sardineport.cli.command.StatusCommand;
+import org.sardineport.cli.demo.DemoCommand;
 import org.sardineport.cli.operator.DaemonUnreachableException;
 import org.sardineport.core.error.InvalidDocumentException;
 import org.sardineport.core.error.SardineportException;
@@ -25,7 +26,7 @@
  * Command line of the operators.
  */
 @Cli(name = "sardineport", description = "Operates a fleet of sardineport daemons",
-		commands = { Help.class, StatusCommand.class, EntryCommand.class },
+		commands = { Help.class, StatusCommand.class, EntryCommand.class, DemoCommand.class },
 		groups = @Group(name = "profile", description = "Publishes, replaces, retires and shows profiles",
 				commands = { ProfilePublishCommand.class, ProfileReplaceCommand.class, ProfileRetireCommand.class,
 						ProfileListCommand.class, ProfileShowCommand.class, ProfileDiffCommand.class,
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
@@ -0,0 +1,102 @@
+package org.sardineport.cli.demo;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.ranges.IntegerRange;
+import io.vertx.core.Vertx;
+import org.sardineport.cli.Console;
+import org.sardineport.cli.ExitCode;
+import org.sardineport.cli.Main;
+import org.sardineport.cli.command.CliCommand;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.settings.DaemonSettings;
+
+/**
+ * Runs a whole fleet in this process, sends it a mix of requests, stops one daemon in the
+ * middle, and checks what callers were told.
+ */
+@Command(name = "demo", description = "Runs a fleet with stand-ins in one process and checks its promises")
+@Examples(examples = "sardineport demo --seconds 10", descriptions = "Sends requests for ten seconds.")
+public final class DemoCommand extends CliCommand {
+
+	private static final String LOG_LEVEL = "sardineport.log.level";
+
+	private static final int STOPPED_DAEMON = 3;
+
+	@Option(name = "--seconds", title = "SECONDS", description = "Time for which requests are sent; default: 20")
+	@IntegerRange(min = 4, max = 600)
+	private int seconds = 20;
+
+	@Option(name = "--seed", title = "NUMBER", description = "Seed of the mix of requests; default: 1")
+	private long seed = 1;
+
+	@Override
+	public ExitCode run(Console console) throws IOException {
+		if (System.getProperty(LOG_LEVEL) == null) {
+			System.setProperty(LOG_LEVEL, "warn");
+		}
+		DemoFleet fleet = new DemoFleet(Vertx.vertx());
+		fleet.start();
+		console.note("started %d daemons in 3 failure domains, 2 model engines, a ledger".formatted(DemoFleet.DAEMONS));
+		ExitCode published = publish(console, fleet);
+		if (published != ExitCode.OK) {
+			console.note("the profile was not published: " + published);
+			return published;
+		}
+		DemoReport report = load(console, fleet);
+		fleet.stop();
+		if (isJson()) {
+			console.json(report);
+		}
+		else {
+			report.write(console);
+		}
+		return (report.broken().isEmpty()) ? ExitCode.OK : ExitCode.FAILED;
+	}
+
+	private ExitCode publish(Console console, DemoFleet fleet) throws IOException {
+		Path file = Files.createTempFile("sardineport-demo", ".yaml");
+		try (InputStream profile = DemoCommand.class.getResourceAsStream("profile.yaml")) {
+			Files.write(file, profile.readAllBytes());
+			Console inner = Console.of(System.err, System.err,
+					Map.of("SARDINEPORT_OPERATOR_TOKEN", DemoFleet.OPERATOR_TOKEN, "USER", "demo"));
+			return Main.run(inner, "profile", "publish", "--log", fleet.logService().toString(), "--operator",
+					fleet.settings().get(0).operatorAddress().toString(), "--accept-warnings", file.toString());
+		}
+		finally {
+			Files.delete(file);
+		}
+	}
+
+	private DemoReport load(Console console, DemoFleet fleet) {
+		Duration length = Duration.ofSeconds(this.seconds);
+		List<NetworkAddress> contacts = fleet.settings().stream().map(DaemonSettings::callerAddress).toList();
+		List<WorkItem> items = WorkPlan.create(this.seed, Instant.now(), length);
+		console.note("sending %d requests within %d s".formatted(items.size(), this.seconds));
+		List<CompletableFuture<CallResult>> pending = new DemoCallers(Vertx.vertx(), contacts).start(items);
+		LockSupport.parkNanos(length.toNanos() / 2);
+		console.note("stopping daemon-%d in a planned way".formatted(STOPPED_DAEMON));
+		long stopStart = System.nanoTime();
+		CompletableFuture<Long> stopped = fleet.stop(STOPPED_DAEMON)
+			.thenApply((ignored) -> System.nanoTime() - stopStart)
+			.toCompletableFuture();
+		List<CallResult> results = pending.stream().map(CompletableFuture::join).toList();
+		long stopMillis = TimeUnit.NANOSECONDS.toMillis(stopped.join());
+		List<String> broken = PromiseCheck.check(results, fleet.engines(), fleet.ledger().executions());
+		return DemoReport.of(results, fleet.engines(), stopMillis, broken);
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/demo/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The demonstration: a fleet before stand-ins in one process, under a mix of requests.
+ */
+@NullMarked
+package org.sardineport.cli.demo;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -11,6 +11,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RetryBudget;
 import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.core.lifecycle.Service;
@@ -60,6 +61,8 @@
 	/** In the order in which they are started. */
 	private final List<Service> services;
 
+	private @Nullable CompletionStage<Void> stopped;
+
 	private SardineportDaemon(DaemonSettings settings, InstantSource clock) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(1));
@@ -115,15 +118,22 @@
 	 * @return completes when nothing is left running
 	 */
 	@Override
-	public CompletionStage<Void> stop() {
+	public synchronized CompletionStage<Void> stop() {
+		if (this.stopped == null) {
+			this.stopped = stopOnce();
+		}
+		return this.stopped;
+	}
+
+	private CompletionStage<Void> stopOnce() {
 		this.callers.refuseNewRequests();
 		List<Service> reversed = new ArrayList<>(this.services);
 		Collections.reverse(reversed);
-		CompletionStage<Void> stopped = this.callers.whenDrained().thenCompose((ignored) -> this.runner.whenDrained());
+		CompletionStage<Void> stopping = this.callers.whenDrained().thenCompose((ignored) -> this.runner.whenDrained());
 		for (Service service : reversed) {
-			stopped = stopped.thenCompose((ignored) -> service.stop());
+			stopping = stopping.thenCompose((ignored) -> service.stop());
 		}
-		return stopped.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
+		return stopping.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
 			.thenRun(() -> LOG.info("daemon.stopped", "daemon", this.settings.daemon()));
 	}
 
