--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -33,8 +33,6 @@
 
 	private final Map<RequestId, PermitListener> held = new LinkedHashMap<>();
 
-	private final Map<RequestId, PermitListener> listeners = new ConcurrentHashMap<>();
-
 	private final List<RequestId> submitted = new CopyOnWriteArrayList<>();
 
 	private final List<RequestId> abandoned = new CopyOnWriteArrayList<>();
@@ -95,7 +93,7 @@
 
 	/** Takes a permit away for the top tier. */
 	public void preempt(Permit permit) {
-		this.listeners.get(permit.request()).preempted(permit);
+		this.listeners.get(permit).preempted(permit);
 	}
 
 	/** Grants all requests that are held. */
@@ -118,7 +116,6 @@
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
 		this.submitted.add(request.id());
-		this.listeners.put(request.id(), listener);
 		if (this.refusal != null) {
 			listener.refused(this.refusal);
 		}
