--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -22,12 +22,14 @@
 import org.sardineport.core.stop.StopTiming;
 import org.sardineport.daemon.configuration.ConfigurationDuty;
 import org.sardineport.daemon.engine.HttpModelEngine;
+import org.sardineport.daemon.exchange.DurableTakeover;
 import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunServices;
 import org.sardineport.daemon.fleet.FleetDuty;
 import org.sardineport.daemon.fleet.TransportCounters;
 import org.sardineport.daemon.http.CallerServer;
 import org.sardineport.daemon.http.CallerServices;
+import org.sardineport.daemon.http.ContextExecutor;
 import org.sardineport.daemon.http.OperatorServer;
 import org.sardineport.daemon.http.OperatorServices;
 import org.sardineport.daemon.http.Readiness;
@@ -90,8 +92,10 @@
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
 		scheduling.listenToLoad(fleet::reported);
 		fleet.exchangeStrikes(scheduling);
-		RequestRunner runner = RequestRunner.create(RunServices.create(scheduling, journal, engines, clock, telemetry,
-				RetryBudget.create(), settings.journal().maximumAnswerBytes()));
+		RunServices runs = RunServices.create(scheduling, journal, engines, clock, telemetry, RetryBudget.create(),
+				settings.journal().maximumAnswerBytes());
+		RequestRunner runner = RequestRunner.create(runs);
+		journal.runner(DurableTakeover.create(runner, runs, fleet, () -> ContextExecutor.create(this.vertx)));
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/StreamCollector.java
@@ -0,0 +1,87 @@
+package org.sardineport.daemon.exchange;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.exchange.HeaderNames;
+import org.sardineport.core.journal.DispatchedRun;
+import org.sardineport.core.journal.StoredAnswer;
+import org.sardineport.core.port.backend.AnswerListener;
+import org.sardineport.core.port.backend.BackendException;
+import org.sardineport.core.port.backend.Exchange;
+import org.sardineport.core.request.Outcome;
+import org.sardineport.daemon.telemetry.EventLog;
+
+/**
+ * Collects the answer of a run that another daemon left behind, from its first byte on,
+ * and records its end. All state is touched on one executor.
+ */
+final class StreamCollector implements AnswerListener {
+
+	private static final EventLog LOG = EventLog.of(StreamCollector.class);
+
+	private final RunServices services;
+
+	private final DispatchedRun run;
+
+	private final SerialExecutor executor;
+
+	private final AnswerRecorder recorder;
+
+	private Runnable cancelDeadline = () -> {
+	};
+
+	private boolean over;
+
+	StreamCollector(RunServices services, DispatchedRun run, SerialExecutor executor) {
+		this.services = services;
+		this.run = run;
+		this.executor = executor;
+		this.recorder = new AnswerRecorder(services.maximumAnswerBytes());
+	}
+
+	void start(BackendServer server) {
+		this.executor.execute(() -> {
+			Exchange exchange = this.services.engines().resume(server, this.run.streamId(), 0, this);
+			Duration left = Duration.between(this.services.clock().instant(), this.run.deadline());
+			this.cancelDeadline = this.executor.schedule(left, exchange::cancel);
+		});
+	}
+
+	@Override
+	public void head(int status, List<Map.Entry<String, String>> headers) {
+		this.executor.execute(() -> this.recorder.head(status, HeaderNames.forCaller(headers)));
+	}
+
+	@Override
+	public void chunk(ByteBuffer bytes) {
+		ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+		this.executor.execute(() -> this.recorder.chunk(copy));
+	}
+
+	@Override
+	public void end() {
+		this.executor.execute(() -> finish(Outcome.COMPLETED, this.recorder.answer()));
+	}
+
+	@Override
+	public void failed(BackendException failure) {
+		this.executor.execute(() -> {
+			LOG.info("takeover.stream-lost", "stream", this.run.streamId(), "failure", failure.failure());
+			finish(Outcome.UNKNOWN, null);
+		});
+	}
+
+	private void finish(Outcome outcome, @Nullable StoredAnswer answer) {
+		if (!this.over) {
+			this.over = true;
+			this.cancelDeadline.run();
+			this.services.journal().finish(this.run.claim(), outcome, answer);
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/http/ContextExecutor.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/ContextExecutor.java
@@ -7,9 +7,9 @@
 import org.sardineport.daemon.exchange.SerialExecutor;
 
 /**
- * Runs tasks in order on one Vert.x context.
+ * Runs tasks in order on one Vert.x context. Safe for use by any thread.
  */
-final class ContextExecutor implements SerialExecutor {
+public final class ContextExecutor implements SerialExecutor {
 
 	private final Vertx vertx;
 
@@ -20,6 +20,15 @@
 		this.context = context;
 	}
 
+	/**
+	 * Returns an executor for a thread that is none of Vert.x's own.
+	 * @param vertx gives the context
+	 * @return the executor
+	 */
+	public static ContextExecutor create(Vertx vertx) {
+		return ofCurrent(vertx);
+	}
+
 	static ContextExecutor ofCurrent(Vertx vertx) {
 		return new ContextExecutor(vertx, vertx.getOrCreateContext());
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
@@ -152,16 +152,18 @@
 	}
 
 	@Test
-	void tellsTheTruthOfAPreemptedRun() throws Exception {
-		CompletableFuture<HttpResponse<String>> answer = this.fixture.client.sendAsync(
-				this.fixture.request("POST", "/v1/chat/completions", CallerFixture.chat("low", 100_000), (request) -> {
-				}), HttpResponse.BodyHandlers.ofString());
-		until(() -> this.fixture.engine.counters().prefillTokens() > 0);
-		Permit permit = this.fixture.scheduler.granted().get(0);
-		this.fixture.scheduler.preempt(permit);
-		assertThat(answer.handle((response, failure) -> failure).join()).isNotNull();
-		assertThat(this.fixture.refused(RefusalReason.PREEMPTED)).isOne();
-		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.CANCELLED);
+	void tellsTheTruthOfAPreemptedRunThatCannotMove() throws Exception {
+		try (CallerFixture fixed = new CallerFixture(EngineOptions.fast().withAbilities(true, false))) {
+			CompletableFuture<HttpResponse<String>> answer = fixed.client.sendAsync(
+					fixed.request("POST", "/v1/chat/completions", CallerFixture.chat("low", 100_000), (request) -> {
+					}), HttpResponse.BodyHandlers.ofString());
+			until(() -> fixed.engine.counters().prefillTokens() > 0);
+			Permit permit = fixed.scheduler.granted().get(0);
+			fixed.scheduler.preempt(permit);
+			assertThat(answer.handle((response, failure) -> failure).join()).isNotNull();
+			assertThat(fixed.refused(RefusalReason.PREEMPTED)).isOne();
+			assertThat(fixed.scheduler.ends()).containsExactly(RunEnd.CANCELLED);
+		}
 	}
 
 	@Test
