Begin to read near the end of the configuration stream

Held back records are bounded by characters too. The daemon looks at the fleet 10 times a second, not 50.

--- a/cli/src/main/java/org/sardineport/cli/configuration/StreamReplica.java
+++ b/cli/src/main/java/org/sardineport/cli/configuration/StreamReplica.java
@@ -11,6 +11,7 @@
 
 import org.sardineport.core.configuration.ConfigurationReplica;
 import org.sardineport.core.configuration.ConfigurationState;
+import org.sardineport.core.configuration.TailSearch;
 import org.sardineport.core.configuration.Verdict;
 import org.sardineport.core.port.log.LogFailure;
 import org.sardineport.core.port.log.LogRecord;
@@ -40,6 +41,8 @@
 	private final ConfigurationReplica replica = ConfigurationReplica.create(ProfileReader.create(),
 			DeflatedImageCodec.create());
 
+	private boolean begun;
+
 	private StreamReplica(LogService log, String stream, Duration timeout) {
 		this.log = Objects.requireNonNull(log, "log must not be null");
 		this.stream = Objects.requireNonNull(stream, "stream must not be null");
@@ -75,10 +78,32 @@
 
 	/**
 	 * Reads the stream to its end.
-	 * @return verdicts that were reached
+	 * @return verdicts that were reached; empty at the first call, which begins near the
+	 * end of the stream
 	 * @throws LogServiceException if the log service fails
 	 */
 	public List<Verdict> readToEnd() throws LogServiceException {
+		if (!this.begun) {
+			findStart();
+			this.begun = true;
+			return List.of();
+		}
+		return readOn();
+	}
+
+	private void findStart() throws LogServiceException {
+		long endOffset = await(this.log.read(this.stream, LogService.EARLIEST, 1, Duration.ZERO)).endOffset();
+		TailSearch search = TailSearch.before(endOffset);
+		long start;
+		do {
+			start = search.next();
+			this.replica.beginAt(start);
+			readOn();
+		}
+		while (this.replica.hasGap() && start > 0);
+	}
+
+	private List<Verdict> readOn() throws LogServiceException {
 		List<Verdict> verdicts = new ArrayList<>();
 		LogSlice slice;
 		do {
--- a/core/src/main/java/org/sardineport/core/configuration/ConfigurationReplica.java
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationReplica.java
@@ -21,6 +21,9 @@
 	/** Most publications that are held back while an image is missing. */
 	static final int MAXIMUM_HELD_BACK = 10_000;
 
+	/** Most characters of texts that are held back while an image is missing. */
+	static final long MAXIMUM_HELD_BACK_CHARACTERS = 16L * 1024 * 1024;
+
 	private static final long UNKNOWN_OFFSET = Long.MAX_VALUE;
 
 	private final ProfileParser parser;
@@ -35,6 +38,8 @@
 
 	private long asOf = ConfigurationSnapshot.NO_VERSION;
 
+	private long heldBackCharacters;
+
 	private boolean gap;
 
 	/** First offset after the gap that the stream still keeps. */
@@ -96,10 +101,20 @@
 	 * the earliest record.
 	 */
 	public void expired() {
-		this.gap = true;
+		beginAt(LogService.EARLIEST);
 		this.firstKept = UNKNOWN_OFFSET;
+	}
+
+	/**
+	 * Reads on from an offset, with a gap before it unless all before it is contained.
+	 * @param offset the offset
+	 */
+	public void beginAt(long offset) {
+		this.gap = true;
+		this.firstKept = offset;
 		this.heldBack.clear();
-		this.nextOffset = LogService.EARLIEST;
+		this.heldBackCharacters = 0;
+		this.nextOffset = offset;
 	}
 
 	/**
@@ -144,14 +159,20 @@
 			Optional<ConfigurationImage> image = this.snapshots.add(page);
 			return image.isPresent() ? adopt(image.get()).verdicts() : closeGap();
 		}
-		this.heldBack.add(new HeldBack(offset, record));
-		if (this.heldBack.size() > MAXIMUM_HELD_BACK) {
-			this.heldBack.removeFirst();
-			this.firstKept = this.heldBack.getFirst().offset();
-		}
+		holdBack(new HeldBack(offset, record));
 		return closeGap();
 	}
 
+	private void holdBack(HeldBack held) {
+		this.heldBack.add(held);
+		this.heldBackCharacters += held.characters();
+		while (this.heldBack.size() > MAXIMUM_HELD_BACK || this.heldBackCharacters > MAXIMUM_HELD_BACK_CHARACTERS) {
+			HeldBack dropped = this.heldBack.removeFirst();
+			this.heldBackCharacters -= dropped.characters();
+			this.firstKept = dropped.offset() + 1;
+		}
+	}
+
 	private void applyInOrder(long offset, ConfigurationRecord record, List<Verdict> verdicts) {
 		this.asOf = offset;
 		if (record instanceof Publication publication) {
@@ -219,12 +240,18 @@
 			}
 		}
 		this.heldBack.clear();
+		this.heldBackCharacters = 0;
 		this.asOf = Math.max(this.asOf, this.nextOffset - 1);
 		this.nextOffset = this.asOf + 1;
 		return verdicts;
 	}
 
 	private record HeldBack(long offset, ConfigurationRecord record) {
+
+		private long characters() {
+			return (this.record instanceof Publication publication) ? publication.characters() : 0;
+		}
+
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/configuration/Publication.java
+++ b/core/src/main/java/org/sardineport/core/configuration/Publication.java
@@ -28,6 +28,14 @@
 		Objects.requireNonNull(operator, "operator must not be null");
 	}
 
+	/**
+	 * Returns the length of all texts together.
+	 * @return their characters
+	 */
+	public long characters() {
+		return this.profiles.stream().mapToLong((document) -> document.text().length()).sum();
+	}
+
 	/**
 	 * Returns the profiles that the publication changes.
 	 * @return their names, in the order of the publication
--- a/core/src/test/java/org/sardineport/core/configuration/RacingPublishersTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/RacingPublishersTests.java
@@ -192,9 +192,24 @@
 			for (long truncatedAt : Arrays.asList(0L, this.next / 4, this.next / 2)) {
 				truncated(truncatedAt);
 			}
+			for (long begin : Arrays.asList(0L, this.next / 3, this.next - 50)) {
+				begunNearTheEnd(Math.max(0, begin));
+			}
 			caughtUpFromPeer();
 		}
 
+		private void begunNearTheEnd(long begin) {
+			ConfigurationReplica replica = replica();
+			replica.beginAt(begin);
+			this.log.tailMap(begin)
+				.forEach((offset, record) -> replica.apply(offset, record)
+					.forEach((verdict) -> assertThat(verdict).isEqualTo(this.verdicts.get(verdict.offset()))));
+			replica.readUpTo(this.next);
+			if (begin == 0 || !replica.hasGap()) {
+				assertThat(replica.state()).isEqualTo(this.reference.state());
+			}
+		}
+
 		private void replayed(boolean withDuplicates) {
 			ConfigurationReplica replica = replica();
 			Map<Long, Verdict> mine = new TreeMap<>();
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.configuration.ConfigurationAnnouncement;
 import org.sardineport.core.configuration.ConfigurationFetch;
 import org.sardineport.core.configuration.ConfigurationImage;
@@ -24,6 +25,7 @@
 import org.sardineport.core.configuration.PeerCatchUp;
 import org.sardineport.core.configuration.PeerCatchUp.Question;
 import org.sardineport.core.configuration.ProfileParser;
+import org.sardineport.core.configuration.TailSearch;
 import org.sardineport.core.configuration.Verdict;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
@@ -57,6 +59,9 @@
 
 	private static final Duration TICK = Duration.ofMillis(20);
 
+	/** Time between two looks at the fleet, which cost more the larger it is. */
+	private static final Duration FLEET_TICK = Duration.ofMillis(100);
+
 	private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
 
 	private final FleetView fleet;
@@ -85,6 +90,14 @@
 
 	private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
 
+	private Instant nextFleetTick = Instant.MIN;
+
+	private boolean logReader = true;
+
+	private @Nullable TailSearch search;
+
+	private long searchedFrom;
+
 	private volatile ConfigurationSnapshot current = ConfigurationSnapshot.EMPTY;
 
 	private volatile boolean ready;
@@ -154,22 +167,35 @@
 
 	private void tick() {
 		Instant now = this.clock.instant();
-		FleetSnapshot view = this.fleet.current();
-		readOn(view);
-		this.catchUp.next(now, this.replica.state().version(), view).ifPresent(this::send);
-		confirmWithPeers(view, now);
+		if (!now.isBefore(this.nextFleetTick)) {
+			this.nextFleetTick = now.plus(FLEET_TICK);
+			fleetTick(now, this.fleet.current());
+		}
+		readOn();
 		if (this.reader.isAtEnd() && !this.replica.hasGap()) {
 			this.snapshots.tick(this.replica, this.reader.isLogBehind(this.replica.asOf()));
 		}
+	}
+
+	private void fleetTick(Instant now, FleetSnapshot view) {
+		this.logReader = ConfigurationSpread.isReader(view);
+		this.catchUp.next(now, this.replica.state().version(), view).ifPresent(this::send);
+		if ((!this.ready && this.reader.isFailing()) || this.replica.hasGap()) {
+			this.catchUp.confirmations(now, this.replica.state().version(), view).forEach(this::send);
+		}
 		publish(view);
 	}
 
-	private void readOn(FleetSnapshot view) {
-		boolean continuously = ConfigurationSpread.isReader(view) || !this.ready;
-		this.reader.tick(this.replica.nextOffset(), continuously);
+	private void readOn() {
+		this.reader.tick(this.replica.nextOffset(), this.logReader || !this.ready);
 	}
 
 	private void read(LogSlice slice) {
+		if (this.search == null) {
+			this.search = TailSearch.before(slice.endOffset());
+			searchFurtherBack();
+			return;
+		}
 		for (LogRecord record : slice.records()) {
 			ConfigurationRecord decoded = this.records.decode(record.value());
 			report(this.replica.apply(record.offset(), decoded));
@@ -178,12 +204,21 @@
 			}
 		}
 		report(this.replica.readUpTo(slice.nextOffset()));
+		if (slice.isAtEnd() && this.replica.hasGap() && this.searchedFrom > 0) {
+			searchFurtherBack();
+			return;
+		}
 		if (slice.isAtEnd() && !this.replica.hasGap()) {
 			this.readiness.logAtEnd();
 		}
-		FleetSnapshot view = this.fleet.current();
-		publish(view);
-		readOn(view);
+		publish(this.fleet.current());
+		readOn();
+	}
+
+	private void searchFurtherBack() {
+		this.searchedFrom = Objects.requireNonNull(this.search, "the search must have begun").next();
+		this.replica.beginAt(this.searchedFrom);
+		readOn();
 	}
 
 	private void readFailed(LogFailure failure) {
@@ -191,6 +226,7 @@
 		if (failure == LogFailure.OFFSET_EXPIRED) {
 			LOG.warn("configuration.offset-expired", "offset", this.replica.nextOffset());
 			this.replica.expired();
+			this.searchedFrom = 0;
 		}
 		else {
 			this.readiness.logFailed();
@@ -243,12 +279,6 @@
 		report(adoption.verdicts());
 	}
 
-	private void confirmWithPeers(FleetSnapshot view, Instant now) {
-		if ((!this.ready && this.reader.isFailing()) || this.replica.hasGap()) {
-			this.catchUp.confirmations(now, this.replica.state().version(), view).forEach(this::send);
-		}
-	}
-
 	private void publish(FleetSnapshot view) {
 		ConfigurationSnapshot next = this.replica.state().snapshot();
 		boolean changed = next.version() > this.current.version();
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/StreamReader.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/StreamReader.java
@@ -110,7 +110,7 @@
 	}
 
 	private void read(long nextOffset, Instant now, boolean continuously) {
-		Duration wait = continuously ? this.settings.readWait() : Duration.ZERO;
+		Duration wait = (continuously && this.atEnd) ? this.settings.readWait() : Duration.ZERO;
 		long number = ++this.reads;
 		this.reading = true;
 		this.lastRead = now;
--- a/daemon/src/test/java/org/sardineport/daemon/configuration/ConfigurationDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/configuration/ConfigurationDutyTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sardineport.core.configuration.ConfigurationSnapshot;
 import org.sardineport.core.configuration.ProfileDocument;
 import org.sardineport.core.configuration.Publication;
@@ -124,6 +125,29 @@
 		assertThat(fresh.current().profiles()).hasSize(2);
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void daemonStartsOnALongStream(boolean withSnapshot) throws Exception {
+		ConfigurationSettings eager = new ConfigurationSettings("configuration", Duration.ofMillis(50),
+				Duration.ofMillis(1));
+		long version = publish("ledger", -1);
+		for (int i = 0; i < 3000; i++) {
+			this.log.append("configuration", new byte[] { 1 });
+		}
+		if (withSnapshot) {
+			ConfigurationDuty writer = duty(0, this.log, eager);
+			awaitRecords(3002);
+			writer.stop().toCompletableFuture().join();
+		}
+		ConfigurationDuty fresh = duty(1, this.log);
+		awaitReady(fresh);
+		assertThat(fresh.current().version()).isEqualTo(version);
+		long judged = this.telemetries.get(this.telemetries.size() - 1)
+			.counter("configuration.verdicts.unreadable")
+			.getCount();
+		assertThat(judged).as("records read").isEqualTo(withSnapshot ? 0 : 3000);
+	}
+
 	private ConfigurationDuty duty(int number, InMemoryLogService log) {
 		return duty(number, log, SETTINGS);
 	}
