--- a/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
@@ -17,6 +17,12 @@
 
 	private static final int DAEMONS = 8;
 
+	private static final int DAEMON_DOMAINS = 3;
+
+	private static final int LARGE_DAEMONS = 3300;
+
+	private static final int LARGE_DOMAINS = 18;
+
 	private static final Duration OUTAGE = Duration.ofSeconds(4);
 
 	private static final double TARGET_SECONDS = 1;
@@ -68,6 +74,8 @@
 		}
 		costs(ProfileTexts.small(), 4, "small");
 		costs(ProfileTexts.withOrganisations(LARGE_ORGANISATIONS), LARGE_PROFILES, "large");
+		fleetTick(DAEMONS, DAEMON_DOMAINS);
+		fleetTick(LARGE_DAEMONS, LARGE_DOMAINS);
 		return this.allMet;
 	}
 
@@ -85,6 +93,12 @@
 		print("memory" + suffix, cost.memoryPerProfile() * profiles, "B", CONTROL_BYTES);
 	}
 
+	private void fleetTick(int daemons, int domains) {
+		double micros = FleetTickCost.micros(daemons, domains);
+		print("fleet-tick-core-share-" + daemons, micros * FleetTickCost.TICKS_PER_SECOND / 1e6, "core",
+				CONTROL_CORE_SHARE);
+	}
+
 	private static double seconds(Histogram histogram, double percentile) {
 		return histogram.getValueAtPercentile(percentile) / 1e6;
 	}
--- a/core/src/test/java/org/sardineport/core/configuration/ConfigurationSpreadTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/ConfigurationSpreadTests.java
@@ -21,9 +21,9 @@
 
 class ConfigurationSpreadTests {
 
-	private static final int LETTER_FLEET = 3300;
+	private static final int LARGE_FLEET = 3300;
 
-	private static final int LETTER_DOMAINS = 18;
+	private static final int LARGE_DOMAINS = 18;
 
 	private static List<Member> members(int size, int domains) {
 		List<Member> members = new ArrayList<>();
@@ -56,7 +56,7 @@
 
 	@Test
 	void readersAndAudiencesStayFewAsTheFleetGrows() {
-		List<Member> members = members(LETTER_FLEET, LETTER_DOMAINS);
+		List<Member> members = members(LARGE_FLEET, LARGE_DOMAINS);
 		long readers = 0;
 		for (Member member : members) {
 			FleetSnapshot view = view(member, members);
@@ -64,7 +64,7 @@
 			assertThat(ConfigurationSpread.audience(view).size())
 				.isLessThanOrEqualTo(ConfigurationSpread.READERS - 1 + ConfigurationSpread.FAN_OUT);
 		}
-		assertThat(readers).isEqualTo((long) LETTER_DOMAINS * ConfigurationSpread.READERS);
+		assertThat(readers).isEqualTo((long) LARGE_DOMAINS * ConfigurationSpread.READERS);
 	}
 
 	@Test
