--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -91,6 +91,11 @@
 		return this.granted;
 	}
 
+	/** Takes a permit away for the top tier. */
+	public void preempt(Permit permit) {
+		this.listeners.get(permit).preempted(permit);
+	}
+
 	/** Grants all requests that are held. */
 	public void grantHeld() {
 		this.holding = false;
