--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -123,6 +123,14 @@
 		return this.counters;
 	}
 
+	/**
+	 * Returns whether a slow reader has ever held back a stream.
+	 * @return whether a stream had to wait for its reader
+	 */
+	public boolean isHeldBack() {
+		return this.batch.heldBack() > 0;
+	}
+
 	/**
 	 * Sets whether load reports announce that the engine will leave.
 	 * @param isLeaving whether it will leave
@@ -167,10 +175,7 @@
 	private void route(HttpServerRequest request, Buffer body) throws IOException {
 		String path = request.path();
 		HttpServerResponse response = request.response();
-		if (path.equals("/v1/chat/completions") || path.equals("/v1/completions")) {
-			complete(request, body);
-		}
-		else if (path.equals("/v1/load")) {
+		if (path.equals("/v1/load")) {
 			Answers.json(response, STATUS_OK, load());
 		}
 		else if (path.equals("/v1/cache-events")) {
@@ -186,6 +191,9 @@
 		else if (path.startsWith(STREAMS)) {
 			controlStream(request, path.substring(STREAMS.length()), body);
 		}
+		else if (request.method().equals(HttpMethod.POST)) {
+			complete(request, body);
+		}
 		else {
 			Answers.status(response, STATUS_NOT_FOUND);
 		}
