Never call a publication accepted that the daemons will not take

A log that lost records accepts a publication at an offset that the daemons have already seen; the command line, which knows only the log, called it accepted. With an operators' port named it now compares the daemon's version with the log's first, and publishes nothing while the log holds less. Also: a daemon asks no peer for a while after an image that it could not take, and waits a minute before it takes a log that ends early for one that lost records, as lagging reads look the same.

--- a/cli/src/main/java/org/sardineport/cli/command/PublishingCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/PublishingCommand.java
@@ -23,10 +23,13 @@
 import org.sardineport.cli.operator.DaemonClient;
 import org.sardineport.cli.operator.DaemonUnreachableException;
 import org.sardineport.cli.operator.FleetStatus;
+import org.sardineport.core.configuration.ConfigurationSnapshot;
 import org.sardineport.core.configuration.Publication;
 import org.sardineport.core.configuration.Verdict;
 import org.sardineport.core.error.SardineportException;
 import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.port.log.LogFailure;
+import org.sardineport.core.port.log.LogServiceException;
 import org.sardineport.core.publishing.PublicationDraft;
 import org.sardineport.core.publishing.PublicationOutcome;
 import org.sardineport.core.publishing.PublicationPlan;
@@ -94,8 +97,10 @@
 
 	private ExitCode publish(Console console, PublicationDraft draft, StreamReplica replica,
 			Optional<DaemonClient> daemon) throws SardineportException {
-		PublicationPlan plan = PublicationPlan.of(replica.state(), draft, pools(daemon, console),
-				ProfileReader.create());
+		Optional<FleetStatus> status = status(daemon, console);
+		replica.readToEnd();
+		checkLogIsComplete(replica, status);
+		PublicationPlan plan = PublicationPlan.of(replica.state(), draft, pools(status), ProfileReader.create());
 		PlanView view = PlanView.of(plan);
 		if (!isJson()) {
 			view.write(console);
@@ -157,16 +162,32 @@
 		}
 	}
 
-	private static Set<PoolName> pools(Optional<DaemonClient> daemon, Console console) {
-		Set<PoolName> pools = new HashSet<>();
-		if (daemon.isPresent()) {
-			try {
-				daemon.get().status().backendServers().forEach((server) -> pools.add(PoolName.of(server.pool())));
-			}
-			catch (DaemonUnreachableException ex) {
-				console.note("Not checked whether the pools have backend servers: " + ex.getMessage());
-			}
+	private static Optional<FleetStatus> status(Optional<DaemonClient> daemon, Console console) {
+		if (daemon.isEmpty()) {
+			return Optional.empty();
+		}
+		try {
+			return Optional.of(daemon.get().status());
+		}
+		catch (DaemonUnreachableException ex) {
+			console.note("Not checked whether the pools have backend servers: " + ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+	private static void checkLogIsComplete(StreamReplica replica, Optional<FleetStatus> status)
+			throws LogServiceException {
+		long inForce = status.map(FleetStatus::configurationVersion).orElse(ConfigurationSnapshot.NO_VERSION);
+		if (inForce > replica.state().version()) {
+			throw LogServiceException.of(LogFailure.UNAVAILABLE,
+					"the daemons hold version %d, the log only version %d: it lost records or lags".formatted(inForce,
+							replica.state().version()));
 		}
+	}
+
+	private static Set<PoolName> pools(Optional<FleetStatus> status) {
+		Set<PoolName> pools = new HashSet<>();
+		status.ifPresent((known) -> known.backendServers().forEach((server) -> pools.add(PoolName.of(server.pool()))));
 		return pools;
 	}
 
--- a/cli/src/test/java/org/sardineport/cli/FakeDaemon.java
+++ b/cli/src/test/java/org/sardineport/cli/FakeDaemon.java
@@ -1,7 +1,11 @@
 package org.sardineport.cli;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -17,7 +21,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final Map<String, String> answers = new ConcurrentHashMap<>();
+	private final Map<String, Deque<String>> answers = new ConcurrentHashMap<>();
 
 	private final HttpServer server;
 
@@ -34,14 +38,20 @@
 		return "127.0.0.1:" + this.server.actualPort();
 	}
 
-	void answer(String path, String body) {
-		this.answers.put(path, body);
+	/** Answers with each body in turn, and with the last from then on. */
+	void answer(String path, String... bodies) {
+		this.answers.put(path, new ConcurrentLinkedDeque<>(List.of(bodies)));
+	}
+
+	private String next(String path) {
+		Deque<String> bodies = this.answers.getOrDefault(path, new ArrayDeque<>());
+		return (bodies.size() > 1) ? bodies.poll() : bodies.peek();
 	}
 
 	private void handle(HttpServerRequest request) {
 		boolean authorized = request.path().startsWith("/v1/")
 				|| ("Bearer " + TOKEN).equals(request.getHeader("Authorization"));
-		String body = this.answers.get(request.path());
+		String body = next(request.path());
 		int status = (body != null) ? 200 : 404;
 		request.response().setStatusCode(authorized ? status : 401).end((body != null) ? body : "");
 	}
--- a/cli/src/test/java/org/sardineport/cli/MainTests.java
+++ b/cli/src/test/java/org/sardineport/cli/MainTests.java
@@ -142,17 +142,29 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(longs = { -1, 0 })
+	@ValueSource(longs = { 0, 1 })
 	void waitsUntilAllLiveDaemonsReport(long versionOfOther) throws IOException {
-		this.daemon.answer("/status", """
-				{"daemon": "d1", "configurationVersion": 0, "ready": true, "members": [
+		run("profile", "publish", file("other.yaml", LEDGER.replace("name: ledger", "name: other")));
+		String before = "{\"daemon\": \"d1\", \"configurationVersion\": 0}";
+		this.daemon.answer("/status", before, """
+				{"daemon": "d1", "configurationVersion": 1, "ready": true, "members": [
 				{"daemon": "d2", "status": "alive", "configurationVersion": %d},
 				{"daemon": "d3", "status": "dead", "configurationVersion": -1}],
 				"backendServers": [{"id": "b", "pool": "ledger", "owner": "d1"}]}""".formatted(versionOfOther));
 		ExitCode code = run("profile", "publish", "--wait", "1", "--operator", this.daemon.address(), "--token-file",
 				file("token", FakeDaemon.TOKEN), file("ledger.yaml", LEDGER));
-		assertThat(code).isEqualTo((versionOfOther < 0) ? ExitCode.NOT_EVERYWHERE : ExitCode.OK);
-		assertThat(this.output).contains((versionOfOther < 0) ? "not yet reported by [d2]" : "all live daemons");
+		assertThat(code).isEqualTo((versionOfOther < 1) ? ExitCode.NOT_EVERYWHERE : ExitCode.OK);
+		assertThat(this.output).contains((versionOfOther < 1) ? "not yet reported by [d2]" : "all live daemons");
+	}
+
+	@Test
+	void publishesNothingWhileDaemonsHoldMoreThanTheLog() throws IOException {
+		this.daemon.answer("/status", "{\"daemon\": \"d1\", \"configurationVersion\": 9}");
+		assertThat(run("profile", "publish", "--operator", this.daemon.address(), "--token-file",
+				file("token", FakeDaemon.TOKEN), file("ledger.yaml", LEDGER)))
+			.isEqualTo(ExitCode.UNAVAILABLE);
+		assertThat(this.notes).contains("lost records or lags");
+		assertThat(this.log.records("configuration")).isEmpty();
 	}
 
 	@Test
--- a/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
+++ b/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
@@ -38,6 +38,8 @@
 
 	private Instant nextConfirmation = Instant.MIN;
 
+	private Instant quietUntil = Instant.MIN;
+
 	private PeerCatchUp(Duration timeout, ImageCodec codec) {
 		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
 		this.assembly = ImageAssembly.create(codec);
@@ -62,6 +64,14 @@
 		this.versions.put(peer, version);
 	}
 
+	/**
+	 * Asks no peer for a while.
+	 * @param until when to ask again
+	 */
+	public void backOff(Instant until) {
+		this.quietUntil = until;
+	}
+
 	/**
 	 * Returns what to ask now, if anything.
 	 * @param now the time
@@ -71,7 +81,8 @@
 	 */
 	public Optional<Question> next(Instant now, long version, FleetSnapshot fleet) {
 		Pending current = this.pending;
-		if (current != null && current.wantedVersion > version && now.isBefore(current.until)) {
+		boolean waiting = current != null && current.wantedVersion > version && now.isBefore(current.until);
+		if (waiting || now.isBefore(this.quietUntil)) {
 			return Optional.empty();
 		}
 		this.pending = null;
--- a/core/src/test/java/org/sardineport/core/configuration/PeerCatchUpTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/PeerCatchUpTests.java
@@ -86,6 +86,13 @@
 			.isEqualTo(state.image(7, ConfigurationSnapshot.NO_VERSION));
 	}
 
+	@Test
+	void asksNobodyForAWhileAfterAnImageThatCouldNotBeTaken() {
+		this.catchUp.backOff(START.plusSeconds(5));
+		assertThat(this.catchUp.next(START.plusSeconds(4), 3, this.fleet)).isEmpty();
+		assertThat(this.catchUp.next(START.plusSeconds(5), 3, this.fleet)).isPresent();
+	}
+
 	@Test
 	void asksForConfirmationsOnceInATime() {
 		assertThat(this.catchUp.confirmations(START, 3, this.fleet)).hasSize(3);
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
@@ -62,6 +62,9 @@
 	/** Time between two looks at the fleet, which cost more the larger it is. */
 	private static final Duration FLEET_TICK = Duration.ofMillis(100);
 
+	/** Time for which no peer is asked after an image that could not be taken. */
+	private static final Duration FAULTY_IMAGE_PAUSE = Duration.ofSeconds(5);
+
 	private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
 
 	private final FleetView fleet;
@@ -132,7 +135,9 @@
 	 */
 	public static ConfigurationDuty create(ConfigurationSettings settings, ProfileParser parser, LogService log,
 			FleetView fleet, PeerTransport transport, InstantSource clock, Telemetry telemetry) {
-		return new ConfigurationDuty(settings, parser, log, fleet, transport, clock, telemetry);
+		ConfigurationDuty created = new ConfigurationDuty(settings, parser, log, fleet, transport, clock, telemetry);
+		transport.listen(ConfigurationMessage.class, created::received);
+		return created;
 	}
 
 	@Override
@@ -156,7 +161,6 @@
 
 	@Override
 	public CompletionStage<Void> start() {
-		this.transport.listen(ConfigurationMessage.class, this::received);
 		return this.duty.start();
 	}
 
@@ -270,6 +274,7 @@
 		Adoption adoption = this.replica.adopt(image);
 		if (!adoption.fault().isEmpty()) {
 			this.counters.imageFaulty();
+			this.catchUp.backOff(this.clock.instant().plus(FAULTY_IMAGE_PAUSE));
 			LOG.warn("configuration.image-faulty", "version", image.version(), "fault", adoption.fault());
 		}
 		if (adoption.taken()) {
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/SnapshotWriter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/SnapshotWriter.java
@@ -34,7 +34,7 @@
 	private static final Duration RETRY_DELAY = Duration.ofSeconds(5);
 
 	/** Time for which the stream must end too early before records count as lost. */
-	private static final Duration BEHIND_PATIENCE = Duration.ofSeconds(10);
+	private static final Duration BEHIND_PATIENCE = Duration.ofMinutes(1);
 
 	private static final int SPREAD_STEPS = 1000;
 
