Send only the difference of a changed text between daemons

Ruled out: a DEFLATE dictionary of the old text (its window of 32 KB is shorter than the text) and a smaller fan-out (a longer way). A daemon now remembers how each text changed last and sends the part that differs to who has the text before; others get the whole. A daemon that cannot use a difference asks for the whole.

--- a/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.sardineport.core.configuration.ConfigurationImage;
 import org.sardineport.core.configuration.ConfigurationReplica;
 import org.sardineport.core.configuration.ConfigurationSpread;
+import org.sardineport.core.configuration.ConfigurationState;
 import org.sardineport.core.configuration.ProfileDocument;
 import org.sardineport.core.configuration.Publication;
+import org.sardineport.core.configuration.RecentChanges;
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.settings.profile.ProfileReader;
 import org.sardineport.wire.configuration.ConfigurationRecordCodec;
@@ -39,13 +42,23 @@
 		ConfigurationReplica replica = replica(codec, texts, profiles);
 		run(codec, texts, replica, profiles, WARM_UP_CHANGES);
 		double micros = run(codec, texts, replica, profiles, MEASURED_CHANGES);
-		long version = replica.state().version();
-		double delta = DeflatedImageCodec.create().encode(replica.state().image(version, version - 1)).length;
+		double delta = deltaBytes(codec, texts, replica, profiles);
 		double spread = (1 + ConfigurationSpread.FAN_OUT) * (delta + QUESTION_BYTES);
 		return new ReplicaCost(record(codec, texts, 0, 1, 0).length, delta, spread, micros,
 				memoryPerProfile(codec, texts));
 	}
 
+	private static double deltaBytes(ConfigurationRecordCodec codec, ProfileTexts texts, ConfigurationReplica replica,
+			int profiles) {
+		ConfigurationState before = replica.state();
+		run(codec, texts, replica, profiles, 1);
+		ConfigurationState after = replica.state();
+		RecentChanges changes = RecentChanges.create();
+		changes.changed(before, after);
+		ConfigurationImage image = changes.shortened(after.image(replica.asOf(), before.version()));
+		return DeflatedImageCodec.create().encode(image).length;
+	}
+
 	private static ConfigurationReplica replica(ConfigurationRecordCodec codec, ProfileTexts texts, int profiles) {
 		ConfigurationReplica replica = ConfigurationReplica.create(ProfileReader.create(), DeflatedImageCodec.create());
 		for (int i = 0; i < profiles; i++) {
--- a/core/src/main/java/org/sardineport/core/configuration/ConfigurationImage.java
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationImage.java
@@ -12,16 +12,18 @@
  * {@link ConfigurationSnapshot#NO_VERSION} if the image is complete
  * @param forgottenVersion retirements up to this version are not listed any more
  * @param profiles profiles changed after {@code newerThan}
+ * @param patches changes of texts that the receiver has
  * @param retirements retirements after {@code newerThan}
  */
 public record ConfigurationImage(long asOf, long version, long newerThan, long forgottenVersion,
-		List<ImageProfile> profiles, List<Retirement> retirements) {
+		List<ImageProfile> profiles, List<ProfilePatch> patches, List<Retirement> retirements) {
 
 	/**
 	 * Creates the image.
 	 */
 	public ConfigurationImage {
 		profiles = List.copyOf(profiles);
+		patches = List.copyOf(patches);
 		retirements = List.copyOf(retirements);
 	}
 
--- a/core/src/main/java/org/sardineport/core/configuration/ConfigurationState.java
+++ b/core/src/main/java/org/sardineport/core/configuration/ConfigurationState.java
@@ -10,6 +10,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.error.DocumentFault;
 import org.sardineport.core.error.InvalidDocumentException;
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.core.profile.Profile;
@@ -165,7 +167,7 @@
 			.filter((entry) -> entry.getValue() > since)
 			.map((entry) -> new Retirement(entry.getKey(), entry.getValue()))
 			.toList();
-		return new ConfigurationImage(asOf, version(), since, this.forgottenVersion, changed, retired);
+		return new ConfigurationImage(asOf, version(), since, this.forgottenVersion, changed, List.of(), retired);
 	}
 
 	/**
@@ -193,10 +195,23 @@
 					new StoredProfile(document.text(), changed.changedAt(), parser.parse(document.text())));
 			nextRetirements.remove(document.name());
 		}
+		for (ProfilePatch patch : image.patches()) {
+			nextProfiles.put(patch.name(), patched(patch, nextProfiles.get(patch.name()), parser));
+		}
 		nextRetirements.values().removeIf((version) -> version <= image.forgottenVersion());
 		return new ConfigurationState(image.version(), image.forgottenVersion(), nextProfiles, nextRetirements);
 	}
 
+	private static StoredProfile patched(ProfilePatch patch, @Nullable StoredProfile before, ProfileParser parser)
+			throws InvalidDocumentException {
+		if (before == null || before.changedAt() != patch.from() || !patch.patch().fits(before.text())) {
+			throw InvalidDocumentException.of("image", List.of(new DocumentFault(patch.name().value(), 0,
+					"a change of a text of version %d, which is not here".formatted(patch.from()), "fetch the whole")));
+		}
+		String text = patch.patch().apply(before.text());
+		return new StoredProfile(text, patch.changedAt(), parser.parse(text));
+	}
+
 	@Override
 	public boolean equals(Object other) {
 		return other instanceof ConfigurationState that && this.forgottenVersion == that.forgottenVersion
--- a/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
+++ b/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
@@ -40,6 +40,8 @@
 
 	private Instant quietUntil = Instant.MIN;
 
+	private boolean wantsWhole;
+
 	private PeerCatchUp(Duration timeout, ImageCodec codec) {
 		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
 		this.assembly = ImageAssembly.create(codec);
@@ -65,11 +67,20 @@
 	}
 
 	/**
-	 * Asks no peer for a while.
+	 * Asks no peer for a while, and then for the whole configuration: an image could not
+	 * be taken.
 	 * @param until when to ask again
 	 */
 	public void backOff(Instant until) {
 		this.quietUntil = until;
+		this.wantsWhole = true;
+	}
+
+	/**
+	 * Tells that an image was taken.
+	 */
+	public void taken() {
+		this.wantsWhole = false;
 	}
 
 	/**
@@ -142,7 +153,8 @@
 
 	private Question ask(DaemonId peer, NetworkAddress address, long wanted, long version, int index, Instant now) {
 		this.pending = new Pending(peer, wanted, now.plus(this.timeout));
-		return new Question(address, new ConfigurationFetch(version, index));
+		long newerThan = this.wantsWhole ? ConfigurationSnapshot.NO_VERSION : version;
+		return new Question(address, new ConfigurationFetch(newerThan, index));
 	}
 
 	private Optional<Member> choose(long version, FleetSnapshot fleet) {
--- a/core/src/test/java/org/sardineport/core/configuration/ConfigurationReplicaTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/ConfigurationReplicaTests.java
@@ -107,13 +107,25 @@
 	@Test
 	void imageWithAFaultyProfileChangesNothing() {
 		ConfigurationImage faulty = new ConfigurationImage(5, 5, -1, -1,
-				List.of(new ImageProfile(TestProfiles.document("bad", "1"), 5)), List.of());
+				List.of(new ImageProfile(TestProfiles.document("bad", "1"), 5)), List.of(), List.of());
 		Adoption adoption = this.replica.adopt(faulty);
 		assertThat(adoption.taken()).isFalse();
 		assertThat(adoption.fault()).isNotEmpty();
 		assertThat(this.replica.state()).isSameAs(ConfigurationState.EMPTY);
 	}
 
+	@Test
+	void changeOfATextThatIsNotHereChangesNothing() {
+		ConfigurationReplica current = after(FIRST);
+		ConfigurationImage stray = new ConfigurationImage(9, 9, 0, -1, List.of(),
+				List.of(new ProfilePatch(ProfileName.of("a"), 5, 9, new TextPatch(1, 0, "x"))), List.of());
+		assertThat(current.adopt(stray).fault()).contains("not here");
+		ConfigurationImage longer = new ConfigurationImage(9, 9, 0, -1, List.of(),
+				List.of(new ProfilePatch(ProfileName.of("a"), 0, 9, new TextPatch(100, 0, "x"))), List.of());
+		assertThat(current.adopt(longer).fault()).contains("not here");
+		assertThat(current.state()).isEqualTo(after(FIRST).state());
+	}
+
 	@Test
 	void versionStaysWhenTheLogLosesRecords() {
 		ConfigurationReplica holder = after(FIRST, SECOND, THIRD);
--- a/core/src/test/java/org/sardineport/core/configuration/PeerCatchUpTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/PeerCatchUpTests.java
@@ -90,7 +90,14 @@
 	void asksNobodyForAWhileAfterAnImageThatCouldNotBeTaken() {
 		this.catchUp.backOff(START.plusSeconds(5));
 		assertThat(this.catchUp.next(START.plusSeconds(4), 3, this.fleet)).isEmpty();
-		assertThat(this.catchUp.next(START.plusSeconds(5), 3, this.fleet)).isPresent();
+		assertThat(this.catchUp.next(START.plusSeconds(5), 3, this.fleet)).get()
+			.extracting((question) -> question.fetch().newerThan())
+			.as("asks for the whole")
+			.isEqualTo(ConfigurationSnapshot.NO_VERSION);
+		this.catchUp.taken();
+		assertThat(this.catchUp.next(START.plusSeconds(9), 3, this.fleet)).get()
+			.extracting((question) -> question.fetch().newerThan())
+			.isEqualTo(3L);
 	}
 
 	@Test
--- a/core/src/test/java/org/sardineport/core/configuration/RacingPublishersTests.java
+++ b/core/src/test/java/org/sardineport/core/configuration/RacingPublishersTests.java
@@ -243,10 +243,16 @@
 
 		private void caughtUpFromPeer() {
 			ConfigurationReplica replica = replica();
+			RecentChanges changes = RecentChanges.create();
+			ConfigurationState before = ConfigurationState.EMPTY;
 			long version = -1;
 			for (ImageSource source : this.history) {
+				changes.changed(before, source.state());
+				before = source.state();
 				if (this.random.nextInt(10) == 0) {
-					replica.adopt(source.state().image(source.asOf(), replica.state().version()));
+					ConfigurationImage whole = source.state().image(source.asOf(), replica.state().version());
+					replica.adopt(changes.shortened(whole));
+					assertThat(replica.state()).isEqualTo(source.state());
 				}
 				assertThat(replica.state().version()).isGreaterThanOrEqualTo(version);
 				version = replica.state().version();
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ConfigurationDuty.java
@@ -278,6 +278,7 @@
 			LOG.warn("configuration.image-faulty", "version", image.version(), "fault", adoption.fault());
 		}
 		if (adoption.taken()) {
+			this.catchUp.taken();
 			this.counters.caughtUpFromPeer();
 			LOG.info("configuration.caught-up", "version", image.version(), "profiles", image.profiles().size());
 		}
@@ -288,6 +289,7 @@
 		ConfigurationSnapshot next = this.replica.state().snapshot();
 		boolean changed = next.version() > this.current.version();
 		if (changed) {
+			this.images.changed(this.replica.state());
 			this.current = next;
 			LOG.info("configuration.in-force", "version", next.version(), "profiles", next.profiles().size());
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/configuration/ImageServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/configuration/ImageServer.java
@@ -4,10 +4,13 @@
 
 import org.sardineport.core.configuration.ConfigurationAnnouncement;
 import org.sardineport.core.configuration.ConfigurationFetch;
+import org.sardineport.core.configuration.ConfigurationImage;
 import org.sardineport.core.configuration.ConfigurationMessage;
 import org.sardineport.core.configuration.ConfigurationReplica;
+import org.sardineport.core.configuration.ConfigurationState;
 import org.sardineport.core.configuration.ImageCodec;
 import org.sardineport.core.configuration.ImagePage;
+import org.sardineport.core.configuration.RecentChanges;
 
 /**
  * Answers fetches of other daemons. Keeps the pages of the last image, as daemons that
@@ -20,6 +23,10 @@
 
 	private final ImageCodec codec;
 
+	private final RecentChanges changes = RecentChanges.create();
+
+	private ConfigurationState state = ConfigurationState.EMPTY;
+
 	private String cachedId = "";
 
 	private List<ImagePage> cachedPages = List.of();
@@ -32,6 +39,15 @@
 		return new ImageServer(codec);
 	}
 
+	/**
+	 * Tells of a new state.
+	 * @param next the state
+	 */
+	void changed(ConfigurationState next) {
+		this.changes.changed(this.state, next);
+		this.state = next;
+	}
+
 	ConfigurationMessage answer(ConfigurationFetch fetch, ConfigurationReplica replica, boolean ready) {
 		long version = replica.state().version();
 		if (fetch.newerThan() >= version) {
@@ -39,7 +55,8 @@
 		}
 		String id = "%d-%d-%d".formatted(version, replica.asOf(), fetch.newerThan());
 		if (!id.equals(this.cachedId)) {
-			byte[] image = this.codec.encode(replica.state().image(replica.asOf(), fetch.newerThan()));
+			ConfigurationImage whole = replica.state().image(replica.asOf(), fetch.newerThan());
+			byte[] image = this.codec.encode(this.changes.shortened(whole));
 			this.cachedPages = ImagePage.split(id, version, image, PAGE_BYTES);
 			this.cachedId = id;
 		}
--- a/settings/src/main/java/org/sardineport/settings/ConfigurationSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/ConfigurationSettings.java
@@ -17,7 +17,7 @@
 	 * @return the settings that hold where a file says nothing
 	 */
 	public static ConfigurationSettings defaults() {
-		return new ConfigurationSettings("configuration", Duration.ofSeconds(2), Duration.ofMinutes(10));
+		return new ConfigurationSettings("configuration", Duration.ofSeconds(1), Duration.ofMinutes(10));
 	}
 
 }
--- a/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
@@ -8,9 +8,12 @@
 import org.sardineport.core.configuration.ImageCodec;
 import org.sardineport.core.configuration.ImageProfile;
 import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.ProfilePatch;
 import org.sardineport.core.configuration.Retirement;
+import org.sardineport.core.configuration.TextPatch;
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.wire.message.ConfigurationState;
+import org.sardineport.wire.message.ProfileChange;
 import org.sardineport.wire.message.ProfileRetirement;
 import org.sardineport.wire.message.ProfileText;
 
@@ -46,6 +49,15 @@
 				.setYaml(profile.document().text())
 				.setChangedAt(profile.changedAt()));
 		}
+		for (ProfilePatch change : image.patches()) {
+			body.addChanges(ProfileChange.newBuilder()
+				.setName(change.name().value())
+				.setFrom(change.from())
+				.setChangedAt(change.changedAt())
+				.setPrefix(change.patch().prefix())
+				.setSuffix(change.patch().suffix())
+				.setMiddle(change.patch().middle()));
+		}
 		for (Retirement retirement : image.retirements()) {
 			body.addRetirements(
 					ProfileRetirement.newBuilder().setName(retirement.name().value()).setVersion(retirement.version()));
@@ -74,7 +86,13 @@
 			.map((retirement) -> new Retirement(ProfileName.of(retirement.getName()), retirement.getVersion()))
 			.toList();
 		return new ConfigurationImage(body.getAsOf(), body.getVersion(), body.getNewerThan(),
-				body.getForgottenVersion(), profiles, retirements);
+				body.getForgottenVersion(), profiles,
+				body.getChangesList().stream().map(DeflatedImageCodec::patch).toList(), retirements);
+	}
+
+	private static ProfilePatch patch(ProfileChange change) {
+		return new ProfilePatch(ProfileName.of(change.getName()), change.getFrom(), change.getChangedAt(),
+				new TextPatch(change.getPrefix(), change.getSuffix(), change.getMiddle()));
 	}
 
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationState.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationState.java
@@ -22,6 +22,7 @@
   private ConfigurationState() {
     profiles_ = emptyProtobufList();
     retirements_ = emptyProtobufList();
+    changes_ = emptyProtobufList();
   }
   public static final int AS_OF_FIELD_NUMBER = 1;
   private long asOf_;
@@ -345,6 +346,103 @@
     retirements_.remove(index);
   }
 
+  public static final int CHANGES_FIELD_NUMBER = 7;
+  private com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileChange> changes_;
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.sardineport.wire.message.ProfileChange> getChangesList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  public java.util.List<? extends org.sardineport.wire.message.ProfileChangeOrBuilder> 
+      getChangesOrBuilderList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.Override
+  public int getChangesCount() {
+    return changes_.size();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.ProfileChange getChanges(int index) {
+    return changes_.get(index);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  public org.sardineport.wire.message.ProfileChangeOrBuilder getChangesOrBuilder(
+      int index) {
+    return changes_.get(index);
+  }
+  private void ensureChangesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.sardineport.wire.message.ProfileChange> tmp = changes_;
+    if (!tmp.isModifiable()) {
+      changes_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setChanges(
+      int index, org.sardineport.wire.message.ProfileChange value) {
+    value.getClass();  // minimal bytecode null check
+    ensureChangesIsMutable();
+    changes_.set(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addChanges(org.sardineport.wire.message.ProfileChange value) {
+    value.getClass();  // minimal bytecode null check
+    ensureChangesIsMutable();
+    changes_.add(value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addChanges(
+      int index, org.sardineport.wire.message.ProfileChange value) {
+    value.getClass();  // minimal bytecode null check
+    ensureChangesIsMutable();
+    changes_.add(index, value);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  private void addAllChanges(
+      java.lang.Iterable<? extends org.sardineport.wire.message.ProfileChange> values) {
+    ensureChangesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, changes_);
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  private void clearChanges() {
+    changes_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  private void removeChanges(int index) {
+    ensureChangesIsMutable();
+    changes_.remove(index);
+  }
+
   public static org.sardineport.wire.message.ConfigurationState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -787,6 +885,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sardineport.wire.message.ProfileChange> getChangesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getChangesList());
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+      return instance.getChangesCount();
+    }/**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.ProfileChange getChanges(int index) {
+      return instance.getChanges(index);
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder setChanges(
+        int index, org.sardineport.wire.message.ProfileChange value) {
+      copyOnWrite();
+      instance.setChanges(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder setChanges(
+        int index, org.sardineport.wire.message.ProfileChange.Builder builderForValue) {
+      copyOnWrite();
+      instance.setChanges(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder addChanges(org.sardineport.wire.message.ProfileChange value) {
+      copyOnWrite();
+      instance.addChanges(value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder addChanges(
+        int index, org.sardineport.wire.message.ProfileChange value) {
+      copyOnWrite();
+      instance.addChanges(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder addChanges(
+        org.sardineport.wire.message.ProfileChange.Builder builderForValue) {
+      copyOnWrite();
+      instance.addChanges(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder addChanges(
+        int index, org.sardineport.wire.message.ProfileChange.Builder builderForValue) {
+      copyOnWrite();
+      instance.addChanges(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder addAllChanges(
+        java.lang.Iterable<? extends org.sardineport.wire.message.ProfileChange> values) {
+      copyOnWrite();
+      instance.addAllChanges(values);
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder clearChanges() {
+      copyOnWrite();
+      instance.clearChanges();
+      return this;
+    }
+    /**
+     * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+     */
+    public Builder removeChanges(int index) {
+      copyOnWrite();
+      instance.removeChanges(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ConfigurationState)
   }
   @java.lang.Override
@@ -811,10 +1011,12 @@
             org.sardineport.wire.message.ProfileText.class,
             "retirements_",
             org.sardineport.wire.message.ProfileRetirement.class,
+            "changes_",
+            org.sardineport.wire.message.ProfileChange.class,
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0002\u0000\u0001\u0010\u0002\u0010" +
-              "\u0003\u0010\u0004\u0010\u0005\u001b\u0006\u001b";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0003\u0000\u0001\u0010\u0002\u0010" +
+              "\u0003\u0010\u0004\u0010\u0005\u001b\u0006\u001b\u0007\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ConfigurationStateOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ConfigurationStateOrBuilder.java
@@ -69,4 +69,18 @@
    * <code>repeated .sardineport.ProfileRetirement retirements = 6;</code>
    */
   int getRetirementsCount();
+
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  java.util.List<org.sardineport.wire.message.ProfileChange> 
+      getChangesList();
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  org.sardineport.wire.message.ProfileChange getChanges(int index);
+  /**
+   * <code>repeated .sardineport.ProfileChange changes = 7;</code>
+   */
+  int getChangesCount();
 }
--- a/wire/src/test/java/org/sardineport/wire/configuration/ConfigurationCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/configuration/ConfigurationCodecTests.java
@@ -17,8 +17,10 @@
 import org.sardineport.core.configuration.ImagePage;
 import org.sardineport.core.configuration.ImageProfile;
 import org.sardineport.core.configuration.ProfileDocument;
+import org.sardineport.core.configuration.ProfilePatch;
 import org.sardineport.core.configuration.Publication;
 import org.sardineport.core.configuration.Retirement;
+import org.sardineport.core.configuration.TextPatch;
 import org.sardineport.core.configuration.UnreadableRecord;
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.wire.message.Envelope;
@@ -35,7 +37,9 @@
 			List.of(ProfileName.of("b")), "operator");
 
 	private static final ConfigurationImage IMAGE = new ConfigurationImage(9, 8, -1, 3,
-			List.of(new ImageProfile(DOCUMENT, 8)), List.of(new Retirement(ProfileName.of("b"), 5)));
+			List.of(new ImageProfile(DOCUMENT, 8)),
+			List.of(new ProfilePatch(ProfileName.of("c"), 2, 6, new TextPatch(3, 4, "middle"))),
+			List.of(new Retirement(ProfileName.of("b"), 5)));
 
 	private final ConfigurationRecordCodec records = ConfigurationRecordCodec.create();
 
