Measure the fleet, and cut what the first measurement showed as too much

Change: the codec leaves out what the envelope says of the sender; a newcomer does not pass on what it learns from answers to its join, and compares in full while it is new; news are passed on twice, not three times, for each doubling; a duty sleeps until its next tick, as an offered command wakes it.

Ruled out: lost wake-ups of a duty: a producer publishes before it reads the idle mark, and the duty sets the mark before it reads the ring.

--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
@@ -0,0 +1,105 @@
+package org.sardineport.bench.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.HdrHistogram.Histogram;
+import org.sardineport.core.membership.MembershipEvent;
+import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.standins.fleet.Observation;
+import org.sardineport.standins.fleet.VirtualFleet;
+import org.sardineport.standins.peer.NetworkConditions;
+
+/**
+ * Times from a daemon's death until all others know, in virtual time.
+ */
+final class Detection {
+
+	private static final Duration SETTLING = Duration.ofSeconds(12);
+
+	private static final Duration LONGEST = Duration.ofSeconds(12);
+
+	private static final int KILLED = 1;
+
+	/** Milliseconds until the last daemon gives the dead one no new work. */
+	private final Histogram suspected = new Histogram(3);
+
+	/** Milliseconds until the last daemon takes the dead one for dead. */
+	private final Histogram dead = new Histogram(3);
+
+	private Detection() {
+	}
+
+	static Detection measure(int members, int kills, List<String> domains, MembershipTiming timing,
+			NetworkConditions network) {
+		Detection detection = new Detection();
+		for (int seed = 1; seed <= kills; seed++) {
+			VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, seed);
+			fleet.meet();
+			fleet.run(SETTLING.plusMillis(20L * (seed % 50)));
+			fleet.clearObservations();
+			Instant killed = fleet.now();
+			fleet.kill(KILLED);
+			fleet.run(LONGEST);
+			detection.add(fleet.observations(), killed, members - 1);
+		}
+		return detection;
+	}
+
+	/**
+	 * Counts how many times daemons that live were declared dead.
+	 * @param members number of daemons
+	 * @param time virtual time to watch
+	 * @param domains failure domains in turn
+	 * @param timing times of the membership
+	 * @param network how messages are treated
+	 * @return number of declarations
+	 */
+	static long falseDeaths(int members, Duration time, List<String> domains, MembershipTiming timing,
+			NetworkConditions network) {
+		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, members);
+		fleet.meet();
+		fleet.run(SETTLING);
+		long deaths = 0;
+		for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(Duration.ofMinutes(1))) {
+			fleet.clearObservations();
+			fleet.run(Duration.ofMinutes(1));
+			deaths += fleet.observations().stream().filter((found) -> found.event() == MembershipEvent.DIED).count();
+		}
+		return deaths;
+	}
+
+	Histogram suspected() {
+		return this.suspected;
+	}
+
+	Histogram dead() {
+		return this.dead;
+	}
+
+	private void add(List<Observation> observations, Instant killed, int observers) {
+		record(this.dead, observations, killed, observers, List.of(MembershipEvent.DIED));
+		record(this.suspected, observations, killed, observers,
+				List.of(MembershipEvent.SUSPECTED, MembershipEvent.DIED));
+	}
+
+	private static void record(Histogram histogram, List<Observation> observations, Instant killed, int observers,
+			List<MembershipEvent> events) {
+		List<Instant> first = observations.stream()
+			.filter((found) -> found.member().id().equals(VirtualFleet.id(KILLED)) && events.contains(found.event()))
+			.collect(Collectors.groupingBy(Observation::observer,
+					Collectors.mapping(Observation::at, Collectors.minBy(Instant::compareTo))))
+			.values()
+			.stream()
+			.flatMap(Optional::stream)
+			.sorted()
+			.toList();
+		boolean known = first.size() == observers;
+		histogram
+			.recordValue((known) ? Duration.between(killed, first.get(observers - 1)).toMillis() : LONGEST.toMillis());
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/FleetMeasurement.java
@@ -0,0 +1,145 @@
+package org.sardineport.bench.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import org.HdrHistogram.Histogram;
+import org.sardineport.bench.Measurement;
+import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.daemon.fleet.FleetDuty;
+import org.sardineport.settings.MembershipSettings;
+import org.sardineport.standins.peer.NetworkConditions;
+
+/**
+ * Measures membership, ownership and planned stops.
+ */
+@Command(name = "fleet", description = "Detection of dead daemons, cost of membership, movement, rolling replacement")
+public final class FleetMeasurement implements Measurement {
+
+	private static final double DETECTION_TARGET_SECONDS = 3;
+
+	private static final double BYTES_TARGET = 1024;
+
+	private static final double CORE_TARGET = 0.01;
+
+	private static final double MEMORY_TARGET_BYTES = 64.0 * 1024 * 1024;
+
+	/** Greatest growth of the cost per daemon from 8 daemons that counts as flat. */
+	private static final double FLAT_GROWTH = 1.1;
+
+	private static final double LOSS = 0.05;
+
+	/** Daemons of one region at the size to design for: 3,300 in 8 regions. */
+	private static final int REGION = 413;
+
+	private static final int FLEET = 3_300;
+
+	private static final int WORKERS = 10_000;
+
+	private static final List<String> SITES = List.of("bole", "kaliti", "piassa");
+
+	private static final NetworkConditions NETWORK = new NetworkConditions(0, 0, Duration.ofMillis(1),
+			Duration.ofMillis(3));
+
+	private final MembershipTiming timing = FleetDuty.timing(MembershipSettings.defaults());
+
+	@Option(name = "--kills", title = "COUNT", description = "Daemons to kill at each size; default: 100")
+	private int kills = 100;
+
+	@Option(name = "--skip-rolling", description = "Leaves out the rolling replacement")
+	private boolean skipRolling;
+
+	@Override
+	public boolean run() throws Exception {
+		ResultTable table = new ResultTable();
+		detection(table);
+		falseDeaths(table);
+		virtualCost(table);
+		for (int members : List.of(8, 32)) {
+			RealCost cost = RealCost.measure(members, SITES, Duration.ofSeconds(10));
+			table.atMost("real-bytes", members, cost.bytesPerSecond(), "B/s", BYTES_TARGET);
+			table.atMost("real-core", members, cost.coreShare(), "core", CORE_TARGET);
+		}
+		movement(table, 8, 16, SITES);
+		movement(table, FLEET, WORKERS, domains());
+		if (!this.skipRolling) {
+			rolling(table);
+		}
+		return table.allMet();
+	}
+
+	private void detection(ResultTable table) {
+		for (int members : List.of(8, 32, 128, REGION)) {
+			int count = (members > 128) ? Math.max(1, this.kills / 20) : this.kills;
+			Detection detection = Detection.measure(members, count, SITES, this.timing, NETWORK);
+			table.info("killed-not-used-p50", members, seconds(detection.suspected(), 50), "s");
+			table.atMost("killed-not-used-max", members, seconds(detection.suspected(), 100), "s",
+					DETECTION_TARGET_SECONDS);
+			table.info("killed-dead-p50", members, seconds(detection.dead(), 50), "s");
+			table.atMost("killed-dead-max", members, seconds(detection.dead(), 100), "s", DETECTION_TARGET_SECONDS);
+		}
+	}
+
+	private void falseDeaths(ResultTable table) {
+		for (int members : List.of(8, 32, 128)) {
+			long deaths = Detection.falseDeaths(members, Duration.ofHours(1), SITES, this.timing,
+					NETWORK.withLoss(LOSS));
+			table.atMost("false-deaths-hour-loss-5%", members, deaths, "deaths", 0);
+		}
+	}
+
+	private void virtualCost(ResultTable table) {
+		double atEight = 0;
+		for (int members : List.of(8, 32, 128, REGION)) {
+			VirtualCost cost = VirtualCost.measure(members, SITES, this.timing, NETWORK, Duration.ofSeconds(60));
+			atEight = (members == 8) ? cost.bytesPerSecond() : atEight;
+			print(table, members, cost, atEight);
+		}
+		print(table, FLEET, VirtualCost.measure(FLEET, domains(), this.timing, NETWORK, Duration.ofSeconds(20)),
+				atEight);
+	}
+
+	private static void print(ResultTable table, int members, VirtualCost cost, double atEight) {
+		table.atMost("virtual-bytes", members, cost.bytesPerSecond(), "B/s", BYTES_TARGET);
+		table.atMost("virtual-bytes-growth", members, cost.bytesPerSecond() / atEight, "times", FLAT_GROWTH);
+		table.info("virtual-largest-frame", members, cost.largestFrame(), "B");
+		table.atMost("virtual-core", members, cost.coreShare(), "core", CORE_TARGET);
+		table.atMost("virtual-memory", members, cost.memoryBytes(), "B", MEMORY_TARGET_BYTES);
+	}
+
+	private static void movement(ResultTable table, int daemons, int workers, List<String> domains) {
+		OwnershipMovement movement = OwnershipMovement.measure(daemons, workers, domains);
+		table.info("owned-by-one", daemons, movement.held(), "backend servers");
+		table.atMost("moved-when-it-goes", daemons, movement.moved(), "backend servers", movement.held());
+	}
+
+	private static void rolling(ResultTable table) throws Exception {
+		RollingReplacement replacement = RollingReplacement.run();
+		table.info("rolling-requests", RollingReplacement.DAEMONS, replacement.answered(), "requests");
+		table.info("rolling-seconds", RollingReplacement.DAEMONS, replacement.seconds(), "s");
+		table.atMost("rolling-lost", RollingReplacement.DAEMONS, replacement.failures().size(), "requests", 0);
+		table.atMost("rolling-run-twice", RollingReplacement.DAEMONS,
+				Math.max(0, replacement.dispatched() - replacement.answered()), "requests", 0);
+		replacement.failures().stream().limit(10).forEach(System.out::println);
+	}
+
+	/**
+	 * Returns the failure domains of the size to design for.
+	 * @return 18 in 8 regions
+	 */
+	private static List<String> domains() {
+		List<String> domains = new ArrayList<>();
+		for (int i = 0; i < 18; i++) {
+			domains.add("region-%d.domain-%d".formatted(i % 8, i));
+		}
+		return domains;
+	}
+
+	private static double seconds(Histogram histogram, double percentile) {
+		return histogram.getValueAtPercentile(percentile) / 1000.0;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
@@ -0,0 +1,134 @@
+package org.sardineport.bench.fleet;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+
+import org.sardineport.core.fleet.MemberStatus;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.daemon.fleet.FleetDuty;
+import org.sardineport.daemon.fleet.TransportCounters;
+import org.sardineport.daemon.telemetry.Telemetry;
+import org.sardineport.daemon.time.SteadyInstantSource;
+import org.sardineport.settings.CallerSettings;
+import org.sardineport.settings.ConfigurationSettings;
+import org.sardineport.settings.DaemonSettings;
+import org.sardineport.settings.JournalSettings;
+import org.sardineport.settings.MembershipSettings;
+import org.sardineport.settings.PlatformSettings;
+import org.sardineport.settings.SchedulingSettings;
+import org.sardineport.settings.StopSettings;
+import org.sardineport.standins.http.FreeAddress;
+import org.sardineport.wire.transport.MembershipCodec;
+import org.sardineport.wire.transport.NettyPeerTransport;
+import org.sardineport.wire.transport.PeerIdentity;
+
+/**
+ * What the membership costs one daemon over real sockets, all daemons in this process.
+ *
+ * @param bytesPerSecond bytes sent, headers of UDP and IP included
+ * @param coreShare processor time of its two threads, as a share of one core
+ */
+record RealCost(double bytesPerSecond, double coreShare) {
+
+	private static final List<String> KEYS = List.of("key-of-the-measurement-0123456789");
+
+	/** Headers of UDP and IPv4. */
+	private static final int DATAGRAM_HEADER_BYTES = 8 + 20;
+
+	private static final Duration SETTLING = Duration.ofSeconds(10);
+
+	private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+	static RealCost measure(int members, List<String> domains, Duration measured) {
+		List<NetworkAddress> addresses = Stream.generate(FreeAddress::find).limit(members).toList();
+		List<Telemetry> telemetries = new ArrayList<>();
+		List<NettyPeerTransport> transports = new ArrayList<>();
+		List<FleetDuty> duties = new ArrayList<>();
+		for (int i = 0; i < members; i++) {
+			start(i, addresses, domains, telemetries, transports, duties);
+		}
+		awaitAll(duties, members);
+		LockSupport.parkNanos(SETTLING.toNanos());
+		long bytes = bytes(telemetries);
+		long cpu = cpuNanos();
+		LockSupport.parkNanos(measured.toNanos());
+		double seconds = measured.toMillis() / 1000.0;
+		RealCost cost = new RealCost((bytes(telemetries) - bytes) / seconds / members,
+				(cpuNanos() - cpu) / 1e9 / seconds / members);
+		duties.forEach((duty) -> duty.stop().toCompletableFuture().join());
+		transports.forEach((transport) -> transport.stop().toCompletableFuture().join());
+		return cost;
+	}
+
+	private static void start(int number, List<NetworkAddress> addresses, List<String> domains,
+			List<Telemetry> telemetries, List<NettyPeerTransport> transports, List<FleetDuty> duties) {
+		SteadyInstantSource clock = SteadyInstantSource.create();
+		NetworkAddress address = addresses.get(number);
+		DaemonId id = DaemonId.of("daemon-" + number);
+		long incarnation = clock.millis();
+		Telemetry telemetry = Telemetry.create();
+		NettyPeerTransport transport = NettyPeerTransport.create(
+				new PeerIdentity("bench", id, incarnation, address, KEYS), List.of(MembershipCodec.create()), clock,
+				TransportCounters.create(telemetry));
+		DaemonSettings settings = new DaemonSettings("bench", id,
+				FailureDomain.of(domains.get(number % domains.size())), address, address, address,
+				List.of(addresses.get(0), addresses.get(1)), KEYS, "",
+				new PlatformSettings(address, address, Duration.ofSeconds(1)), CallerSettings.defaults(),
+				SchedulingSettings.defaults(), JournalSettings.defaults(), MembershipSettings.defaults(),
+				ConfigurationSettings.defaults(), StopSettings.defaults());
+		VmListing nothing = new VmListing(Instant.EPOCH, List.of(), List.of());
+		FleetDuty duty = FleetDuty.create(settings, incarnation, transport,
+				() -> CompletableFuture.completedFuture(nothing), clock, telemetry);
+		transport.start().toCompletableFuture().join();
+		duty.start().toCompletableFuture().join();
+		telemetries.add(telemetry);
+		transports.add(transport);
+		duties.add(duty);
+	}
+
+	private static void awaitAll(List<FleetDuty> duties, int members) {
+		Instant end = Instant.now().plus(PATIENCE);
+		while (duties.stream().anyMatch((duty) -> alive(duty) < members)) {
+			if (Instant.now().isAfter(end)) {
+				throw new IllegalStateException("the daemons did not find each other within " + PATIENCE);
+			}
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+		}
+	}
+
+	private static long alive(FleetDuty duty) {
+		return duty.current().members().stream().filter((member) -> member.status() == MemberStatus.ALIVE).count();
+	}
+
+	private static long bytes(List<Telemetry> telemetries) {
+		return telemetries.stream()
+			.mapToLong((telemetry) -> telemetry.counter("peer.sent.bytes").getCount()
+					+ DATAGRAM_HEADER_BYTES * telemetry.counter("peer.sent.frames").getCount())
+			.sum();
+	}
+
+	private static long cpuNanos() {
+		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+		long nanos = 0;
+		for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
+			if (thread != null && (thread.getThreadName().equals("membership")
+					|| thread.getThreadName().startsWith("peer-transport"))) {
+				nanos += threads.getThreadCpuTime(thread.getThreadId());
+			}
+		}
+		return nanos;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/ReplacementCaller.java
@@ -0,0 +1,148 @@
+package org.sardineport.bench.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A caller that keeps its entry answer for as long as it may and sends one request after
+ * the other to the first address, one in eight of them a long stream.
+ */
+final class ReplacementCaller implements Runnable {
+
+	private static final Pattern ADDRESS = Pattern.compile("\"([0-9.]+:[0-9]+)\"");
+
+	private static final String END_MARK = "data: [DONE]\n\n";
+
+	private static final int SHORT_TOKENS = 5;
+
+	private static final int LONG_TOKENS = 2_000;
+
+	private static final int REQUESTS_PER_LONG_STREAM = 8;
+
+	private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final String name;
+
+	private final Duration keepTime;
+
+	private final Random random;
+
+	private final List<String> failures = new ArrayList<>();
+
+	private List<String> addresses;
+
+	private long keptSince;
+
+	private volatile int answered;
+
+	private volatile boolean finishing;
+
+	ReplacementCaller(int number, List<String> known, Duration keepTime) {
+		this.name = "caller" + number;
+		this.addresses = known;
+		this.keepTime = keepTime;
+		this.random = new Random(number);
+		this.keptSince = System.nanoTime() - keepTime.toNanos();
+	}
+
+	void finish() {
+		this.finishing = true;
+	}
+
+	/**
+	 * Returns what went wrong. Called after the caller's thread has ended.
+	 * @return one line each
+	 */
+	List<String> failures() {
+		return this.failures;
+	}
+
+	int answered() {
+		return this.answered;
+	}
+
+	@Override
+	public void run() {
+		int number = 0;
+		while (!this.finishing) {
+			if (System.nanoTime() - this.keptSince >= this.keepTime.toNanos()) {
+				askEntry();
+			}
+			request(this.name + "-" + number + "x");
+			number++;
+		}
+	}
+
+	private void askEntry() {
+		for (String address : this.addresses) {
+			List<String> found = askEntry(address);
+			if (!found.isEmpty()) {
+				this.addresses = found;
+				this.keptSince = System.nanoTime();
+				return;
+			}
+		}
+		this.failures.add(this.name + ": no entry address answered of " + this.addresses);
+	}
+
+	private List<String> askEntry(String address) {
+		List<String> found = new ArrayList<>();
+		try {
+			String body = send(HttpRequest.newBuilder(URI.create("http://" + address + "/v1/entry"))).body();
+			Matcher matcher = ADDRESS.matcher(body);
+			while (matcher.find()) {
+				found.add(matcher.group(1));
+			}
+		}
+		catch (IOException ex) {
+			found.clear();
+		}
+		return found;
+	}
+
+	private void request(String user) {
+		boolean isLong = this.random.nextInt(REQUESTS_PER_LONG_STREAM) == 0;
+		String address = this.addresses.get(0);
+		String body = "{\"stream\":true,\"user\":\"%s\",\"max_tokens\":%d,\"messages\":[]}".formatted(user,
+				(isLong) ? LONG_TOKENS : SHORT_TOKENS);
+		try {
+			HttpResponse<String> answer = send(
+					HttpRequest.newBuilder(URI.create("http://" + address + "/v1/chat/completions"))
+						.setHeader("Sardineport-Profile", "rolling")
+						.setHeader("Sardineport-Organisation", "schools")
+						.POST(HttpRequest.BodyPublishers.ofString(body)));
+			boolean whole = answer.statusCode() == 200 && answer.body().contains(user + ":")
+					&& answer.body().endsWith(END_MARK);
+			if (whole) {
+				this.answered = this.answered + 1;
+			}
+			else {
+				this.failures.add(user + " at " + address + ": " + answer.statusCode() + " " + answer.body());
+			}
+		}
+		catch (IOException ex) {
+			this.failures.add(user + " at " + address + ": " + ex);
+		}
+	}
+
+	private HttpResponse<String> send(HttpRequest.Builder request) throws IOException {
+		try {
+			return this.client.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("interrupted", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
@@ -0,0 +1,69 @@
+package org.sardineport.bench.fleet;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.List;
+
+import org.sardineport.core.membership.MembershipMessage;
+import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.standins.fleet.VirtualFleet;
+import org.sardineport.standins.peer.NetworkConditions;
+
+/**
+ * What the pure membership costs one daemon of a quiet fleet in virtual time.
+ *
+ * @param bytesPerSecond bytes sent, headers of UDP and IP included
+ * @param largestFrame largest message in bytes
+ * @param coreShare processor time of the decisions, as a share of one core
+ * @param memoryBytes memory of the state
+ */
+record VirtualCost(double bytesPerSecond, int largestFrame, double coreShare, double memoryBytes) {
+
+	private static final Duration SETTLING = Duration.ofSeconds(20);
+
+	private static final long SEED = 1;
+
+	static VirtualCost measure(int members, List<String> domains, MembershipTiming timing, NetworkConditions network,
+			Duration measured) {
+		long heapBefore = usedHeap();
+		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, SEED);
+		fleet.meet();
+		fleet.run(SETTLING);
+		double memory = (usedHeap() - heapBefore) / (double) members;
+		Sizes sizes = new Sizes();
+		fleet.listenToSends(sizes::add);
+		fleet.run(measured);
+		double seconds = measured.toMillis() / 1000.0;
+		fleet.listenToSends((message) -> {
+		});
+		long cpuBefore = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+		fleet.run(measured);
+		double cpuSeconds = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpuBefore) / 1e9;
+		return new VirtualCost(sizes.total / seconds / members, sizes.largest, cpuSeconds / seconds / members, memory);
+	}
+
+	private static long usedHeap() {
+		System.gc();
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+	/**
+	 * Adds up sizes of messages.
+	 */
+	private static final class Sizes {
+
+		private final FrameSizes frames = new FrameSizes();
+
+		private long total;
+
+		private int largest;
+
+		private void add(MembershipMessage message) {
+			int bytes = this.frames.bytes(message);
+			this.total += bytes;
+			this.largest = Math.max(this.largest, bytes);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/fleet/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Measurements of the fleet: membership, ownership and planned stops.
+ */
+@NullMarked
+package org.sardineport.bench.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
@@ -9,13 +9,14 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
  * Addresses by which other daemons may be found. Until this daemon is answered it asks
  * several at once and often; later it asks one at a time, so that halves of a fleet that
  * lost each other meet again, and it compares notes with a random member from time to
- * time.
+ * time, more often and in full while it is a newcomer.
  */
 final class JoinContacts {
 
@@ -25,6 +26,9 @@
 
 	private static final Duration COMPARING_INTERVAL = Duration.ofSeconds(10);
 
+	/** Time for which a daemon that joined is a newcomer. */
+	private static final Duration SETTLING = Duration.ofSeconds(5);
+
 	/** Addresses asked at once while joining. */
 	private static final int JOINING_FANOUT = 3;
 
@@ -34,7 +38,7 @@
 
 	private List<NetworkAddress> addresses = List.of();
 
-	private boolean joined;
+	private @Nullable Instant joinedAt;
 
 	private Instant nextMeeting = Instant.MIN;
 
@@ -49,8 +53,20 @@
 		this.addresses = changed.stream().filter((address) -> !address.equals(this.self)).distinct().toList();
 	}
 
-	void joined() {
-		this.joined = true;
+	void joined(Instant now) {
+		if (this.joinedAt == null) {
+			this.joinedAt = now;
+		}
+	}
+
+	/**
+	 * Returns whether this daemon joined long enough ago that what it learns from answers
+	 * to joins is news to others too.
+	 * @param now the current time
+	 * @return whether it is no newcomer
+	 */
+	boolean isSettled(Instant now) {
+		return this.joinedAt != null && now.isAfter(this.joinedAt.plus(SETTLING));
 	}
 
 	/**
@@ -62,19 +78,24 @@
 	List<Contact> due(Instant now, MemberTable table) {
 		List<Contact> due = new ArrayList<>();
 		if (!now.isBefore(this.nextMeeting)) {
-			this.nextMeeting = now.plus((this.joined) ? MEETING_INTERVAL : JOINING_INTERVAL);
-			choose(unknown(table), (this.joined) ? 1 : JOINING_FANOUT)
-				.forEach((address) -> due.add(new Contact(address, !this.joined)));
+			this.nextMeeting = now.plus((isJoined()) ? MEETING_INTERVAL : JOINING_INTERVAL);
+			choose(unknown(table), (isJoined()) ? 1 : JOINING_FANOUT)
+				.forEach((address) -> due.add(new Contact(address, !isJoined())));
 		}
-		if (this.joined && !now.isBefore(this.nextComparing)) {
-			this.nextComparing = now.plus(COMPARING_INTERVAL);
+		if (isJoined() && !now.isBefore(this.nextComparing)) {
+			boolean newcomer = !isSettled(now);
+			this.nextComparing = now.plus((newcomer) ? MEETING_INTERVAL : COMPARING_INTERVAL);
 			List<NetworkAddress> known = new ArrayList<>();
 			table.present().forEach((peer) -> known.add(peer.member().peerAddress()));
-			choose(known, 1).forEach((address) -> due.add(new Contact(address, false)));
+			choose(known, 1).forEach((address) -> due.add(new Contact(address, newcomer)));
 		}
 		return due;
 	}
 
+	private boolean isJoined() {
+		return this.joinedAt != null;
+	}
+
 	private List<NetworkAddress> unknown(MemberTable table) {
 		Set<NetworkAddress> known = new HashSet<>();
 		table.present().forEach((peer) -> known.add(peer.member().peerAddress()));
--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.Member;
@@ -113,10 +113,7 @@
 	 * @return the members, this daemon first
 	 */
 	public List<Member> members() {
-		List<Member> members = new ArrayList<>();
-		members.add(this.self.member());
-		this.table.peers().forEach((peer) -> members.add(peer.member()));
-		return members;
+		return Stream.concat(Stream.of(this.self.member()), this.table.peers().stream().map(Peer::member)).toList();
 	}
 
 	/**
@@ -212,7 +209,7 @@
 			return;
 		}
 		Instant now = this.clock.instant();
-		hear(sender, message.news(), now);
+		hear(sender, message, now);
 		heardFrom(sender, now);
 		if (message instanceof ProbeRequest probe) {
 			this.outbox.send(address,
@@ -230,7 +227,7 @@
 				.forEach((answer) -> this.outbox.send(address, answer));
 		}
 		else {
-			this.contacts.joined();
+			this.contacts.joined(now);
 		}
 	}
 
@@ -318,13 +315,15 @@
 		}
 	}
 
-	private void hear(DaemonId sender, News heard, Instant now) {
+	private void hear(DaemonId sender, MembershipMessage message, Instant now) {
+		News heard = message.news();
+		boolean spreads = !(message instanceof JoinResponse) || this.contacts.isSettled(now);
 		for (Member update : heard.members()) {
 			if (update.id().equals(this.self.member().id())) {
 				hearOfSelf(update);
 			}
 			else if (Region.of(update.failureDomain()).equals(Region.of(this.self.member().failureDomain()))) {
-				hearOf(update, update.id().equals(sender), now);
+				hearOf(update, update.id().equals(sender), spreads, now);
 			}
 		}
 		for (StrikeNews strike : heard.strikes()) {
@@ -339,12 +338,14 @@
 		}
 	}
 
-	private void hearOf(Member update, boolean direct, Instant now) {
+	private void hearOf(Member update, boolean direct, boolean spreads, Instant now) {
 		MemberTable.Change change = this.table.apply(update, direct, now);
 		if (change == MemberTable.Change.NONE) {
 			return;
 		}
-		this.news.spread(update.id());
+		if (spreads) {
+			this.news.spread(update.id());
+		}
 		if (change.isUrgent()) {
 			this.outbox.hurry(1, RELAYED_FANOUT);
 		}
--- a/core/src/main/java/org/sardineport/core/membership/NewsComposer.java
+++ b/core/src/main/java/org/sardineport/core/membership/NewsComposer.java
@@ -25,7 +25,7 @@
 	private static final int CAPACITY = 4096;
 
 	/** Times that news are passed on, for each doubling of the number of daemons. */
-	private static final int TRANSMISSIONS_PER_DOUBLING = 3;
+	private static final int TRANSMISSIONS_PER_DOUBLING = 2;
 
 	private final MemberTable table;
 
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -60,6 +60,8 @@
 
 	private final Vertx vertx;
 
+	private final Readiness readiness;
+
 	private final DaemonStopActions stopActions;
 
 	private final StopDuty stop;
@@ -100,6 +102,7 @@
 				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
 		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
+		this.readiness = readiness;
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, callers::inFlight, telemetry));
@@ -132,6 +135,14 @@
 		});
 	}
 
+	/**
+	 * Returns whether the daemon serves callers.
+	 * @return whether nothing keeps it from serving
+	 */
+	public boolean isReady() {
+		return this.readiness.obstacles().isEmpty();
+	}
+
 	/**
 	 * Stops in a planned way: serves callers that still hold the address, then refuses
 	 * new requests, and ends after the work in flight. Further calls wait for the first.
--- a/daemon/src/main/java/org/sardineport/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/duty/Duty.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 
@@ -21,9 +20,6 @@
  */
 public final class Duty implements Service {
 
-	/** Longest time that a command waits for an idle duty to look at its ring. */
-	private static final Duration IDLE_PARK = Duration.ofMillis(1);
-
 	private static final EventLog LOG = EventLog.of(Duty.class);
 
 	private final String name;
@@ -132,10 +128,12 @@
 		this.stopped.complete(null);
 	}
 
+	// A producer publishes before it looks whether the duty is idle, and the duty says so
+	// before it looks at the ring: one of them sees the other.
 	private void park(long nanosToTick) {
 		this.idle.set(true);
 		if (waiting() == 0) {
-			LockSupport.parkNanos(Math.min(nanosToTick, TimeUnit.MILLISECONDS.toNanos(IDLE_PARK.toMillis())));
+			LockSupport.parkNanos(nanosToTick);
 		}
 		this.idle.set(false);
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -40,6 +40,7 @@
 import org.sardineport.settings.StopSettings;
 import org.sardineport.standins.engine.EngineOptions;
 import org.sardineport.standins.engine.ModelEngineStandIn;
+import org.sardineport.standins.http.FreeAddress;
 import org.sardineport.standins.log.InMemoryLogService;
 import org.sardineport.standins.log.LogServiceStandIn;
 import org.sardineport.standins.service.LedgerStandIn;
@@ -220,8 +221,8 @@
 	private DaemonSettings settings(int index) throws IOException {
 		List<NetworkAddress> seeds = this.settings.stream().map(DaemonSettings::peerAddress).limit(2).toList();
 		return new DaemonSettings("fleet", DaemonId.of("d" + index),
-				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), FreeAddresses.next(), FreeAddresses.next(),
-				FreeAddresses.next(), seeds, List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
+				FailureDomain.of(DOMAINS.get(index % DOMAINS.size())), FreeAddress.find(), FreeAddress.find(),
+				FreeAddress.find(), seeds, List.of("0123456789abcdef0123456789abcdef"), OPERATOR_TOKEN,
 				new PlatformSettings(this.logServer.address(), this.vmList.address(), Duration.ofSeconds(2)), callers(),
 				SchedulingSettings.defaults(), JournalSettings.defaults(), this.membership,
 				ConfigurationSettings.defaults(), new StopSettings(Duration.ofMillis(500), Duration.ZERO));
--- a/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
@@ -28,6 +28,7 @@
 import org.sardineport.settings.PlatformSettings;
 import org.sardineport.settings.SchedulingSettings;
 import org.sardineport.settings.StopSettings;
+import org.sardineport.standins.http.FreeAddress;
 import org.sardineport.standins.log.InMemoryLogService;
 import org.sardineport.standins.log.LogServiceStandIn;
 import org.sardineport.standins.vm.VmListStandIn;
@@ -116,9 +117,9 @@
 	}
 
 	private DaemonSettings settings() throws IOException {
-		NetworkAddress peer = FreeAddresses.next();
-		return new DaemonSettings("fleet", DaemonId.of("d1"), FailureDomain.of("bole"), FreeAddresses.next(),
-				FreeAddresses.next(), peer, List.of(), List.of("0123456789abcdef0123456789abcdef"), TOKEN,
+		NetworkAddress peer = FreeAddress.find();
+		return new DaemonSettings("fleet", DaemonId.of("d1"), FailureDomain.of("bole"), FreeAddress.find(),
+				FreeAddress.find(), peer, List.of(), List.of("0123456789abcdef0123456789abcdef"), TOKEN,
 				new PlatformSettings(this.log.address(), this.vmList.address(), Duration.ofSeconds(2)),
 				new CallerSettings(1024, Duration.ofSeconds(1), 100, Duration.ofMillis(100)),
 				SchedulingSettings.defaults(), JournalSettings.defaults(),
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -12,12 +12,14 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.membership.JoinResponse;
 import org.sardineport.core.membership.LeavingNews;
 import org.sardineport.core.membership.Membership;
 import org.sardineport.core.membership.MembershipEvent;
 import org.sardineport.core.membership.MembershipMessage;
 import org.sardineport.core.membership.MembershipOutput;
 import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.core.membership.News;
 import org.sardineport.core.membership.StrikeNews;
 import org.sardineport.standins.peer.InMemoryPeerNetwork;
 import org.sardineport.standins.peer.InMemoryPeerTransport;
@@ -77,6 +79,18 @@
 		return fleet;
 	}
 
+	/**
+	 * Lets all daemons know each other at once, as if they had met long ago.
+	 */
+	public void meet() {
+		for (Node receiver : this.nodes) {
+			for (int number = 0; number < this.nodes.size(); number++) {
+				Member sender = membership(number).members().get(0);
+				receiver.membership.received(sender.id(), sender.peerAddress(), new JoinResponse(News.of(sender)));
+			}
+		}
+	}
+
 	/**
 	 * Lets time pass.
 	 * @param duration how much, a multiple of 20 milliseconds
--- a/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
+++ b/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
@@ -1,29 +1,51 @@
 package org.sardineport.standins.http;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Finds free loopback addresses.
+ * Finds loopback addresses that are free for TCP and UDP, each once. They lie below the
+ * range from which the system takes ports for outgoing connections, so that an address
+ * stays free while its daemon is replaced. Safe for use by any thread.
  */
 public final class FreeAddress {
 
+	private static final int FIRST_PORT = 10_000;
+
+	private static final int PORTS = 20_000;
+
+	private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
+
 	private FreeAddress() {
 	}
 
 	/**
-	 * Returns an address whose port was free a moment ago.
+	 * Returns an address that was not returned before.
 	 * @return the address
 	 */
 	public static NetworkAddress find() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return NetworkAddress.of("127.0.0.1", socket.getLocalPort());
+		for (int tries = 0; tries < PORTS; tries++) {
+			int port = FIRST_PORT + NEXT.getAndIncrement() % PORTS;
+			if (isFree(port)) {
+				return NetworkAddress.of("127.0.0.1", port);
+			}
+		}
+		throw new IllegalStateException("no port is free");
+	}
+
+	private static boolean isFree(int port) {
+		InetAddress loopback = InetAddress.getLoopbackAddress();
+		try (ServerSocket tcp = new ServerSocket(port, 1, loopback);
+				DatagramSocket udp = new DatagramSocket(port, loopback)) {
+			return tcp.isBound() && udp.isBound();
 		}
 		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+			return false;
 		}
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
@@ -6,6 +6,11 @@
 package org.sardineport.wire.message;
 
 /**
+ * <pre>
+ * Name and peer address may be left out where they are those of the envelope's sender,
+ * the caller's IP where it is that of the peer address.
+ * </pre>
+ *
  * Protobuf type {@code sardineport.MemberUpdate}
  */
 @com.google.protobuf.Generated
@@ -468,6 +473,11 @@
   }
 
   /**
+   * <pre>
+   * Name and peer address may be left out where they are those of the envelope's sender,
+   * the caller's IP where it is that of the peer address.
+   * </pre>
+   *
    * Protobuf type {@code sardineport.MemberUpdate}
    */
   public static final class Builder extends
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -60,7 +60,7 @@
 	public void encode(MembershipMessage message, Envelope.Builder envelope) {
 		org.sardineport.wire.message.MembershipMessage.Builder body = org.sardineport.wire.message.MembershipMessage
 			.newBuilder();
-		encodeNews(message.news(), body);
+		encodeNews(message.news(), envelope, body);
 		if (message instanceof ProbeRequest probe) {
 			body.setProbe(Probe.newBuilder().setSequence(probe.sequence()));
 		}
@@ -86,7 +86,7 @@
 	@Override
 	public MembershipMessage decode(Envelope envelope) throws MalformedMessageException {
 		org.sardineport.wire.message.MembershipMessage body = envelope.getMembership();
-		News news = decodeNews(body);
+		News news = decodeNews(envelope, body);
 		return switch (body.getBodyCase()) {
 			case PROBE -> new ProbeRequest(body.getProbe().getSequence(), news);
 			case ANSWER -> new ProbeResponse(body.getAnswer().getSequence(), news);
@@ -102,43 +102,53 @@
 				NetworkAddress.of(probe.getTargetIp(), probe.getTargetPort()), news);
 	}
 
-	private static void encodeNews(News news, org.sardineport.wire.message.MembershipMessage.Builder body) {
-		news.members().forEach((member) -> body.addUpdates(encodeMember(member)));
+	private static void encodeNews(News news, Envelope.Builder envelope,
+			org.sardineport.wire.message.MembershipMessage.Builder body) {
+		news.members().forEach((member) -> body.addUpdates(encodeMember(member, envelope)));
 		news.strikes().forEach((strike) -> body.addStrikes(encodeStrike(strike)));
 		news.leavingBackends().forEach((leaving) -> body.addLeavingBackends(encodeLeaving(leaving)));
 	}
 
-	private static News decodeNews(org.sardineport.wire.message.MembershipMessage body)
+	private static News decodeNews(Envelope envelope, org.sardineport.wire.message.MembershipMessage body)
 			throws MalformedMessageException {
 		Member[] members = new Member[body.getUpdatesCount()];
 		for (int i = 0; i < members.length; i++) {
-			members[i] = decodeMember(body.getUpdates(i));
+			members[i] = decodeMember(body.getUpdates(i), envelope);
 		}
 		return new News(List.of(members), body.getStrikesList().stream().map(MembershipCodec::decodeStrike).toList(),
 				body.getLeavingBackendsList().stream().map(MembershipCodec::decodeLeaving).toList());
 	}
 
-	private static MemberUpdate encodeMember(Member member) {
-		return MemberUpdate.newBuilder()
-			.setDaemon(member.id().value())
+	private static MemberUpdate encodeMember(Member member, Envelope.Builder envelope) {
+		MemberUpdate.Builder update = MemberUpdate.newBuilder()
 			.setIncarnation(member.incarnation())
 			.setState(encodeStatus(member.status()))
 			.setFailureDomain(member.failureDomain().value())
-			.setPeerIp(member.peerAddress().ip())
-			.setPeerPort(member.peerAddress().port())
-			.setCallerIp(member.callerAddress().ip())
 			.setCallerPort(member.callerAddress().port())
 			.setConfigurationVersion(member.configurationVersion())
-			.setLoadPercent(member.load())
-			.build();
-	}
-
-	private static Member decodeMember(MemberUpdate update) throws MalformedMessageException {
-		return new Member(DaemonId.of(update.getDaemon()), update.getIncarnation(), decodeStatus(update.getState()),
-				FailureDomain.of(update.getFailureDomain()),
-				NetworkAddress.of(update.getPeerIp(), update.getPeerPort()),
-				NetworkAddress.of(update.getCallerIp(), update.getCallerPort()), update.getConfigurationVersion(),
-				update.getLoadPercent());
+			.setLoadPercent(member.load());
+		if (!member.id().value().equals(envelope.getSender())) {
+			update.setDaemon(member.id().value());
+		}
+		if (!member.peerAddress().ip().equals(envelope.getSenderIp())
+				|| member.peerAddress().port() != envelope.getSenderPort()) {
+			update.setPeerIp(member.peerAddress().ip()).setPeerPort(member.peerAddress().port());
+		}
+		if (!member.callerAddress().ip().equals(member.peerAddress().ip())) {
+			update.setCallerIp(member.callerAddress().ip());
+		}
+		return update.build();
+	}
+
+	private static Member decodeMember(MemberUpdate update, Envelope envelope) throws MalformedMessageException {
+		String id = (update.getDaemon().isEmpty()) ? envelope.getSender() : update.getDaemon();
+		NetworkAddress peer = (update.getPeerIp().isEmpty())
+				? NetworkAddress.of(envelope.getSenderIp(), envelope.getSenderPort())
+				: NetworkAddress.of(update.getPeerIp(), update.getPeerPort());
+		String callerIp = (update.getCallerIp().isEmpty()) ? peer.ip() : update.getCallerIp();
+		return new Member(DaemonId.of(id), update.getIncarnation(), decodeStatus(update.getState()),
+				FailureDomain.of(update.getFailureDomain()), peer, NetworkAddress.of(callerIp, update.getCallerPort()),
+				update.getConfigurationVersion(), update.getLoadPercent());
 	}
 
 	private static MemberState encodeStatus(MemberStatus status) {
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -63,6 +63,22 @@
 		assertThat(throughTheWire(message)).isEqualTo(message);
 	}
 
+	@Test
+	void leavesOutWhatTheEnvelopeSaysOfItsSender() throws Exception {
+		Member sender = new Member(DaemonId.of("a"), 7, MemberStatus.ALIVE, FailureDomain.of("bole"), PEER,
+				NetworkAddress.of(PEER.ip(), 8000), 3, 4);
+		MembershipMessage message = new ProbeRequest(1, News.of(sender, member(MemberStatus.SUSPECT)));
+		Envelope.Builder envelope = Envelope.newBuilder()
+			.setSender("a")
+			.setSenderIp(PEER.ip())
+			.setSenderPort(PEER.port());
+		this.codec.encode(message, envelope);
+		assertThat(envelope.getMembership().getUpdates(0).getDaemon()).isEmpty();
+		assertThat(envelope.getMembership().getUpdates(0).getPeerIp()).isEmpty();
+		assertThat(envelope.getMembership().getUpdates(0).getCallerIp()).isEmpty();
+		assertThat(this.codec.decode(envelope.build())).isEqualTo(message);
+	}
+
 	@Test
 	void refusesAMessageWithoutABody() {
 		Envelope envelope = Envelope.newBuilder()
