--- a/core/src/main/java/org/sardineport/core/exchange/AdmissionCheck.java
+++ b/core/src/main/java/org/sardineport/core/exchange/AdmissionCheck.java
@@ -1,6 +1,5 @@
 package org.sardineport.core.exchange;
 
-import java.time.DateTimeException;
 import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
@@ -12,6 +11,8 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.core.journal.IdempotencyKey;
+import org.sardineport.core.journal.IdempotencyKeys;
+import org.sardineport.core.journal.KeyReading;
 import org.sardineport.core.profile.OrganisationPolicy;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
@@ -19,11 +20,23 @@
 import org.sardineport.core.request.RefusalReason;
 
 /**
- * Checks the head of a request against the configuration in force.
+ * Checks the head of a request against the configuration in force. Immutable.
  */
 public final class AdmissionCheck {
 
-	private AdmissionCheck() {
+	private final IdempotencyKeys keys;
+
+	private AdmissionCheck(IdempotencyKeys keys) {
+		this.keys = keys;
+	}
+
+	/**
+	 * Returns a check.
+	 * @param keys reads the keys of requests that must have one
+	 * @return the check
+	 */
+	public static AdmissionCheck create(IdempotencyKeys keys) {
+		return new AdmissionCheck(Objects.requireNonNull(keys, "keys must not be null"));
 	}
 
 	/**
@@ -32,15 +45,17 @@
 	 * @param method its HTTP method
 	 * @param pathAndQuery its path with query
 	 * @param headers its header fields
+	 * @param now the current time
 	 * @return what was found
 	 * @throws RefusedException if the request must not run
 	 */
-	public static Admission check(ConfigurationSnapshot configuration, String method, String pathAndQuery,
-			HeaderValues headers) throws RefusedException {
+	public Admission check(ConfigurationSnapshot configuration, String method, String pathAndQuery,
+			HeaderValues headers, Instant now) throws RefusedException {
 		Profile profile = profile(configuration, headers);
 		OrganisationPolicy organisation = organisation(profile, headers);
 		Route route = route(profile, method, pathAndQuery);
-		return new Admission(profile.name(), route, organisation, key(route, organisation.organisation(), headers));
+		return new Admission(profile.name(), route, organisation,
+				key(route, organisation.organisation(), headers, now));
 	}
 
 	/**
@@ -87,31 +102,17 @@
 					"Profile '%s' has no route for this method and path.".formatted(profile.name())));
 	}
 
-	private static @Nullable IdempotencyKey key(Route route, OrganisationId organisation, HeaderValues headers)
+	private @Nullable IdempotencyKey key(Route route, OrganisationId organisation, HeaderValues headers, Instant now)
 			throws RefusedException {
 		if (!route.isKeyed()) {
 			return null;
 		}
-		String value = optional(headers, HeaderNames.IDEMPOTENCY_KEY);
-		if (value == null) {
-			throw refused(RefusalReason.KEY_REQUIRED, "The route runs at most once and the request has no key.");
-		}
-		try {
-			Optional<Instant> fromKey = KeyTimestamps.fromUuid(value);
-			Instant issuedAt = (fromKey.isPresent()) ? fromKey.get() : issuedAt(headers);
-			return new IdempotencyKey(organisation, value, issuedAt);
-		}
-		catch (IllegalArgumentException | DateTimeException ex) {
-			throw refused(RefusalReason.KEY_INVALID, "The key or its time of issue has no acceptable form.");
-		}
-	}
-
-	private static Instant issuedAt(HeaderValues headers) throws RefusedException {
-		String value = optional(headers, HeaderNames.ISSUED_AT);
-		if (value == null) {
-			throw refused(RefusalReason.KEY_INVALID, "The key is no UUID version 7 and has no time of issue.");
+		KeyReading reading = this.keys.read(organisation, optional(headers, HeaderNames.IDEMPOTENCY_KEY),
+				optional(headers, HeaderNames.ISSUED_AT), now);
+		if (reading instanceof KeyReading.Valid valid) {
+			return valid.key();
 		}
-		return Instant.parse(value);
+		throw RefusedException.of(((KeyReading.Refused) reading).refusal());
 	}
 
 	private static <T> T required(HeaderValues headers, String name, Function<String, T> parser)
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/exchange/BearerTokensTests.java
@@ -0,0 +1,51 @@
+package org.sardineport.core.exchange;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Who is let in.
+ */
+class BearerTokensTests {
+
+	private static final List<String> HASHES = List.of(BearerTokens.hash("old"), BearerTokens.hash("new"));
+
+	@Test
+	void hashesAsOthersDo() {
+		assertThat(BearerTokens.hash("abc"))
+			.isEqualTo("ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "Bearer old", "Bearer new", "bearer new", "Bearer new " })
+	void letsInWithAnyOfTheTokens(String header) {
+		assertThat(BearerTokens.isAccepted(HASHES, (name) -> List.of(header))).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "Bearer ", "Bearer", "Bearer other", "Basic new", "new", "Bearer new old" })
+	void letsInNobodyElse(String header) {
+		assertThat(BearerTokens.isAccepted(HASHES, (name) -> List.of(header))).isFalse();
+	}
+
+	@Test
+	void letsInNobodyWithTwoTokens() {
+		assertThat(BearerTokens.isAccepted(HASHES, (name) -> List.of("Bearer new", "Bearer new"))).isFalse();
+	}
+
+	@Test
+	void aHashIsNoToken() {
+		assertThat(BearerTokens.isAccepted(HASHES, (name) -> List.of("Bearer " + HASHES.get(0)))).isFalse();
+	}
+
+	@Test
+	void letsInAllWhereNoTokenIsAskedFor() {
+		assertThat(BearerTokens.isAccepted(List.of(), (name) -> List.of())).isTrue();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/exchange/EndMarkTests.java
@@ -0,0 +1,80 @@
+package org.sardineport.core.exchange;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sardineport.core.backend.BackendKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Whether an answer is whole, however it is cut into chunks.
+ */
+class EndMarkTests {
+
+	private static final Map.Entry<String, String> CHUNKED = Map.entry("Transfer-Encoding", "chunked");
+
+	private static final Map.Entry<String, String> EVENTS = Map.entry("Content-Type",
+			"text/event-stream; charset=utf-8");
+
+	private static final Map.Entry<String, String> LENGTH = Map.entry("content-length", "10");
+
+	/**
+	 * Ends of answers.
+	 */
+	enum Answer {
+
+		LENGTH_REACHED(BackendKind.PLAIN_SERVICE, 200, List.of(LENGTH), "0123456789", true),
+		LAST_CHUNK(BackendKind.PLAIN_SERVICE, 200, List.of(CHUNKED), "any", true),
+		CLOSED_CONNECTION_ONLY(BackendKind.PLAIN_SERVICE, 200, List.of(), "any", false),
+		NO_CONTENT(BackendKind.PLAIN_SERVICE, 204, List.of(), "", true),
+		EVENTS_OF_A_SERVICE(BackendKind.PLAIN_SERVICE, 200, List.of(CHUNKED, EVENTS), "data: x\n\n", true),
+		FINAL_EVENT(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS), "data: x\n\ndata: [DONE]\n\n", true),
+		FINAL_EVENT_WITH_RETURNS(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS),
+				"data: x\r\n\r\ndata: [DONE]\r\n\r\n", true),
+		NO_FINAL_EVENT(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS), "data: x\n\n", false),
+		NO_EVENT(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS), "", false),
+		HALF_A_FINAL_EVENT(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS), "data: x\n\ndata: [DO", false),
+		UNENDED_FINAL_EVENT(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS), "data: x\n\ndata: [DONE]", false),
+		FINAL_EVENT_QUOTED_WITHIN(BackendKind.MODEL_ENGINE, 200, List.of(CHUNKED, EVENTS),
+				"data: [DONE]\n\ndata: more\n\n", false),
+		REFUSAL_OF_AN_ENGINE(BackendKind.MODEL_ENGINE, 400, List.of(LENGTH, EVENTS), "data: bad\n", true);
+
+		private final BackendKind kind;
+
+		private final int status;
+
+		private final List<Map.Entry<String, String>> headers;
+
+		private final String body;
+
+		private final boolean whole;
+
+		Answer(BackendKind kind, int status, List<Map.Entry<String, String>> headers, String body, boolean whole) {
+			this.kind = kind;
+			this.status = status;
+			this.headers = headers;
+			this.body = body;
+			this.whole = whole;
+		}
+
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void tellsWholeAnswersFromOthers(Answer answer) {
+		byte[] bytes = answer.body.getBytes(StandardCharsets.UTF_8);
+		for (int size = 1; size <= Math.max(1, bytes.length); size++) {
+			EndMark mark = EndMark.of(answer.kind, answer.status, answer.headers);
+			for (int from = 0; from < bytes.length; from += size) {
+				mark.add(ByteBuffer.wrap(bytes, from, Math.min(size, bytes.length - from)));
+			}
+			assertThat(mark.isWhole()).as("chunks of %d bytes", size).isEqualTo(answer.whole);
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -15,7 +15,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.exchange.AdmissionCheck;
 import org.sardineport.core.exchange.RetryBudget;
+import org.sardineport.core.journal.IdempotencyKeys;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -97,7 +99,9 @@
 		RequestRunner runner = RequestRunner.create(runs);
 		journal.runner(DurableTakeover.create(runner, runs, fleet, () -> ContextExecutor.create(this.vertx)));
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
-				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
+				new CallerServices(settings.callers(),
+						AdmissionCheck.create(IdempotencyKeys.of(settings.journal().replayWindow())), configuration,
+						fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
 		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
@@ -10,7 +10,6 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.configuration.ConfigurationSnapshot;
 import org.sardineport.core.exchange.Admission;
-import org.sardineport.core.exchange.AdmissionCheck;
 import org.sardineport.core.exchange.HeaderNames;
 import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.exchange.RequestHashes;
@@ -61,8 +60,9 @@
 		this.request.exceptionHandler((ignored) -> onClosed());
 		ConfigurationSnapshot configuration = this.services.configuration().current();
 		try {
-			Admission found = AdmissionCheck.check(configuration, this.request.method().name(), this.request.uri(),
-					this.request.headers()::getAll);
+			Admission found = this.services.admission()
+				.check(configuration, this.request.method().name(), this.request.uri(), this.request.headers()::getAll,
+						this.arrival);
 			this.admission = found;
 			int limit = Math.min(found.route().maximumBodyBytes(), this.services.settings().maximumBodyBytes());
 			this.reader = new BodyReader(this.vertx, this.request, limit, this);
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerServices.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.sardineport.core.configuration.ConfigurationView;
+import org.sardineport.core.exchange.AdmissionCheck;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.journal.RequestJournal;
 import org.sardineport.daemon.exchange.RequestRunner;
@@ -14,6 +15,7 @@
  * What the callers' server uses.
  *
  * @param settings limits towards callers
+ * @param admission checks heads of requests
  * @param configuration the configuration in force
  * @param fleet the fleet
  * @param journal states of keyed requests
@@ -21,14 +23,15 @@
  * @param clock the time
  * @param telemetry the metrics
  */
-public record CallerServices(CallerSettings settings, ConfigurationView configuration, FleetView fleet,
-		RequestJournal journal, RequestRunner runner, InstantSource clock, Telemetry telemetry) {
+public record CallerServices(CallerSettings settings, AdmissionCheck admission, ConfigurationView configuration,
+		FleetView fleet, RequestJournal journal, RequestRunner runner, InstantSource clock, Telemetry telemetry) {
 
 	/**
 	 * Creates the services.
 	 */
 	public CallerServices {
 		Objects.requireNonNull(settings, "settings must not be null");
+		Objects.requireNonNull(admission, "admission must not be null");
 		Objects.requireNonNull(configuration, "configuration must not be null");
 		Objects.requireNonNull(fleet, "fleet must not be null");
 		Objects.requireNonNull(journal, "journal must not be null");
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/service/InMemoryPlainService.java
@@ -0,0 +1,185 @@
+package org.sardineport.standins.service;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.backend.AnswerListener;
+import org.sardineport.core.port.backend.BackendException;
+import org.sardineport.core.port.backend.BackendFailure;
+import org.sardineport.core.port.backend.BackendRequest;
+import org.sardineport.core.port.backend.Exchange;
+import org.sardineport.core.port.backend.PlainService;
+
+/**
+ * Fake of plain services in memory: executes each POST it gets, counts by key, and tells
+ * listeners on one thread.
+ */
+public final class InMemoryPlainService implements PlainService, Service {
+
+	private static final String KEY = "Idempotency-Key";
+
+	private static final int STATUS_CREATED = 201;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+
+	private final Map<String, Integer> executions = new ConcurrentHashMap<>();
+
+	private final Set<BackendServerId> absent = ConcurrentHashMap.newKeySet();
+
+	private volatile ServiceFault fault = ServiceFault.NONE;
+
+	private InMemoryPlainService() {
+	}
+
+	/**
+	 * Returns a fake that works at once.
+	 * @return the fake
+	 */
+	public static InMemoryPlainService create() {
+		return new InMemoryPlainService();
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return CompletableFuture.completedStage(null);
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		this.thread.shutdownNow();
+		return CompletableFuture.completedStage(null);
+	}
+
+	/**
+	 * Sets what goes wrong from now on.
+	 * @param newFault the fault
+	 */
+	public void setFault(ServiceFault newFault) {
+		this.fault = Objects.requireNonNull(newFault, "newFault must not be null");
+	}
+
+	/**
+	 * Makes a backend server one that does not listen.
+	 * @param id its name
+	 */
+	public void setAbsent(BackendServerId id) {
+		this.absent.add(id);
+	}
+
+	/**
+	 * Returns how often the call of each key was executed.
+	 * @return the numbers by key
+	 */
+	public Map<String, Integer> executions() {
+		return Map.copyOf(this.executions);
+	}
+
+	@Override
+	public Exchange send(BackendServer server, BackendRequest request, AnswerListener listener) {
+		Call call = new Call(listener);
+		this.thread.execute(() -> run(server, request, call));
+		return call;
+	}
+
+	private void run(BackendServer server, BackendRequest request, Call call) {
+		Duration left = Duration.between(Instant.now(), request.deadline());
+		if (this.absent.contains(server.id()) || left.isNegative()) {
+			call.fail(BackendFailure.NOT_CONNECTED);
+			return;
+		}
+		if (this.fault == ServiceFault.REFUSED) {
+			call.answer(STATUS_UNAVAILABLE, "");
+			return;
+		}
+		String key = key(request);
+		this.executions.merge(key, 1, Integer::sum);
+		switch (this.fault) {
+			case NONE, REFUSED -> call.answer(STATUS_CREATED, "{\"reference\":\"" + key + "\"}");
+			case ANSWER_LOST -> call.fail(BackendFailure.BROKEN);
+			case TRUNCATED -> {
+				call.listener.head(STATUS_CREATED, List.of());
+				call.fail(BackendFailure.TRUNCATED);
+			}
+			case SILENT ->
+				this.thread.schedule(() -> call.fail(BackendFailure.TIMED_OUT), left.toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private static String key(BackendRequest request) {
+		return request.headers()
+			.stream()
+			.filter((field) -> field.getKey().equalsIgnoreCase(KEY))
+			.map(Map.Entry::getValue)
+			.findFirst()
+			.orElse("none");
+	}
+
+	/**
+	 * One call.
+	 */
+	private final class Call implements Exchange {
+
+		private final AnswerListener listener;
+
+		private boolean over;
+
+		private Call(AnswerListener listener) {
+			this.listener = listener;
+		}
+
+		@Override
+		public void pause() {
+			// an answer comes in one piece
+		}
+
+		@Override
+		public void resume() {
+			// an answer comes in one piece
+		}
+
+		@Override
+		public void detach() {
+			cancel();
+		}
+
+		@Override
+		public void cancel() {
+			InMemoryPlainService.this.thread.execute(() -> fail(BackendFailure.CANCELLED));
+		}
+
+		private void answer(int status, String body) {
+			if (!this.over) {
+				this.over = true;
+				this.listener.head(status, List.of());
+				this.listener.chunk(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+				this.listener.end();
+			}
+		}
+
+		private void fail(BackendFailure failure) {
+			if (!this.over) {
+				this.over = true;
+				this.listener.failed(BackendException.of(failure, "fault of the fake"));
+			}
+		}
+
+	}
+
+}
