--- a/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
@@ -113,19 +113,28 @@
 			.setPort(this.server.address().port())
 			.setMethod(HttpMethod.valueOf(sent.method()))
 			.setURI(sent.pathAndQuery());
-		client.request(options)
-			.onSuccess((connected) -> onContext(() -> onConnected(connected, sent)))
-			.onFailure((cause) -> onContext(
-					() -> abort(BackendFailure.NOT_CONNECTED, "no connection to " + this.server.address(), cause)));
+		try {
+			client.request(options)
+				.onSuccess((connected) -> onContext(() -> onConnected(connected, sent)))
+				.onFailure((cause) -> onContext(() -> onNotConnected(cause)));
+		}
+		catch (IllegalStateException ex) {
+			// the client was closed, as the daemon stops
+			onNotConnected(ex);
+		}
+	}
+
+	private void onNotConnected(Throwable cause) {
+		abort(BackendFailure.NOT_CONNECTED, "no connection to " + this.server.address(), cause);
 	}
 
 	private void onConnected(HttpClientRequest connected, BackendRequest sent) {
+		connected.exceptionHandler((cause) -> onContext(() -> onBroken(cause)));
 		if (this.over) {
 			connected.reset();
 			return;
 		}
 		this.request = connected;
-		connected.exceptionHandler((cause) -> onContext(() -> onBroken(cause)));
 		connected.response()
 			.onSuccess((answer) -> onContext(() -> onResponse(answer)))
 			.onFailure((cause) -> onContext(() -> onBroken(cause)));
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
@@ -19,6 +19,8 @@
 
 	private volatile boolean withoutFinalEvent;
 
+	private volatile boolean losingOrderAnswers;
+
 	EngineFaults() {
 	}
 
@@ -70,6 +72,18 @@
 		this.droppingEvents = isDropping;
 	}
 
+	/**
+	 * Takes orders and loses the answers to them.
+	 * @param isLosing whether answers are lost
+	 */
+	public void loseOrderAnswers(boolean isLosing) {
+		this.losingOrderAnswers = isLosing;
+	}
+
+	boolean isLosingOrderAnswers() {
+		return this.losingOrderAnswers;
+	}
+
 	boolean crashesOn(String body) {
 		String marker = this.crashMarker;
 		return marker != null && body.contains(marker);
--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -186,7 +186,7 @@
 			Answers.json(response, STATUS_OK, this.order);
 		}
 		else if (path.equals("/v1/orders") && request.method().equals(HttpMethod.POST)) {
-			take(response, this.json.readValue(body.getBytes(), OrderRecord.class));
+			take(request, this.json.readValue(body.getBytes(), OrderRecord.class));
 		}
 		else if (path.startsWith(STREAMS)) {
 			controlStream(request, path.substring(STREAMS.length()), body);
@@ -297,12 +297,17 @@
 		return newest;
 	}
 
-	private void take(HttpServerResponse response, OrderRecord newOrder) {
+	private void take(HttpServerRequest request, OrderRecord newOrder) {
+		HttpServerResponse response = request.response();
 		if (this.options.checksFencing() && newOrder.fencingNumber() < this.order.fencingNumber()) {
 			Answers.status(response, STATUS_CONFLICT);
 			return;
 		}
 		this.order = newOrder;
+		if (this.faults.isLosingOrderAnswers()) {
+			request.connection().close();
+			return;
+		}
 		Answers.json(response, STATUS_OK, newOrder);
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/vm/VmListJson.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/VmListJson.java
@@ -1,9 +1,15 @@
 package org.sardineport.standins.vm;
 
+import java.time.Instant;
 import java.util.List;
 
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
 
 /**
@@ -11,11 +17,20 @@
  */
 record VmListJson(String asOf, List<EntryVmJson> entryVms, List<BackendJson> backendServers) {
 
+	VmListing toListing() {
+		return new VmListing(Instant.parse(this.asOf), this.entryVms.stream().map(EntryVmJson::toEntryVm).toList(),
+				this.backendServers.stream().map(BackendJson::toListed).toList());
+	}
+
 	/**
 	 * An entry VM.
 	 */
 	record EntryVmJson(String peerAddress, VmState state) {
 
+		private VmListing.EntryVm toEntryVm() {
+			return new VmListing.EntryVm(NetworkAddress.parse(this.peerAddress), this.state);
+		}
+
 	}
 
 	/**
@@ -24,6 +39,12 @@
 	record BackendJson(String id, BackendKind kind, String pool, String failureDomain, String address,
 			int nominalConcurrency, VmState state) {
 
+		private VmListing.ListedBackend toListed() {
+			BackendServer server = new BackendServer(BackendServerId.of(this.id), this.kind, PoolName.of(this.pool),
+					FailureDomain.of(this.failureDomain), NetworkAddress.parse(this.address), this.nominalConcurrency);
+			return new VmListing.ListedBackend(server, this.state);
+		}
+
 		static BackendJson of(BackendServer server, VmState state) {
 			return new BackendJson(server.id().value(), server.kind(), server.pool().value(),
 					server.failureDomain().value(), server.address().toString(), server.nominalConcurrency(), state);
--- a/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import io.vertx.core.Vertx;
@@ -17,15 +18,19 @@
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.platform.VmList;
+import org.sardineport.core.port.platform.VmListException;
+import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
 import org.sardineport.standins.http.Answers;
 import org.sardineport.standins.http.StandInServer;
 
 /**
- * Stand-in for the platform's list of VMs, which shows what was true some time ago. Safe
- * for use by any thread.
+ * Stand-in for the platform's list of VMs, which shows what was true some time ago. It
+ * serves the list over HTTP once it is started, and in memory at any time. Safe for use
+ * by any thread.
  */
-public final class VmListStandIn implements Service {
+public final class VmListStandIn implements VmList, Service {
 
 	private static final int STATUS_OK = 200;
 
@@ -73,6 +78,15 @@
 		return this.server.stop();
 	}
 
+	@Override
+	public synchronized CompletionStage<VmListing> fetch() {
+		if (this.unavailable) {
+			return CompletableFuture.failedStage(
+					VmListException.of("list of VMs in memory", new IllegalStateException("it is unavailable")));
+		}
+		return CompletableFuture.completedStage(lagging().toListing());
+	}
+
 	/**
 	 * Returns where the list is served.
 	 * @return the address
