--- a/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
+++ b/core/src/main/java/org/sardineport/core/configuration/PeerCatchUp.java
@@ -38,6 +38,10 @@
 
 	private Instant nextConfirmation = Instant.MIN;
 
+	private Instant quietUntil = Instant.MIN;
+
+	private boolean wantsWhole;
+
 	private PeerCatchUp(Duration timeout, ImageCodec codec) {
 		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
 		this.assembly = ImageAssembly.create(codec);
@@ -62,6 +66,23 @@
 		this.versions.put(peer, version);
 	}
 
+	/**
+	 * Asks no peer for a while, and then for the whole configuration: an image could not
+	 * be taken.
+	 * @param until when to ask again
+	 */
+	public void backOff(Instant until) {
+		this.quietUntil = until;
+		this.wantsWhole = true;
+	}
+
+	/**
+	 * Tells that an image was taken.
+	 */
+	public void taken() {
+		this.wantsWhole = false;
+	}
+
 	/**
 	 * Returns what to ask now, if anything.
 	 * @param now the time
@@ -71,7 +92,8 @@
 	 */
 	public Optional<Question> next(Instant now, long version, FleetSnapshot fleet) {
 		Pending current = this.pending;
-		if (current != null && current.wantedVersion > version && now.isBefore(current.until)) {
+		boolean waiting = current != null && current.wantedVersion > version && now.isBefore(current.until);
+		if (waiting || now.isBefore(this.quietUntil)) {
 			return Optional.empty();
 		}
 		this.pending = null;
@@ -131,7 +153,8 @@
 
 	private Question ask(DaemonId peer, NetworkAddress address, long wanted, long version, int index, Instant now) {
 		this.pending = new Pending(peer, wanted, now.plus(this.timeout));
-		return new Question(address, new ConfigurationFetch(version, index));
+		long newerThan = this.wantsWhole ? ConfigurationSnapshot.NO_VERSION : version;
+		return new Question(address, new ConfigurationFetch(newerThan, index));
 	}
 
 	private Optional<Member> choose(long version, FleetSnapshot fleet) {
