--- a/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
@@ -102,9 +102,9 @@
 	 * @return the answer to keep, or {@code null} if it is larger than what is kept
 	 */
 	@Nullable StoredAnswer complete(Instant now) {
-		this.sink.end();
 		this.telemetry.completed(this.scheduling.tier()).inc();
 		this.telemetry.duration(this.scheduling.tier()).update(Duration.between(this.scheduling.arrival(), now));
+		this.sink.end();
 		return this.recorder.answer();
 	}
 
