--- a/core/src/main/java/org/sardineport/core/journal/AppendQueue.java
+++ b/core/src/main/java/org/sardineport/core/journal/AppendQueue.java
@@ -139,6 +139,12 @@
 		this.unsettled.values().stream().filter(PendingEntry::isPossiblyInLog).toList().forEach(this::sendAgain);
 	}
 
+	@Override
+	public String toString() {
+		return "AppendQueue[waiting=" + this.waiting + ", unsettled=" + this.unsettled.values() + ", sending="
+				+ this.sending + "]";
+	}
+
 	private void sendAgain(PendingEntry pending) {
 		if (!pending.isQueued()) {
 			pending.notTaken();
--- a/core/src/main/java/org/sardineport/core/journal/FinishingRuns.java
+++ b/core/src/main/java/org/sardineport/core/journal/FinishingRuns.java
@@ -2,7 +2,7 @@
 
 import java.time.Instant;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -23,7 +23,7 @@
 
 	private final int partBytes;
 
-	private final Map<String, Run> runs = new HashMap<>();
+	private final Map<String, Run> runs = new LinkedHashMap<>();
 
 	private long bytes;
 
@@ -77,6 +77,11 @@
 		}
 	}
 
+	@Override
+	public String toString() {
+		return "FinishingRuns" + this.runs.keySet();
+	}
+
 	private int partsBefore(int length) {
 		return (length == 0) ? 0 : (length - 1) / this.partBytes;
 	}
--- a/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
+++ b/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
@@ -338,6 +338,12 @@
 		return this.replay.size();
 	}
 
+	@Override
+	public String toString() {
+		return "JournalPartition[next=" + this.position.nextOffset() + ", " + this.claims + ", " + this.queue + ", "
+				+ this.finishing + "]";
+	}
+
 	private @Nullable Refusal refusal(KeyedRequest request, Instant now) {
 		if (!this.position.isReady(now)) {
 			return JournalRefusals.notReady();
--- a/core/src/main/java/org/sardineport/core/journal/JournalReplay.java
+++ b/core/src/main/java/org/sardineport/core/journal/JournalReplay.java
@@ -101,7 +101,12 @@
 		if (!isInWindow(entry.issuedAt(), appendedAt) || this.voidTokens.contains(key, token)) {
 			return;
 		}
+		if (row != KeyTable.NONE && this.table.token(row) == token) {
+			return;
+		}
 		if (!canClaim(row, entry)) {
+			// A copy of the entry that comes later must not find the key free.
+			this.voidTokens.add(key, token, appendedAt);
 			return;
 		}
 		int target = row;
--- a/core/src/main/java/org/sardineport/core/journal/OwnClaim.java
+++ b/core/src/main/java/org/sardineport/core/journal/OwnClaim.java
@@ -162,6 +162,11 @@
 		return this.attempt;
 	}
 
+	@Override
+	public String toString() {
+		return this.token + ':' + this.stage + ':' + this.attempt + ':' + isAwaited() + ':' + this.possiblyInLog;
+	}
+
 	private static Instant giveUpAt(Instant now, Instant until, Duration settleTime) {
 		Duration share = Duration.between(now, until).dividedBy(SHARE_TO_SETTLE);
 		Duration kept = (share.compareTo(settleTime) < 0) ? share : settleTime;
--- a/core/src/main/java/org/sardineport/core/journal/OwnClaims.java
+++ b/core/src/main/java/org/sardineport/core/journal/OwnClaims.java
@@ -1,7 +1,7 @@
 package org.sardineport.core.journal;
 
 import java.time.Instant;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -26,7 +26,7 @@
 
 	private final Predicate<Instant> remembered;
 
-	private final Map<String, OwnClaim> claims = new HashMap<>();
+	private final Map<String, OwnClaim> claims = new LinkedHashMap<>();
 
 	private OwnClaims(JournalLimits limits, JournalReplay replay, AppendQueue queue, Predicate<Instant> remembered) {
 		this.limits = limits;
@@ -130,6 +130,11 @@
 		return this.claims.size();
 	}
 
+	@Override
+	public String toString() {
+		return "OwnClaims" + this.claims.values();
+	}
+
 	private void acceptedSeen(OwnClaim claim) {
 		KeyStatus status = this.replay.status(claim.hash());
 		if (status.isHeldBy(claim.tokenHash()) && this.remembered.test(claim.key().issuedAt())) {
--- a/core/src/main/java/org/sardineport/core/journal/PendingEntry.java
+++ b/core/src/main/java/org/sardineport/core/journal/PendingEntry.java
@@ -100,6 +100,11 @@
 		return FIXED_BYTES;
 	}
 
+	@Override
+	public String toString() {
+		return this.id.token() + ':' + this.id.kind() + ':' + this.id.number() + ':' + this.place;
+	}
+
 	private static int textLength(KeyedRequest request) {
 		return request.pathAndQuery().length() + textLength(request.headers());
 	}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/journal/JournalModelCheckTests.java
@@ -0,0 +1,138 @@
+package org.sardineport.core.journal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Takes two daemons that get the same request through every interleaving of their steps,
+ * with up to a number of faults: appends lost before or after their effect, late or
+ * refused, crashes, and pauses that the other daemon takes for death.
+ */
+class JournalModelCheckTests {
+
+	private static final int FAULTS = 1;
+
+	private static ModelWorld replay(ModelVariant variant, boolean durable, int faults, Path path) {
+		ModelWorld world = new ModelWorld(variant, durable, faults);
+		path.takeAll(world);
+		return world;
+	}
+
+	// Visits all states that can be reached, and returns their number.
+	private static int explore(ModelVariant variant, boolean durable, int faults) {
+		Set<Digest> seen = new HashSet<>();
+		Set<Digest> settled = new HashSet<>();
+		Deque<Path> frontier = new ArrayDeque<>();
+		frontier.add(Path.EMPTY);
+		seen.add(Digest.of(replay(variant, durable, faults, Path.EMPTY).toString()));
+		while (!frontier.isEmpty()) {
+			Path path = frontier.removeFirst();
+			for (ModelStep step : replay(variant, durable, faults, path).possible()) {
+				Path longer = new Path(path, step);
+				ModelWorld world = visit(variant, durable, faults, longer);
+				if (seen.add(Digest.of(world.toString()))) {
+					frontier.add(longer);
+					settle(world, settled, longer);
+				}
+			}
+		}
+		return seen.size();
+	}
+
+	private static ModelWorld visit(ModelVariant variant, boolean durable, int faults, Path path) {
+		try {
+			return replay(variant, durable, faults, path);
+		}
+		catch (AssertionError ex) {
+			throw new AssertionError(ex.getMessage() + " after " + path, ex);
+		}
+	}
+
+	// Lets everything come to its end without further faults, up to a state from which
+	// it is known to.
+	private static void settle(ModelWorld world, Set<Digest> settled, Path path) {
+		try {
+			world.endFaults();
+			while (settled.add(Digest.of(world.toString())) && world.settleOneStep()) {
+				continue;
+			}
+		}
+		catch (AssertionError ex) {
+			throw new AssertionError(ex.getMessage() + " after " + path + " and on to the end", ex);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "false", "true" })
+	void keepsItsPromisesInEveryInterleaving(boolean durable) {
+		int states = explore(ModelVariant.SOUND, durable, FAULTS);
+		System.out.printf("model check: durable=%s faults=%d states=%d%n", durable, FAULTS, states);
+		assertThat(states).isGreaterThan(1000);
+	}
+
+	@ParameterizedTest
+	@EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SOUND")
+	void findsTheFaultOfABrokenVariant(ModelVariant variant) {
+		assertThatThrownBy(() -> explore(variant, true, FAULTS)).isInstanceOf(AssertionError.class)
+			.hasMessageMatching("(?s).*(ran twice|told not-run).*");
+	}
+
+	@Test
+	void reachesRunsAndRefusals() {
+		ModelWorld world = new ModelWorld(ModelVariant.SOUND, true, 0);
+		while (world.settleOneStep()) {
+			continue;
+		}
+		assertThat(world.toString()).contains("completed");
+	}
+
+	/**
+	 * Steps from the start to a state.
+	 *
+	 * @param before the steps before the last
+	 * @param last the last step
+	 */
+	private record Path(Path before, ModelStep last) {
+
+		static final Path EMPTY = new Path(null, null);
+
+		void takeAll(ModelWorld world) {
+			if (this.before != null) {
+				this.before.takeAll(world);
+				world.take(this.last);
+			}
+		}
+
+		@Override
+		public String toString() {
+			return (this.before != null) ? this.before + " " + this.last.kind() + "(" + this.last.daemon() + ")" : "";
+		}
+
+	}
+
+	/**
+	 * Hash of a state, 128 bits.
+	 *
+	 * @param high the upper 64 bits
+	 * @param low the lower 64 bits
+	 */
+	private record Digest(long high, long low) {
+
+		static Digest of(String state) {
+			KeyHash hash = KeyHash.of(KeyedRequests.ORGANISATION, state);
+			return new Digest(hash.high(), hash.low());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/journal/ModelWorld.java
@@ -0,0 +1,205 @@
+package org.sardineport.core.journal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.identity.DaemonId;
+
+/**
+ * Two daemons that get the same request, one partition of the log, and a ledger that
+ * counts runs. Each step may break an invariant, which is then an {@link AssertionError}.
+ */
+final class ModelWorld {
+
+	private static final int DAEMONS = 2;
+
+	private final ModelVariant variant;
+
+	private final KeyedRequest request;
+
+	private final List<List<JournalEntry>> log = new ArrayList<>();
+
+	private final List<List<JournalEntry>> late = new ArrayList<>();
+
+	private final Set<Integer> suspected = new HashSet<>();
+
+	private final List<ModelDaemon> daemons = new ArrayList<>();
+
+	private int faultsLeft;
+
+	private int runs;
+
+	private String runToken = "";
+
+	private int notRunUpTo;
+
+	private final Set<DaemonId> notRunBy = new HashSet<>();
+
+	ModelWorld(ModelVariant variant, boolean durable, int faults) {
+		this.variant = variant;
+		this.faultsLeft = faults;
+		this.request = KeyedRequests.of("key", 1, durable, ModelDaemon.START, ModelDaemon.TIME);
+		for (int number = 0; number < DAEMONS; number++) {
+			this.daemons.add(new ModelDaemon(this, number));
+		}
+	}
+
+	List<ModelStep> possible() {
+		List<ModelStep> steps = new ArrayList<>();
+		for (int number = 0; number < DAEMONS; number++) {
+			for (ModelStep.Kind kind : this.daemons.get(number).possible()) {
+				if (!kind.isFault() || this.faultsLeft > 0) {
+					steps.add(new ModelStep(kind, number));
+				}
+			}
+		}
+		for (int number = 0; number < this.late.size(); number++) {
+			steps.add(new ModelStep(ModelStep.Kind.LAND, number));
+		}
+		return steps;
+	}
+
+	void take(ModelStep step) {
+		if (step.kind().isFault()) {
+			this.faultsLeft--;
+		}
+		if (step.kind() == ModelStep.Kind.LAND) {
+			this.log.add(this.late.remove(step.daemon()));
+		}
+		else {
+			this.daemons.get(step.daemon()).take(step.kind());
+		}
+	}
+
+	void endFaults() {
+		this.faultsLeft = 0;
+	}
+
+	// Takes the step that an ordinary run prefers. Returns whether there was one; at the
+	// end each request must have been told its end.
+	boolean settleOneStep() {
+		ModelStep next = possible().stream()
+			.filter((step) -> !step.kind().isFault())
+			.min(Comparator.comparing(ModelStep::kind))
+			.orElse(null);
+		if (next != null) {
+			take(next);
+			return true;
+		}
+		boolean settled = this.daemons.stream().filter(ModelDaemon::isAlive).allMatch(ModelDaemon::isSettled);
+		if (!settled) {
+			throw new AssertionError("a request has no end: " + this);
+		}
+		return false;
+	}
+
+	void run(JournalClaim claim) {
+		this.runs++;
+		if (this.runs > 1) {
+			throw new AssertionError("ran twice");
+		}
+		this.runToken = claim.token();
+		checkNotRun();
+	}
+
+	/**
+	 * A caller was told not-run.
+	 * @param daemon number of the daemon that told it
+	 * @param position place in the log up to which nothing may have been dispatched
+	 */
+	void toldNotRun(int daemon, int position) {
+		this.notRunUpTo = Math.max(this.notRunUpTo, position);
+		this.notRunBy.add(DaemonId.of("d" + daemon));
+		checkNotRun();
+	}
+
+	private void checkNotRun() {
+		if (this.runs == 0 || this.notRunBy.isEmpty()) {
+			return;
+		}
+		if (positionOf(this.runToken) < this.notRunUpTo) {
+			throw new AssertionError("told not-run after it was dispatched");
+		}
+		String token = this.runToken;
+		while (!token.isEmpty()) {
+			JournalEntry.Accepted accepted = acceptedBy(token);
+			if (accepted == null) {
+				return;
+			}
+			if (accepted.deadline().equals(this.request.deadline()) && this.notRunBy.contains(accepted.holder())) {
+				throw new AssertionError("told not-run, and its claim was run");
+			}
+			token = accepted.supersedes();
+		}
+	}
+
+	private JournalEntry.@Nullable Accepted acceptedBy(String token) {
+		for (List<JournalEntry> entries : this.log) {
+			for (JournalEntry entry : entries) {
+				if (entry instanceof JournalEntry.Accepted accepted && accepted.token().equals(token)) {
+					return accepted;
+				}
+			}
+		}
+		return null;
+	}
+
+	private int positionOf(String token) {
+		for (int position = 0; position < this.log.size(); position++) {
+			for (JournalEntry entry : this.log.get(position)) {
+				if (entry instanceof JournalEntry.Dispatched && entry.token().equals(token)) {
+					return position;
+				}
+			}
+		}
+		return Integer.MAX_VALUE;
+	}
+
+	ModelVariant variant() {
+		return this.variant;
+	}
+
+	KeyedRequest request() {
+		return this.request;
+	}
+
+	List<List<JournalEntry>> log() {
+		return this.log;
+	}
+
+	List<List<JournalEntry>> late() {
+		return this.late;
+	}
+
+	// The daemons are alike, so that it does not matter which of them is the first.
+	boolean isNextToArrive(int daemon) {
+		return daemon == 0 || this.daemons.get(daemon - 1).hasArrived();
+	}
+
+	boolean isSuspected(int daemon) {
+		return this.suspected.contains(daemon);
+	}
+
+	boolean isSuspected(DaemonId daemon) {
+		return this.suspected.stream().anyMatch((number) -> daemon.equals(DaemonId.of("d" + number)));
+	}
+
+	void suspect(int daemon) {
+		this.suspected.add(daemon);
+	}
+
+	@Override
+	public String toString() {
+		return this.runs + "|" + this.runToken + "|" + this.notRunUpTo + "|" + this.notRunBy + "|" + this.faultsLeft
+				+ "|" + this.suspected + "|" + entryIds(this.log) + "|" + entryIds(this.late) + "|" + this.daemons;
+	}
+
+	private static List<List<EntryId>> entryIds(List<List<JournalEntry>> records) {
+		return records.stream().map((record) -> record.stream().map(EntryId::of).toList()).toList();
+	}
+
+}
