--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -29,11 +29,17 @@
 	private static final long OVERDUE_GRACE_MILLIS = 250;
 
 	/** Ratio of age to expected duration from which runs show a slow backend server. */
-	private static final double SLOW = 1.5;
+	private static final double SLOW = 2;
 
 	/** Ratio from which the backend server is isolated. */
 	private static final double STALLED = 6;
 
+	/** Least time for a prompt token, so that a backlog drains in finite time. */
+	private static final double LEAST_MILLIS_PER_TOKEN = 1e-3;
+
+	/** Mean time until a place becomes free for which no headroom is kept. */
+	private static final double SHORT_WAIT_MILLIS = 100;
+
 	/** Idle time after which a learned slowness is trusted less and less. */
 	private static final double TRUST_MILLIS = 5000;
 
@@ -52,7 +58,11 @@
 
 	private final ServerHealth health = ServerHealth.create();
 
-	private double prefillBusyUntil;
+	private double backlog;
+
+	private long backlogAt;
+
+	private double outstandingTokens;
 
 	private double serviceMillis = UNKNOWN_SERVICE_MILLIS;
 
@@ -71,6 +81,17 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns the limit below the top tier. It leaves headroom, but for backend servers
+	 * whose places become free so fast that the top tier can wait for one.
+	 * @param now the current time
+	 * @return requests at once
+	 */
+	int lowerTierLimit(long now) {
+		boolean fast = this.measured && serviceMillis(now) / this.limit.limit() < SHORT_WAIT_MILLIS;
+		return (fast) ? this.limit.limit() : this.limit.lowerTierLimit();
+	}
+
 	ServerHealth health() {
 		return this.health;
 	}
@@ -103,11 +124,34 @@
 		Speed current = speed(now);
 		TokenEstimate estimate = ask.estimate();
 		if (estimate.total() == 0) {
-			return new RunForecast(0, 0, (this.measured) ? serviceMillis(now) : 0);
+			return new RunForecast(0, 0, 0, 0, (this.measured) ? serviceMillis(now) : 0);
 		}
 		double uncached = estimate.prompt() * (1 - this.prefixes.cachedShare(ask.prefixHash()));
-		return new RunForecast(Math.max(0, this.prefillBusyUntil - now), current.prefillMillis(uncached),
-				current.decodeMillis(estimate.answer(), running));
+		double backlog = backlogTokens(now);
+		return new RunForecast(backlog, uncached, backlog * current.prefillMillisPerToken(),
+				current.prefillMillis(uncached), current.decodeMillis(estimate.answer(), running));
+	}
+
+	/**
+	 * Returns the prompt tokens that are still to be prefilled: those granted, drained at
+	 * the learned speed, and never more than those of the permits that are out.
+	 * @param now the current time
+	 * @return tokens
+	 */
+	private double backlogTokens(long now) {
+		double drained = (now - this.backlogAt) / Math.max(speed(now).prefillMillisPerToken(), LEAST_MILLIS_PER_TOKEN);
+		return Math.max(0, Math.min(this.backlog - drained, this.outstandingTokens));
+	}
+
+	/**
+	 * Returns the expected course of a run that begins now on a backend server that
+	 * becomes full.
+	 * @param ask the request
+	 * @param now the current time
+	 * @return the forecast
+	 */
+	RunForecast forecastFull(PermitRequest ask, long now) {
+		return forecast(ask, this.server.nominalConcurrency(), now);
 	}
 
 	private Speed speed(long now) {
@@ -118,17 +162,19 @@
 		this.health.began();
 		this.idleSince = NEVER;
 		this.prefixes.used(out.ask().prefixHash());
-		this.prefillBusyUntil = Math.max(now, this.prefillBusyUntil) + out.prefillMillis();
+		this.outstandingTokens += out.prefillTokens();
+		this.backlog = backlogTokens(now) + out.prefillTokens();
+		this.backlogAt = now;
 	}
 
 	void ended(Outstanding out, RunMeasurement measurement, int runningNow, long now) {
+		this.outstandingTokens = (runningNow <= 1) ? 0 : Math.max(0, this.outstandingTokens - out.prefillTokens());
 		this.idleSince = (runningNow <= 1) ? now : NEVER;
 		if (measurement.end() == RunEnd.COMPLETED) {
 			completed(out, measurement, runningNow);
 		}
-		else if (measurement.end() == RunEnd.TIMED_OUT && measurement.timeToFirstToken() != null) {
-			this.limit.observe(measurement.duration().toMillis(), out.expectedMillis());
-			this.health.ended();
+		else if (measurement.end() == RunEnd.TIMED_OUT) {
+			timedOut(out, measurement, now);
 		}
 		else if (measurement.end().isBackendFailure()) {
 			this.limit.failed();
@@ -138,7 +184,18 @@
 			this.health.ended();
 		}
 		if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
-			this.prefillBusyUntil = Math.max(now, this.prefillBusyUntil - out.prefillMillis());
+			this.backlog = Math.max(0, backlogTokens(now) - out.prefillTokens());
+			this.backlogAt = now;
+		}
+	}
+
+	private void timedOut(Outstanding out, RunMeasurement measurement, long now) {
+		this.limit.observe(measurement.duration().toMillis(), out.expectedMillis());
+		if (measurement.timeToFirstToken() != null) {
+			this.health.ended();
+		}
+		else {
+			this.health.failed(now);
 		}
 	}
 
@@ -155,10 +212,13 @@
 				this.limit.observe(millis, expected);
 			}
 		}
+		if (measurement.promptTokens() == 0) {
+			this.limit.observe(1, 1);
+		}
 		if (this.prefixes.cachedShare(out.ask().prefixHash()) > 0 || measurement.cachedPromptTokens() > 0) {
 			this.prefixes.observe(measurement.promptTokens(), measurement.cachedPromptTokens());
 		}
-		this.speed.observe(measurement, meanRunning, out.backlogMillis());
+		this.speed.observe(measurement, meanRunning, out.backlogTokens());
 		this.serviceMillis = (this.measured) ? this.serviceMillis + SERVICE_WEIGHT * (millis - this.serviceMillis)
 				: millis;
 		this.measured = true;
@@ -184,9 +244,10 @@
 	}
 
 	ServerState state(RunningCount running, int waiting, long now) {
-		return new ServerState(this.server.id(), running.size(), waiting, this.limit.lowerTierLimit(),
-				running.isLowerTierRunning(), this.health.isIsolated(), (long) Math.max(0, this.prefillBusyUntil - now),
-				(long) serviceMillis(now), speed(now));
+		return new ServerState(this.server.id(), running.size(), waiting, lowerTierLimit(now),
+				running.isLowerTierRunning(), this.health.isIsolated(),
+				(long) (backlogTokens(now) * speed(now).prefillMillisPerToken()), (long) serviceMillis(now),
+				speed(now));
 	}
 
 }
