--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
@@ -0,0 +1,89 @@
+package org.sardineport.bench.journal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.UUID;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.journal.JournalEntry;
+import org.sardineport.core.journal.JournalLimits;
+import org.sardineport.core.journal.JournalReplay;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.Outcome;
+import org.sardineport.wire.journal.JournalCodec;
+
+/**
+ * Speed and memory of a replay.
+ *
+ * @param recordsPerSecond records decoded and applied a second, one entry in each
+ * @param bytesPerKey heap held for each remembered key
+ */
+record ReplayCost(double recordsPerSecond, double bytesPerKey) {
+
+	private static final int ENTRIES_A_KEY = 3;
+
+	static ReplayCost measure(int keys) throws InvalidProtocolBufferException {
+		List<byte[]> records = records(keys);
+		replay(records);
+		long before = usedHeap();
+		long start = System.nanoTime();
+		JournalReplay replay = replay(records);
+		double seconds = (System.nanoTime() - start) / 1e9;
+		long held = usedHeap() - before;
+		if (replay.size() != keys) {
+			throw new IllegalStateException("%d keys remembered in place of %d".formatted(replay.size(), keys));
+		}
+		return new ReplayCost(records.size() / seconds, (double) held / keys);
+	}
+
+	private static JournalReplay replay(List<byte[]> records) throws InvalidProtocolBufferException {
+		JournalReplay replay = JournalReplay.create(JournalLimits.of(Duration.ofHours(1)));
+		Instant now = Instant.now();
+		long offset = 0;
+		for (byte[] record : records) {
+			for (JournalEntry entry : JournalCodec.decode(record)) {
+				replay.apply(offset, now, entry);
+			}
+			offset++;
+		}
+		return replay;
+	}
+
+	private static List<byte[]> records(int keys) {
+		OrganisationId organisation = OrganisationId.of("organisation");
+		Instant now = Instant.now();
+		SplittableRandom random = new SplittableRandom(1);
+		List<byte[]> records = new ArrayList<>(ENTRIES_A_KEY * keys);
+		for (int number = 0; number < keys; number++) {
+			String key = new UUID(random.nextLong(), random.nextLong()).toString();
+			String token = "daemon-1.abcdefgh." + number;
+			records.add(record(new JournalEntry.Accepted(organisation, key, token,
+					Fingerprint.of(random.nextLong(), random.nextLong()), now, now.plusSeconds(30),
+					DaemonId.of("daemon-1"), 1, "", null)));
+			records.add(record(new JournalEntry.Dispatched(organisation, key, token, 1, BackendServerId.of("ledger-1"),
+					"stream-" + number)));
+			records.add(record(new JournalEntry.Finished(organisation, key, token, Outcome.COMPLETED, 200, Map.of(), 0,
+					new byte[100])));
+		}
+		return records;
+	}
+
+	private static byte[] record(JournalEntry entry) {
+		return JournalCodec.encode(List.of(entry));
+	}
+
+	private static long usedHeap() {
+		for (int round = 0; round < 3; round++) {
+			System.gc();
+		}
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/journal/JournalDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/journal/JournalDuty.java
@@ -52,7 +52,7 @@
 	private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(20);
 
 	/** Longest time that the end of a request waits for others to share its append. */
-	private static final Duration PATIENCE = Duration.ofMillis(50);
+	private static final Duration PATIENCE = Duration.ofMillis(100);
 
 	private static final EventLog LOG = EventLog.of(JournalDuty.class);
 
--- a/settings/src/main/java/org/sardineport/settings/JournalSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/JournalSettings.java
@@ -22,7 +22,7 @@
 	 * @return the settings that hold where a file says nothing
 	 */
 	public static JournalSettings defaults() {
-		return new JournalSettings(8, Duration.ofHours(1), 30, Duration.ofMillis(5), 1024 * 1024,
+		return new JournalSettings(2, Duration.ofHours(1), 30, Duration.ofMillis(5), 1024 * 1024,
 				Duration.ofSeconds(3));
 	}
 
