--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/journal/JournalFaultTests.java
@@ -0,0 +1,131 @@
+package org.sardineport.core.journal;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sardineport.core.journal.ModelStep.Kind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A durable request with a fault after each of its steps. The model checks at each step
+ * that the ledger counts one run at most and that nobody is told a false not-run, and at
+ * the end that everybody was told an end.
+ */
+class JournalFaultTests {
+
+	/** A request's steps when nothing fails. */
+	private static final List<Kind> ORDINARY = List.of(Kind.ARRIVE, Kind.APPEND, Kind.READ, Kind.DISPATCH, Kind.APPEND,
+			Kind.READ, Kind.SEND, Kind.COMPLETE, Kind.APPEND, Kind.READ);
+
+	private static ModelWorld after(int steps, Kind... more) {
+		ModelWorld world = new ModelWorld(ModelVariant.SOUND, more.length, 2);
+		ORDINARY.subList(0, steps).forEach((kind) -> world.take(new ModelStep(kind, 0)));
+		for (Kind kind : more) {
+			world.take(new ModelStep(kind, 0));
+		}
+		return world;
+	}
+
+	private static void settle(ModelWorld world) {
+		world.endFaults();
+		while (world.settleOneStep()) {
+			continue;
+		}
+	}
+
+	/**
+	 * Where the daemon dies or is paused, and how often the ledger must have counted the
+	 * request when the other daemon, which gets the same request, has come to its end.
+	 */
+	enum After {
+
+		NOTHING(0, 1), ARRIVAL(1, 1), ACCEPTED_APPENDED(2, 1), ACCEPTED_READ(3, 1), LEAVE_ASKED(4, 1),
+		DISPATCHED_APPENDED(5, 0), DISPATCHED_READ(6, 0), SENT(7, 1), COMPLETED(8, 1), FINISHED_APPENDED(9, 1),
+		FINISHED_READ(10, 1);
+
+		private final int steps;
+
+		private final int runs;
+
+		After(int steps, int runs) {
+			this.steps = steps;
+			this.runs = runs;
+		}
+
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void theDaemonDies(After after) {
+		ModelWorld world = after(after.steps, Kind.CRASH);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(after.runs);
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void theDaemonIsPausedForLongerThanAnyLease(After after) {
+		ModelWorld world = after(after.steps, Kind.SUSPECT);
+		world.settleAllBut(0);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(1);
+	}
+
+	/**
+	 * An append that fails, by the steps before it.
+	 */
+	enum Append {
+
+		ACCEPTED(1), DISPATCHED(4), FINISHED(8);
+
+		private final int steps;
+
+		Append(int steps) {
+			this.steps = steps;
+		}
+
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void anAppendIsLostBeforeItsEffect(Append append) {
+		ModelWorld world = after(append.steps, Kind.APPEND_LOST);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void theAnswerOfAnAppendIsLost(Append append) {
+		ModelWorld world = after(append.steps, Kind.APPEND_ANSWER_LOST);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void anAppendTakesEffectLate(Append append) {
+		ModelWorld world = after(append.steps, Kind.APPEND_LATE);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void theDaemonDiesDuringAnOutage(Append append) {
+		ModelWorld world = after(append.steps, Kind.APPEND_REFUSED, Kind.CRASH);
+		settle(world);
+		assertThat(world.runs()).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void theDaemonDiesWhileItsAppendIsUnderWay(Append append) {
+		ModelWorld world = after(append.steps, Kind.APPEND_LATE, Kind.CRASH);
+		settle(world);
+		assertThat(world.runs()).isLessThanOrEqualTo(1);
+	}
+
+}
--- a/core/src/test/java/org/sardineport/core/journal/ModelWorld.java
+++ b/core/src/test/java/org/sardineport/core/journal/ModelWorld.java
@@ -103,6 +103,26 @@
 		return false;
 	}
 
+	// Lets all daemons but one come to their end, which is paused.
+	void settleAllBut(int paused) {
+		endFaults();
+		boolean went = true;
+		while (went) {
+			ModelStep next = possible().stream()
+				.filter((step) -> step.kind() != ModelStep.Kind.LAND && step.daemon() != paused)
+				.min(Comparator.comparing(ModelStep::kind))
+				.orElse(null);
+			went = next != null;
+			if (went) {
+				take(next);
+			}
+		}
+	}
+
+	int runs() {
+		return this.runs;
+	}
+
 	void run(JournalClaim claim) {
 		this.runs++;
 		if (this.runs > 1) {
@@ -183,7 +203,7 @@
 
 	// The daemons are alike, so that it does not matter which of them is the first.
 	boolean isNextToArrive(int daemon) {
-		return daemon == 0 || this.daemons.get(daemon - 1).hasArrived();
+		return daemon == 0 || this.settling || this.daemons.get(daemon - 1).hasArrived();
 	}
 
 	// Time stands still on some daemons until all else has come to its end.
