--- a/core/src/main/java/org/sardineport/core/journal/JournalLimits.java
+++ b/core/src/main/java/org/sardineport/core/journal/JournalLimits.java
@@ -12,11 +12,13 @@
  * @param settleTime time before a deadline kept to settle what is in doubt
  * @param maximumQueuedEntries most entries of a partition that wait for the log
  * @param maximumBatchBytes most bytes in one append
- * @param maximumEntryBytes most bytes of a request, or of a part of an answer
+ * @param maximumRequestBytes most bytes of the body of a durable request
+ * @param maximumPartBytes most bytes of a part of an answer
  * @param maximumWaiters most callers that wait for a request of another
  */
 public record JournalLimits(Duration replayWindow, Duration clockTolerance, Duration settleTime,
-		int maximumQueuedEntries, int maximumBatchBytes, int maximumEntryBytes, int maximumWaiters) {
+		int maximumQueuedEntries, int maximumBatchBytes, int maximumRequestBytes, int maximumPartBytes,
+		int maximumWaiters) {
 
 	private static final Duration CLOCK_TOLERANCE = Duration.ofSeconds(10);
 
@@ -26,7 +28,9 @@
 
 	private static final int BATCH_BYTES = 512 * 1024;
 
-	private static final int ENTRY_BYTES = 256 * 1024;
+	private static final int REQUEST_BYTES = 768 * 1024;
+
+	private static final int PART_BYTES = 256 * 1024;
 
 	private static final int WAITERS = 16 * 1024;
 
@@ -45,8 +49,8 @@
 	 * @return the limits
 	 */
 	public static JournalLimits of(Duration replayWindow) {
-		return new JournalLimits(replayWindow, CLOCK_TOLERANCE, SETTLE_TIME, QUEUED_ENTRIES, BATCH_BYTES, ENTRY_BYTES,
-				WAITERS);
+		return new JournalLimits(replayWindow, CLOCK_TOLERANCE, SETTLE_TIME, QUEUED_ENTRIES, BATCH_BYTES, REQUEST_BYTES,
+				PART_BYTES, WAITERS);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
+++ b/core/src/main/java/org/sardineport/core/journal/JournalPartition.java
@@ -49,7 +49,7 @@
 		this.queue = AppendQueue.create(limits);
 		this.position = ReadPosition.create(limits.clockTolerance());
 		this.claims = OwnClaims.create(limits, this.replay, this.queue, this.position::remembers);
-		this.finishing = FinishingRuns.create(this.queue, limits.maximumEntryBytes());
+		this.finishing = FinishingRuns.create(this.queue, limits.maximumPartBytes());
 		this.waiters = KeyWaiters.create(this.replay, limits.maximumWaiters());
 	}
 
@@ -355,8 +355,8 @@
 		if (!this.position.remembers(request.key().issuedAt())) {
 			return JournalRefusals.forgotten();
 		}
-		if (request.durable() && request.body().length > this.limits.maximumEntryBytes()) {
-			return JournalRefusals.tooLarge(this.limits.maximumEntryBytes());
+		if (request.durable() && request.body().length > this.limits.maximumRequestBytes()) {
+			return JournalRefusals.tooLarge(this.limits.maximumRequestBytes());
 		}
 		return null;
 	}
--- a/core/src/main/java/org/sardineport/core/journal/OwnClaims.java
+++ b/core/src/main/java/org/sardineport/core/journal/OwnClaims.java
@@ -180,7 +180,8 @@
 		if (status.phase().isActive() && !status.isHeldBy(claim.tokenHash())) {
 			return new AcceptDecision.Joined(claim.key());
 		}
-		if (!this.remembered.test(claim.key().issuedAt()) || claim.stage() != ClaimStage.RELEASING) {
+		boolean neverTaken = status.phase() == RowPhase.EMPTY && claim.stage() != ClaimStage.RELEASING;
+		if (neverTaken || !this.remembered.test(claim.key().issuedAt())) {
 			return new AcceptDecision.Refused(JournalRefusals.forgotten());
 		}
 		return new AcceptDecision.Refused(JournalRefusals.released());
--- a/core/src/test/java/org/sardineport/core/journal/JournalPartitionTests.java
+++ b/core/src/test/java/org/sardineport/core/journal/JournalPartitionTests.java
@@ -206,4 +206,29 @@
 		assertThat(refusalReason()).isEqualTo(RefusalReason.JOURNAL_BUSY);
 	}
 
+	@Test
+	void saysNotRunWhenTheClaimToSupersedeWasReleasedBefore() {
+		JournalPartition gone = ready("gone");
+		accept(gone, "key", START);
+		append(gone);
+		JournalPartition retrying = JournalPartition.create(LIMITS, JournalWriter.create(DaemonId.of("r"), 1),
+				(holder, boot) -> holder.equals(DaemonId.of("gone")));
+		retrying.readEnded(retrying.beginRead(), 0, true, START);
+		readFrom(retrying, 0);
+		JournalPartition releasing = ready("x");
+		readFrom(releasing, 0);
+		ActiveKey held = releasing.active().iterator().next();
+		releasing.takeOver(held, null, START.plus(TIME), this.now,
+				(decision) -> releasing.release(((AcceptDecision.Accepted) decision).claim(), this.now, (state) -> {
+				}));
+		append(releasing);
+		readFrom(releasing, 1);
+		append(releasing);
+		accept(retrying, "key", START);
+		append(retrying);
+		readFrom(retrying, 1);
+		assertThat(refusalReason()).isEqualTo(RefusalReason.JOURNAL_UNAVAILABLE);
+		assertThat(((AcceptDecision.Refused) this.accepted.get(0)).refusal().outcome()).isEqualTo(Outcome.NOT_RUN);
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/journal/JournalDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/journal/JournalDuty.java
@@ -54,6 +54,9 @@
 	/** Longest time that the end of a request waits for others to share its append. */
 	private static final Duration PATIENCE = Duration.ofMillis(100);
 
+	/** What is told of an answer that is kept while the log cannot be read. */
+	private static final KeyState NOT_READABLE_NOW = new KeyState(KeyPhase.DISPATCHED, null, null);
+
 	private static final EventLog LOG = EventLog.of(JournalDuty.class);
 
 	private final JournalSettings settings;
@@ -80,6 +83,8 @@
 
 	private volatile boolean ready;
 
+	private volatile boolean started;
+
 	private volatile boolean stopping;
 
 	private JournalDuty(String fleetName, DaemonId daemon, long boot, JournalSettings settings, LogService log,
@@ -129,6 +134,7 @@
 
 	@Override
 	public CompletionStage<Void> start() {
+		this.started = true;
 		return this.thread.start();
 	}
 
@@ -139,6 +145,9 @@
 	@Override
 	public CompletionStage<Void> stop() {
 		this.stopping = true;
+		if (!this.started) {
+			this.flushed.complete(null);
+		}
 		return this.flushed.thenCompose((nothing) -> this.thread.stop());
 	}
 
@@ -303,8 +312,11 @@
 		this.answers.answer(io.stream(), location).whenComplete((answer, error) -> {
 			if (error != null) {
 				LOG.warn("journal.answer-unreadable", "stream", io.stream(), "offset", location.offset());
+				reply.complete(NOT_READABLE_NOW);
+			}
+			else {
+				reply.complete(new KeyState(state.phase(), state.outcome(), answer));
 			}
-			reply.complete(new KeyState(state.phase(), state.outcome(), answer));
 		});
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/journal/JournalDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/journal/JournalDutyTests.java
@@ -178,6 +178,23 @@
 				(refused) -> assertThat(refused.refusal().outcome()).isEqualTo(Outcome.UNKNOWN));
 	}
 
+	@Test
+	void doesNotSayThatAnAnswerIsGoneWhileTheLogIsDown() {
+		JournalDuty journal = start("first");
+		run(journal, request("kept", false), answer(10));
+		this.log.faults().outage(true);
+		assertThat(get(journal.lookup(KeyedRequests.ORGANISATION, "kept")).outcome()).isNull();
+		this.log.faults().outage(false);
+		assertThat(get(journal.lookup(KeyedRequests.ORGANISATION, "kept")).answer()).isNotNull();
+	}
+
+	@Test
+	void stopsWithoutHavingStarted() {
+		JournalDuty journal = JournalDuty.create("test", DaemonId.of("idle"), 1, SETTINGS, this.log, this.fleet,
+				InstantSource.system(), Telemetry.create());
+		get(journal.stop());
+	}
+
 	@Test
 	void goesOnAfterAnOutage() {
 		JournalDuty journal = start("first");
