--- a/daemon/src/test/java/org/sardineport/daemon/journal/JournalDutyTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/journal/JournalDutyTests.java
@@ -8,9 +8,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
@@ -30,6 +33,7 @@
 import org.sardineport.settings.JournalSettings;
 import org.sardineport.standins.log.AppendFault;
 import org.sardineport.standins.log.InMemoryLogService;
+import org.sardineport.standins.log.LogFaults;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -168,6 +172,48 @@
 		assertThat(get(journal.lookup(KeyedRequests.ORGANISATION, "lost")).outcome()).isEqualTo(Outcome.COMPLETED);
 	}
 
+	/**
+	 * What may be odd about the log all the time.
+	 */
+	enum LogCondition {
+
+		GAPS_BETWEEN_OFFSETS((faults) -> faults.offsetStep(7)), DUPLICATE_DELIVERY((faults) -> faults.duplicates(true)),
+		READ_LAG((faults) -> faults.readLag(Duration.ofMillis(20))),
+		SLOW((faults) -> faults.roundTrip(Duration.ofMillis(20))),
+		FEW_APPENDS_A_SECOND((faults) -> faults.appendsPerSecond(5));
+
+		private final Consumer<LogFaults> setting;
+
+		LogCondition(Consumer<LogFaults> setting) {
+			this.setting = setting;
+		}
+
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void runsEachRequestOnceUnder(LogCondition condition) {
+		JournalDuty first = start("first");
+		JournalDuty second = start("second");
+		condition.setting.accept(this.log.faults());
+		for (int number = 0; number < 3; number++) {
+			KeyedRequest request = request("key" + number, false);
+			CompletionStage<AcceptDecision> one = first.accept(request);
+			CompletionStage<AcceptDecision> two = second.accept(request);
+			boolean firstHolds = get(one) instanceof AcceptDecision.Accepted;
+			assertThat(get(two) instanceof AcceptDecision.Accepted).isNotEqualTo(firstHolds);
+			JournalDuty holder = (firstHolds) ? first : second;
+			JournalDuty joined = (firstHolds) ? second : first;
+			JournalClaim claim = accepted(get((firstHolds) ? one : two));
+			assertThat(get(holder.dispatch(claim, SERVER, "stream", deadline())))
+				.isInstanceOf(DispatchDecision.Won.class);
+			get(holder.finish(claim, Outcome.COMPLETED, answer(number)));
+			KeyState state = get(joined.await(request.key(), deadline()));
+			assertThat(state.answer()).isNotNull();
+			assertThat(state.answer().body()).hasSize(number);
+		}
+	}
+
 	@Test
 	void doesNotSayNotRunWhileTheLogIsDown() {
 		JournalDuty journal = start("first");
