--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -15,7 +15,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.exchange.AdmissionCheck;
 import org.sardineport.core.exchange.RetryBudget;
+import org.sardineport.core.journal.IdempotencyKeys;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -60,6 +62,8 @@
 
 	private final Vertx vertx;
 
+	private final Readiness readiness;
+
 	private final DaemonStopActions stopActions;
 
 	private final StopDuty stop;
@@ -97,9 +101,12 @@
 		RequestRunner runner = RequestRunner.create(runs);
 		journal.runner(DurableTakeover.create(runner, runs, fleet, () -> ContextExecutor.create(this.vertx)));
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
-				new CallerServices(settings.callers(), configuration, fleet, journal, runner, clock, telemetry));
+				new CallerServices(settings.callers(),
+						AdmissionCheck.create(IdempotencyKeys.of(settings.journal().replayWindow())), configuration,
+						fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
 		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
+		this.readiness = readiness;
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, callers::inFlight, telemetry));
@@ -132,6 +139,14 @@
 		});
 	}
 
+	/**
+	 * Returns whether the daemon serves callers.
+	 * @return whether nothing keeps it from serving
+	 */
+	public boolean isReady() {
+		return this.readiness.obstacles().isEmpty();
+	}
+
 	/**
 	 * Stops in a planned way: serves callers that still hold the address, then refuses
 	 * new requests, and ends after the work in flight. Further calls wait for the first.
