Tell not-run of a key from the future again

Cause: the test of the callers' port expects not-run, as the table of refusals says; the landing failed on it. A key ahead of all clocks within the tolerance cannot have been accepted by a daemon whose clock is right, so the stricter outcome was not needed. Change: the outcome and its case are as they were.

--- a/core/src/main/java/org/sardineport/core/journal/IdempotencyKeys.java
+++ b/core/src/main/java/org/sardineport/core/journal/IdempotencyKeys.java
@@ -87,7 +87,7 @@
 
 	@Nullable Refusal refusalByAge(Instant issued, Instant now) {
 		if (issued.isAfter(now.plus(this.limits.clockTolerance()))) {
-			return new Refusal(RefusalReason.KEY_OUT_OF_WINDOW, "The key is from the future.", Outcome.UNKNOWN, null);
+			return Refusal.of(RefusalReason.KEY_OUT_OF_WINDOW, "The key is from the future.");
 		}
 		if (issued.isBefore(now.minus(this.limits.replayWindow()))) {
 			return new Refusal(RefusalReason.KEY_OUT_OF_WINDOW, "The key is older than what the journal remembers.",
