--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -5,14 +5,16 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.sardineport.bench.configuration.ConfigurationMeasurement;
 import org.sardineport.bench.fleet.FleetMeasurement;
+import org.sardineport.bench.journal.JournalMeasurement;
 import org.sardineport.bench.policy.PolicyMeasurement;
 import org.sardineport.bench.slope.SlopeCommand;
 
 /**
  * Runs one measurement by name and prints its table and its CSV.
  */
-@Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class, commands = { Help.class,
-		ConfigurationMeasurement.class, FleetMeasurement.class, PolicyMeasurement.class, SlopeCommand.class })
+@Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
+		commands = { Help.class, ConfigurationMeasurement.class, FleetMeasurement.class, JournalMeasurement.class,
+				PolicyMeasurement.class, SlopeCommand.class })
 public final class Main {
 
 	/** Exit code when every target was met. */
