--- a/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
@@ -40,6 +40,11 @@
 	@IntegerRange(min = 4, max = 600)
 	private int seconds = 20;
 
+	@Option(name = "--hold", title = "SECONDS",
+			description = "Time for which the fleet goes on serving afterwards, to try it by hand; default: 0")
+	@IntegerRange(min = 0, max = 3600)
+	private int holdSeconds = 0;
+
 	@Option(name = "--seed", title = "NUMBER", description = "Seed of the mix of requests; default: 1")
 	private long seed = 1;
 
@@ -57,16 +62,26 @@
 			return published;
 		}
 		DemoReport report = load(console, fleet);
-		fleet.stop();
 		if (isJson()) {
 			console.json(report);
 		}
 		else {
 			report.write(console);
 		}
+		hold(console, fleet);
+		fleet.stop();
 		return (report.broken().isEmpty()) ? ExitCode.OK : ExitCode.FAILED;
 	}
 
+	private void hold(Console console, DemoFleet fleet) {
+		if (this.holdSeconds > 0) {
+			DaemonSettings first = fleet.settings().get(0);
+			console.note("serving for %d s: callers http://%s operators http://%s with token %s"
+				.formatted(this.holdSeconds, first.callerAddress(), first.operatorAddress(), DemoFleet.OPERATOR_TOKEN));
+			LockSupport.parkNanos(Duration.ofSeconds(this.holdSeconds).toNanos());
+		}
+	}
+
 	private ExitCode publish(Console console, DemoFleet fleet) throws IOException {
 		Path file = Files.createTempFile("sardineport-demo", ".yaml");
 		try (InputStream profile = DemoCommand.class.getResourceAsStream("profile.yaml")) {
