Leave the top tier its room in a daemon full of lower tiers; find keys with special characters

Cause: the limit on requests in flight was checked before the tier was known, so a flood of drafts could shut out live lookups; keys in paths were not decoded. Ruled out: shares per tier, which shed the top tier at less than the limit. Change: lower tiers count against the whole limit, the top tier only against itself. Tests flood a daemon with drafts, and look up a key with a slash.

--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/exchange/InFlightLimitTests.java
@@ -0,0 +1,53 @@
+package org.sardineport.core.exchange;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.request.Tier;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Room in a daemon: a flood of lower tiers never shuts out the top tier.
+ */
+class InFlightLimitTests {
+
+	private final InFlightLimit limit = InFlightLimit.of(3);
+
+	@Test
+	void aFloodOfLowerTiersLeavesTheTopTierItsRoom() {
+		for (int i = 0; i < 3; i++) {
+			assertThat(this.limit.tryEnter(Tier.BATCH)).isTrue();
+		}
+		assertThat(this.limit.tryEnter(Tier.INTERACTIVE)).isFalse();
+		for (int i = 0; i < 3; i++) {
+			assertThat(this.limit.tryEnter(Tier.URGENT)).isTrue();
+		}
+		assertThat(this.limit.tryEnter(Tier.URGENT)).isFalse();
+		assertThat(this.limit.inFlight()).isEqualTo(6);
+	}
+
+	@Test
+	void lowerTiersGiveWayToTheTopTier() {
+		this.limit.tryEnter(Tier.URGENT);
+		this.limit.tryEnter(Tier.URGENT);
+		assertThat(this.limit.tryEnter(Tier.STANDARD)).isTrue();
+		assertThat(this.limit.tryEnter(Tier.STANDARD)).isFalse();
+	}
+
+	@Test
+	void roomComesBack() {
+		for (int i = 0; i < 3; i++) {
+			this.limit.tryEnter(Tier.BATCH);
+		}
+		this.limit.leave(Tier.BATCH);
+		assertThat(this.limit.tryEnter(Tier.BATCH)).isTrue();
+	}
+
+	@Test
+	void workThatMustBeTakenIsTaken() {
+		InFlightLimit full = InFlightLimit.of(0);
+		full.enter(Tier.BATCH);
+		assertThat(full.inFlight()).isOne();
+		assertThat(full.hasRoomFor(Tier.URGENT)).isFalse();
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -96,7 +96,7 @@
 		fleet.exchangeStrikes(scheduling);
 		RunServices runs = RunServices.create(scheduling, journal, engines, clock, telemetry, RetryBudget.create(),
 				settings.journal().maximumAnswerBytes());
-		RequestRunner runner = RequestRunner.create(runs);
+		RequestRunner runner = RequestRunner.create(runs, settings.callers().maximumInFlight());
 		journal.runner(DurableTakeover.create(runner, runs, fleet, () -> ContextExecutor.create(this.vertx)));
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(),
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/KeyedRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/KeyedRun.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon.exchange;
 
+import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -118,7 +119,8 @@
 	private void respondAccepted() {
 		byte[] body = "{\"phase\":\"accepted\"}\n".getBytes(StandardCharsets.UTF_8);
 		this.sink.head(STATUS_ACCEPTED,
-				List.of(Map.entry("Location", "/v1/requests/" + this.key.value()),
+				List.of(Map.entry("Location",
+						"/v1/requests/" + URLEncoder.encode(this.key.value(), StandardCharsets.UTF_8)),
 						Map.entry("Preference-Applied", "respond-async"), Map.entry("Content-Type", "application/json"),
 						Map.entry("Content-Length", Integer.toString(body.length))));
 		this.sink.chunk(ByteBuffer.wrap(body));
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
@@ -19,6 +19,7 @@
 import org.sardineport.core.profile.Route;
 import org.sardineport.core.request.Outcome;
 import org.sardineport.core.request.Refusal;
+import org.sardineport.daemon.exchange.RequestRunner;
 import org.sardineport.daemon.exchange.RunHandle;
 import org.sardineport.daemon.exchange.RunRequest;
 
@@ -46,6 +47,8 @@
 
 	private @Nullable RunHandle run;
 
+	private boolean closed;
+
 	CallerExchange(Vertx vertx, CallerServices services, HttpServerRequest request, RequestId id, HttpAnswerSink sink) {
 		this.vertx = vertx;
 		this.services = services;
@@ -63,6 +66,9 @@
 			Admission found = this.services.admission()
 				.check(configuration, this.request.method().name(), this.request.uri(), this.request.headers()::getAll,
 						this.arrival);
+			if (!this.services.runner().hasRoomFor(found.route().tier())) {
+				throw RefusedException.of(RequestRunner.full());
+			}
 			this.admission = found;
 			int limit = Math.min(found.route().maximumBodyBytes(), this.services.settings().maximumBodyBytes());
 			this.reader = new BodyReader(this.vertx, this.request, limit, this);
@@ -120,9 +126,10 @@
 	}
 
 	private void onClosed() {
-		if (this.request.response().ended()) {
+		if (this.closed || this.request.response().ended()) {
 			return;
 		}
+		this.closed = true;
 		if (this.run != null) {
 			this.run.callerLeft();
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
@@ -116,11 +116,11 @@
 
 	private void handle(HttpServerRequest request) {
 		RequestId id = this.ids.next();
-		int held = this.inFlight.incrementAndGet();
+		this.inFlight.incrementAndGet();
 		HttpAnswerSink sink = new HttpAnswerSink(request, id.value(), this.services.telemetry(), this.entry::addresses,
 				this::end);
 		request.response().setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
-		Refusal refusal = refusal(held);
+		Refusal refusal = refusal();
 		if (request.method().equals(HttpMethod.GET) && request.path().equals(ENTRY_PATH)) {
 			this.entry.answer(sink);
 		}
@@ -136,16 +136,13 @@
 		}
 	}
 
-	private @Nullable Refusal refusal(int held) {
+	private @Nullable Refusal refusal() {
 		if (this.refusing) {
 			return Refusal.of(RefusalReason.STOPPING, "The daemon is stopping.");
 		}
 		if (!this.services.configuration().isReady()) {
 			return Refusal.of(RefusalReason.NOT_READY, "The daemon has not read the configuration yet.");
 		}
-		if (held > this.services.settings().maximumInFlight()) {
-			return Refusal.of(RefusalReason.RING_FULL, "The daemon holds as many requests as it may.");
-		}
 		return null;
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/http/KeyResource.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/KeyResource.java
@@ -1,6 +1,8 @@
 package org.sardineport.daemon.http;
 
+import java.net.URLDecoder;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -38,12 +40,15 @@
 		this.services = services;
 	}
 
-	void answer(HttpServerRequest request, String key, HttpAnswerSink sink) {
+	void answer(HttpServerRequest request, String encodedKey, HttpAnswerSink sink) {
 		try {
 			OrganisationId organisation = AdmissionCheck
 				.checkOrganisation(this.services.configuration().current(), request.headers()::getAll)
 				.organisation();
-			lookup(organisation, key, sink);
+			lookup(organisation, URLDecoder.decode(encodedKey, StandardCharsets.UTF_8), sink);
+		}
+		catch (IllegalArgumentException ex) {
+			sink.refuse(Refusal.of(RefusalReason.KEY_INVALID, "The key in the path is not well encoded."));
 		}
 		catch (RefusedException ex) {
 			sink.refuse(ex.refusal());
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -102,7 +102,7 @@
 		start(this.ledger);
 		this.backends = HttpModelEngine.create(this.vertx, this.clock);
 		this.runner = RequestRunner.create(RunServices.create(this.scheduler, this.journal, this.backends, this.clock,
-				this.telemetry, RetryBudget.create(), 1024 * 1024));
+				this.telemetry, RetryBudget.create(), 1024 * 1024), maximumInFlight);
 		this.scheduler.serve(engineServer());
 		CallerSettings settings = new CallerSettings(BODY_LIMIT, BODY_TIMEOUT, maximumInFlight, Duration.ofSeconds(10));
 		this.server = CallerServer.create(this.vertx, this.address,
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -205,6 +205,24 @@
 		assertThat(this.fixture.scheduler.ends()).endsWith(RunEnd.TIMED_OUT);
 	}
 
+	@Test
+	void aFloodOfDraftsShutsOutNoLookup() throws Exception {
+		try (CallerFixture small = new CallerFixture(EngineOptions.fast(), 1)) {
+			small.scheduler.hold();
+			HttpResponse<String> draft = small.send("POST", "/v1/completions", "{}",
+					(request) -> request.header("Idempotency-Key", KEY).header("Prefer", "respond-async"));
+			HttpResponse<String> second = small.send("POST", "/v1/completions", "{}",
+					(request) -> request.header("Idempotency-Key", KEY + "2")
+						.header("Sardineport-Issued-At", small.clock.instant().toString()));
+			small.scheduler.grantHeld();
+			HttpResponse<String> lookup = small.send("POST", CHAT, CallerFixture.chat("l", 1), (request) -> {
+			});
+			assertThat(draft.statusCode()).isEqualTo(202);
+			assertThat(second.body()).contains("ring-full");
+			assertThat(lookup.statusCode()).isEqualTo(200);
+		}
+	}
+
 	@Test
 	void refusesWhatIsOverTheNumberInFlight() throws Exception {
 		try (CallerFixture small = new CallerFixture(EngineOptions.fast(), 0)) {
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
@@ -223,6 +223,21 @@
 		assertThat(answer.body()).contains("draft:30 ").endsWith("data: [DONE]\n\n");
 	}
 
+	@Test
+	void findsKeysWithSpecialCharacters() throws Exception {
+		String key = "entry/7?part=%41+b";
+		HttpResponse<String> accepted = this.fixture.send("POST", "/v1/completions", CallerFixture.chat("odd", 2),
+				(request) -> request.header("Idempotency-Key", key)
+					.header("Sardineport-Issued-At", this.fixture.clock.instant().toString())
+					.header("Prefer", "respond-async"));
+		CallerFixture.await(this.fixture.runner.whenDrained());
+		String location = accepted.headers().firstValue("Location").orElseThrow();
+		assertThat(this.fixture.send("GET", location, "", (request) -> {
+		}).body()).contains("odd:2 ");
+		assertThat(this.fixture.send("GET", "/v1/requests/absent", "", (request) -> {
+		}).statusCode()).isEqualTo(404);
+	}
+
 	private HttpResponse<String> posting(String body) throws Exception {
 		return this.fixture.send("POST", "/postings", body, (request) -> request.header("Idempotency-Key", KEY));
 	}
