--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
@@ -0,0 +1,335 @@
+package org.sardineport.standins.engine;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.exchange.RequestHashes;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.backend.AnswerListener;
+import org.sardineport.core.port.backend.BackendException;
+import org.sardineport.core.port.backend.BackendFailure;
+import org.sardineport.core.port.backend.BackendRequest;
+import org.sardineport.core.port.backend.CacheEvent;
+import org.sardineport.core.port.backend.EngineOrder;
+import org.sardineport.core.port.backend.Exchange;
+import org.sardineport.core.port.backend.ModelEngine;
+
+/**
+ * Fake of model engines in memory, without sockets. Generates and tells listeners on one
+ * thread. Safe for use by any thread.
+ */
+public final class InMemoryModelEngine implements ModelEngine, Service {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+
+	private final Map<BackendServerId, MemoryEngine> engines = new ConcurrentHashMap<>();
+
+	private final InstantSource clock;
+
+	private InMemoryModelEngine(InstantSource clock) {
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+	}
+
+	/**
+	 * Returns a fake that works at once.
+	 * @param clock the engines' time
+	 * @return the fake
+	 */
+	public static InMemoryModelEngine create(InstantSource clock) {
+		return new InMemoryModelEngine(clock);
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return CompletableFuture.completedStage(null);
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		this.thread.shutdownNow();
+		return CompletableFuture.completedStage(null);
+	}
+
+	/**
+	 * Adds an engine.
+	 * @param id its name
+	 * @param options how fast and able it is
+	 */
+	public void add(BackendServerId id, EngineOptions options) {
+		this.engines.put(id, new MemoryEngine(options, this.clock));
+	}
+
+	/**
+	 * Returns the switches for an engine's faults.
+	 * @param id its name
+	 * @return the faults
+	 */
+	public EngineFaults faults(BackendServerId id) {
+		return engine(id).faults();
+	}
+
+	/**
+	 * Returns what an engine counted.
+	 * @param id its name
+	 * @return the counters
+	 */
+	public EngineCounters counters(BackendServerId id) {
+		return engine(id).counters();
+	}
+
+	/**
+	 * Sets whether an engine's load reports announce that it will leave.
+	 * @param id its name
+	 * @param isLeaving whether it will leave
+	 */
+	public void setLeaving(BackendServerId id, boolean isLeaving) {
+		engine(id).setLeaving(isLeaving);
+	}
+
+	@Override
+	public Exchange send(BackendServer server, BackendRequest request, AnswerListener listener) {
+		MemoryEngine engine = engine(server.id());
+		MemoryExchange exchange = new MemoryExchange(engine, request.streamId(), listener);
+		this.thread.execute(() -> receive(engine, request, exchange));
+		return exchange;
+	}
+
+	@Override
+	public Exchange resume(BackendServer server, String streamId, long fromByte, AnswerListener listener) {
+		MemoryEngine engine = engine(server.id());
+		MemoryExchange exchange = new MemoryExchange(engine, streamId, listener);
+		this.thread.execute(() -> {
+			MemoryStream known = engine.streams().get(streamId);
+			if (known == null || !engine.options().resumesStreams()) {
+				exchange.fail(BackendFailure.NOT_SUPPORTED);
+				return;
+			}
+			exchange.stream = known;
+			known.attach(listener, (int) fromByte);
+		});
+		return exchange;
+	}
+
+	@Override
+	public CompletionStage<Boolean> cancel(BackendServer server, String streamId) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> remove(engine, streamId));
+	}
+
+	@Override
+	public CompletionStage<byte[]> exportCache(BackendServer server, String streamId) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> {
+			MemoryStream stream = engine.streams().get(streamId);
+			if (stream == null || !engine.options().resumesStreams()) {
+				throw BackendException.of(BackendFailure.NOT_SUPPORTED, "no stream " + streamId);
+			}
+			byte[] exported = JSON.writeValueAsBytes(stream.export(streamId));
+			remove(engine, streamId);
+			return exported;
+		});
+	}
+
+	@Override
+	public CompletionStage<Void> importCache(BackendServer server, String streamId, byte[] cache) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> {
+			MemoryStream stream = MemoryStream.of(JSON.readValue(cache, ExportJson.class));
+			engine.streams().put(streamId, stream);
+			generate(engine, stream);
+			return null;
+		});
+	}
+
+	@Override
+	public CompletionStage<LoadReport> load(BackendServer server) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> new LoadReport(server.id(), engine.running(), 0, 0, engine.isLeaving(),
+				engine.options().resumesStreams(), this.clock.instant().minus(engine.options().loadLag())));
+	}
+
+	@Override
+	public CompletionStage<List<CacheEvent>> cacheEvents(BackendServer server, long afterSequence) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> engine.cache()
+			.events(afterSequence, engine.faults().isDroppingEvents())
+			.stream()
+			.map((event) -> new CacheEvent(event.sequence(), event.prefixHash(), event.stored()))
+			.toList());
+	}
+
+	@Override
+	public CompletionStage<Void> order(BackendServer server, EngineOrder order) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> {
+			if (engine.options().checksFencing() && order.fencingNumber() < engine.order().fencingNumber()) {
+				throw BackendException.of(BackendFailure.FENCED, "a newer number was seen");
+			}
+			engine.take(new OrderRecord(order.kind().name(), order.argument(), order.fencingNumber()));
+			if (engine.faults().isLosingOrderAnswers()) {
+				throw BackendException.of(BackendFailure.BROKEN, "the answer was lost");
+			}
+			return null;
+		});
+	}
+
+	@Override
+	public CompletionStage<EngineOrder> currentOrder(BackendServer server) {
+		MemoryEngine engine = engine(server.id());
+		return call(() -> new EngineOrder(EngineOrder.Kind.valueOf(engine.order().kind()), engine.order().argument(),
+				engine.order().fencingNumber()));
+	}
+
+	private void receive(MemoryEngine engine, BackendRequest request, MemoryExchange exchange) {
+		String body = new String(request.body(), StandardCharsets.UTF_8);
+		ChatRequest chat = parse(request.body());
+		String tag = (chat.user() != null) ? chat.user() : "token";
+		engine.counters().received(tag);
+		if (engine.faults().crashesOn(body)) {
+			exchange.fail(BackendFailure.BROKEN);
+			return;
+		}
+		engine.cache().use(RequestHashes.prefix(request.body()));
+		MemoryStream stream = new MemoryStream(tag, chat.maximumTokens());
+		engine.streams().put(request.streamId(), stream);
+		exchange.stream = stream;
+		stream.attach(exchange.listener, 0);
+		generate(engine, stream);
+		Duration left = Duration.between(this.clock.instant(), request.deadline());
+		this.thread.schedule(() -> exchange.giveUp(BackendFailure.TIMED_OUT), left.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void generate(MemoryEngine engine, MemoryStream stream) {
+		long interval = engine.options().tokenInterval().toMillis() * engine.faults().slowdown();
+		this.thread.schedule(() -> step(engine, stream), Math.max(1, interval), TimeUnit.MILLISECONDS);
+	}
+
+	private void step(MemoryEngine engine, MemoryStream stream) {
+		if (stream.isGone()) {
+			return;
+		}
+		if (!stream.isComplete()) {
+			stream.token();
+		}
+		if (stream.produced() == engine.faults().truncateAfterTokens()) {
+			stream.remove();
+		}
+		else if (stream.isComplete()) {
+			stream.finish(!engine.faults().isWithoutFinalEvent());
+		}
+		else {
+			generate(engine, stream);
+		}
+	}
+
+	private static boolean remove(MemoryEngine engine, String streamId) {
+		MemoryStream stream = engine.streams().remove(streamId);
+		if (stream == null || !stream.isRunning()) {
+			return false;
+		}
+		stream.remove();
+		return true;
+	}
+
+	private static ChatRequest parse(byte[] body) {
+		try {
+			return ChatRequest.parse(body);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private MemoryEngine engine(BackendServerId id) {
+		return Objects.requireNonNull(this.engines.get(id), "engine must be added first");
+	}
+
+	private <T> CompletionStage<T> call(Callable<T> action) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		this.thread.execute(() -> {
+			try {
+				result.complete(action.call());
+			}
+			catch (Exception ex) {
+				result.completeExceptionally(ex);
+			}
+		});
+		return result;
+	}
+
+	/**
+	 * One exchange with an engine in memory.
+	 */
+	private final class MemoryExchange implements Exchange {
+
+		private final MemoryEngine engine;
+
+		private final String streamId;
+
+		private final AnswerListener listener;
+
+		private MemoryStream stream = new MemoryStream("none", 0);
+
+		private MemoryExchange(MemoryEngine engine, String streamId, AnswerListener listener) {
+			this.engine = engine;
+			this.streamId = streamId;
+			this.listener = listener;
+		}
+
+		@Override
+		public void pause() {
+			InMemoryModelEngine.this.thread.execute(() -> this.stream.pause());
+		}
+
+		@Override
+		public void resume() {
+			InMemoryModelEngine.this.thread.execute(() -> this.stream.resume());
+		}
+
+		@Override
+		public void cancel() {
+			InMemoryModelEngine.this.thread.execute(() -> giveUp(BackendFailure.CANCELLED));
+		}
+
+		@Override
+		public void detach() {
+			InMemoryModelEngine.this.thread.execute(() -> {
+				if (this.stream.isHeardBy(this.listener)) {
+					this.stream.fail(BackendFailure.CANCELLED);
+				}
+			});
+		}
+
+		private void giveUp(BackendFailure failure) {
+			if (this.stream.isHeardBy(this.listener)) {
+				this.stream.fail(failure);
+				InMemoryModelEngine.remove(this.engine, this.streamId);
+			}
+		}
+
+		private void fail(BackendFailure failure) {
+			this.listener.failed(BackendException.of(failure, "fault of the fake"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardineport/standins/engine/MemoryEngine.java
@@ -0,0 +1,74 @@
+package org.sardineport.standins.engine;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * State of one engine in memory. Touched on the fake's thread only.
+ */
+final class MemoryEngine {
+
+	private final EngineOptions options;
+
+	private final EngineFaults faults = new EngineFaults();
+
+	private final EngineCounters counters = new EngineCounters();
+
+	private final PrefixCache cache;
+
+	private final Map<String, MemoryStream> streams = new HashMap<>();
+
+	private OrderRecord order = new OrderRecord("LOAD_MODEL", "none", -1);
+
+	private volatile boolean leaving;
+
+	MemoryEngine(EngineOptions options, InstantSource clock) {
+		this.options = options;
+		this.cache = new PrefixCache(options.cachedPrefixes(), options.eventLag(), clock);
+	}
+
+	EngineOptions options() {
+		return this.options;
+	}
+
+	EngineFaults faults() {
+		return this.faults;
+	}
+
+	EngineCounters counters() {
+		return this.counters;
+	}
+
+	PrefixCache cache() {
+		return this.cache;
+	}
+
+	Map<String, MemoryStream> streams() {
+		return this.streams;
+	}
+
+	OrderRecord order() {
+		return this.order;
+	}
+
+	void take(OrderRecord newOrder) {
+		this.order = newOrder;
+	}
+
+	boolean isLeaving() {
+		return this.leaving;
+	}
+
+	void setLeaving(boolean isLeaving) {
+		this.leaving = isLeaving;
+	}
+
+	int running() {
+		// a report that lags shows the time before the first request
+		return (this.options.loadLag().compareTo(Duration.ofMinutes(1)) > 0) ? 0
+				: (int) this.streams.values().stream().filter(MemoryStream::isRunning).count();
+	}
+
+}
