Close callers' connections on which nothing happens

Cause: a caller that opens connections and never sends a whole head held them for ever. A timer of the connection, stopped while a request is under way, closes them. Ruled out: the server's idle timeout, which also ends a wait for a long answer. The server waited for the first bytes before it told of a connection, to detect HTTP/2 in clear text; that is off now.

--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
@@ -1,11 +1,13 @@
 package org.sardineport.daemon.http;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -28,6 +30,8 @@
 
 	private static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
 
+	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
 	private static final int WRITE_QUEUE_BYTES = 64 * 1024;
 
 	private final Vertx vertx;
@@ -40,6 +44,8 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
+	private final IdleConnections connections;
+
 	private final EntryResource entry;
 
 	private final KeyResource keys;
@@ -54,6 +60,8 @@
 		this.vertx = Objects.requireNonNull(vertx, "vertx must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
 		this.services = Objects.requireNonNull(services, "services must not be null");
+		this.connections = new IdleConnections(vertx, IDLE_TIMEOUT,
+				services.telemetry().counter("callers.idle-connections-closed"));
 		this.entry = new EntryResource(services.fleet(), services.settings().keepTime());
 		this.keys = new KeyResource(vertx, services);
 	}
@@ -73,9 +81,12 @@
 	public CompletionStage<Void> start() {
 		HttpServerOptions options = new HttpServerOptions().setHost(this.address.ip())
 			.setPort(this.address.port())
+			.setHttp2ClearTextEnabled(false)
 			.setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
 			.setTcpNoDelay(true);
-		HttpServer created = this.vertx.createHttpServer(options).requestHandler(this::handle);
+		HttpServer created = this.vertx.createHttpServer(options)
+			.connectionHandler(this.connections::opened)
+			.requestHandler(this::handle);
 		this.server = created;
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
@@ -117,8 +128,9 @@
 	private void handle(HttpServerRequest request) {
 		RequestId id = this.ids.next();
 		this.inFlight.incrementAndGet();
+		this.connections.began(request.connection());
 		HttpAnswerSink sink = new HttpAnswerSink(request, id.value(), this.services.telemetry(), this.entry::addresses,
-				this::end);
+				() -> end(request.connection()));
 		request.response().setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
 		Refusal refusal = refusal();
 		if (request.method().equals(HttpMethod.GET) && request.path().equals(ENTRY_PATH)) {
@@ -146,7 +158,8 @@
 		return null;
 	}
 
-	private void end() {
+	private void end(HttpConnection connection) {
+		this.connections.ended(connection);
 		CompletableFuture<Void> waiting = this.drained;
 		if (this.inFlight.decrementAndGet() == 0 && waiting != null) {
 			waiting.complete(null);
