--- a/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
@@ -110,7 +110,7 @@
 			.toCompletableFuture();
 		List<CallResult> results = pending.stream().map(CompletableFuture::join).toList();
 		long stopMillis = TimeUnit.NANOSECONDS.toMillis(stopped.join());
-		List<String> broken = PromiseCheck.check(results, fleet.engines(), fleet.ledger().executions());
+		List<String> broken = PromiseCheck.check(results, fleet.dispatches());
 		return DemoReport.of(results, fleet.engines(), stopMillis, broken);
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/demo/DemoFleet.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoFleet.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 
 import io.vertx.core.Vertx;
@@ -118,8 +119,15 @@
 		return this.engines;
 	}
 
-	LedgerStandIn ledger() {
-		return this.ledger;
+	/**
+	 * Returns what each backend server counted.
+	 * @return the requests received, by tag on engines and by key on the ledger
+	 */
+	List<Map<String, Integer>> dispatches() {
+		List<Map<String, Integer>> counts = new ArrayList<>();
+		this.engines.forEach((engine) -> counts.add(engine.counters().dispatches()));
+		counts.add(this.ledger.executions());
+		return counts;
 	}
 
 	private void addSettings(int index) {
--- a/cli/src/main/java/org/sardineport/cli/demo/PromiseCheck.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/PromiseCheck.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 
 import org.sardineport.core.request.Tier;
-import org.sardineport.standins.engine.ModelEngineStandIn;
 
 /**
  * Compares what callers were told with what the stand-ins counted.
@@ -27,16 +26,12 @@
 	/**
 	 * Checks all promises.
 	 * @param results what callers got
-	 * @param engines the engines, which counted the requests they received by tag
-	 * @param postings executions that the ledger counted by key
+	 * @param dispatches requests that each backend server received, by tag or key
 	 * @return one line for each promise that was broken
 	 */
-	static List<String> check(List<CallResult> results, List<ModelEngineStandIn> engines,
-			Map<String, Integer> postings) {
-		Map<String, Integer> runs = new HashMap<>(postings);
-		for (ModelEngineStandIn engine : engines) {
-			engine.counters().dispatches().forEach((tag, count) -> runs.merge(tag, count, Integer::sum));
-		}
+	static List<String> check(List<CallResult> results, List<Map<String, Integer>> dispatches) {
+		Map<String, Integer> runs = new HashMap<>();
+		dispatches.forEach((server) -> server.forEach((name, count) -> runs.merge(name, count, Integer::sum)));
 		PromiseCheck check = new PromiseCheck(results, runs);
 		check.ranAtMostOnce();
 		check.answersAreOwnAndWhole();
