--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -27,12 +27,18 @@
  */
 public final class FakeScheduler implements RequestScheduler {
 
+	private static final Duration DEFAULT_LIFETIME = Duration.ofSeconds(5);
+
 	private final InstantSource clock;
 
+	private final Queue<Duration> lifetimes = new ConcurrentLinkedQueue<>();
+
 	private final Queue<BackendServer> servers = new ConcurrentLinkedQueue<>();
 
 	private final Map<RequestId, PermitListener> held = new LinkedHashMap<>();
 
+	private final Map<RequestId, PermitListener> late = new ConcurrentHashMap<>();
+
 	private final List<RequestId> submitted = new CopyOnWriteArrayList<>();
 
 	private final List<RequestId> abandoned = new CopyOnWriteArrayList<>();
@@ -47,8 +53,6 @@
 
 	private volatile boolean holding;
 
-	private volatile Duration lifetime = Duration.ofSeconds(5);
-
 	public FakeScheduler(InstantSource clock) {
 		this.clock = clock;
 	}
@@ -67,8 +71,9 @@
 		this.refusal = newRefusal;
 	}
 
-	public void grantWithLifetime(Duration newLifetime) {
-		this.lifetime = newLifetime;
+	/** Sets how long the next permit may be used. */
+	public void nextLifetime(Duration lifetime) {
+		this.lifetimes.add(lifetime);
 	}
 
 	public List<RequestId> submitted() {
@@ -129,12 +134,20 @@
 		}
 	}
 
+	/** Grants all requests that were abandoned, as if the grant had been under way. */
+	public void grantAbandoned() {
+		this.late.forEach(this::grant);
+	}
+
 	@Override
 	public void abandon(RequestId request) {
-		this.abandoned.add(request);
 		synchronized (this.held) {
-			this.held.remove(request);
+			PermitListener listener = this.held.remove(request);
+			if (listener != null) {
+				this.late.put(request, listener);
+			}
 		}
+		this.abandoned.add(request);
 	}
 
 	@Override
@@ -145,7 +158,8 @@
 	private void grant(RequestId id, PermitListener listener) {
 		BackendServer next = this.servers.remove();
 		this.servers.add(next);
-		Instant lapses = this.clock.instant().plus(this.lifetime);
+		Instant lapses = this.clock.instant()
+			.plus(this.lifetimes.isEmpty() ? DEFAULT_LIFETIME : this.lifetimes.remove());
 		Permit permit = new Permit(id, next, lapses);
 		this.granted.add(permit);
 		this.listeners.put(permit, listener);
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -17,6 +17,7 @@
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RetryReason;
 import org.sardineport.standins.engine.EngineOptions;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -146,10 +147,20 @@
 		});
 		assertProblem(answer, RefusalReason.DEADLINE_PASSED, "not-run");
 		assertThat(this.fixture.scheduler.abandoned()).hasSize(1);
-		this.fixture.scheduler.grantHeld();
+		this.fixture.scheduler.grantAbandoned();
+		CallerStreamTests.until(() -> this.fixture.scheduler.ends().contains(RunEnd.UNUSED));
 		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
 	}
 
+	@Test
+	void givesALapsedPermitBackAndAsksForAnother() throws Exception {
+		this.fixture.scheduler.nextLifetime(Duration.ofMillis(-1));
+		assertThat(chat("again").body()).endsWith("data: [DONE]\n\n");
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.UNUSED, RunEnd.COMPLETED);
+		assertThat(this.fixture.telemetry.retried(RetryReason.PERMIT_LAPSED).getCount()).isOne();
+		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("again", 1);
+	}
+
 	@Test
 	void refusesWhileNotReady() throws Exception {
 		this.fixture.ready = false;
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
@@ -88,7 +88,8 @@
 		}
 		until(() -> this.fixture.scheduler.abandoned().size() == 1);
 		until(() -> this.fixture.runner.inFlight() == 0);
-		this.fixture.scheduler.grantHeld();
+		this.fixture.scheduler.grantAbandoned();
+		until(() -> this.fixture.scheduler.ends().contains(RunEnd.UNUSED));
 		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
 		assertThat(this.fixture.refused(RefusalReason.CALLER_GONE)).isOne();
 	}
@@ -257,7 +258,7 @@
 		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.BROKEN);
 	}
 
-	private static void until(BooleanSupplier condition) {
+	static void until(BooleanSupplier condition) {
 		long end = System.nanoTime() + CallerFixture.DEADLINE.toNanos();
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > end) {
