Return a run's permit before its caller is told of the end

Cause: the caller's answer ended, or broke off, before the permit was back and the counters stood, so a caller that asks again at once could find its own permit still out; PreemptedRequestTests failed once in verify, as it read the permits right after the connection closed. Ruled out: a wait in the test, which would keep the order. Change: permit and counters first, then the caller.

--- a/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
@@ -102,9 +102,9 @@
 	 * @return the answer to keep, or {@code null} if it is larger than what is kept
 	 */
 	@Nullable StoredAnswer complete(Instant now) {
-		this.sink.end();
 		this.telemetry.completed(this.scheduling.tier()).inc();
 		this.telemetry.duration(this.scheduling.tier()).update(Duration.between(this.scheduling.arrival(), now));
+		this.sink.end();
 		return this.recorder.answer();
 	}
 
@@ -113,12 +113,12 @@
 	 * @param verdict what to tell
 	 */
 	void fail(RunVerdict verdict) {
-		if (this.rejection == null) {
-			this.sink.refuse(verdict.refusal());
-		}
 		if (this.meter != null) {
 			this.telemetry.counter("prefill.wasted-tokens").inc(this.meter.promptTokens());
 		}
+		if (this.rejection == null) {
+			this.sink.refuse(verdict.refusal());
+		}
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
@@ -293,8 +293,8 @@
 		}
 		enterFinal(RequestPhase.COMPLETED);
 		this.move.close();
-		this.records.finish(Outcome.COMPLETED, this.relay.complete(now()));
 		this.permit.release(this.relay.measurement(RunEnd.COMPLETED, now()));
+		this.records.finish(Outcome.COMPLETED, this.relay.complete(now()));
 		finishRun();
 	}
 
@@ -344,10 +344,10 @@
 		if (!this.life.tryEnter((failure == BackendFailure.CANCELLED) ? RequestPhase.CANCELLED : RequestPhase.FAILED)) {
 			return;
 		}
+		this.permit.release(this.relay.measurement(verdict.end(), now()));
 		this.relay.fail(verdict);
 		this.move.close();
 		this.records.finish(Outcome.UNKNOWN, null);
-		this.permit.release(this.relay.measurement(verdict.end(), now()));
 		finishRun();
 	}
 
