--- a/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
@@ -109,7 +109,10 @@
 	}
 
 	int dispatched() {
-		return this.engines.stream().mapToInt((engine) -> engine.counters().dispatches().size()).sum();
+		return this.engines.stream()
+			.flatMap((engine) -> engine.counters().dispatches().values().stream())
+			.mapToInt(Integer::intValue)
+			.sum();
 	}
 
 	double seconds() {
