--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -116,14 +116,6 @@
 		return Stream.concat(Stream.of(this.self.member()), this.table.peers().stream().map(Peer::member)).toList();
 	}
 
-	/**
-	 * Returns whether other daemons seem cut off from this one, all at once.
-	 * @return whether this daemon doubts itself rather than them
-	 */
-	public boolean isIsolated() {
-		return this.doubt.isActive();
-	}
-
 	/**
 	 * Takes the addresses by which daemons may be found that are not known yet.
 	 * @param addresses peer addresses, from settings and the VM list
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -83,9 +83,9 @@
 	 * Lets all daemons know each other at once, as if they had met long ago.
 	 */
 	public void meet() {
+		List<Member> daemons = this.nodes.stream().map((node) -> node.membership.members().get(0)).toList();
 		for (Node receiver : this.nodes) {
-			for (int number = 0; number < this.nodes.size(); number++) {
-				Member sender = membership(number).members().get(0);
+			for (Member sender : daemons) {
 				receiver.membership.received(sender.id(), sender.peerAddress(), new JoinResponse(News.of(sender)));
 			}
 		}
