Ask seeds of other regions rarely; note the fleet's figures

Cause: a trial at 3,300 members in 8 regions cost 1,049 B/s a daemon, as each asked the seeds of other regions every two seconds for ever, and all of that fell on the seeds. Change: an address that answers from another region is asked again after ten minutes. Ruled out: news; the quiet fleet had none under way. Conclusion: MembershipFaultTests pass.

--- a/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -26,6 +28,9 @@
 
 	private static final Duration COMPARING_INTERVAL = Duration.ofSeconds(10);
 
+	/** Time after which an address is asked again that was in another region. */
+	private static final Duration ELSEWHERE_INTERVAL = Duration.ofMinutes(10);
+
 	/** Time for which a daemon that joined is a newcomer. */
 	private static final Duration SETTLING = Duration.ofSeconds(5);
 
@@ -38,6 +43,8 @@
 
 	private List<NetworkAddress> addresses = List.of();
 
+	private final Map<NetworkAddress, Instant> elsewhere = new HashMap<>();
+
 	private @Nullable Instant joinedAt;
 
 	private Instant nextMeeting = Instant.MIN;
@@ -59,6 +66,18 @@
 		}
 	}
 
+	/**
+	 * Takes that a daemon of another region answers at an address, so that it is not
+	 * asked again soon.
+	 * @param address the address
+	 * @param now the current time
+	 */
+	void elsewhere(NetworkAddress address, Instant now) {
+		if (this.addresses.contains(address)) {
+			this.elsewhere.put(address, now.plus(ELSEWHERE_INTERVAL));
+		}
+	}
+
 	/**
 	 * Returns whether this daemon joined long enough ago that what it learns from answers
 	 * to joins is news to others too.
@@ -77,6 +96,7 @@
 	 */
 	List<Contact> due(Instant now, MemberTable table) {
 		List<Contact> due = new ArrayList<>();
+		this.elsewhere.values().removeIf(now::isAfter);
 		if (!now.isBefore(this.nextMeeting)) {
 			this.nextMeeting = now.plus((isJoined()) ? MEETING_INTERVAL : JOINING_INTERVAL);
 			choose(unknown(table), (isJoined()) ? 1 : JOINING_FANOUT)
@@ -99,6 +119,7 @@
 	private List<NetworkAddress> unknown(MemberTable table) {
 		Set<NetworkAddress> known = new HashSet<>();
 		table.present().forEach((peer) -> known.add(peer.member().peerAddress()));
+		known.addAll(this.elsewhere.keySet());
 		return new ArrayList<>(this.addresses.stream().filter((address) -> !known.contains(address)).toList());
 	}
 
--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -220,6 +220,9 @@
 		}
 		else {
 			this.contacts.joined(now);
+			if (this.table.peer(sender) == null) {
+				this.contacts.elsewhere(address, now);
+			}
 		}
 	}
 
--- a/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
@@ -227,8 +227,20 @@
 		assertThat(large).isLessThan(small * 1.1);
 	}
 
+	@Test
+	void seedsOfAnotherRegionAreNotAskedAgainAndAgain() {
+		double oneRegion = messagesPerDaemonAndSecond(64);
+		double fourRegions = messagesPerDaemonAndSecond(64, List.of("a.1", "b.1", "c.1", "d.1"));
+		assertThat(fourRegions).isLessThan(oneRegion * 1.1);
+	}
+
 	private static double messagesPerDaemonAndSecond(int daemons) {
-		VirtualFleet fleet = VirtualFleet.create(daemons, DOMAINS, TIMING, NORMAL, 1);
+		return messagesPerDaemonAndSecond(daemons, DOMAINS);
+	}
+
+	private static double messagesPerDaemonAndSecond(int daemons, List<String> domains) {
+		VirtualFleet fleet = VirtualFleet.create(daemons, domains, TIMING, NORMAL, 1);
+		fleet.meet();
 		fleet.run(Duration.ofSeconds(60));
 		long before = fleet.network().sent();
 		fleet.run(Duration.ofSeconds(60));
