--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -4,13 +4,14 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.sardineport.bench.configuration.ConfigurationMeasurement;
+import org.sardineport.bench.decision.DecisionMeasurement;
 import org.sardineport.bench.policy.PolicyMeasurement;
 
 /**
  * Runs one measurement by name and prints its table and its CSV.
  */
 @Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
-		commands = { Help.class, ConfigurationMeasurement.class, PolicyMeasurement.class })
+		commands = { Help.class, ConfigurationMeasurement.class, DecisionMeasurement.class, PolicyMeasurement.class })
 public final class Main {
 
 	/** Exit code when every target was met. */
--- /dev/null
+++ b/bench/src/main/java/org/sardineport/bench/decision/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Measures the time of one scheduling decision.
+ */
+@NullMarked
+package org.sardineport.bench.decision;
+
+import org.jspecify.annotations.NullMarked;
