Look at fewer places of memory in a decision

Cause: empty queues were looked through tier by tier, and the prefix ring of 10,000 servers had 320,000 points.

--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -18,7 +18,7 @@
 	private static final int SCANNED = 16;
 
 	/** Backend servers sampled from a larger pool. */
-	private static final int SAMPLES = 6;
+	private static final int SAMPLES = 4;
 
 	/** Most backend servers looked at because this daemon owns them. */
 	private static final int MOST_OWNED = 6;
--- a/core/src/main/java/org/sardineport/core/routing/PrefixRing.java
+++ b/core/src/main/java/org/sardineport/core/routing/PrefixRing.java
@@ -13,8 +13,14 @@
  */
 final class PrefixRing {
 
-	/** Points of each backend server on the ring. */
-	private static final int POINTS = 32;
+	/** Most points of each backend server on the ring. */
+	private static final int MOST_POINTS = 32;
+
+	/** Least points of each backend server on the ring. */
+	private static final int LEAST_POINTS = 4;
+
+	/** Points on a ring that needs neither bound. */
+	private static final int RING_POINTS = 8192;
 
 	private final long[] hashes;
 
@@ -26,10 +32,11 @@
 	}
 
 	static PrefixRing of(List<BackendServer> servers) {
-		Point[] points = new Point[servers.size() * POINTS];
+		int each = Math.max(LEAST_POINTS, Math.min(MOST_POINTS, RING_POINTS / Math.max(1, servers.size())));
+		Point[] points = new Point[servers.size() * each];
 		for (int i = 0; i < points.length; i++) {
-			String name = servers.get(i / POINTS).id().value() + '#' + (i % POINTS);
-			points[i] = new Point(Hashing.komihash5_0().hashCharsToLong(name), i / POINTS);
+			String name = servers.get(i / each).id().value() + '#' + (i % each);
+			points[i] = new Point(Hashing.komihash5_0().hashCharsToLong(name), i / each);
 		}
 		Arrays.sort(points, Comparator.comparingLong(Point::hash));
 		return new PrefixRing(Arrays.stream(points).mapToLong(Point::hash).toArray(),
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerQueue.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerQueue.java
@@ -41,6 +41,9 @@
 	 * @return the number of those that are as urgent or more
 	 */
 	int sizeUpTo(Tier tier) {
+		if (this.requests.isEmpty()) {
+			return 0;
+		}
 		int size = 0;
 		for (Tier each : Tier.values()) {
 			size += (tier.isMoreUrgentThan(each)) ? 0 : tier(each).size();
@@ -53,7 +56,7 @@
 	}
 
 	@Nullable WaitingRequest get(RequestId request) {
-		return this.requests.get(request);
+		return (this.requests.isEmpty()) ? null : this.requests.get(request);
 	}
 
 	/**
@@ -61,6 +64,9 @@
 	 * @return the request, or {@code null} if none waits
 	 */
 	@Nullable WaitingRequest peek() {
+		if (this.requests.isEmpty()) {
+			return null;
+		}
 		for (OrganisationQueue queue : this.tiers.values()) {
 			if (queue.size() > 0) {
 				return queue.peek();
