Sample a large pool only where no owned server suits

Cause: samples of a large pool are cache misses, and mostly lose to the servers that the daemon owns, whose permits cost no message.

--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -9,8 +9,9 @@
 
 /**
  * Chooses a backend server of one pool by predicted finish. Small pools are looked at
- * whole; of large ones a few are sampled, besides those that this daemon owns and the
- * home of the prompt's prefix. Not safe for use by several threads.
+ * whole. Of large ones those that this daemon owns, whose permits cost no message, and
+ * the home of the prompt's prefix go first; a few others are sampled if none of them has
+ * room and finishes in time. Not safe for use by several threads.
  */
 public final class PoolRouter {
 
@@ -99,6 +100,9 @@
 		if (home != null) {
 			best.consider(home);
 		}
+		if (best.suits && best.view != null && best.view.hasRoom()) {
+			return best.view;
+		}
 		for (int i = 0; i < SAMPLES; i++) {
 			best.consider(this.servers[this.random.nextInt(this.servers.length)]);
 		}
