Probe isolated servers although others have room

Cause: an isolated server was never chosen while another had room, so no probe ever reached it; daemons that had not asked for a while kept the old state for good. Owners now say when a probe is due, one lower-tier request that may be cancelled is sent, and a state older than five seconds is not held against a server. The test fails without the change, for the owner's own requests and for another daemon's, also after a pause.

--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -100,7 +100,7 @@
 		if (home != null) {
 			best.consider(home);
 		}
-		if (best.suits && best.view != null && best.view.hasRoom()) {
+		if (best.isSettled()) {
 			return best.view;
 		}
 		for (int i = 0; i < SAMPLES; i++) {
@@ -120,7 +120,7 @@
 	 * @return milliseconds from now
 	 */
 	public double finishMillis(ServerView view, RoutingRequest request, long now) {
-		return view.finishMillis(request, cachedShare(view, home(request.prefixHash())), now);
+		return view.finishMillis(request, cachedShare(view, home(request.prefixHash()), now), now);
 	}
 
 	/**
@@ -131,11 +131,11 @@
 	 * @return whether it is expected to finish in time without harm to others
 	 */
 	public boolean suits(ServerView view, RoutingRequest request, long now) {
-		return !view.state().isolated() && view.suits(request, cachedShare(view, home(request.prefixHash())), now);
+		return !view.state().isolated() && view.suits(request, cachedShare(view, home(request.prefixHash()), now), now);
 	}
 
-	private double cachedShare(ServerView view, @Nullable ServerView home) {
-		return (view == home && view.hasRoom()) ? this.hitShare : 0;
+	private double cachedShare(ServerView view, @Nullable ServerView home, long now) {
+		return (view == home && view.hasRoom(now)) ? this.hitShare : 0;
 	}
 
 	/**
@@ -155,6 +155,8 @@
 
 		private boolean suits;
 
+		private boolean probes;
+
 		private double finish = Double.POSITIVE_INFINITY;
 
 		Best(RoutingRequest request, @Nullable ServerView home, Predicate<ServerView> allowed, long now) {
@@ -171,10 +173,15 @@
 		}
 
 		void consider(ServerView candidate) {
-			if (!this.allowed.test(candidate)) {
+			if (this.probes || !this.allowed.test(candidate)) {
+				return;
+			}
+			if (this.request.mayProbe() && candidate.isProbeDue(this.now)) {
+				this.probes = true;
+				this.view = candidate;
 				return;
 			}
-			double cached = cachedShare(candidate, this.home);
+			double cached = cachedShare(candidate, this.home, this.now);
 			boolean isolated = candidate.state().isolated();
 			boolean candidateSuits = !isolated && candidate.suits(this.request, cached, this.now);
 			double candidateFinish = (isolated) ? Double.MAX_VALUE
@@ -186,6 +193,14 @@
 			}
 		}
 
+		/**
+		 * Returns whether there is no need to look further.
+		 * @return whether a probe was found, or one with room that suits
+		 */
+		boolean isSettled() {
+			return this.probes || (this.suits && this.view != null && this.view.hasRoom(this.now));
+		}
+
 		/**
 		 * Looks through the whole pool for any that is allowed, after samples found none.
 		 * @param start index to begin at
--- a/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
@@ -9,10 +9,12 @@
  *
  * @param estimate its size
  * @param top whether it is of the top tier
+ * @param mayProbe whether it may be the probe of an isolated backend server
  * @param prefixHash hash of the prompt's first block; 0 if none
  * @param remainingMillis time left until its deadline
  */
-public record RoutingRequest(TokenEstimate estimate, boolean top, long prefixHash, long remainingMillis) {
+public record RoutingRequest(TokenEstimate estimate, boolean top, boolean mayProbe, long prefixHash,
+		long remainingMillis) {
 
 	/**
 	 * Creates the request.
--- a/core/src/main/java/org/sardineport/core/routing/ServerState.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerState.java
@@ -13,12 +13,13 @@
  * @param limit permits that may be out at once for lower tiers
  * @param lowerTierRunning whether a permit below the top tier is out
  * @param isolated whether it gets no permits but probes
+ * @param probeDue whether it is isolated and waits for a probe
  * @param prefillBacklogMillis time until the prompts granted so far are prefilled
  * @param serviceMillis mean duration of a run
  * @param speed its learned speed
  */
 public record ServerState(BackendServerId backendServer, int running, int waiting, int limit, boolean lowerTierRunning,
-		boolean isolated, long prefillBacklogMillis, long serviceMillis, Speed speed) {
+		boolean isolated, boolean probeDue, long prefillBacklogMillis, long serviceMillis, Speed speed) {
 
 	/**
 	 * Creates the record.
--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -14,6 +14,9 @@
  */
 public final class ServerView {
 
+	/** Age from which a state says little, in milliseconds. */
+	private static final long OLD_MILLIS = 5000;
+
 	private final BackendServer server;
 
 	private final boolean local;
@@ -34,7 +37,8 @@
 		this.server = server;
 		this.local = local;
 		this.networkMillis = networkMillis;
-		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, 0, 0, Speed.UNKNOWN);
+		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, false, 0, 0,
+				Speed.UNKNOWN);
 	}
 
 	/**
@@ -119,11 +123,27 @@
 	}
 
 	/**
-	 * Returns whether it seems to have room for one more request below the top tier.
-	 * @return whether its limit is not reached
+	 * Returns whether it seems to have room for one more request below the top tier. What
+	 * was heard long ago is not held against it.
+	 * @param now the current time
+	 * @return whether its limit is not known to be reached
 	 */
-	public boolean hasRoom() {
-		return this.state.running() + this.pendingAsks < this.state.limit();
+	public boolean hasRoom(long now) {
+		return isOld(now) || this.state.running() + this.pendingAsks < this.state.limit();
+	}
+
+	/**
+	 * Returns whether a probe is due, as it is isolated and nothing else is known of
+	 * late.
+	 * @param now the current time
+	 * @return whether one request may be sent there to see how it does
+	 */
+	public boolean isProbeDue(long now) {
+		return this.state.isolated() && this.pendingAsks == 0 && (this.state.probeDue() || isOld(now));
+	}
+
+	private boolean isOld(long now) {
+		return now - this.stateAt > OLD_MILLIS;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -421,9 +421,8 @@
 			return;
 		}
 		RoutingRequest request = waiting.routing(now);
-		ServerView other = router.choose(request,
-				(view) -> view != current && view.hasRoom() && !view.state().isolated() && !isSilent(view.owner(), now),
-				now);
+		ServerView other = router.choose(request, (view) -> view != current && view.hasRoom(now)
+				&& !view.state().isolated() && !isSilent(view.owner(), now), now);
 		if (other == null) {
 			return;
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -9,6 +9,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerView;
 
@@ -226,10 +227,14 @@
 	 * @return the request
 	 */
 	RoutingRequest routing(long now, boolean waitsForNone) {
-		return new RoutingRequest(this.request.estimate(), waitsForNone, this.request.prefixHash(),
+		return new RoutingRequest(this.request.estimate(), waitsForNone, isProbe(), this.request.prefixHash(),
 				this.deadline - now);
 	}
 
+	private boolean isProbe() {
+		return !this.request.tier().isTop() && this.request.runningPolicy() == RunningPolicy.CANCELLABLE;
+	}
+
 	PermitRequest ask(ServerView view, long now) {
 		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
 				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -116,7 +116,9 @@
 	}
 
 	private void placeProbe(WaitingRequest waiting, long now) {
-		if (this.model.health().mayRun(now) && waiting.ask().runningPolicy().isPreemptible(this.resumesStreams)) {
+		boolean suitable = waiting.ask().runningPolicy().isPreemptible(this.resumesStreams)
+				&& (!waiting.ask().tier().isTop() || waiting.ask().mayPreempt());
+		if (suitable && this.model.health().mayRun(now)) {
 			grant(waiting, now);
 		}
 		else {
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -247,6 +247,7 @@
 	ServerState state(RunningCount running, int waiting, long now) {
 		return new ServerState(this.server.id(), running.size(), waiting, lowerTierLimit(now),
 				running.isLowerTierRunning(), this.health.isIsolated(),
+				this.health.isIsolated() && this.health.mayRun(now),
 				(long) (backlogTokens(now) * speed(now).prefillMillisPerToken()), (long) serviceMillis(now),
 				speed(now));
 	}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/limit/QuotaAccountTests.java
@@ -0,0 +1,69 @@
+package org.sardineport.core.limit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QuotaAccountTests {
+
+	private static long spentIn(QuotaAccount account, long millis, boolean top) {
+		long spent = 0;
+		for (long now = 0; now < millis; now += 10) {
+			spent += (account.spend(10, top, 1000, 4, now)) ? 10 : 0;
+		}
+		return spent;
+	}
+
+	@Test
+	void spendsAnEvenShareWithoutASlice() {
+		long spent = spentIn(QuotaAccount.open(1000, 4, 0), 10_000, false);
+		assertThat(spent).isBetween(2400L, 2800L);
+	}
+
+	@Test
+	void topTierMayOverdrawByOneSecondOfTheLimit() {
+		long spent = spentIn(QuotaAccount.open(1000, 4, 0), 10_000, true);
+		assertThat(spent).isBetween(3400L, 3800L);
+	}
+
+	@Test
+	void largeRequestMayOverdrawOnceAndIsRepaid() {
+		QuotaAccount account = QuotaAccount.open(1000, 4, 0);
+		assertThat(account.spend(5000, false, 1000, 4, 0)).isTrue();
+		assertThat(account.spend(1, false, 1000, 4, 1000)).isFalse();
+		assertThat(account.retryAfterMillis()).isBetween(10_000L, 30_000L);
+		assertThat(account.spend(1, false, 1000, 4, 21_000)).isTrue();
+	}
+
+	@Test
+	void sliceAddsToTheAccountUntilItLapses() {
+		QuotaAccount account = QuotaAccount.open(1000, 4, 0);
+		account.spend(251, false, 1000, 4, 0);
+		account.demandToTell(0);
+		account.lease(400, 1000, account.sequence(), 0);
+		assertThat(account.spend(399, false, 1000, 4, 500)).isTrue();
+		assertThat(account.spend(1, false, 1000, 4, 500)).isFalse();
+	}
+
+	@Test
+	void answerThatComesTwiceCountsOnce() {
+		QuotaAccount account = QuotaAccount.open(1000, 4, 0);
+		account.spend(2000, false, 1000, 4, 0);
+		account.demandToTell(0);
+		for (int i = 0; i < 10; i++) {
+			account.lease(500, 1000, account.sequence(), 0);
+		}
+		assertThat(account.spend(1, false, 1000, 4, 100)).isFalse();
+	}
+
+	@Test
+	void tellsItsDemandOncePerPeriodAndNothingWhenIdle() {
+		QuotaAccount account = QuotaAccount.open(1000, 4, 0);
+		account.spend(100, false, 1000, 4, 0);
+		assertThat(account.demandToTell(0)).isEqualTo(125);
+		assertThat(account.demandToTell(100)).isEqualTo(-1);
+		assertThat(account.demandToTell(10_000)).isEqualTo(-1);
+		assertThat(account.isIdle(10_000)).isTrue();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/limit/ServerHealthTests.java
@@ -0,0 +1,68 @@
+package org.sardineport.core.limit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ServerHealthTests {
+
+	private static ServerHealth isolated(long now) {
+		ServerHealth health = ServerHealth.create();
+		for (int i = 0; i < 3; i++) {
+			health.began();
+			health.failed(now);
+		}
+		return health;
+	}
+
+	@Test
+	void staysWellWhileFailuresAreNotInARow() {
+		ServerHealth health = ServerHealth.create();
+		for (int i = 0; i < 10; i++) {
+			health.failed(0);
+			health.failed(0);
+			health.succeeded();
+		}
+		assertThat(health.isIsolated()).isFalse();
+	}
+
+	@Test
+	void isolatesThenLetsOneProbeThrough() {
+		ServerHealth health = isolated(0);
+		assertThat(health.mayRun(999)).isFalse();
+		assertThat(health.millisUntilProbe(400)).isEqualTo(600);
+		assertThat(health.mayRun(1000)).isTrue();
+		health.began();
+		assertThat(health.mayRun(5000)).isFalse();
+		health.succeeded();
+		assertThat(health.isIsolated()).isFalse();
+	}
+
+	@Test
+	void waitsTwiceAsLongAfterAFailedProbeUpToABound() {
+		ServerHealth health = isolated(0);
+		long now = 0;
+		for (int i = 0; i < 10; i++) {
+			now += health.millisUntilProbe(now);
+			health.began();
+			health.failed(now);
+		}
+		assertThat(health.millisUntilProbe(now)).isEqualTo(30_000);
+	}
+
+	@Test
+	void probeThatSaysNothingLetsAnotherThrough() {
+		ServerHealth health = isolated(0);
+		health.began();
+		health.ended();
+		assertThat(health.mayRun(1000)).isTrue();
+	}
+
+	@Test
+	void lateFailuresOfEarlierRunsDoNotProlongTheIsolation() {
+		ServerHealth health = isolated(0);
+		health.failed(900);
+		assertThat(health.mayRun(1000)).isTrue();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/scheduling/OwnerQueueTests.java
@@ -0,0 +1,104 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.RunningPolicy;
+import org.sardineport.core.request.Tier;
+import org.sardineport.core.request.TokenEstimate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OwnerQueueTests {
+
+	private final OwnerQueue queue = new OwnerQueue();
+
+	private int requests;
+
+	private WaitingRequest add(Tier tier, String organisation, int tokens, long deadline) {
+		RequestId id = RequestId.of("r" + this.requests++);
+		WaitingRequest waiting = new WaitingRequest(new PermitRequest(id, BackendServerId.of("s"), PoolName.of("model"),
+				OrganisationId.of(organisation), tier, TokenEstimate.of(tokens, 0), 0, RunningPolicy.CANCELLABLE,
+				Fingerprint.of(1, 1), Duration.ofSeconds(1), false), DaemonId.of("a"), deadline);
+		this.queue.add(waiting);
+		return waiting;
+	}
+
+	private WaitingRequest poll() {
+		WaitingRequest next = this.queue.peek();
+		assertThat(next).isNotNull();
+		this.queue.take(next);
+		return next;
+	}
+
+	@Test
+	void goesByTierThenByDeadline() {
+		WaitingRequest batch = add(Tier.BATCH, "o", 10, 1);
+		WaitingRequest late = add(Tier.URGENT, "o", 10, 9);
+		WaitingRequest early = add(Tier.URGENT, "o", 10, 5);
+		assertThat(poll()).isEqualTo(early);
+		assertThat(poll()).isEqualTo(late);
+		assertThat(poll()).isEqualTo(batch);
+		assertThat(this.queue.peek()).isNull();
+	}
+
+	@Test
+	void organisationsGetEqualTokensWhateverTheSizeOfTheirRequests() {
+		for (int i = 0; i < 400; i++) {
+			add(Tier.STANDARD, "small", 500, i);
+			add(Tier.STANDARD, "large", 20_000, i);
+		}
+		Map<String, Integer> tokens = new HashMap<>();
+		for (int i = 0; i < 300; i++) {
+			WaitingRequest next = poll();
+			tokens.merge(next.ask().organisation().value(), next.ask().estimate().total(), Integer::sum);
+		}
+		assertThat((double) tokens.get("small") / tokens.get("large")).isBetween(0.75, 1.33);
+	}
+
+	@Test
+	void organisationDoesNotSaveUpTurnsWhileItHasNothingToSend() {
+		add(Tier.STANDARD, "idle", 10, 1);
+		poll();
+		for (int i = 0; i < 50; i++) {
+			add(Tier.STANDARD, "busy", 2000, i);
+			poll();
+		}
+		for (int i = 0; i < 10; i++) {
+			add(Tier.STANDARD, "idle", 2000, i);
+			add(Tier.STANDARD, "busy", 2000, i);
+		}
+		int idle = 0;
+		for (int i = 0; i < 10; i++) {
+			idle += (poll().ask().organisation().value().equals("idle")) ? 1 : 0;
+		}
+		assertThat(idle).isBetween(4, 6);
+	}
+
+	@Test
+	void countsWhatGoesBeforeANewRequest() {
+		add(Tier.URGENT, "o", 10, 1);
+		add(Tier.STANDARD, "o", 10, 1);
+		add(Tier.BATCH, "o", 10, 1);
+		assertThat(this.queue.sizeUpTo(Tier.URGENT)).isEqualTo(1);
+		assertThat(this.queue.sizeUpTo(Tier.STANDARD)).isEqualTo(2);
+		assertThat(this.queue.sizeUpTo(Tier.BATCH)).isEqualTo(3);
+	}
+
+	@Test
+	void droppedRequestsLeaveNoTrace() {
+		add(Tier.STANDARD, "o", 10, 1);
+		assertThat(this.queue.removeIf((waiting) -> true)).hasSize(1);
+		assertThat(this.queue.size()).isZero();
+		assertThat(this.queue.peek()).isNull();
+	}
+
+}
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -292,6 +294,43 @@
 		assertThat(fleet.submit("a", Tier.STANDARD).isGranted()).isTrue();
 	}
 
+	@ParameterizedTest
+	@EnumSource
+	void isolatedServerIsProbedThoughOthersHaveRoom(Asker asker) {
+		SchedulingFixture fleet = new SchedulingFixture().daemons("a", "b")
+			.server("s1", 4, "a")
+			.server("s2", 4, "a")
+			.tellFleet();
+		for (int failures = 0; failures < 3;) {
+			Caller caller = submitAndDeliver(fleet, asker.daemon);
+			boolean first = caller.permit().backendServer().id().equals(BackendServerId.of("s1"));
+			failures += (first) ? 1 : 0;
+			if (first) {
+				caller.end(RunEnd.NOT_CONNECTED);
+			}
+			else {
+				caller.complete(SECOND, SECOND);
+			}
+			fleet.deliver();
+		}
+		fleet.advanceAndDeliver(Duration.ofSeconds(asker.idleSeconds));
+		Set<BackendServerId> used = new HashSet<>();
+		for (int i = 0; i < 400; i++) {
+			Caller caller = submitAndDeliver(fleet, asker.daemon);
+			used.add(caller.permit().backendServer().id());
+			caller.complete(Duration.ofMillis(10), Duration.ofMillis(20));
+			fleet.advanceAndDeliver(Duration.ofMillis(50));
+		}
+		assertThat(used).hasSize(2);
+	}
+
+	private static Caller submitAndDeliver(SchedulingFixture fleet, String daemon) {
+		Caller caller = fleet.submit(daemon, Tier.STANDARD);
+		fleet.deliver();
+		assertThat(caller.isGranted()).isTrue();
+		return caller;
+	}
+
 	@Test
 	void requestThatBrokeTwoServersIsQuarantinedAndItsNeighbourIsNot() {
 		SchedulingFixture fleet = new SchedulingFixture().daemons("a")
@@ -342,6 +381,24 @@
 		assertThat(last.refusal().retryAfter()).isPositive();
 	}
 
+	/**
+	 * Who asks for permits while a backend server is isolated.
+	 */
+	enum Asker {
+
+		OWNER("a", 0), ANOTHER_DAEMON("b", 0), ANOTHER_DAEMON_AFTER_A_PAUSE("b", 60);
+
+		private final String daemon;
+
+		private final int idleSeconds;
+
+		Asker(String daemon, int idleSeconds) {
+			this.daemon = daemon;
+			this.idleSeconds = idleSeconds;
+		}
+
+	}
+
 	/**
 	 * A message that is lost on its way.
 	 */
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
@@ -355,6 +355,32 @@
     prefillMillisBase_ = 0D;
   }
 
+  public static final int PROBE_DUE_FIELD_NUMBER = 13;
+  private boolean probeDue_;
+  /**
+   * <code>bool probe_due = 13;</code>
+   * @return The probeDue.
+   */
+  @java.lang.Override
+  public boolean getProbeDue() {
+    return probeDue_;
+  }
+  /**
+   * <code>bool probe_due = 13;</code>
+   * @param value The probeDue to set.
+   */
+  private void setProbeDue(boolean value) {
+    
+    probeDue_ = value;
+  }
+  /**
+   * <code>bool probe_due = 13;</code>
+   */
+  private void clearProbeDue() {
+
+    probeDue_ = false;
+  }
+
   public static org.sardineport.wire.message.ServerDigest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -813,6 +839,34 @@
       return this;
     }
 
+    /**
+     * <code>bool probe_due = 13;</code>
+     * @return The probeDue.
+     */
+    @java.lang.Override
+    public boolean getProbeDue() {
+      return instance.getProbeDue();
+    }
+    /**
+     * <code>bool probe_due = 13;</code>
+     * @param value The probeDue to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProbeDue(boolean value) {
+      copyOnWrite();
+      instance.setProbeDue(value);
+      return this;
+    }
+    /**
+     * <code>bool probe_due = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProbeDue() {
+      copyOnWrite();
+      instance.clearProbeDue();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ServerDigest)
   }
   @java.lang.Override
@@ -841,11 +895,12 @@
             "decodeMillisBase_",
             "decodeMillisPerRunning_",
             "prefillMillisBase_",
+            "probeDue_",
           };
           java.lang.String info =
-              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0208\u0002\u000b\u0003\u000b" +
+              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0000\u0000\u0001\u0208\u0002\u000b\u0003\u000b" +
               "\u0004\u000b\u0005\u0007\u0006\u0007\u0007\u000b\b\u000b\t\u0000\n\u0000\u000b\u0000" +
-              "\f\u0000";
+              "\f\u0000\r\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
@@ -87,4 +87,10 @@
    * @return The prefillMillisBase.
    */
   double getPrefillMillisBase();
+
+  /**
+   * <code>bool probe_due = 13;</code>
+   * @return The probeDue.
+   */
+  boolean getProbeDue();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -132,7 +132,7 @@
 
 	private static ServerState state(org.sardineport.wire.message.ServerDigest wire) {
 		return new ServerState(server(wire.getBackendServer()), wire.getRunning(), wire.getWaiting(),
-				Math.max(1, wire.getLimit()), wire.getLowerTierRunning(), wire.getIsolated(),
+				Math.max(1, wire.getLimit()), wire.getLowerTierRunning(), wire.getIsolated(), wire.getProbeDue(),
 				wire.getPrefillBacklogMillis(), wire.getServiceMillis(), new Speed(wire.getPrefillMillisBase(),
 						wire.getPrefillMillisPerToken(), wire.getDecodeMillisBase(), wire.getDecodeMillisPerRunning()));
 	}
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -162,6 +162,7 @@
 			.setLimit(state.limit())
 			.setLowerTierRunning(state.lowerTierRunning())
 			.setIsolated(state.isolated())
+			.setProbeDue(state.probeDue())
 			.setPrefillBacklogMillis((int) Math.min(Integer.MAX_VALUE, state.prefillBacklogMillis()))
 			.setServiceMillis((int) Math.min(Integer.MAX_VALUE, state.serviceMillis()))
 			.setPrefillMillisBase(state.speed().prefillMillisBase())
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -44,7 +44,7 @@
 
 	private static final BackendServerId SERVER = BackendServerId.of("s1");
 
-	private static final ServerState STATE = new ServerState(SERVER, 3, 2, 8, true, false, 17, 900,
+	private static final ServerState STATE = new ServerState(SERVER, 3, 2, 8, true, true, true, 17, 900,
 			new Speed(40, 0.25, 12.5, 1.5));
 
 	private static PermitRequest request() {
