Outlast an owner's silence, and split the entry side

Cause: a request whose only owner was silent was refused after one short wait, the top tier too, although ownership moves within seconds. It now waits for news of the fleet up to its deadline; the new test failed before. Routing, running requests, and the ledger of strikes and tokens are classes of their own.

--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryLedger.java
@@ -0,0 +1,94 @@
+package org.sardineport.core.scheduling;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.quarantine.StrikeBook;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.ServerView;
+
+/**
+ * What an entry keeps beyond the requests themselves: strikes, tokens of organisations,
+ * and hits of prefix caches. Not safe for use by several threads.
+ */
+final class EntryLedger {
+
+	private final PoolDirectory directory;
+
+	private final StrikeBook strikes;
+
+	private final QuotaDesk quotas;
+
+	private final InstantSource clock;
+
+	EntryLedger(PoolDirectory directory, StrikeBook strikes, QuotaDesk quotas, InstantSource clock) {
+		this.directory = directory;
+		this.strikes = strikes;
+		this.quotas = quotas;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the refusal of a request that is quarantined.
+	 * @param request the request
+	 * @return the refusal, or empty if it may run
+	 */
+	Optional<Refusal> quarantine(SchedulingRequest request) {
+		Instant now = this.clock.instant();
+		return this.strikes.quarantinedUntil(request.fingerprint(), now)
+			.map((until) -> Refusal.retryAfter(RefusalReason.QUARANTINED,
+					"backend servers died while they ran this request", Duration.between(now, until)));
+	}
+
+	/**
+	 * Spends the tokens of a request that arrives.
+	 * @param request the request
+	 * @return the refusal, or empty if its organisation may go on
+	 */
+	Optional<Refusal> spend(SchedulingRequest request) {
+		return this.quotas.spend(request, this.clock.millis());
+	}
+
+	/**
+	 * Gives back the tokens of a request that did not run.
+	 * @param request the request
+	 */
+	void refund(SchedulingRequest request) {
+		this.quotas.refund(request);
+	}
+
+	/**
+	 * Learns from the end of a run.
+	 * @param run the run
+	 * @param measurement what was measured
+	 */
+	void ended(RunningRequest run, RunMeasurement measurement) {
+		SchedulingRequest request = run.request();
+		if (measurement.end() == RunEnd.BROKEN) {
+			this.strikes.strike(request.fingerprint(), run.permit().backendServer().id(), this.clock.instant());
+		}
+		else if (measurement.end() == RunEnd.COMPLETED) {
+			this.strikes.clear(request.fingerprint());
+			observeCache(run, measurement);
+		}
+		else if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
+			this.quotas.refund(request);
+		}
+	}
+
+	private void observeCache(RunningRequest run, RunMeasurement measurement) {
+		PoolRouter router = this.directory.router(run.request().pool());
+		ServerView view = this.directory.view(run.permit().backendServer().id());
+		if (router != null && view != null && router.isHome(view, run.request().prefixHash())) {
+			router.observeHome(measurement.promptTokens(), measurement.cachedPromptTokens());
+		}
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -1,18 +1,13 @@
 package org.sardineport.core.scheduling;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
@@ -24,12 +19,9 @@
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.quarantine.StrikeBook;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
-import org.sardineport.core.routing.PoolRouter;
-import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.routing.ServerView;
 
@@ -53,24 +45,12 @@
 	/** Time between two questions for a queued request. */
 	private static final long REFRESH_MILLIS = 2000;
 
-	/** Time at an owner before a queued request may move. */
-	private static final long SETTLE_MILLIS = 200;
-
-	/** Gain for which a queued request moves, in milliseconds. */
-	private static final long LEAST_GAIN_MILLIS = 100;
-
 	/** Time to wait for news of the fleet when no backend server may be asked. */
 	private static final long BACKOFF_MILLIS = 100;
 
-	/** Time for which the backend servers of a silent owner are not chosen. */
-	private static final long SILENT_MILLIS = 3000;
-
 	/** Time after which a caller is told to come back when nothing better is known. */
 	private static final long RETRY_AFTER_MILLIS = 1000;
 
-	/** Reports after a release, so that an owner which missed it frees the permit. */
-	private static final int REPORTS_AFTER_RELEASE = 3;
-
 	private final SchedulingLimits limits;
 
 	private final PoolDirectory directory;
@@ -81,29 +61,26 @@
 
 	private final OwnerReplies outbox;
 
-	private final StrikeBook strikes;
-
-	private final QuotaDesk quotas;
+	private final EntryLedger ledger;
 
 	private final RetryBudget budget = RetryBudget.create();
 
 	private final Map<RequestId, PendingRequest> pending = new LinkedHashMap<>();
 
-	private final Map<RequestId, RunningRequest> running = new LinkedHashMap<>();
-
-	private final Map<BackendServerId, Integer> reportsDue = new HashMap<>();
+	private final RunningRequests running;
 
-	private final Map<DaemonId, Long> silentUntil = new HashMap<>();
+	private final EntryRouting routing;
 
 	EntryScheduler(SchedulingLimits limits, PoolDirectory directory, InstantSource clock, SchedulingEffects effects,
-			OwnerReplies outbox, StrikeBook strikes, QuotaDesk quotas) {
+			OwnerReplies outbox, EntryLedger ledger) {
 		this.limits = limits;
 		this.directory = directory;
 		this.clock = clock;
 		this.effects = effects;
 		this.outbox = outbox;
-		this.strikes = strikes;
-		this.quotas = quotas;
+		this.ledger = ledger;
+		this.running = new RunningRequests(directory, outbox);
+		this.routing = new EntryRouting(directory, clock);
 	}
 
 	void submit(SchedulingRequest request, PermitListener listener) {
@@ -122,21 +99,14 @@
 		if (!this.clock.instant().isBefore(request.deadline())) {
 			return Optional.of(retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed", RETRY_AFTER_MILLIS));
 		}
-		Optional<Refusal> quarantine = quarantine(request);
+		Optional<Refusal> quarantine = this.ledger.quarantine(request);
 		if (quarantine.isPresent()) {
 			return quarantine;
 		}
 		if (this.pending.size() >= this.limits.maximumWaiting() && !evictFor(request)) {
 			return Optional.of(retryAfter(RefusalReason.OVERLOADED, "too many requests wait here", RETRY_AFTER_MILLIS));
 		}
-		return this.quotas.spend(request, this.clock.millis());
-	}
-
-	private Optional<Refusal> quarantine(SchedulingRequest request) {
-		Instant now = this.clock.instant();
-		return this.strikes.quarantinedUntil(request.fingerprint(), now)
-			.map((until) -> retryAfter(RefusalReason.QUARANTINED, "backend servers died while they ran this request",
-					Duration.between(now, until).toMillis()));
+		return this.ledger.spend(request);
 	}
 
 	/**
@@ -160,41 +130,22 @@
 		PendingRequest waiting = this.pending.remove(request);
 		if (waiting != null) {
 			withdraw(waiting);
-			this.quotas.refund(waiting.request());
+			this.ledger.refund(waiting.request());
 		}
 	}
 
 	void release(Permit permit, RunMeasurement measurement) {
-		RunningRequest run = this.running.remove(permit.request());
+		RunningRequest run = this.running.end(permit.request());
 		if (run == null) {
 			return;
 		}
-		learn(run, measurement);
+		this.ledger.ended(run, measurement);
 		PermitRelease release = new PermitRelease(permit.request(), permit.backendServer().id(), measurement);
 		this.outbox.send(run.owner(), release);
 		ServerView view = this.directory.view(permit.backendServer().id());
 		if (view != null && view.owner() != null && !view.owner().equals(run.owner())) {
 			this.outbox.send(view.owner(), release);
 		}
-		this.reportsDue.put(permit.backendServer().id(), REPORTS_AFTER_RELEASE);
-	}
-
-	private void learn(RunningRequest run, RunMeasurement measurement) {
-		SchedulingRequest request = run.request();
-		if (measurement.end() == RunEnd.BROKEN) {
-			this.strikes.strike(request.fingerprint(), run.permit().backendServer().id(), this.clock.instant());
-		}
-		else if (measurement.end() == RunEnd.COMPLETED) {
-			this.strikes.clear(request.fingerprint());
-			PoolRouter router = this.directory.router(request.pool());
-			ServerView view = this.directory.view(run.permit().backendServer().id());
-			if (router != null && view != null && router.isHome(view, request.prefixHash())) {
-				router.observeHome(measurement.promptTokens(), measurement.cachedPromptTokens());
-			}
-		}
-		else if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
-			this.quotas.refund(request);
-		}
 	}
 
 	void granted(DaemonId owner, PermitGrant grant) {
@@ -206,7 +157,7 @@
 		}
 		this.pending.remove(grant.request());
 		waiting.answered();
-		Optional<Refusal> quarantine = quarantine(waiting.request());
+		Optional<Refusal> quarantine = this.ledger.quarantine(waiting.request());
 		if (quarantine.isPresent()) {
 			giveBack(owner, grant);
 			refuse(waiting, quarantine.get());
@@ -214,8 +165,7 @@
 		}
 		Permit permit = new Permit(grant.request(), view.server(), this.clock.instant().plus(grant.valid()));
 		PermitRequest ask = waiting.ask(view, this.clock.millis());
-		this.running.put(grant.request(),
-				new RunningRequest(waiting.request(), waiting.listener(), permit, ask, owner));
+		this.running.add(new RunningRequest(waiting.request(), waiting.listener(), permit, ask, owner));
 		waiting.listener().granted(permit);
 	}
 
@@ -267,14 +217,13 @@
 
 	private void retry(PendingRequest waiting, RetryReason reason, boolean newsExpected) {
 		boolean top = waiting.request().tier().isTop();
-		ServerView next = best(waiting);
-		boolean hopeless = next != null && !newsExpected && !suits(waiting, next);
+		ServerView next = this.routing.best(waiting);
+		boolean hopeless = next != null && !newsExpected && !this.routing.suits(waiting, next);
 		if (!top && (hopeless || waiting.retried() > MOST_RETRIES)) {
 			refuseDenied(waiting);
 		}
 		else if (!top && !this.budget.trySpend()) {
-			refuse(waiting, retryAfter(RefusalReason.RETRY_BUDGET_SPENT, "the budget of retries is spent",
-					Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+			refuse(waiting, RefusalReason.RETRY_BUDGET_SPENT, "the budget of retries is spent");
 		}
 		else {
 			this.effects.retried(reason);
@@ -289,44 +238,20 @@
 
 	private void askBest(PendingRequest waiting) {
 		boolean top = waiting.request().tier().isTop();
-		ServerView best = best(waiting);
+		ServerView best = this.routing.best(waiting);
 		if (best == null && top && waiting.beginPreemption()) {
-			best = best(waiting);
+			best = this.routing.best(waiting);
 		}
 		if (best == null) {
 			refuseDenied(waiting);
 			return;
 		}
-		if (top && !suits(waiting, best)) {
+		if (top && !this.routing.suits(waiting, best)) {
 			waiting.allowPreemption();
 		}
 		ask(waiting, best);
 	}
 
-	private boolean suits(PendingRequest waiting, ServerView view) {
-		PoolRouter router = this.directory.router(waiting.request().pool());
-		long now = this.clock.millis();
-		return router != null && router.suits(view, waiting.routing(now), now);
-	}
-
-	private @Nullable ServerView best(PendingRequest waiting) {
-		PoolRouter router = this.directory.router(waiting.request().pool());
-		if (router == null) {
-			return null;
-		}
-		long now = this.clock.millis();
-		Predicate<ServerView> allowed = (view) -> !waiting.hasTried(view) && !isSilent(view.owner(), now);
-		return router.choose(waiting.routing(now), allowed, now);
-	}
-
-	private boolean isSilent(@Nullable DaemonId owner, long now) {
-		if (this.silentUntil.isEmpty() || owner == null) {
-			return owner == null;
-		}
-		Long until = this.silentUntil.get(owner);
-		return until != null && until > now;
-	}
-
 	private void ask(PendingRequest waiting, ServerView view) {
 		DaemonId owner = view.owner();
 		if (owner == null) {
@@ -339,14 +264,17 @@
 	}
 
 	private void refuseDenied(PendingRequest waiting) {
-		RefusalReason reason = waiting.denial().refusalReason();
-		refuse(waiting, retryAfter(reason, "no backend server of the pool has room in time",
-				Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+		refuse(waiting, waiting.denial().refusalReason(), "no backend server of the pool has room in time");
+	}
+
+	private void refuse(PendingRequest waiting, RefusalReason reason, String detail) {
+		long millis = Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis());
+		refuse(waiting, retryAfter(reason, detail, millis));
 	}
 
 	private void refuse(PendingRequest waiting, Refusal refusal) {
 		this.pending.remove(waiting.request().id());
-		this.quotas.refund(waiting.request());
+		this.ledger.refund(waiting.request());
 		waiting.listener().refused(refusal);
 	}
 
@@ -365,7 +293,7 @@
 
 	void tick() {
 		long now = this.clock.millis();
-		this.silentUntil.values().removeIf((until) -> until <= now);
+		this.routing.tick();
 		for (PendingRequest waiting : new ArrayList<>(this.pending.values())) {
 			if (this.pending.containsKey(waiting.request().id())) {
 				tick(waiting, now);
@@ -376,19 +304,28 @@
 	private void tick(PendingRequest waiting, long now) {
 		if (waiting.deadline() <= now) {
 			withdraw(waiting);
-			refuse(waiting, retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed before its turn",
-					Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis())));
+			refuse(waiting, RefusalReason.DEADLINE_PASSED, "the deadline passed before its turn");
 		}
 		else if (waiting.isBackingOff()) {
-			if (waiting.backoffUntil() <= now) {
-				askBest(waiting);
-			}
+			askAfterBackoff(waiting, now);
 		}
 		else if (waiting.isSilentSince(now - patience(waiting))) {
 			askAgain(waiting, now);
 		}
-		else if (waiting.isQueued()) {
-			moveIfBetter(waiting, now);
+		else if (waiting.isQueued() && waiting.moves() < MOST_MOVES) {
+			moveIfBetter(waiting);
+		}
+	}
+
+	private void askAfterBackoff(PendingRequest waiting, long now) {
+		if (waiting.backoffUntil() > now) {
+			return;
+		}
+		if (this.routing.best(waiting) == null && this.routing.isAnyOwnerSilent()) {
+			waiting.backOff(now + BACKOFF_MILLIS);
+		}
+		else {
+			askBest(waiting);
 		}
 	}
 
@@ -408,31 +345,18 @@
 			this.outbox.send(owner, waiting.ask(view, now));
 			return;
 		}
-		this.silentUntil.put(owner, now + SILENT_MILLIS);
+		this.routing.silent(owner);
 		withdraw(waiting);
 		retry(waiting, RetryReason.OWNER_SILENT, true);
 	}
 
-	private void moveIfBetter(PendingRequest waiting, long now) {
-		ServerView current = waiting.server();
-		PoolRouter router = this.directory.router(waiting.request().pool());
-		if (current == null || router == null || waiting.moves() >= MOST_MOVES
-				|| !waiting.isPlacedBefore(now - SETTLE_MILLIS)) {
-			return;
-		}
-		RoutingRequest request = waiting.routing(now);
-		ServerView other = router.choose(request, (view) -> view != current && view.hasRoom(now)
-				&& !view.state().isolated() && !isSilent(view.owner(), now), now);
-		if (other == null) {
-			return;
-		}
-		double there = router.finishMillis(other, request, now);
-		double here = router.finishMillis(current, waiting.routing(now, true), now) + waiting.remainingWaitMillis(now);
-		if (there + LEAST_GAIN_MILLIS < here) {
+	private void moveIfBetter(PendingRequest waiting) {
+		ServerView better = this.routing.better(waiting);
+		if (better != null) {
 			waiting.moved();
 			this.effects.retried(RetryReason.OWNER_FULL);
 			withdraw(waiting);
-			ask(waiting, other);
+			ask(waiting, better);
 		}
 	}
 
@@ -457,55 +381,18 @@
 				ask(waiting, now);
 			}
 		}
-		tellNewOwners();
+		this.running.tellNewOwners();
+	}
+
+	int waiting() {
+		return this.pending.size();
 	}
 
 	/**
-	 * Tells other daemons all that this one runs on their backend servers, also where its
-	 * last run has ended lately.
+	 * Tells other daemons what runs on their backend servers.
 	 */
 	void report() {
-		Set<BackendServerId> due = new LinkedHashSet<>(this.reportsDue.keySet());
-		this.running.values().forEach((run) -> due.add(run.permit().backendServer().id()));
-		this.reportsDue.replaceAll((id, times) -> times - 1);
-		this.reportsDue.values().removeIf((times) -> times <= 0);
-		due.forEach(this::report);
-	}
-
-	private void report(BackendServerId id) {
-		ServerView view = this.directory.view(id);
-		if (view != null && view.owner() != null && !this.directory.isOwner(id)) {
-			this.outbox.send(view.owner(), runningPermits(id));
-		}
-	}
-
-	private RunningPermits runningPermits(BackendServerId id) {
-		return new RunningPermits(id,
-				this.running.values()
-					.stream()
-					.filter((run) -> run.permit().backendServer().id().equals(id))
-					.map(RunningRequest::ask)
-					.toList());
-	}
-
-	private void tellNewOwners() {
-		Set<BackendServerId> moved = new LinkedHashSet<>();
-		for (RunningRequest run : this.running.values()) {
-			BackendServerId id = run.permit().backendServer().id();
-			if (!this.directory.isOwner(run.owner(), id)) {
-				moved.add(id);
-			}
-		}
-		for (BackendServerId id : moved) {
-			ServerView view = this.directory.view(id);
-			if (view != null && view.owner() != null) {
-				this.outbox.send(view.owner(), runningPermits(id));
-			}
-		}
-	}
-
-	int waiting() {
-		return this.pending.size();
+		this.running.report();
 	}
 
 	int running() {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -81,7 +81,8 @@
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, random);
 		this.quotas = new QuotaDesk(this.directory, this::send);
-		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send, this.strikes, this.quotas);
+		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
+				new EntryLedger(this.directory, this.strikes, this.quotas, clock));
 	}
 
 	/**
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -217,6 +217,19 @@
 		assertThat(fleet.retries).contains(RetryReason.OWNER_SILENT);
 	}
 
+	@Test
+	void topTierOutlastsTheSilenceOfTheOnlyOwner() {
+		SchedulingFixture fleet = pair(2);
+		Caller caller = fleet.submit("a", Tier.URGENT);
+		for (int i = 0; i < 200; i++) {
+			fleet.advance(Duration.ofMillis(25));
+			fleet.sent.clear();
+		}
+		assertThat(caller.isRefused()).isFalse();
+		fleet.advanceAndDeliver(Duration.ofSeconds(6));
+		assertThat(caller.isGranted()).isTrue();
+	}
+
 	@Test
 	void newOwnerLearnsWhatRuns() {
 		SchedulingFixture fleet = pair(2);
