--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -337,17 +337,15 @@
 	private void askAgain(PendingRequest waiting, long now) {
 		ServerView view = waiting.server();
 		DaemonId owner = waiting.owner();
-		if (view == null || owner == null) {
-			return;
-		}
-		if (waiting.silences() < MOST_SILENCES) {
+		if (view != null && owner != null && waiting.silences() < MOST_SILENCES) {
 			waiting.askedAgain(now);
 			this.outbox.send(owner, waiting.ask(view, now));
-			return;
 		}
-		this.routing.silent(owner);
-		withdraw(waiting);
-		retry(waiting, RetryReason.OWNER_SILENT, true);
+		else if (owner != null) {
+			this.routing.silent(owner);
+			withdraw(waiting);
+			retry(waiting, RetryReason.OWNER_SILENT, true);
+		}
 	}
 
 	private void moveIfBetter(PendingRequest waiting) {
