Keep what an owner learned when ownership comes back

Cause: a daemon that lost and regained a backend server began with unknown speeds, no isolation and the full limit. The test failed before.

--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -58,12 +58,20 @@
 
 	private boolean resumesStreams;
 
-	PermitOwner(BackendServer server, OwnerReplies replies, Duration permitLifetime, long now) {
+	/**
+	 * Creates an owner that counts nothing yet.
+	 * @param server the backend server
+	 * @param model what this daemon learned of it when it owned it before
+	 * @param replies where answers go
+	 * @param permitLifetime time within which a permit must be used
+	 * @param now the current time
+	 */
+	PermitOwner(BackendServer server, ServerModel model, OwnerReplies replies, Duration permitLifetime, long now) {
 		this.server = Objects.requireNonNull(server, "server must not be null");
 		this.replies = Objects.requireNonNull(replies, "replies must not be null");
 		this.permitLifetime = Objects.requireNonNull(permitLifetime, "permitLifetime must not be null");
 		this.running = new RunningCount(now);
-		this.model = new ServerModel(server);
+		this.model = Objects.requireNonNull(model, "model must not be null");
 		this.settledAt = now + SETTLING_MILLIS;
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -63,6 +63,8 @@
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
 
+	private final Map<BackendServerId, ServerModel> models = new HashMap<>();
+
 	private final Map<BackendServerId, Map<DaemonId, Long>> interested = new HashMap<>();
 
 	private final Deque<SchedulingMessage> toSelf = new ArrayDeque<>();
@@ -165,8 +167,20 @@
 		}
 		for (BackendServer server : this.directory.owned()) {
 			this.owners.computeIfAbsent(server.id(),
-					(id) -> new PermitOwner(server, this::send, this.limits.permitLifetime(), now));
+					(id) -> new PermitOwner(server, model(server), this::send, this.limits.permitLifetime(), now));
+		}
+		this.models.keySet().removeIf((id) -> this.directory.view(id) == null);
+	}
+
+	private ServerModel model(BackendServer server) {
+		ServerModel known = this.models.get(server.id());
+		if (known != null && known.server().equals(server)) {
+			known.ownedAgain();
+			return known;
 		}
+		ServerModel created = new ServerModel(server);
+		this.models.put(server.id(), created);
+		return created;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -77,6 +77,20 @@
 		this.limit = AdaptiveLimit.of(server.nominalConcurrency());
 	}
 
+	/**
+	 * Forgets what runs, but not what was learned.
+	 */
+	void ownedAgain() {
+		this.backlog = 0;
+		this.outstandingTokens = 0;
+		this.slowness = 1;
+		this.health.ended();
+	}
+
+	BackendServer server() {
+		return this.server;
+	}
+
 	AdaptiveLimit limit() {
 		return this.limit;
 	}
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -243,6 +243,18 @@
 		assertThat(fleet.scheduler("a").states().get(0).running()).isZero();
 	}
 
+	@Test
+	void ownerThatLosesAServerAndGetsItBackRemembersItsSpeed() {
+		SchedulingFixture fleet = alone(4).daemons("b").tellFleet();
+		fleet.submit("a", Tier.STANDARD).complete(Duration.ofSeconds(2), Duration.ofSeconds(10));
+		fleet.owners.put(BackendServerId.of("s1"), DaemonId.of("b"));
+		fleet.tellFleet();
+		fleet.owners.put(BackendServerId.of("s1"), DaemonId.of("a"));
+		fleet.tellFleet("b");
+		Caller late = fleet.submit("a", fleet.request(Tier.STANDARD, RunningPolicy.CANCELLABLE, SECOND));
+		assertThat(late.refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
+	}
+
 	@Test
 	void waitingRequestMovesToTheNewOwner() {
 		SchedulingFixture fleet = pair(2);
