--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -12,9 +12,9 @@
 /**
  * Runs one measurement by name and prints its table and its CSV.
  */
-@Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class, commands = { Help.class,
-		ConfigurationMeasurement.class, DecisionMeasurement.class, FleetMeasurement.class, PolicyMeasurement.class,
-		SlopeCommand.class })
+@Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
+		commands = { Help.class, ConfigurationMeasurement.class, DecisionMeasurement.class, FleetMeasurement.class,
+				PolicyMeasurement.class, SlopeCommand.class })
 public final class Main {
 
 	/** Exit code when every target was met. */
