Name classes by the field's terms, and follow a change of owner

Ledgers, books and desks become records, leases, a registry and quotas; the time to an owner follows its change; an accessor that nobody used is gone.

--- a/core/src/main/java/org/sardineport/core/limit/QuotaLedger.java
+++ b/core/src/main/java/org/sardineport/core/limit/QuotaLeases.java
@@ -10,22 +10,22 @@
  * rates leased at any time never exceed the limit. Times are milliseconds of one clock.
  * Not safe for use by several threads.
  */
-public final class QuotaLedger {
+public final class QuotaLeases {
 
 	/** Time for which a slice may be spent, in milliseconds. */
 	public static final long SLICE_MILLIS = 2 * QuotaAccount.PERIOD_MILLIS;
 
 	private final Map<DaemonId, Lease> leases = new HashMap<>();
 
-	private QuotaLedger() {
+	private QuotaLeases() {
 	}
 
 	/**
-	 * Returns a ledger without leases.
-	 * @return the ledger
+	 * Returns a register without leases.
+	 * @return the register
 	 */
-	public static QuotaLedger create() {
-		return new QuotaLedger();
+	public static QuotaLeases create() {
+		return new QuotaLeases();
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeBook.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -18,7 +18,7 @@
  * beside each other. A whole answer clears a request's strikes. Not safe for use by
  * several threads.
  */
-public final class StrikeBook {
+public final class StrikeRegistry {
 
 	/** Distinct backend servers whose strikes quarantine a request. */
 	private static final int SERVERS_TO_QUARANTINE = 2;
@@ -36,15 +36,15 @@
 
 	private final Map<Strike, Integer> timesShared = new HashMap<>();
 
-	private StrikeBook() {
+	private StrikeRegistry() {
 	}
 
 	/**
-	 * Returns a book without strikes.
-	 * @return the book
+	 * Returns a registry without strikes.
+	 * @return the registry
 	 */
-	public static StrikeBook create() {
-		return new StrikeBook();
+	public static StrikeRegistry create() {
+		return new StrikeRegistry();
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -19,9 +19,7 @@
 
 	private final BackendServer server;
 
-	private final boolean local;
-
-	private final double networkMillis;
+	private double networkMillis;
 
 	private @Nullable DaemonId owner;
 
@@ -33,10 +31,8 @@
 
 	private double pendingPrefillMillis;
 
-	private ServerView(BackendServer server, boolean local, double networkMillis) {
+	private ServerView(BackendServer server) {
 		this.server = server;
-		this.local = local;
-		this.networkMillis = networkMillis;
 		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, false, 0, 0,
 				Speed.UNKNOWN);
 	}
@@ -44,13 +40,11 @@
 	/**
 	 * Returns a view of a backend server of which nothing is known.
 	 * @param server the backend server
-	 * @param local whether it is in the failure domain of this daemon
-	 * @param networkMillis time that a request loses on the way there
 	 * @return the view
 	 */
-	public static ServerView of(BackendServer server, boolean local, double networkMillis) {
+	public static ServerView of(BackendServer server) {
 		Objects.requireNonNull(server, "server must not be null");
-		return new ServerView(server, local, networkMillis);
+		return new ServerView(server);
 	}
 
 	/**
@@ -61,14 +55,6 @@
 		return this.server;
 	}
 
-	/**
-	 * Returns whether it is in the failure domain of this daemon.
-	 * @return whether it is near
-	 */
-	public boolean isLocal() {
-		return this.local;
-	}
-
 	/**
 	 * Returns the daemon that grants its permits.
 	 * @return the owner, or {@code null} if no daemon can own it
@@ -80,9 +66,11 @@
 	/**
 	 * Changes the owner.
 	 * @param newOwner the owner, or {@code null}
+	 * @param newNetworkMillis time that a request loses on the way to both
 	 */
-	public void ownedBy(@Nullable DaemonId newOwner) {
+	public void ownedBy(@Nullable DaemonId newOwner, double newNetworkMillis) {
 		this.owner = newOwner;
+		this.networkMillis = newNetworkMillis;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryLedger.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRecords.java
@@ -8,7 +8,7 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
-import org.sardineport.core.quarantine.StrikeBook;
+import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.routing.PoolRouter;
@@ -18,17 +18,17 @@
  * What an entry keeps beyond the requests themselves: strikes, tokens of organisations,
  * and hits of prefix caches. Not safe for use by several threads.
  */
-final class EntryLedger {
+final class EntryRecords {
 
 	private final PoolDirectory directory;
 
-	private final StrikeBook strikes;
+	private final StrikeRegistry strikes;
 
-	private final QuotaDesk quotas;
+	private final OrganisationQuotas quotas;
 
 	private final InstantSource clock;
 
-	EntryLedger(PoolDirectory directory, StrikeBook strikes, QuotaDesk quotas, InstantSource clock) {
+	EntryRecords(PoolDirectory directory, StrikeRegistry strikes, OrganisationQuotas quotas, InstantSource clock) {
 		this.directory = directory;
 		this.strikes = strikes;
 		this.quotas = quotas;
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -59,9 +59,9 @@
 
 	private final SchedulingEffects effects;
 
-	private final OwnerReplies outbox;
+	private final MessageOutbox outbox;
 
-	private final EntryLedger ledger;
+	private final EntryRecords records;
 
 	private final RetryBudget budget = RetryBudget.create();
 
@@ -72,13 +72,13 @@
 	private final EntryRouting routing;
 
 	EntryScheduler(SchedulingLimits limits, PoolDirectory directory, InstantSource clock, SchedulingEffects effects,
-			OwnerReplies outbox, EntryLedger ledger) {
+			MessageOutbox outbox, EntryRecords records) {
 		this.limits = limits;
 		this.directory = directory;
 		this.clock = clock;
 		this.effects = effects;
 		this.outbox = outbox;
-		this.ledger = ledger;
+		this.records = records;
 		this.running = new RunningRequests(directory, outbox);
 		this.routing = new EntryRouting(directory, clock);
 	}
@@ -99,14 +99,14 @@
 		if (!this.clock.instant().isBefore(request.deadline())) {
 			return Optional.of(retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed", RETRY_AFTER_MILLIS));
 		}
-		Optional<Refusal> quarantine = this.ledger.quarantine(request);
+		Optional<Refusal> quarantine = this.records.quarantine(request);
 		if (quarantine.isPresent()) {
 			return quarantine;
 		}
 		if (this.pending.size() >= this.limits.maximumWaiting() && !evictFor(request)) {
 			return Optional.of(retryAfter(RefusalReason.OVERLOADED, "too many requests wait here", RETRY_AFTER_MILLIS));
 		}
-		return this.ledger.spend(request);
+		return this.records.spend(request);
 	}
 
 	/**
@@ -130,7 +130,7 @@
 		PendingRequest waiting = this.pending.remove(request);
 		if (waiting != null) {
 			withdraw(waiting);
-			this.ledger.refund(waiting.request());
+			this.records.refund(waiting.request());
 		}
 	}
 
@@ -139,7 +139,7 @@
 		if (run == null) {
 			return;
 		}
-		this.ledger.ended(run, measurement);
+		this.records.ended(run, measurement);
 		PermitRelease release = new PermitRelease(permit.request(), permit.backendServer().id(), measurement);
 		this.outbox.send(run.owner(), release);
 		ServerView view = this.directory.view(permit.backendServer().id());
@@ -157,7 +157,7 @@
 		}
 		this.pending.remove(grant.request());
 		waiting.answered();
-		Optional<Refusal> quarantine = this.ledger.quarantine(waiting.request());
+		Optional<Refusal> quarantine = this.records.quarantine(waiting.request());
 		if (quarantine.isPresent()) {
 			giveBack(owner, grant);
 			refuse(waiting, quarantine.get());
@@ -274,7 +274,7 @@
 
 	private void refuse(PendingRequest waiting, Refusal refusal) {
 		this.pending.remove(waiting.request().id());
-		this.ledger.refund(waiting.request());
+		this.records.refund(waiting.request());
 		waiting.listener().refused(refusal);
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/QuotaDesk.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
@@ -9,25 +9,25 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.limit.QuotaAccount;
-import org.sardineport.core.limit.QuotaLedger;
+import org.sardineport.core.limit.QuotaLeases;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 
 /**
- * Both sides of organisations' limits: accounts of this daemon as an entry, and ledgers
- * of the organisations whose limits it shares out. Not safe for use by several threads.
+ * Both sides of organisations' limits: accounts of this daemon as an entry, and leases of
+ * the organisations whose limits it shares out. Not safe for use by several threads.
  */
-final class QuotaDesk {
+final class OrganisationQuotas {
 
 	private final PoolDirectory directory;
 
-	private final OwnerReplies outbox;
+	private final MessageOutbox outbox;
 
 	private final Map<OrganisationId, QuotaAccount> accounts = new HashMap<>();
 
-	private final Map<OrganisationId, QuotaLedger> ledgers = new HashMap<>();
+	private final Map<OrganisationId, QuotaLeases> leases = new HashMap<>();
 
-	QuotaDesk(PoolDirectory directory, OwnerReplies outbox) {
+	OrganisationQuotas(PoolDirectory directory, MessageOutbox outbox) {
 		this.directory = directory;
 		this.outbox = outbox;
 	}
@@ -74,10 +74,10 @@
 	}
 
 	void asked(DaemonId entry, QuotaRequest request, long now) {
-		QuotaLedger ledger = this.ledgers.computeIfAbsent(request.organisation(), (key) -> QuotaLedger.create());
-		long tokens = ledger.lease(entry, request.tokens(), request.limitTokensPerSecond(), now);
+		QuotaLeases leases = this.leases.computeIfAbsent(request.organisation(), (key) -> QuotaLeases.create());
+		long tokens = leases.lease(entry, request.tokens(), request.limitTokensPerSecond(), now);
 		this.outbox.send(entry, new QuotaSlice(request.organisation(), tokens,
-				Duration.ofMillis(QuotaLedger.SLICE_MILLIS), request.sequence()));
+				Duration.ofMillis(QuotaLeases.SLICE_MILLIS), request.sequence()));
 	}
 
 	void leased(QuotaSlice slice, long now) {
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -40,7 +40,7 @@
 
 	private final BackendServer server;
 
-	private final OwnerReplies replies;
+	private final MessageOutbox replies;
 
 	private final Duration permitLifetime;
 
@@ -66,7 +66,7 @@
 	 * @param permitLifetime time within which a permit must be used
 	 * @param now the current time
 	 */
-	PermitOwner(BackendServer server, ServerModel model, OwnerReplies replies, Duration permitLifetime, long now) {
+	PermitOwner(BackendServer server, ServerModel model, MessageOutbox replies, Duration permitLifetime, long now) {
 		this.server = Objects.requireNonNull(server, "server must not be null");
 		this.replies = Objects.requireNonNull(replies, "replies must not be null");
 		this.permitLifetime = Objects.requireNonNull(permitLifetime, "permitLifetime must not be null");
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -99,11 +99,10 @@
 			DaemonId owner = owner(server);
 			ServerView view = old.get(server.id());
 			if (view == null || !view.server().equals(server)) {
-				boolean local = server.failureDomain().equals(domain);
-				view = ServerView.of(server, local,
-						((local) ? 0 : DOMAIN_MILLIS) + (this.self.equals(owner) ? 0 : OWNER_MILLIS));
+				view = ServerView.of(server);
 			}
-			view.ownedBy(owner);
+			double domainMillis = (server.failureDomain().equals(domain)) ? 0 : DOMAIN_MILLIS;
+			view.ownedBy(owner, domainMillis + ((this.self.equals(owner)) ? 0 : OWNER_MILLIS));
 			this.views.put(server.id(), view);
 			pools.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>()).add(view);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/RunningRequests.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/RunningRequests.java
@@ -23,13 +23,13 @@
 
 	private final PoolDirectory directory;
 
-	private final OwnerReplies outbox;
+	private final MessageOutbox outbox;
 
 	private final Map<RequestId, RunningRequest> running = new LinkedHashMap<>();
 
 	private final Map<BackendServerId, Integer> reportsDue = new HashMap<>();
 
-	RunningRequests(PoolDirectory directory, OwnerReplies outbox) {
+	RunningRequests(PoolDirectory directory, MessageOutbox outbox) {
 		this.directory = directory;
 		this.outbox = outbox;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -25,7 +25,7 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeBook;
+import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.routing.ServerState;
 
 /**
@@ -57,9 +57,9 @@
 
 	private final EntryScheduler entry;
 
-	private final QuotaDesk quotas;
+	private final OrganisationQuotas quotas;
 
-	private final StrikeBook strikes = StrikeBook.create();
+	private final StrikeRegistry strikes = StrikeRegistry.create();
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
 
@@ -82,9 +82,9 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, random);
-		this.quotas = new QuotaDesk(this.directory, this::send);
+		this.quotas = new OrganisationQuotas(this.directory, this::send);
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
-				new EntryLedger(this.directory, this.strikes, this.quotas, clock));
+				new EntryRecords(this.directory, this.strikes, this.quotas, clock));
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
@@ -0,0 +1,72 @@
+package org.sardineport.core.quarantine;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.request.Fingerprint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StrikeRegistryTests {
+
+	private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
+
+	private static final Fingerprint REQUEST = Fingerprint.of(1, 2);
+
+	private static final BackendServerId FIRST = BackendServerId.of("s1");
+
+	private static final BackendServerId SECOND = BackendServerId.of("s2");
+
+	private final StrikeRegistry registry = StrikeRegistry.create();
+
+	@Test
+	void oneServerDoesNotQuarantineHoweverOftenItDies() {
+		for (int i = 0; i < 10; i++) {
+			this.registry.strike(REQUEST, FIRST, NOW.plusSeconds(i));
+		}
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(10))).isEmpty();
+	}
+
+	@Test
+	void twoServersQuarantineUntilTheFirstStrikeExpires() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.strike(REQUEST, SECOND, NOW.plusSeconds(60));
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(60))).contains(NOW.plusSeconds(600));
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(600))).isEmpty();
+	}
+
+	@Test
+	void strikesHeardOfCountToo() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW)).contains(NOW.plusSeconds(100));
+	}
+
+	@Test
+	void strikeHeardOfCannotLastLongerThanAnOwnOne() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plus(Duration.ofDays(1))), NOW);
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(601))).isEmpty();
+	}
+
+	@Test
+	void wholeAnswerClearsARequest() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.clear(REQUEST);
+		this.registry.strike(REQUEST, SECOND, NOW);
+		assertThat(this.registry.quarantinedUntil(REQUEST, NOW)).isEmpty();
+	}
+
+	@Test
+	void tellsAStrikeSeveralTimesThenNoMore() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		int told = 0;
+		while (!this.registry.toShare(10).isEmpty() && told < 1000) {
+			told++;
+		}
+		assertThat(told).isBetween(2, 100);
+	}
+
+}
