--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -9,8 +9,9 @@
 
 /**
  * Chooses a backend server of one pool by predicted finish. Small pools are looked at
- * whole; of large ones a few are sampled, besides those that this daemon owns and the
- * home of the prompt's prefix. Not safe for use by several threads.
+ * whole. Of large ones those that this daemon owns, whose permits cost no message, and
+ * the home of the prompt's prefix go first; a few others are sampled if none of them has
+ * room and finishes in time. Not safe for use by several threads.
  */
 public final class PoolRouter {
 
@@ -18,11 +19,14 @@
 	private static final int SCANNED = 16;
 
 	/** Backend servers sampled from a larger pool. */
-	private static final int SAMPLES = 6;
+	private static final int SAMPLES = 4;
 
 	/** Most backend servers looked at because this daemon owns them. */
 	private static final int MOST_OWNED = 6;
 
+	/** Share of a prompt taken to be cached at its home until that was measured. */
+	private static final double FIRST_HIT_SHARE = 0.3;
+
 	/** Share of a new measurement in the mean share of cached prompts. */
 	private static final double HIT_WEIGHT = 0.05;
 
@@ -34,7 +38,7 @@
 
 	private final RandomGenerator random;
 
-	private double hitShare;
+	private double hitShare = FIRST_HIT_SHARE;
 
 	private PoolRouter(List<ServerView> servers, List<ServerView> owned, RandomGenerator random) {
 		this.servers = servers.toArray(new ServerView[0]);
@@ -99,6 +103,9 @@
 		if (home != null) {
 			best.consider(home);
 		}
+		if (best.isSettled()) {
+			return best.view;
+		}
 		for (int i = 0; i < SAMPLES; i++) {
 			best.consider(this.servers[this.random.nextInt(this.servers.length)]);
 		}
@@ -116,7 +123,7 @@
 	 * @return milliseconds from now
 	 */
 	public double finishMillis(ServerView view, RoutingRequest request, long now) {
-		return view.finishMillis(request, cachedShare(view, home(request.prefixHash())), now);
+		return view.finishMillis(request, cachedShare(view, home(request.prefixHash()), now), now);
 	}
 
 	/**
@@ -127,11 +134,11 @@
 	 * @return whether it is expected to finish in time without harm to others
 	 */
 	public boolean suits(ServerView view, RoutingRequest request, long now) {
-		return !view.state().isolated() && view.suits(request, cachedShare(view, home(request.prefixHash())), now);
+		return !view.state().isolated() && view.suits(request, cachedShare(view, home(request.prefixHash()), now), now);
 	}
 
-	private double cachedShare(ServerView view, @Nullable ServerView home) {
-		return (view == home && view.hasRoom()) ? this.hitShare : 0;
+	private double cachedShare(ServerView view, @Nullable ServerView home, long now) {
+		return (view == home && view.hasRoom(now)) ? this.hitShare : 0;
 	}
 
 	/**
@@ -151,6 +158,8 @@
 
 		private boolean suits;
 
+		private boolean probes;
+
 		private double finish = Double.POSITIVE_INFINITY;
 
 		Best(RoutingRequest request, @Nullable ServerView home, Predicate<ServerView> allowed, long now) {
@@ -167,10 +176,15 @@
 		}
 
 		void consider(ServerView candidate) {
-			if (!this.allowed.test(candidate)) {
+			if (this.probes || !this.allowed.test(candidate)) {
 				return;
 			}
-			double cached = cachedShare(candidate, this.home);
+			if (this.request.mayProbe() && candidate.isProbeDue(this.now)) {
+				this.probes = true;
+				this.view = candidate;
+				return;
+			}
+			double cached = cachedShare(candidate, this.home, this.now);
 			boolean isolated = candidate.state().isolated();
 			boolean candidateSuits = !isolated && candidate.suits(this.request, cached, this.now);
 			double candidateFinish = (isolated) ? Double.MAX_VALUE
@@ -182,6 +196,14 @@
 			}
 		}
 
+		/**
+		 * Returns whether there is no need to look further.
+		 * @return whether a probe was found, or one with room that suits
+		 */
+		boolean isSettled() {
+			return this.probes || (this.suits && this.view != null && this.view.hasRoom(this.now));
+		}
+
 		/**
 		 * Looks through the whole pool for any that is allowed, after samples found none.
 		 * @param start index to begin at
