--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -14,11 +14,12 @@
  */
 public final class ServerView {
 
-	private final BackendServer server;
+	/** Age from which a state says little, in milliseconds. */
+	private static final long OLD_MILLIS = 5000;
 
-	private final boolean local;
+	private final BackendServer server;
 
-	private final double networkMillis;
+	private double networkMillis;
 
 	private @Nullable DaemonId owner;
 
@@ -30,23 +31,20 @@
 
 	private double pendingPrefillMillis;
 
-	private ServerView(BackendServer server, boolean local, double networkMillis) {
+	private ServerView(BackendServer server) {
 		this.server = server;
-		this.local = local;
-		this.networkMillis = networkMillis;
-		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, 0, 0, Speed.UNKNOWN);
+		this.state = new ServerState(server.id(), 0, 0, server.nominalConcurrency(), false, false, false, 0, 0,
+				Speed.UNKNOWN);
 	}
 
 	/**
 	 * Returns a view of a backend server of which nothing is known.
 	 * @param server the backend server
-	 * @param local whether it is in the failure domain of this daemon
-	 * @param networkMillis time that a request loses on the way there
 	 * @return the view
 	 */
-	public static ServerView of(BackendServer server, boolean local, double networkMillis) {
+	public static ServerView of(BackendServer server) {
 		Objects.requireNonNull(server, "server must not be null");
-		return new ServerView(server, local, networkMillis);
+		return new ServerView(server);
 	}
 
 	/**
@@ -57,14 +55,6 @@
 		return this.server;
 	}
 
-	/**
-	 * Returns whether it is in the failure domain of this daemon.
-	 * @return whether it is near
-	 */
-	public boolean isLocal() {
-		return this.local;
-	}
-
 	/**
 	 * Returns the daemon that grants its permits.
 	 * @return the owner, or {@code null} if no daemon can own it
@@ -76,9 +66,11 @@
 	/**
 	 * Changes the owner.
 	 * @param newOwner the owner, or {@code null}
+	 * @param newNetworkMillis time that a request loses on the way to both
 	 */
-	public void ownedBy(@Nullable DaemonId newOwner) {
+	public void ownedBy(@Nullable DaemonId newOwner, double newNetworkMillis) {
 		this.owner = newOwner;
+		this.networkMillis = newNetworkMillis;
 	}
 
 	/**
@@ -119,11 +111,27 @@
 	}
 
 	/**
-	 * Returns whether it seems to have room for one more request below the top tier.
-	 * @return whether its limit is not reached
+	 * Returns whether it seems to have room for one more request below the top tier. What
+	 * was heard long ago is not held against it.
+	 * @param now the current time
+	 * @return whether its limit is not known to be reached
+	 */
+	public boolean hasRoom(long now) {
+		return isOld(now) || this.state.running() + this.pendingAsks < this.state.limit();
+	}
+
+	/**
+	 * Returns whether a probe is due, as it is isolated and nothing else is known of
+	 * late.
+	 * @param now the current time
+	 * @return whether one request may be sent there to see how it does
 	 */
-	public boolean hasRoom() {
-		return this.state.running() + this.pendingAsks < this.state.limit();
+	public boolean isProbeDue(long now) {
+		return this.state.isolated() && this.pendingAsks == 0 && (this.state.probeDue() || isOld(now));
+	}
+
+	private boolean isOld(long now) {
+		return now - this.stateAt > OLD_MILLIS;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -25,7 +25,7 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeBook;
+import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.routing.ServerState;
 
 /**
@@ -57,12 +57,14 @@
 
 	private final EntryScheduler entry;
 
-	private final QuotaDesk quotas;
+	private final OrganisationQuotas quotas;
 
-	private final StrikeBook strikes = StrikeBook.create();
+	private final StrikeRegistry strikes = StrikeRegistry.create();
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
 
+	private final Map<BackendServerId, ServerModel> models = new HashMap<>();
+
 	private final Map<BackendServerId, Map<DaemonId, Long>> interested = new HashMap<>();
 
 	private final Deque<SchedulingMessage> toSelf = new ArrayDeque<>();
@@ -80,8 +82,9 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, random);
-		this.quotas = new QuotaDesk(this.directory, this::send);
-		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send, this.strikes, this.quotas);
+		this.quotas = new OrganisationQuotas(this.directory, this::send);
+		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
+				new EntryRecords(this.directory, this.strikes, this.quotas, clock));
 	}
 
 	/**
@@ -164,8 +167,20 @@
 		}
 		for (BackendServer server : this.directory.owned()) {
 			this.owners.computeIfAbsent(server.id(),
-					(id) -> new PermitOwner(server, this::send, this.limits.permitLifetime(), now));
+					(id) -> new PermitOwner(server, model(server), this::send, this.limits.permitLifetime(), now));
+		}
+		this.models.keySet().removeIf((id) -> this.directory.view(id) == null);
+	}
+
+	private ServerModel model(BackendServer server) {
+		ServerModel known = this.models.get(server.id());
+		if (known != null && known.server().equals(server)) {
+			known.ownedAgain();
+			return known;
 		}
+		ServerModel created = new ServerModel(server);
+		this.models.put(server.id(), created);
+		return created;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -77,6 +77,20 @@
 		this.limit = AdaptiveLimit.of(server.nominalConcurrency());
 	}
 
+	/**
+	 * Forgets what runs, but not what was learned.
+	 */
+	void ownedAgain() {
+		this.backlog = 0;
+		this.outstandingTokens = 0;
+		this.slowness = 1;
+		this.health.ended();
+	}
+
+	BackendServer server() {
+		return this.server;
+	}
+
 	AdaptiveLimit limit() {
 		return this.limit;
 	}
@@ -247,6 +261,7 @@
 	ServerState state(RunningCount running, int waiting, long now) {
 		return new ServerState(this.server.id(), running.size(), waiting, lowerTierLimit(now),
 				running.isLowerTierRunning(), this.health.isIsolated(),
+				this.health.isIsolated() && this.health.mayRun(now),
 				(long) (backlogTokens(now) * speed(now).prefillMillisPerToken()), (long) serviceMillis(now),
 				speed(now));
 	}
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -215,6 +217,19 @@
 		assertThat(fleet.retries).contains(RetryReason.OWNER_SILENT);
 	}
 
+	@Test
+	void topTierOutlastsTheSilenceOfTheOnlyOwner() {
+		SchedulingFixture fleet = pair(2);
+		Caller caller = fleet.submit("a", Tier.URGENT);
+		for (int i = 0; i < 200; i++) {
+			fleet.advance(Duration.ofMillis(25));
+			fleet.sent.clear();
+		}
+		assertThat(caller.isRefused()).isFalse();
+		fleet.advanceAndDeliver(Duration.ofSeconds(6));
+		assertThat(caller.isGranted()).isTrue();
+	}
+
 	@Test
 	void newOwnerLearnsWhatRuns() {
 		SchedulingFixture fleet = pair(2);
@@ -228,6 +243,18 @@
 		assertThat(fleet.scheduler("a").states().get(0).running()).isZero();
 	}
 
+	@Test
+	void ownerThatLosesAServerAndGetsItBackRemembersItsSpeed() {
+		SchedulingFixture fleet = alone(4).daemons("b").tellFleet();
+		fleet.submit("a", Tier.STANDARD).complete(Duration.ofSeconds(2), Duration.ofSeconds(10));
+		fleet.owners.put(BackendServerId.of("s1"), DaemonId.of("b"));
+		fleet.tellFleet();
+		fleet.owners.put(BackendServerId.of("s1"), DaemonId.of("a"));
+		fleet.tellFleet("b");
+		Caller late = fleet.submit("a", fleet.request(Tier.STANDARD, RunningPolicy.CANCELLABLE, SECOND));
+		assertThat(late.refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
+	}
+
 	@Test
 	void waitingRequestMovesToTheNewOwner() {
 		SchedulingFixture fleet = pair(2);
@@ -292,6 +319,43 @@
 		assertThat(fleet.submit("a", Tier.STANDARD).isGranted()).isTrue();
 	}
 
+	@ParameterizedTest
+	@EnumSource
+	void isolatedServerIsProbedThoughOthersHaveRoom(Asker asker) {
+		SchedulingFixture fleet = new SchedulingFixture().daemons("a", "b")
+			.server("s1", 4, "a")
+			.server("s2", 4, "a")
+			.tellFleet();
+		for (int failures = 0; failures < 3;) {
+			Caller caller = submitAndDeliver(fleet, asker.daemon);
+			boolean first = caller.permit().backendServer().id().equals(BackendServerId.of("s1"));
+			failures += (first) ? 1 : 0;
+			if (first) {
+				caller.end(RunEnd.NOT_CONNECTED);
+			}
+			else {
+				caller.complete(SECOND, SECOND);
+			}
+			fleet.deliver();
+		}
+		fleet.advanceAndDeliver(Duration.ofSeconds(asker.idleSeconds));
+		Set<BackendServerId> used = new HashSet<>();
+		for (int i = 0; i < 400; i++) {
+			Caller caller = submitAndDeliver(fleet, asker.daemon);
+			used.add(caller.permit().backendServer().id());
+			caller.complete(Duration.ofMillis(10), Duration.ofMillis(20));
+			fleet.advanceAndDeliver(Duration.ofMillis(50));
+		}
+		assertThat(used).hasSize(2);
+	}
+
+	private static Caller submitAndDeliver(SchedulingFixture fleet, String daemon) {
+		Caller caller = fleet.submit(daemon, Tier.STANDARD);
+		fleet.deliver();
+		assertThat(caller.isGranted()).isTrue();
+		return caller;
+	}
+
 	@Test
 	void requestThatBrokeTwoServersIsQuarantinedAndItsNeighbourIsNot() {
 		SchedulingFixture fleet = new SchedulingFixture().daemons("a")
@@ -342,6 +406,24 @@
 		assertThat(last.refusal().retryAfter()).isPositive();
 	}
 
+	/**
+	 * Who asks for permits while a backend server is isolated.
+	 */
+	enum Asker {
+
+		OWNER("a", 0), ANOTHER_DAEMON("b", 0), ANOTHER_DAEMON_AFTER_A_PAUSE("b", 60);
+
+		private final String daemon;
+
+		private final int idleSeconds;
+
+		Asker(String daemon, int idleSeconds) {
+			this.daemon = daemon;
+			this.idleSeconds = idleSeconds;
+		}
+
+	}
+
 	/**
 	 * A message that is lost on its way.
 	 */
