--- a/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/AnswerRelay.java
@@ -113,12 +113,12 @@
 	 * @param verdict what to tell
 	 */
 	void fail(RunVerdict verdict) {
-		if (this.rejection == null) {
-			this.sink.refuse(verdict.refusal());
-		}
 		if (this.meter != null) {
 			this.telemetry.counter("prefill.wasted-tokens").inc(this.meter.promptTokens());
 		}
+		if (this.rejection == null) {
+			this.sink.refuse(verdict.refusal());
+		}
 	}
 
 	/**
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -17,6 +17,7 @@
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.RetryReason;
 import org.sardineport.standins.engine.EngineOptions;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -146,10 +147,20 @@
 		});
 		assertProblem(answer, RefusalReason.DEADLINE_PASSED, "not-run");
 		assertThat(this.fixture.scheduler.abandoned()).hasSize(1);
-		this.fixture.scheduler.grantHeld();
+		this.fixture.scheduler.grantAbandoned();
+		CallerStreamTests.until(() -> this.fixture.scheduler.ends().contains(RunEnd.UNUSED));
 		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
 	}
 
+	@Test
+	void givesALapsedPermitBackAndAsksForAnother() throws Exception {
+		this.fixture.scheduler.nextLifetime(Duration.ofMillis(-1));
+		assertThat(chat("again").body()).endsWith("data: [DONE]\n\n");
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.UNUSED, RunEnd.COMPLETED);
+		assertThat(this.fixture.telemetry.retried(RetryReason.PERMIT_LAPSED).getCount()).isOne();
+		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("again", 1);
+	}
+
 	@Test
 	void refusesWhileNotReady() throws Exception {
 		this.fixture.ready = false;
@@ -205,6 +216,24 @@
 		assertThat(this.fixture.scheduler.ends()).endsWith(RunEnd.TIMED_OUT);
 	}
 
+	@Test
+	void aFloodOfDraftsShutsOutNoLookup() throws Exception {
+		try (CallerFixture small = new CallerFixture(EngineOptions.fast(), 1)) {
+			small.scheduler.hold();
+			HttpResponse<String> draft = small.send("POST", "/v1/completions", "{}",
+					(request) -> request.header("Idempotency-Key", KEY).header("Prefer", "respond-async"));
+			HttpResponse<String> second = small.send("POST", "/v1/completions", "{}",
+					(request) -> request.header("Idempotency-Key", KEY + "2")
+						.header("Sardineport-Issued-At", small.clock.instant().toString()));
+			small.scheduler.grantHeld();
+			HttpResponse<String> lookup = small.send("POST", CHAT, CallerFixture.chat("l", 1), (request) -> {
+			});
+			assertThat(draft.statusCode()).isEqualTo(202);
+			assertThat(second.body()).contains("ring-full");
+			assertThat(lookup.statusCode()).isEqualTo(200);
+		}
+	}
+
 	@Test
 	void refusesWhatIsOverTheNumberInFlight() throws Exception {
 		try (CallerFixture small = new CallerFixture(EngineOptions.fast(), 0)) {
