--- a/core/src/test/java/org/sardineport/core/journal/IdempotencyKeysTests.java
+++ b/core/src/test/java/org/sardineport/core/journal/IdempotencyKeysTests.java
@@ -62,8 +62,8 @@
 		assertThat(read(refused.key, refused.issuedAt, refused.now)).isInstanceOfSatisfying(KeyReading.Refused.class,
 				(reading) -> {
 					assertThat(reading.refusal().reason()).isEqualTo(refused.reason);
-					assertThat(reading.refusal().outcome()).isEqualTo(
-							(refused == Case.TOO_OLD) ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+					assertThat(reading.refusal().outcome())
+						.isEqualTo((refused == Case.TOO_OLD) ? Outcome.UNKNOWN : Outcome.NOT_RUN);
 				});
 	}
 
