Try a keyed request elsewhere when no connection was made; bound lapsed permits

Cause: a keyed or durable request was given up when its backend server could not be reached, also after its caller had been told 202; a run whose permits kept lapsing asked again without a bound; a suspended run past its retries could have been told not-run.

The decision benchmark is on the command line of the measurements.

--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.sardineport.bench.configuration.ConfigurationMeasurement;
+import org.sardineport.bench.decision.DecisionMeasurement;
 import org.sardineport.bench.fleet.FleetMeasurement;
 import org.sardineport.bench.journal.JournalMeasurement;
 import org.sardineport.bench.policy.PolicyMeasurement;
@@ -13,8 +14,8 @@
  * Runs one measurement by name and prints its table and its CSV.
  */
 @Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
-		commands = { Help.class, ConfigurationMeasurement.class, FleetMeasurement.class, JournalMeasurement.class,
-				PolicyMeasurement.class, SlopeCommand.class })
+		commands = { Help.class, ConfigurationMeasurement.class, DecisionMeasurement.class, FleetMeasurement.class,
+				JournalMeasurement.class, PolicyMeasurement.class, SlopeCommand.class })
 public final class Main {
 
 	/** Exit code when every target was met. */
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
@@ -35,8 +35,6 @@
 
 	private static final EventLog LOG = EventLog.of(RequestRun.class);
 
-	private static final int MAXIMUM_CONNECT_RETRIES = 3;
-
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
 	private final RunServices services;
@@ -63,6 +61,8 @@
 
 	private final StreamMove move;
 
+	private final RunRetries retries;
+
 	private final CurrentExchange exchange = new CurrentExchange();
 
 	private Runnable cancelDeadline = () -> {
@@ -72,8 +72,6 @@
 
 	private boolean callerLeft;
 
-	private int connectRetries;
-
 	RequestRun(RunServices services, RunRequest request, AnswerSink sink, SerialExecutor executor,
 			DispatchRecords records, Runnable whenEnded) {
 		this.services = services;
@@ -84,6 +82,7 @@
 		this.records = records;
 		this.whenEnded = whenEnded;
 		this.permit = new PermitHolder(services.scheduler(), this.scheduling);
+		this.retries = new RunRetries(services);
 		this.relay = new AnswerRelay(this.scheduling, sink, services.telemetry(), records.maximumAnswerBytes());
 		this.preemption = new Preemption(this, services, this.scheduling, executor);
 		this.move = this.preemption.move();
@@ -198,7 +197,6 @@
 		this.exchange.began(continued);
 	}
 
-	/** Ends a run whose stream could not go on elsewhere. */
 	void failMoved() {
 		fail(RunVerdict.of(BackendFailure.CANCELLED, true), BackendFailure.CANCELLED);
 	}
@@ -211,7 +209,8 @@
 		}
 		if (!granted.isValidAt(now())) {
 			this.permit.refuse(granted);
-			retry(RetryReason.PERMIT_LAPSED);
+			retry(RetryReason.PERMIT_LAPSED, Refusal.retryAfter(RefusalReason.OVERLOADED,
+					"Permits lapsed before they could be used.", RETRY_AFTER));
 			return;
 		}
 		this.permit.hold(granted);
@@ -219,7 +218,7 @@
 			this.preemption.continueOn(granted);
 			return;
 		}
-		this.records.dispatch(granted.backendServer().id(), streamId(), this.scheduling.deadline())
+		this.records.dispatch(granted.backendServer().id(), this.scheduling.id().value(), this.scheduling.deadline())
 			.whenComplete((decision, failure) -> this.executor.execute(() -> onDecision(decision, failure)));
 	}
 
@@ -263,8 +262,8 @@
 		}
 		this.cancelDeadline.run();
 		this.relay.begin(RunMeter.dispatched(now, this.scheduling.estimate()));
-		BackendRequest sent = new BackendRequest(streamId(), this.request.method(), this.request.pathAndQuery(),
-				this.request.headers(), this.request.body(), this.scheduling.deadline());
+		BackendRequest sent = new BackendRequest(this.scheduling.id().value(), this.request.method(),
+				this.request.pathAndQuery(), this.request.headers(), this.request.body(), this.scheduling.deadline());
 		RunAttempt attempt = new RunAttempt(this, this.executor, false);
 		this.exchange.expect(attempt);
 		this.exchange.began(this.services.engines().send(won.backendServer(), sent, attempt));
@@ -326,17 +325,12 @@
 	}
 
 	private void onNotConnected(BackendException failure) {
-		boolean keyed = this.request.key() != null;
-		if (keyed || this.preempted || this.callerLeft || this.connectRetries >= MAXIMUM_CONNECT_RETRIES) {
-			refuseUnsent(RequestPhase.FAILED, RunVerdict.of(failure.failure(), false).refusal());
-		}
-		else if (!this.services.retryBudget().trySpend()) {
-			refuseUnsent(RequestPhase.FAILED, Refusal.retryAfter(RefusalReason.RETRY_BUDGET_SPENT,
-					"No connection to a backend server could be made.", RETRY_AFTER));
+		Refusal refusal = RunVerdict.of(failure.failure(), false).refusal();
+		if (this.preempted || (this.callerLeft && !this.request.durable())) {
+			refuseUnsent(RequestPhase.FAILED, refusal);
 		}
 		else {
-			this.connectRetries++;
-			retry(RetryReason.CONNECT_FAILED);
+			retry(RetryReason.CONNECT_FAILED, refusal);
 		}
 	}
 
@@ -371,13 +365,21 @@
 				this.records.release(refusal));
 	}
 
-	private void retry(RetryReason reason) {
-		this.services.telemetry().retried(reason).inc();
+	private void retry(RetryReason reason, Refusal otherwise) {
 		if (!now().isBefore(this.scheduling.deadline())) {
 			onDeadline();
 			return;
 		}
-		submit();
+		Refusal refusal = this.retries.take(reason, otherwise);
+		if (refusal == null) {
+			submit();
+		}
+		else if (this.life.phase() == RequestPhase.DISPATCHED) {
+			failMoved();
+		}
+		else {
+			refuseUnsent(RequestPhase.FAILED, refusal);
+		}
 	}
 
 	private void enterFinal(RequestPhase phase) {
@@ -395,8 +397,4 @@
 		return this.services.clock().instant();
 	}
 
-	private String streamId() {
-		return this.scheduling.id().value();
-	}
-
 }
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -4,6 +4,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -191,6 +192,29 @@
 		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("second", 1);
 	}
 
+	@Test
+	void runsAPostingOnceElsewhereIfNoConnectionCouldBeMade() throws Exception {
+		this.fixture.scheduler.serve(
+				CallerFixture.server("gone", BackendKind.PLAIN_SERVICE, CallerFixture.freeAddress()),
+				this.fixture.ledgerServer());
+		String key = KeyMaker.key(this.fixture.clock);
+		HttpResponse<String> answer = this.fixture.send("POST", "/postings", "{}",
+				(request) -> request.header("Idempotency-Key", key));
+		assertThat(answer.statusCode()).isLessThan(300);
+		assertThat(this.fixture.ledger.executions()).containsOnly(Map.entry(key, 1));
+		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.NOT_CONNECTED, RunEnd.COMPLETED);
+	}
+
+	@Test
+	void givesUpAtOnceWhenPermitsLapseAgainAndAgain() throws Exception {
+		for (int i = 0; i < 10; i++) {
+			this.fixture.scheduler.nextLifetime(Duration.ZERO);
+		}
+		assertProblem(chat("lapsed"), RefusalReason.OVERLOADED, "not-run");
+		assertThat(this.fixture.scheduler.submitted()).hasSize(4);
+		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
+	}
+
 	@Test
 	void saysUnknownAfterACrashAndNeverDispatchesAgain() throws Exception {
 		this.fixture.engine.faults().crashOn("poison");
