--- a/bench/src/main/java/org/sardineport/bench/slope/CapacityRow.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CapacityRow.java
@@ -29,7 +29,7 @@
 	}
 
 	String csv() {
-		return String.format(Locale.ROOT, "%s,%s,%s,%s,%.1f,%.1f,%.4f,%s", this.role.label(), this.unit.label(),
+		return String.format(Locale.ROOT, "%s,%s,%s,\"%s\",%.1f,%.1f,%.4f,%s", this.role.label(), this.unit.label(),
 				this.slopeName, this.multiplication, this.result, this.budget, share(), isWithinBudget());
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
@@ -46,6 +46,9 @@
 			for (int i = 0; i < keys; i++) {
 				apply(replay, i, entries(i, seed));
 			}
+			if (!replay.active().isEmpty()) {
+				throw new IllegalStateException("every request must have ended");
+			}
 			return replay;
 		});
 	}
@@ -91,7 +94,7 @@
 		return List.of(
 				new JournalEntry.Accepted(organisation, key, token, Fingerprint.of(seed, number), START,
 						START.plusSeconds(30), DaemonId.of("entry-vm-1234"), 1, "", null),
-				new JournalEntry.Dispatched(organisation, key, token, 0, BackendServerId.of("worker-12"), token),
+				new JournalEntry.Dispatched(organisation, key, token, 1, BackendServerId.of("worker-12"), token),
 				new JournalEntry.Finished(organisation, key, token, Outcome.COMPLETED, 200,
 						Map.of("content-type", "application/json"), 0, new byte[ANSWER_BYTES]));
 	}
