--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -2,7 +2,9 @@
 
 import java.time.Instant;
 import java.util.Objects;
+import java.util.Set;
 
+import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
@@ -24,12 +26,17 @@
  * @param runningPolicy what may be done to it once it runs
  * @param organisationTokensPerSecond fleet-wide limit of the organisation in estimated
  * tokens a second; 0 for none
+ * @param organisationTokens tokens that it takes from that limit
+ * @param avoided backend servers that it is not sent to, as they failed it before
  * @param arrival when it was received
+ * @param startBy from when on it is of no use to begin it; the deadline if waiting costs
+ * its caller nothing
  * @param deadline when its answer must be complete
  */
 public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
 		TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
-		long organisationTokensPerSecond, Instant arrival, Instant deadline) {
+		long organisationTokensPerSecond, long organisationTokens, Set<BackendServerId> avoided, Instant arrival,
+		Instant startBy, Instant deadline) {
 
 	/**
 	 * Creates the request.
@@ -42,8 +49,33 @@
 		Objects.requireNonNull(estimate, "estimate must not be null");
 		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
 		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
+		avoided = Set.copyOf(avoided);
 		Objects.requireNonNull(arrival, "arrival must not be null");
+		Objects.requireNonNull(startBy, "startBy must not be null");
 		Objects.requireNonNull(deadline, "deadline must not be null");
 	}
 
+	/**
+	 * Creates the request of a caller who waits as long as its deadline allows, whose
+	 * estimate is what it takes from its organisation's limit.
+	 * @param id identity of the request
+	 * @param pool pool whose backend servers can run it
+	 * @param organisation organisation that sent it
+	 * @param tier its urgency
+	 * @param estimate its size in tokens
+	 * @param prefixHash hash of the prompt's first block, for cache affinity; 0 if none
+	 * @param fingerprint hash by which a repeated request is known
+	 * @param runningPolicy what may be done to it once it runs
+	 * @param organisationTokensPerSecond fleet-wide limit of the organisation in tokens a
+	 * second; 0 for none
+	 * @param arrival when it was received
+	 * @param deadline when its answer must be complete
+	 */
+	public SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
+			TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
+			long organisationTokensPerSecond, Instant arrival, Instant deadline) {
+		this(id, pool, organisation, tier, estimate, prefixHash, fingerprint, runningPolicy,
+				organisationTokensPerSecond, estimate.total(), Set.of(), arrival, deadline, deadline);
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/entry/EntrySelector.java
+++ b/core/src/main/java/org/sardineport/core/entry/EntrySelector.java
@@ -73,6 +73,23 @@
 		return new EntryAnswer(addresses, this.keepTime);
 	}
 
+	/**
+	 * Names all daemons that serve, for callers that spread their connections themselves.
+	 * @param fleet the fleet as this daemon knows it
+	 * @param most most addresses to name
+	 * @return the answer for one caller
+	 */
+	public EntryAnswer selectAll(FleetSnapshot fleet, int most) {
+		List<Member> candidates = candidates(fleet);
+		List<NetworkAddress> addresses = new ArrayList<>();
+		while (addresses.size() < most && !candidates.isEmpty()) {
+			Member drawn = draw(candidates);
+			candidates.remove(drawn);
+			addresses.add(drawn.callerAddress());
+		}
+		return new EntryAnswer(addresses, this.keepTime);
+	}
+
 	private static List<Member> candidates(FleetSnapshot fleet) {
 		List<Member> eligible = fleet.members().stream().filter((member) -> member.status().isEligible()).toList();
 		List<Member> configured = eligible.stream()
--- a/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -4,9 +4,12 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendServer;
@@ -28,12 +31,24 @@
 	 */
 	public static final Duration OWN_WORD_RETENTION = Duration.ofSeconds(60);
 
+	/**
+	 * Time after an outage of the list within which backend servers whose entries lapsed
+	 * meanwhile are listed again.
+	 */
+	public static final Duration RETURN_GRACE = Duration.ofMillis(2300);
+
 	private final InstantSource clock;
 
 	private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
 
+	private final Map<BackendServerId, BackendServer> lapsed = new HashMap<>();
+
 	private @Nullable VmListing listing;
 
+	private boolean outage;
+
+	private Instant returnedAt = Instant.MIN;
+
 	private BackendDirectory(InstantSource clock) {
 		this.clock = clock;
 	}
@@ -57,10 +72,41 @@
 		if (this.listing != null && fetched.asOf().isBefore(this.listing.asOf())) {
 			return false;
 		}
+		if (this.outage) {
+			this.outage = false;
+			this.returnedAt = this.clock.instant();
+		}
+		keepLapsed(fetched);
 		this.listing = fetched;
 		return true;
 	}
 
+	/**
+	 * Notes that the list could not be fetched. Entries that are missing right after it
+	 * is back may have lapsed in the outage, and are kept for a while.
+	 */
+	public void unreachable() {
+		this.outage = true;
+	}
+
+	private void keepLapsed(VmListing fetched) {
+		fetched.backendServers().forEach((listed) -> this.lapsed.remove(listed.server().id()));
+		if (this.listing == null || isGraceOver()) {
+			return;
+		}
+		Set<BackendServerId> present = new HashSet<>();
+		fetched.backendServers().forEach((listed) -> present.add(listed.server().id()));
+		for (VmListing.ListedBackend former : this.listing.backendServers()) {
+			if (former.state() == VmState.LIVE && !present.contains(former.server().id())) {
+				this.lapsed.put(former.server().id(), former.server());
+			}
+		}
+	}
+
+	private boolean isGraceOver() {
+		return !this.clock.instant().minus(RETURN_GRACE).isBefore(this.returnedAt);
+	}
+
 	/**
 	 * Takes what a backend server reports of itself.
 	 * @param report the report
@@ -86,7 +132,8 @@
 
 	/**
 	 * Returns the backend servers that may get new work.
-	 * @return the backend servers in the order of the list
+	 * @return the backend servers in the order of the list, then those that may have
+	 * lapsed
 	 */
 	public List<BackendServer> eligible() {
 		Instant oldest = this.clock.instant().minus(OWN_WORD_RETENTION);
@@ -94,10 +141,14 @@
 		if (this.listing == null) {
 			return List.of();
 		}
-		return this.listing.backendServers()
+		if (isGraceOver()) {
+			this.lapsed.clear();
+		}
+		Stream<BackendServer> live = this.listing.backendServers()
 			.stream()
 			.filter((listed) -> listed.state() == VmState.LIVE)
-			.map(VmListing.ListedBackend::server)
+			.map(VmListing.ListedBackend::server);
+		return Stream.concat(live, this.lapsed.values().stream())
 			.filter((server) -> !this.leavingSince.containsKey(server.id()))
 			.toList();
 	}
--- a/core/src/main/java/org/sardineport/core/limit/AdaptiveLimit.java
+++ b/core/src/main/java/org/sardineport/core/limit/AdaptiveLimit.java
@@ -28,14 +28,17 @@
 
 	private final int nominal;
 
+	private final boolean fixed;
+
 	private double limit;
 
 	private double ratio = 1;
 
 	private int sinceFall;
 
-	private AdaptiveLimit(int nominal) {
+	private AdaptiveLimit(int nominal, boolean fixed) {
 		this.nominal = nominal;
+		this.fixed = fixed;
 		this.limit = nominal;
 	}
 
@@ -45,10 +48,23 @@
 	 * @return the limit
 	 */
 	public static AdaptiveLimit of(int nominal) {
+		return create(nominal, false);
+	}
+
+	/**
+	 * Returns a limit that stays at the nominal concurrency for every tier.
+	 * @param nominal requests that the backend server runs at once, at least 1
+	 * @return the limit
+	 */
+	public static AdaptiveLimit fixed(int nominal) {
+		return create(nominal, true);
+	}
+
+	private static AdaptiveLimit create(int nominal, boolean fixed) {
 		if (nominal < 1) {
 			throw new IllegalArgumentException("nominal must be at least 1, found " + nominal);
 		}
-		return new AdaptiveLimit(nominal);
+		return new AdaptiveLimit(nominal, fixed);
 	}
 
 	/**
@@ -64,6 +80,9 @@
 	 * @return requests at once, at least 1
 	 */
 	public int lowerTierLimit() {
+		if (this.fixed) {
+			return this.nominal;
+		}
 		int headroom = (int) Math.ceil(this.nominal * HEADROOM);
 		return Math.max(1, limit() - headroom);
 	}
@@ -73,6 +92,9 @@
 	 * @return requests at once, above {@link #limit()}
 	 */
 	public int hardLimit() {
+		if (this.fixed) {
+			return this.nominal;
+		}
 		return limit() + Math.max(1, (int) (this.nominal * OVER_ADMISSION));
 	}
 
@@ -82,6 +104,9 @@
 	 * @param expectedMillis how long it should have taken
 	 */
 	public void observe(double measuredMillis, double expectedMillis) {
+		if (this.fixed) {
+			return;
+		}
 		double sample = measuredMillis / Math.max(1, expectedMillis);
 		this.ratio += WEIGHT * (sample - this.ratio);
 		this.sinceFall++;
@@ -99,6 +124,9 @@
 	 * Learns that a run failed on the backend server's side.
 	 */
 	public void failed() {
+		if (this.fixed) {
+			return;
+		}
 		this.limit = Math.max(1, this.limit * LEAST_GRADIENT);
 	}
 
--- a/core/src/main/java/org/sardineport/core/port/backend/ModelEngine.java
+++ b/core/src/main/java/org/sardineport/core/port/backend/ModelEngine.java
@@ -4,13 +4,12 @@
 import java.util.concurrent.CompletionStage;
 
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.backend.LoadReport;
 
 /**
  * Access to model engines: requests, and control of their streams, cache and role. Stages
  * fail with {@link BackendException} as their cause.
  */
-public interface ModelEngine extends PlainService {
+public interface ModelEngine extends LoadSource, PlainService {
 
 	/**
 	 * Continues a stream on the engine that runs it.
@@ -47,13 +46,6 @@
 	 */
 	CompletionStage<Void> importCache(BackendServer server, String streamId, byte[] cache);
 
-	/**
-	 * Asks for the load report.
-	 * @param server the backend server
-	 * @return the report, which may be late
-	 */
-	CompletionStage<LoadReport> load(BackendServer server);
-
 	/**
 	 * Asks for events of the prefix cache.
 	 * @param server the backend server
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/relay/AnswerHead.java
@@ -0,0 +1,55 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Head of a backend server's answer, in the terms of this program.
+ *
+ * @param status HTTP status
+ * @param requestId identity of the request that it answers, or {@code null} if it names
+ * none
+ * @param notExecuted whether the backend server says that it did not run the request
+ * @param signed whether it bears the backend server's signature
+ * @param encoded whether the body has an encoding that no caller asked for
+ * @param events whether the body is a stream of events
+ * @param connectionIdle time for which the backend server keeps the connection when it is
+ * idle, or {@code null} if it does not say
+ */
+public record AnswerHead(int status, @Nullable String requestId, boolean notExecuted, boolean signed, boolean encoded,
+		boolean events, @Nullable Duration connectionIdle) {
+
+	private static final int FIRST_SUCCESS = 200;
+
+	private static final int FIRST_REDIRECT = 300;
+
+	private static final int FIRST_SERVER_FAILURE = 500;
+
+	/**
+	 * Returns whether the answer is a success.
+	 * @return whether its status says so
+	 */
+	public boolean isSuccess() {
+		return this.status >= FIRST_SUCCESS && this.status < FIRST_REDIRECT;
+	}
+
+	/**
+	 * Returns whether the backend server failed.
+	 * @return whether its status says so
+	 */
+	public boolean isServerFailure() {
+		return this.status >= FIRST_SERVER_FAILURE;
+	}
+
+	/**
+	 * Returns whether this can be an answer to a request.
+	 * @param expectedId identity of the request
+	 * @return whether it names that request and, if a success, is signed and plain
+	 */
+	public boolean answers(String expectedId) {
+		boolean wellFormed = !this.encoded && (!isSuccess() || this.signed);
+		return wellFormed && expectedId.equals(this.requestId);
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/request/RetryReason.java
+++ b/core/src/main/java/org/sardineport/core/request/RetryReason.java
@@ -3,7 +3,9 @@
 import java.util.Locale;
 
 /**
- * Why a request was tried again inside the system. All retries happen before dispatch.
+ * Why a request was tried again inside the system. A request that may not run twice is
+ * only tried again before dispatch, or after the backend server's word that it did not
+ * run.
  */
 public enum RetryReason {
 
@@ -25,6 +27,15 @@
 	/** The backend server began to leave. */
 	BACKEND_LEAVING,
 
+	/** The backend server sent the request back without running it. */
+	BACKEND_FULL,
+
+	/** The backend server failed; the request may run again. */
+	BACKEND_FAILED,
+
+	/** The backend server fell silent; the request may run again. */
+	BACKEND_SILENT,
+
 	/** An answer of the log service was lost and is settled by reading. */
 	LOG_ANSWER_LOST,
 
--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -38,9 +38,10 @@
 
 	private final RandomGenerator random;
 
-	private double hitShare = FIRST_HIT_SHARE;
+	private double hitShare;
 
-	private PoolRouter(List<ServerView> servers, List<ServerView> owned, RandomGenerator random) {
+	private PoolRouter(List<ServerView> servers, List<ServerView> owned, double hitShare, RandomGenerator random) {
+		this.hitShare = hitShare;
 		this.servers = servers.toArray(new ServerView[0]);
 		this.owned = owned.stream().limit(MOST_OWNED).toArray(ServerView[]::new);
 		this.ring = PrefixRing.of(servers.stream().map(ServerView::server).toList());
@@ -55,7 +56,21 @@
 	 * @return the router
 	 */
 	public static PoolRouter of(List<ServerView> servers, List<ServerView> owned, RandomGenerator random) {
-		return new PoolRouter(servers, owned, random);
+		return assuming(FIRST_HIT_SHARE, servers, owned, random);
+	}
+
+	/**
+	 * Returns a router for engines of which something is known.
+	 * @param hitShare share of a prompt taken to be cached at its home until that was
+	 * measured, from 0 to 1
+	 * @param servers the pool
+	 * @param owned those of the pool whose permits this daemon grants
+	 * @param random source of randomness
+	 * @return the router
+	 */
+	public static PoolRouter assuming(double hitShare, List<ServerView> servers, List<ServerView> owned,
+			RandomGenerator random) {
+		return new PoolRouter(servers, owned, hitShare, random);
 	}
 
 	/**
@@ -76,10 +91,10 @@
 	/**
 	 * Learns what the cache of a prefix's home saved.
 	 * @param promptTokens tokens of the prompt
-	 * @param cachedTokens tokens of it that were cached
+	 * @param cachedTokens tokens of it that were cached; negative if that is not known
 	 */
 	public void observeHome(int promptTokens, int cachedTokens) {
-		if (promptTokens > 0) {
+		if (promptTokens > 0 && cachedTokens >= 0) {
 			this.hitShare += HIT_WEIGHT * ((double) cachedTokens / promptTokens - this.hitShare);
 		}
 	}
--- a/core/src/main/java/org/sardineport/core/routing/PrefixMemory.java
+++ b/core/src/main/java/org/sardineport/core/routing/PrefixMemory.java
@@ -10,7 +10,7 @@
 public final class PrefixMemory {
 
 	/** Most prefixes remembered. */
-	private static final int CAPACITY = 64;
+	private static final int CAPACITY = 256;
 
 	/** Share of a new sample in the average. */
 	private static final double WEIGHT = 0.1;
@@ -19,7 +19,8 @@
 
 	private double hitShare;
 
-	private PrefixMemory() {
+	private PrefixMemory(double hitShare) {
+		this.hitShare = hitShare;
 	}
 
 	/**
@@ -27,7 +28,17 @@
 	 * @return the memory
 	 */
 	public static PrefixMemory create() {
-		return new PrefixMemory();
+		return new PrefixMemory(0);
+	}
+
+	/**
+	 * Returns a memory that has seen nothing.
+	 * @param hitShare share of a prompt taken to be cached until that was measured, from
+	 * 0 to 1
+	 * @return the memory
+	 */
+	public static PrefixMemory assuming(double hitShare) {
+		return new PrefixMemory(hitShare);
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
@@ -45,7 +45,7 @@
 		}
 		QuotaAccount account = this.accounts.computeIfAbsent(request.organisation(),
 				(key) -> QuotaAccount.open(limit, this.directory.sharers(), now));
-		boolean allowed = account.spend(request.estimate().total(), request.tier().isTop(), limit,
+		boolean allowed = account.spend(request.organisationTokens(), request.tier().isTop(), limit,
 				this.directory.sharers(), now);
 		return (allowed) ? Optional.empty() : Optional.of(Refusal.retryAfter(RefusalReason.ORGANISATION_LIMIT,
 				"the organisation used up its tokens", Duration.ofMillis(account.retryAfterMillis())));
@@ -58,7 +58,7 @@
 	void refund(SchedulingRequest request) {
 		QuotaAccount account = this.accounts.get(request.organisation());
 		if (account != null && request.organisationTokensPerSecond() > 0) {
-			account.refund(request.estimate().total());
+			account.refund(request.organisationTokens());
 		}
 	}
 
@@ -75,7 +75,8 @@
 
 	void asked(DaemonId entry, QuotaRequest request, long now) {
 		QuotaLeases leases = this.leases.computeIfAbsent(request.organisation(), (key) -> QuotaLeases.create());
-		long tokens = leases.lease(entry, request.tokens(), request.limitTokensPerSecond(), now);
+		long tokens = leases.lease(entry, request.tokens(), this.directory.shareInReach(request.limitTokensPerSecond()),
+				now);
 		this.outbox.send(entry, new QuotaSlice(request.organisation(), tokens,
 				Duration.ofMillis(QuotaLeases.SLICE_MILLIS), request.sequence()));
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -24,6 +24,8 @@
 
 	private final long deadline;
 
+	private final long startBy;
+
 	private final Set<BackendServerId> tried = new HashSet<>();
 
 	private @Nullable ServerView server;
@@ -58,6 +60,8 @@
 		this.request = request;
 		this.listener = listener;
 		this.deadline = request.deadline().toEpochMilli();
+		this.startBy = request.startBy().toEpochMilli();
+		this.tried.addAll(request.avoided());
 	}
 
 	SchedulingRequest request() {
@@ -99,7 +103,7 @@
 	boolean beginPreemption() {
 		boolean first = !this.mayPreempt;
 		this.mayPreempt = true;
-		this.tried.clear();
+		forgetTried();
 		return first;
 	}
 
@@ -183,7 +187,7 @@
 	}
 
 	void backOff(long until) {
-		this.tried.clear();
+		forgetTried();
 		this.backoffUntil = until;
 	}
 
@@ -216,6 +220,11 @@
 		return Math.max(0, this.expectedWaitMillis - (now - this.askedAt));
 	}
 
+	private void forgetTried() {
+		this.tried.clear();
+		this.tried.addAll(this.request.avoided());
+	}
+
 	RoutingRequest routing(long now) {
 		return routing(now, this.request.tier().isTop());
 	}
@@ -239,7 +248,8 @@
 		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
 				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
 				this.request.runningPolicy(), this.request.fingerprint(),
-				Duration.ofMillis(Math.max(0, this.deadline - now)), this.mayPreempt);
+				Duration.ofMillis(Math.max(0, this.deadline - now)), Duration.ofMillis(Math.max(0, this.startBy - now)),
+				this.mayPreempt);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -95,7 +95,7 @@
 			sendQueued(waiting, now);
 		}
 		else {
-			place(new WaitingRequest(ask, entry, now + ask.remaining().toMillis()), now);
+			place(WaitingRequest.of(ask, entry, now), now);
 		}
 	}
 
@@ -191,7 +191,7 @@
 	}
 
 	private boolean canFinish(WaitingRequest waiting, long waitMillis, long now) {
-		if (waiting.deadline() <= now + waitMillis) {
+		if (waiting.deadline() <= now + waitMillis || waiting.startBy() < now + waitMillis) {
 			return false;
 		}
 		int beside = (waiting.ask().tier().isTop()) ? this.running.topSize() : this.running.size();
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
@@ -26,12 +26,14 @@
  * @param runningPolicy what may be done to it once it runs
  * @param fingerprint hash by which a repeated request is known
  * @param remaining time left until the deadline
+ * @param startWithin time left in which it is of use to begin it
  * @param mayPreempt whether lower tiers should give way if there is no room, as the entry
  * knows of no backend server with room
  */
 public record PermitRequest(RequestId request, BackendServerId backendServer, PoolName pool,
 		OrganisationId organisation, Tier tier, TokenEstimate estimate, long prefixHash, RunningPolicy runningPolicy,
-		Fingerprint fingerprint, Duration remaining, boolean mayPreempt) implements SchedulingMessage {
+		Fingerprint fingerprint, Duration remaining, Duration startWithin,
+		boolean mayPreempt) implements SchedulingMessage {
 
 	/**
 	 * Creates the record.
@@ -46,6 +48,7 @@
 		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
 		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
 		Objects.requireNonNull(remaining, "remaining must not be null");
+		Objects.requireNonNull(startWithin, "startWithin must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.FailureDomain;
@@ -28,6 +29,9 @@
  */
 final class PoolDirectory {
 
+	/** Time for which the share of a silent daemon is kept for it. */
+	private static final long SILENT_SHARE_MILLIS = 30_000;
+
 	/** Time lost on the way to another daemon and back, in milliseconds. */
 	private static final double OWNER_MILLIS = 1;
 
@@ -38,6 +42,8 @@
 
 	private final OwnerLookup ownerLookup;
 
+	private final EngineAssumptions assumptions;
+
 	private final RandomGenerator random;
 
 	private final Map<BackendServerId, ServerView> views = new LinkedHashMap<>();
@@ -46,13 +52,16 @@
 
 	private final Map<OrganisationId, DaemonId> quotaOwners = new HashMap<>();
 
+	private final Map<DaemonId, Long> sharersUntil = new HashMap<>();
+
 	private List<Member> eligible = List.of();
 
 	private Set<DaemonId> present = Set.of();
 
 	private List<BackendServer> servers = List.of();
 
-	PoolDirectory(DaemonId self, OwnerLookup ownerLookup, RandomGenerator random) {
+	PoolDirectory(DaemonId self, OwnerLookup ownerLookup, EngineAssumptions assumptions, RandomGenerator random) {
+		this.assumptions = assumptions;
 		this.self = self;
 		this.ownerLookup = ownerLookup;
 		this.random = random;
@@ -61,13 +70,15 @@
 	/**
 	 * Takes a new view of the fleet.
 	 * @param fleet the view
+	 * @param now the current time in milliseconds
 	 * @return whether owners or backend servers may have changed
 	 */
-	boolean update(FleetSnapshot fleet) {
+	boolean update(FleetSnapshot fleet, long now) {
 		List<Member> newEligible = fleet.members().stream().filter((member) -> member.status().isEligible()).toList();
 		this.present = new HashSet<>();
 		fleet.members().stream().filter((member) -> isPresent(member)).map(Member::id).forEach(this.present::add);
 		this.present.add(this.self);
+		countSharers(fleet, now);
 		if (ids(newEligible).equals(ids(this.eligible)) && fleet.backendServers().equals(this.servers)) {
 			return false;
 		}
@@ -78,6 +89,21 @@
 		return true;
 	}
 
+	// A daemon that fell silent may be cut off and go on spending its share; only one
+	// that
+	// announced its stop gives it back at once.
+	private void countSharers(FleetSnapshot fleet, long now) {
+		for (Member member : fleet.members()) {
+			if (member.status().isEligible()) {
+				this.sharersUntil.put(member.id(), now + SILENT_SHARE_MILLIS);
+			}
+			else if (member.status() == MemberStatus.LEAVING) {
+				this.sharersUntil.remove(member.id());
+			}
+		}
+		this.sharersUntil.values().removeIf((until) -> until <= now);
+	}
+
 	private static boolean isPresent(Member member) {
 		return switch (member.status()) {
 			case ALIVE, SUSPECT, LEAVING -> true;
@@ -106,7 +132,8 @@
 			this.views.put(server.id(), view);
 			pools.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>()).add(view);
 		}
-		pools.forEach((pool, members) -> this.routers.put(pool, PoolRouter.of(members, owned(members), this.random)));
+		pools.forEach((pool, members) -> this.routers.put(pool,
+				PoolRouter.assuming(this.assumptions.homeHitShare(), members, owned(members), this.random)));
 	}
 
 	private DaemonId owner(BackendServer server) {
@@ -155,7 +182,17 @@
 	 * @return the number, at least 1
 	 */
 	int sharers() {
-		return Math.max(1, this.eligible.size());
+		return Math.max(1, Math.max(this.eligible.size(), this.sharersUntil.size()));
+	}
+
+	/**
+	 * Returns the part of a fleet-wide limit that the daemons in touch may use, so that
+	 * those out of touch can use theirs.
+	 * @param limit the fleet-wide limit
+	 * @return the part
+	 */
+	long shareInReach(long limit) {
+		return limit * Math.max(1, this.eligible.size()) / sharers();
 	}
 
 	DaemonId quotaOwner(OrganisationId organisation) {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -81,7 +81,7 @@
 		this.limits = Objects.requireNonNull(limits, "limits must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
-		this.directory = new PoolDirectory(self, ownerLookup, random);
+		this.directory = new PoolDirectory(self, ownerLookup, limits.assumptions(), random);
 		this.quotas = new OrganisationQuotas(this.directory, this::send);
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
 				new EntryRecords(this.directory, this.strikes, this.quotas, clock));
@@ -146,8 +146,8 @@
 	 * @param fleet the view
 	 */
 	public void fleet(FleetSnapshot fleet) {
-		boolean changed = this.directory.update(fleet);
 		long now = this.clock.millis();
+		boolean changed = this.directory.update(fleet, now);
 		if (changed) {
 			changeOwners(now);
 			this.entry.fleetChanged();
@@ -178,7 +178,7 @@
 			known.ownedAgain();
 			return known;
 		}
-		ServerModel created = new ServerModel(server);
+		ServerModel created = new ServerModel(server, this.limits.assumptions());
 		this.models.put(server.id(), created);
 		return created;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -52,7 +52,7 @@
 
 	private final SpeedModel speed = SpeedModel.create();
 
-	private final PrefixMemory prefixes = PrefixMemory.create();
+	private final PrefixMemory prefixes;
 
 	private final AdaptiveLimit limit;
 
@@ -72,9 +72,10 @@
 
 	private long idleSince = NEVER;
 
-	ServerModel(BackendServer server) {
+	ServerModel(BackendServer server, EngineAssumptions assumptions) {
 		this.server = server;
-		this.limit = AdaptiveLimit.of(server.nominalConcurrency());
+		this.limit = assumptions.concurrency().limitOf(server.nominalConcurrency());
+		this.prefixes = PrefixMemory.assuming(assumptions.hitShare());
 	}
 
 	/**
@@ -181,7 +182,8 @@
 		this.backlogAt = now;
 	}
 
-	void ended(Outstanding out, RunMeasurement measurement, int runningNow, long now) {
+	void ended(Outstanding out, RunMeasurement reported, int runningNow, long now) {
+		RunMeasurement measurement = reported.withExpectedCache((int) out.prefillTokens());
 		this.outstandingTokens = (runningNow <= 1) ? 0 : Math.max(0, this.outstandingTokens - out.prefillTokens());
 		this.idleSince = (runningNow <= 1) ? now : NEVER;
 		if (measurement.end() == RunEnd.COMPLETED) {
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetDuty.java
@@ -93,7 +93,7 @@
 
 	private volatile FleetSnapshot snapshot;
 
-	private FleetDuty(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
+	private FleetDuty(FleetSettings settings, long incarnation, PeerTransport transport, VmList vmList,
 			InstantSource clock, Telemetry telemetry) {
 		this.duty = Duty.create("membership", RING_SIZE, TICK, this::tick);
 		this.telemetry = telemetry;
@@ -116,7 +116,7 @@
 
 	/**
 	 * Returns a duty that is not started yet. Its transport must be started before it.
-	 * @param settings the daemon's settings
+	 * @param settings the daemon's place in the fleet
 	 * @param incarnation number of this run, greater than that of any earlier run:
 	 * milliseconds since the epoch at its start
 	 * @param transport carries the messages
@@ -125,13 +125,28 @@
 	 * @param telemetry counts the events
 	 * @return the duty
 	 */
-	public static FleetDuty create(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
+	public static FleetDuty create(FleetSettings settings, long incarnation, PeerTransport transport, VmList vmList,
 			InstantSource clock, Telemetry telemetry) {
 		Objects.requireNonNull(transport, "transport must not be null");
 		Objects.requireNonNull(vmList, "vmList must not be null");
 		return new FleetDuty(settings, incarnation, transport, vmList, clock, telemetry);
 	}
 
+	/**
+	 * Returns a duty that is not started yet. Its transport must be started before it.
+	 * @param settings all settings of the daemon
+	 * @param incarnation number of this run, greater than that of any earlier run
+	 * @param transport carries the messages
+	 * @param vmList the platform's list
+	 * @param clock the clock
+	 * @param telemetry counts the events
+	 * @return the duty
+	 */
+	public static FleetDuty create(DaemonSettings settings, long incarnation, PeerTransport transport, VmList vmList,
+			InstantSource clock, Telemetry telemetry) {
+		return create(FleetSettings.of(settings), incarnation, transport, vmList, clock, telemetry);
+	}
+
 	@Override
 	public CompletionStage<Void> start() {
 		return this.duty.start();
@@ -251,6 +266,7 @@
 	private void fetched(@Nullable VmListing fetched, @Nullable Throwable failure) {
 		if (fetched == null) {
 			this.telemetry.counter("vm-list.failed").inc();
+			this.backends.unreachable();
 			listReachable(false, String.valueOf(failure));
 			return;
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ConfigurationWatch.java
@@ -0,0 +1,67 @@
+package org.sardineport.daemon.relay;
+
+import org.sardineport.core.port.relay.ConfigurationListener;
+import org.sardineport.core.relay.ClockReading;
+import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.RelayConfiguration;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+/**
+ * Puts what operators wrote in force, and logs each change and each loss of contact.
+ */
+final class ConfigurationWatch implements ConfigurationListener {
+
+	private static final EventLog LOG = EventLog.of(ConfigurationWatch.class);
+
+	private final ConfigurationInForce inForce;
+
+	private final Telemetry telemetry;
+
+	private boolean reachable = true;
+
+	ConfigurationWatch(ConfigurationInForce inForce, Telemetry telemetry) {
+		this.inForce = inForce;
+		this.telemetry = telemetry;
+	}
+
+	@Override
+	public void changed(RelayConfiguration configuration, ClockReading readStarted) {
+		reached();
+		long before = this.inForce.current().version();
+		boolean accepted = this.inForce.accept(configuration, readStarted);
+		LOG.info(accepted ? "configuration.in-force" : "configuration.older-ignored", "version",
+				configuration.version(), "before", before, "age-ms", this.inForce.proofAgeMillis());
+	}
+
+	@Override
+	public void unchanged(ClockReading readStarted) {
+		reached();
+		this.inForce.confirm(readStarted);
+	}
+
+	private void reached() {
+		if (!this.reachable) {
+			this.reachable = true;
+			LOG.info("configuration.reached-again", "version", this.inForce.current().version());
+		}
+	}
+
+	@Override
+	public void unreadable(String fault) {
+		this.telemetry.counter("configuration.unreadable").inc();
+		LOG.warn("configuration.unreadable", "fault", fault, "version-kept", this.inForce.current().version(), "remedy",
+				"Write a configuration that can be read; the one before stays in force.");
+	}
+
+	@Override
+	public void unreachable(String cause) {
+		this.telemetry.counter("configuration.unreachable").inc();
+		if (this.reachable) {
+			this.reachable = false;
+			LOG.warn("configuration.unreachable", "cause", cause, "version", this.inForce.current().version(),
+					"proof-age-ms", this.inForce.proofAgeMillis());
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayEndpoints.java
@@ -0,0 +1,115 @@
+package org.sardineport.daemon.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.sardineport.core.entry.EntrySelector;
+import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.daemon.http.Readiness;
+import org.sardineport.daemon.telemetry.PrometheusText;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+/**
+ * Small HTTP servers beside the one for requests: readiness, the addresses that callers
+ * use, and metrics.
+ */
+final class RelayEndpoints implements Service {
+
+	/** Most addresses named to one caller. */
+	private static final int MOST_ADDRESSES = 64;
+
+	private static final int STATUS_OK = 200;
+
+	private static final int STATUS_NOT_FOUND = 404;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private final Vertx vertx;
+
+	private final RelaySettings settings;
+
+	private final RelayProtocol protocol;
+
+	private final FleetView fleet;
+
+	private final EntrySelector selector;
+
+	private final Readiness readiness;
+
+	private final Telemetry telemetry;
+
+	private final List<HttpServer> servers = new ArrayList<>();
+
+	RelayEndpoints(Vertx vertx, RelaySettings settings, RelayProtocol protocol, FleetView fleet, RandomGenerator random,
+			Readiness readiness, Telemetry telemetry) {
+		this.vertx = Objects.requireNonNull(vertx, "vertx must not be null");
+		this.settings = settings;
+		this.protocol = protocol;
+		this.fleet = fleet;
+		this.selector = EntrySelector.create(settings.keepTime(), random);
+		this.readiness = readiness;
+		this.telemetry = telemetry;
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		return listen(this.settings.readinessAddress(), this.protocol.readinessPath(), this::ready)
+			.compose((ignored) -> listen(this.settings.entryAddress(), this.protocol.entryPath(), this::entry))
+			.compose((ignored) -> listen(this.settings.metricsAddress(), "/metrics", this::metrics))
+			.toCompletionStage();
+	}
+
+	private Future<Void> listen(NetworkAddress address, String path, Handler<HttpServerRequest> handler) {
+		HttpServerOptions options = new HttpServerOptions().setHost(address.ip())
+			.setPort(address.port())
+			.setHttp2ClearTextEnabled(false);
+		HttpServer server = this.vertx.createHttpServer(options).requestHandler((request) -> {
+			if (path.equals(request.path())) {
+				handler.handle(request);
+			}
+			else {
+				request.response().setStatusCode(STATUS_NOT_FOUND).end();
+			}
+		});
+		this.servers.add(server);
+		return server.listen().mapEmpty();
+	}
+
+	private void ready(HttpServerRequest request) {
+		boolean isReady = this.readiness.obstacles().isEmpty();
+		request.response().setStatusCode(isReady ? STATUS_OK : STATUS_UNAVAILABLE).end();
+	}
+
+	private void entry(HttpServerRequest request) {
+		Buffer body = this.protocol.writeEntry(this.selector.selectAll(this.fleet.current(), MOST_ADDRESSES));
+		request.response().putHeader("Content-Type", this.protocol.entryContentType()).end(body);
+	}
+
+	private void metrics(HttpServerRequest request) {
+		request.response()
+			.putHeader("Content-Type", PrometheusText.CONTENT_TYPE)
+			.end(PrometheusText.write(this.telemetry.registry()));
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		CompletableFuture<?>[] closing = this.servers.stream()
+			.map((server) -> server.close().toCompletionStage().toCompletableFuture())
+			.toArray(CompletableFuture<?>[]::new);
+		return CompletableFuture.allOf(closing);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -0,0 +1,146 @@
+package org.sardineport.daemon.relay;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.daemon.telemetry.EventLog;
+
+/**
+ * HTTP server towards callers whose requests are forwarded.
+ */
+final class RelayServer implements Service {
+
+	private static final EventLog LOG = EventLog.of(RelayServer.class);
+
+	/** Largest head of a request, in bytes. */
+	private static final int MOST_HEADER_BYTES = 64 * 1024;
+
+	/** Longest request line, in bytes. */
+	private static final int MOST_LINE_BYTES = 16 * 1024;
+
+	/** Time after which a connection without traffic is closed, in seconds. */
+	private static final int IDLE_SECONDS = 30;
+
+	/** Connections that may wait to be accepted. */
+	private static final int BACKLOG = 1024;
+
+	private static final int STATUS_BAD_REQUEST = 400;
+
+	/** Time after which a caller may ask another daemon. */
+	private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
+
+	private final RelayServices services;
+
+	private final NetworkAddress address;
+
+	private final Set<HttpConnection> connections = new HashSet<>();
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	private @Nullable HttpServer server;
+
+	private volatile boolean stopping;
+
+	private volatile boolean refusing;
+
+	private volatile boolean served;
+
+	RelayServer(RelayServices services, NetworkAddress address) {
+		this.services = Objects.requireNonNull(services, "services must not be null");
+		this.address = Objects.requireNonNull(address, "address must not be null");
+	}
+
+	@Override
+	public CompletionStage<Void> start() {
+		HttpServerOptions options = new HttpServerOptions().setHost(this.address.ip())
+			.setPort(this.address.port())
+			.setHttp2ClearTextEnabled(false)
+			.setHandle100ContinueAutomatically(true)
+			.setMaxHeaderSize(MOST_HEADER_BYTES)
+			.setMaxInitialLineLength(MOST_LINE_BYTES)
+			.setIdleTimeout(IDLE_SECONDS)
+			.setTcpNoDelay(true)
+			.setAcceptBacklog(BACKLOG);
+		HttpServer created = this.services.vertx()
+			.createHttpServer(options)
+			.connectionHandler((connection) -> connected(connection, options))
+			.invalidRequestHandler(this::invalid)
+			.requestHandler(this::handle);
+		this.server = created;
+		return created.listen().<Void>mapEmpty().toCompletionStage();
+	}
+
+	@Override
+	public CompletionStage<Void> stop() {
+		HttpServer started = this.server;
+		return (started != null) ? started.close().toCompletionStage() : CompletableFuture.completedStage(null);
+	}
+
+	/**
+	 * Asks callers, with each answer, to use another connection. Safe for use by any
+	 * thread.
+	 */
+	void stopping() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Refuses requests that come from now on. Safe for use by any thread.
+	 */
+	void refuseNewRequests() {
+		this.refusing = true;
+	}
+
+	int inFlight() {
+		return this.inFlight.get();
+	}
+
+	boolean hasServed() {
+		return this.served;
+	}
+
+	private void connected(HttpConnection connection, HttpServerOptions options) {
+		StrictRequestDecoder.install(connection, options);
+		this.connections.add(connection);
+		connection.closeHandler((ignored) -> this.connections.remove(connection));
+	}
+
+	private void invalid(HttpServerRequest request) {
+		this.services.telemetry().refused(RefusalReason.INVALID_HEADER).inc();
+		LOG.info("request.malformed", "remote", request.remoteAddress(), "cause", request.decoderResult().cause());
+		request.response()
+			.setStatusCode(STATUS_BAD_REQUEST)
+			.putHeader("Connection", "close")
+			.end()
+			.onComplete((ignored) -> request.connection().close());
+	}
+
+	private void handle(HttpServerRequest request) {
+		this.inFlight.incrementAndGet();
+		CallerAnswer answer = new CallerAnswer(request, this.services.protocol(), () -> this.stopping,
+				this.inFlight::decrementAndGet);
+		RelayExchange exchange = new RelayExchange(this.services, request, answer);
+		if (this.refusing) {
+			exchange.refuseUnread(Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", RETRY_ELSEWHERE));
+		}
+		else {
+			this.served = true;
+			exchange.start();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayStopActions.java
@@ -0,0 +1,53 @@
+package org.sardineport.daemon.relay;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.sardineport.daemon.fleet.FleetDuty;
+import org.sardineport.daemon.stop.StopActions;
+
+/**
+ * What a planned stop does to the parts of a forwarding daemon.
+ */
+final class RelayStopActions implements StopActions {
+
+	private final FleetDuty fleet;
+
+	private final RelayServer server;
+
+	private final RelayReadiness readiness;
+
+	RelayStopActions(FleetDuty fleet, RelayServer server, RelayReadiness readiness) {
+		this.fleet = fleet;
+		this.server = server;
+		this.readiness = readiness;
+	}
+
+	@Override
+	public boolean hasNeverServed() {
+		return !this.server.hasServed();
+	}
+
+	@Override
+	public CompletionStage<Void> announce() {
+		this.readiness.stopping();
+		this.server.stopping();
+		return this.fleet.leave();
+	}
+
+	@Override
+	public void refuseNewRequests() {
+		this.server.refuseNewRequests();
+	}
+
+	@Override
+	public int inFlight() {
+		return this.server.inFlight();
+	}
+
+	@Override
+	public CompletionStage<Void> flush() {
+		return CompletableFuture.completedStage(null);
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingDuty.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
 import org.sardineport.core.admission.PermitListener;
 import org.sardineport.core.admission.RequestScheduler;
@@ -23,6 +24,7 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.port.backend.LoadSource;
 import org.sardineport.core.port.backend.ModelEngine;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.quarantine.Strike;
@@ -31,6 +33,7 @@
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
 import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.scheduling.EngineAssumptions;
 import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.core.scheduling.Scheduler;
 import org.sardineport.core.scheduling.SchedulingEffects;
@@ -60,7 +63,7 @@
 
 	private final PeerTransport transport;
 
-	private final ModelEngine engine;
+	private final @Nullable LoadSource loads;
 
 	private final InstantSource clock;
 
@@ -85,18 +88,18 @@
 
 	private long reportsAskedAt;
 
-	private SchedulingDuty(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
-			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
-			Telemetry telemetry) {
+	private SchedulingDuty(SchedulingSettings settings, EngineAssumptions assumptions, FleetView fleet,
+			OwnerLookup ownerLookup, PeerTransport transport, @Nullable LoadSource loads, InstantSource clock,
+			RandomGenerator random, Telemetry telemetry) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
 		this.transport = Objects.requireNonNull(transport, "transport must not be null");
-		this.engine = Objects.requireNonNull(engine, "engine must not be null");
+		this.loads = loads;
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
 		this.loadReportInterval = settings.loadReportInterval();
 		this.newest = fleet.current();
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
-				settings.maximumWaiting());
+				settings.maximumWaiting(), assumptions);
 		this.scheduler = Scheduler.create(this.newest.self(), limits, ownerLookup, clock, random, new Effects());
 		this.duty = Duty.create("scheduling", RING_SIZE, TICK, this::tick);
 	}
@@ -117,8 +120,30 @@
 	public static SchedulingDuty create(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
 			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
 			Telemetry telemetry) {
-		SchedulingDuty created = new SchedulingDuty(settings, fleet, ownerLookup, transport, engine, clock, random,
-				telemetry);
+		return listening(new SchedulingDuty(settings, EngineAssumptions.NONE, fleet, ownerLookup, transport, engine,
+				clock, random, telemetry));
+	}
+
+	/**
+	 * Returns a duty that is not started yet, for engines that are not asked for their
+	 * load. Created before the transport's start, as it listens for messages.
+	 * @param settings limits of scheduling
+	 * @param assumptions what is taken to be true of the engines
+	 * @param fleet the view of the fleet
+	 * @param transport carries messages to other daemons
+	 * @param clock the clock
+	 * @param random source of randomness
+	 * @param telemetry where retries are counted
+	 * @return the duty
+	 */
+	public static SchedulingDuty withoutLoadReports(SchedulingSettings settings, EngineAssumptions assumptions,
+			FleetView fleet, PeerTransport transport, InstantSource clock, RandomGenerator random,
+			Telemetry telemetry) {
+		return listening(new SchedulingDuty(settings, assumptions, fleet, OwnerLookup.rendezvous(), transport, null,
+				clock, random, telemetry));
+	}
+
+	private static SchedulingDuty listening(SchedulingDuty created) {
 		created.listen();
 		return created;
 	}
@@ -223,14 +248,15 @@
 			LOG.warn("scheduling.top-tier-behind-lower");
 		}
 		long now = this.clock.millis();
-		if (now - this.reportsAskedAt >= this.loadReportInterval.toMillis()) {
+		if (this.loads != null && now - this.reportsAskedAt >= this.loadReportInterval.toMillis()) {
 			this.reportsAskedAt = now;
-			this.scheduler.owned().forEach(this::askLoad);
+			LoadSource source = this.loads;
+			this.scheduler.owned().forEach((server) -> askLoad(source, server));
 		}
 	}
 
-	private void askLoad(BackendServer server) {
-		this.engine.load(server).whenComplete((report, failure) -> {
+	private void askLoad(LoadSource source, BackendServer server) {
+		source.load(server).whenComplete((report, failure) -> {
 			if (failure == null) {
 				offer("load", () -> this.scheduler.loaded(report));
 				this.loadListener.accept(report);
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
@@ -474,6 +474,44 @@
     mayPreempt_ = false;
   }
 
+  public static final int START_WITHIN_MILLIS_FIELD_NUMBER = 14;
+  private int startWithinMillis_;
+  /**
+   * <pre>
+   * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+   * </pre>
+   *
+   * <code>uint32 start_within_millis = 14;</code>
+   * @return The startWithinMillis.
+   */
+  @java.lang.Override
+  public int getStartWithinMillis() {
+    return startWithinMillis_;
+  }
+  /**
+   * <pre>
+   * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+   * </pre>
+   *
+   * <code>uint32 start_within_millis = 14;</code>
+   * @param value The startWithinMillis to set.
+   */
+  private void setStartWithinMillis(int value) {
+    
+    startWithinMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+   * </pre>
+   *
+   * <code>uint32 start_within_millis = 14;</code>
+   */
+  private void clearStartWithinMillis() {
+
+    startWithinMillis_ = 0;
+  }
+
   public static org.sardineport.wire.message.PermitRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1047,6 +1085,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+     * </pre>
+     *
+     * <code>uint32 start_within_millis = 14;</code>
+     * @return The startWithinMillis.
+     */
+    @java.lang.Override
+    public int getStartWithinMillis() {
+      return instance.getStartWithinMillis();
+    }
+    /**
+     * <pre>
+     * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+     * </pre>
+     *
+     * <code>uint32 start_within_millis = 14;</code>
+     * @param value The startWithinMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartWithinMillis(int value) {
+      copyOnWrite();
+      instance.setStartWithinMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+     * </pre>
+     *
+     * <code>uint32 start_within_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartWithinMillis() {
+      copyOnWrite();
+      instance.clearStartWithinMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.PermitRequest)
   }
   @java.lang.Override
@@ -1076,11 +1154,12 @@
             "fingerprintHigh_",
             "fingerprintLow_",
             "mayPreempt_",
+            "startWithinMillis_",
           };
           java.lang.String info =
-              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
-              "\u0004\u0208\u0005\u000b\u0006\u000b\u0007\u000b\b\u0005\t\u000b\n\u000b\u000b\u0005" +
-              "\f\u0005\r\u0007";
+              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0208\u0005\u000b\u0006\u000b\u0007\u000b\b\u0005\t\u000b\n\u000b" +
+              "\u000b\u0005\f\u0005\r\u0007\u000e\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
@@ -119,4 +119,14 @@
    * @return The mayPreempt.
    */
   boolean getMayPreempt();
+
+  /**
+   * <pre>
+   * Milliseconds left in which it is of use to begin it; 0 for as long as the deadline.
+   * </pre>
+   *
+   * <code>uint32 start_within_millis = 14;</code>
+   * @return The startWithinMillis.
+   */
+  int getStartWithinMillis();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -113,7 +113,12 @@
 				TokenEstimate.of(wire.getPromptTokens(), wire.getAnswerTokens()), wire.getPrefixHash(),
 				constant(RunningPolicy.values(), wire.getRunningPolicy()),
 				Fingerprint.of(wire.getFingerprintHigh(), wire.getFingerprintLow()),
-				Duration.ofMillis(wire.getRemainingMillis()), wire.getMayPreempt());
+				Duration.ofMillis(wire.getRemainingMillis()), startWithin(wire), wire.getMayPreempt());
+	}
+
+	private static Duration startWithin(org.sardineport.wire.message.PermitRequest wire) {
+		int millis = (wire.getStartWithinMillis() == 0) ? wire.getRemainingMillis() : wire.getStartWithinMillis();
+		return Duration.ofMillis(millis);
 	}
 
 	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -102,6 +102,7 @@
 			.setPrefixHash(ask.prefixHash())
 			.setRunningPolicy(ask.runningPolicy().ordinal())
 			.setRemainingMillis(millis(ask.remaining()))
+			.setStartWithinMillis(Math.max(1, millis(ask.startWithin())))
 			.setFingerprintHigh(ask.fingerprint().high())
 			.setFingerprintLow(ask.fingerprint().low())
 			.setMayPreempt(ask.mayPreempt());
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -50,7 +50,7 @@
 	private static PermitRequest request() {
 		return new PermitRequest(REQUEST, SERVER, PoolName.of("model"), OrganisationId.of("o"), Tier.BATCH,
 				TokenEstimate.of(12, 34), -5, RunningPolicy.RESUMABLE_ONLY, Fingerprint.of(-1, 7),
-				Duration.ofMillis(1234), true);
+				Duration.ofMillis(1234), Duration.ofMillis(567), true);
 	}
 
 	static Stream<SchedulingMessage> messages() {
