--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -8,6 +8,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
@@ -24,8 +25,7 @@
  * @param prefixHash hash of the prompt's first block, for cache affinity; 0 if none
  * @param fingerprint hash by which a repeated request is known
  * @param runningPolicy what may be done to it once it runs
- * @param organisationTokensPerSecond fleet-wide limit of the organisation in estimated
- * tokens a second; 0 for none
+ * @param organisationLimit fleet-wide limit of the organisation
  * @param organisationTokens tokens that it takes from that limit
  * @param avoided backend servers that it is not sent to, as they failed it before
  * @param arrival when it was received
@@ -35,7 +35,7 @@
  */
 public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
 		TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
-		long organisationTokensPerSecond, long organisationTokens, Set<BackendServerId> avoided, Instant arrival,
+		OrganisationLimit organisationLimit, long organisationTokens, Set<BackendServerId> avoided, Instant arrival,
 		Instant startBy, Instant deadline) {
 
 	/**
@@ -49,6 +49,7 @@
 		Objects.requireNonNull(estimate, "estimate must not be null");
 		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
 		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
+		Objects.requireNonNull(organisationLimit, "organisationLimit must not be null");
 		avoided = Set.copyOf(avoided);
 		Objects.requireNonNull(arrival, "arrival must not be null");
 		Objects.requireNonNull(startBy, "startBy must not be null");
@@ -75,7 +76,16 @@
 			TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
 			long organisationTokensPerSecond, Instant arrival, Instant deadline) {
 		this(id, pool, organisation, tier, estimate, prefixHash, fingerprint, runningPolicy,
-				organisationTokensPerSecond, estimate.total(), Set.of(), arrival, deadline, deadline);
+				OrganisationLimit.rate(organisationTokensPerSecond), estimate.total(), Set.of(), arrival, deadline,
+				deadline);
+	}
+
+	/**
+	 * Returns the rate of the organisation's limit.
+	 * @return tokens a second over the whole fleet; 0 for no limit
+	 */
+	public long organisationTokensPerSecond() {
+		return this.organisationLimit.tokensPerSecond();
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
+++ b/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
@@ -11,6 +11,9 @@
 	/** Period over which demand is told, in milliseconds. */
 	public static final long PERIOD_MILLIS = 500;
 
+	/** Time between two demands of an account that is overdrawn, in milliseconds. */
+	private static final long SHORT_OF_TOKENS_MILLIS = 100;
+
 	/** Shortest and longest time after which a refused caller is told to come back. */
 	private static final long LEAST_RETRY_MILLIS = 500;
 
@@ -19,10 +22,12 @@
 	/** Time without requests after which no more slices are asked for. */
 	private static final long IDLE_MILLIS = 5000;
 
-	private long limit;
+	private OrganisationLimit limit;
 
 	private double balance;
 
+	private int members;
+
 	private double share;
 
 	private long leasedUntil;
@@ -39,10 +44,11 @@
 
 	private long answeredSequence;
 
-	private QuotaAccount(long limit, int members, long now) {
+	private QuotaAccount(OrganisationLimit limit, int members, long now) {
 		this.limit = limit;
-		this.share = (double) limit / Math.max(1, members);
-		this.balance = this.share;
+		this.share = (double) limit.tokensPerSecond() / Math.max(1, members);
+		this.members = members;
+		this.balance = (limit.burst() > 0) ? limit.capacity(members) : this.share;
 		this.accruedAt = now;
 		this.lastDemandAt = now;
 		this.askedAt = now - PERIOD_MILLIS;
@@ -56,6 +62,17 @@
 	 * @return the account
 	 */
 	public static QuotaAccount open(long limit, int members, long now) {
+		return open(OrganisationLimit.rate(limit), members, now);
+	}
+
+	/**
+	 * Returns the account of a daemon that was not leased anything yet.
+	 * @param limit the fleet-wide limit
+	 * @param members daemons that share it
+	 * @param now the current time
+	 * @return the account
+	 */
+	public static QuotaAccount open(OrganisationLimit limit, int members, long now) {
 		return new QuotaAccount(limit, members, now);
 	}
 
@@ -69,22 +86,38 @@
 	 * @return whether the request may go on
 	 */
 	public boolean spend(long tokens, boolean top, long newLimit, int members, long now) {
+		return spend(tokens, top, OrganisationLimit.rate(newLimit), members, now);
+	}
+
+	/**
+	 * Spends tokens for a request, or counts them as demand only. One that is larger than
+	 * the account is let in while nothing is owed.
+	 * @param tokens tokens of the request
+	 * @param top whether it is of the top tier
+	 * @param newLimit the limit in force
+	 * @param sharers daemons that share it
+	 * @param now the current time
+	 * @return whether the request may go on
+	 */
+	public boolean spend(long tokens, boolean top, OrganisationLimit newLimit, int sharers, long now) {
 		this.limit = newLimit;
+		this.members = sharers;
 		this.demand += tokens;
 		this.lastDemandAt = now;
-		accrue(members, now);
-		if (this.balance <= ((top) ? -this.limit : 0)) {
+		accrue(sharers, now);
+		boolean covered = this.balance - tokens >= -newLimit.overdraft(sharers);
+		if (this.balance <= ((top) ? -newLimit.tokensPerSecond() : 0) && !covered) {
 			return false;
 		}
 		this.balance -= tokens;
 		return true;
 	}
 
-	private void accrue(int members, long now) {
+	private void accrue(int sharers, long now) {
 		if (now >= this.leasedUntil) {
-			this.share = (double) this.limit / Math.max(1, members);
+			this.share = (double) this.limit.tokensPerSecond() / Math.max(1, sharers);
 			double seconds = (now - Math.max(this.accruedAt, this.leasedUntil)) / 1000.0;
-			this.balance = Math.max(this.balance, Math.min(this.share, this.balance + this.share * seconds));
+			this.balance = Math.max(this.balance, Math.min(most(this.share), this.balance + this.share * seconds));
 		}
 		this.accruedAt = now;
 	}
@@ -111,8 +144,16 @@
 		this.answeredSequence = answered;
 		this.leasedUntil = now + validMillis;
 		this.accruedAt = now;
-		double cap = Math.max(tokens, this.limit * PERIOD_MILLIS / 1000.0);
-		this.balance = Math.min(this.balance + tokens, cap);
+		double cap = Math.max(tokens, this.limit.tokensPerSecond() * PERIOD_MILLIS / 1000.0);
+		this.balance = Math.min(this.balance + tokens, most(cap));
+	}
+
+	private double most(double withoutBurst) {
+		return savesUp() ? this.limit.capacity(this.members) : withoutBurst;
+	}
+
+	private boolean savesUp() {
+		return this.limit.burst() > 0;
 	}
 
 	/**
@@ -121,17 +162,26 @@
 	 * @return tokens wanted for a period, or -1 if nothing is to be told
 	 */
 	public long demandToTell(long now) {
-		if (now - this.askedAt < PERIOD_MILLIS || isIdle(now)) {
+		long interval = (savesUp() && this.balance < 0) ? SHORT_OF_TOKENS_MILLIS : PERIOD_MILLIS;
+		if (now - this.askedAt < interval || isIdle(now)) {
 			return -1;
 		}
-		long debt = (long) Math.max(0, -this.balance);
-		long wanted = this.demand + this.demand / 4 + debt;
+		long wanted = savesUp() ? missing() : demandWithReserve();
 		this.demand = 0;
 		this.askedAt = now;
 		this.sequence++;
 		return wanted;
 	}
 
+	private long missing() {
+		return (long) Math.max(0, this.limit.capacity(this.members) - this.balance);
+	}
+
+	private long demandWithReserve() {
+		long debt = (long) Math.max(0, -this.balance);
+		return this.demand + this.demand / 4 + debt;
+	}
+
 	/**
 	 * Returns the sequence of the demand told last.
 	 * @return the sequence
@@ -145,7 +195,7 @@
 	 * @return tokens a second
 	 */
 	public long limit() {
-		return this.limit;
+		return this.limit.tokensPerSecond();
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/relay/RelayOrganisation.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayOrganisation.java
@@ -4,17 +4,18 @@
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.limit.OrganisationLimit;
 
 /**
  * An organisation whose callers are served.
  *
  * @param id its name
  * @param rank urgency of its requests whatever their route says, or {@code null}
- * @param unitsPerSecond fleet-wide limit on what it may use, in its units; 0 for none
+ * @param limit fleet-wide limit on what it may use, in its units
  * @param unit what the limit counts
  * @param tokensOfPlainRequest tokens that a request counts for which no size is known
  */
-public record RelayOrganisation(OrganisationId id, @Nullable Integer rank, long unitsPerSecond, LimitUnit unit,
+public record RelayOrganisation(OrganisationId id, @Nullable Integer rank, OrganisationLimit limit, LimitUnit unit,
 		int tokensOfPlainRequest) {
 
 	/**
@@ -22,6 +23,7 @@
 	 */
 	public RelayOrganisation {
 		Objects.requireNonNull(id, "id must not be null");
+		Objects.requireNonNull(limit, "limit must not be null");
 		Objects.requireNonNull(unit, "unit must not be null");
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
@@ -8,6 +8,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.limit.QuotaAccount;
 import org.sardineport.core.limit.QuotaLeases;
 import org.sardineport.core.request.Refusal;
@@ -39,8 +40,8 @@
 	 * @return the refusal, or empty if the organisation may go on
 	 */
 	Optional<Refusal> spend(SchedulingRequest request, long now) {
-		long limit = request.organisationTokensPerSecond();
-		if (limit <= 0) {
+		OrganisationLimit limit = request.organisationLimit();
+		if (!limit.isLimited()) {
 			return Optional.empty();
 		}
 		QuotaAccount account = this.accounts.computeIfAbsent(request.organisation(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
@@ -11,6 +11,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.relay.CallerHead;
 import org.sardineport.core.relay.RelayOrganisation;
 import org.sardineport.core.relay.RelayPool;
@@ -81,9 +82,8 @@
 		OrganisationId owner = (this.organisation != null) ? this.organisation.id() : OPEN;
 		byte[] body = this.request.body().getBytes();
 		return new SchedulingRequest(id, this.pool, owner, this.tier, estimate(), head.prefixHash(),
-				RequestHashes.fingerprint(owner, head.method(), head.target(), body), runningPolicy(),
-				(this.organisation != null) ? this.organisation.unitsPerSecond() : 0, cost(progress),
-				progress.failedOn(), this.request.arrival(), startBy(progress), schedulingDeadline());
+				RequestHashes.fingerprint(owner, head.method(), head.target(), body), runningPolicy(), limit(),
+				cost(progress), progress.failedOn(), this.request.arrival(), startBy(progress), schedulingDeadline());
 	}
 
 	private TokenEstimate estimate() {
@@ -95,6 +95,11 @@
 				: RunningPolicy.CANCELLABLE;
 	}
 
+	private OrganisationLimit limit() {
+		RelayOrganisation owner = this.organisation;
+		return (owner != null) ? this.services.limits().apply(owner) : OrganisationLimit.NONE;
+	}
+
 	// A request counts against its organisation's limit once, with its first run.
 	private long cost(RequestProgress progress) {
 		boolean counted = progress.mayHaveRun() || this.organisation == null;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -84,7 +84,7 @@
 		AtomicLong attempts = new AtomicLong();
 		String prefix = this.place.daemon().value() + "-" + joined.incarnation() + "-";
 		RelayServices parts = new RelayServices(vertx, ports.protocol(), RelayGate.create(inForce), inForce, scheduling,
-				fleet, connections,
+				fleet, connections, settings.limitTolerance(),
 				RetryAllowance.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock, random,
 				() -> RequestId.of(prefix + attempts.incrementAndGet()), telemetry);
 		RelayServer server = new RelayServer(parts, settings.callerAddress());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -9,6 +9,7 @@
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.relay.RelayGate;
 import org.sardineport.core.relay.RetryAllowance;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -23,6 +24,7 @@
  * @param scheduler decides when and where requests run
  * @param fleet the daemons and backend servers
  * @param connections connections to backend servers
+ * @param limits widens limits by what the operators tolerate
  * @param retries this daemon's part of the fleet's retries
  * @param clock a steady clock
  * @param random source of randomness
@@ -30,7 +32,8 @@
  * @param telemetry counts and times
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayGate gate, ConfigurationInForce inForce,
-		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, RetryAllowance retries,
-		InstantSource clock, RandomGenerator random, Supplier<RequestId> ids, Telemetry telemetry) {
+		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, LimitTolerance limits,
+		RetryAllowance retries, InstantSource clock, RandomGenerator random, Supplier<RequestId> ids,
+		Telemetry telemetry) {
 
 }
