--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -47,7 +47,7 @@
 	/**
 	 * Engines admit as many requests as they have slots, and do not report cached tokens.
 	 */
-	private static final EngineAssumptions ASSUMPTIONS = new EngineAssumptions(Concurrency.NOMINAL, 0.9, 0.9);
+	private static final EngineAssumptions ASSUMPTIONS = new EngineAssumptions(Concurrency.NOMINAL, 0, 0);
 
 	private final FleetSettings place;
 
