Let requests that can still begin in time go first, and choose by the start where callers mind it

Cause: requests waited 220 ms (p90) for a fast backend server while slow ones had free places, as servers were compared by the end of a stream, whose callers mind its first event; and in a queue a request that was late already made the next one late. Routes' ranks now order requests of one organisation. Ruled out: a full pool, 30 to 50 of 72 places were taken.

--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -21,6 +21,7 @@
  * @param pool pool whose backend servers can run it
  * @param organisation organisation that sent it
  * @param tier its urgency
+ * @param rank order within its tier and organisation, 0 for the first
  * @param estimate its size in tokens
  * @param prefixHash hash of the prompt's first block, for cache affinity; 0 if none
  * @param fingerprint hash by which a repeated request is known
@@ -29,14 +30,13 @@
  * @param organisationTokens tokens that it takes from that limit
  * @param avoided backend servers that it is not sent to, as they failed it before
  * @param arrival when it was received
- * @param startBy from when on it is of no use to begin it; the deadline if waiting costs
- * its caller nothing
+ * @param patience until when it is of use to begin it
  * @param deadline when its answer must be complete
  */
-public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
+public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier, int rank,
 		TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
 		OrganisationLimit organisationLimit, long organisationTokens, Set<BackendServerId> avoided, Instant arrival,
-		Instant startBy, Instant deadline) {
+		Patience patience, Instant deadline) {
 
 	/**
 	 * Creates the request.
@@ -52,7 +52,7 @@
 		Objects.requireNonNull(organisationLimit, "organisationLimit must not be null");
 		avoided = Set.copyOf(avoided);
 		Objects.requireNonNull(arrival, "arrival must not be null");
-		Objects.requireNonNull(startBy, "startBy must not be null");
+		Objects.requireNonNull(patience, "patience must not be null");
 		Objects.requireNonNull(deadline, "deadline must not be null");
 	}
 
@@ -75,9 +75,9 @@
 	public SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier,
 			TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
 			long organisationTokensPerSecond, Instant arrival, Instant deadline) {
-		this(id, pool, organisation, tier, estimate, prefixHash, fingerprint, runningPolicy,
-				OrganisationLimit.rate(organisationTokensPerSecond), estimate.total(), Set.of(), arrival, deadline,
-				deadline);
+		this(id, pool, organisation, tier, 0, estimate, prefixHash, fingerprint, runningPolicy,
+				OrganisationLimit.rate(organisationTokensPerSecond), estimate.total(), Set.of(), arrival,
+				Patience.until(deadline), deadline);
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -130,6 +130,17 @@
 		return best.view;
 	}
 
+	/**
+	 * Rates a backend server for a request, for comparison with others.
+	 * @param view the backend server
+	 * @param request the request
+	 * @param now the current time in milliseconds
+	 * @return milliseconds from now; less is better
+	 */
+	public double costMillis(ServerView view, RoutingRequest request, long now) {
+		return view.costMillis(request, cachedShare(view, home(request.prefixHash()), now), now);
+	}
+
 	/**
 	 * Predicts the finish of a request on one backend server.
 	 * @param view the backend server
@@ -203,7 +214,7 @@
 			boolean isolated = candidate.state().isolated();
 			boolean candidateSuits = !isolated && candidate.suits(this.request, cached, this.now);
 			double candidateFinish = (isolated) ? Double.MAX_VALUE
-					: candidate.finishMillis(this.request, cached, this.now);
+					: candidate.costMillis(this.request, cached, this.now);
 			if ((candidateSuits == this.suits) ? candidateFinish < this.finish : candidateSuits) {
 				this.suits = candidateSuits;
 				this.finish = candidateFinish;
--- a/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
@@ -12,9 +12,11 @@
  * @param mayProbe whether it may be the probe of an isolated backend server
  * @param prefixHash hash of the prompt's first block; 0 if none
  * @param remainingMillis time left until its deadline
+ * @param prefersEarlyStart whether its caller minds more when the answer begins than when
+ * it ends
  */
 public record RoutingRequest(TokenEstimate estimate, boolean top, boolean mayProbe, long prefixHash,
-		long remainingMillis) {
+		long remainingMillis, boolean prefersEarlyStart) {
 
 	/**
 	 * Creates the request.
@@ -23,4 +25,17 @@
 		Objects.requireNonNull(estimate, "estimate must not be null");
 	}
 
+	/**
+	 * Creates a request whose caller minds only when the answer ends.
+	 * @param estimate its size
+	 * @param top whether it is of the top tier
+	 * @param mayProbe whether it may be the probe of an isolated backend server
+	 * @param prefixHash hash of the prompt's first block; 0 if none
+	 * @param remainingMillis time left until its deadline
+	 */
+	public RoutingRequest(TokenEstimate estimate, boolean top, boolean mayProbe, long prefixHash,
+			long remainingMillis) {
+		this(estimate, top, mayProbe, prefixHash, remainingMillis, false);
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -17,6 +17,9 @@
 	/** Age from which a state says little, in milliseconds. */
 	private static final long OLD_MILLIS = 5000;
 
+	/** Weight of the time from start to finish where callers mind the start. */
+	private static final double DECODE_WEIGHT = 0.1;
+
 	private final BackendServer server;
 
 	private double networkMillis;
@@ -162,6 +165,24 @@
 		return finishMillis(request, cachedShare, full, now) < request.remainingMillis();
 	}
 
+	/**
+	 * Rates a backend server for a request, for comparison with others.
+	 * @param request the request
+	 * @param cachedShare share of its prompt that is expected to be cached there
+	 * @param now the current time
+	 * @return milliseconds until the finish, or mostly those until the start where the
+	 * caller minds that more; less is better
+	 */
+	public double costMillis(RoutingRequest request, double cachedShare, long now) {
+		double finish = finishMillis(request, cachedShare, now);
+		if (!request.prefersEarlyStart() || request.estimate().total() == 0) {
+			return finish;
+		}
+		int beside = this.state.running() + this.pendingAsks + 1;
+		double decode = this.state.speed().decodeMillis(request.estimate().answer(), beside);
+		return finish - (1 - DECODE_WEIGHT) * decode;
+	}
+
 	private double finishMillis(RoutingRequest request, double cachedShare, int beside, long now) {
 		ServerState current = this.state;
 		TokenEstimate estimate = request.estimate();
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -83,8 +83,8 @@
 		if (other == null) {
 			return null;
 		}
-		double there = router.finishMillis(other, request, now);
-		double here = router.finishMillis(current, waiting.routing(now, true), now) + waiting.remainingWaitMillis(now);
+		double there = router.costMillis(other, request, now);
+		double here = router.costMillis(current, waiting.routing(now, true), now) + waiting.remainingWaitMillis(now);
 		return (there + LEAST_GAIN_MILLIS < here) ? other : null;
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/OrganisationQueue.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQueue.java
@@ -23,7 +23,10 @@
 	/** Cost of a request besides its tokens, so that plain calls count too. */
 	private static final int COST_OF_REQUEST = 64;
 
-	private static final Comparator<WaitingRequest> BY_DEADLINE = Comparator.comparingLong(WaitingRequest::deadline)
+	private static final Comparator<WaitingRequest> BY_URGENCY = Comparator
+		.comparingInt((WaitingRequest waiting) -> waiting.ask().rank())
+		.thenComparingLong(WaitingRequest::promptBy)
+		.thenComparingLong(WaitingRequest::deadline)
 		.thenComparing((waiting) -> waiting.ask().request());
 
 	private final Map<OrganisationId, Turn> turns = new HashMap<>();
@@ -105,7 +108,7 @@
 
 		private final OrganisationId organisation;
 
-		private final TreeSet<WaitingRequest> requests = new TreeSet<>(BY_DEADLINE);
+		private final TreeSet<WaitingRequest> requests = new TreeSet<>(BY_URGENCY);
 
 		private long deficit;
 
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerQueue.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerQueue.java
@@ -1,9 +1,10 @@
 package org.sardineport.core.scheduling;
 
-import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
@@ -11,48 +12,65 @@
 import org.sardineport.core.request.Tier;
 
 /**
- * Requests that wait for a permit of one backend server: by tier, then by organisation,
- * then by deadline. Not safe for use by several threads.
+ * Requests that wait for a permit of one backend server. Those that can still begin in
+ * time for their callers go first, so that one late request does not make the next late
+ * too; both kinds go by tier, then by organisation, then by urgency. Not safe for use by
+ * several threads.
  */
 final class OwnerQueue {
 
-	private final Map<Tier, OrganisationQueue> tiers = new EnumMap<>(Tier.class);
+	private final TierQueues prompt = new TierQueues();
 
-	private final Map<RequestId, WaitingRequest> requests = new HashMap<>();
+	private final TierQueues late = new TierQueues();
 
-	OwnerQueue() {
-		for (Tier tier : Tier.values()) {
-			this.tiers.put(tier, new OrganisationQueue());
-		}
-	}
+	private final Set<RequestId> lateRequests = new HashSet<>();
+
+	private final Map<RequestId, WaitingRequest> requests = new HashMap<>();
 
 	void add(WaitingRequest waiting) {
 		this.requests.put(waiting.ask().request(), waiting);
-		tier(waiting.ask().tier()).add(waiting);
+		this.prompt.add(waiting);
+	}
+
+	/**
+	 * Moves the requests behind the others that cannot begin in time any more.
+	 * @param now the current time
+	 */
+	void age(long now) {
+		if (this.prompt.size() == 0) {
+			return;
+		}
+		for (WaitingRequest waiting : this.requests.values()) {
+			if (waiting.promptBy() < now && this.lateRequests.add(waiting.ask().request())) {
+				this.prompt.remove(waiting);
+				this.late.add(waiting);
+			}
+		}
 	}
 
 	int size() {
 		return this.requests.size();
 	}
 
+	/**
+	 * Counts the requests that can still begin in time.
+	 * @return the number
+	 */
+	int promptSize() {
+		return this.prompt.size();
+	}
+
 	/**
 	 * Counts the requests that go before a new one of the given tier.
 	 * @param tier the tier
-	 * @return the number of those that are as urgent or more
+	 * @return the number of those that are as urgent or more and not late
 	 */
 	int sizeUpTo(Tier tier) {
-		if (this.requests.isEmpty()) {
-			return 0;
-		}
-		int size = 0;
-		for (Tier each : Tier.values()) {
-			size += (tier.isMoreUrgentThan(each)) ? 0 : tier(each).size();
-		}
-		return size;
+		return this.prompt.sizeUpTo(tier);
 	}
 
 	boolean isWaiting(Tier tier) {
-		return tier(tier).size() > 0;
+		return this.prompt.size(tier) + this.late.size(tier) > 0;
 	}
 
 	@Nullable WaitingRequest get(RequestId request) {
@@ -67,22 +85,27 @@
 		if (this.requests.isEmpty()) {
 			return null;
 		}
-		for (OrganisationQueue queue : this.tiers.values()) {
-			if (queue.size() > 0) {
-				return queue.peek();
-			}
-		}
-		return null;
+		WaitingRequest first = this.prompt.peek();
+		return (first != null) ? first : this.late.peek();
 	}
 
 	void take(WaitingRequest waiting) {
-		tier(waiting.ask().tier()).take(waiting);
-		this.requests.remove(waiting.ask().request());
+		queueOf(waiting).take(waiting);
+		forget(waiting);
 	}
 
 	void remove(WaitingRequest waiting) {
-		tier(waiting.ask().tier()).remove(waiting);
+		queueOf(waiting).remove(waiting);
+		forget(waiting);
+	}
+
+	private TierQueues queueOf(WaitingRequest waiting) {
+		return this.lateRequests.contains(waiting.ask().request()) ? this.late : this.prompt;
+	}
+
+	private void forget(WaitingRequest waiting) {
 		this.requests.remove(waiting.ask().request());
+		this.lateRequests.remove(waiting.ask().request());
 	}
 
 	/**
@@ -96,12 +119,4 @@
 		return found;
 	}
 
-	private OrganisationQueue tier(Tier tier) {
-		OrganisationQueue queue = this.tiers.get(tier);
-		if (queue == null) {
-			throw new IllegalStateException("no queue for tier " + tier);
-		}
-		return queue;
-	}
-
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -24,6 +24,8 @@
 
 	private final long deadline;
 
+	private final long promptBy;
+
 	private final long startBy;
 
 	private final Set<BackendServerId> tried = new HashSet<>();
@@ -60,7 +62,8 @@
 		this.request = request;
 		this.listener = listener;
 		this.deadline = request.deadline().toEpochMilli();
-		this.startBy = request.startBy().toEpochMilli();
+		this.promptBy = request.patience().promptBy().toEpochMilli();
+		this.startBy = request.patience().startBy().toEpochMilli();
 		this.tried.addAll(request.avoided());
 	}
 
@@ -237,7 +240,7 @@
 	 */
 	RoutingRequest routing(long now, boolean waitsForNone) {
 		return new RoutingRequest(this.request.estimate(), waitsForNone, isProbe(), this.request.prefixHash(),
-				this.deadline - now);
+				this.deadline - now, this.startBy < this.deadline);
 	}
 
 	private boolean isProbe() {
@@ -246,9 +249,10 @@
 
 	PermitRequest ask(ServerView view, long now) {
 		return new PermitRequest(this.request.id(), view.server().id(), this.request.pool(),
-				this.request.organisation(), this.request.tier(), this.request.estimate(), this.request.prefixHash(),
-				this.request.runningPolicy(), this.request.fingerprint(),
-				Duration.ofMillis(Math.max(0, this.deadline - now)), Duration.ofMillis(Math.max(0, this.startBy - now)),
+				this.request.organisation(), this.request.tier(), this.request.rank(), this.request.estimate(),
+				this.request.prefixHash(), this.request.runningPolicy(), this.request.fingerprint(),
+				Duration.ofMillis(Math.max(0, this.deadline - now)),
+				Duration.ofMillis(Math.max(0, this.promptBy - now)), Duration.ofMillis(Math.max(0, this.startBy - now)),
 				this.mayPreempt);
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -137,7 +137,7 @@
 	private void enqueue(WaitingRequest waiting, long now) {
 		long wait = expectedWait(waiting.ask().tier(), now);
 		boolean behindLower = waiting.ask().tier().isTop() && isLowerTierRunning();
-		if (behindLower || canFinish(waiting, wait, now)) {
+		if (behindLower || canFinish(waiting, wait + waitIfLate(waiting, wait, now), now)) {
 			this.queue.add(waiting);
 			sendQueued(waiting, now);
 		}
@@ -146,6 +146,15 @@
 		}
 	}
 
+	// One that cannot begin in time goes behind all that are late already.
+	private long waitIfLate(WaitingRequest waiting, long promptWait, long now) {
+		if (now + promptWait <= waiting.promptBy()) {
+			return 0;
+		}
+		int late = this.queue.size() - this.queue.promptSize();
+		return (long) (late * this.model.serviceMillis(now) / this.model.limit().limit());
+	}
+
 	private boolean hasRoom(Tier tier, long now) {
 		if (tier.isTop()) {
 			return this.running.size() < this.model.limit().hardLimit();
@@ -312,6 +321,7 @@
 	}
 
 	private void pump(long now) {
+		this.queue.age(now);
 		WaitingRequest next = this.queue.peek();
 		while (next != null && mayRunNow(next, now)) {
 			this.queue.take(next);
@@ -352,7 +362,7 @@
 	}
 
 	ServerState state(long now) {
-		return this.model.state(this.running, this.queue.size(), now);
+		return this.model.state(this.running, this.queue.promptSize(), now);
 	}
 
 	private void sendGrant(Outstanding out, long now) {
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
@@ -21,19 +21,21 @@
  * @param pool pool of the backend server
  * @param organisation organisation that sent it
  * @param tier its urgency
+ * @param rank order within its tier and organisation, 0 for the first
  * @param estimate its size in tokens
  * @param prefixHash hash of the prompt's first block; 0 if none
  * @param runningPolicy what may be done to it once it runs
  * @param fingerprint hash by which a repeated request is known
  * @param remaining time left until the deadline
- * @param startWithin time left in which it is of use to begin it
+ * @param promptWithin time left in which it begins in time for its caller
+ * @param startWithin time left in which its caller still waits for it to begin
  * @param mayPreempt whether lower tiers should give way if there is no room, as the entry
  * knows of no backend server with room
  */
 public record PermitRequest(RequestId request, BackendServerId backendServer, PoolName pool,
-		OrganisationId organisation, Tier tier, TokenEstimate estimate, long prefixHash, RunningPolicy runningPolicy,
-		Fingerprint fingerprint, Duration remaining, Duration startWithin,
-		boolean mayPreempt) implements SchedulingMessage {
+		OrganisationId organisation, Tier tier, int rank, TokenEstimate estimate, long prefixHash,
+		RunningPolicy runningPolicy, Fingerprint fingerprint, Duration remaining, Duration promptWithin,
+		Duration startWithin, boolean mayPreempt) implements SchedulingMessage {
 
 	/**
 	 * Creates the record.
@@ -48,6 +50,7 @@
 		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
 		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
 		Objects.requireNonNull(remaining, "remaining must not be null");
+		Objects.requireNonNull(promptWithin, "promptWithin must not be null");
 		Objects.requireNonNull(startWithin, "startWithin must not be null");
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/WaitingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/WaitingRequest.java
@@ -8,9 +8,10 @@
  * @param ask what the entry asked
  * @param entry daemon that asked
  * @param deadline when the answer must be complete, in milliseconds of the owner's clock
- * @param startBy from when on it is of no use to begin it, by the same clock
+ * @param promptBy until when it begins in time for its caller, by the same clock
+ * @param startBy until when its caller waits for it to begin, by the same clock
  */
-record WaitingRequest(PermitRequest ask, DaemonId entry, long deadline, long startBy) {
+record WaitingRequest(PermitRequest ask, DaemonId entry, long deadline, long promptBy, long startBy) {
 
 	/**
 	 * Returns a request that begins to wait.
@@ -20,7 +21,8 @@
 	 * @return the waiting request
 	 */
 	static WaitingRequest of(PermitRequest ask, DaemonId entry, long now) {
-		return new WaitingRequest(ask, entry, now + ask.remaining().toMillis(), now + ask.startWithin().toMillis());
+		return new WaitingRequest(ask, entry, now + ask.remaining().toMillis(), now + ask.promptWithin().toMillis(),
+				now + ask.startWithin().toMillis());
 	}
 
 }
--- a/core/src/test/java/org/sardineport/core/scheduling/OwnerQueueTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/OwnerQueueTests.java
@@ -25,10 +25,11 @@
 
 	private WaitingRequest add(Tier tier, String organisation, int tokens, long deadline) {
 		RequestId id = RequestId.of("r" + this.requests++);
-		WaitingRequest waiting = new WaitingRequest(new PermitRequest(id, BackendServerId.of("s"), PoolName.of("model"),
-				OrganisationId.of(organisation), tier, TokenEstimate.of(tokens, 0), 0, RunningPolicy.CANCELLABLE,
-				Fingerprint.of(1, 1), Duration.ofSeconds(1), Duration.ofSeconds(1), false), DaemonId.of("a"), deadline,
-				deadline);
+		WaitingRequest waiting = new WaitingRequest(
+				new PermitRequest(id, BackendServerId.of("s"), PoolName.of("model"), OrganisationId.of(organisation),
+						tier, 0, TokenEstimate.of(tokens, 0), 0, RunningPolicy.CANCELLABLE, Fingerprint.of(1, 1),
+						Duration.ofSeconds(1), Duration.ofSeconds(1), Duration.ofSeconds(1), false),
+				DaemonId.of("a"), deadline, deadline, deadline);
 		this.queue.add(waiting);
 		return waiting;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.Patience;
 import org.sardineport.core.admission.Permit;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.exchange.RequestHashes;
@@ -53,6 +54,9 @@
 	/** Time for which an answer that has begun late is still awaited. */
 	private static final Duration STREAM_GRACE = Duration.ofSeconds(60);
 
+	/** Least time for which callers wait for a stream to begin. */
+	private static final Duration LEAST_STREAM_WAIT = Duration.ofSeconds(2);
+
 	/** Time in which a further attempt must begin. */
 	private static final Duration RETRY_PATIENCE = Duration.ofSeconds(1);
 
@@ -81,9 +85,9 @@
 		CallerHead head = this.request.head();
 		OrganisationId owner = (this.organisation != null) ? this.organisation.id() : OPEN;
 		byte[] body = this.request.body().getBytes();
-		return new SchedulingRequest(id, this.pool, owner, this.tier, estimate(), head.prefixHash(),
+		return new SchedulingRequest(id, this.pool, owner, this.tier, this.route.rank(), estimate(), head.prefixHash(),
 				RequestHashes.fingerprint(owner, head.method(), head.target(), body), runningPolicy(), limit(),
-				cost(progress), progress.failedOn(), this.request.arrival(), startBy(progress), schedulingDeadline());
+				cost(progress), progress.failedOn(), this.request.arrival(), patience(progress), schedulingDeadline());
 	}
 
 	private TokenEstimate estimate() {
@@ -106,16 +110,28 @@
 		return counted ? 0 : this.organisation.cost(this.request.head().mostTokens());
 	}
 
-	private Instant startBy(RequestProgress progress) {
-		Instant latest = this.request.deadline();
-		Instant useful = (progress.attempts() == 0) ? this.request.arrival().plus(patience())
-				: this.services.clock().instant().plus(RETRY_PATIENCE);
-		return useful.isBefore(latest) ? useful : latest;
+	private Patience patience(RequestProgress progress) {
+		if (progress.attempts() > 0) {
+			return Patience.until(earlier(this.services.clock().instant().plus(RETRY_PATIENCE)));
+		}
+		Instant arrival = this.request.arrival();
+		Duration objective = this.route.objective();
+		Duration prompt = objective.multipliedBy(3).dividedBy(4);
+		Duration useful = this.route.streams() ? streamPatience(objective) : objective.multipliedBy(2);
+		return new Patience(earlier(arrival.plus(prompt)), earlier(arrival.plus(useful)));
 	}
 
-	private Duration patience() {
-		Duration objective = this.route.objective();
-		return (this.tier == Tier.INTERACTIVE) ? objective.multipliedBy(5).dividedBy(2) : objective;
+	// Callers leave a stream that has not begun after four times the objective or two
+	// seconds; the last quarter is left for the prompt.
+	private static Duration streamPatience(Duration objective) {
+		Duration longest = objective.multipliedBy(4);
+		Duration waits = (longest.compareTo(LEAST_STREAM_WAIT) < 0) ? LEAST_STREAM_WAIT : longest;
+		return waits.multipliedBy(3).dividedBy(4);
+	}
+
+	private Instant earlier(Instant instant) {
+		Instant deadline = this.request.deadline();
+		return instant.isBefore(deadline) ? instant : deadline;
 	}
 
 	// The length of a stream is only guessed, so that the guess must not refuse it.
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequest.java
@@ -512,6 +512,82 @@
     startWithinMillis_ = 0;
   }
 
+  public static final int PROMPT_WITHIN_MILLIS_FIELD_NUMBER = 15;
+  private int promptWithinMillis_;
+  /**
+   * <pre>
+   * The same for a start that is in time for its caller.
+   * </pre>
+   *
+   * <code>uint32 prompt_within_millis = 15;</code>
+   * @return The promptWithinMillis.
+   */
+  @java.lang.Override
+  public int getPromptWithinMillis() {
+    return promptWithinMillis_;
+  }
+  /**
+   * <pre>
+   * The same for a start that is in time for its caller.
+   * </pre>
+   *
+   * <code>uint32 prompt_within_millis = 15;</code>
+   * @param value The promptWithinMillis to set.
+   */
+  private void setPromptWithinMillis(int value) {
+    
+    promptWithinMillis_ = value;
+  }
+  /**
+   * <pre>
+   * The same for a start that is in time for its caller.
+   * </pre>
+   *
+   * <code>uint32 prompt_within_millis = 15;</code>
+   */
+  private void clearPromptWithinMillis() {
+
+    promptWithinMillis_ = 0;
+  }
+
+  public static final int RANK_FIELD_NUMBER = 16;
+  private int rank_;
+  /**
+   * <pre>
+   * Order within its tier and organisation, 0 for the first.
+   * </pre>
+   *
+   * <code>uint32 rank = 16;</code>
+   * @return The rank.
+   */
+  @java.lang.Override
+  public int getRank() {
+    return rank_;
+  }
+  /**
+   * <pre>
+   * Order within its tier and organisation, 0 for the first.
+   * </pre>
+   *
+   * <code>uint32 rank = 16;</code>
+   * @param value The rank to set.
+   */
+  private void setRank(int value) {
+    
+    rank_ = value;
+  }
+  /**
+   * <pre>
+   * Order within its tier and organisation, 0 for the first.
+   * </pre>
+   *
+   * <code>uint32 rank = 16;</code>
+   */
+  private void clearRank() {
+
+    rank_ = 0;
+  }
+
   public static org.sardineport.wire.message.PermitRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1125,6 +1201,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The same for a start that is in time for its caller.
+     * </pre>
+     *
+     * <code>uint32 prompt_within_millis = 15;</code>
+     * @return The promptWithinMillis.
+     */
+    @java.lang.Override
+    public int getPromptWithinMillis() {
+      return instance.getPromptWithinMillis();
+    }
+    /**
+     * <pre>
+     * The same for a start that is in time for its caller.
+     * </pre>
+     *
+     * <code>uint32 prompt_within_millis = 15;</code>
+     * @param value The promptWithinMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptWithinMillis(int value) {
+      copyOnWrite();
+      instance.setPromptWithinMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The same for a start that is in time for its caller.
+     * </pre>
+     *
+     * <code>uint32 prompt_within_millis = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptWithinMillis() {
+      copyOnWrite();
+      instance.clearPromptWithinMillis();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Order within its tier and organisation, 0 for the first.
+     * </pre>
+     *
+     * <code>uint32 rank = 16;</code>
+     * @return The rank.
+     */
+    @java.lang.Override
+    public int getRank() {
+      return instance.getRank();
+    }
+    /**
+     * <pre>
+     * Order within its tier and organisation, 0 for the first.
+     * </pre>
+     *
+     * <code>uint32 rank = 16;</code>
+     * @param value The rank to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRank(int value) {
+      copyOnWrite();
+      instance.setRank(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Order within its tier and organisation, 0 for the first.
+     * </pre>
+     *
+     * <code>uint32 rank = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRank() {
+      copyOnWrite();
+      instance.clearRank();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.PermitRequest)
   }
   @java.lang.Override
@@ -1155,11 +1311,13 @@
             "fingerprintLow_",
             "mayPreempt_",
             "startWithinMillis_",
+            "promptWithinMillis_",
+            "rank_",
           };
           java.lang.String info =
-              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0000\u0010\u0000\u0000\u0001\u0010\u0010\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
               "\u0003\u0208\u0004\u0208\u0005\u000b\u0006\u000b\u0007\u000b\b\u0005\t\u000b\n\u000b" +
-              "\u000b\u0005\f\u0005\r\u0007\u000e\u000b";
+              "\u000b\u0005\f\u0005\r\u0007\u000e\u000b\u000f\u000b\u0010\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRequestOrBuilder.java
@@ -129,4 +129,24 @@
    * @return The startWithinMillis.
    */
   int getStartWithinMillis();
+
+  /**
+   * <pre>
+   * The same for a start that is in time for its caller.
+   * </pre>
+   *
+   * <code>uint32 prompt_within_millis = 15;</code>
+   * @return The promptWithinMillis.
+   */
+  int getPromptWithinMillis();
+
+  /**
+   * <pre>
+   * Order within its tier and organisation, 0 for the first.
+   * </pre>
+   *
+   * <code>uint32 rank = 16;</code>
+   * @return The rank.
+   */
+  int getRank();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -109,16 +109,16 @@
 
 	private static PermitRequest request(org.sardineport.wire.message.PermitRequest wire) {
 		return new PermitRequest(id(wire.getRequest()), server(wire.getBackendServer()), PoolName.of(wire.getPool()),
-				OrganisationId.of(wire.getOrganisation()), constant(Tier.values(), wire.getTier()),
+				OrganisationId.of(wire.getOrganisation()), constant(Tier.values(), wire.getTier()), wire.getRank(),
 				TokenEstimate.of(wire.getPromptTokens(), wire.getAnswerTokens()), wire.getPrefixHash(),
 				constant(RunningPolicy.values(), wire.getRunningPolicy()),
 				Fingerprint.of(wire.getFingerprintHigh(), wire.getFingerprintLow()),
-				Duration.ofMillis(wire.getRemainingMillis()), startWithin(wire), wire.getMayPreempt());
+				Duration.ofMillis(wire.getRemainingMillis()), orRemaining(wire, wire.getPromptWithinMillis()),
+				orRemaining(wire, wire.getStartWithinMillis()), wire.getMayPreempt());
 	}
 
-	private static Duration startWithin(org.sardineport.wire.message.PermitRequest wire) {
-		int millis = (wire.getStartWithinMillis() == 0) ? wire.getRemainingMillis() : wire.getStartWithinMillis();
-		return Duration.ofMillis(millis);
+	private static Duration orRemaining(org.sardineport.wire.message.PermitRequest wire, int millis) {
+		return Duration.ofMillis((millis == 0) ? wire.getRemainingMillis() : millis);
 	}
 
 	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -103,6 +103,8 @@
 			.setRunningPolicy(ask.runningPolicy().ordinal())
 			.setRemainingMillis(millis(ask.remaining()))
 			.setStartWithinMillis(Math.max(1, millis(ask.startWithin())))
+			.setPromptWithinMillis(Math.max(1, millis(ask.promptWithin())))
+			.setRank(ask.rank())
 			.setFingerprintHigh(ask.fingerprint().high())
 			.setFingerprintLow(ask.fingerprint().low())
 			.setMayPreempt(ask.mayPreempt());
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -48,9 +48,9 @@
 			new Speed(40, 0.25, 12.5, 1.5));
 
 	private static PermitRequest request() {
-		return new PermitRequest(REQUEST, SERVER, PoolName.of("model"), OrganisationId.of("o"), Tier.BATCH,
+		return new PermitRequest(REQUEST, SERVER, PoolName.of("model"), OrganisationId.of("o"), Tier.BATCH, 2,
 				TokenEstimate.of(12, 34), -5, RunningPolicy.RESUMABLE_ONLY, Fingerprint.of(-1, 7),
-				Duration.ofMillis(1234), Duration.ofMillis(567), true);
+				Duration.ofMillis(1234), Duration.ofMillis(345), Duration.ofMillis(567), true);
 	}
 
 	static Stream<SchedulingMessage> messages() {
