Cover large requests from a pool at the owner of an organisation's limit

Cause: tokens were leased by each daemon's share of half a second, so that one large request closed its organisation's account on that daemon for up to three seconds while other daemons had tokens.

--- a/core/src/main/java/org/sardineport/core/limit/OrganisationLimit.java
+++ b/core/src/main/java/org/sardineport/core/limit/OrganisationLimit.java
@@ -2,11 +2,12 @@
 
 /**
  * What an organisation may use over the whole fleet. Over any time it may use what its
- * rate gives in that time, its burst, and the slack.
+ * rate gives in that time, its burst, which the daemons share, and the slack, which the
+ * owner of the limit gives to those that miss tokens.
  *
  * @param tokensPerSecond rate in tokens a second; 0 for no limit
  * @param burst tokens that may be saved up while less is used; 0 for half a second's
- * @param slack tokens by which it may overdraw
+ * @param slack tokens that may be saved up beside the burst
  */
 public record OrganisationLimit(long tokensPerSecond, long burst, long slack) {
 
@@ -42,21 +43,20 @@
 	}
 
 	/**
-	 * Returns the most tokens that one of several daemons saves up.
-	 * @param members daemons that share the limit
-	 * @return tokens
+	 * Returns whether tokens that are not used are saved up.
+	 * @return whether there is a burst
 	 */
-	double capacity(int members) {
-		return (double) this.burst / Math.max(1, members);
+	public boolean savesUp() {
+		return this.burst > 0;
 	}
 
 	/**
-	 * Returns the tokens by which one of several daemons may overdraw.
+	 * Returns the most tokens that one of several daemons saves up.
 	 * @param members daemons that share the limit
 	 * @return tokens
 	 */
-	double overdraft(int members) {
-		return (double) this.slack / Math.max(1, members);
+	double capacity(int members) {
+		return (double) this.burst / Math.max(1, members);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
+++ b/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
@@ -11,8 +11,8 @@
 	/** Period over which demand is told, in milliseconds. */
 	public static final long PERIOD_MILLIS = 500;
 
-	/** Time between two demands of an account that is overdrawn, in milliseconds. */
-	private static final long SHORT_OF_TOKENS_MILLIS = 100;
+	/** Time between two demands of an account that runs short, in milliseconds. */
+	private static final long SHORT_OF_TOKENS_MILLIS = 20;
 
 	/** Shortest and longest time after which a refused caller is told to come back. */
 	private static final long LEAST_RETRY_MILLIS = 500;
@@ -105,8 +105,7 @@
 		this.demand += tokens;
 		this.lastDemandAt = now;
 		accrue(sharers, now);
-		boolean covered = this.balance - tokens >= -newLimit.overdraft(sharers);
-		if (this.balance <= ((top) ? -newLimit.tokensPerSecond() : 0) && !covered) {
+		if (this.balance <= ((top) ? -newLimit.tokensPerSecond() : 0)) {
 			return false;
 		}
 		this.balance -= tokens;
@@ -153,7 +152,7 @@
 	}
 
 	private boolean savesUp() {
-		return this.limit.burst() > 0;
+		return this.limit.savesUp();
 	}
 
 	/**
@@ -162,7 +161,8 @@
 	 * @return tokens wanted for a period, or -1 if nothing is to be told
 	 */
 	public long demandToTell(long now) {
-		long interval = (savesUp() && this.balance < 0) ? SHORT_OF_TOKENS_MILLIS : PERIOD_MILLIS;
+		boolean isShort = savesUp() && this.balance < this.limit.capacity(this.members) / 2;
+		long interval = isShort ? SHORT_OF_TOKENS_MILLIS : PERIOD_MILLIS;
 		if (now - this.askedAt < interval || isIdle(now)) {
 			return -1;
 		}
@@ -192,10 +192,10 @@
 
 	/**
 	 * Returns the limit in force.
-	 * @return tokens a second
+	 * @return the limit
 	 */
-	public long limit() {
-		return this.limit.tokensPerSecond();
+	public OrganisationLimit limit() {
+		return this.limit;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
@@ -11,6 +11,7 @@
 import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.limit.QuotaAccount;
 import org.sardineport.core.limit.QuotaLeases;
+import org.sardineport.core.limit.QuotaPool;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 
@@ -28,6 +29,8 @@
 
 	private final Map<OrganisationId, QuotaLeases> leases = new HashMap<>();
 
+	private final Map<OrganisationId, QuotaPool> pools = new HashMap<>();
+
 	OrganisationQuotas(PoolDirectory directory, MessageOutbox outbox) {
 		this.directory = directory;
 		this.outbox = outbox;
@@ -48,6 +51,7 @@
 				(key) -> QuotaAccount.open(limit, this.directory.sharers(), now));
 		boolean allowed = account.spend(request.organisationTokens(), request.tier().isTop(), limit,
 				this.directory.sharers(), now);
+		tellDemand(request.organisation(), account, now);
 		return (allowed) ? Optional.empty() : Optional.of(Refusal.retryAfter(RefusalReason.ORGANISATION_LIMIT,
 				"the organisation used up its tokens", Duration.ofMillis(account.retryAfterMillis())));
 	}
@@ -64,24 +68,36 @@
 	}
 
 	void tick(long now) {
-		this.accounts.forEach((organisation, account) -> {
-			long wanted = account.demandToTell(now);
-			if (wanted >= 0) {
-				this.outbox.send(this.directory.quotaOwner(organisation),
-						new QuotaRequest(organisation, wanted, account.limit(), account.sequence()));
-			}
-		});
+		this.accounts.forEach((organisation, account) -> tellDemand(organisation, account, now));
 		this.accounts.values().removeIf((account) -> account.isIdle(now));
 	}
 
+	private void tellDemand(OrganisationId organisation, QuotaAccount account, long now) {
+		long wanted = account.demandToTell(now);
+		if (wanted >= 0) {
+			this.outbox.send(this.directory.quotaOwner(organisation),
+					new QuotaRequest(organisation, wanted, account.limit(), account.sequence()));
+		}
+	}
+
 	void asked(DaemonId entry, QuotaRequest request, long now) {
-		QuotaLeases leases = this.leases.computeIfAbsent(request.organisation(), (key) -> QuotaLeases.create());
-		long tokens = leases.lease(entry, request.tokens(), this.directory.shareInReach(request.limitTokensPerSecond()),
-				now);
+		OrganisationLimit limit = request.limit();
+		long rate = this.directory.shareInReach(limit.tokensPerSecond());
+		long tokens = limit.savesUp()
+				? pool(request.organisation(), limit, now).lease(request.tokens(), rate, limit, now)
+				: leases(request.organisation()).lease(entry, request.tokens(), rate, now);
 		this.outbox.send(entry, new QuotaSlice(request.organisation(), tokens,
 				Duration.ofMillis(QuotaLeases.SLICE_MILLIS), request.sequence()));
 	}
 
+	private QuotaPool pool(OrganisationId organisation, OrganisationLimit limit, long now) {
+		return this.pools.computeIfAbsent(organisation, (key) -> QuotaPool.open(limit, now));
+	}
+
+	private QuotaLeases leases(OrganisationId organisation) {
+		return this.leases.computeIfAbsent(organisation, (key) -> QuotaLeases.create());
+	}
+
 	void leased(QuotaSlice slice, long now) {
 		QuotaAccount account = this.accounts.get(slice.organisation());
 		if (account != null) {
--- a/wire/src/main/java/org/sardineport/wire/message/QuotaRequest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/QuotaRequest.java
@@ -147,6 +147,58 @@
     sequence_ = 0L;
   }
 
+  public static final int LIMIT_BURST_FIELD_NUMBER = 5;
+  private long limitBurst_;
+  /**
+   * <code>uint64 limit_burst = 5;</code>
+   * @return The limitBurst.
+   */
+  @java.lang.Override
+  public long getLimitBurst() {
+    return limitBurst_;
+  }
+  /**
+   * <code>uint64 limit_burst = 5;</code>
+   * @param value The limitBurst to set.
+   */
+  private void setLimitBurst(long value) {
+    
+    limitBurst_ = value;
+  }
+  /**
+   * <code>uint64 limit_burst = 5;</code>
+   */
+  private void clearLimitBurst() {
+
+    limitBurst_ = 0L;
+  }
+
+  public static final int LIMIT_SLACK_FIELD_NUMBER = 6;
+  private long limitSlack_;
+  /**
+   * <code>uint64 limit_slack = 6;</code>
+   * @return The limitSlack.
+   */
+  @java.lang.Override
+  public long getLimitSlack() {
+    return limitSlack_;
+  }
+  /**
+   * <code>uint64 limit_slack = 6;</code>
+   * @param value The limitSlack to set.
+   */
+  private void setLimitSlack(long value) {
+    
+    limitSlack_ = value;
+  }
+  /**
+   * <code>uint64 limit_slack = 6;</code>
+   */
+  private void clearLimitSlack() {
+
+    limitSlack_ = 0L;
+  }
+
   public static org.sardineport.wire.message.QuotaRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -381,6 +433,62 @@
       return this;
     }
 
+    /**
+     * <code>uint64 limit_burst = 5;</code>
+     * @return The limitBurst.
+     */
+    @java.lang.Override
+    public long getLimitBurst() {
+      return instance.getLimitBurst();
+    }
+    /**
+     * <code>uint64 limit_burst = 5;</code>
+     * @param value The limitBurst to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitBurst(long value) {
+      copyOnWrite();
+      instance.setLimitBurst(value);
+      return this;
+    }
+    /**
+     * <code>uint64 limit_burst = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitBurst() {
+      copyOnWrite();
+      instance.clearLimitBurst();
+      return this;
+    }
+
+    /**
+     * <code>uint64 limit_slack = 6;</code>
+     * @return The limitSlack.
+     */
+    @java.lang.Override
+    public long getLimitSlack() {
+      return instance.getLimitSlack();
+    }
+    /**
+     * <code>uint64 limit_slack = 6;</code>
+     * @param value The limitSlack to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitSlack(long value) {
+      copyOnWrite();
+      instance.setLimitSlack(value);
+      return this;
+    }
+    /**
+     * <code>uint64 limit_slack = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitSlack() {
+      copyOnWrite();
+      instance.clearLimitSlack();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.QuotaRequest)
   }
   @java.lang.Override
@@ -401,10 +509,12 @@
             "tokens_",
             "limitTokensPerSecond_",
             "sequence_",
+            "limitBurst_",
+            "limitSlack_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0003" +
-              "\u0003\u0003\u0004\u0003";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0003" +
+              "\u0003\u0003\u0004\u0003\u0005\u0003\u0006\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/QuotaRequestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/QuotaRequestOrBuilder.java
@@ -39,4 +39,16 @@
    * @return The sequence.
    */
   long getSequence();
+
+  /**
+   * <code>uint64 limit_burst = 5;</code>
+   * @return The limitBurst.
+   */
+  long getLimitBurst();
+
+  /**
+   * <code>uint64 limit_slack = 6;</code>
+   * @return The limitSlack.
+   */
+  long getLimitSlack();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -8,6 +8,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
@@ -88,9 +89,7 @@
 					server(wire.getPreemption().getBackendServer()));
 			case RUNNING -> new RunningPermits(server(wire.getRunning().getCompleteForBackendServer()),
 					wire.getRunning().getRunningList().stream().map(SchedulingCodec::request).toList());
-			case QUOTA_REQUEST -> new QuotaRequest(OrganisationId.of(wire.getQuotaRequest().getOrganisation()),
-					wire.getQuotaRequest().getTokens(), wire.getQuotaRequest().getLimitTokensPerSecond(),
-					wire.getQuotaRequest().getSequence());
+			case QUOTA_REQUEST -> quotaRequest(wire.getQuotaRequest());
 			case QUOTA_SLICE -> new QuotaSlice(OrganisationId.of(wire.getQuotaSlice().getOrganisation()),
 					wire.getQuotaSlice().getTokens(), Duration.ofMillis(wire.getQuotaSlice().getValidMillis()),
 					wire.getQuotaSlice().getSequence());
@@ -121,6 +120,12 @@
 		return Duration.ofMillis((millis == 0) ? wire.getRemainingMillis() : millis);
 	}
 
+	private static QuotaRequest quotaRequest(org.sardineport.wire.message.QuotaRequest wire) {
+		OrganisationLimit limit = new OrganisationLimit(wire.getLimitTokensPerSecond(), wire.getLimitBurst(),
+				wire.getLimitSlack());
+		return new QuotaRequest(OrganisationId.of(wire.getOrganisation()), wire.getTokens(), limit, wire.getSequence());
+	}
+
 	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
 		return new PermitRefusal(id(wire.getRequest()), server(wire.getBackendServer()),
 				PermitDenial.valueOf(wire.getReason()), Duration.ofMillis(wire.getRetryAfterMillis()),
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -78,7 +78,9 @@
 			wire.setQuotaRequest(org.sardineport.wire.message.QuotaRequest.newBuilder()
 				.setOrganisation(request.organisation().value())
 				.setTokens(request.tokens())
-				.setLimitTokensPerSecond(request.limitTokensPerSecond())
+				.setLimitTokensPerSecond(request.limit().tokensPerSecond())
+				.setLimitBurst(request.limit().burst())
+				.setLimitSlack(request.limit().slack())
 				.setSequence(request.sequence()));
 		}
 		else if (message instanceof QuotaSlice slice) {
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.limit.OrganisationLimit;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
@@ -65,7 +66,7 @@
 				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.UNUSED)),
 				new PermitWithdrawal(REQUEST, SERVER), new PermitPreemption(REQUEST, SERVER),
 				new RunningPermits(SERVER, List.of(request())), new RunningPermits(SERVER, List.of()),
-				new QuotaRequest(OrganisationId.of("o"), 100, 2000, 3),
+				new QuotaRequest(OrganisationId.of("o"), 100, new OrganisationLimit(2000, 300, 40), 3),
 				new QuotaSlice(OrganisationId.of("o"), 50, Duration.ofSeconds(1), 3), new ServerDigest(STATE));
 	}
 
