--- a/core/src/main/java/org/sardineport/core/exchange/RetryBudget.java
+++ b/core/src/main/java/org/sardineport/core/exchange/RetryBudget.java
@@ -8,11 +8,17 @@
 
 	private static final int UNITS_PER_RETRY = 10;
 
+	/** Units that a new request earns where retries cost little: one retry each. */
+	private static final int UNITS_OF_CHEAP = UNITS_PER_RETRY;
+
 	private static final int MAXIMUM_RETRIES = 100;
 
 	private int units = UNITS_PER_RETRY * MAXIMUM_RETRIES;
 
-	private RetryBudget() {
+	private final int unitsEarned;
+
+	private RetryBudget(int unitsEarned) {
+		this.unitsEarned = unitsEarned;
 	}
 
 	/**
@@ -20,12 +26,21 @@
 	 * @return the budget
 	 */
 	public static RetryBudget create() {
-		return new RetryBudget();
+		return new RetryBudget(1);
+	}
+
+	/**
+	 * Returns a full budget for retries that cost a message between daemons and no work
+	 * of a backend server.
+	 * @return the budget
+	 */
+	public static RetryBudget ofMessages() {
+		return new RetryBudget(UNITS_OF_CHEAP);
 	}
 
-	/** Counts a new request, which earns a tenth of a retry. */
+	/** Counts a new request, which earns a part of a retry. */
 	public synchronized void earn() {
-		this.units = Math.min(this.units + 1, UNITS_PER_RETRY * MAXIMUM_RETRIES);
+		this.units = Math.min(this.units + this.unitsEarned, UNITS_PER_RETRY * MAXIMUM_RETRIES);
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -66,7 +66,7 @@
 
 	private final EntryRecords records;
 
-	private final RetryBudget budget = RetryBudget.create();
+	private final RetryBudget budget = RetryBudget.ofMessages();
 
 	private final Map<RequestId, PendingRequest> pending = new LinkedHashMap<>();
 
