--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -47,8 +47,10 @@
 			return null;
 		}
 		long now = this.clock.millis();
-		return router.choose(waiting.routing(now), (view) -> !waiting.hasTried(view) && !isSilent(view.owner(), now),
+		RoutingRequest request = waiting.routing(now);
+		ServerView best = router.choose(request, (view) -> !waiting.hasTried(view) && !isSilent(view.owner(), now),
 				now);
+		return (best != null) ? best : router.choose(request, (view) -> !waiting.hasTried(view), now);
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
@@ -129,9 +129,11 @@
 		return waits.multipliedBy(3).dividedBy(4);
 	}
 
+	// A quarter of the caller's time is left for the run.
 	private Instant earlier(Instant instant) {
-		Instant deadline = this.request.deadline();
-		return instant.isBefore(deadline) ? instant : deadline;
+		Duration left = Duration.between(this.request.arrival(), this.request.deadline());
+		Instant latest = this.request.arrival().plus(left.multipliedBy(3).dividedBy(4));
+		return instant.isBefore(latest) ? instant : latest;
 	}
 
 	// The length of a stream is only guessed, so that the guess must not refuse it.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -21,6 +21,7 @@
 import org.sardineport.core.relay.ConfigurationInForce;
 import org.sardineport.core.relay.RelayGate;
 import org.sardineport.core.relay.RetryAllowance;
+import org.sardineport.core.relay.ReturnTimes;
 import org.sardineport.core.scheduling.EngineAssumptions;
 import org.sardineport.daemon.fleet.FleetDuty;
 import org.sardineport.daemon.fleet.FleetSettings;
@@ -88,7 +89,7 @@
 		RelayServices parts = new RelayServices(vertx, ports.protocol(), RelayGate.create(inForce, backendsKnown),
 				inForce, scheduling, fleet, connections, settings.limitTolerance(),
 				RetryAllowance.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock, random,
-				() -> RequestId.of(prefix + attempts.incrementAndGet()), telemetry);
+				ReturnTimes.create(random), () -> RequestId.of(prefix + attempts.incrementAndGet()), telemetry);
 		RelayServer server = new RelayServer(parts, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -240,7 +240,7 @@
 			return;
 		}
 		finish();
-		Refusal told = this.progress.mayHaveRun() ? asUnknown(refusal) : refusal;
+		Refusal told = this.progress.mayHaveRun() ? asUnknown(refusal) : withReturnTime(refusal);
 		this.services.telemetry().refused(told.reason()).inc();
 		LOG.info("request.refused", "request", id(), "route", route(), "kind", told.reason().label(), "attempts",
 				this.progress.attempts(), "begun", this.progress.isAnswerBegun(), "version", version(), "proof-age-ms",
@@ -253,6 +253,15 @@
 		}
 	}
 
+	private Refusal withReturnTime(Refusal refusal) {
+		return switch (refusal.reason()) {
+			case OVERLOADED, RETRY_BUDGET_SPENT, DEADLINE_UNREACHABLE, NO_BACKEND_SERVER ->
+				Refusal.retryAfter(refusal.reason(), refusal.detail(),
+						this.services.returns().afterOverload(Duration.between(now(), this.request.deadline())));
+			default -> refusal;
+		};
+	}
+
 	private static Refusal asUnknown(Refusal refusal) {
 		return switch (refusal.reason()) {
 			case BACKEND_FAILED, BACKEND_TIMEOUT -> refusal;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -12,6 +12,7 @@
 import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.relay.RelayGate;
 import org.sardineport.core.relay.RetryAllowance;
+import org.sardineport.core.relay.ReturnTimes;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
@@ -28,12 +29,13 @@
  * @param retries this daemon's part of the fleet's retries
  * @param clock a steady clock
  * @param random source of randomness
+ * @param returns tells refused callers when to come back
  * @param ids gives identities by which the scheduler knows attempts
  * @param telemetry counts and times
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayGate gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, LimitTolerance limits,
-		RetryAllowance retries, InstantSource clock, RandomGenerator random, Supplier<RequestId> ids,
-		Telemetry telemetry) {
+		RetryAllowance retries, InstantSource clock, RandomGenerator random, ReturnTimes returns,
+		Supplier<RequestId> ids, Telemetry telemetry) {
 
 }
