Void a configuration's proof as soon as the clocks go apart; test what core gained

Cause: a property test found that a suspension of two seconds and a jump of the time of day by as much the other way, within the life of one proof, hid each other, so that a key could count for 1.3 s longer than it may. The clocks are now compared at each look, and a read that began before they went apart proves nothing. Ruled out: comparing with the proof's start alone.

--- a/core/src/main/java/org/sardineport/core/relay/ClockReading.java
+++ b/core/src/main/java/org/sardineport/core/relay/ClockReading.java
@@ -13,6 +13,9 @@
  */
 public record ClockReading(Duration steady, Instant timeOfDay) {
 
+	/** Most by which two clocks that are in order differ over a few seconds. */
+	private static final Duration TOLERANCE = Duration.ofMillis(200);
+
 	/**
 	 * Creates the reading.
 	 */
@@ -39,4 +42,14 @@
 		return Duration.between(earlier.timeOfDay, this.timeOfDay);
 	}
 
+	/**
+	 * Returns whether the clocks measured different times since an earlier reading.
+	 * @param earlier the earlier reading
+	 * @return whether the VM was suspended or its time of day was set in between
+	 */
+	boolean isApartFrom(ClockReading earlier) {
+		Duration difference = timeOfDaySince(earlier).minus(steadySince(earlier));
+		return difference.abs().compareTo(TOLERANCE) > 0;
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
+++ b/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
@@ -17,7 +17,8 @@
 
 	private final ClockPair clocks;
 
-	private final AtomicReference<State> state = new AtomicReference<>(new State(RelayConfiguration.NONE, null));
+	private final AtomicReference<State> state = new AtomicReference<>(
+			new State(RelayConfiguration.NONE, null, null, null));
 
 	private ConfigurationInForce(Duration lifetime, ClockPair clocks) {
 		this.lifetime = Objects.requireNonNull(lifetime, "lifetime must not be null");
@@ -41,6 +42,7 @@
 	 * @return whether it is now in force; {@code false} if a newer one was known
 	 */
 	public boolean accept(RelayConfiguration configuration, ClockReading readStarted) {
+		observe();
 		State next = this.state.updateAndGet((held) -> (configuration.version() < held.configuration.version()) ? held
 				: held.with(configuration, ConfigurationProof.since(readStarted)));
 		return next.configuration == configuration;
@@ -51,10 +53,23 @@
 	 * @param readStarted when the read began
 	 */
 	public void confirm(ClockReading readStarted) {
+		observe();
 		ConfigurationProof proof = ConfigurationProof.since(readStarted);
 		this.state.updateAndGet((held) -> held.with(held.configuration, proof));
 	}
 
+	/**
+	 * Compares the clocks with what they showed last. Where they went apart, the VM was
+	 * suspended or its time of day was set, and no read that began before proves anything
+	 * any more. Called often, so that two such steps do not hide each other.
+	 * @return what the clocks show
+	 */
+	private ClockReading observe() {
+		ClockReading now = this.clocks.read();
+		this.state.updateAndGet((held) -> held.observed(now));
+		return now;
+	}
+
 	/**
 	 * Returns the newest configuration.
 	 * @return the configuration, {@link RelayConfiguration#NONE} before the first
@@ -69,9 +84,9 @@
 	 * @return whether the configuration is proved to be recent
 	 */
 	public boolean isProved() {
+		ClockReading now = observe();
 		State held = this.state.get();
-		return !held.configuration.isNone() && held.proof != null
-				&& held.proof.holds(this.clocks.read(), this.lifetime);
+		return !held.configuration.isNone() && held.proof != null && held.proof.holds(now, this.lifetime);
 	}
 
 	/**
@@ -80,24 +95,42 @@
 	 * @return whether it is of use to wait for a moment
 	 */
 	public boolean isProofExpected() {
-		ConfigurationProof newest = this.state.get().proof;
-		return newest == null || newest.isInDoubt(this.clocks.read());
+		observe();
+		return this.state.get().proof == null;
 	}
 
 	/**
 	 * Returns the age of the newest read.
-	 * @return milliseconds; -1 if there was none
+	 * @return milliseconds; -1 if there was none that counts
 	 */
 	public long proofAgeMillis() {
 		State held = this.state.get();
 		return (held.proof != null) ? held.proof.ageMillis(this.clocks.read()) : -1;
 	}
 
-	private record State(RelayConfiguration configuration, @Nullable ConfigurationProof proof) {
+	/**
+	 * What is known at one moment.
+	 *
+	 * @param configuration the newest configuration
+	 * @param proof the newest proof, or {@code null} if there is none that counts
+	 * @param seen what the clocks showed last, or {@code null} before the first look
+	 * @param trustedSince reads that did not begin after this do not count, or
+	 * {@code null}
+	 */
+	private record State(RelayConfiguration configuration, @Nullable ConfigurationProof proof,
+			@Nullable ClockReading seen, @Nullable ClockReading trustedSince) {
+
+		private State observed(ClockReading now) {
+			if (this.seen != null && now.isApartFrom(this.seen)) {
+				return new State(this.configuration, null, now, now);
+			}
+			return new State(this.configuration, this.proof, now, this.trustedSince);
+		}
 
 		private State with(RelayConfiguration newer, ConfigurationProof candidate) {
-			boolean older = this.proof != null && candidate.isOlderThan(this.proof);
-			return new State(newer, (older) ? this.proof : candidate);
+			boolean counts = this.trustedSince == null || candidate.isNewerThan(this.trustedSince);
+			boolean newest = this.proof == null || !candidate.isOlderThan(this.proof);
+			return new State(newer, (counts && newest) ? candidate : this.proof, this.seen, this.trustedSince);
 		}
 
 	}
--- a/core/src/main/java/org/sardineport/core/relay/ConfigurationProof.java
+++ b/core/src/main/java/org/sardineport/core/relay/ConfigurationProof.java
@@ -10,9 +10,6 @@
  */
 final class ConfigurationProof {
 
-	/** Most by which the two clocks may differ over the life of a proof. */
-	private static final Duration TOLERANCE = Duration.ofMillis(200);
-
 	private final ClockReading readStarted;
 
 	private ConfigurationProof(ClockReading readStarted) {
@@ -24,23 +21,17 @@
 	}
 
 	boolean holds(ClockReading now, Duration lifetime) {
-		Duration steady = now.steadySince(this.readStarted);
-		Duration timeOfDay = now.timeOfDaySince(this.readStarted);
-		return !isInDoubt(now) && steady.compareTo(lifetime) < 0 && timeOfDay.compareTo(lifetime) < 0;
+		boolean young = now.steadySince(this.readStarted).compareTo(lifetime) < 0
+				&& now.timeOfDaySince(this.readStarted).compareTo(lifetime) < 0;
+		return young && !now.isApartFrom(this.readStarted);
 	}
 
-	/**
-	 * Returns whether the clocks disagree about the time since the read.
-	 * @param now both clocks
-	 * @return whether the VM was suspended or its time of day was set
-	 */
-	boolean isInDoubt(ClockReading now) {
-		Duration steady = now.steadySince(this.readStarted);
-		return now.timeOfDaySince(this.readStarted).minus(steady).abs().compareTo(TOLERANCE) > 0;
+	boolean isOlderThan(ConfigurationProof other) {
+		return other.isNewerThan(this.readStarted);
 	}
 
-	boolean isOlderThan(ConfigurationProof other) {
-		return this.readStarted.steady().compareTo(other.readStarted.steady()) < 0;
+	boolean isNewerThan(ClockReading reading) {
+		return this.readStarted.steady().compareTo(reading.steady()) > 0;
 	}
 
 	long ageMillis(ClockReading now) {
--- a/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -57,6 +57,33 @@
 		assertThat(this.directory.eligible()).containsExactly(server("two"));
 	}
 
+	private VmListing withoutOne(Instant asOf) {
+		return new VmListing(asOf, List.of(), List.of(new VmListing.ListedBackend(server("two"), VmState.LIVE)));
+	}
+
+	@Test
+	void dropsWhatIsMissingFromTheListAtOnce() {
+		this.directory.listed(withoutOne(START.plusSeconds(1)));
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void keepsForAWhileWhatLapsedInAnOutageOfTheList() {
+		this.directory.unreachable();
+		this.now = START.plusSeconds(5);
+		this.directory.listed(withoutOne(this.now));
+		assertThat(this.directory.eligible()).containsExactlyInAnyOrder(server("one"), server("two"));
+		this.now = this.now.plus(BackendDirectory.RETURN_GRACE);
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void dropsWhatIsNamedLeavingRightAfterAnOutage() {
+		this.directory.unreachable();
+		this.directory.listed(listing(START.plusSeconds(5), VmState.LEAVING, VmState.LIVE));
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
 	@Test
 	void ignoresAnOlderListThatComesLate() {
 		this.directory.listed(listing(START.plusSeconds(2), VmState.LEAVING, VmState.LIVE));
--- a/core/src/test/java/org/sardineport/core/limit/AdaptiveLimitTests.java
+++ b/core/src/test/java/org/sardineport/core/limit/AdaptiveLimitTests.java
@@ -13,6 +13,18 @@
 		}
 	}
 
+	@Test
+	void fixedLimitStaysWhateverIsMeasured() {
+		AdaptiveLimit limit = AdaptiveLimit.fixed(12);
+		for (int i = 0; i < 100; i++) {
+			limit.observe(1000, 10);
+			limit.failed();
+		}
+		assertThat(limit.limit()).isEqualTo(12);
+		assertThat(limit.lowerTierLimit()).isEqualTo(12);
+		assertThat(limit.hardLimit()).isEqualTo(12);
+	}
+
 	@Test
 	void startsAtTheNominalConcurrencyWithHeadroomAndExcess() {
 		AdaptiveLimit limit = AdaptiveLimit.of(20);
--- a/core/src/test/java/org/sardineport/core/limit/ServerHealthTests.java
+++ b/core/src/test/java/org/sardineport/core/limit/ServerHealthTests.java
@@ -26,6 +26,17 @@
 		assertThat(health.isIsolated()).isFalse();
 	}
 
+	@Test
+	void failuresThatItAnswersItselfCountHalf() {
+		ServerHealth health = ServerHealth.create();
+		for (int i = 0; i < 5; i++) {
+			health.rejected(0);
+		}
+		assertThat(health.isIsolated()).isFalse();
+		health.rejected(0);
+		assertThat(health.isIsolated()).isTrue();
+	}
+
 	@Test
 	void isolatesThenLetsOneProbeThrough() {
 		ServerHealth health = isolated(0);
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/relay/RelayFixture.java
@@ -0,0 +1,45 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.limit.OrganisationLimit;
+
+/**
+ * Routes and configurations for tests.
+ */
+final class RelayFixture {
+
+	static final PoolName POOL = PoolName.of("pool");
+
+	static final String HOST = "host.example";
+
+	static final String KEY = "a-key";
+
+	private RelayFixture() {
+	}
+
+	static RelayRoute route(String prefix, Repetition repetition, int attempts) {
+		return new RelayRoute("route" + prefix, HOST, prefix, repetition, repetition != Repetition.FREELY,
+				Duration.ofSeconds(5), Duration.ofMillis(300), 0, List.of(new WeightedPool(POOL, 1)), attempts, false);
+	}
+
+	static RelayOrganisation organisation(long tokensPerSecond, long burst) {
+		return new RelayOrganisation(OrganisationId.of("organisation"), null,
+				new OrganisationLimit(tokensPerSecond, burst, 0), LimitUnit.TOKENS, 200);
+	}
+
+	static RelayConfiguration configuration(long version, RelayRoute... routes) {
+		return RelayConfiguration.of(version, List.of(routes), Map.of(KEY, organisation(1000, 1000)),
+				List.of(new RelayPool(POOL, BackendKind.MODEL_ENGINE, 6)), 1000);
+	}
+
+	static CallerHead head(String target, String key) {
+		return new CallerHead("request", "GET", target, HOST, key, null, null, null, 0);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/relay/RelayGateTests.java
@@ -0,0 +1,82 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.exchange.RefusedException;
+import org.sardineport.core.request.RefusalReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+class RelayGateTests {
+
+	private static final Duration LIFETIME = Duration.ofSeconds(4);
+
+	private Duration steady = Duration.ZERO;
+
+	private boolean backendsKnown = true;
+
+	private final ConfigurationInForce inForce = ConfigurationInForce.create(LIFETIME, this::read);
+
+	private final RelayGate gate = RelayGate.create(this.inForce, () -> this.backendsKnown);
+
+	private ClockReading read() {
+		return new ClockReading(this.steady, Instant.EPOCH.plus(this.steady));
+	}
+
+	private void configured() {
+		this.inForce.accept(RelayFixture.configuration(1, RelayFixture.route("/a/", Repetition.FREELY, 1)), read());
+	}
+
+	private RefusalReason refusal(String target, String key) {
+		return catchThrowableOfType(RefusedException.class, () -> this.gate.admit(RelayFixture.head(target, key)))
+			.refusal()
+			.reason();
+	}
+
+	@Test
+	void admitsAKnownKeyOnAKnownRoute() throws RefusedException {
+		configured();
+		RelayAdmission admitted = this.gate.admit(RelayFixture.head("/a/x?q=1", RelayFixture.KEY));
+		assertThat(admitted.route().pathPrefix()).isEqualTo("/a/");
+		assertThat(admitted.needsProof()).isTrue();
+	}
+
+	@Test
+	void turnsAwayForGoodWhatTheNewestConfigurationDoesNotKnow() {
+		configured();
+		assertThat(refusal("/b/x", RelayFixture.KEY)).isEqualTo(RefusalReason.NO_ROUTE);
+		assertThat(refusal("/a/x", "no-key")).isEqualTo(RefusalReason.UNAUTHORIZED);
+		assertThat(refusal("/a/x", null)).isEqualTo(RefusalReason.UNAUTHORIZED);
+	}
+
+	@Test
+	void asksToComeBackWhileTheConfigurationMayBeOutOfDate() {
+		assertThat(refusal("/a/x", RelayFixture.KEY)).isEqualTo(RefusalReason.NOT_READY);
+		configured();
+		this.steady = LIFETIME;
+		assertThat(refusal("/a/x", RelayFixture.KEY)).isEqualTo(RefusalReason.NOT_READY);
+		assertThat(refusal("/b/x", RelayFixture.KEY)).isEqualTo(RefusalReason.NOT_READY);
+		assertThat(refusal("/a/x", "no-key")).isEqualTo(RefusalReason.NOT_READY);
+	}
+
+	@Test
+	void asksToComeBackWhileNoBackendServerIsKnown() {
+		configured();
+		this.backendsKnown = false;
+		assertThat(refusal("/a/x", RelayFixture.KEY)).isEqualTo(RefusalReason.NOT_READY);
+		assertThat(this.gate.isSoonReady()).isTrue();
+	}
+
+	@Test
+	void checksAgainBeforeTheRequestIsSent() throws RefusedException {
+		configured();
+		RelayAdmission admitted = this.gate.admit(RelayFixture.head("/a/x", RelayFixture.KEY));
+		this.gate.recheck(admitted);
+		this.steady = LIFETIME;
+		assertThat(catchThrowableOfType(RefusedException.class, () -> this.gate.recheck(admitted))).isNotNull();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/relay/RetryAllowanceTests.java
@@ -0,0 +1,69 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sardineport.core.identity.PoolName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RetryAllowanceTests {
+
+	private static final Duration WINDOW = Duration.ofSeconds(10);
+
+	private static final double RATIO = 0.2;
+
+	private static final int SLACK = 56;
+
+	private static RetryAllowance allowance() {
+		return RetryAllowance.of(RATIO, SLACK, WINDOW);
+	}
+
+	@Test
+	void poolsAreCountedApart() {
+		RetryAllowance allowance = allowance();
+		int spent = 0;
+		while (allowance.trySpend(RelayFixture.POOL, 1, 0)) {
+			spent++;
+		}
+		assertThat(spent).isLessThan(SLACK);
+		assertThat(allowance.trySpend(PoolName.of("other"), 1, 0)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 8, 88 })
+	void fleetStaysWithinItsBudgetInEveryWindow(int daemons) {
+		SplittableRandom random = new SplittableRandom(daemons);
+		RetryAllowance[] fleet = new RetryAllowance[daemons];
+		for (int i = 0; i < daemons; i++) {
+			fleet[i] = allowance();
+		}
+		Deque<Long> retries = new ArrayDeque<>();
+		Deque<Long> requests = new ArrayDeque<>();
+		for (long now = 0; now < 60_000; now += 7) {
+			RetryAllowance one = fleet[random.nextInt(daemons)];
+			if (random.nextInt(3) == 0 && now / 15_000 % 2 == 0) {
+				one.requested(RelayFixture.POOL, now);
+				requests.add(now);
+			}
+			if (one.trySpend(RelayFixture.POOL, daemons, now)) {
+				retries.add(now);
+			}
+			forget(retries, now);
+			forget(requests, now);
+			assertThat(retries.size()).isLessThanOrEqualTo((int) (RATIO * requests.size() + SLACK));
+		}
+	}
+
+	private static void forget(Deque<Long> times, long now) {
+		while (!times.isEmpty() && times.peekFirst() <= now - WINDOW.toMillis()) {
+			times.removeFirst();
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/relay/ReturnTimesTests.java
@@ -0,0 +1,36 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Pattern: a burst whose refused callers would come back into the same burst.
+ */
+class ReturnTimesTests {
+
+	private final ReturnTimes times = ReturnTimes.create(new SplittableRandom(1));
+
+	@Test
+	void refusedCallersComeBackSpreadAndWithTimeLeftForTheAnswer() {
+		int[] perSecond = new int[6];
+		for (int i = 0; i < 1000; i++) {
+			Duration after = this.times.afterOverload(Duration.ofSeconds(15));
+			assertThat(after).isBetween(Duration.ofMillis(2500), Duration.ofSeconds(5));
+			perSecond[(int) after.toSeconds()]++;
+		}
+		assertThat(perSecond[3]).isBetween(300, 500);
+		assertThat(perSecond[4]).isBetween(300, 500);
+	}
+
+	@Test
+	void callersWithLittleTimeComeBackSoon() {
+		assertThat(this.times.afterOverload(Duration.ofMillis(900))).isBetween(Duration.ofMillis(150),
+				Duration.ofMillis(300));
+		assertThat(this.times.afterOverload(Duration.ZERO)).isPositive();
+	}
+
+}
--- a/core/src/test/java/org/sardineport/core/scheduling/OwnerQueueTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/OwnerQueueTests.java
@@ -41,6 +41,27 @@
 		return next;
 	}
 
+	@Test
+	void requestThatCannotBeginInTimeYieldsToThoseThatCan() {
+		WaitingRequest first = add(Tier.STANDARD, "o", 10, 100);
+		WaitingRequest second = add(Tier.BATCH, "o", 10, 200);
+		this.queue.age(150);
+		assertThat(this.queue.promptSize()).isEqualTo(1);
+		assertThat(this.queue.sizeUpTo(Tier.BATCH)).isEqualTo(1);
+		assertThat(poll()).isEqualTo(second);
+		assertThat(poll()).isEqualTo(first);
+		assertThat(this.queue.size()).isZero();
+	}
+
+	@Test
+	void lateRequestCanBeTakenOut() {
+		WaitingRequest late = add(Tier.STANDARD, "o", 10, 100);
+		this.queue.age(150);
+		assertThat(this.queue.removeIf((waiting) -> true)).containsExactly(late);
+		assertThat(this.queue.peek()).isNull();
+		assertThat(this.queue.isWaiting(Tier.STANDARD)).isFalse();
+	}
+
 	@Test
 	void goesByTierThenByDeadline() {
 		WaitingRequest batch = add(Tier.BATCH, "o", 10, 1);
