--- a/core/src/main/java/org/sardineport/core/relay/AnswerHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.sardineport.core.relay;
 
 import java.time.Duration;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -20,6 +21,8 @@
 public record AnswerHead(int status, @Nullable String requestId, boolean notExecuted, boolean signed, boolean encoded,
 		boolean events, @Nullable Duration connectionIdle) {
 
+	private static final Set<Integer> NO_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
 	private static final int FIRST_SUCCESS = 200;
 
 	private static final int FIRST_REDIRECT = 300;
@@ -42,6 +45,15 @@
 		return this.status >= FIRST_SERVER_FAILURE;
 	}
 
+	/**
+	 * Returns whether the status tells callers that the request did not run. A backend
+	 * server that ran it must not be quoted with such a status.
+	 * @return whether callers take the status as a promise
+	 */
+	public boolean promisesNoRun() {
+		return NO_RUN_STATUSES.contains(this.status);
+	}
+
 	/**
 	 * Returns whether this can be an answer to a request.
 	 * @param expectedId identity of the request
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -139,14 +139,12 @@
 
 	@Override
 	public void whole(AnswerHead head, MultiMap headers, Buffer body) {
-		RunEnd end = head.isServerFailure() ? RunEnd.REJECTED : RunEnd.COMPLETED;
-		FailedAnswer failure = head.isServerFailure() ? new FailedAnswer(head.status(), headers, body) : null;
-		if (failure != null) {
-			this.lastFailure = failure;
+		if (head.isServerFailure() || head.promisesNoRun()) {
+			this.lastFailure = head.promisesNoRun() ? null : new FailedAnswer(head.status(), headers, body);
 			attemptEnded(AttemptEnd.FAILED, "status " + head.status());
 			return;
 		}
-		releasePermit(end);
+		releasePermit(RunEnd.COMPLETED);
 		pass(head.status(), headers, body);
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/EventSplitterTests.java
@@ -0,0 +1,64 @@
+package org.sardineport.daemon.relay;
+
+import java.util.SplittableRandom;
+
+import io.vertx.core.buffer.Buffer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EventSplitterTests {
+
+	private static String event(int id, String lineEnd) {
+		return "id: " + id + lineEnd + "data: d" + id + lineEnd + lineEnd;
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4 })
+	void streamCutAnywherePassesOnlyWholeEventsAndAllOfThem(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		String lineEnd = (seed % 2 == 0) ? "\n" : "\r\n";
+		StringBuilder all = new StringBuilder();
+		for (int i = 1; i <= 200; i++) {
+			all.append(event(i, lineEnd));
+		}
+		EventSplitter splitter = new EventSplitter(-1);
+		StringBuilder passed = new StringBuilder();
+		for (int at = 0; at < all.length();) {
+			int next = Math.min(all.length(), at + random.nextInt(1, 60));
+			String complete = splitter.add(Buffer.buffer(all.substring(at, next))).toString();
+			assertThat(complete.isEmpty() || complete.endsWith(lineEnd + lineEnd)).isTrue();
+			passed.append(complete);
+			at = next;
+		}
+		assertThat(passed).hasToString(all.toString());
+		assertThat(splitter.lastId()).isEqualTo(200);
+		assertThat(splitter.events()).isEqualTo(200);
+		assertThat(splitter.rest().length()).isZero();
+	}
+
+	@Test
+	void eventsThatTheCallerHasAreDropped() {
+		EventSplitter splitter = new EventSplitter(3);
+		String passed = splitter.add(Buffer.buffer(event(2, "\n") + event(3, "\n") + event(4, "\n"))).toString();
+		assertThat(passed).isEqualTo(event(4, "\n"));
+	}
+
+	@Test
+	void partOfAnEventIsKeptBack() {
+		EventSplitter splitter = new EventSplitter(-1);
+		assertThat(splitter.add(Buffer.buffer(event(1, "\n") + "id: 2\nda")).toString()).isEqualTo(event(1, "\n"));
+		assertThat(splitter.lastId()).isEqualTo(1);
+		assertThat(splitter.rest().toString()).isEqualTo("id: 2\nda");
+	}
+
+	@Test
+	void eventWithoutANumberIsPassedOn() {
+		EventSplitter splitter = new EventSplitter(5);
+		assertThat(splitter.add(Buffer.buffer("data: x\n\n")).toString()).isEqualTo("data: x\n\n");
+		assertThat(splitter.lastId()).isEqualTo(5);
+	}
+
+}
