--- a/cli/src/main/java/org/sardineport/cli/Main.java
+++ b/cli/src/main/java/org/sardineport/cli/Main.java
@@ -8,6 +8,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.sardineport.cli.command.CliCommand;
 import org.sardineport.cli.command.EntryCommand;
+import org.sardineport.cli.command.ExplainCommand;
 import org.sardineport.cli.command.ProfileCheckCommand;
 import org.sardineport.cli.command.ProfileDiffCommand;
 import org.sardineport.cli.command.ProfileListCommand;
@@ -26,7 +27,7 @@
  * Command line of the operators.
  */
 @Cli(name = "sardineport", description = "Operates a fleet of sardineport daemons",
-		commands = { Help.class, StatusCommand.class, EntryCommand.class, DemoCommand.class },
+		commands = { Help.class, StatusCommand.class, EntryCommand.class, ExplainCommand.class, DemoCommand.class },
 		groups = @Group(name = "profile", description = "Publishes, replaces, retires and shows profiles",
 				commands = { ProfilePublishCommand.class, ProfileReplaceCommand.class, ProfileRetireCommand.class,
 						ProfileListCommand.class, ProfileShowCommand.class, ProfileDiffCommand.class,
--- /dev/null
+++ b/cli/src/main/java/org/sardineport/cli/explain/RequestStory.java
@@ -0,0 +1,125 @@
+package org.sardineport.cli.explain;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * What the logs tell of one request, in the order of time.
+ */
+public final class RequestStory {
+
+	private static final String REFUSED = "request.refused";
+
+	private static final String ANSWERED = "request.answered";
+
+	private static final String CALLER_LEFT = "request.caller-left";
+
+	private static final String DISPATCHED = "request.dispatched";
+
+	private static final String ATTEMPT_ENDED = "request.attempt-ended";
+
+	private final String requestId;
+
+	private final List<LoggedEvent> events;
+
+	private RequestStory(String requestId, List<LoggedEvent> events) {
+		this.requestId = requestId;
+		this.events = events;
+	}
+
+	/**
+	 * Gathers the story of one request.
+	 * @param requestId identity of the request
+	 * @param lines lines of the logs, in any order
+	 * @return the story
+	 */
+	public static RequestStory gather(String requestId, Iterable<String> lines) {
+		Objects.requireNonNull(requestId, "requestId must not be null");
+		List<LoggedEvent> found = new ArrayList<>();
+		for (String line : lines) {
+			if (line.contains(requestId)) {
+				LoggedEvent.parse(line)
+					.filter((event) -> event.field("request").equals(requestId))
+					.ifPresent(found::add);
+			}
+		}
+		found.sort(Comparator.comparing((event) -> event.field("time")));
+		return new RequestStory(requestId, found);
+	}
+
+	/**
+	 * Returns whether the logs know the request.
+	 * @return whether there is an event of it
+	 */
+	public boolean isKnown() {
+		return !this.events.isEmpty();
+	}
+
+	/**
+	 * Returns the story as text.
+	 * @return a line for each event, then the cause, then what is missing
+	 */
+	public List<String> lines() {
+		List<String> lines = new ArrayList<>();
+		this.events.forEach((event) -> lines.add(event.field("time") + "  " + sentence(event)));
+		lines.add("cause: " + cause());
+		if (!isEnded()) {
+			lines.add("missing: no final answer is logged; look whether the daemon ended, and at its last lines.");
+		}
+		return lines;
+	}
+
+	private static String sentence(LoggedEvent event) {
+		return switch (event.name()) {
+			case DISPATCHED -> "sent to %s as attempt %s of tier %s, after a wait of %s ms, under configuration %s"
+				.formatted(event.field("backend-server"), event.field("attempt"), event.field("tier"),
+						event.field("waited-ms"), event.field("version"));
+			case ATTEMPT_ENDED -> "attempt at %s ended: %s (%s); tried again: %s".formatted(
+					event.field("backend-server"), event.field("end"), event.field("detail"), event.field("again"));
+			case REFUSED -> "refused after %s attempts as %s: %s".formatted(event.field("attempts"),
+					event.field("kind"), event.field("detail"));
+			case ANSWERED -> "answered with status %s after %s ms and %s attempts".formatted(event.field("status"),
+					event.field("age-ms"), event.field("attempts"));
+			case CALLER_LEFT -> "caller left after %s ms".formatted(event.field("age-ms"));
+			default -> event.name();
+		};
+	}
+
+	private boolean isEnded() {
+		return this.events.stream().anyMatch((event) -> List.of(REFUSED, ANSWERED, CALLER_LEFT).contains(event.name()));
+	}
+
+	private String cause() {
+		if (this.events.isEmpty()) {
+			return "not known: no line names request " + this.requestId;
+		}
+		LoggedEvent last = this.events.get(this.events.size() - 1);
+		return switch (last.name()) {
+			case ANSWERED -> "none: the caller was answered";
+			case CALLER_LEFT -> "the caller closed its connection";
+			case REFUSED -> causeOfRefusal(last);
+			case DISPATCHED -> "the answer of " + last.field("backend-server") + " is not logged";
+			default -> last.field("detail");
+		};
+	}
+
+	private static String causeOfRefusal(LoggedEvent refusal) {
+		return switch (refusal.field("kind")) {
+			case "not-ready" -> "the configuration was last read %s ms before: see configuration.unreachable"
+				.formatted(refusal.field("proof-age-ms"));
+			case "unauthorized" -> "the key is not in configuration " + refusal.field("version");
+			case "no-route" -> "no route of configuration " + refusal.field("version") + " matches";
+			case "organisation-limit" -> "the organisation used up its limit over the whole fleet";
+			case "overloaded", "retry-budget-spent", "deadline-unreachable", "deadline-passed" ->
+				"no backend server had room while the caller waited";
+			case "no-backend-server" -> "no backend server of the pool was listed and well";
+			case "backend-timeout" -> "the backend server was silent until the time limit; whether it ran is not known";
+			case "backend-failed" ->
+				"the backend server failed after the request was sent; whether it ran is not known";
+			default -> refusal.field("detail");
+		};
+	}
+
+}
