Give out all places of a backend server when all daemons have just started

Cause: a new owner gives out half of the places for a second, as others may have runs there that it does not know; after a loss of all daemons nobody has.

--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -64,15 +64,17 @@
 	 * @param model what this daemon learned of it when it owned it before
 	 * @param replies where answers go
 	 * @param permitLifetime time within which a permit must be used
+	 * @param nothingRuns whether no entry can have a run there that it has not told yet
 	 * @param now the current time
 	 */
-	PermitOwner(BackendServer server, ServerModel model, MessageOutbox replies, Duration permitLifetime, long now) {
+	PermitOwner(BackendServer server, ServerModel model, MessageOutbox replies, Duration permitLifetime,
+			boolean nothingRuns, long now) {
 		this.server = Objects.requireNonNull(server, "server must not be null");
 		this.replies = Objects.requireNonNull(replies, "replies must not be null");
 		this.permitLifetime = Objects.requireNonNull(permitLifetime, "permitLifetime must not be null");
 		this.running = new RunningCount(now);
 		this.model = Objects.requireNonNull(model, "model must not be null");
-		this.settledAt = now + SETTLING_MILLIS;
+		this.settledAt = (nothingRuns) ? now : now + SETTLING_MILLIS;
 	}
 
 	BackendServer server() {
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -29,6 +29,9 @@
  */
 final class PoolDirectory {
 
+	/** Age up to which a daemon counts as just started, in milliseconds. */
+	private static final long NEW_FLEET_MILLIS = 6000;
+
 	/** Time for which the share of a silent daemon is kept for it. */
 	private static final long SILENT_SHARE_MILLIS = 30_000;
 
@@ -54,6 +57,8 @@
 
 	private final Map<DaemonId, Long> sharersUntil = new HashMap<>();
 
+	private boolean fleetNew;
+
 	private List<Member> eligible = List.of();
 
 	private Set<DaemonId> present = Set.of();
@@ -79,6 +84,10 @@
 		fleet.members().stream().filter((member) -> isPresent(member)).map(Member::id).forEach(this.present::add);
 		this.present.add(this.self);
 		countSharers(fleet, now);
+		this.fleetNew = fleet.members()
+			.stream()
+			.filter(PoolDirectory::isPresent)
+			.allMatch((member) -> member.incarnation() > now - NEW_FLEET_MILLIS);
 		if (ids(newEligible).equals(ids(this.eligible)) && fleet.backendServers().equals(this.servers)) {
 			return false;
 		}
@@ -160,6 +169,15 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether all daemons have just started, as after a loss of all of them. An
+	 * incarnation is the time of a daemon's start.
+	 * @return whether no daemon can have runs of former times
+	 */
+	boolean isFleetNew() {
+		return this.fleetNew;
+	}
+
 	boolean isOwner(BackendServerId id) {
 		return isOwner(this.self, id);
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -166,8 +166,8 @@
 			}
 		}
 		for (BackendServer server : this.directory.owned()) {
-			this.owners.computeIfAbsent(server.id(),
-					(id) -> new PermitOwner(server, model(server), this::send, this.limits.permitLifetime(), now));
+			this.owners.computeIfAbsent(server.id(), (id) -> new PermitOwner(server, model(server), this::send,
+					this.limits.permitLifetime(), this.directory.isFleetNew(), now));
 		}
 		this.models.keySet().removeIf((id) -> this.directory.view(id) == null);
 	}
--- a/core/src/test/java/org/sardineport/core/scheduling/EarlyStartTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/EarlyStartTests.java
@@ -56,6 +56,20 @@
 		assertThat(waiting.isRefused()).isTrue();
 	}
 
+	@Test
+	void ownerGivesOutAllPlacesAtOnceAfterALossOfAllDaemons() {
+		this.fixture.incarnation = this.fixture.now.toEpochMilli() - 100;
+		this.fixture.server("s", 4, "a").tellFleet();
+		int besideTheTopTiersPlace = 3;
+		assertThat(fill(4).stream().filter(SchedulingFixture.Caller::isGranted)).hasSize(besideTheTopTiersPlace);
+	}
+
+	@Test
+	void ownerGivesOutHalfOfThePlacesWhileOthersMayHaveRunsThere() {
+		this.fixture.server("s", 4, "a").tellFleet();
+		assertThat(fill(4).stream().filter(SchedulingFixture.Caller::isGranted)).hasSize(2);
+	}
+
 	@Test
 	void routeOfHigherRankGoesFirstWithinAnOrganisation() {
 		this.fixture.server("s", 1, "a").tellFleet();
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -62,6 +62,8 @@
 
 	private int requests;
 
+	long incarnation = 1;
+
 	SchedulingFixture daemons(String... names) {
 		for (String name : names) {
 			DaemonId id = DaemonId.of(name);
@@ -91,7 +93,7 @@
 	void tellFleetTo(String daemon, String... dead) {
 		List<Member> members = this.schedulers.keySet()
 			.stream()
-			.map((id) -> new Member(id, 1,
+			.map((id) -> new Member(id, this.incarnation,
 					(List.of(dead).contains(id.value())) ? MemberStatus.DEAD : MemberStatus.ALIVE, DOMAIN, ADDRESS,
 					ADDRESS, 0, 0))
 			.toList();
