Read the store less often in large fleets; start and stop services in one place

A read of the configuration now waits up to 2 s for a change in fleets of 40 and more, and the list is read twice in the time within which a server that leaves must be forgotten. Not measured yet on a grown site; small sites read as before. Cleaned up: the order of services stood in two daemons, connections to a server that was never reached counted as open, a set of connections was kept for nothing.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -49,10 +49,7 @@
 	private static final long BACKOFF_MILLIS = 100;
 
 	/** Time after which a caller is told to come back when nothing better is known. */
-	private static final long RETRY_AFTER_MILLIS = 1000;
-
-	/** Time by which an owner's answer may come later than a request may begin. */
-	private static final long GIVE_UP_GRACE_MILLIS = 50;
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
 	private final SchedulingLimits limits;
 
@@ -100,14 +97,15 @@
 
 	private Optional<Refusal> refusalOnArrival(SchedulingRequest request) {
 		if (!this.clock.instant().isBefore(request.deadline())) {
-			return Optional.of(retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed", RETRY_AFTER_MILLIS));
+			return Optional.of(Refusal.retryAfter(RefusalReason.DEADLINE_PASSED, "the deadline passed", RETRY_AFTER));
 		}
 		Optional<Refusal> quarantine = this.records.quarantine(request);
 		if (quarantine.isPresent()) {
 			return quarantine;
 		}
 		if (this.pending.size() >= this.limits.maximumWaiting() && !evictFor(request)) {
-			return Optional.of(retryAfter(RefusalReason.OVERLOADED, "too many requests wait here", RETRY_AFTER_MILLIS));
+			return Optional
+				.of(Refusal.retryAfter(RefusalReason.OVERLOADED, "too many requests wait here", RETRY_AFTER));
 		}
 		return this.records.spend(request);
 	}
@@ -124,7 +122,8 @@
 			.max(Comparator.comparing((waiting) -> waiting.request().tier()));
 		victim.ifPresent((waiting) -> {
 			withdraw(waiting);
-			refuse(waiting, retryAfter(RefusalReason.OVERLOADED, "more urgent requests wait here", RETRY_AFTER_MILLIS));
+			refuse(waiting,
+					Refusal.retryAfter(RefusalReason.OVERLOADED, "more urgent requests wait here", RETRY_AFTER));
 		});
 		return victim.isPresent();
 	}
@@ -271,8 +270,8 @@
 	}
 
 	private void refuse(PendingRequest waiting, RefusalReason reason, String detail) {
-		long millis = Math.max(RETRY_AFTER_MILLIS, waiting.retryAfterMillis());
-		refuse(waiting, retryAfter(reason, detail, millis));
+		long millis = Math.max(RETRY_AFTER.toMillis(), waiting.retryAfterMillis());
+		refuse(waiting, Refusal.retryAfter(reason, detail, Duration.ofMillis(millis)));
 	}
 
 	private void refuse(PendingRequest waiting, Refusal refusal) {
@@ -290,10 +289,6 @@
 		waiting.left();
 	}
 
-	private static Refusal retryAfter(RefusalReason reason, String detail, long millis) {
-		return Refusal.retryAfter(reason, detail, Duration.ofMillis(millis));
-	}
-
 	void tick() {
 		long now = this.clock.millis();
 		this.routing.tick();
@@ -305,13 +300,10 @@
 	}
 
 	private void tick(PendingRequest waiting, long now) {
-		if (waiting.deadline() <= now) {
-			withdraw(waiting);
-			refuse(waiting, RefusalReason.DEADLINE_PASSED, "the deadline passed before its turn");
-		}
-		else if (waiting.isGivenUp(now - GIVE_UP_GRACE_MILLIS)) {
+		RefusalReason overdue = waiting.overdue(now);
+		if (overdue != null) {
 			withdraw(waiting);
-			refuse(waiting, RefusalReason.OVERLOADED, "it could not begin while its caller waits");
+			refuse(waiting, overdue, "it could not begin while its caller waits");
 		}
 		else if (waiting.isBackingOff()) {
 			askAfterBackoff(waiting, now);
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -9,6 +9,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerView;
@@ -18,6 +19,9 @@
  */
 final class PendingRequest {
 
+	/** Time by which an owner's answer may come later than a request may begin. */
+	private static final long ANSWER_GRACE_MILLIS = 50;
+
 	private final SchedulingRequest request;
 
 	private final PermitListener listener;
@@ -75,12 +79,16 @@
 		return this.listener;
 	}
 
-	long deadline() {
-		return this.deadline;
-	}
-
-	boolean isGivenUp(long instant) {
-		return this.startBy < instant;
+	/**
+	 * Returns why it is too late to begin.
+	 * @param now the current time
+	 * @return the reason, or {@code null} if it is of use to go on waiting
+	 */
+	@Nullable RefusalReason overdue(long now) {
+		if (this.deadline <= now) {
+			return RefusalReason.DEADLINE_PASSED;
+		}
+		return (this.startBy + ANSWER_GRACE_MILLIS < now) ? RefusalReason.OVERLOADED : null;
 	}
 
 	@Nullable ServerView server() {
--- /dev/null
+++ b/core/src/test/java/org/sardineport/core/relay/ReadPacingTests.java
@@ -0,0 +1,25 @@
+package org.sardineport.core.relay;
+
+import java.time.Duration;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReadPacingTests {
+
+	@ParameterizedTest
+	@CsvSource({ "1, 800", "8, 800", "16, 800", "32, 1600", "88, 2000", "3300, 2000" })
+	void readsOfTheConfigurationWaitLongerInALargeFleet(int daemons, long millis) {
+		assertThat(ReadPacing.configurationWait(daemons)).isEqualTo(Duration.ofMillis(millis));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "2000, 800", "3000, 1300" })
+	void twoReadsOfTheListFitIntoTheTimeToForget(long forgetMillis, long intervalMillis) {
+		assertThat(ReadPacing.listInterval(Duration.ofMillis(forgetMillis)))
+			.isEqualTo(Duration.ofMillis(intervalMillis));
+	}
+
+}
--- a/core/src/test/java/org/sardineport/core/relay/RelayFixture.java
+++ b/core/src/test/java/org/sardineport/core/relay/RelayFixture.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.limit.OrganisationLimit;
@@ -35,7 +34,7 @@
 
 	static RelayConfiguration configuration(long version, RelayRoute... routes) {
 		return RelayConfiguration.of(version, List.of(routes), Map.of(KEY, organisation(1000, 1000)),
-				List.of(new RelayPool(POOL, BackendKind.MODEL_ENGINE, 6)), 1000);
+				List.of(new RelayPool(POOL, 6)), 1000);
 	}
 
 	static CallerHead head(String target, String key) {
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
@@ -19,6 +17,7 @@
 import org.sardineport.core.exchange.RetryBudget;
 import org.sardineport.core.journal.IdempotencyKeys;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.lifecycle.ServiceSequence;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.core.stop.StopTiming;
@@ -72,10 +71,7 @@
 
 	private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
-	private final List<Service> running = new CopyOnWriteArrayList<>();
-
-	/** In the order in which they are started. */
-	private final List<Service> services;
+	private final ServiceSequence services;
 
 	private SardineportDaemon(DaemonSettings settings, InstantSource clock) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
@@ -110,8 +106,8 @@
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
 				new OperatorServices(configuration, fleet, readiness, callers::inFlight, telemetry));
-		this.services = List.of(transport, log, vmList, engines, fleet, configuration, journal, scheduling, callers,
-				operators);
+		this.services = ServiceSequence.of(List.of(transport, log, vmList, engines, fleet, configuration, journal,
+				scheduling, callers, operators));
 		this.stopActions = new DaemonStopActions(fleet, configuration, callers, runner, journal::stop);
 		this.stop = StopDuty.create(stopTiming(settings), this.stopActions, clock, telemetry);
 	}
@@ -128,11 +124,7 @@
 
 	@Override
 	public CompletionStage<Void> start() {
-		CompletionStage<Void> started = CompletableFuture.completedStage(null);
-		for (Service service : this.services) {
-			started = started.thenCompose((ignored) -> startUnlessStopped(service));
-		}
-		return started.thenRun(() -> {
+		return this.services.start().thenRun(() -> {
 			this.stopActions.started();
 			LOG.info("daemon.started", "daemon", this.settings.daemon(), "failure-domain",
 					this.settings.failureDomain(), "callers", this.settings.callerAddress());
@@ -157,23 +149,10 @@
 		return this.stop.request().thenCompose((ignored) -> release());
 	}
 
-	private CompletionStage<Void> startUnlessStopped(Service service) {
-		if (this.released.get()) {
-			return CompletableFuture.failedStage(new IllegalStateException("the daemon was stopped while it started"));
-		}
-		this.running.add(service);
-		return service.start();
-	}
-
 	private CompletionStage<Void> release() {
 		if (this.released.compareAndSet(false, true)) {
-			List<Service> reversed = new ArrayList<>(this.running);
-			Collections.reverse(reversed);
-			CompletionStage<Void> stopped = CompletableFuture.completedStage(null);
-			for (Service service : reversed) {
-				stopped = stopped.thenCompose((ignored) -> service.stop());
-			}
-			stopped.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
+			this.services.stop()
+				.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
 				.whenComplete((ignored, failure) -> ended(failure));
 		}
 		return this.ended.copy();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -75,8 +75,9 @@
 	 * @return the connection, or a failure if none could be made
 	 */
 	Future<HttpClientConnection> acquire(BackendServer server, Duration longestIdle) {
-		Connections connections = this.servers.computeIfAbsent(server.id(), (id) -> new Connections());
-		HttpClientConnection kept = connections.takeIdle(this.clock.millis(), longestIdle.toMillis());
+		Connections connections = this.servers.get(server.id());
+		HttpClientConnection kept = (connections != null)
+				? connections.takeIdle(this.clock.millis(), longestIdle.toMillis()) : null;
 		if (kept != null) {
 			return Future.succeededFuture(kept);
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -1,14 +1,11 @@
 package org.sardineport.daemon.relay;
 
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -16,9 +13,11 @@
 import io.vertx.core.Vertx;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.lifecycle.ServiceSequence;
 import org.sardineport.core.limit.Concurrency;
 import org.sardineport.core.relay.ClockPair;
 import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.ReadPacing;
 import org.sardineport.core.relay.RelayGate;
 import org.sardineport.core.relay.RetryAllowance;
 import org.sardineport.core.relay.ReturnTimes;
@@ -57,9 +56,7 @@
 
 	private final RelayReadiness readiness;
 
-	private final List<Service> services;
-
-	private final List<Service> running = new CopyOnWriteArrayList<>();
+	private final ServiceSequence services;
 
 	private final AtomicBoolean released = new AtomicBoolean();
 
@@ -81,7 +78,9 @@
 				random.split(), telemetry);
 		fleet.exchangeStrikes(scheduling);
 		ConfigurationInForce inForce = ConfigurationInForce.create(settings.proofLifetime(), clocks);
-		ports.configuration().listen(new ConfigurationWatch(inForce, telemetry));
+		ports.configuration()
+			.listen(new ConfigurationWatch(inForce, telemetry),
+					() -> ReadPacing.configurationWait(fleet.current().members().size()));
 		BooleanSupplier backendsKnown = () -> !fleet.current().backendServers().isEmpty();
 		BackendConnections connections = BackendConnections.create(vertx, clock);
 		AtomicLong attempts = new AtomicLong();
@@ -95,7 +94,8 @@
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
 				this.readiness, telemetry);
 		fleet.reportFrom(this.readiness);
-		this.services = List.of(server, ports.configuration(), transport, fleet, scheduling, connections, endpoints);
+		this.services = ServiceSequence
+			.of(List.of(server, ports.configuration(), transport, fleet, scheduling, connections, endpoints));
 		this.stop = StopDuty.create(settings.stop(), new RelayStopActions(fleet, server, this.readiness), clock,
 				telemetry);
 	}
@@ -119,20 +119,9 @@
 
 	@Override
 	public CompletionStage<Void> start() {
-		CompletionStage<Void> started = CompletableFuture.completedStage(null);
-		for (Service service : this.services) {
-			started = started.thenCompose((ignored) -> startUnlessStopped(service));
-		}
-		return started.thenRun(() -> LOG.info("daemon.started", "daemon", this.place.daemon(), "failure-domain",
-				this.place.failureDomain(), "callers", this.place.callerAddress()));
-	}
-
-	private CompletionStage<Void> startUnlessStopped(Service service) {
-		if (this.released.get()) {
-			return CompletableFuture.failedStage(new IllegalStateException("the daemon was stopped while it started"));
-		}
-		this.running.add(service);
-		return service.start();
+		return this.services.start()
+			.thenRun(() -> LOG.info("daemon.started", "daemon", this.place.daemon(), "failure-domain",
+					this.place.failureDomain(), "callers", this.place.callerAddress()));
 	}
 
 	/**
@@ -155,13 +144,7 @@
 
 	private CompletionStage<Void> release() {
 		if (this.released.compareAndSet(false, true)) {
-			List<Service> reversed = new ArrayList<>(this.running);
-			Collections.reverse(reversed);
-			CompletionStage<Void> stopped = CompletableFuture.completedStage(null);
-			for (Service service : reversed) {
-				stopped = stopped.thenCompose((ignored) -> service.stop());
-			}
-			stopped.whenComplete((ignored, failure) -> {
+			this.services.stop().whenComplete((ignored, failure) -> {
 				LOG.info("daemon.stopped", "daemon", this.place.daemon(), "failure", failure);
 				this.ended.complete(null);
 			});
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -1,14 +1,11 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -47,8 +44,6 @@
 
 	private final NetworkAddress address;
 
-	private final Set<HttpConnection> connections = new HashSet<>();
-
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private @Nullable HttpServer server;
@@ -77,7 +72,7 @@
 			.setAcceptBacklog(BACKLOG);
 		HttpServer created = this.services.vertx()
 			.createHttpServer(options)
-			.connectionHandler((connection) -> connected(connection, options))
+			.connectionHandler((connection) -> StrictRequestDecoder.install(connection, options))
 			.invalidRequestHandler(this::invalid)
 			.requestHandler(this::handle);
 		this.server = created;
@@ -113,12 +108,6 @@
 		return this.served;
 	}
 
-	private void connected(HttpConnection connection, HttpServerOptions options) {
-		StrictRequestDecoder.install(connection, options);
-		this.connections.add(connection);
-		connection.closeHandler((ignored) -> this.connections.remove(connection));
-	}
-
 	private void invalid(HttpServerRequest request) {
 		this.services.telemetry().refused(RefusalReason.INVALID_HEADER).inc();
 		LOG.info("request.malformed", "remote", request.remoteAddress(), "cause", request.decoderResult().cause());
