Probe an isolated server with any request when none fit comes; read the store once a second

Cause, seen by reading: in a pool whose requests all run at most once, no request was fit as the probe of an isolated server, so that it stayed isolated for good.

--- a/core/src/main/java/org/sardineport/core/limit/ServerHealth.java
+++ b/core/src/main/java/org/sardineport/core/limit/ServerHealth.java
@@ -18,6 +18,9 @@
 	/** Longest time of isolation, in milliseconds. */
 	private static final long LONGEST_ISOLATION_MILLIS = 30_000;
 
+	/** Time after which a probe that was due is overdue, in milliseconds. */
+	private static final long OVERDUE_MILLIS = 1000;
+
 	private int failures;
 
 	private int rejections;
@@ -65,6 +68,16 @@
 		return isIsolated() ? Math.max(0, this.probeFrom - now) : 0;
 	}
 
+	/**
+	 * Returns whether a probe has been due for so long that no request fit for it seems
+	 * to come.
+	 * @param now the current time
+	 * @return whether any request may be the probe
+	 */
+	public boolean isProbeOverdue(long now) {
+		return isIsolated() && mayRun(now) && now - this.probeFrom >= OVERDUE_MILLIS;
+	}
+
 	/**
 	 * A run begins.
 	 */
--- a/core/src/main/java/org/sardineport/core/relay/ReadPacing.java
+++ b/core/src/main/java/org/sardineport/core/relay/ReadPacing.java
@@ -9,7 +9,7 @@
 public final class ReadPacing {
 
 	/** Time that a read of the configuration waits for a change, in a small fleet. */
-	private static final Duration SHORTEST_WAIT = Duration.ofMillis(800);
+	private static final Duration SHORTEST_WAIT = Duration.ofMillis(1000);
 
 	/** Longest such time: two reads fit into the life of a proof. */
 	private static final Duration LONGEST_WAIT = Duration.ofMillis(2000);
@@ -17,9 +17,6 @@
 	/** Daemons up to which a fleet is small. */
 	private static final int SMALL_FLEET = 16;
 
-	/** Part of the time to forget a backend server that is left for its last requests. */
-	private static final Duration FORGET_MARGIN = Duration.ofMillis(200);
-
 	private ReadPacing() {
 	}
 
@@ -39,7 +36,7 @@
 	 * @return the time
 	 */
 	public static Duration listInterval(Duration forgetWithin) {
-		return forgetWithin.dividedBy(2).minus(FORGET_MARGIN);
+		return forgetWithin.dividedBy(2);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -128,7 +128,7 @@
 	private void placeProbe(WaitingRequest waiting, long now) {
 		boolean suitable = waiting.ask().runningPolicy().isPreemptible(this.resumesStreams)
 				&& (!waiting.ask().tier().isTop() || waiting.ask().mayPreempt());
-		if (suitable && this.model.health().mayRun(now)) {
+		if ((suitable && this.model.health().mayRun(now)) || this.model.health().isProbeOverdue(now)) {
 			grant(waiting, now);
 		}
 		else {
--- a/core/src/test/java/org/sardineport/core/limit/ServerHealthTests.java
+++ b/core/src/test/java/org/sardineport/core/limit/ServerHealthTests.java
@@ -49,6 +49,15 @@
 		assertThat(health.isIsolated()).isFalse();
 	}
 
+	@Test
+	void probeIsOverdueASecondAfterItWasDueUntilOneRuns() {
+		ServerHealth health = isolated(0);
+		assertThat(health.isProbeOverdue(1999)).isFalse();
+		assertThat(health.isProbeOverdue(2000)).isTrue();
+		health.began();
+		assertThat(health.isProbeOverdue(5000)).isFalse();
+	}
+
 	@Test
 	void waitsTwiceAsLongAfterAFailedProbeUpToABound() {
 		ServerHealth health = isolated(0);
