Start anew with a backend server that restarts; close callers' idle connections as configured

Cause (both found by reading): an entry's start time was not decoded, so that a backend server that started again under its name kept its isolation of up to 30 s, its learned speed and the places of runs that died with the former process; callers' connections were closed after a fixed 30 s by Vert.x whatever the configuration said.

Change: BackendServer.startedAt tells two processes under one name apart. An owner that sees a new one starts a model and a count of places anew and hands its queue over; a directory forgets the former's word that it leaves. CallerConnections closes connections without a request after the configured time, and never one with a request.

Ruled out: refusing what waits at the former process (with one server in the pool the entry has nowhere to go and refuses; its test failed so).

--- a/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -77,6 +77,7 @@
 			this.returnedAt = this.clock.instant();
 		}
 		keepLapsed(fetched);
+		forgetWordsOfFormerProcesses(fetched);
 		this.listing = fetched;
 		return true;
 	}
@@ -103,6 +104,20 @@
 		}
 	}
 
+	private void forgetWordsOfFormerProcesses(VmListing fetched) {
+		if (this.listing == null || this.leavingSince.isEmpty()) {
+			return;
+		}
+		Map<BackendServerId, BackendServer> former = new HashMap<>();
+		this.listing.backendServers().forEach((listed) -> former.put(listed.server().id(), listed.server()));
+		for (VmListing.ListedBackend listed : fetched.backendServers()) {
+			BackendServer known = former.get(listed.server().id());
+			if (known != null && listed.server().isRestartOf(known)) {
+				this.leavingSince.remove(listed.server().id());
+			}
+		}
+	}
+
 	private boolean isGraceOver() {
 		return !this.clock.instant().minus(RETURN_GRACE).isBefore(this.returnedAt);
 	}
--- a/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
@@ -15,7 +15,8 @@
 public final class RelayConfiguration {
 
 	/** What is known before any configuration was read. */
-	public static final RelayConfiguration NONE = new RelayConfiguration(0, List.of(), Map.of(), List.of(), 0);
+	public static final RelayConfiguration NONE = new RelayConfiguration(0, List.of(), Map.of(), List.of(),
+			CallerLimits.NONE);
 
 	private final long version;
 
@@ -25,13 +26,13 @@
 
 	private final Map<PoolName, RelayPool> pools = new HashMap<>();
 
-	private final int maximumBodyBytes;
+	private final CallerLimits callerLimits;
 
 	private RelayConfiguration(long version, Collection<RelayRoute> routes,
-			Map<String, RelayOrganisation> organisationsByKey, Collection<RelayPool> pools, int maximumBodyBytes) {
+			Map<String, RelayOrganisation> organisationsByKey, Collection<RelayPool> pools, CallerLimits callerLimits) {
 		this.version = version;
 		this.organisationsByKey = Map.copyOf(organisationsByKey);
-		this.maximumBodyBytes = maximumBodyBytes;
+		this.callerLimits = callerLimits;
 		for (RelayRoute route : routes) {
 			this.routesByHost.computeIfAbsent(hostKey(route.host()), (host) -> new HashMap<>())
 				.put(route.pathPrefix(), route);
@@ -46,12 +47,12 @@
 	 * @param organisationsByKey the organisations by the keys that their callers send;
 	 * empty if callers need no key
 	 * @param pools the pools
-	 * @param maximumBodyBytes largest body of a request
+	 * @param callerLimits limits of what callers send
 	 * @return the configuration
 	 */
 	public static RelayConfiguration of(long version, Collection<RelayRoute> routes,
-			Map<String, RelayOrganisation> organisationsByKey, Collection<RelayPool> pools, int maximumBodyBytes) {
-		return new RelayConfiguration(version, routes, organisationsByKey, pools, maximumBodyBytes);
+			Map<String, RelayOrganisation> organisationsByKey, Collection<RelayPool> pools, CallerLimits callerLimits) {
+		return new RelayConfiguration(version, routes, organisationsByKey, pools, callerLimits);
 	}
 
 	/**
@@ -71,11 +72,11 @@
 	}
 
 	/**
-	 * Returns the largest body of a request.
-	 * @return bytes
+	 * Returns the limits of what callers send.
+	 * @return the limits
 	 */
-	public int maximumBodyBytes() {
-		return this.maximumBodyBytes;
+	public CallerLimits callerLimits() {
+		return this.callerLimits;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -316,6 +316,15 @@
 		refuseWaiting((waiting) -> true, PermitDenial.NOT_OWNER, now);
 	}
 
+	/**
+	 * Passes on all that wait, as the backend server is another one under the same name.
+	 * @param successor decides about the new one
+	 * @param now the current time
+	 */
+	void handOver(PermitOwner successor, long now) {
+		this.queue.removeIf((waiting) -> true).forEach((waiting) -> successor.place(waiting, now));
+	}
+
 	private void refuseWaiting(Predicate<WaitingRequest> condition, PermitDenial denial, long now) {
 		for (WaitingRequest waiting : this.queue.removeIf(condition)) {
 			refuse(waiting, denial, expectedWait(waiting.ask().tier(), now), now);
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -165,13 +165,25 @@
 				owner.resign(now);
 			}
 		}
-		for (BackendServer server : this.directory.owned()) {
-			this.owners.computeIfAbsent(server.id(), (id) -> new PermitOwner(server, model(server), this::send,
-					this.limits.permitLifetime(), this.directory.isFleetNew(), now));
-		}
+		this.directory.owned().forEach((server) -> own(server, now));
 		this.models.keySet().removeIf((id) -> this.directory.view(id) == null);
 	}
 
+	private void own(BackendServer server, long now) {
+		PermitOwner former = this.owners.get(server.id());
+		if (former != null && former.server().equals(server)) {
+			return;
+		}
+		boolean restarted = former != null && server.isRestartOf(former.server());
+		boolean nothingRuns = restarted || this.directory.isFleetNew();
+		PermitOwner owner = new PermitOwner(server, model(server), this::send, this.limits.permitLifetime(),
+				nothingRuns, now);
+		this.owners.put(server.id(), owner);
+		if (former != null) {
+			former.handOver(owner, now);
+		}
+	}
+
 	private ServerModel model(BackendServer server) {
 		ServerModel known = this.models.get(server.id());
 		if (known != null && known.server().equals(server)) {
--- a/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -61,6 +61,18 @@
 		return new VmListing(asOf, List.of(), List.of(new VmListing.ListedBackend(server("two"), VmState.LIVE)));
 	}
 
+	@Test
+	void wordOfAFormerProcessDoesNotHoldForOneThatStartedUnderItsName() {
+		this.directory.reported(report("one", true));
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+		BackendServer former = server("one");
+		BackendServer restarted = new BackendServer(former.id(), former.kind(), former.pool(), former.failureDomain(),
+				former.address(), former.nominalConcurrency(), START.plusSeconds(1));
+		this.directory.listed(new VmListing(START.plusSeconds(2), List.of(),
+				List.of(new VmListing.ListedBackend(restarted, VmState.LIVE))));
+		assertThat(this.directory.eligible()).containsExactly(restarted);
+	}
+
 	@Test
 	void dropsWhatIsMissingFromTheListAtOnce() {
 		this.directory.listed(withoutOne(START.plusSeconds(1)));
--- a/core/src/test/java/org/sardineport/core/relay/RelayFixture.java
+++ b/core/src/test/java/org/sardineport/core/relay/RelayFixture.java
@@ -34,7 +34,7 @@
 
 	static RelayConfiguration configuration(long version, RelayRoute... routes) {
 		return RelayConfiguration.of(version, List.of(routes), Map.of(KEY, organisation(1000, 1000)),
-				List.of(new RelayPool(POOL, 6)), 1000);
+				List.of(new RelayPool(POOL, 6)), new CallerLimits(1000, Duration.ofSeconds(30)));
 	}
 
 	static CallerHead head(String target, String key) {
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
@@ -95,6 +95,47 @@
 		assertThat(late.refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
 	}
 
+	@Test
+	void nothingLearnedOfABackendServerOutlivesItsProcess() {
+		SchedulingFixture fleet = SchedulingFixture.pair(2);
+		for (int i = 0; i < 3; i++) {
+			Caller failing = fleet.submit("a", Tier.STANDARD);
+			fleet.deliver();
+			failing.end(RunEnd.BROKEN);
+			fleet.deliver();
+		}
+		assertThat(fleet.scheduler("b").states().get(0).isolated()).isTrue();
+		fleet.restartServer();
+		assertThat(fleet.scheduler("b").states().get(0).isolated()).isFalse();
+		Caller next = fleet.submit("a", Tier.STANDARD);
+		fleet.deliver();
+		assertThat(next.isGranted()).isTrue();
+	}
+
+	@Test
+	void placesOfAFormerProcessAreFreeInTheNextOne() {
+		SchedulingFixture fleet = SchedulingFixture.pair(2);
+		List<Caller> former = SchedulingFixture.fill(fleet, "a", Tier.STANDARD, 1);
+		fleet.advanceAndDeliver(SECOND);
+		fleet.restartServer();
+		assertThat(SchedulingFixture.fill(fleet, "a", Tier.STANDARD, 1)).allMatch(Caller::isGranted);
+		former.forEach((caller) -> caller.end(RunEnd.BROKEN));
+		fleet.deliver();
+		assertThat(fleet.scheduler("b").states().get(0).running()).isEqualTo(1);
+	}
+
+	@Test
+	void requestThatWaitedAtAFormerProcessRunsInTheNextOne() {
+		SchedulingFixture fleet = SchedulingFixture.pair(2);
+		SchedulingFixture.fill(fleet, "a", Tier.STANDARD, 1);
+		Caller waiting = fleet.submit("a", Tier.STANDARD);
+		fleet.deliver();
+		assertThat(waiting.isWaiting()).isTrue();
+		fleet.restartServer();
+		fleet.advanceAndDeliver(SECOND);
+		assertThat(waiting.isGranted()).isTrue();
+	}
+
 	@Test
 	void waitingRequestMovesToTheNewOwner() {
 		SchedulingFixture fleet = SchedulingFixture.pair(2);
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -83,6 +83,16 @@
 		return this;
 	}
 
+	/**
+	 * Starts the only backend server anew under its name.
+	 */
+	void restartServer() {
+		BackendServer former = this.servers.remove(0);
+		this.servers.add(new BackendServer(former.id(), former.kind(), former.pool(), former.failureDomain(),
+				former.address(), former.nominalConcurrency(), this.now));
+		tellFleet();
+	}
+
 	SchedulingFixture tellFleet(String... dead) {
 		for (String daemon : this.schedulers.keySet().stream().map(DaemonId::value).toList()) {
 			tellFleetTo(daemon, dead);
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -0,0 +1,76 @@
+package org.sardineport.daemon.relay;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Supplier;
+
+import io.vertx.core.http.HttpConnection;
+import org.sardineport.daemon.telemetry.EventLog;
+
+/**
+ * Closes callers' connections that carry no request for longer than the operators allow.
+ * Confined to the event loop.
+ */
+final class CallerConnections {
+
+	private static final EventLog LOG = EventLog.of(CallerConnections.class);
+
+	/** Value for a connection that carries a request. */
+	private static final long BUSY = Long.MAX_VALUE;
+
+	private final Map<HttpConnection, Long> idleSince = new IdentityHashMap<>();
+
+	private final InstantSource clock;
+
+	private final Supplier<Duration> idleTimeout;
+
+	/**
+	 * Creates a set without connections.
+	 * @param clock a steady clock
+	 * @param idleTimeout longest time without a request, as configured now
+	 */
+	CallerConnections(InstantSource clock, Supplier<Duration> idleTimeout) {
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.idleTimeout = Objects.requireNonNull(idleTimeout, "idleTimeout must not be null");
+	}
+
+	void opened(HttpConnection connection) {
+		this.idleSince.put(connection, this.clock.millis());
+		connection.closeHandler((ignored) -> this.idleSince.remove(connection));
+	}
+
+	void requestBegan(HttpConnection connection) {
+		this.idleSince.replace(connection, BUSY);
+	}
+
+	/**
+	 * Notes that a request has its final answer.
+	 * @param connection its connection, which may be closed already
+	 */
+	void requestEnded(HttpConnection connection) {
+		this.idleSince.replace(connection, this.clock.millis());
+	}
+
+	/**
+	 * Closes the connections that have been idle for too long.
+	 */
+	void closeIdle() {
+		long oldest = this.clock.millis() - this.idleTimeout.get().toMillis();
+		List<HttpConnection> expired = new ArrayList<>();
+		this.idleSince.forEach((connection, since) -> {
+			if (since <= oldest) {
+				expired.add(connection);
+			}
+		});
+		for (HttpConnection connection : expired) {
+			LOG.debug("caller.idle", "remote", connection.remoteAddress());
+			connection.close();
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -104,9 +104,9 @@
 			return;
 		}
 		this.body.appendBuffer(bytes);
-		if (this.body.length() > admitted.configuration().maximumBodyBytes()) {
-			refuse(Refusal.of(RefusalReason.BODY_TOO_LARGE,
-					"the body is larger than " + admitted.configuration().maximumBodyBytes() + " bytes"), true);
+		int most = admitted.configuration().callerLimits().mostBodyBytes();
+		if (this.body.length() > most) {
+			refuse(Refusal.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + most + " bytes"), true);
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -29,8 +29,8 @@
 	/** Longest request line, in bytes. */
 	private static final int MOST_LINE_BYTES = 16 * 1024;
 
-	/** Time after which a connection without traffic is closed, in seconds. */
-	private static final int IDLE_SECONDS = 30;
+	/** Time between two looks for idle connections, in milliseconds. */
+	private static final long IDLE_CHECK_MILLIS = 1000;
 
 	/** Connections that may wait to be accepted. */
 	private static final int BACKLOG = 1024;
@@ -44,10 +44,14 @@
 
 	private final NetworkAddress address;
 
+	private final CallerConnections connections;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private @Nullable HttpServer server;
 
+	private long idleCheck = -1;
+
 	private volatile boolean stopping;
 
 	private volatile boolean refusing;
@@ -57,6 +61,8 @@
 	RelayServer(RelayServices services, NetworkAddress address) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
+		this.connections = new CallerConnections(services.clock(),
+				() -> services.inForce().current().callerLimits().idleTimeout());
 	}
 
 	@Override
@@ -67,20 +73,20 @@
 			.setHandle100ContinueAutomatically(true)
 			.setMaxHeaderSize(MOST_HEADER_BYTES)
 			.setMaxInitialLineLength(MOST_LINE_BYTES)
-			.setIdleTimeout(IDLE_SECONDS)
 			.setTcpNoDelay(true)
 			.setAcceptBacklog(BACKLOG);
-		HttpServer created = this.services.vertx()
-			.createHttpServer(options)
-			.connectionHandler((connection) -> StrictRequestDecoder.install(connection, options))
-			.invalidRequestHandler(this::invalid)
-			.requestHandler(this::handle);
+		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
+			StrictRequestDecoder.install(connection, options);
+			this.connections.opened(connection);
+		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
+		this.idleCheck = this.services.vertx().setPeriodic(IDLE_CHECK_MILLIS, (id) -> this.connections.closeIdle());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
 
 	@Override
 	public CompletionStage<Void> stop() {
+		this.services.vertx().cancelTimer(this.idleCheck);
 		HttpServer started = this.server;
 		return (started != null) ? started.close().toCompletionStage() : CompletableFuture.completedStage(null);
 	}
@@ -120,8 +126,11 @@
 
 	private void handle(HttpServerRequest request) {
 		this.inFlight.incrementAndGet();
-		CallerAnswer answer = new CallerAnswer(request, this.services.protocol(), () -> this.stopping,
-				this.inFlight::decrementAndGet);
+		this.connections.requestBegan(request.connection());
+		CallerAnswer answer = new CallerAnswer(request, this.services.protocol(), () -> this.stopping, () -> {
+			this.inFlight.decrementAndGet();
+			this.connections.requestEnded(request.connection());
+		});
 		RelayExchange exchange = new RelayExchange(this.services, request, answer);
 		if (this.refusing) {
 			exchange.refuseUnread(Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", RETRY_ELSEWHERE));
