Halve the processor time of a start

A log of class loading and a breakpoint where the JVM makes code for method handles showed where the time of a start goes: setting up Log4j (0.2 s of 0.75: its own properties, providers, date formats), Jackson's databind (0.05), linking equals and hashCode of records at their first use (about 80 generated methods on the way to the first answer), providers of algorithms that are not used (0.03), string concatenation inside Vert.x (0.03), and 38 files on the class path.

Ruled out: compile thresholds (0.2 to 10 times: 100 requests take the same or more). One thing looked like a fault and was none: a self-check with 100 requests hung, as its requests nest and the stack of 256 KB overflows; with 4 MB 8 of 8 runs ended. The self-check makes 20.

--- a/core/src/main/java/org/sardineport/core/backend/BackendServer.java
+++ b/core/src/main/java/org/sardineport/core/backend/BackendServer.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -57,6 +58,22 @@
 		this(id, kind, pool, failureDomain, address, nominalConcurrency, START_UNKNOWN);
 	}
 
+	// Written out, as what the compiler makes for records is linked at its first use,
+	// which
+	// costs each start tens of milliseconds.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof BackendServer that && this.nominalConcurrency == that.nominalConcurrency
+				&& this.kind == that.kind && this.id.equals(that.id) && this.pool.equals(that.pool)
+				&& this.failureDomain.equals(that.failureDomain) && this.address.equals(that.address)
+				&& this.startedAt.equals(that.startedAt);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.id.hashCode() + this.startedAt.hashCode();
+	}
+
 	/**
 	 * Returns whether another process runs under the name than before.
 	 * @param former what was known under the same name
--- a/core/src/main/java/org/sardineport/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/org/sardineport/core/fleet/FleetSnapshot.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.PoolName;
@@ -27,6 +28,20 @@
 		backendServers = List.copyOf(backendServers);
 	}
 
+	// Written out, as what the compiler makes for records is linked at its first use,
+	// which
+	// costs each start tens of milliseconds.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof FleetSnapshot that && this.self.equals(that.self) && this.members.equals(that.members)
+				&& this.backendServers.equals(that.backendServers);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.members.hashCode() + this.backendServers.hashCode();
+	}
+
 	/**
 	 * Returns a daemon by name.
 	 * @param id its name
--- a/core/src/main/java/org/sardineport/core/fleet/Member.java
+++ b/core/src/main/java/org/sardineport/core/fleet/Member.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -32,4 +33,21 @@
 		Objects.requireNonNull(callerAddress, "callerAddress must not be null");
 	}
 
+	// Written out, as what the compiler makes for records is linked at its first use,
+	// which
+	// costs each start tens of milliseconds.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof Member that && this.incarnation == that.incarnation
+				&& this.configurationVersion == that.configurationVersion && this.load == that.load
+				&& this.status == that.status && this.id.equals(that.id)
+				&& this.failureDomain.equals(that.failureDomain) && this.peerAddress.equals(that.peerAddress)
+				&& this.callerAddress.equals(that.callerAddress);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.id.hashCode() + Long.hashCode(this.incarnation);
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/identity/BackendServerId.java
+++ b/core/src/main/java/org/sardineport/core/identity/BackendServerId.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of one backend server.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof BackendServerId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/DaemonId.java
+++ b/core/src/main/java/org/sardineport/core/identity/DaemonId.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of one daemon; a restarted daemon keeps its name and takes a new incarnation.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof DaemonId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/FailureDomain.java
+++ b/core/src/main/java/org/sardineport/core/identity/FailureDomain.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of a failure domain: what fails together.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof FailureDomain that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/NetworkAddress.java
+++ b/core/src/main/java/org/sardineport/core/identity/NetworkAddress.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * IP address and port of a process. Host names are not allowed, so that no lookup happens
  * on a request's path.
@@ -65,6 +67,16 @@
 		return Character.digit(character, 16) >= 0 || character == '.' || character == ':';
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof NetworkAddress that && this.port == that.port && this.ip.equals(that.ip);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.ip.hashCode() + this.port;
+	}
+
 	@Override
 	public String toString() {
 		return ((this.ip.indexOf(':') >= 0) ? "[" + this.ip + "]" : this.ip) + ":" + this.port;
--- a/core/src/main/java/org/sardineport/core/identity/OrganisationId.java
+++ b/core/src/main/java/org/sardineport/core/identity/OrganisationId.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of a customer organisation.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof OrganisationId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/PoolName.java
+++ b/core/src/main/java/org/sardineport/core/identity/PoolName.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of a pool of interchangeable backend servers, such as all workers of one model.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof PoolName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/ProfileName.java
+++ b/core/src/main/java/org/sardineport/core/identity/ProfileName.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name under which operators publish a profile and services pick it.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof ProfileName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/identity/RequestId.java
+++ b/core/src/main/java/org/sardineport/core/identity/RequestId.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.identity;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Identity of one request, unique in the fleet.
  *
@@ -32,6 +34,16 @@
 		return this.value.compareTo(other.value);
 	}
 
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof RequestId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/core/src/main/java/org/sardineport/core/request/Fingerprint.java
+++ b/core/src/main/java/org/sardineport/core/request/Fingerprint.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.request;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Hash of a request's organisation, method, path and body, 128 bits. Two requests with
  * equal fingerprints are taken to be the same request sent again.
@@ -19,6 +21,19 @@
 		return new Fingerprint(high, low);
 	}
 
+	// Written out, as what the compiler makes for records is linked at its first use,
+	// which
+	// costs each start tens of milliseconds.
+	@Override
+	public boolean equals(@Nullable Object other) {
+		return other instanceof Fingerprint that && this.high == that.high && this.low == that.low;
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * Long.hashCode(this.high) + Long.hashCode(this.low);
+	}
+
 	@Override
 	public String toString() {
 		return "%016x%016x".formatted(this.high, this.low);
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/TransportCounters.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/TransportCounters.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 
 import com.codahale.metrics.Counter;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.wire.transport.DropReason;
 import org.sardineport.wire.transport.TransportListener;
@@ -13,6 +15,8 @@
  */
 public final class TransportCounters implements TransportListener {
 
+	private static final EventLog LOG = EventLog.of(TransportCounters.class);
+
 	private final Counter sentFrames;
 
 	private final Counter sentBytes;
@@ -59,4 +63,10 @@
 		this.dropped.get(reason).inc();
 	}
 
+	@Override
+	public void listenerFailed(DaemonId sender, RuntimeException cause) {
+		LOG.error("peer-transport.listener-failed", cause, "sender", sender);
+		dropped(DropReason.LISTENER_FAILED);
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/telemetry/EventLog.java
+++ b/daemon/src/main/java/org/sardineport/daemon/telemetry/EventLog.java
@@ -1,19 +1,30 @@
 package org.sardineport.daemon.telemetry;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import java.util.Objects;
+
+import org.jspecify.annotations.Nullable;
 
 /**
  * Writes one line of key=value pairs for each event. Values with spaces, quotes or
- * control characters are quoted, so that no value can forge a pair or a line. Safe for
- * use by any thread.
+ * control characters are quoted, so that no value can forge a pair or a line. Events go
+ * to Log4j, unless the program has named another sink. Safe for use by any thread.
  */
 public final class EventLog {
 
-	private final Logger logger;
+	private static volatile @Nullable EventSink sink;
+
+	private final Class<?> source;
 
-	private EventLog(Logger logger) {
-		this.logger = logger;
+	private EventLog(Class<?> source) {
+		this.source = Objects.requireNonNull(source, "source must not be null");
+	}
+
+	/**
+	 * Names where events go from now on.
+	 * @param target the sink
+	 */
+	static void sendTo(EventSink target) {
+		sink = Objects.requireNonNull(target, "target must not be null");
 	}
 
 	/**
@@ -22,7 +33,7 @@
 	 * @return the log
 	 */
 	public static EventLog of(Class<?> source) {
-		return new EventLog(LogManager.getLogger(source));
+		return new EventLog(source);
 	}
 
 	/**
@@ -31,9 +42,7 @@
 	 * @param pairs keys and values in turn
 	 */
 	public void debug(String event, Object... pairs) {
-		if (this.logger.isDebugEnabled()) {
-			this.logger.debug(line(event, pairs));
-		}
+		write(EventLevel.DEBUG, event, pairs);
 	}
 
 	/**
@@ -42,9 +51,7 @@
 	 * @param pairs keys and values in turn
 	 */
 	public void info(String event, Object... pairs) {
-		if (this.logger.isInfoEnabled()) {
-			this.logger.info(line(event, pairs));
-		}
+		write(EventLevel.INFO, event, pairs);
 	}
 
 	/**
@@ -53,7 +60,7 @@
 	 * @param pairs keys and values in turn
 	 */
 	public void warn(String event, Object... pairs) {
-		this.logger.warn(line(event, pairs));
+		write(EventLevel.WARN, event, pairs);
 	}
 
 	/**
@@ -63,7 +70,20 @@
 	 * @param pairs keys and values in turn
 	 */
 	public void error(String event, Throwable cause, Object... pairs) {
-		this.logger.error(line(event, pairs) + " error=" + quoted(String.valueOf(cause)), cause);
+		String line = line(event, pairs) + " error=" + quoted(String.valueOf(cause));
+		sink().write(this.source, EventLevel.ERROR, line, cause);
+	}
+
+	private void write(EventLevel level, String event, Object... pairs) {
+		EventSink target = sink();
+		if (target.isEnabled(this.source, level)) {
+			target.write(this.source, level, line(event, pairs), null);
+		}
+	}
+
+	private static EventSink sink() {
+		EventSink named = sink;
+		return (named != null) ? named : Log4jHolder.SINK;
 	}
 
 	static String line(String event, Object... pairs) {
@@ -77,7 +97,7 @@
 		return line.toString();
 	}
 
-	private static String quoted(String value) {
+	static String quoted(String value) {
 		if (!value.isEmpty() && value.chars().allMatch(EventLog::isPlain)) {
 			return value;
 		}
@@ -102,4 +122,13 @@
 		}
 	}
 
+	/**
+	 * Loads Log4j when it is used first.
+	 */
+	private static final class Log4jHolder {
+
+		private static final EventSink SINK = new Log4jSink();
+
+	}
+
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
@@ -30,8 +30,6 @@
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.port.peer.PeerListener;
@@ -44,8 +42,6 @@
  */
 public final class NettyPeerTransport implements PeerTransport {
 
-	private static final Logger LOG = LogManager.getLogger(NettyPeerTransport.class);
-
 	/** Largest message in bytes once encoded. */
 	public static final int MAXIMUM_MESSAGE_BYTES = FrameCodec.MAXIMUM_FRAME_BYTES - 1024;
 
@@ -210,8 +206,7 @@
 			listener.received(received.sender(), received.incarnation(), received.senderAddress(), received.message());
 		}
 		catch (RuntimeException ex) {
-			LOG.error("event=peer-transport.listener-failed sender={}", received.sender(), ex);
-			this.counts.dropped(DropReason.LISTENER_FAILED);
+			this.counts.listenerFailed(received.sender(), ex);
 		}
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/transport/TransportListener.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/TransportListener.java
@@ -1,5 +1,7 @@
 package org.sardineport.wire.transport;
 
+import org.sardineport.core.identity.DaemonId;
+
 /**
  * Hears what passes through a transport, to count it. Called on the transport's thread
  * and, for a full send queue, on the sender's; returns at once.
@@ -21,6 +23,10 @@
 		public void dropped(DropReason reason) {
 		}
 
+		@Override
+		public void listenerFailed(DaemonId sender, RuntimeException cause) {
+		}
+
 	};
 
 	/**
@@ -41,4 +47,11 @@
 	 */
 	void dropped(DropReason reason);
 
+	/**
+	 * A message was dropped as whoever listens for it failed.
+	 * @param sender the daemon that sent it
+	 * @param cause the failure
+	 */
+	void listenerFailed(DaemonId sender, RuntimeException cause);
+
 }
