--- a/core/src/main/java/org/sardineport/core/relay/AnswerHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/AnswerHead.java
@@ -48,20 +48,18 @@
 	/**
 	 * Returns whether the status tells callers that the request did not run. A backend
 	 * server that ran it must not be quoted with such a status.
-	 * @return whether callers take the status as a promise
+	 * @return whether callers may repeat any request after it
 	 */
-	public boolean promisesNoRun() {
+	public boolean saysNotRun() {
 		return NO_RUN_STATUSES.contains(this.status);
 	}
 
 	/**
-	 * Returns whether this can be an answer to a request.
-	 * @param expectedId identity of the request
-	 * @return whether it names that request and, if a success, is signed and plain
+	 * Returns whether the answer can be passed on as the backend server made it.
+	 * @return whether its body is plain and, if it is a success, it is signed
 	 */
-	public boolean answers(String expectedId) {
-		boolean wellFormed = !this.encoded && (!isSuccess() || this.signed);
-		return wellFormed && expectedId.equals(this.requestId);
+	public boolean isIntact() {
+		return !this.encoded && (!isSuccess() || this.signed);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -104,10 +104,6 @@
 		return this.events.lastId();
 	}
 
-	@Nullable Duration toFirstPart() {
-		return this.toFirstPart;
-	}
-
 	RunMeasurement measurement(RunEnd end) {
 		TokenEstimate estimate = this.plan.estimate();
 		int answerTokens = this.events.events() * this.plan.tokensPerEvent();
@@ -142,7 +138,7 @@
 		else if (read.notExecuted()) {
 			fail(AttemptEnd.NOT_EXECUTED, "status " + status);
 		}
-		else if (!read.answers(this.plan.requestId())) {
+		else if (!read.isIntact()) {
 			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, or encoded");
 		}
 		else if (this.plan.isResumed() && !(read.isSuccess() && read.events())) {
@@ -178,6 +174,9 @@
 			begin(read);
 			this.listener.part(complete);
 		}
+		if (this.events.isTooLong()) {
+			fail(AttemptEnd.INVALID, "an event of the stream has no end");
+		}
 	}
 
 	private void hold(AnswerHead read, Buffer bytes) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlans.java
@@ -19,6 +19,7 @@
 import org.sardineport.core.relay.RelayRoute;
 import org.sardineport.core.relay.Repetition;
 import org.sardineport.core.relay.RequestProgress;
+import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
 import org.sardineport.core.request.TokenEstimate;
@@ -72,6 +73,8 @@
 
 	private final Tier tier;
 
+	private @Nullable Fingerprint fingerprint;
+
 	AttemptPlans(RelayServices services, RelayRequest request, PoolName pool, Tier tier) {
 		this.services = services;
 		this.request = request;
@@ -84,10 +87,19 @@
 	SchedulingRequest scheduling(RequestId id, RequestProgress progress) {
 		CallerHead head = this.request.head();
 		OrganisationId owner = (this.organisation != null) ? this.organisation.id() : OPEN;
-		byte[] body = this.request.body().getBytes();
 		return new SchedulingRequest(id, this.pool, owner, this.tier, this.route.rank(), estimate(), head.prefixHash(),
-				RequestHashes.fingerprint(owner, head.method(), head.target(), body), runningPolicy(), limit(),
-				cost(progress), progress.failedOn(), this.request.arrival(), patience(progress), schedulingDeadline());
+				fingerprint(owner), runningPolicy(), limit(), cost(progress), progress.failedOn(),
+				this.request.arrival(), patience(progress), schedulingDeadline());
+	}
+
+	private Fingerprint fingerprint(OrganisationId owner) {
+		Fingerprint known = this.fingerprint;
+		if (known == null) {
+			CallerHead head = this.request.head();
+			known = RequestHashes.fingerprint(owner, head.method(), head.target(), this.request.body().getBytes());
+			this.fingerprint = known;
+		}
+		return known;
 	}
 
 	private TokenEstimate estimate() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -1,7 +1,5 @@
 package org.sardineport.daemon.relay;
 
-import java.nio.charset.StandardCharsets;
-
 import io.vertx.core.buffer.Buffer;
 
 /**
@@ -11,7 +9,13 @@
  */
 final class EventSplitter {
 
-	private static final String ID_FIELD = "id:";
+	private static final byte[] ID_FIELD = { 'i', 'd', ':' };
+
+	/** Digits of an identity, so that it fits into 64 bits. */
+	private static final int MOST_DIGITS = 18;
+
+	/** Largest event, in bytes. */
+	private static final int MOST_EVENT_BYTES = 1024 * 1024;
 
 	private final long after;
 
@@ -82,22 +86,63 @@
 	}
 
 	private static long idOf(Buffer event) {
-		for (String line : event.toString(StandardCharsets.ISO_8859_1).split("\r?\n")) {
-			if (line.startsWith(ID_FIELD)) {
-				return parse(line.substring(ID_FIELD.length()).strip());
+		int line = 0;
+		while (line < event.length()) {
+			if (isIdField(event, line)) {
+				return number(event, line + ID_FIELD.length);
 			}
+			line = nextLine(event, line);
 		}
 		return -1;
 	}
 
-	private static long parse(String id) {
-		try {
-			return Long.parseLong(id);
+	private static boolean isIdField(Buffer event, int line) {
+		if (line + ID_FIELD.length > event.length()) {
+			return false;
+		}
+		for (int i = 0; i < ID_FIELD.length; i++) {
+			if (event.getByte(line + i) != ID_FIELD[i]) {
+				return false;
+			}
 		}
-		catch (NumberFormatException ex) {
-			// An event whose identity is no number cannot be resumed after.
-			return -1;
+		return true;
+	}
+
+	private static int nextLine(Buffer event, int from) {
+		int at = from;
+		while (at < event.length() && event.getByte(at) != '\n') {
+			at++;
 		}
+		return at + 1;
+	}
+
+	// An event whose identity is no number cannot be resumed after.
+	private static long number(Buffer event, int from) {
+		long number = 0;
+		int digits = 0;
+		for (int i = from; i < event.length(); i++) {
+			byte character = event.getByte(i);
+			boolean over = character == '\r' || character == '\n' || (character == ' ' && digits > 0);
+			if (over) {
+				break;
+			}
+			if (character >= '0' && character <= '9' && digits < MOST_DIGITS) {
+				number = 10 * number + character - '0';
+				digits++;
+			}
+			else if (character != ' ') {
+				return -1;
+			}
+		}
+		return (digits > 0) ? number : -1;
+	}
+
+	/**
+	 * Returns whether the event that is not complete yet is longer than any should be.
+	 * @return whether no more of it should be read
+	 */
+	boolean isTooLong() {
+		return this.pending.length() > MOST_EVENT_BYTES;
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -139,8 +139,8 @@
 
 	@Override
 	public void whole(AnswerHead head, MultiMap headers, Buffer body) {
-		if (head.isServerFailure() || head.promisesNoRun()) {
-			this.lastFailure = head.promisesNoRun() ? null : new FailedAnswer(head.status(), headers, body);
+		if (head.isServerFailure() || head.saysNotRun()) {
+			this.lastFailure = head.saysNotRun() ? null : new FailedAnswer(head.status(), headers, body);
 			attemptEnded(AttemptEnd.FAILED, "status " + head.status());
 			return;
 		}
--- a/daemon/src/test/java/org/sardineport/daemon/relay/EventSplitterTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/EventSplitterTests.java
@@ -54,6 +54,34 @@
 		assertThat(splitter.rest().toString()).isEqualTo("id: 2\nda");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "id: x", "id:", "id", "id: 1x", "id: -7", "id: 99999999999999999999", "x: 7" })
+	void whatIsNoNumberIsNoIdentity(String line) {
+		EventSplitter splitter = new EventSplitter(3);
+		assertThat(splitter.add(Buffer.buffer(line + "\ndata: y\n\n")).length()).isPositive();
+		assertThat(splitter.lastId()).isEqualTo(3);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 7", "id:7", "id:  7 ", "data: y\nid: 7", "data: y\r\nid: 7\r" })
+	void identityMayStandAnywhereInTheEvent(String lines) {
+		EventSplitter splitter = new EventSplitter(3);
+		splitter.add(Buffer.buffer(lines + "\n\n"));
+		assertThat(splitter.lastId()).isEqualTo(7);
+	}
+
+	@Test
+	void eventWithoutAnEndIsTooLongOneDay() {
+		EventSplitter splitter = new EventSplitter(-1);
+		Buffer line = Buffer.buffer("data: " + "x".repeat(100_000) + "\n");
+		for (int i = 0; i < 10; i++) {
+			splitter.add(line);
+		}
+		assertThat(splitter.isTooLong()).isFalse();
+		splitter.add(line);
+		assertThat(splitter.isTooLong()).isTrue();
+	}
+
 	@Test
 	void eventWithoutANumberIsPassedOn() {
 		EventSplitter splitter = new EventSplitter(5);
