--- a/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
+++ b/core/src/main/java/org/sardineport/core/limit/QuotaAccount.java
@@ -19,8 +19,8 @@
 
 	private static final long MOST_RETRY_MILLIS = 30_000;
 
-	/** Part of the burst that a daemon has right after its start. */
-	private static final double PART_AFTER_START = 0;
+	/** Tokens that an account holds after a start: one request may overdraw it. */
+	private static final double AFTER_START = 1;
 
 	/** Time without requests after which no more slices are asked for. */
 	private static final long IDLE_MILLIS = 5000;
@@ -47,11 +47,11 @@
 
 	private long answeredSequence;
 
-	private QuotaAccount(OrganisationLimit limit, int members, double partOfBurst, long now) {
+	private QuotaAccount(OrganisationLimit limit, int members, double savedUp, long now) {
 		this.limit = limit;
 		this.share = (double) limit.tokensPerSecond() / Math.max(1, members);
 		this.members = members;
-		this.balance = (limit.burst() > 0) ? partOfBurst * limit.capacity(members) : this.share;
+		this.balance = (limit.burst() > 0) ? savedUp : this.share;
 		this.accruedAt = now;
 		this.lastDemandAt = now;
 		this.askedAt = now - PERIOD_MILLIS;
@@ -76,7 +76,7 @@
 	 * @return the account
 	 */
 	public static QuotaAccount open(OrganisationLimit limit, int members, long now) {
-		return new QuotaAccount(limit, members, 1, now);
+		return new QuotaAccount(limit, members, limit.capacity(members), now);
 	}
 
 	/**
@@ -88,7 +88,7 @@
 	 * @return the account
 	 */
 	public static QuotaAccount openAfterStart(OrganisationLimit limit, int members, long now) {
-		return new QuotaAccount(limit, members, PART_AFTER_START, now);
+		return new QuotaAccount(limit, members, AFTER_START, now);
 	}
 
 	/**
--- a/core/src/test/java/org/sardineport/core/limit/QuotaAccountTests.java
+++ b/core/src/test/java/org/sardineport/core/limit/QuotaAccountTests.java
@@ -66,4 +66,12 @@
 		assertThat(account.isIdle(10_000)).isTrue();
 	}
 
+	@Test
+	void firstRequestAfterAStartIsLetInThoughNothingIsSavedUp() {
+		QuotaAccount account = QuotaAccount.openAfterStart(new OrganisationLimit(1000, 1000, 1000), 8, 0);
+		OrganisationLimit limit = new OrganisationLimit(1000, 1000, 1000);
+		assertThat(account.spend(5000, false, limit, 8, 0)).isTrue();
+		assertThat(account.spend(1, false, limit, 8, 0)).isFalse();
+	}
+
 }
