--- a/core/src/main/java/org/sardineport/core/backend/BackendServer.java
+++ b/core/src/main/java/org/sardineport/core/backend/BackendServer.java
@@ -58,9 +58,7 @@
 		this(id, kind, pool, failureDomain, address, nominalConcurrency, START_UNKNOWN);
 	}
 
-	// Written out, as what the compiler makes for records is linked at its first use,
-	// which
-	// costs each start tens of milliseconds.
+	// Written out for the reason that the package core.identity gives.
 	@Override
 	public boolean equals(@Nullable Object other) {
 		return other instanceof BackendServer that && this.nominalConcurrency == that.nominalConcurrency
--- a/core/src/main/java/org/sardineport/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/org/sardineport/core/fleet/FleetSnapshot.java
@@ -28,9 +28,7 @@
 		backendServers = List.copyOf(backendServers);
 	}
 
-	// Written out, as what the compiler makes for records is linked at its first use,
-	// which
-	// costs each start tens of milliseconds.
+	// Written out for the reason that the package core.identity gives.
 	@Override
 	public boolean equals(@Nullable Object other) {
 		return other instanceof FleetSnapshot that && this.self.equals(that.self) && this.members.equals(that.members)
--- a/core/src/main/java/org/sardineport/core/fleet/Member.java
+++ b/core/src/main/java/org/sardineport/core/fleet/Member.java
@@ -33,9 +33,7 @@
 		Objects.requireNonNull(callerAddress, "callerAddress must not be null");
 	}
 
-	// Written out, as what the compiler makes for records is linked at its first use,
-	// which
-	// costs each start tens of milliseconds.
+	// Written out for the reason that the package core.identity gives.
 	@Override
 	public boolean equals(@Nullable Object other) {
 		return other instanceof Member that && this.incarnation == that.incarnation
--- a/core/src/main/java/org/sardineport/core/request/Fingerprint.java
+++ b/core/src/main/java/org/sardineport/core/request/Fingerprint.java
@@ -21,9 +21,7 @@
 		return new Fingerprint(high, low);
 	}
 
-	// Written out, as what the compiler makes for records is linked at its first use,
-	// which
-	// costs each start tens of milliseconds.
+	// Written out for the reason that the package core.identity gives.
 	@Override
 	public boolean equals(@Nullable Object other) {
 		return other instanceof Fingerprint that && this.high == that.high && this.low == that.low;
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -98,8 +98,7 @@
 		return true;
 	}
 
-	// A daemon that fell silent may be cut off and go on spending its share; only one
-	// that
+	// A daemon that fell silent may be cut off and go on spending its share. One that
 	// announced its stop gives it back at once.
 	private void countSharers(FleetSnapshot fleet, long now) {
 		for (Member member : fleet.members()) {
