Log and count strikes, quarantines and crashes that were not proven

The registry of strikes now reports each change to a listener, which logs it as quarantine.* and counts it; a broken attempt that is not taken for a crash writes quarantine.crash-unproven with the number of connections that were open, and request.attempt-ended names the fingerprint, so that further attempts of the same request can be found.

No decision changes.

--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -7,8 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.request.Fingerprint;
 
@@ -36,15 +38,19 @@
 
 	private final Map<Strike, Integer> shareCounts = new HashMap<>();
 
-	private StrikeRegistry() {
+	private final QuarantineListener listener;
+
+	private StrikeRegistry(QuarantineListener listener) {
+		this.listener = Objects.requireNonNull(listener, "listener must not be null");
 	}
 
 	/**
 	 * Returns a registry without strikes.
+	 * @param listener receives the events
 	 * @return the registry
 	 */
-	public static StrikeRegistry create() {
-		return new StrikeRegistry();
+	public static StrikeRegistry create(QuarantineListener listener) {
+		return new StrikeRegistry(listener);
 	}
 
 	/**
@@ -54,7 +60,10 @@
 	 * @param now the current time
 	 */
 	public void strike(Fingerprint fingerprint, BackendServerId server, Instant now) {
-		accept(new Strike(fingerprint, server, now.plus(STRIKE_LIFETIME)), now);
+		boolean added = add(new Strike(fingerprint, server, now.plus(STRIKE_LIFETIME)), now);
+		report((added) ? QuarantineEventKind.STRIKE_RECORDED : QuarantineEventKind.STRIKE_REPEATED, fingerprint, server,
+				now);
+		reportIfBegan(added, fingerprint, now);
 	}
 
 	/**
@@ -69,23 +78,47 @@
 		if (!expires.isAfter(now)) {
 			return;
 		}
+		Strike bounded = new Strike(strike.fingerprint(), strike.backendServer(), expires);
+		if (add(bounded, now)) {
+			report(QuarantineEventKind.STRIKE_RECEIVED, strike.fingerprint(), strike.backendServer(), now);
+			reportIfBegan(true, strike.fingerprint(), now);
+		}
+	}
+
+	private boolean add(Strike strike, Instant now) {
 		if (this.strikes.size() >= CAPACITY) {
 			expire(now);
 		}
 		Map<BackendServerId, Instant> servers = this.strikes.computeIfAbsent(strike.fingerprint(),
 				(key) -> new HashMap<>());
-		if (!servers.containsKey(strike.backendServer())) {
-			this.shareCounts.put(new Strike(strike.fingerprint(), strike.backendServer(), expires), 0);
+		boolean added = !servers.containsKey(strike.backendServer());
+		if (added) {
+			this.shareCounts.put(strike, 0);
 		}
-		servers.merge(strike.backendServer(), expires, (old, added) -> old.isAfter(added) ? old : added);
+		servers.merge(strike.backendServer(), strike.expires(), (old, other) -> old.isAfter(other) ? old : other);
+		return added;
+	}
+
+	private void reportIfBegan(boolean added, Fingerprint fingerprint, Instant now) {
+		if (added && activeExpiries(fingerprint, now).size() == SERVERS_TO_QUARANTINE) {
+			report(QuarantineEventKind.BEGAN, fingerprint, null, now);
+		}
+	}
+
+	private void report(QuarantineEventKind kind, Fingerprint fingerprint, @Nullable BackendServerId server,
+			Instant now) {
+		this.listener
+			.onQuarantineEvent(new QuarantineEvent(kind, fingerprint, server, activeExpiries(fingerprint, now).size()));
 	}
 
 	/**
 	 * Drops all strikes against a request, for use after a complete response.
 	 * @param fingerprint the request
+	 * @param now the current time
 	 */
-	public void clear(Fingerprint fingerprint) {
+	public void clear(Fingerprint fingerprint, Instant now) {
 		if (this.strikes.remove(fingerprint) != null) {
+			report(QuarantineEventKind.CLEARED, fingerprint, null, now);
 			this.shareCounts.keySet().removeIf((strike) -> strike.fingerprint().equals(fingerprint));
 		}
 	}
@@ -97,17 +130,18 @@
 	 * @return the time at which too few strikes remain, or empty if the request may run
 	 */
 	public Optional<Instant> quarantinedUntil(Fingerprint fingerprint, Instant now) {
-		Map<BackendServerId, Instant> servers = this.strikes.get(fingerprint);
-		if (servers == null) {
-			return Optional.empty();
-		}
-		List<Instant> active = servers.values()
+		List<Instant> active = activeExpiries(fingerprint, now);
+		return (active.size() < SERVERS_TO_QUARANTINE) ? Optional.empty()
+				: Optional.of(active.get(SERVERS_TO_QUARANTINE - 1));
+	}
+
+	private List<Instant> activeExpiries(Fingerprint fingerprint, Instant now) {
+		return this.strikes.getOrDefault(fingerprint, Map.of())
+			.values()
 			.stream()
 			.filter((expires) -> expires.isAfter(now))
 			.sorted(Comparator.reverseOrder())
 			.toList();
-		return (active.size() < SERVERS_TO_QUARANTINE) ? Optional.empty()
-				: Optional.of(active.get(SERVERS_TO_QUARANTINE - 1));
 	}
 
 	/**
@@ -138,13 +172,17 @@
 	 */
 	public void expire(Instant now) {
 		this.strikes.values().forEach((servers) -> servers.values().removeIf((expires) -> !expires.isAfter(now)));
-		this.strikes.values().removeIf(Map::isEmpty);
+		List<Fingerprint> expired = new ArrayList<>();
+		this.strikes.entrySet().removeIf((entry) -> entry.getValue().isEmpty() && expired.add(entry.getKey()));
 		this.shareCounts.keySet().removeIf((strike) -> !strike.expires().isAfter(now));
 		if (this.strikes.size() >= CAPACITY) {
 			List<Fingerprint> oldest = new ArrayList<>(this.strikes.keySet());
 			oldest.sort(Comparator.comparing((fingerprint) -> latest(this.strikes.get(fingerprint))));
-			oldest.subList(0, CAPACITY / 10).forEach(this.strikes::remove);
+			List<Fingerprint> dropped = oldest.subList(0, CAPACITY / 10);
+			dropped.forEach(this.strikes::remove);
+			expired.addAll(dropped);
 		}
+		expired.forEach((fingerprint) -> report(QuarantineEventKind.EXPIRED, fingerprint, null, now));
 	}
 
 	private static Instant latest(Map<BackendServerId, Instant> servers) {
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
@@ -75,7 +75,7 @@
 			this.strikes.strike(request.fingerprint(), run.permit().backendServer().id(), this.clock.instant());
 		}
 		else if (measurement.end() == RunEnd.COMPLETED) {
-			this.strikes.clear(request.fingerprint());
+			this.strikes.clear(request.fingerprint(), this.clock.instant());
 			observeCache(run, measurement);
 		}
 		else if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -64,7 +64,7 @@
 
 	private final OrganisationQuotas quotas;
 
-	private final StrikeRegistry strikes = StrikeRegistry.create();
+	private final StrikeRegistry strikes;
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
 
@@ -87,6 +87,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, limits.assumptions(), random);
+		this.strikes = StrikeRegistry.create(effects::onQuarantineEvent);
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
 				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
@@ -1,13 +1,14 @@
 package org.sardineport.core.scheduling;
 
 import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.quarantine.QuarantineListener;
 import org.sardineport.core.request.RetryReason;
 
 /**
  * Outgoing effects of the scheduler other than its replies to callers: messages to other
- * daemons and retry counts.
+ * daemons, retry counts and events of the quarantine.
  */
-public interface SchedulingEffects {
+public interface SchedulingEffects extends QuarantineListener {
 
 	/**
 	 * Sends a message to another daemon.
--- a/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 import org.sardineport.core.identity.BackendServerId;
@@ -23,7 +25,9 @@
 
 	private static final BackendServerId SECOND = BackendServerId.of("s2");
 
-	private final StrikeRegistry registry = StrikeRegistry.create();
+	private final List<QuarantineEvent> events = new ArrayList<>();
+
+	private final StrikeRegistry registry = StrikeRegistry.create(this.events::add);
 
 	@Test
 	void repeatedStrikesOfOneServerDoNotQuarantine() {
@@ -58,7 +62,7 @@
 	@Test
 	void clearingDropsEarlierStrikes() {
 		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.clear(REQUEST);
+		this.registry.clear(REQUEST, NOW);
 		this.registry.strike(REQUEST, SECOND, NOW);
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW)).isEmpty();
 	}
@@ -73,4 +77,20 @@
 		assertThat(shares).isBetween(2, 100);
 	}
 
+	@Test
+	void reportsWhatHappensToTheStrikesOfARequest() {
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
+		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
+		this.registry.clear(REQUEST, NOW);
+		this.registry.strike(REQUEST, FIRST, NOW);
+		this.registry.expire(NOW.plusSeconds(600));
+		assertThat(this.events).extracting(QuarantineEvent::kind)
+			.containsExactly(QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.STRIKE_REPEATED,
+					QuarantineEventKind.STRIKE_RECEIVED, QuarantineEventKind.BEGAN, QuarantineEventKind.CLEARED,
+					QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.EXPIRED);
+		assertThat(this.events).extracting(QuarantineEvent::strikes).containsExactly(1, 1, 2, 2, 0, 1, 0);
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -97,22 +97,29 @@
 
 	SchedulingRequest schedulingRequest(RequestId id, RequestProgress progress) {
 		RequestHead head = this.request.head();
-		OrganisationId owner = (this.organisation != null) ? this.organisation.id() : OPEN;
-		return new SchedulingRequest(id, this.pool, owner, this.tier, this.route.rank(), estimate(), head.prefixHash(),
-				fingerprint(owner), runningPolicy(), limit(), cost(progress), progress.failedOn(),
+		return new SchedulingRequest(id, this.pool, owner(), this.tier, this.route.rank(), estimate(),
+				head.prefixHash(), fingerprint(), runningPolicy(), limit(), cost(progress), progress.failedOn(),
 				this.request.arrival(), startLimits(progress), schedulingDeadline());
 	}
 
-	private Fingerprint fingerprint(OrganisationId owner) {
+	/**
+	 * Returns the fingerprint of the request. It is computed once.
+	 * @return the fingerprint
+	 */
+	Fingerprint fingerprint() {
 		Fingerprint known = this.fingerprint;
 		if (known == null) {
 			RequestHead head = this.request.head();
-			known = RequestHashes.fingerprint(owner, head.method(), head.target(), this.request.body().getBytes());
+			known = RequestHashes.fingerprint(owner(), head.method(), head.target(), this.request.body().getBytes());
 			this.fingerprint = known;
 		}
 		return known;
 	}
 
+	private OrganisationId owner() {
+		return (this.organisation != null) ? this.organisation.id() : OPEN;
+	}
+
 	private TokenEstimate estimate() {
 		return this.route.streams() ? this.request.head().estimate() : TokenEstimate.NONE;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -123,12 +123,13 @@
 	}
 
 	/**
-	 * Returns whether no connection to a backend server is open.
+	 * Returns how many connections to a backend server are open.
 	 * @param server the backend server
-	 * @return {@code true} also if none was ever opened
+	 * @return the number, with those in use
 	 */
-	boolean hasNoConnection(BackendServerId server) {
-		return !this.servers.containsKey(server);
+	int openConnections(BackendServerId server) {
+		ServerConnections connections = this.servers.get(server);
+		return (connections != null) ? connections.open : 0;
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -203,8 +203,8 @@
 				: this.lastEventId;
 		boolean retry = mayRetry(end);
 		LOG.info("request.attempt-ended", "request", id(), "backend-server", usedPermit.backendServer().id(), "end",
-				end.label(), "attempt", this.progress.attempts(), "again", retry, "age-ms", ageMillis(), "detail",
-				detail);
+				end.label(), "attempt", this.progress.attempts(), "again", retry, "age-ms", ageMillis(), "fingerprint",
+				this.planner.fingerprint(), "detail", detail);
 		releasePermit(runEnd(end, usedPermit));
 		if (retry) {
 			this.services.telemetry().retried(end.retryReason()).inc();
@@ -218,8 +218,14 @@
 	// A request may have crashed a backend server only if every connection to that
 	// server is closed. A single broken connection does not indicate a crash.
 	private RunEnd runEnd(AttemptEnd end, Permit usedPermit) {
-		boolean mayHaveCrashed = this.services.connections().hasNoConnection(usedPermit.backendServer().id());
-		return (end == AttemptEnd.BROKEN && !mayHaveCrashed) ? RunEnd.REJECTED : end.runEnd();
+		int openConnections = this.services.connections().openConnections(usedPermit.backendServer().id());
+		if (end != AttemptEnd.BROKEN || openConnections == 0) {
+			return end.runEnd();
+		}
+		LOG.info("quarantine.crash-unproven", "request", id(), "fingerprint", this.planner.fingerprint(),
+				"backend-server", usedPermit.backendServer().id(), "connections", openConnections);
+		this.services.telemetry().counter("quarantine.crash-unproven").inc();
+		return RunEnd.REJECTED;
 	}
 
 	private boolean mayRetry(AttemptEnd end) {
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
@@ -0,0 +1,47 @@
+package org.sardineport.daemon.scheduling;
+
+import java.util.Objects;
+
+import org.sardineport.core.quarantine.QuarantineEvent;
+import org.sardineport.core.quarantine.QuarantineEventKind;
+import org.sardineport.core.quarantine.QuarantineListener;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+/**
+ * Counts and logs the events of the quarantine. Safe for use by any thread.
+ */
+final class QuarantineReporter implements QuarantineListener {
+
+	private static final EventLog LOG = EventLog.of(QuarantineReporter.class);
+
+	private final Telemetry telemetry;
+
+	private QuarantineReporter(Telemetry telemetry) {
+		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
+		for (QuarantineEventKind kind : QuarantineEventKind.values()) {
+			telemetry.counter(metric(kind));
+		}
+	}
+
+	/**
+	 * Returns a reporter whose counters are registered.
+	 * @param telemetry holds the counters
+	 * @return the reporter
+	 */
+	static QuarantineReporter create(Telemetry telemetry) {
+		return new QuarantineReporter(telemetry);
+	}
+
+	@Override
+	public void onQuarantineEvent(QuarantineEvent event) {
+		this.telemetry.counter(metric(event.kind())).inc();
+		LOG.info("quarantine." + event.kind().label(), "fingerprint", event.fingerprint(), "backend-server",
+				(event.backendServer() != null) ? event.backendServer() : "-", "strikes", event.strikes());
+	}
+
+	private static String metric(QuarantineEventKind kind) {
+		return "quarantine." + kind.label();
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -27,6 +27,7 @@
 import org.sardineport.core.port.backend.LoadSource;
 import org.sardineport.core.port.backend.ModelEngine;
 import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.quarantine.QuarantineEvent;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeExchange;
 import org.sardineport.core.request.Refusal;
@@ -274,6 +275,9 @@
 	 */
 	private final class Effects implements SchedulingEffects {
 
+		private final QuarantineReporter quarantineReporter = QuarantineReporter
+			.create(SchedulingService.this.telemetry);
+
 		@Override
 		public void send(DaemonId to, SchedulingMessage message) {
 			SchedulingService.this.latestSnapshot.member(to)
@@ -282,6 +286,11 @@
 						() -> SchedulingService.this.telemetry.counter("scheduling.unknown-daemon").inc());
 		}
 
+		@Override
+		public void onQuarantineEvent(QuarantineEvent event) {
+			this.quarantineReporter.onQuarantineEvent(event);
+		}
+
 		@Override
 		public void recordRetry(RetryReason reason) {
 			SchedulingService.this.telemetry.retried(reason).inc();
