--- a/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
@@ -19,7 +19,6 @@
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.quarantine.QuarantineEvent;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
@@ -212,10 +211,6 @@
 			policy.run.time().after(delay, () -> policy.schedulers.get(number).onMessage(daemon(this.from), message));
 		}
 
-		@Override
-		public void onQuarantineEvent(QuarantineEvent event) {
-		}
-
 		@Override
 		public void recordRetry(RetryReason reason) {
 			SchedulerPolicy.this.run.countRetry();
--- a/bench/src/main/java/org/sardineport/bench/slope/ScheduledDaemons.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/ScheduledDaemons.java
@@ -27,7 +27,6 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.quarantine.QuarantineEvent;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RetryReason;
@@ -169,10 +168,6 @@
 					.addLast(() -> ScheduledDaemons.this.schedulers.get(number(to)).onMessage(id(from), message));
 			}
 
-			@Override
-			public void onQuarantineEvent(QuarantineEvent event) {
-			}
-
 			@Override
 			public void recordRetry(RetryReason reason) {
 			}
--- a/core/src/main/java/org/sardineport/core/backend/BackendServer.java
+++ b/core/src/main/java/org/sardineport/core/backend/BackendServer.java
@@ -74,6 +74,14 @@
 		return 31 * this.id.hashCode() + this.startedAt.hashCode();
 	}
 
+	/**
+	 * Returns the identity of its current process.
+	 * @return the process
+	 */
+	public BackendProcess process() {
+		return new BackendProcess(this.id, this.startedAt);
+	}
+
 	/**
 	 * Returns whether this is a new process of a backend server that was known before.
 	 * @param former earlier listing to compare with
--- a/core/src/main/java/org/sardineport/core/membership/BackendUpdates.java
+++ b/core/src/main/java/org/sardineport/core/membership/BackendUpdates.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.quarantine.StrikeKey;
 
 /**
  * Updates about backend servers: strikes, and backend servers that are leaving. Each is
@@ -37,7 +37,7 @@
 	 * @return whether it is new and has not expired
 	 */
 	boolean add(StrikeUpdate strike, Instant now) {
-		StrikeKey key = new StrikeKey(strike.fingerprint(), strike.backendServer());
+		StrikeKey key = strike.key();
 		if (this.strikeExpiries.containsKey(key) || strike.remaining().isZero()) {
 			return false;
 		}
@@ -68,7 +68,7 @@
 		for (StrikeKey key : this.strikeQueue.take(maxItems, maxTransmissions)) {
 			Instant expires = this.strikeExpiries.get(key);
 			if (expires != null && now.isBefore(expires)) {
-				taken.add(new StrikeUpdate(key.fingerprint(), key.backendServer(), Duration.between(now, expires)));
+				taken.add(new StrikeUpdate(key, Duration.between(now, expires)));
 			}
 		}
 		return taken;
@@ -97,14 +97,4 @@
 		}
 	}
 
-	/**
-	 * Identity of a strike.
-	 *
-	 * @param fingerprint fingerprint of the request
-	 * @param backendServer the backend server that died
-	 */
-	private record StrikeKey(Fingerprint fingerprint, BackendServerId backendServer) {
-
-	}
-
 }
--- a/core/src/main/java/org/sardineport/core/membership/StrikeUpdate.java
+++ b/core/src/main/java/org/sardineport/core/membership/StrikeUpdate.java
@@ -3,26 +3,22 @@
 import java.time.Duration;
 import java.util.Objects;
 
-import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.quarantine.StrikeKey;
 
 /**
- * Update about a strike against a request: its connection broke when a backend server
- * died.
+ * Update about a strike against a request.
  *
- * @param fingerprint fingerprint of the request
- * @param backendServer the backend server that died
+ * @param key the request and the process that crashed
  * @param remaining time for which the strike still counts
  */
-public record StrikeUpdate(Fingerprint fingerprint, BackendServerId backendServer, Duration remaining) {
+public record StrikeUpdate(StrikeKey key, Duration remaining) {
 
 	/**
-	 * Creates the strike.
+	 * Creates the update.
 	 * @throws IllegalArgumentException if the remaining time is negative
 	 */
 	public StrikeUpdate {
-		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
-		Objects.requireNonNull(backendServer, "backendServer must not be null");
+		Objects.requireNonNull(key, "key must not be null");
 		if (remaining.isNegative()) {
 			throw new IllegalArgumentException("remaining must not be negative, found %s".formatted(remaining));
 		}
--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/quarantine/QuarantineEffects.java
@@ -0,0 +1,28 @@
+package org.sardineport.core.quarantine;
+
+/**
+ * Outgoing effects of the quarantine: its events, and the strikes to share with other
+ * daemons. Called during calls to the scheduler, on the same thread.
+ */
+public interface QuarantineEffects extends StrikeChannel {
+
+	/** Discards events and strikes. */
+	QuarantineEffects NONE = new QuarantineEffects() {
+
+		@Override
+		public void onQuarantineEvent(QuarantineEvent event) {
+		}
+
+		@Override
+		public void share(Strike strike) {
+		}
+
+	};
+
+	/**
+	 * Called when what is known of a request has changed.
+	 * @param event the change
+	 */
+	void onQuarantineEvent(QuarantineEvent event);
+
+}
--- a/core/src/main/java/org/sardineport/core/quarantine/Strike.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/Strike.java
@@ -3,25 +3,39 @@
 import java.time.Instant;
 import java.util.Objects;
 
-import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.request.Fingerprint;
 
 /**
- * Record that the connection of a request broke because a backend server died.
+ * Record that a process of a backend server crashed while it ran a request.
  *
- * @param fingerprint hash that identifies the request
- * @param backendServer the backend server that died
+ * @param key the request and the process
  * @param expires time from which the strike no longer counts
  */
-public record Strike(Fingerprint fingerprint, BackendServerId backendServer, Instant expires) {
+public record Strike(StrikeKey key, Instant expires) {
 
 	/**
 	 * Creates the strike and checks that its parts are present.
 	 */
 	public Strike {
-		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
-		Objects.requireNonNull(backendServer, "backendServer must not be null");
+		Objects.requireNonNull(key, "key must not be null");
 		Objects.requireNonNull(expires, "expires must not be null");
 	}
 
+	/**
+	 * Returns the request.
+	 * @return its fingerprint
+	 */
+	public Fingerprint fingerprint() {
+		return this.key.fingerprint();
+	}
+
+	/**
+	 * Returns the process that crashed.
+	 * @return the process
+	 */
+	public BackendProcess process() {
+		return this.key.process();
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -11,32 +11,28 @@
 import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.request.Fingerprint;
 
 /**
  * Strikes against requests. A request is quarantined once it has strikes from enough
- * distinct backend servers. One backend server that dies therefore does not quarantine
- * the requests that ran on it concurrently. A complete response clears the strikes of a
- * request. Not thread-safe.
+ * distinct processes of backend servers. One process that crashes therefore does not
+ * quarantine the requests that ran on it concurrently. A complete response clears the
+ * strikes of a request. Not thread-safe.
  */
 public final class StrikeRegistry {
 
-	/** Number of distinct backend servers whose strikes quarantine a request. */
-	private static final int SERVERS_TO_QUARANTINE = 2;
-
 	/** Time during which a strike counts. */
-	private static final Duration STRIKE_LIFETIME = Duration.ofMinutes(10);
-
-	/** Maximum number of fingerprints; those whose strikes expire first are dropped. */
-	private static final int CAPACITY = 10_000;
+	public static final Duration STRIKE_LIFETIME = Duration.ofMinutes(10);
 
-	/** Number of times that a strike is sent to other daemons. */
-	private static final int MAX_SHARES_PER_STRIKE = 12;
+	/** Number of distinct processes whose strikes quarantine a request. */
+	private static final int STRIKES_TO_QUARANTINE = 2;
 
-	private final Map<Fingerprint, Map<BackendServerId, Instant>> strikes = new HashMap<>();
+	/** Maximum number of requests with strikes. */
+	private static final int CAPACITY = 10_000;
 
-	private final Map<Strike, Integer> shareCounts = new HashMap<>();
+	private final Map<Fingerprint, Map<BackendProcess, Instant>> strikes = new HashMap<>();
 
 	private final QuarantineListener listener;
 
@@ -54,21 +50,24 @@
 	}
 
 	/**
-	 * Adds a strike observed by this daemon.
-	 * @param fingerprint fingerprint of the request
-	 * @param server the backend server that died
+	 * Records a strike observed by this daemon.
+	 * @param key the request and the process that crashed
 	 * @param now the current time
+	 * @return the strike to share with the other daemons, or empty if it was known
 	 */
-	public void strike(Fingerprint fingerprint, BackendServerId server, Instant now) {
-		boolean added = add(new Strike(fingerprint, server, now.plus(STRIKE_LIFETIME)), now);
-		report((added) ? QuarantineEventKind.STRIKE_RECORDED : QuarantineEventKind.STRIKE_REPEATED, fingerprint, server,
-				now);
-		reportIfBegan(added, fingerprint, now);
+	public Optional<Strike> record(StrikeKey key, Instant now) {
+		boolean quarantined = isQuarantined(key.fingerprint(), now);
+		Strike strike = new Strike(key, now.plus(STRIKE_LIFETIME));
+		Instant known = strikesOf(key.fingerprint(), now).put(key.process(), strike.expires());
+		boolean added = known == null || !known.isAfter(now);
+		report((added) ? QuarantineEventKind.STRIKE_RECORDED : QuarantineEventKind.STRIKE_REPEATED, key, now);
+		reportIfBegan(quarantined, key.fingerprint(), now);
+		return (added) ? Optional.of(strike) : Optional.empty();
 	}
 
 	/**
-	 * Adds a strike received from another daemon. It counts no longer than a strike
-	 * observed now. An expired strike is ignored.
+	 * Adds a strike received from another daemon. It counts no longer than one observed
+	 * now. Ignored if it is known or has expired.
 	 * @param strike the strike
 	 * @param now the current time
 	 */
@@ -78,37 +77,19 @@
 		if (!expires.isAfter(now)) {
 			return;
 		}
-		Strike bounded = new Strike(strike.fingerprint(), strike.backendServer(), expires);
-		if (add(bounded, now)) {
-			report(QuarantineEventKind.STRIKE_RECEIVED, strike.fingerprint(), strike.backendServer(), now);
-			reportIfBegan(true, strike.fingerprint(), now);
+		boolean quarantined = isQuarantined(strike.fingerprint(), now);
+		Instant known = strikesOf(strike.fingerprint(), now).putIfAbsent(strike.process(), expires);
+		if (known == null) {
+			report(QuarantineEventKind.STRIKE_RECEIVED, strike.key(), now);
+			reportIfBegan(quarantined, strike.fingerprint(), now);
 		}
 	}
 
-	private boolean add(Strike strike, Instant now) {
+	private Map<BackendProcess, Instant> strikesOf(Fingerprint fingerprint, Instant now) {
 		if (this.strikes.size() >= CAPACITY) {
 			expire(now);
 		}
-		Map<BackendServerId, Instant> servers = this.strikes.computeIfAbsent(strike.fingerprint(),
-				(key) -> new HashMap<>());
-		boolean added = !servers.containsKey(strike.backendServer());
-		if (added) {
-			this.shareCounts.put(strike, 0);
-		}
-		servers.merge(strike.backendServer(), strike.expires(), (old, other) -> old.isAfter(other) ? old : other);
-		return added;
-	}
-
-	private void reportIfBegan(boolean added, Fingerprint fingerprint, Instant now) {
-		if (added && activeExpiries(fingerprint, now).size() == SERVERS_TO_QUARANTINE) {
-			report(QuarantineEventKind.BEGAN, fingerprint, null, now);
-		}
-	}
-
-	private void report(QuarantineEventKind kind, Fingerprint fingerprint, @Nullable BackendServerId server,
-			Instant now) {
-		this.listener
-			.onQuarantineEvent(new QuarantineEvent(kind, fingerprint, server, activeExpiries(fingerprint, now).size()));
+		return this.strikes.computeIfAbsent(fingerprint, (key) -> new HashMap<>());
 	}
 
 	/**
@@ -119,7 +100,6 @@
 	public void clear(Fingerprint fingerprint, Instant now) {
 		if (this.strikes.remove(fingerprint) != null) {
 			report(QuarantineEventKind.CLEARED, fingerprint, null, now);
-			this.shareCounts.keySet().removeIf((strike) -> strike.fingerprint().equals(fingerprint));
 		}
 	}
 
@@ -130,63 +110,69 @@
 	 * @return the time at which too few strikes remain, or empty if the request may run
 	 */
 	public Optional<Instant> quarantinedUntil(Fingerprint fingerprint, Instant now) {
-		List<Instant> active = activeExpiries(fingerprint, now);
-		return (active.size() < SERVERS_TO_QUARANTINE) ? Optional.empty()
-				: Optional.of(active.get(SERVERS_TO_QUARANTINE - 1));
-	}
-
-	private List<Instant> activeExpiries(Fingerprint fingerprint, Instant now) {
-		return this.strikes.getOrDefault(fingerprint, Map.of())
+		List<Instant> expiries = this.strikes.getOrDefault(fingerprint, Map.of())
 			.values()
 			.stream()
 			.filter((expires) -> expires.isAfter(now))
 			.sorted(Comparator.reverseOrder())
 			.toList();
+		return (expiries.size() < STRIKES_TO_QUARANTINE) ? Optional.empty()
+				: Optional.of(expiries.get(STRIKES_TO_QUARANTINE - 1));
 	}
 
-	/**
-	 * Returns strikes to send to other daemons and counts them as sent.
-	 * @param maximum maximum number of strikes to return
-	 * @return the strikes, those sent least often first
-	 */
-	public List<Strike> toShare(int maximum) {
-		List<Strike> chosen = this.shareCounts.entrySet()
-			.stream()
-			.sorted(Map.Entry.comparingByValue())
-			.limit(maximum)
-			.map(Map.Entry::getKey)
-			.toList();
-		for (Strike strike : chosen) {
-			int count = this.shareCounts.merge(strike, 1, Integer::sum);
-			if (count >= MAX_SHARES_PER_STRIKE) {
-				this.shareCounts.remove(strike);
-			}
-		}
-		return chosen;
+	private boolean isQuarantined(Fingerprint fingerprint, Instant now) {
+		return quarantinedUntil(fingerprint, now).isPresent();
 	}
 
 	/**
 	 * Drops expired strikes. If the capacity is still reached, a tenth of it is freed by
-	 * dropping the fingerprints whose strikes expire first.
+	 * dropping the requests with the fewest strikes, and of these the ones whose strikes
+	 * expire first.
 	 * @param now the current time
 	 */
 	public void expire(Instant now) {
-		this.strikes.values().forEach((servers) -> servers.values().removeIf((expires) -> !expires.isAfter(now)));
-		List<Fingerprint> expired = new ArrayList<>();
-		this.strikes.entrySet().removeIf((entry) -> entry.getValue().isEmpty() && expired.add(entry.getKey()));
-		this.shareCounts.keySet().removeIf((strike) -> !strike.expires().isAfter(now));
+		List<Fingerprint> dropped = new ArrayList<>();
+		this.strikes.values().forEach((processes) -> processes.values().removeIf((expires) -> !expires.isAfter(now)));
+		this.strikes.entrySet().removeIf((entry) -> entry.getValue().isEmpty() && dropped.add(entry.getKey()));
 		if (this.strikes.size() >= CAPACITY) {
-			List<Fingerprint> oldest = new ArrayList<>(this.strikes.keySet());
-			oldest.sort(Comparator.comparing((fingerprint) -> latest(this.strikes.get(fingerprint))));
-			List<Fingerprint> dropped = oldest.subList(0, CAPACITY / 10);
+			List<Fingerprint> least = new ArrayList<>(this.strikes.keySet());
+			least.sort(Comparator.<Fingerprint>comparingInt((fingerprint) -> count(fingerprint, now))
+				.thenComparing(this::latestExpiry));
+			dropped.addAll(least.subList(0, CAPACITY / 10));
 			dropped.forEach(this.strikes::remove);
-			expired.addAll(dropped);
 		}
-		expired.forEach((fingerprint) -> report(QuarantineEventKind.EXPIRED, fingerprint, null, now));
+		dropped.forEach((fingerprint) -> report(QuarantineEventKind.EXPIRED, fingerprint, null, now));
+	}
+
+	private Instant latestExpiry(Fingerprint fingerprint) {
+		return this.strikes.getOrDefault(fingerprint, Map.of())
+			.values()
+			.stream()
+			.max(Comparator.naturalOrder())
+			.orElse(Instant.MIN);
 	}
 
-	private static Instant latest(Map<BackendServerId, Instant> servers) {
-		return servers.values().stream().max(Comparator.naturalOrder()).orElse(Instant.MIN);
+	private int count(Fingerprint fingerprint, Instant now) {
+		return (int) this.strikes.getOrDefault(fingerprint, Map.of())
+			.values()
+			.stream()
+			.filter((expires) -> expires.isAfter(now))
+			.count();
+	}
+
+	private void reportIfBegan(boolean before, Fingerprint fingerprint, Instant now) {
+		if (!before && isQuarantined(fingerprint, now)) {
+			report(QuarantineEventKind.BEGAN, fingerprint, null, now);
+		}
+	}
+
+	private void report(QuarantineEventKind kind, StrikeKey key, Instant now) {
+		report(kind, key.fingerprint(), key.process().server(), now);
+	}
+
+	private void report(QuarantineEventKind kind, Fingerprint fingerprint, @Nullable BackendServerId server,
+			Instant now) {
+		this.listener.onQuarantineEvent(new QuarantineEvent(kind, fingerprint, server, count(fingerprint, now)));
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -24,6 +24,7 @@
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.routing.ServerState;
@@ -64,6 +65,8 @@
 
 	private final OrganisationQuotas quotas;
 
+	private final QuarantineEffects quarantineEffects;
+
 	private final StrikeRegistry strikes;
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
@@ -87,10 +90,11 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, limits.assumptions(), random);
-		this.strikes = StrikeRegistry.create(effects::onQuarantineEvent);
+		this.quarantineEffects = effects.quarantine();
+		this.strikes = StrikeRegistry.create(this.quarantineEffects::onQuarantineEvent);
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
-				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
+				new EntryAccounting(this.directory, this.strikes, this.quarantineEffects, this.quotas, clock));
 	}
 
 	/**
@@ -288,20 +292,11 @@
 	}
 
 	/**
-	 * Returns strikes to share with other daemons.
-	 * @param limit maximum number of strikes to return
-	 * @return the strikes
-	 */
-	public List<Strike> strikesToShare(int limit) {
-		return this.strikes.toShare(limit);
-	}
-
-	/**
-	 * Records a strike received from another daemon.
-	 * @param strike the strike
+	 * Adds strikes of other daemons.
+	 * @param received the strikes
 	 */
-	public void recordStrike(Strike strike) {
-		this.strikes.accept(strike, this.clock.instant());
+	public void onStrikesReceived(Collection<Strike> received) {
+		received.forEach((strike) -> this.strikes.accept(strike, this.clock.instant()));
 	}
 
 	private void send(DaemonId to, SchedulingMessage message) {
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
@@ -1,14 +1,14 @@
 package org.sardineport.core.scheduling;
 
 import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.quarantine.QuarantineListener;
+import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.request.RetryReason;
 
 /**
  * Outgoing effects of the scheduler other than its replies to callers: messages to other
- * daemons, retry counts and events of the quarantine.
+ * daemons, retry counts and those of the quarantine.
  */
-public interface SchedulingEffects extends QuarantineListener {
+public interface SchedulingEffects {
 
 	/**
 	 * Sends a message to another daemon.
@@ -23,4 +23,12 @@
 	 */
 	void recordRetry(RetryReason reason);
 
+	/**
+	 * Returns the effects of the quarantine. Called once, when the scheduler is created.
+	 * @return the effects; by default events and strikes are discarded
+	 */
+	default QuarantineEffects quarantine() {
+		return QuarantineEffects.NONE;
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/membership/BackendUpdatesTests.java
+++ b/core/src/test/java/org/sardineport/core/membership/BackendUpdatesTests.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 
 import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.request.Fingerprint;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -18,7 +20,7 @@
 	private final BackendUpdates updates = new BackendUpdates();
 
 	private static StrikeUpdate strike(Duration remaining) {
-		return new StrikeUpdate(Fingerprint.of(1, 2), WORKER, remaining);
+		return new StrikeUpdate(new StrikeKey(Fingerprint.of(1, 2), new BackendProcess(WORKER, NOW)), remaining);
 	}
 
 	@Test
@@ -48,4 +50,14 @@
 		assertThat(this.updates.add(new LeavingUpdate(WORKER, BackendUpdates.LEAVING_RETENTION), NOW)).isFalse();
 	}
 
+	// Guards against a backend server that starts again under its name and crashes again,
+	// of which the other daemons never hear.
+	@Test
+	void addsAStrikeForEachProcessOfABackendServer() {
+		StrikeKey second = new StrikeKey(Fingerprint.of(1, 2), new BackendProcess(WORKER, NOW.plusSeconds(5)));
+		assertThat(this.updates.add(strike(Duration.ofSeconds(60)), NOW)).isTrue();
+		assertThat(this.updates.add(new StrikeUpdate(second, Duration.ofSeconds(60)), NOW)).isTrue();
+		assertThat(this.updates.takeStrikes(4, 3, NOW)).hasSize(2);
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
@@ -6,14 +6,15 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.request.Fingerprint;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against quarantine of a request that only one backend server failed on, and
- * against strikes that count too long or are shared without end.
+ * Guards against a request that crashes one process after the other, and against strikes
+ * that count too long.
  */
 class StrikeRegistryTests {
 
@@ -21,71 +22,109 @@
 
 	private static final Fingerprint REQUEST = Fingerprint.of(1, 2);
 
-	private static final BackendServerId FIRST = BackendServerId.of("s1");
+	private static final BackendProcess FIRST = process("s1", 1);
 
-	private static final BackendServerId SECOND = BackendServerId.of("s2");
+	private static final BackendProcess SECOND = process("s2", 1);
+
+	private static final BackendProcess THIRD = process("s3", 1);
 
 	private final List<QuarantineEvent> events = new ArrayList<>();
 
 	private final StrikeRegistry registry = StrikeRegistry.create(this.events::add);
 
+	private static BackendProcess process(String server, long startedAt) {
+		return new BackendProcess(BackendServerId.of(server), Instant.ofEpochSecond(startedAt));
+	}
+
+	private static StrikeKey key(Fingerprint fingerprint, BackendProcess process) {
+		return new StrikeKey(fingerprint, process);
+	}
+
+	private void strike(Fingerprint fingerprint, BackendProcess... processes) {
+		for (BackendProcess process : processes) {
+			this.registry.record(key(fingerprint, process), NOW);
+		}
+	}
+
+	private void receive(BackendProcess process, Duration remaining) {
+		this.registry.accept(new Strike(key(REQUEST, process), NOW.plus(remaining)), NOW);
+	}
+
+	private boolean isQuarantined(Fingerprint fingerprint) {
+		return this.registry.quarantinedUntil(fingerprint, NOW).isPresent();
+	}
+
 	@Test
-	void repeatedStrikesOfOneServerDoNotQuarantine() {
+	void repeatedStrikesOfOneProcessDoNotQuarantine() {
 		for (int i = 0; i < 10; i++) {
-			this.registry.strike(REQUEST, FIRST, NOW.plusSeconds(i));
+			this.registry.record(key(REQUEST, FIRST), NOW.plusSeconds(i));
 		}
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(10))).isEmpty();
 	}
 
+	// Guards against crashes of a backend server that starts again under its name being
+	// counted once.
 	@Test
-	void twoServersQuarantineUntilTheFirstStrikeExpires() {
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.strike(REQUEST, SECOND, NOW.plusSeconds(60));
+	void eachProcessOfABackendServerThatStartsAgainCounts() {
+		strike(REQUEST, process("s1", 1), process("s1", 2));
+		assertThat(isQuarantined(REQUEST)).isTrue();
+	}
+
+	@Test
+	void twoProcessesQuarantineUntilTheFirstStrikeExpires() {
+		this.registry.record(key(REQUEST, FIRST), NOW);
+		this.registry.record(key(REQUEST, SECOND), NOW.plusSeconds(60));
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(60))).contains(NOW.plusSeconds(600));
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(600))).isEmpty();
 	}
 
 	@Test
 	void strikesFromOtherDaemonsCount() {
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
+		strike(REQUEST, FIRST);
+		receive(SECOND, Duration.ofSeconds(100));
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW)).contains(NOW.plusSeconds(100));
 	}
 
 	@Test
 	void receivedStrikeExpiresNoLaterThanALocalOne() {
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plus(Duration.ofDays(1))), NOW);
+		strike(REQUEST, FIRST);
+		receive(SECOND, Duration.ofDays(1));
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(601))).isEmpty();
 	}
 
+	@Test
+	void sharesAStrikeOnce() {
+		assertThat(this.registry.record(key(REQUEST, FIRST), NOW))
+			.contains(new Strike(key(REQUEST, FIRST), NOW.plus(StrikeRegistry.STRIKE_LIFETIME)));
+		assertThat(this.registry.record(key(REQUEST, FIRST), NOW)).isEmpty();
+	}
+
 	@Test
 	void clearingDropsEarlierStrikes() {
-		this.registry.strike(REQUEST, FIRST, NOW);
+		strike(REQUEST, FIRST);
 		this.registry.clear(REQUEST, NOW);
-		this.registry.strike(REQUEST, SECOND, NOW);
-		assertThat(this.registry.quarantinedUntil(REQUEST, NOW)).isEmpty();
+		strike(REQUEST, SECOND);
+		assertThat(isQuarantined(REQUEST)).isFalse();
 	}
 
+	// Guards against a flood of strikes after crashes that drops the request to blame.
 	@Test
-	void sharesAStrikeALimitedNumberOfTimes() {
-		this.registry.strike(REQUEST, FIRST, NOW);
-		int shares = 0;
-		while (!this.registry.toShare(10).isEmpty() && shares < 1000) {
-			shares++;
+	void fullRegistryKeepsRequestsWithMostStrikes() {
+		strike(REQUEST, FIRST, SECOND, THIRD);
+		for (int i = 0; i < 25_000; i++) {
+			this.registry.record(key(Fingerprint.of(7, i), FIRST), NOW.plusMillis(i));
 		}
-		assertThat(shares).isBetween(2, 100);
+		assertThat(isQuarantined(REQUEST)).isTrue();
 	}
 
 	@Test
 	void reportsWhatHappensToTheStrikesOfARequest() {
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
-		this.registry.accept(new Strike(REQUEST, SECOND, NOW.plusSeconds(100)), NOW);
+		strike(REQUEST, FIRST, FIRST);
+		receive(SECOND, Duration.ofSeconds(100));
+		receive(SECOND, Duration.ofSeconds(100));
 		this.registry.clear(REQUEST, NOW);
-		this.registry.strike(REQUEST, FIRST, NOW);
-		this.registry.expire(NOW.plusSeconds(600));
+		strike(REQUEST, FIRST);
+		this.registry.expire(NOW.plusSeconds(601));
 		assertThat(this.events).extracting(QuarantineEvent::kind)
 			.containsExactly(QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.STRIKE_REPEATED,
 					QuarantineEventKind.STRIKE_RECEIVED, QuarantineEventKind.BEGAN, QuarantineEventKind.CLEARED,
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -29,7 +29,6 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.quarantine.QuarantineEvent;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RetryReason;
@@ -322,10 +321,6 @@
 			SchedulingFixture.this.sent.add(new Sent(this.from, to, message));
 		}
 
-		@Override
-		public void onQuarantineEvent(QuarantineEvent event) {
-		}
-
 		@Override
 		public void recordRetry(RetryReason reason) {
 			SchedulingFixture.this.retries.add(reason);
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -91,7 +91,8 @@
 		SchedulingService scheduling = SchedulingService.create(settings.scheduling(), fleet, OwnerLookup.rendezvous(),
 				transport, engines, clock, new SplittableRandom(incarnation), telemetry);
 		scheduling.setLoadListener(fleet::reported);
-		fleet.exchangeStrikes(scheduling);
+		fleet.setStrikeReceiver(scheduling);
+		scheduling.addStrikeChannel(fleet);
 		RunServices runs = RunServices.create(scheduling, journal, engines, clock, telemetry, RetryBudget.create(),
 				settings.journal().maximumAnswerBytes());
 		RequestRunner runner = RequestRunner.create(runs, settings.callers().maximumInFlight());
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -34,7 +34,8 @@
 import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeExchange;
+import org.sardineport.core.quarantine.StrikeChannel;
+import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.daemon.eventloop.EventLoop;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -46,7 +47,7 @@
  * {@link FleetSnapshot} after each change, all on one event loop thread. Methods may be
  * called from any thread.
  */
-public final class FleetService implements FleetView, Service {
+public final class FleetService implements FleetView, StrikeChannel, Service {
 
 	private static final EventLog LOG = EventLog.of(FleetService.class);
 
@@ -54,8 +55,6 @@
 
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
 
-	private static final int MAX_STRIKES_PER_TICK = 16;
-
 	private final EventLoop eventLoop;
 
 	private final Telemetry telemetry;
@@ -84,8 +83,6 @@
 
 	private final AtomicBoolean fetching = new AtomicBoolean();
 
-	private volatile @Nullable StrikeExchange strikeExchange;
-
 	private boolean listReachable = true;
 
 	private final CompletableFuture<Void> leaving = new CompletableFuture<>();
@@ -199,13 +196,21 @@
 	}
 
 	/**
-	 * Exchanges strikes between this daemon's scheduling and that of the other daemons.
-	 * Call it before the start.
-	 * @param exchange supplies the strikes to send and accepts those received
+	 * Sets who receives the strikes of other daemons. Call it before the start.
+	 * @param receiver receives the strikes
 	 */
-	public void exchangeStrikes(StrikeExchange exchange) {
-		this.strikeExchange = Objects.requireNonNull(exchange, "exchange must not be null");
-		this.reporter.setStrikeExchange(exchange);
+	public void setStrikeReceiver(StrikeReceiver receiver) {
+		this.reporter.setStrikeReceiver(receiver);
+	}
+
+	@Override
+	public void share(Strike strike) {
+		offer(() -> {
+			Instant now = this.clock.instant();
+			if (now.isBefore(strike.expires())) {
+				this.membership.broadcast(new StrikeUpdate(strike.key(), Duration.between(now, strike.expires())));
+			}
+		});
 	}
 
 	@Override
@@ -236,25 +241,11 @@
 			this.leaving.complete(null);
 		}
 		this.membership.report(this.selfReport.configurationVersion(), this.selfReport.load());
-		shareStrikes();
 		this.membership.tick();
 		fetchIfDue();
 		publish();
 	}
 
-	private void shareStrikes() {
-		if (this.strikeExchange == null) {
-			return;
-		}
-		Instant now = this.clock.instant();
-		for (Strike strike : this.strikeExchange.strikesToShare(MAX_STRIKES_PER_TICK)) {
-			if (now.isBefore(strike.expires())) {
-				this.membership.broadcast(new StrikeUpdate(strike.fingerprint(), strike.backendServer(),
-						Duration.between(now, strike.expires())));
-			}
-		}
-	}
-
 	private void fetchIfDue() {
 		Instant now = this.clock.instant();
 		if (now.isBefore(this.nextFetch) || !this.fetching.compareAndSet(false, true)) {
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
@@ -1,9 +1,9 @@
 package org.sardineport.daemon.fleet;
 
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 
-import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.BackendDirectory;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.identity.NetworkAddress;
@@ -14,13 +14,14 @@
 import org.sardineport.core.membership.StrikeUpdate;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeExchange;
+import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
  * Handles the output of the membership protocol: sends its messages, counts and logs its
- * events, and passes received updates to the backend directory and the strike exchange.
+ * events, and passes received updates to the backend directory and the receiver of
+ * strikes.
  */
 final class MembershipReporter implements MembershipOutput {
 
@@ -34,7 +35,7 @@
 
 	private final InstantSource clock;
 
-	private volatile @Nullable StrikeExchange strikeExchange;
+	private volatile StrikeReceiver strikeReceiver = StrikeReceiver.NONE;
 
 	MembershipReporter(PeerTransport transport, Telemetry telemetry, BackendDirectory backends, InstantSource clock) {
 		this.transport = transport;
@@ -46,8 +47,8 @@
 		}
 	}
 
-	void setStrikeExchange(StrikeExchange exchange) {
-		this.strikeExchange = exchange;
+	void setStrikeReceiver(StrikeReceiver receiver) {
+		this.strikeReceiver = receiver;
 	}
 
 	@Override
@@ -70,10 +71,8 @@
 
 	@Override
 	public void onStrike(StrikeUpdate strike) {
-		if (this.strikeExchange != null) {
-			this.strikeExchange.acceptStrikes(List.of(new Strike(strike.fingerprint(), strike.backendServer(),
-					this.clock.instant().plus(strike.remaining()))));
-		}
+		Instant expires = this.clock.instant().plus(strike.remaining());
+		this.strikeReceiver.strikesReceived(List.of(new Strike(strike.key(), expires)));
 	}
 
 	@Override
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -76,7 +76,8 @@
 				ports.vmList(), clock, telemetry);
 		SchedulingService scheduling = SchedulingService.withoutLoadReports(schedulingSettings, ASSUMPTIONS, fleet,
 				transport, clock, random.split(), telemetry);
-		fleet.exchangeStrikes(scheduling);
+		fleet.setStrikeReceiver(scheduling);
+		scheduling.addStrikeChannel(fleet);
 		ConfigurationInForce inForce = ConfigurationInForce.create(settings.proofLifetime(), clockPair);
 		ports.configuration()
 			.listen(new ConfigurationWatch(inForce, telemetry),
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
@@ -1,22 +1,29 @@
 package org.sardineport.daemon.scheduling;
 
+import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.QuarantineEvent;
 import org.sardineport.core.quarantine.QuarantineEventKind;
-import org.sardineport.core.quarantine.QuarantineListener;
+import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeChannel;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
- * Counts and logs the events of the quarantine. Safe for use by any thread.
+ * Counts and logs the events of the quarantine, and passes strikes to the channels to
+ * other daemons. Safe for use by any thread.
  */
-final class QuarantineReporter implements QuarantineListener {
+final class QuarantineReporter implements QuarantineEffects {
 
 	private static final EventLog LOG = EventLog.of(QuarantineReporter.class);
 
 	private final Telemetry telemetry;
 
+	private final List<StrikeChannel> channels = new CopyOnWriteArrayList<>();
+
 	private QuarantineReporter(Telemetry telemetry) {
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
 		for (QuarantineEventKind kind : QuarantineEventKind.values()) {
@@ -33,6 +40,15 @@
 		return new QuarantineReporter(telemetry);
 	}
 
+	void addChannel(StrikeChannel channel) {
+		this.channels.add(Objects.requireNonNull(channel, "channel must not be null"));
+	}
+
+	@Override
+	public void share(Strike strike) {
+		this.channels.forEach((channel) -> channel.share(strike));
+	}
+
 	@Override
 	public void onQuarantineEvent(QuarantineEvent event) {
 		this.telemetry.counter(metric(event.kind())).inc();
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.Queue;
@@ -27,9 +28,10 @@
 import org.sardineport.core.port.backend.LoadSource;
 import org.sardineport.core.port.backend.ModelEngine;
 import org.sardineport.core.port.peer.PeerTransport;
-import org.sardineport.core.quarantine.QuarantineEvent;
+import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeExchange;
+import org.sardineport.core.quarantine.StrikeChannel;
+import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
@@ -50,15 +52,12 @@
  * daemons, changes of the fleet and load reports to it, and carries out its effects. Safe
  * for use by any thread.
  */
-public final class SchedulingService implements RequestScheduler, StrikeExchange, Service {
+public final class SchedulingService implements RequestScheduler, StrikeReceiver, Service {
 
 	private static final int RING_SIZE = 16_384;
 
 	private static final Duration TICK = Duration.ofMillis(25);
 
-	/** Maximum number of strikes that are offered to other daemons at a time. */
-	private static final int MAX_SHARED_STRIKES = 16;
-
 	private static final EventLog LOG = EventLog.of(SchedulingService.class);
 
 	private final FleetView fleet;
@@ -71,6 +70,8 @@
 
 	private final Telemetry telemetry;
 
+	private final QuarantineReporter quarantine;
+
 	private final Duration loadReportInterval;
 
 	private final Scheduler scheduler;
@@ -83,8 +84,6 @@
 
 	private volatile List<ServerState> states = List.of();
 
-	private volatile List<Strike> strikes = List.of();
-
 	private volatile Consumer<LoadReport> loadListener = (report) -> {
 	};
 
@@ -98,6 +97,7 @@
 		this.loadSource = loadSource;
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
+		this.quarantine = QuarantineReporter.create(telemetry);
 		this.loadReportInterval = settings.loadReportInterval();
 		this.latestSnapshot = fleet.current();
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
@@ -192,18 +192,20 @@
 	}
 
 	@Override
-	public List<Strike> strikesToShare(int maxStrikes) {
-		List<Strike> current = this.strikes;
-		return current.subList(0, Math.min(maxStrikes, current.size()));
-	}
-
-	@Override
-	public void acceptStrikes(List<Strike> received) {
+	public void strikesReceived(Collection<Strike> received) {
 		if (!received.isEmpty()) {
-			offer("strikes", () -> received.forEach(this.scheduler::recordStrike));
+			offerOrDefer(() -> this.scheduler.onStrikesReceived(received));
 		}
 	}
 
+	/**
+	 * Adds a channel to the other daemons. Must be called before the start.
+	 * @param channel carries the strikes of this daemon
+	 */
+	public void addStrikeChannel(StrikeChannel channel) {
+		this.quarantine.addChannel(channel);
+	}
+
 	/**
 	 * Returns the state of the backend servers that this daemon owns, as of the last
 	 * tick.
@@ -230,7 +232,7 @@
 	/**
 	 * Enqueues a command that must not be lost. If the ring is full, the command is
 	 * deferred to the next tick. There are never more deferred commands than requests in
-	 * flight.
+	 * flight and strikes received within a tick.
 	 * @param command the command
 	 */
 	private void offerOrDefer(Runnable command) {
@@ -245,7 +247,6 @@
 		}
 		this.scheduler.tick();
 		this.states = this.scheduler.states();
-		this.strikes = this.scheduler.strikesToShare(MAX_SHARED_STRIKES);
 		if (this.scheduler.isPriorityInverted()) {
 			this.telemetry.counter("scheduling.top-tier-behind-lower").inc();
 			LOG.warn("scheduling.top-tier-behind-lower");
@@ -275,9 +276,6 @@
 	 */
 	private final class Effects implements SchedulingEffects {
 
-		private final QuarantineReporter quarantineReporter = QuarantineReporter
-			.create(SchedulingService.this.telemetry);
-
 		@Override
 		public void send(DaemonId to, SchedulingMessage message) {
 			SchedulingService.this.latestSnapshot.member(to)
@@ -287,13 +285,13 @@
 		}
 
 		@Override
-		public void onQuarantineEvent(QuarantineEvent event) {
-			this.quarantineReporter.onQuarantineEvent(event);
+		public void recordRetry(RetryReason reason) {
+			SchedulingService.this.telemetry.retried(reason).inc();
 		}
 
 		@Override
-		public void recordRetry(RetryReason reason) {
-			SchedulingService.this.telemetry.retried(reason).inc();
+		public QuarantineEffects quarantine() {
+			return SchedulingService.this.quarantine;
 		}
 
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/FleetServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/FleetServiceTests.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -28,7 +29,8 @@
 import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
 import org.sardineport.core.quarantine.Strike;
-import org.sardineport.core.quarantine.StrikeExchange;
+import org.sardineport.core.quarantine.StrikeKey;
+import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.daemon.time.SteadyInstantSource;
@@ -204,14 +206,13 @@
 		FleetService first = start(1);
 		FleetService second = start(2);
 		await(first, memberHasStatus(2, MemberStatus.ALIVE));
-		Strike strike = new Strike(Fingerprint.of(1, 2), server(1).id(),
+		Strike strike = new Strike(new StrikeKey(Fingerprint.of(1, 2), server(1).process()),
 				this.clock.instant().plus(Duration.ofMinutes(5)));
 		CompletableFuture<Strike> received = new CompletableFuture<>();
-		second.exchangeStrikes(new StubStrikeExchange(List.of(), received));
-		first.exchangeStrikes(new StubStrikeExchange(List.of(strike), new CompletableFuture<>()));
+		second.setStrikeReceiver(new StubStrikeReceiver(received));
+		first.share(strike);
 		Strike receivedStrike = received.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-		assertThat(receivedStrike.fingerprint()).isEqualTo(strike.fingerprint());
-		assertThat(receivedStrike.backendServer()).isEqualTo(strike.backendServer());
+		assertThat(receivedStrike.key()).isEqualTo(strike.key());
 		assertThat(receivedStrike.expires()).isAfterOrEqualTo(strike.expires());
 	}
 
@@ -226,22 +227,15 @@
 	}
 
 	/**
-	 * Strike exchange that always shares the same strikes.
+	 * Keeps the first strike received.
 	 *
-	 * @param shared strikes to share
-	 * @param received completes with the first strike received
+	 * @param first completes with it
 	 */
-	private record StubStrikeExchange(List<Strike> shared,
-			CompletableFuture<Strike> received) implements StrikeExchange {
+	private record StubStrikeReceiver(CompletableFuture<Strike> first) implements StrikeReceiver {
 
 		@Override
-		public List<Strike> strikesToShare(int maximum) {
-			return this.shared;
-		}
-
-		@Override
-		public void acceptStrikes(List<Strike> strikes) {
-			this.received.complete(strikes.get(0));
+		public void strikesReceived(Collection<Strike> strikes) {
+			this.first.complete(strikes.iterator().next());
 		}
 
 	}
--- a/wire/src/main/java/org/sardineport/wire/message/Strike.java
+++ b/wire/src/main/java/org/sardineport/wire/message/Strike.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A request's fingerprint whose connection broke as a backend server died.
+ * A request that ran on a backend server's process when it crashed.
  * </pre>
  *
  * Protobuf type {@code sardineport.Strike}
@@ -159,6 +159,44 @@
     remainingMillis_ = 0;
   }
 
+  public static final int STARTED_AT_MILLIS_FIELD_NUMBER = 5;
+  private long startedAtMillis_;
+  /**
+   * <pre>
+   * Start of the process in milliseconds since 1970; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 5;</code>
+   * @return The startedAtMillis.
+   */
+  @java.lang.Override
+  public long getStartedAtMillis() {
+    return startedAtMillis_;
+  }
+  /**
+   * <pre>
+   * Start of the process in milliseconds since 1970; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 5;</code>
+   * @param value The startedAtMillis to set.
+   */
+  private void setStartedAtMillis(long value) {
+    
+    startedAtMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Start of the process in milliseconds since 1970; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 5;</code>
+   */
+  private void clearStartedAtMillis() {
+
+    startedAtMillis_ = 0L;
+  }
+
   public static org.sardineport.wire.message.Strike parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -244,7 +282,7 @@
 
   /**
    * <pre>
-   * A request's fingerprint whose connection broke as a backend server died.
+   * A request that ran on a backend server's process when it crashed.
    * </pre>
    *
    * Protobuf type {@code sardineport.Strike}
@@ -405,6 +443,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Start of the process in milliseconds since 1970; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 5;</code>
+     * @return The startedAtMillis.
+     */
+    @java.lang.Override
+    public long getStartedAtMillis() {
+      return instance.getStartedAtMillis();
+    }
+    /**
+     * <pre>
+     * Start of the process in milliseconds since 1970; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 5;</code>
+     * @param value The startedAtMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedAtMillis(long value) {
+      copyOnWrite();
+      instance.setStartedAtMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Start of the process in milliseconds since 1970; 0 if not known.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedAtMillis() {
+      copyOnWrite();
+      instance.clearStartedAtMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.Strike)
   }
   @java.lang.Override
@@ -425,10 +503,11 @@
             "fingerprintLow_",
             "backendServer_",
             "remainingMillis_",
+            "startedAtMillis_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0005\u0002\u0005" +
-              "\u0003\u0208\u0004\u000b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0005\u0002\u0005" +
+              "\u0003\u0208\u0004\u000b\u0005\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/StrikeOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/StrikeOrBuilder.java
@@ -43,4 +43,14 @@
    * @return The remainingMillis.
    */
   int getRemainingMillis();
+
+  /**
+   * <pre>
+   * Start of the process in milliseconds since 1970; 0 if not known.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 5;</code>
+   * @return The startedAtMillis.
+   */
+  long getStartedAtMillis();
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -1,8 +1,10 @@
 package org.sardineport.wire.transport;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
@@ -18,6 +20,7 @@
 import org.sardineport.core.membership.ProbeRequest;
 import org.sardineport.core.membership.ProbeResponse;
 import org.sardineport.core.membership.StrikeUpdate;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.wire.message.Envelope;
 import org.sardineport.wire.message.IndirectProbe;
@@ -174,16 +177,19 @@
 
 	private static Strike encodeStrike(StrikeUpdate strike) {
 		return Strike.newBuilder()
-			.setFingerprintHigh(strike.fingerprint().high())
-			.setFingerprintLow(strike.fingerprint().low())
-			.setBackendServer(strike.backendServer().value())
+			.setFingerprintHigh(strike.key().fingerprint().high())
+			.setFingerprintLow(strike.key().fingerprint().low())
+			.setBackendServer(strike.key().process().server().value())
+			.setStartedAtMillis(strike.key().process().startedAt().toEpochMilli())
 			.setRemainingMillis((int) Math.min(strike.remaining().toMillis(), Integer.MAX_VALUE))
 			.build();
 	}
 
 	private static StrikeUpdate decodeStrike(Strike strike) {
-		return new StrikeUpdate(Fingerprint.of(strike.getFingerprintHigh(), strike.getFingerprintLow()),
-				BackendServerId.of(strike.getBackendServer()), Duration.ofMillis(strike.getRemainingMillis()));
+		BackendProcess process = new BackendProcess(BackendServerId.of(strike.getBackendServer()),
+				Instant.ofEpochMilli(strike.getStartedAtMillis()));
+		StrikeKey key = new StrikeKey(Fingerprint.of(strike.getFingerprintHigh(), strike.getFingerprintLow()), process);
+		return new StrikeUpdate(key, Duration.ofMillis(strike.getRemainingMillis()));
 	}
 
 	private static LeavingBackend encodeLeaving(LeavingUpdate leaving) {
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -1,6 +1,7 @@
 package org.sardineport.wire.transport;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -9,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
@@ -24,6 +26,7 @@
 import org.sardineport.core.membership.ProbeRequest;
 import org.sardineport.core.membership.ProbeResponse;
 import org.sardineport.core.membership.StrikeUpdate;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.wire.message.Envelope;
 
@@ -32,6 +35,9 @@
 
 class MembershipCodecTests {
 
+	private static final StrikeKey STRIKE = new StrikeKey(Fingerprint.of(-1, 2),
+			new BackendProcess(BackendServerId.of("w1"), Instant.ofEpochMilli(1_764_720_000_123L)));
+
 	private static final NetworkAddress PEER = NetworkAddress.of("10.0.0.1", 7000);
 
 	private final MembershipCodec codec = MembershipCodec.create();
@@ -43,7 +49,7 @@
 
 	static Stream<MembershipMessage> messages() {
 		GossipUpdates news = new GossipUpdates(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)),
-				List.of(new StrikeUpdate(Fingerprint.of(-1, 2), BackendServerId.of("w1"), Duration.ofSeconds(9))),
+				List.of(new StrikeUpdate(STRIKE, Duration.ofSeconds(9))),
 				List.of(new LeavingUpdate(BackendServerId.of("w2"), Duration.ofMillis(250))));
 		return Stream.of(new ProbeRequest(-1, news), new ProbeResponse(7, news),
 				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, news), new JoinRequest(true, news),
