Recognise a crash though other connections close later

What callers saw: a request that crashes the backend server that runs it was sent on and on, as its crashes were not taken for crashes.

Cause: RelayRun counted a broken attempt only if at that instant no connection to the backend server was registered. The connections of a process that ends close in one event after the other, and ones that a cut keeps silent don't close at all, so that any idle connection hid the crash.

Change: CrashDetector looks at the other connections to the same process when one broke, and again 300 ms later. One that has received data since and is open shows that the process lives. Otherwise it has crashed if the backend server closed another connection about then, or there was none. If all others stay open and silent, a single connection broke, as before. Connections are pooled by process, so that one of a process that ended is not used for the next. A response that is not valid HTTP is no broken connection any more: the process sent it, so it did not crash.

Why it works: a crash closes connections, and leaves none that responds; what closes first does not matter. Ruled out: probing with a new connection, as backend servers behind a proxy accept it and a fast restart does too.

Open: crashes behind a cut that lets requests through and no answers back end as silence, and are not seen.

--- a/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
+++ b/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
@@ -1,6 +1,7 @@
 package org.sardineport.core.admission;
 
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.quarantine.StrikeKey;
 
 /**
  * Schedules requests on backend servers. All methods return immediately and are
@@ -30,4 +31,11 @@
 	 */
 	void release(Permit permit, RunMeasurement measurement);
 
+	/**
+	 * Records that a process of a backend server crashed while it ran a request. Requests
+	 * under which several processes crashed are refused.
+	 * @param crash the request and the process
+	 */
+	void recordCrash(StrikeKey crash);
+
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
@@ -8,8 +8,6 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
-import org.sardineport.core.quarantine.QuarantineEffects;
-import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
@@ -26,17 +24,13 @@
 
 	private final StrikeRegistry strikes;
 
-	private final QuarantineEffects quarantineEffects;
-
 	private final OrganisationQuotas quotas;
 
 	private final InstantSource clock;
 
-	EntryAccounting(PoolDirectory directory, StrikeRegistry strikes, QuarantineEffects quarantineEffects,
-			OrganisationQuotas quotas, InstantSource clock) {
+	EntryAccounting(PoolDirectory directory, StrikeRegistry strikes, OrganisationQuotas quotas, InstantSource clock) {
 		this.directory = directory;
 		this.strikes = strikes;
-		this.quarantineEffects = quarantineEffects;
 		this.quotas = quotas;
 		this.clock = clock;
 	}
@@ -77,11 +71,7 @@
 	 */
 	void recordRun(RunningRequest run, RunMeasurement measurement) {
 		SchedulingRequest request = run.request();
-		if (measurement.end() == RunEnd.BROKEN) {
-			StrikeKey crash = new StrikeKey(request.fingerprint(), run.permit().backendServer().process());
-			this.strikes.record(crash, this.clock.instant()).ifPresent(this.quarantineEffects::share);
-		}
-		else if (measurement.end() == RunEnd.COMPLETED) {
+		if (measurement.end() == RunEnd.COMPLETED) {
 			this.strikes.clear(request.fingerprint(), this.clock.instant());
 			observeCache(run, measurement);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -26,6 +26,7 @@
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.Strike;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.routing.ServerState;
 
@@ -94,7 +95,7 @@
 		this.strikes = StrikeRegistry.create(this.quarantineEffects::onQuarantineEvent);
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
-				new EntryAccounting(this.directory, this.strikes, this.quarantineEffects, this.quotas, clock));
+				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
 	}
 
 	/**
@@ -291,6 +292,14 @@
 		return this.entry.running();
 	}
 
+	/**
+	 * Records that a process of a backend server crashed while it ran a request.
+	 * @param key the request and the process
+	 */
+	public void recordCrash(StrikeKey key) {
+		this.strikes.record(key, this.clock.instant()).ifPresent(this.quarantineEffects::share);
+	}
+
 	/**
 	 * Adds strikes of other daemons.
 	 * @param received the strikes
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -166,11 +166,11 @@
 		Caller concurrent = fleet.submit("a", Tier.STANDARD);
 		for (int i = 0; i < 2; i++) {
 			Caller run = fleet.submit("a", poison);
-			run.end(RunEnd.BROKEN);
+			run.crash();
 			fleet.servers.remove(run.permit().backendServer());
 			fleet.publishFleet();
 		}
-		concurrent.end(RunEnd.BROKEN);
+		concurrent.crash();
 		fleet.server("s3", 8, "a").publishFleet();
 		assertThat(fleet.submit("a", poison).refusal().reason()).isEqualTo(RefusalReason.QUARANTINED);
 		assertThat(fleet.submit("a", concurrent.request()).isGranted()).isTrue();
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -29,6 +29,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RetryReason;
@@ -298,6 +299,12 @@
 			this.scheduler.release(permit(), RunMeasurement.none(end));
 		}
 
+		/** Ends the run because the process of its backend server crashed. */
+		void crash() {
+			this.scheduler.recordCrash(new StrikeKey(this.request.fingerprint(), permit().backendServer().process()));
+			end(RunEnd.BROKEN);
+		}
+
 		void complete(Duration first, Duration total) {
 			this.scheduler.release(permit(), new RunMeasurement(RunEnd.COMPLETED, this.request.estimate().prompt(), 0,
 					this.request.estimate().answer(), first, total));
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
@@ -7,6 +7,7 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.quarantine.StrikeKey;
 
 /**
  * Holds the permit of a run. Each granted permit is released exactly once. Used on the
@@ -69,6 +70,13 @@
 		if (held != null) {
 			this.permit = null;
 			this.scheduler.release(held, measurement);
+			recordCrash(held, measurement.end());
+		}
+	}
+
+	private void recordCrash(Permit held, RunEnd end) {
+		if (end == RunEnd.BROKEN) {
+			this.scheduler.recordCrash(new StrikeKey(this.request.fingerprint(), held.backendServer().process()));
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -105,6 +105,14 @@
 		return this.timeToFirstData == null && this.clock.millis() - this.startedAtMillis >= time.toMillis();
 	}
 
+	/**
+	 * Returns the connection to the backend server.
+	 * @return the connection, or {@code null} before one was acquired
+	 */
+	@Nullable BackendConnection connection() {
+		return this.call.connection();
+	}
+
 	long lastEventId() {
 		return this.splitter.lastId();
 	}
@@ -247,10 +255,15 @@
 	}
 
 	@Override
-	public void responseFailed(String cause) {
+	public void connectionBroke(String cause) {
 		fail(AttemptEnd.BROKEN, cause);
 	}
 
+	@Override
+	public void responseMalformed(String cause) {
+		fail(AttemptEnd.INVALID, cause);
+	}
+
 	private void fail(AttemptEnd end, String detail) {
 		if (!this.ended) {
 			finish();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon.relay;
 
+import java.io.IOException;
 import java.time.Duration;
 
 import io.vertx.core.MultiMap;
@@ -7,6 +8,7 @@
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.jspecify.annotations.Nullable;
@@ -23,7 +25,7 @@
 
 	private final BackendCallListener listener;
 
-	private @Nullable HttpClientConnection connection;
+	private @Nullable BackendConnection connection;
 
 	private @Nullable HttpClientResponse response;
 
@@ -53,7 +55,7 @@
 			}
 			else {
 				this.connection = acquired.result();
-				write(acquired.result(), method, target, headers, body);
+				write(acquired.result().http(), method, target, headers, body);
 			}
 		});
 	}
@@ -92,9 +94,11 @@
 			return;
 		}
 		this.response = received;
+		recordData();
 		received.exceptionHandler(this::fail);
 		received.handler((bytes) -> {
 			if (!this.ended) {
+				recordData();
 				this.listener.dataReceived(bytes);
 			}
 		});
@@ -107,6 +111,12 @@
 		this.listener.headReceived(received.statusCode(), received.headers());
 	}
 
+	private void recordData() {
+		if (this.connection != null) {
+			this.connection.recordData();
+		}
+	}
+
 	private void notConnected(Throwable cause) {
 		if (!this.ended) {
 			this.ended = true;
@@ -118,10 +128,24 @@
 		if (!this.ended) {
 			this.ended = true;
 			close();
-			this.listener.responseFailed(String.valueOf(cause.getMessage()));
+			String message = String.valueOf(cause.getMessage());
+			if (cause instanceof IOException || cause instanceof HttpClosedException) {
+				this.listener.connectionBroke(message);
+			}
+			else {
+				this.listener.responseMalformed(message);
+			}
 		}
 	}
 
+	/**
+	 * Returns the connection of the call.
+	 * @return the connection, or {@code null} before one was acquired
+	 */
+	@Nullable BackendConnection connection() {
+		return this.connection;
+	}
+
 	void pause() {
 		if (this.response != null && !this.ended) {
 			this.response.pause();
@@ -154,7 +178,7 @@
 	 * @param idleTime time for which it may be kept idle; zero to close it
 	 */
 	void keepConnection(Duration idleTime) {
-		HttpClientConnection open = this.connection;
+		BackendConnection open = this.connection;
 		if (open == null) {
 			return;
 		}
@@ -162,7 +186,7 @@
 			open.close();
 		}
 		else {
-			this.connections.release(this.server, open, idleTime);
+			this.connections.release(open, idleTime);
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
@@ -5,8 +5,8 @@
 
 /**
  * Receives the results of one call to a backend server, on the event loop. No method is
- * called after {@link #notConnected}, {@link #responseCompleted} or
- * {@link #responseFailed}.
+ * called after {@link #notConnected}, {@link #responseCompleted},
+ * {@link #connectionBroke} or {@link #responseMalformed}.
  */
 interface BackendCallListener {
 
@@ -35,9 +35,15 @@
 	void responseCompleted();
 
 	/**
-	 * Called if the connection fails or the response is not valid HTTP.
+	 * Called if the connection breaks before the response is complete.
 	 * @param cause the cause, for logs and refusals
 	 */
-	void responseFailed(String cause);
+	void connectionBroke(String cause);
+
+	/**
+	 * Called if the response is not valid HTTP.
+	 * @param cause the cause, for logs and refusals
+	 */
+	void responseMalformed(String cause);
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -17,8 +17,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.lifecycle.Service;
 
 /**
@@ -30,14 +30,11 @@
 	/** Timeout for opening a connection. */
 	static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-	/** Maximum number of idle connections per backend server. */
-	private static final int MAX_IDLE_PER_SERVER = 16;
-
 	private final InstantSource clock;
 
 	private final HttpClientAgent client;
 
-	private final Map<BackendServerId, ServerConnections> servers = new HashMap<>();
+	private final Map<BackendProcess, ProcessConnections> processes = new HashMap<>();
 
 	private BackendConnections(Vertx vertx, InstantSource clock) {
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
@@ -75,91 +72,64 @@
 	 * @param maxIdle maximum time for which a reused connection may have been idle
 	 * @return the connection, or a failure if none could be opened
 	 */
-	Future<HttpClientConnection> acquire(BackendServer server, Duration maxIdle) {
-		ServerConnections connections = this.servers.get(server.id());
-		HttpClientConnection reused = (connections != null)
-				? connections.takeIdle(this.clock.millis(), maxIdle.toMillis()) : null;
+	Future<BackendConnection> acquire(BackendServer server, Duration maxIdle) {
+		BackendProcess process = server.process();
+		ProcessConnections connections = this.processes.get(process);
+		BackendConnection reused = (connections != null) ? connections.takeIdle(maxIdle) : null;
 		if (reused != null) {
 			return Future.succeededFuture(reused);
 		}
 		HttpConnectOptions options = new HttpConnectOptions().setHost(server.address().ip())
 			.setPort(server.address().port())
 			.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-		return this.client.connect(options).onSuccess((connection) -> opened(server.id(), connection));
+		return this.client.connect(options).map((connection) -> opened(process, connection));
 	}
 
-	private void opened(BackendServerId id, HttpClientConnection connection) {
-		ServerConnections connections = this.servers.computeIfAbsent(id, (key) -> new ServerConnections());
-		connections.open++;
-		connection.closeHandler((ignored) -> closed(id, connection));
+	private BackendConnection opened(BackendProcess process, HttpClientConnection connection) {
+		BackendConnection opened = new BackendConnection(connection, process, this.clock);
+		this.processes.computeIfAbsent(process, (key) -> new ProcessConnections()).add(opened);
+		connection.closeHandler((ignored) -> closed(opened));
+		return opened;
 	}
 
-	private void closed(BackendServerId id, HttpClientConnection connection) {
-		ServerConnections connections = this.servers.get(id);
+	private void closed(BackendConnection connection) {
+		connection.recordClosed();
+		ProcessConnections connections = this.processes.get(connection.process());
 		if (connections == null) {
 			return;
 		}
-		connections.open--;
-		connections.idle.removeIf((idle) -> idle.connection == connection);
-		if (connections.open <= 0 && connections.idle.isEmpty()) {
-			this.servers.remove(id);
+		connections.remove(connection);
+		if (connections.isEmpty()) {
+			this.processes.remove(connection.process());
 		}
 	}
 
 	/**
 	 * Keeps a connection for a later request, or closes it if enough are idle.
-	 * @param server the backend server
 	 * @param connection the connection, whose last response is complete
 	 * @param idleTime time for which the connection may be kept
 	 */
-	void release(BackendServer server, HttpClientConnection connection, Duration idleTime) {
-		ServerConnections connections = this.servers.get(server.id());
-		if (connections == null || connections.idle.size() >= MAX_IDLE_PER_SERVER) {
+	void release(BackendConnection connection, Duration idleTime) {
+		ProcessConnections connections = this.processes.get(connection.process());
+		if (connections == null || !connections.keepIdle(connection, idleTime)) {
 			connection.close();
-			return;
 		}
-		long now = this.clock.millis();
-		connections.idle.addFirst(new IdleConnection(connection, now, now + idleTime.toMillis()));
-	}
-
-	/**
-	 * Returns how many connections to a backend server are open.
-	 * @param server the backend server
-	 * @return the number, with those in use
-	 */
-	int openConnections(BackendServerId server) {
-		ServerConnections connections = this.servers.get(server);
-		return (connections != null) ? connections.open : 0;
 	}
 
 	/**
-	 * Connections to one backend server.
+	 * Returns the connections to the same process as a broken one: those that are open,
+	 * and those that the backend server has closed lately.
+	 * @param process the process
+	 * @param broken the broken connection, which is left out, or {@code null} if none was
+	 * used
+	 * @param closedSince earliest time of the latter, in milliseconds of the clock
+	 * @return the connections, with their states as they change
 	 */
-	private static final class ServerConnections {
-
-		/** Idle connections, most recently used first. */
-		private final Deque<IdleConnection> idle = new ArrayDeque<>();
-
-		private int open;
-
-		private @Nullable HttpClientConnection takeIdle(long now, long maxIdleMillis) {
-			Deque<IdleConnection> expired = new ArrayDeque<>();
-			this.idle.removeIf((each) -> each.expiresAt <= now && expired.add(each));
-			expired.forEach((each) -> each.connection.close());
-			IdleConnection mostRecent = this.idle.peekFirst();
-			if (mostRecent == null || now - mostRecent.idleSince > maxIdleMillis) {
-				return null;
-			}
-			return this.idle.removeFirst().connection;
-		}
-
-	}
-
-	/**
-	 * An idle connection, with times in milliseconds of the pool's clock.
-	 */
-	private record IdleConnection(HttpClientConnection connection, long idleSince, long expiresAt) {
-
+	List<BackendConnection> others(BackendProcess process, @Nullable BackendConnection broken, long closedSince) {
+		ProcessConnections connections = this.processes.get(process);
+		List<BackendConnection> others = (connections != null) ? connections.known(closedSince) : new ArrayList<>();
+		others.remove(broken);
+		return others;
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
@@ -0,0 +1,94 @@
+package org.sardineport.daemon.relay;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.RequestScheduler;
+import org.sardineport.core.quarantine.CrashEvidence;
+import org.sardineport.core.quarantine.StrikeKey;
+import org.sardineport.daemon.telemetry.EventLog;
+import org.sardineport.daemon.telemetry.Telemetry;
+
+/**
+ * Decides whether the process of a backend server crashed when a connection to it broke,
+ * and reports the request that ran on that connection to the scheduler. Confined to the
+ * event loop.
+ */
+final class CrashDetector {
+
+	/** Time within which the connections of a process that crashes close. */
+	private static final Duration WINDOW = Duration.ofMillis(300);
+
+	private static final EventLog LOG = EventLog.of(CrashDetector.class);
+
+	private final Vertx vertx;
+
+	private final InstantSource clock;
+
+	private final BackendConnections connections;
+
+	private final RequestScheduler scheduler;
+
+	private final Telemetry telemetry;
+
+	private CrashDetector(Vertx vertx, InstantSource clock, BackendConnections connections, RequestScheduler scheduler,
+			Telemetry telemetry) {
+		this.vertx = vertx;
+		this.clock = clock;
+		this.connections = connections;
+		this.scheduler = scheduler;
+		this.telemetry = telemetry;
+	}
+
+	/**
+	 * Returns a detector.
+	 * @param vertx runs timers
+	 * @param clock a monotonic clock
+	 * @param connections connections to backend servers
+	 * @param scheduler receives the crashes
+	 * @param telemetry counts breaks that are not taken for crashes
+	 * @return the detector
+	 */
+	static CrashDetector create(Vertx vertx, InstantSource clock, BackendConnections connections,
+			RequestScheduler scheduler, Telemetry telemetry) {
+		return new CrashDetector(vertx, clock, connections, scheduler, telemetry);
+	}
+
+	/**
+	 * Handles a connection that broke while a request ran on it. Without any other open
+	 * connection the decision is made at once, otherwise after {@link #WINDOW}.
+	 * @param suspect the request, and the process to which the connection was
+	 * @param broken the connection, or {@code null} if it is not known
+	 * @return whether no other connection to the process is open
+	 */
+	boolean connectionBroke(StrikeKey suspect, @Nullable BackendConnection broken) {
+		long now = this.clock.millis();
+		List<BackendConnection> others = this.connections.others(suspect.process(), broken, now - WINDOW.toMillis());
+		boolean noneOpen = others.stream().allMatch(BackendConnection::isClosedByServer);
+		if (noneOpen) {
+			decide(suspect, others, now);
+		}
+		else {
+			this.vertx.setTimer(WINDOW.toMillis(), (id) -> decide(suspect, others, now));
+		}
+		return noneOpen;
+	}
+
+	private void decide(StrikeKey suspect, List<BackendConnection> others, long brokenAt) {
+		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
+		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(brokenAt)).count();
+		CrashEvidence evidence = new CrashEvidence(others.size(), closed, responding);
+		if (evidence.indicatesCrash()) {
+			this.scheduler.recordCrash(suspect);
+			return;
+		}
+		LOG.info("quarantine.crash-unproven", "fingerprint", suspect.fingerprint(), "backend-server",
+				suspect.process().server(), "connections", evidence.others(), "closed", evidence.closedByServer(),
+				"responding", evidence.responding());
+		this.telemetry.counter("quarantine.crash-unproven").inc();
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -88,7 +88,7 @@
 		String idPrefix = this.fleetSettings.daemon().value() + "-" + membership.incarnation() + "-";
 		RelayServices relayServices = new RelayServices(vertx, ports.protocol(),
 				RelayAdmissionCheck.create(inForce, backendsKnown), inForce, scheduling, fleet, connections,
-				settings.limitTolerance(),
+				CrashDetector.create(vertx, clock, connections, scheduling, telemetry), settings.limitTolerance(),
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -14,6 +14,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.RelayAdmission;
 import org.sardineport.core.relay.RequestProgress;
@@ -215,17 +216,14 @@
 		}
 	}
 
-	// A request may have crashed a backend server only if every connection to that
-	// server is closed. A single broken connection does not indicate a crash.
 	private RunEnd runEnd(AttemptEnd end, Permit usedPermit) {
-		int openConnections = this.services.connections().openConnections(usedPermit.backendServer().id());
-		if (end != AttemptEnd.BROKEN || openConnections == 0) {
+		if (end != AttemptEnd.BROKEN) {
 			return end.runEnd();
 		}
-		LOG.info("quarantine.crash-unproven", "request", id(), "fingerprint", this.planner.fingerprint(),
-				"backend-server", usedPermit.backendServer().id(), "connections", openConnections);
-		this.services.telemetry().counter("quarantine.crash-unproven").inc();
-		return RunEnd.REJECTED;
+		StrikeKey suspect = new StrikeKey(this.planner.fingerprint(), usedPermit.backendServer().process());
+		BackendConnection broken = (this.attempt != null) ? this.attempt.connection() : null;
+		boolean lastConnection = this.services.crashes().connectionBroke(suspect, broken);
+		return lastConnection ? RunEnd.BROKEN : RunEnd.REJECTED;
 	}
 
 	private boolean mayRetry(AttemptEnd end) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -25,6 +25,7 @@
  * @param scheduler decides when and where requests run
  * @param fleet view of the daemons and backend servers
  * @param connections connection pool for backend servers
+ * @param crashes detects crashes of backend servers
  * @param limitTolerance tolerated excess over organisations' limits
  * @param retryAllowance this daemon's share of the fleet's retry budget
  * @param clock a monotonic clock
@@ -34,8 +35,8 @@
  * @param telemetry counters and timers
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
-		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, LimitTolerance limitTolerance,
-		FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random, RetryDelays returnTimes,
-		Supplier<RequestId> schedulingIds, Telemetry telemetry) {
+		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
+		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
+		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -31,6 +31,7 @@
 import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeChannel;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
@@ -191,6 +192,11 @@
 		offerOrDefer(() -> this.scheduler.release(permit, measurement));
 	}
 
+	@Override
+	public void recordCrash(StrikeKey crash) {
+		offerOrDefer(() -> this.scheduler.recordCrash(crash));
+	}
+
 	@Override
 	public void strikesReceived(Collection<Strike> received) {
 		if (!received.isEmpty()) {
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -20,6 +20,7 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.request.Refusal;
 
 /**
@@ -43,6 +44,8 @@
 
 	private final List<RequestId> abandoned = new CopyOnWriteArrayList<>();
 
+	private final List<StrikeKey> crashes = new CopyOnWriteArrayList<>();
+
 	private final List<RunMeasurement> released = new CopyOnWriteArrayList<>();
 
 	private final List<Permit> granted = new CopyOnWriteArrayList<>();
@@ -153,6 +156,16 @@
 		this.abandoned.add(request);
 	}
 
+	@Override
+	public void recordCrash(StrikeKey crash) {
+		this.crashes.add(crash);
+	}
+
+	/** Returns the crashes that were recorded. */
+	public List<StrikeKey> crashes() {
+		return this.crashes;
+	}
+
 	@Override
 	public void release(Permit permit, RunMeasurement measurement) {
 		this.released.add(measurement);
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -221,6 +221,7 @@
 		assertProblem(chat("poison"), RefusalReason.BACKEND_FAILED, "unknown");
 		assertThat(this.fixture.engine.counters().dispatches()).containsEntry("poison", 1);
 		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.BROKEN);
+		assertThat(this.fixture.scheduler.crashes()).hasSize(1);
 	}
 
 	@Test
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
@@ -258,6 +258,7 @@
 		assertThat(response).doesNotContain("\r\n0\r\n");
 		assertThat(this.fixture.refusalCount(RefusalReason.ANSWER_TRUNCATED)).isOne();
 		assertThat(this.fixture.scheduler.ends()).containsExactly(RunEnd.BROKEN);
+		assertThat(this.fixture.scheduler.crashes()).hasSize(1);
 	}
 
 	static void waitUntil(BooleanSupplier condition) {
