--- a/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
+++ b/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
@@ -2,6 +2,7 @@
 
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.StrikeKey;
+import org.sardineport.core.request.Fingerprint;
 
 /**
  * Schedules requests on backend servers. All methods return immediately and are
@@ -38,4 +39,11 @@
 	 */
 	void recordCrash(StrikeKey crash);
 
+	/**
+	 * Records that a request completed with success, so that it is not to blame for any
+	 * crash.
+	 * @param fingerprint the request
+	 */
+	void recordSuccess(Fingerprint fingerprint);
+
 }
--- a/core/src/main/java/org/sardineport/core/quarantine/QuarantineEffects.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/QuarantineEffects.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.quarantine;
 
+import java.util.Collection;
+
 /**
  * Outgoing effects of the quarantine: its events, and the strikes to share with other
  * daemons. Called during calls to the scheduler, on the same thread.
@@ -17,6 +19,10 @@
 		public void share(Strike strike) {
 		}
 
+		@Override
+		public void withdraw(Collection<StrikeKey> strikes) {
+		}
+
 	};
 
 	/**
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeChannel.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeChannel.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.quarantine;
 
+import java.util.Collection;
+
 /**
  * Carries the strikes of this daemon to the other daemons. Implementations are
  * thread-safe and return immediately.
@@ -12,4 +14,10 @@
 	 */
 	void share(Strike strike);
 
+	/**
+	 * Withdraws strikes that no longer count, as their request has completed.
+	 * @param strikes keys of the strikes
+	 */
+	void withdraw(Collection<StrikeKey> strikes);
+
 }
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeReceiver.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeReceiver.java
@@ -15,6 +15,10 @@
 		public void strikesReceived(Collection<Strike> strikes) {
 		}
 
+		@Override
+		public void strikesWithdrawn(Collection<StrikeKey> strikes) {
+		}
+
 	};
 
 	/**
@@ -23,4 +27,10 @@
 	 */
 	void strikesReceived(Collection<Strike> strikes);
 
+	/**
+	 * Called when strikes no longer count, as their request has completed elsewhere.
+	 * @param strikes keys of the strikes
+	 */
+	void strikesWithdrawn(Collection<StrikeKey> strikes);
+
 }
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendProcess;
@@ -18,8 +20,8 @@
 /**
  * Strikes against requests. A request is quarantined once it has strikes from enough
  * distinct processes of backend servers. One process that crashes therefore does not
- * quarantine the requests that ran on it concurrently. A complete response clears the
- * strikes of a request. Not thread-safe.
+ * quarantine the requests that ran on it concurrently. A complete response proves that a
+ * request crashes nothing, and withdraws its strikes. Not thread-safe.
  */
 public final class StrikeRegistry {
 
@@ -32,7 +34,7 @@
 	/** Maximum number of requests with strikes. */
 	private static final int CAPACITY = 10_000;
 
-	private final Map<Fingerprint, Map<BackendProcess, Instant>> strikes = new HashMap<>();
+	private final Map<Fingerprint, Map<BackendProcess, Expiry>> strikes = new HashMap<>();
 
 	private final QuarantineListener listener;
 
@@ -58,8 +60,8 @@
 	public Optional<Strike> record(StrikeKey key, Instant now) {
 		boolean quarantined = isQuarantined(key.fingerprint(), now);
 		Strike strike = new Strike(key, now.plus(STRIKE_LIFETIME));
-		Instant known = strikesOf(key.fingerprint(), now).put(key.process(), strike.expires());
-		boolean added = known == null || !known.isAfter(now);
+		Expiry known = strikesOf(key.fingerprint(), now).put(key.process(), new Expiry(strike.expires(), false));
+		boolean added = known == null || !known.countsAt(now);
 		report((added) ? QuarantineEventKind.STRIKE_RECORDED : QuarantineEventKind.STRIKE_REPEATED, key, now);
 		reportIfBegan(quarantined, key.fingerprint(), now);
 		return (added) ? Optional.of(strike) : Optional.empty();
@@ -67,7 +69,7 @@
 
 	/**
 	 * Adds a strike received from another daemon. It counts no longer than one observed
-	 * now. Ignored if it is known or has expired.
+	 * now. Ignored if it is known, was withdrawn or has expired.
 	 * @param strike the strike
 	 * @param now the current time
 	 */
@@ -78,14 +80,14 @@
 			return;
 		}
 		boolean quarantined = isQuarantined(strike.fingerprint(), now);
-		Instant known = strikesOf(strike.fingerprint(), now).putIfAbsent(strike.process(), expires);
+		Expiry known = strikesOf(strike.fingerprint(), now).putIfAbsent(strike.process(), new Expiry(expires, false));
 		if (known == null) {
 			report(QuarantineEventKind.STRIKE_RECEIVED, strike.key(), now);
 			reportIfBegan(quarantined, strike.fingerprint(), now);
 		}
 	}
 
-	private Map<BackendProcess, Instant> strikesOf(Fingerprint fingerprint, Instant now) {
+	private Map<BackendProcess, Expiry> strikesOf(Fingerprint fingerprint, Instant now) {
 		if (this.strikes.size() >= CAPACITY) {
 			expire(now);
 		}
@@ -93,13 +95,35 @@
 	}
 
 	/**
-	 * Drops all strikes against a request, for use after a complete response.
+	 * Withdraws all strikes against a request, for use after a complete response.
 	 * @param fingerprint the request
 	 * @param now the current time
+	 * @return keys of the strikes that counted until now
 	 */
-	public void clear(Fingerprint fingerprint, Instant now) {
-		if (this.strikes.remove(fingerprint) != null) {
-			report(QuarantineEventKind.CLEARED, fingerprint, null, now);
+	public List<StrikeKey> clear(Fingerprint fingerprint, Instant now) {
+		List<StrikeKey> cleared = this.strikes.getOrDefault(fingerprint, Map.of())
+			.entrySet()
+			.stream()
+			.filter((strike) -> strike.getValue().countsAt(now))
+			.map((strike) -> new StrikeKey(fingerprint, strike.getKey()))
+			.toList();
+		withdraw(cleared, now);
+		return cleared;
+	}
+
+	/**
+	 * Withdraws strikes. They are remembered until they expire, so that they do not count
+	 * if they are received once more.
+	 * @param keys the strikes
+	 * @param now the current time
+	 */
+	public void withdraw(Collection<StrikeKey> keys, Instant now) {
+		for (StrikeKey key : keys) {
+			Expiry former = strikesOf(key.fingerprint(), now).put(key.process(),
+					new Expiry(now.plus(STRIKE_LIFETIME), true));
+			if (former != null && former.countsAt(now)) {
+				report(QuarantineEventKind.CLEARED, key, now);
+			}
 		}
 	}
 
@@ -113,7 +137,8 @@
 		List<Instant> expiries = this.strikes.getOrDefault(fingerprint, Map.of())
 			.values()
 			.stream()
-			.filter((expires) -> expires.isAfter(now))
+			.filter((strike) -> strike.countsAt(now))
+			.map(Expiry::at)
 			.sorted(Comparator.reverseOrder())
 			.toList();
 		return (expiries.size() < STRIKES_TO_QUARANTINE) ? Optional.empty()
@@ -124,6 +149,12 @@
 		return quarantinedUntil(fingerprint, now).isPresent();
 	}
 
+	private Set<BackendProcess> crashedUnder(Fingerprint fingerprint, Instant now) {
+		Map<BackendProcess, Expiry> processes = new HashMap<>(this.strikes.getOrDefault(fingerprint, Map.of()));
+		processes.values().removeIf((strike) -> !strike.countsAt(now));
+		return processes.keySet();
+	}
+
 	/**
 	 * Drops expired strikes. If the capacity is still reached, a tenth of it is freed by
 	 * dropping the requests with the fewest strikes, and of these the ones whose strikes
@@ -132,7 +163,7 @@
 	 */
 	public void expire(Instant now) {
 		List<Fingerprint> dropped = new ArrayList<>();
-		this.strikes.values().forEach((processes) -> processes.values().removeIf((expires) -> !expires.isAfter(now)));
+		this.strikes.values().forEach((processes) -> processes.values().removeIf((strike) -> strike.hasPassed(now)));
 		this.strikes.entrySet().removeIf((entry) -> entry.getValue().isEmpty() && dropped.add(entry.getKey()));
 		if (this.strikes.size() >= CAPACITY) {
 			List<Fingerprint> least = new ArrayList<>(this.strikes.keySet());
@@ -148,16 +179,13 @@
 		return this.strikes.getOrDefault(fingerprint, Map.of())
 			.values()
 			.stream()
+			.map(Expiry::at)
 			.max(Comparator.naturalOrder())
 			.orElse(Instant.MIN);
 	}
 
 	private int count(Fingerprint fingerprint, Instant now) {
-		return (int) this.strikes.getOrDefault(fingerprint, Map.of())
-			.values()
-			.stream()
-			.filter((expires) -> expires.isAfter(now))
-			.count();
+		return crashedUnder(fingerprint, now).size();
 	}
 
 	private void reportIfBegan(boolean before, Fingerprint fingerprint, Instant now) {
@@ -175,4 +203,22 @@
 		this.listener.onQuarantineEvent(new QuarantineEvent(kind, fingerprint, server, count(fingerprint, now)));
 	}
 
+	/**
+	 * Until when a strike is remembered.
+	 *
+	 * @param at time from which it is forgotten
+	 * @param withdrawn whether it no longer counts
+	 */
+	private record Expiry(Instant at, boolean withdrawn) {
+
+		boolean countsAt(Instant now) {
+			return !this.withdrawn && !hasPassed(now);
+		}
+
+		boolean hasPassed(Instant now) {
+			return !this.at.isAfter(now);
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryAccounting.java
@@ -65,14 +65,13 @@
 	}
 
 	/**
-	 * Updates strikes, cache statistics and quotas after a run has ended.
+	 * Updates cache statistics and quotas after a run has ended.
 	 * @param run the run
 	 * @param measurement what was measured
 	 */
 	void recordRun(RunningRequest run, RunMeasurement measurement) {
 		SchedulingRequest request = run.request();
 		if (measurement.end() == RunEnd.COMPLETED) {
-			this.strikes.clear(request.fingerprint(), this.clock.instant());
 			observeCache(run, measurement);
 		}
 		else if (measurement.end() == RunEnd.UNUSED || measurement.end() == RunEnd.NOT_CONNECTED) {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -28,6 +28,7 @@
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeRegistry;
+import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.routing.ServerState;
 
 /**
@@ -300,6 +301,17 @@
 		this.strikes.record(key, this.clock.instant()).ifPresent(this.quarantineEffects::share);
 	}
 
+	/**
+	 * Records that a request completed with success, so that it crashes nothing.
+	 * @param fingerprint the request
+	 */
+	public void recordSuccess(Fingerprint fingerprint) {
+		List<StrikeKey> withdrawn = this.strikes.clear(fingerprint, this.clock.instant());
+		if (!withdrawn.isEmpty()) {
+			this.quarantineEffects.withdraw(withdrawn);
+		}
+	}
+
 	/**
 	 * Adds strikes of other daemons.
 	 * @param received the strikes
@@ -308,6 +320,14 @@
 		received.forEach((strike) -> this.strikes.accept(strike, this.clock.instant()));
 	}
 
+	/**
+	 * Withdraws strikes that another daemon withdrew.
+	 * @param keys the strikes
+	 */
+	public void onStrikesWithdrawn(Collection<StrikeKey> keys) {
+		this.strikes.withdraw(keys, this.clock.instant());
+	}
+
 	private void send(DaemonId to, SchedulingMessage message) {
 		if (this.self.equals(to)) {
 			this.localMessages.addLast(message);
--- a/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
@@ -100,13 +100,24 @@
 	}
 
 	@Test
-	void clearingDropsEarlierStrikes() {
+	void clearingWithdrawsEarlierStrikes() {
 		strike(REQUEST, FIRST);
-		this.registry.clear(REQUEST, NOW);
+		assertThat(this.registry.clear(REQUEST, NOW)).containsExactly(key(REQUEST, FIRST));
 		strike(REQUEST, SECOND);
 		assertThat(isQuarantined(REQUEST)).isFalse();
 	}
 
+	// Guards against a strike that counts again as it arrives late by another way.
+	@Test
+	void withdrawnStrikeDoesNotCountWhenItIsReceivedAgain() {
+		strike(REQUEST, FIRST);
+		this.registry.withdraw(List.of(key(REQUEST, FIRST), key(REQUEST, SECOND)), NOW);
+		receive(FIRST, Duration.ofSeconds(60));
+		receive(SECOND, Duration.ofSeconds(60));
+		strike(REQUEST, THIRD);
+		assertThat(isQuarantined(REQUEST)).isFalse();
+	}
+
 	// Guards against a flood of strikes after crashes that drops the request to blame.
 	@Test
 	void fullRegistryKeepsRequestsWithMostStrikes() {
@@ -128,8 +139,8 @@
 		assertThat(this.events).extracting(QuarantineEvent::kind)
 			.containsExactly(QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.STRIKE_REPEATED,
 					QuarantineEventKind.STRIKE_RECEIVED, QuarantineEventKind.BEGAN, QuarantineEventKind.CLEARED,
-					QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.EXPIRED);
-		assertThat(this.events).extracting(QuarantineEvent::strikes).containsExactly(1, 1, 2, 2, 0, 1, 0);
+					QuarantineEventKind.CLEARED, QuarantineEventKind.STRIKE_RECORDED, QuarantineEventKind.EXPIRED);
+		assertThat(this.events).extracting(QuarantineEvent::strikes).containsExactly(1, 1, 2, 2, 1, 0, 1, 0);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
@@ -70,14 +70,17 @@
 		if (held != null) {
 			this.permit = null;
 			this.scheduler.release(held, measurement);
-			recordCrash(held, measurement.end());
+			recordCrashOrSuccess(held, measurement.end());
 		}
 	}
 
-	private void recordCrash(Permit held, RunEnd end) {
+	private void recordCrashOrSuccess(Permit held, RunEnd end) {
 		if (end == RunEnd.BROKEN) {
 			this.scheduler.recordCrash(new StrikeKey(this.request.fingerprint(), held.backendServer().process()));
 		}
+		else if (end == RunEnd.COMPLETED) {
+			this.scheduler.recordSuccess(this.request.fingerprint());
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.SplittableRandom;
@@ -35,6 +36,7 @@
 import org.sardineport.core.port.platform.VmState;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeChannel;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeReceiver;
 import org.sardineport.daemon.eventloop.EventLoop;
 import org.sardineport.daemon.telemetry.EventLog;
@@ -213,6 +215,12 @@
 		});
 	}
 
+	@Override
+	public void withdraw(Collection<StrikeKey> strikes) {
+		// Not broadcast: a daemon that misses the success of a request keeps its strikes
+		// until it completes there, or until they expire.
+	}
+
 	@Override
 	public FleetSnapshot current() {
 		return this.snapshot;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -153,6 +153,7 @@
 			return;
 		}
 		releasePermit(RunEnd.COMPLETED);
+		recordIfSuccessful(head.status());
 		forward(head.status(), headers, body);
 	}
 
@@ -184,11 +185,19 @@
 	@Override
 	public void responseCompleted() {
 		releasePermit(RunEnd.COMPLETED);
+		recordIfSuccessful(this.status);
 		finish();
 		recordResponse(this.status);
 		this.response.end();
 	}
 
+	// Another response may have been sent before the request was run.
+	private void recordIfSuccessful(int responseStatus) {
+		if (responseStatus / 100 == 2) {
+			this.services.scheduler().recordSuccess(this.planner.fingerprint());
+		}
+	}
+
 	@Override
 	public void failed(AttemptEnd end, String detail) {
 		attemptEnded(end, detail);
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
@@ -1,7 +1,10 @@
 package org.sardineport.daemon.scheduling;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.sardineport.core.quarantine.QuarantineEffects;
@@ -9,6 +12,8 @@
 import org.sardineport.core.quarantine.QuarantineEventKind;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeChannel;
+import org.sardineport.core.quarantine.StrikeKey;
+import org.sardineport.core.request.Fingerprint;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
@@ -24,6 +29,8 @@
 
 	private final List<StrikeChannel> channels = new CopyOnWriteArrayList<>();
 
+	private final Set<Fingerprint> struck = ConcurrentHashMap.newKeySet();
+
 	private QuarantineReporter(Telemetry telemetry) {
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
 		for (QuarantineEventKind kind : QuarantineEventKind.values()) {
@@ -44,13 +51,33 @@
 		this.channels.add(Objects.requireNonNull(channel, "channel must not be null"));
 	}
 
+	/**
+	 * Returns whether there are strikes against a request, as of the last event.
+	 * @param fingerprint the request
+	 * @return whether its success needs to be recorded
+	 */
+	boolean isStruck(Fingerprint fingerprint) {
+		return this.struck.contains(fingerprint);
+	}
+
 	@Override
 	public void share(Strike strike) {
 		this.channels.forEach((channel) -> channel.share(strike));
 	}
 
+	@Override
+	public void withdraw(Collection<StrikeKey> strikes) {
+		this.channels.forEach((channel) -> channel.withdraw(strikes));
+	}
+
 	@Override
 	public void onQuarantineEvent(QuarantineEvent event) {
+		if (event.strikes() > 0) {
+			this.struck.add(event.fingerprint());
+		}
+		else {
+			this.struck.remove(event.fingerprint());
+		}
 		this.telemetry.counter(metric(event.kind())).inc();
 		LOG.info("quarantine." + event.kind().label(), "fingerprint", event.fingerprint(), "backend-server",
 				(event.backendServer() != null) ? event.backendServer() : "-", "strikes", event.strikes());
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -33,6 +33,7 @@
 import org.sardineport.core.quarantine.StrikeChannel;
 import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.quarantine.StrikeReceiver;
+import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
@@ -197,6 +198,13 @@
 		offerOrDefer(() -> this.scheduler.recordCrash(crash));
 	}
 
+	@Override
+	public void recordSuccess(Fingerprint fingerprint) {
+		if (this.quarantine.isStruck(fingerprint)) {
+			offerOrDefer(() -> this.scheduler.recordSuccess(fingerprint));
+		}
+	}
+
 	@Override
 	public void strikesReceived(Collection<Strike> received) {
 		if (!received.isEmpty()) {
@@ -204,6 +212,13 @@
 		}
 	}
 
+	@Override
+	public void strikesWithdrawn(Collection<StrikeKey> withdrawn) {
+		if (!withdrawn.isEmpty()) {
+			offerOrDefer(() -> this.scheduler.onStrikesWithdrawn(withdrawn));
+		}
+	}
+
 	/**
 	 * Adds a channel to the other daemons. Must be called before the start.
 	 * @param channel carries the strikes of this daemon
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -21,6 +21,7 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.StrikeKey;
+import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 
 /**
@@ -46,6 +47,8 @@
 
 	private final List<StrikeKey> crashes = new CopyOnWriteArrayList<>();
 
+	private final List<Fingerprint> successes = new CopyOnWriteArrayList<>();
+
 	private final List<RunMeasurement> released = new CopyOnWriteArrayList<>();
 
 	private final List<Permit> granted = new CopyOnWriteArrayList<>();
@@ -161,11 +164,21 @@
 		this.crashes.add(crash);
 	}
 
+	@Override
+	public void recordSuccess(Fingerprint fingerprint) {
+		this.successes.add(fingerprint);
+	}
+
 	/** Returns the crashes that were recorded. */
 	public List<StrikeKey> crashes() {
 		return this.crashes;
 	}
 
+	/** Returns the requests whose success was recorded. */
+	public List<Fingerprint> successes() {
+		return this.successes;
+	}
+
 	@Override
 	public void release(Permit permit, RunMeasurement measurement) {
 		this.released.add(measurement);
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/FleetServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/FleetServiceTests.java
@@ -238,6 +238,10 @@
 			this.first.complete(strikes.iterator().next());
 		}
 
+		@Override
+		public void strikesWithdrawn(Collection<StrikeKey> strikes) {
+		}
+
 	}
 
 }
