Quarantine after two crashes only what alone can be to blame

Cause: all requests that ran on a process when it crashed get a strike, and two strikes were enough whoever else had them.

Change: two strikes quarantine a request if no other request has strikes from two or more of the same processes; otherwise it takes three. So an innocent request is refused only if it was there at two crashes without company, or at three in all; and one that crashes whatever runs it is refused after the third crash at the latest, which is from where the users count. Both bounds are tests of StrikeRegistry.

Weighed: three strikes for all would let a request that nobody can be mistaken for end one more backend server; leaving out strikes of a process whose crash another request explains would let two such requests cover each other without end.

--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -18,18 +18,27 @@
 import org.sardineport.core.request.Fingerprint;
 
 /**
- * Strikes against requests. A request is quarantined once it has strikes from enough
- * distinct processes of backend servers. One process that crashes therefore does not
- * quarantine the requests that ran on it concurrently. A complete response proves that a
- * request crashes nothing, and withdraws its strikes. Not thread-safe.
+ * Strikes against requests, and the requests that are quarantined because of them. Every
+ * request that ran on a process when it crashed has a strike, though at most one of them
+ * is to blame. A request is therefore quarantined with
+ * <ul>
+ * <li>{@value #STRIKES_WITHOUT_DOUBT} strikes, if no other request has strikes from as
+ * many of the same processes,</li>
+ * <li>{@value #STRIKES_IN_DOUBT} strikes otherwise.</li>
+ * </ul>
+ * A complete response proves that a request crashes nothing, and withdraws its strikes.
+ * Not thread-safe.
  */
 public final class StrikeRegistry {
 
 	/** Time during which a strike counts. */
 	public static final Duration STRIKE_LIFETIME = Duration.ofMinutes(10);
 
-	/** Number of distinct processes whose strikes quarantine a request. */
-	private static final int STRIKES_TO_QUARANTINE = 2;
+	/** Strikes that quarantine a request that alone can be to blame for them. */
+	private static final int STRIKES_WITHOUT_DOUBT = 2;
+
+	/** Strikes that quarantine a request even if another may be to blame. */
+	private static final int STRIKES_IN_DOUBT = 3;
 
 	/** Maximum number of requests with strikes. */
 	private static final int CAPACITY = 10_000;
@@ -141,14 +150,27 @@
 			.map(Expiry::at)
 			.sorted(Comparator.reverseOrder())
 			.toList();
-		return (expiries.size() < STRIKES_TO_QUARANTINE) ? Optional.empty()
-				: Optional.of(expiries.get(STRIKES_TO_QUARANTINE - 1));
+		if (expiries.size() < STRIKES_WITHOUT_DOUBT) {
+			return Optional.empty();
+		}
+		int needed = isAloneToBlame(fingerprint, now) ? STRIKES_WITHOUT_DOUBT : STRIKES_IN_DOUBT;
+		return (expiries.size() < needed) ? Optional.empty() : Optional.of(expiries.get(needed - 1));
 	}
 
 	private boolean isQuarantined(Fingerprint fingerprint, Instant now) {
 		return quarantinedUntil(fingerprint, now).isPresent();
 	}
 
+	private boolean isAloneToBlame(Fingerprint fingerprint, Instant now) {
+		Set<BackendProcess> crashed = crashedUnder(fingerprint, now);
+		return this.strikes.keySet()
+			.stream()
+			.filter((other) -> !other.equals(fingerprint))
+			.noneMatch((other) -> crashedUnder(other, now).stream()
+				.filter(crashed::contains)
+				.count() >= STRIKES_WITHOUT_DOUBT);
+	}
+
 	private Set<BackendProcess> crashedUnder(Fingerprint fingerprint, Instant now) {
 		Map<BackendProcess, Expiry> processes = new HashMap<>(this.strikes.getOrDefault(fingerprint, Map.of()));
 		processes.values().removeIf((strike) -> !strike.countsAt(now));
--- a/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/quarantine/StrikeRegistryTests.java
@@ -13,8 +13,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a request that crashes one process after the other, and against strikes
- * that count too long.
+ * Guards against a request that crashes one process after the other, against quarantine
+ * of a request that only ran beside such a one, and against strikes that count too long.
  */
 class StrikeRegistryTests {
 
@@ -22,6 +22,8 @@
 
 	private static final Fingerprint REQUEST = Fingerprint.of(1, 2);
 
+	private static final Fingerprint OTHER = Fingerprint.of(3, 4);
+
 	private static final BackendProcess FIRST = process("s1", 1);
 
 	private static final BackendProcess SECOND = process("s2", 1);
@@ -78,6 +80,40 @@
 		assertThat(this.registry.quarantinedUntil(REQUEST, NOW.plusSeconds(600))).isEmpty();
 	}
 
+	// Guards against quarantine of an innocent request that ran twice beside one that
+	// crashes backend servers.
+	@Test
+	void requestsThatShareTheirCrashesAreNotQuarantinedYet() {
+		strike(REQUEST, FIRST, SECOND);
+		strike(OTHER, FIRST, SECOND);
+		assertThat(isQuarantined(REQUEST)).isFalse();
+		assertThat(isQuarantined(OTHER)).isFalse();
+	}
+
+	@Test
+	void thirdCrashQuarantinesTheOneThatWasThere() {
+		strike(REQUEST, FIRST, SECOND);
+		strike(OTHER, FIRST, SECOND, THIRD);
+		assertThat(isQuarantined(REQUEST)).isFalse();
+		assertThat(isQuarantined(OTHER)).isTrue();
+	}
+
+	// Bounds the doubt in favour of a request: no company saves it from the third crash.
+	@Test
+	void threeCrashesQuarantineWhoeverElseWasThere() {
+		strike(REQUEST, FIRST, SECOND, THIRD);
+		strike(OTHER, FIRST, SECOND, THIRD);
+		assertThat(isQuarantined(REQUEST)).isTrue();
+		assertThat(isQuarantined(OTHER)).isTrue();
+	}
+
+	@Test
+	void requestThatSharedOneCrashLeavesNoDoubt() {
+		strike(OTHER, FIRST, THIRD);
+		strike(REQUEST, FIRST, SECOND);
+		assertThat(isQuarantined(REQUEST)).isTrue();
+	}
+
 	@Test
 	void strikesFromOtherDaemonsCount() {
 		strike(REQUEST, FIRST);
