Broadcast strikes without waiting for probes

What callers saw: on fleets of dozens of daemons, a request that crashes backend servers was run by daemons that had not heard of its crashes yet.

Cause: strikes travelled with the probes alone, four in a message. A crash leaves a strike against each request that ran there; a dozen of them did not reach all daemons within the 3 s after which the users count.

--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -163,11 +163,13 @@
 	}
 
 	/**
-	 * Broadcasts a strike to all members.
+	 * Broadcasts a strike to all members, beginning with the next tick.
 	 * @param strike the strike
 	 */
 	public void broadcast(StrikeUpdate strike) {
-		this.backendUpdates.add(strike, this.clock.instant());
+		if (this.backendUpdates.add(strike, this.clock.instant())) {
+			this.outbox.scheduleUrgent(1, URGENT_FANOUT);
+		}
 	}
 
 	/**
@@ -338,6 +340,7 @@
 		for (StrikeUpdate strike : updates.strikes()) {
 			if (this.backendUpdates.add(strike, now)) {
 				this.output.onStrike(strike);
+				this.outbox.scheduleUrgent(1, RELAYED_FANOUT);
 			}
 		}
 		for (LeavingUpdate leaving : updates.leavingBackends()) {
--- a/core/src/main/java/org/sardineport/core/membership/UpdateComposer.java
+++ b/core/src/main/java/org/sardineport/core/membership/UpdateComposer.java
@@ -20,9 +20,12 @@
 	private static final int MAX_MEMBERS = 8;
 
 	/**
-	 * Maximum number of updates of each other kind: strikes and leaving backend servers.
+	 * Maximum number of strikes. All requests that ran on a process that crashed get one.
 	 */
-	private static final int MAX_BACKEND_UPDATES = 4;
+	private static final int MAX_STRIKES = 12;
+
+	/** Maximum number of leaving backend servers. */
+	private static final int MAX_LEAVING = 4;
 
 	/** Maximum number of members being broadcast; the oldest is dropped first. */
 	private static final int MEMBER_QUEUE_CAPACITY = 4096;
@@ -73,8 +76,8 @@
 				selected.add(peer.member());
 			}
 		}
-		return new GossipUpdates(selected, this.backendUpdates.takeStrikes(MAX_BACKEND_UPDATES, maxTransmissions, now),
-				this.backendUpdates.takeLeaving(MAX_BACKEND_UPDATES, maxTransmissions, now));
+		return new GossipUpdates(selected, this.backendUpdates.takeStrikes(MAX_STRIKES, maxTransmissions, now),
+				this.backendUpdates.takeLeaving(MAX_LEAVING, maxTransmissions, now));
 	}
 
 	private static boolean isSuspectOrDead(Peer peer) {
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -3,7 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -21,6 +25,7 @@
 import org.sardineport.core.membership.MembershipOutput;
 import org.sardineport.core.membership.MembershipTiming;
 import org.sardineport.core.membership.StrikeUpdate;
+import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.standins.peer.InMemoryPeerNetwork;
 import org.sardineport.standins.peer.InMemoryPeerTransport;
 import org.sardineport.standins.peer.NetworkConditions;
@@ -50,6 +55,8 @@
 
 	private final List<Observation> observations = new ArrayList<>();
 
+	private final Map<DaemonId, Set<StrikeKey>> strikes = new HashMap<>();
+
 	private Consumer<MembershipMessage> sendListener = (message) -> {
 	};
 
@@ -207,6 +214,15 @@
 			.orElse(MemberStatus.DEAD);
 	}
 
+	/**
+	 * Returns the strikes that a daemon has received from others.
+	 * @param number its number
+	 * @return keys of the strikes
+	 */
+	public Set<StrikeKey> receivedStrikes(int number) {
+		return Set.copyOf(this.strikes.getOrDefault(id(number), Set.of()));
+	}
+
 	/**
 	 * Returns the name of a daemon.
 	 * @param number its number
@@ -286,6 +302,7 @@
 
 		@Override
 		public void onStrike(StrikeUpdate strike) {
+			VirtualFleet.this.strikes.computeIfAbsent(this.observer, (daemon) -> new HashSet<>()).add(strike.key());
 		}
 
 		@Override
