Keep strikes in the platform's store

What callers saw: daemons that started later, or that other daemons did not reach, ran a request that had crashed backend servers before.

Cause: strikes lived in the memory of the daemons and were broadcast once. The answers to a daemon that joins, and the periodic exchange, hold members only. After a restart of all daemons nothing was known any more; and a daemon that is cut off from the others, but not from the store, its callers and the backend servers, counts as in touch for the users.

Change: StoredStrikes writes each strike into a keyed topic of the store and follows it. The broadcast stays, for when the store is down.

Weighed: sending strikes with the answers to daemons that join needs no store, but helps neither a fleet that lost all daemons nor one that is cut in parts.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -78,6 +78,8 @@
 				transport, clock, random.split(), telemetry);
 		fleet.setStrikeReceiver(scheduling);
 		scheduling.addStrikeChannel(fleet);
+		scheduling.addStrikeChannel(ports.strikes());
+		ports.strikes().listen(scheduling);
 		ConfigurationInForce inForce = ConfigurationInForce.create(settings.proofLifetime(), clockPair);
 		ports.configuration()
 			.listen(new ConfigurationWatch(inForce, telemetry),
@@ -97,8 +99,8 @@
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
 				this.readiness, telemetry);
 		fleet.reportFrom(this.readiness);
-		this.services = ServiceSequence
-			.of(List.of(server, ports.configuration(), transport, fleet, scheduling, connections, endpoints));
+		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, fleet,
+				scheduling, connections, endpoints));
 		this.stop = StopCoordinator.create(settings.stop(), new RelayStopActions(fleet, server, this.readiness), clock,
 				telemetry);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
@@ -4,6 +4,7 @@
 
 import org.sardineport.core.port.platform.VmList;
 import org.sardineport.core.port.relay.ConfigurationFeed;
+import org.sardineport.core.quarantine.StrikeStore;
 
 /**
  * Interfaces through which a forwarding daemon uses its platform.
@@ -11,8 +12,9 @@
  * @param protocol header names and body formats of callers and backend servers
  * @param vmList source of the list of backend servers and daemons
  * @param configuration source of the operators' configuration
+ * @param strikes strikes against requests that daemons share
  */
-public record RelayPorts(RelayProtocol protocol, VmList vmList, ConfigurationFeed configuration) {
+public record RelayPorts(RelayProtocol protocol, VmList vmList, ConfigurationFeed configuration, StrikeStore strikes) {
 
 	/**
 	 * Creates the ports, all of which are required.
@@ -21,6 +23,7 @@
 		Objects.requireNonNull(protocol, "protocol must not be null");
 		Objects.requireNonNull(vmList, "vmList must not be null");
 		Objects.requireNonNull(configuration, "configuration must not be null");
+		Objects.requireNonNull(strikes, "strikes must not be null");
 	}
 
 }
