--- a/core/src/main/java/org/sardineport/core/admission/Permit.java
+++ b/core/src/main/java/org/sardineport/core/admission/Permit.java
@@ -22,7 +22,7 @@
 	public Permit {
 		Objects.requireNonNull(request, "request must not be null");
 		Objects.requireNonNull(backendServer, "backendServer must not be null");
-		Objects.requireNonNull(expires, "lapses must not be null");
+		Objects.requireNonNull(expires, "expires must not be null");
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -53,7 +53,7 @@
 		Objects.requireNonNull(organisationLimit, "organisationLimit must not be null");
 		excludedServers = Set.copyOf(excludedServers);
 		Objects.requireNonNull(arrival, "arrival must not be null");
-		Objects.requireNonNull(startDeadlines, "patience must not be null");
+		Objects.requireNonNull(startDeadlines, "startDeadlines must not be null");
 		Objects.requireNonNull(deadline, "deadline must not be null");
 	}
 
--- a/core/src/main/java/org/sardineport/core/admission/StartDeadlines.java
+++ b/core/src/main/java/org/sardineport/core/admission/StartDeadlines.java
@@ -8,15 +8,17 @@
  *
  * @param targetStartBy time until which the start of the response is early enough for the
  * caller
- * @param startBy time until which the caller still waits; not before {@code promptBy}
+ * @param startBy time until which the caller still waits; not before
+ * {@code targetStartBy}
  */
 public record StartDeadlines(Instant targetStartBy, Instant startBy) {
 
 	/**
-	 * Creates the times and raises {@code startBy} to {@code promptBy} if it is earlier.
+	 * Creates the times and raises {@code startBy} to {@code targetStartBy} if it is
+	 * earlier.
 	 */
 	public StartDeadlines {
-		Objects.requireNonNull(targetStartBy, "promptBy must not be null");
+		Objects.requireNonNull(targetStartBy, "targetStartBy must not be null");
 		Objects.requireNonNull(startBy, "startBy must not be null");
 		startBy = startBy.isBefore(targetStartBy) ? targetStartBy : startBy;
 	}
--- a/core/src/main/java/org/sardineport/core/membership/IndirectProbeRequest.java
+++ b/core/src/main/java/org/sardineport/core/membership/IndirectProbeRequest.java
@@ -22,7 +22,7 @@
 	public IndirectProbeRequest {
 		Objects.requireNonNull(target, "target must not be null");
 		Objects.requireNonNull(targetAddress, "targetAddress must not be null");
-		Objects.requireNonNull(updates, "news must not be null");
+		Objects.requireNonNull(updates, "updates must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/membership/JoinRequest.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinRequest.java
@@ -14,7 +14,7 @@
 	 * Creates the message.
 	 */
 	public JoinRequest {
-		Objects.requireNonNull(updates, "news must not be null");
+		Objects.requireNonNull(updates, "updates must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/membership/JoinResponse.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinResponse.java
@@ -14,7 +14,7 @@
 	 * Creates the message.
 	 */
 	public JoinResponse {
-		Objects.requireNonNull(updates, "news must not be null");
+		Objects.requireNonNull(updates, "updates must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/membership/ProbeRequest.java
+++ b/core/src/main/java/org/sardineport/core/membership/ProbeRequest.java
@@ -14,7 +14,7 @@
 	 * Creates the message.
 	 */
 	public ProbeRequest {
-		Objects.requireNonNull(updates, "news must not be null");
+		Objects.requireNonNull(updates, "updates must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/membership/ProbeResponse.java
+++ b/core/src/main/java/org/sardineport/core/membership/ProbeResponse.java
@@ -15,7 +15,7 @@
 	 * Creates the message.
 	 */
 	public ProbeResponse {
-		Objects.requireNonNull(updates, "news must not be null");
+		Objects.requireNonNull(updates, "updates must not be null");
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/publishing/RiskyChangeWarning.java
+++ b/core/src/main/java/org/sardineport/core/publishing/RiskyChangeWarning.java
@@ -17,7 +17,7 @@
 	 * Creates the warning; no component may be null.
 	 */
 	public RiskyChangeWarning {
-		Objects.requireNonNull(riskyChange, "slip must not be null");
+		Objects.requireNonNull(riskyChange, "riskyChange must not be null");
 		Objects.requireNonNull(profile, "profile must not be null");
 		Objects.requireNonNull(place, "place must not be null");
 	}
--- a/core/src/main/java/org/sardineport/core/relay/RelayRoute.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayRoute.java
@@ -37,7 +37,7 @@
 	public RelayRoute {
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(host, "host must not be null");
-		Objects.requireNonNull(rerunPolicy, "repetition must not be null");
+		Objects.requireNonNull(rerunPolicy, "rerunPolicy must not be null");
 		Objects.requireNonNull(timeout, "timeout must not be null");
 		Objects.requireNonNull(objective, "objective must not be null");
 		pools = List.copyOf(pools);
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitRequest.java
@@ -51,7 +51,7 @@
 		Objects.requireNonNull(runningPolicy, "runningPolicy must not be null");
 		Objects.requireNonNull(fingerprint, "fingerprint must not be null");
 		Objects.requireNonNull(remaining, "remaining must not be null");
-		Objects.requireNonNull(targetStartWithin, "promptWithin must not be null");
+		Objects.requireNonNull(targetStartWithin, "targetStartWithin must not be null");
 		Objects.requireNonNull(startWithin, "startWithin must not be null");
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AddedRequestHeaders.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AddedRequestHeaders.java
@@ -24,7 +24,7 @@
 	 */
 	public AddedRequestHeaders {
 		Objects.requireNonNull(server, "server must not be null");
-		Objects.requireNonNull(remainingTime, "timeLeft must not be null");
+		Objects.requireNonNull(remainingTime, "remainingTime must not be null");
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -78,7 +78,7 @@
 
 	private final Scheduler scheduler;
 
-	private final EventLoop duty;
+	private final EventLoop eventLoop;
 
 	private final Queue<Runnable> deferred = new ConcurrentLinkedQueue<>();
 
@@ -106,7 +106,7 @@
 				settings.maximumWaiting(), assumptions);
 		this.scheduler = Scheduler.create(this.latestSnapshot.self(), limits, ownerLookup, clock, random,
 				new Effects());
-		this.duty = EventLoop.create("scheduling", RING_SIZE, TICK, this::tick);
+		this.eventLoop = EventLoop.create("scheduling", RING_SIZE, TICK, this::tick);
 	}
 
 	/**
@@ -168,17 +168,17 @@
 	@Override
 	public CompletionStage<Void> start() {
 		offer("fleet", () -> this.scheduler.onFleetSnapshot(this.latestSnapshot));
-		return this.duty.start();
+		return this.eventLoop.start();
 	}
 
 	@Override
 	public CompletionStage<Void> stop() {
-		return this.duty.stop();
+		return this.eventLoop.stop();
 	}
 
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
-		if (!this.duty.offer(() -> this.scheduler.submit(request, listener))) {
+		if (!this.eventLoop.offer(() -> this.scheduler.submit(request, listener))) {
 			listener.refused(Refusal.retryAfter(RefusalReason.RING_FULL, "the scheduling ring is full", TICK));
 		}
 	}
@@ -245,7 +245,7 @@
 	}
 
 	private void offer(String kind, Runnable command) {
-		if (!this.duty.offer(command)) {
+		if (!this.eventLoop.offer(command)) {
 			this.telemetry.counter("scheduling.ring-full." + kind).inc();
 		}
 	}
@@ -257,7 +257,7 @@
 	 * @param command the command
 	 */
 	private void offerOrDefer(Runnable command) {
-		if (!this.duty.offer(command)) {
+		if (!this.eventLoop.offer(command)) {
 			this.deferred.add(command);
 		}
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/stop/StopCoordinator.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stop/StopCoordinator.java
@@ -26,7 +26,7 @@
 
 	private static final Duration TICK = Duration.ofMillis(20);
 
-	private final EventLoop duty;
+	private final EventLoop eventLoop;
 
 	private final PlannedStop state;
 
@@ -45,7 +45,7 @@
 	private StopPhase phase = StopPhase.SERVING;
 
 	private StopCoordinator(StopTiming timing, StopActions actions, InstantSource clock, Telemetry telemetry) {
-		this.duty = EventLoop.create("planned-stop", RING_SIZE, TICK, this::tick);
+		this.eventLoop = EventLoop.create("planned-stop", RING_SIZE, TICK, this::tick);
 		this.state = PlannedStop.create(timing, clock);
 		this.actions = actions;
 		this.telemetry = telemetry;
@@ -77,8 +77,8 @@
 			LOG.info("stop.request-ignored", "reason", "a planned stop is under way");
 			return this.ended.copy();
 		}
-		this.duty.offer(this::begin);
-		this.duty.start();
+		this.eventLoop.offer(this::begin);
+		this.eventLoop.start();
 		return this.ended.copy();
 	}
 
@@ -124,7 +124,7 @@
 	}
 
 	private void end() {
-		this.duty.stop();
+		this.eventLoop.stop();
 		this.ended.complete(null);
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -63,7 +63,7 @@
 	public void encode(MembershipMessage message, Envelope.Builder envelope) {
 		org.sardineport.wire.message.MembershipMessage.Builder body = org.sardineport.wire.message.MembershipMessage
 			.newBuilder();
-		encodeNews(message.updates(), envelope, body);
+		encodeUpdates(message.updates(), envelope, body);
 		if (message instanceof ProbeRequest probe) {
 			body.setProbe(Probe.newBuilder().setSequence(probe.sequence()));
 		}
@@ -89,30 +89,30 @@
 	@Override
 	public MembershipMessage decode(Envelope envelope) throws MalformedMessageException {
 		org.sardineport.wire.message.MembershipMessage body = envelope.getMembership();
-		GossipUpdates news = decodeNews(envelope, body);
+		GossipUpdates updates = decodeUpdates(envelope, body);
 		return switch (body.getBodyCase()) {
-			case PROBE -> new ProbeRequest(body.getProbe().getSequence(), news);
-			case ANSWER -> new ProbeResponse(body.getAnswer().getSequence(), news);
-			case INDIRECT -> decodeIndirect(body.getIndirect(), news);
-			case JOIN -> new JoinRequest(body.getJoin().getComplete(), news);
-			case JOIN_ANSWER -> new JoinResponse(news);
+			case PROBE -> new ProbeRequest(body.getProbe().getSequence(), updates);
+			case ANSWER -> new ProbeResponse(body.getAnswer().getSequence(), updates);
+			case INDIRECT -> decodeIndirect(body.getIndirect(), updates);
+			case JOIN -> new JoinRequest(body.getJoin().getComplete(), updates);
+			case JOIN_ANSWER -> new JoinResponse(updates);
 			case BODY_NOT_SET -> throw MalformedMessageException.of("membership message without a body");
 		};
 	}
 
-	private static IndirectProbeRequest decodeIndirect(IndirectProbe probe, GossipUpdates news) {
+	private static IndirectProbeRequest decodeIndirect(IndirectProbe probe, GossipUpdates updates) {
 		return new IndirectProbeRequest(probe.getSequence(), DaemonId.of(probe.getTarget()),
-				NetworkAddress.of(probe.getTargetIp(), probe.getTargetPort()), news);
+				NetworkAddress.of(probe.getTargetIp(), probe.getTargetPort()), updates);
 	}
 
-	private static void encodeNews(GossipUpdates news, Envelope.Builder envelope,
+	private static void encodeUpdates(GossipUpdates updates, Envelope.Builder envelope,
 			org.sardineport.wire.message.MembershipMessage.Builder body) {
-		news.members().forEach((member) -> body.addUpdates(encodeMember(member, envelope)));
-		news.strikes().forEach((strike) -> body.addStrikes(encodeStrike(strike)));
-		news.leavingBackends().forEach((leaving) -> body.addLeavingBackends(encodeLeaving(leaving)));
+		updates.members().forEach((member) -> body.addUpdates(encodeMember(member, envelope)));
+		updates.strikes().forEach((strike) -> body.addStrikes(encodeStrike(strike)));
+		updates.leavingBackends().forEach((leaving) -> body.addLeavingBackends(encodeLeaving(leaving)));
 	}
 
-	private static GossipUpdates decodeNews(Envelope envelope, org.sardineport.wire.message.MembershipMessage body)
+	private static GossipUpdates decodeUpdates(Envelope envelope, org.sardineport.wire.message.MembershipMessage body)
 			throws MalformedMessageException {
 		Member[] members = new Member[body.getUpdatesCount()];
 		for (int i = 0; i < members.length; i++) {
