--- a/core/src/main/java/org/sardineport/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/CrashEvidence.java
@@ -1,10 +1,10 @@
 package org.sardineport.core.quarantine;
 
 /**
- * What the other connections of a daemon to a process of a backend server tell of it,
- * some time after one connection broke. The connections of a process that crashes close
- * one after the other, and some may have been cut off silently before; a network that
- * breaks a connection leaves the process able to respond on others.
+ * State of a daemon's other connections to a process of a backend server, some time after
+ * one connection to it broke. When a process crashes, its connections close one after
+ * another, except those that the network had cut off silently. When only the network
+ * broke a connection, the process still responds on others.
  *
  * @param others connections that were open shortly before the break, without the broken
  * one
@@ -27,8 +27,8 @@
 
 	/**
 	 * Returns whether the process has probably crashed.
-	 * @return {@code true} if no connection shows that it lives, and another one closed
-	 * or there was none
+	 * @return {@code true} if it has responded on no connection, and has closed another
+	 * one or there was none
 	 */
 	public boolean indicatesCrash() {
 		return this.responding == 0 && (this.closedByServer > 0 || this.others == 0);
--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -22,23 +22,23 @@
  * request that ran on a process when it crashed has a strike, though at most one of them
  * is to blame. A request is therefore quarantined with
  * <ul>
- * <li>{@value #STRIKES_WITHOUT_DOUBT} strikes, if no other request has strikes from as
- * many of the same processes,</li>
- * <li>{@value #STRIKES_IN_DOUBT} strikes otherwise.</li>
+ * <li>{@value #MIN_STRIKES_IF_UNAMBIGUOUS} strikes, if no other request has strikes from
+ * as many of the same processes,</li>
+ * <li>{@value #MIN_STRIKES_IF_AMBIGUOUS} strikes otherwise.</li>
  * </ul>
- * A complete response proves that a request crashes nothing, and withdraws its strikes.
- * Not thread-safe.
+ * A success proves that a request crashes nothing, and withdraws its strikes. Not
+ * thread-safe.
  */
 public final class StrikeRegistry {
 
 	/** Time during which a strike counts. */
 	public static final Duration STRIKE_LIFETIME = Duration.ofMinutes(10);
 
-	/** Strikes that quarantine a request that alone can be to blame for them. */
-	private static final int STRIKES_WITHOUT_DOUBT = 2;
+	/** Number of strikes that quarantine a request if no other can be to blame. */
+	private static final int MIN_STRIKES_IF_UNAMBIGUOUS = 2;
 
-	/** Strikes that quarantine a request even if another may be to blame. */
-	private static final int STRIKES_IN_DOUBT = 3;
+	/** Number of strikes that quarantine a request even if another may be to blame. */
+	private static final int MIN_STRIKES_IF_AMBIGUOUS = 3;
 
 	/** Maximum number of requests with strikes. */
 	private static final int CAPACITY = 10_000;
@@ -104,7 +104,7 @@
 	}
 
 	/**
-	 * Withdraws all strikes against a request, for use after a complete response.
+	 * Withdraws all strikes against a request, for use after a success.
 	 * @param fingerprint the request
 	 * @param now the current time
 	 * @return keys of the strikes that counted until now
@@ -150,10 +150,10 @@
 			.map(Expiry::at)
 			.sorted(Comparator.reverseOrder())
 			.toList();
-		if (expiries.size() < STRIKES_WITHOUT_DOUBT) {
+		if (expiries.size() < MIN_STRIKES_IF_UNAMBIGUOUS) {
 			return Optional.empty();
 		}
-		int needed = isAloneToBlame(fingerprint, now) ? STRIKES_WITHOUT_DOUBT : STRIKES_IN_DOUBT;
+		int needed = isUnambiguous(fingerprint, now) ? MIN_STRIKES_IF_UNAMBIGUOUS : MIN_STRIKES_IF_AMBIGUOUS;
 		return (expiries.size() < needed) ? Optional.empty() : Optional.of(expiries.get(needed - 1));
 	}
 
@@ -161,17 +161,17 @@
 		return quarantinedUntil(fingerprint, now).isPresent();
 	}
 
-	private boolean isAloneToBlame(Fingerprint fingerprint, Instant now) {
-		Set<BackendProcess> crashed = crashedUnder(fingerprint, now);
+	private boolean isUnambiguous(Fingerprint fingerprint, Instant now) {
+		Set<BackendProcess> crashed = crashedProcesses(fingerprint, now);
 		return this.strikes.keySet()
 			.stream()
 			.filter((other) -> !other.equals(fingerprint))
-			.noneMatch((other) -> crashedUnder(other, now).stream()
+			.noneMatch((other) -> crashedProcesses(other, now).stream()
 				.filter(crashed::contains)
-				.count() >= STRIKES_WITHOUT_DOUBT);
+				.count() >= MIN_STRIKES_IF_UNAMBIGUOUS);
 	}
 
-	private Set<BackendProcess> crashedUnder(Fingerprint fingerprint, Instant now) {
+	private Set<BackendProcess> crashedProcesses(Fingerprint fingerprint, Instant now) {
 		Map<BackendProcess, Expiry> processes = new HashMap<>(this.strikes.getOrDefault(fingerprint, Map.of()));
 		processes.values().removeIf((strike) -> !strike.countsAt(now));
 		return processes.keySet();
@@ -207,7 +207,7 @@
 	}
 
 	private int count(Fingerprint fingerprint, Instant now) {
-		return crashedUnder(fingerprint, now).size();
+		return crashedProcesses(fingerprint, now).size();
 	}
 
 	private void reportIfBegan(boolean before, Fingerprint fingerprint, Instant now) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
@@ -62,7 +62,7 @@
 	 * connection the decision is made at once, otherwise after {@link #WINDOW}.
 	 * @param suspect the request, and the process to which the connection was
 	 * @param broken the connection, or {@code null} if it is not known
-	 * @return whether no other connection to the process is open
+	 * @return whether no other connection to the process is open now
 	 */
 	boolean connectionBroke(StrikeKey suspect, @Nullable BackendConnection broken) {
 		long now = this.clock.millis();
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/QuarantineReporter.java
@@ -29,7 +29,7 @@
 
 	private final List<StrikeChannel> channels = new CopyOnWriteArrayList<>();
 
-	private final Set<Fingerprint> struck = ConcurrentHashMap.newKeySet();
+	private final Set<Fingerprint> struckRequests = ConcurrentHashMap.newKeySet();
 
 	private QuarantineReporter(Telemetry telemetry) {
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
@@ -57,7 +57,7 @@
 	 * @return whether its success needs to be recorded
 	 */
 	boolean isStruck(Fingerprint fingerprint) {
-		return this.struck.contains(fingerprint);
+		return this.struckRequests.contains(fingerprint);
 	}
 
 	@Override
@@ -73,10 +73,10 @@
 	@Override
 	public void onQuarantineEvent(QuarantineEvent event) {
 		if (event.strikes() > 0) {
-			this.struck.add(event.fingerprint());
+			this.struckRequests.add(event.fingerprint());
 		}
 		else {
-			this.struck.remove(event.fingerprint());
+			this.struckRequests.remove(event.fingerprint());
 		}
 		this.telemetry.counter(metric(event.kind())).inc();
 		LOG.info("quarantine." + event.kind().label(), "fingerprint", event.fingerprint(), "backend-server",
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -110,7 +110,7 @@
 	}
 
 	/**
-	 * Returns an event loop that is not started yet. Must be called before the transport
+	 * Returns a service that is not started yet. Must be called before the transport
 	 * starts, as it registers a message listener.
 	 * @param settings limits of scheduling
 	 * @param fleet the view of the fleet
@@ -120,7 +120,7 @@
 	 * @param clock the clock
 	 * @param random source of randomness
 	 * @param telemetry counts retries, dropped commands and failed load reports
-	 * @return the event loop
+	 * @return the service
 	 */
 	public static SchedulingService create(SchedulingSettings settings, FleetView fleet, OwnerLookup ownerLookup,
 			PeerTransport transport, ModelEngine engine, InstantSource clock, RandomGenerator random,
@@ -130,8 +130,8 @@
 	}
 
 	/**
-	 * Returns an event loop that is not started yet, for engines without load reports.
-	 * Must be called before the transport starts, as it registers a message listener.
+	 * Returns a service that is not started yet, for engines without load reports. Must
+	 * be called before the transport starts, as it registers a message listener.
 	 * @param settings limits of scheduling
 	 * @param assumptions assumed properties of the engines
 	 * @param fleet the view of the fleet
@@ -139,7 +139,7 @@
 	 * @param clock the clock
 	 * @param random source of randomness
 	 * @param telemetry counts retries and dropped commands
-	 * @return the event loop
+	 * @return the service
 	 */
 	public static SchedulingService withoutLoadReports(SchedulingSettings settings, EngineAssumptions assumptions,
 			FleetView fleet, PeerTransport transport, InstantSource clock, RandomGenerator random,
