Compare strikes of requests without copying them, and reuse isSuccess

- Whether another request shares the crashes of one with two strikes copied the strikes of every known request, up to 10,000, at each submission of such a request: just the one that is sent again and again.
Two look-ups for each other request do, without a copy; the number of strikes is counted without one too.
- QuarantineListener had one method and stood beside QuarantineEffects with the same one; the registry takes a Consumer of events.
- RelayRun computed "2xx" beside ResponseHead.isSuccess(); it keeps the head of the response that it began to pass on in place of its status alone.
- FakeScheduler kept a list of successes that no test read.

Checked: 146 tests of core, wire, daemon and platform that touch these, among them StrikeRegistryTests, CrashingRequestTests and PlatformRelayTests, with format and lint. No time was measured.

--- a/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
+++ b/core/src/main/java/org/sardineport/core/quarantine/StrikeRegistry.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendProcess;
@@ -45,18 +45,18 @@
 
 	private final Map<Fingerprint, Map<BackendProcess, Expiry>> strikes = new HashMap<>();
 
-	private final QuarantineListener listener;
+	private final Consumer<QuarantineEvent> listener;
 
-	private StrikeRegistry(QuarantineListener listener) {
+	private StrikeRegistry(Consumer<QuarantineEvent> listener) {
 		this.listener = Objects.requireNonNull(listener, "listener must not be null");
 	}
 
 	/**
 	 * Returns a registry without strikes.
-	 * @param listener receives the events
+	 * @param listener receives the events, on the calling thread
 	 * @return the registry
 	 */
-	public static StrikeRegistry create(QuarantineListener listener) {
+	public static StrikeRegistry create(Consumer<QuarantineEvent> listener) {
 		return new StrikeRegistry(listener);
 	}
 
@@ -162,19 +162,20 @@
 	}
 
 	private boolean isUnambiguous(Fingerprint fingerprint, Instant now) {
-		Set<BackendProcess> crashed = crashedProcesses(fingerprint, now);
-		return this.strikes.keySet()
+		Map<BackendProcess, Expiry> own = this.strikes.getOrDefault(fingerprint, Map.of());
+		return this.strikes.entrySet()
 			.stream()
-			.filter((other) -> !other.equals(fingerprint))
-			.noneMatch((other) -> crashedProcesses(other, now).stream()
-				.filter(crashed::contains)
-				.count() >= MIN_STRIKES_IF_UNAMBIGUOUS);
+			.filter((other) -> !other.getKey().equals(fingerprint))
+			.noneMatch((other) -> sharedStrikes(own, other.getValue(), now) >= MIN_STRIKES_IF_UNAMBIGUOUS);
 	}
 
-	private Set<BackendProcess> crashedProcesses(Fingerprint fingerprint, Instant now) {
-		Map<BackendProcess, Expiry> processes = new HashMap<>(this.strikes.getOrDefault(fingerprint, Map.of()));
-		processes.values().removeIf((strike) -> !strike.countsAt(now));
-		return processes.keySet();
+	private static long sharedStrikes(Map<BackendProcess, Expiry> own, Map<BackendProcess, Expiry> other, Instant now) {
+		return own.entrySet()
+			.stream()
+			.filter((strike) -> strike.getValue().countsAt(now))
+			.map((strike) -> other.get(strike.getKey()))
+			.filter((shared) -> shared != null && shared.countsAt(now))
+			.count();
 	}
 
 	/**
@@ -207,7 +208,11 @@
 	}
 
 	private int count(Fingerprint fingerprint, Instant now) {
-		return crashedProcesses(fingerprint, now).size();
+		return (int) this.strikes.getOrDefault(fingerprint, Map.of())
+			.values()
+			.stream()
+			.filter((strike) -> strike.countsAt(now))
+			.count();
 	}
 
 	private void reportIfBegan(boolean before, Fingerprint fingerprint, Instant now) {
@@ -222,7 +227,7 @@
 
 	private void report(QuarantineEventKind kind, Fingerprint fingerprint, @Nullable BackendServerId server,
 			Instant now) {
-		this.listener.onQuarantineEvent(new QuarantineEvent(kind, fingerprint, server, count(fingerprint, now)));
+		this.listener.accept(new QuarantineEvent(kind, fingerprint, server, count(fingerprint, now)));
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Objects;
 
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -72,7 +73,7 @@
 
 	private @Nullable ErrorResponse lastErrorResponse;
 
-	private int status;
+	private @Nullable ResponseHead startedResponse;
 
 	private long lastEventId = -1;
 
@@ -153,7 +154,7 @@
 			return;
 		}
 		releasePermit(RunEnd.COMPLETED);
-		recordIfSuccessful(head.status());
+		recordIfSuccessful(head);
 		forward(head.status(), headers, body);
 	}
 
@@ -167,7 +168,7 @@
 	public void responseStarted(ResponseHead head, MultiMap headers) {
 		if (!this.progress.isResponseStarted()) {
 			this.progress.responseStarted();
-			this.status = head.status();
+			this.startedResponse = head;
 			this.services.telemetry().timeToFirstByte(this.tier).update(Duration.ofMillis(ageMillis()));
 			this.response.begin(head.status(), this.services.protocol().callerResponseHeaders(headers));
 		}
@@ -184,16 +185,17 @@
 
 	@Override
 	public void responseCompleted() {
+		ResponseHead head = Objects.requireNonNull(this.startedResponse, "the response must have started");
 		releasePermit(RunEnd.COMPLETED);
-		recordIfSuccessful(this.status);
+		recordIfSuccessful(head);
 		finish();
-		recordResponse(this.status);
+		recordResponse(head.status());
 		this.response.end();
 	}
 
 	// Another response may have been sent before the request was run.
-	private void recordIfSuccessful(int responseStatus) {
-		if (responseStatus / 100 == 2) {
+	private void recordIfSuccessful(ResponseHead head) {
+		if (head.isSuccess()) {
 			this.services.scheduler().recordSuccess(this.planner.fingerprint());
 		}
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -47,8 +47,6 @@
 
 	private final List<StrikeKey> crashes = new CopyOnWriteArrayList<>();
 
-	private final List<Fingerprint> successes = new CopyOnWriteArrayList<>();
-
 	private final List<RunMeasurement> released = new CopyOnWriteArrayList<>();
 
 	private final List<Permit> granted = new CopyOnWriteArrayList<>();
@@ -166,7 +164,6 @@
 
 	@Override
 	public void recordSuccess(Fingerprint fingerprint) {
-		this.successes.add(fingerprint);
 	}
 
 	/** Returns the crashes that were recorded. */
@@ -174,11 +171,6 @@
 		return this.crashes;
 	}
 
-	/** Returns the requests whose success was recorded. */
-	public List<Fingerprint> successes() {
-		return this.successes;
-	}
-
 	@Override
 	public void release(Permit permit, RunMeasurement measurement) {
 		this.released.add(measurement);
