--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -25,6 +25,8 @@
 
 	private final Map<HttpConnection, Long> idleSince = new IdentityHashMap<>();
 
+	private final Map<HttpConnection, Integer> requestsInFlight = new IdentityHashMap<>();
+
 	private final InstantSource clock;
 
 	private final Supplier<Duration> idleTimeout;
@@ -41,10 +43,14 @@
 
 	void opened(HttpConnection connection) {
 		this.idleSince.put(connection, this.clock.millis());
-		connection.closeHandler((ignored) -> this.idleSince.remove(connection));
+		connection.closeHandler((ignored) -> {
+			this.idleSince.remove(connection);
+			this.requestsInFlight.remove(connection);
+		});
 	}
 
 	void requestStarted(HttpConnection connection) {
+		this.requestsInFlight.merge(connection, 1, Integer::sum);
 		this.idleSince.replace(connection, BUSY);
 	}
 
@@ -53,6 +59,7 @@
 	 * @param connection the connection; ignored if it is closed already
 	 */
 	void requestEnded(HttpConnection connection) {
+		this.requestsInFlight.computeIfPresent(connection, (key, count) -> (count > 1) ? count - 1 : null);
 		this.idleSince.replace(connection, this.clock.millis());
 	}
 
@@ -68,7 +75,8 @@
 			}
 		});
 		for (HttpConnection connection : expired) {
-			LOG.debug("caller.idle", "remote", connection.remoteAddress());
+			LOG.info("caller.idle", "remote", connection.remoteAddress(), "busy",
+					this.requestsInFlight.containsKey(connection), "timeout-ms", this.idleTimeout.get().toMillis());
 			connection.close();
 		}
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/sardineport/daemon/telemetry/Telemetry.java
@@ -19,6 +19,7 @@
 	private Telemetry() {
 		for (RefusalReason reason : RefusalReason.values()) {
 			refused(reason);
+			cut(reason);
 		}
 		for (RetryReason reason : RetryReason.values()) {
 			retried(reason);
@@ -55,6 +56,16 @@
 		return this.registry.counter("requests.refused." + reason.label());
 	}
 
+	/**
+	 * Returns the counter of responses that had begun and were closed for a reason before
+	 * they were complete.
+	 * @param reason the reason
+	 * @return the counter
+	 */
+	public Counter cut(RefusalReason reason) {
+		return this.registry.counter("requests.cut." + reason.label());
+	}
+
 	/**
 	 * Returns the counter of attempts retried for a reason.
 	 * @param reason the reason
--- a/daemon/src/test/java/org/sardineport/daemon/telemetry/PrometheusTextTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/telemetry/PrometheusTextTests.java
@@ -21,6 +21,7 @@
 	@BeforeEach
 	void write() {
 		this.telemetry.refused(RefusalReason.OVERLOADED).inc(2);
+		this.telemetry.cut(RefusalReason.BACKEND_FAILED).inc();
 		this.telemetry.counter("peer.sent.bytes").inc(7);
 		this.telemetry.duration(Tier.URGENT).update(Duration.ofMillis(250));
 		this.telemetry.registry().gauge("ring.waiting", () -> () -> 3);
@@ -30,6 +31,7 @@
 	@Test
 	void writesReasonsAndTiersAsLabels() {
 		assertThat(this.text).contains("sardineport_requests_refused_total{reason=\"overloaded\"} 2\n")
+			.contains("sardineport_requests_cut_total{reason=\"backend-failed\"} 1\n")
 			.contains("sardineport_requests_duration_seconds_count{tier=\"urgent\"} 1\n")
 			.contains("sardineport_requests_duration_seconds{tier=\"urgent\",quantile=\"0.5\"} 0.25\n");
 	}
