--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -267,8 +267,8 @@
 		this.services.telemetry().refused(sentRefusal.reason()).inc();
 		LOG.info("request.refused", "request", id(), "route", route(), "kind", sentRefusal.reason().label(), "attempts",
 				this.progress.attempts(), "begun", this.progress.isResponseStarted(), "version", version(),
-				"proof-age-ms", this.services.inForce().readAgeMillis(), "age-ms", ageMillis(),
-				"limit-ms", Duration.between(this.request.arrival(), this.request.deadline()).toMillis(), "detail",
+				"proof-age-ms", this.services.inForce().readAgeMillis(), "age-ms", ageMillis(), "limit-ms",
+				Duration.between(this.request.arrival(), this.request.deadline()).toMillis(), "detail",
 				sentRefusal.detail());
 		if (this.progress.isResponseStarted()) {
 			this.services.telemetry().cut(sentRefusal.reason()).inc();
--- a/daemon/src/main/java/org/sardineport/daemon/telemetry/PrometheusText.java
+++ b/daemon/src/main/java/org/sardineport/daemon/telemetry/PrometheusText.java
@@ -26,8 +26,9 @@
 	 * Maps name prefixes to a label; the rest of a metric's name becomes the label's
 	 * value.
 	 */
-	private static final Map<String, String> LABELS = Map.of("requests.refused.", "reason", "requests.cut.",
-			"reason", "requests.retried.", "reason", "requests.completed.", "tier", "requests.duration.", "tier", "requests.first-byte.", "tier");
+	private static final Map<String, String> LABELS = Map.of("requests.refused.", "reason", "requests.cut.", "reason",
+			"requests.retried.", "reason", "requests.completed.", "tier", "requests.duration.", "tier",
+			"requests.first-byte.", "tier");
 
 	private final StringBuilder out = new StringBuilder();
 
