Let a silent attempt go on until another one has sent data

What callers saw: beside a change of the configuration a response that had begun was closed without its end, though the backend server was sound.

Cause: a backend server that sent nothing for 1.0 s (1.2 s before the first event) was given up at once, by closing the connection to it. Only then were the retry budget, an owner and another backend server asked, each of which may say no; then nothing was left that could continue the response, and the daemon closed it. A sound server may be silent for a second or so, and where many are silent at once every daemon gives up all its streams in the same instant, so that budget and room are short just then.

Change: silence is reported and does not end an attempt. The run reserves a retry and requests a permit while the attempt goes on; the replacement runs beside it, and the first of the two to send data is kept, the other one ended. If no permit, no budget or no server is to be had, or the replacement fails, the silent attempt stays, and a replacement is requested again after the next second of silence. So a begun response is closed only when no attempt is left or at its time limit. A reserved retry that is not made is refunded in the window in which it was taken. A caller that leaves during a silence of a second counts as a timeout of the server also after the first event.

Why not a bound on the overlap: a server's run begins with its first token, and the silent run is ended with the first event of the other, so both work at once only for the time of an event.

Ruled out: a longer timeout alone (a dead server would be noticed later than callers wait, and the same gap stays); giving up the silent attempt at the grant (an unreachable or full next server still closes the response).

--- a/core/src/main/java/org/sardineport/core/relay/FleetRetryBudget.java
+++ b/core/src/main/java/org/sardineport/core/relay/FleetRetryBudget.java
@@ -77,6 +77,17 @@
 		return true;
 	}
 
+	/**
+	 * Returns a retry that was taken and not made. Has no effect once it has left the
+	 * window.
+	 * @param pool the pool of the retry
+	 * @param spentAt the time at which it was taken
+	 * @param now the current time
+	 */
+	public void refund(PoolName pool, long spentAt, long now) {
+		window(pool, now).removeRetry(spentAt / this.bucketMillis);
+	}
+
 	private Window window(PoolName pool, long now) {
 		Window window = this.windows.computeIfAbsent(pool, (key) -> new Window());
 		window.advance(now / this.bucketMillis);
@@ -106,6 +117,13 @@
 			return (int) (this.bucket % BUCKETS);
 		}
 
+		private void removeRetry(long spentBucket) {
+			int spentIndex = (int) (spentBucket % BUCKETS);
+			if (spentBucket > this.bucket - BUCKETS && this.retryCounts[spentIndex] > 0) {
+				this.retryCounts[spentIndex]--;
+			}
+		}
+
 		private void advance(long currentBucket) {
 			for (long next = Math.max(this.bucket + 1, currentBucket - BUCKETS + 1); next <= currentBucket; next++) {
 				this.requestCounts[(int) (next % BUCKETS)] = 0;
--- a/core/src/main/java/org/sardineport/core/relay/RequestProgress.java
+++ b/core/src/main/java/org/sardineport/core/relay/RequestProgress.java
@@ -53,8 +53,17 @@
 	}
 
 	/**
-	 * Records how the last attempt ended. An attempt that could not connect does not
-	 * count.
+	 * Records that a backend server sends nothing though it may run the request. No other
+	 * attempt is made there; the one that it runs goes on.
+	 * @param server the backend server
+	 */
+	public void silent(BackendServerId server) {
+		this.failedOn.add(server);
+		this.mayHaveRun = true;
+	}
+
+	/**
+	 * Records how an attempt ended. An attempt that could not connect does not count.
 	 * @param server the backend server of the attempt
 	 * @param end how the attempt ended
 	 */
@@ -77,10 +86,10 @@
 	}
 
 	/**
-	 * Returns whether the current attempt may be abandoned now in favour of another one.
+	 * Returns whether another attempt may be made beside one that has not ended.
 	 * @return {@code true} if attempts remain and the request may run again
 	 */
-	public boolean mayAbandonAttempt() {
+	public boolean mayReplaceAttempt() {
 		return this.attempts < this.maximumAttempts && this.rerunPolicy.allowsRerun(this.responseStarted);
 	}
 
@@ -109,7 +118,7 @@
 	}
 
 	/**
-	 * Returns the backend servers on which an attempt failed.
+	 * Returns the backend servers on which an attempt failed or is silent.
 	 * @return a copy of the set
 	 */
 	public Set<BackendServerId> failedOn() {
--- a/core/src/test/java/org/sardineport/core/relay/FleetRetryBudgetTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/FleetRetryBudgetTests.java
@@ -23,6 +23,8 @@
 
 	private static final int SLACK = 56;
 
+	private static final long REFUND_DELAY_MILLIS = 1000;
+
 	private static FleetRetryBudget allowance() {
 		return FleetRetryBudget.of(RATIO, SLACK, WINDOW);
 	}
@@ -63,10 +65,76 @@
 		}
 	}
 
+	// A refund must not free the place of a retry that was made after the refunded one.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 8 })
+	void fleetStaysWithinBudgetThoughRetriesAreRefundedLater(int daemons) {
+		SplittableRandom random = new SplittableRandom(daemons);
+		FleetRetryBudget[] fleet = new FleetRetryBudget[daemons];
+		for (int i = 0; i < daemons; i++) {
+			fleet[i] = allowance();
+		}
+		Deque<Long> made = new ArrayDeque<>();
+		Deque<Refund> refunds = new ArrayDeque<>();
+		for (long now = 0; now < 60_000; now += 7) {
+			FleetRetryBudget daemon = fleet[random.nextInt(daemons)];
+			if (daemon.trySpend(RelayFixture.POOL, daemons, now)) {
+				if (random.nextBoolean()) {
+					made.add(now);
+				}
+				else {
+					refunds.add(new Refund(daemon, now));
+				}
+			}
+			while (!refunds.isEmpty() && refunds.peekFirst().spentAt <= now - REFUND_DELAY_MILLIS) {
+				Refund refund = refunds.removeFirst();
+				refund.budget.refund(RelayFixture.POOL, refund.spentAt, now);
+			}
+			dropExpired(made, now);
+			assertThat(made.size()).isLessThanOrEqualTo(SLACK);
+		}
+	}
+
+	@Test
+	void refundedRetryCanBeMadeAgain() {
+		FleetRetryBudget budget = allowance();
+		int allowed = 0;
+		while (budget.trySpend(RelayFixture.POOL, 1, 0)) {
+			allowed++;
+		}
+		budget.refund(RelayFixture.POOL, 0, 100);
+		assertThat(allowed).isPositive();
+		assertThat(budget.trySpend(RelayFixture.POOL, 1, 100)).isTrue();
+		assertThat(budget.trySpend(RelayFixture.POOL, 1, 100)).isFalse();
+	}
+
+	@Test
+	void refundAfterTheWindowHasNoEffect() {
+		FleetRetryBudget budget = allowance();
+		budget.trySpend(RelayFixture.POOL, 1, 0);
+		long later = WINDOW.toMillis();
+		boolean spent = true;
+		while (spent) {
+			spent = budget.trySpend(RelayFixture.POOL, 1, later);
+		}
+		budget.refund(RelayFixture.POOL, 0, later);
+		assertThat(budget.trySpend(RelayFixture.POOL, 1, later)).isFalse();
+	}
+
 	private static void dropExpired(Deque<Long> times, long now) {
 		while (!times.isEmpty() && times.peekFirst() <= now - WINDOW.toMillis()) {
 			times.removeFirst();
 		}
 	}
 
+	/**
+	 * A retry that is not made.
+	 *
+	 * @param budget the budget from which it was taken
+	 * @param spentAt when it was taken
+	 */
+	private record Refund(FleetRetryBudget budget, long spentAt) {
+
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/relay/RequestProgressTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/RequestProgressTests.java
@@ -46,6 +46,22 @@
 		}
 	}
 
+	// A silent server runs the request, so it must not get it again nor count as not run.
+	@ParameterizedTest
+	@EnumSource(RerunPolicy.class)
+	void silentServerMayHaveRunTheRequestAndGetsNoOtherAttempt(RerunPolicy repetition) {
+		RequestProgress progress = RequestProgress.of(RelayFixture.route("/a/", repetition, 2));
+		BackendServerId server = BackendServerId.of("server");
+		progress.sent();
+		assertThat(progress.mayReplaceAttempt()).isEqualTo(repetition != RerunPolicy.NEVER);
+		progress.silent(server);
+		assertThat(progress.mayHaveRun()).isTrue();
+		assertThat(progress.failedOn()).containsExactly(server);
+		assertThat(progress.mayRetry()).isEqualTo(repetition != RerunPolicy.NEVER);
+		progress.sent();
+		assertThat(progress.mayReplaceAttempt()).isFalse();
+	}
+
 	private static void check(RerunPolicy repetition, List<Step> sequence) {
 		RequestProgress progress = RequestProgress.of(RelayFixture.route("/a/", repetition, MAX_ATTEMPTS));
 		int sent = 0;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -56,10 +56,14 @@
 
 	private boolean ended;
 
+	private boolean paused;
+
 	private long dataTimer = -1;
 
 	private long startedAtMillis;
 
+	private long lastDataAtMillis;
+
 	private @Nullable Duration timeToFirstData;
 
 	Attempt(RelayServices services, AttemptPlan plan, AttemptListener listener) {
@@ -73,6 +77,7 @@
 
 	void start() {
 		this.startedAtMillis = this.clock.millis();
+		this.lastDataAtMillis = this.startedAtMillis;
 		restartDataTimer(this.plan.firstDataTimeout());
 		this.call.send(this.plan.method(), this.plan.target(), this.plan.headers(), this.plan.body(),
 				this.plan.maxConnectionIdle());
@@ -87,22 +92,24 @@
 	}
 
 	void pause() {
+		this.paused = true;
 		this.vertx.cancelTimer(this.dataTimer);
 		this.call.pause();
 	}
 
 	void resume() {
+		this.paused = false;
+		this.lastDataAtMillis = this.clock.millis();
 		this.call.resume();
 		restartDataTimer(this.plan.gapTimeout());
 	}
 
 	/**
-	 * Returns whether a time has passed since the start of the attempt without any data.
-	 * @param time the minimum time
-	 * @return whether the backend server is unresponsive
+	 * Returns the time since data was last received, or since the start before any.
+	 * @return the time; zero while the attempt is paused
 	 */
-	boolean isUnresponsiveFor(Duration time) {
-		return this.timeToFirstData == null && this.clock.millis() - this.startedAtMillis >= time.toMillis();
+	Duration silence() {
+		return this.paused ? Duration.ZERO : Duration.ofMillis(this.clock.millis() - this.lastDataAtMillis);
 	}
 
 	/**
@@ -127,11 +134,15 @@
 	private void restartDataTimer(@Nullable Duration timeout) {
 		this.vertx.cancelTimer(this.dataTimer);
 		if (timeout != null && !this.ended) {
-			this.dataTimer = this.vertx.setTimer(Math.max(1, timeout.toMillis()),
-					(id) -> fail(AttemptEnd.SILENT, "nothing came for " + timeout.toMillis() + " ms"));
+			this.dataTimer = this.vertx.setTimer(Math.max(1, timeout.toMillis()), (id) -> dataTimedOut());
 		}
 	}
 
+	private void dataTimedOut() {
+		restartDataTimer(this.plan.gapTimeout());
+		this.listener.silent(this);
+	}
+
 	@Override
 	public void notConnected(String cause) {
 		fail(AttemptEnd.NOT_CONNECTED, cause);
@@ -165,11 +176,12 @@
 		if (this.ended || responseHead == null) {
 			return;
 		}
+		this.lastDataAtMillis = this.clock.millis();
 		if (isStream(responseHead)) {
 			forwardEvents(responseHead, bytes);
 		}
 		else if (this.forwarding) {
-			this.listener.dataReceived(bytes);
+			this.listener.dataReceived(this, bytes);
 		}
 		else {
 			bufferData(responseHead, bytes);
@@ -185,7 +197,7 @@
 		Buffer complete = this.splitter.add(bytes);
 		if (complete.length() > 0) {
 			startForwarding(responseHead);
-			this.listener.dataReceived(complete);
+			this.listener.dataReceived(this, complete);
 		}
 		if (this.splitter.isTooLong()) {
 			fail(AttemptEnd.INVALID, "an event of the stream has no end");
@@ -197,7 +209,7 @@
 		this.buffered.appendBuffer(bytes);
 		if (this.buffered.length() > MAX_BUFFERED_BYTES) {
 			startForwarding(responseHead);
-			this.listener.dataReceived(this.buffered);
+			this.listener.dataReceived(this, this.buffered);
 			this.buffered = Buffer.buffer();
 		}
 	}
@@ -206,7 +218,7 @@
 		recordFirstData();
 		if (!this.forwarding && this.headers != null) {
 			this.forwarding = true;
-			this.listener.responseStarted(responseHead, this.headers);
+			this.listener.responseStarted(this, responseHead, this.headers);
 		}
 	}
 
@@ -236,13 +248,13 @@
 
 	private void deliver(ResponseHead responseHead, MultiMap responseHeaders, Buffer remaining) {
 		if (!this.forwarding && !this.plan.isResumed()) {
-			this.listener.responseReceived(responseHead, responseHeaders, remaining);
+			this.listener.responseReceived(this, responseHead, responseHeaders, remaining);
 			return;
 		}
 		if (remaining.length() > 0) {
-			this.listener.dataReceived(remaining);
+			this.listener.dataReceived(this, remaining);
 		}
-		this.listener.responseCompleted();
+		this.listener.responseCompleted(this);
 	}
 
 	private static Duration idleTime(ResponseHead responseHead, MultiMap responseHeaders) {
@@ -268,7 +280,7 @@
 		if (!this.ended) {
 			finish();
 			this.call.abort();
-			this.listener.failed(end, detail);
+			this.listener.failed(this, end, detail);
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
@@ -6,44 +6,56 @@
 import org.sardineport.core.relay.ResponseHead;
 
 /**
- * Receives the results of one attempt, on the event loop. An attempt that is not aborted
+ * Receives the results of attempts, on the event loop. An attempt that is not aborted
  * ends with {@link #responseReceived}, {@link #responseCompleted} or {@link #failed}.
  */
 interface AttemptListener {
 
 	/**
 	 * Called with a response that was received completely before any of it was passed on.
+	 * @param attempt the attempt
 	 * @param head its head
 	 * @param headers its headers
 	 * @param body its whole body
 	 */
-	void responseReceived(ResponseHead head, MultiMap headers, Buffer body);
+	void responseReceived(Attempt attempt, ResponseHead head, MultiMap headers, Buffer body);
 
 	/**
 	 * Called when a response begins that is passed on in parts.
+	 * @param attempt the attempt
 	 * @param head its head
 	 * @param headers its headers
 	 */
-	void responseStarted(ResponseHead head, MultiMap headers);
+	void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers);
 
 	/**
 	 * Called with each part of a response that is passed on in parts. Parts of an event
 	 * stream hold whole events.
+	 * @param attempt the attempt
 	 * @param bytes the part
 	 */
-	void dataReceived(Buffer bytes);
+	void dataReceived(Attempt attempt, Buffer bytes);
 
 	/**
 	 * Called when a response that was passed on in parts is complete.
+	 * @param attempt the attempt
 	 */
-	void responseCompleted();
+	void responseCompleted(Attempt attempt);
+
+	/**
+	 * Called when the backend server has sent nothing for the timeout of the plan, and
+	 * again after each further gap timeout. The attempt goes on.
+	 * @param attempt the attempt
+	 */
+	void silent(Attempt attempt);
 
 	/**
 	 * Called when the attempt ends without a response, or before the response is
 	 * complete.
+	 * @param attempt the attempt
 	 * @param end how the attempt ended
 	 * @param detail what was observed, for logs and refusals
 	 */
-	void failed(AttemptEnd end, String detail);
+	void failed(Attempt attempt, AttemptEnd end, String detail);
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
@@ -24,9 +24,10 @@
  * @param lastEventId identity of the last event that the caller has received; -1 if none
  * @param isResumed whether an earlier attempt has passed on a part of the response
  * @param maxConnectionIdle maximum time for which a reused connection may have been idle
- * @param firstDataTimeout time without data after which the attempt is abandoned, or
- * {@code null} to wait until the caller's deadline
- * @param gapTimeout the same for the time between two parts of a stream
+ * @param firstDataTimeout time without data after which the backend server is reported as
+ * silent, or {@code null} if that is of no use
+ * @param gapTimeout the same for the time between two parts of a stream, and between two
+ * reports
  */
 record AttemptPlan(RelayProtocol protocol, BackendServer server, String requestId, String method, String target,
 		MultiMap headers, Buffer body, TokenEstimate estimate, int tokensPerEvent, long lastEventId, boolean isResumed,
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -34,18 +34,19 @@
 
 	/**
 	 * Minimum time to wait for the first data of a response before another backend server
-	 * is tried.
+	 * is asked as well.
 	 */
 	private static final Duration MIN_FIRST_DATA_TIMEOUT = Duration.ofMillis(250);
 
 	/**
-	 * Time to wait for the first event of a stream before another backend server is
-	 * tried.
+	 * Time to wait for the first event of a stream before another backend server is asked
+	 * as well.
 	 */
 	private static final Duration FIRST_EVENT_TIMEOUT = Duration.ofMillis(1200);
 
 	/**
-	 * Time between two events of a stream after which another backend server resumes it.
+	 * Time between two events of a stream after which another backend server is asked to
+	 * resume it.
 	 */
 	private static final Duration EVENT_GAP_TIMEOUT = Duration.ofMillis(1000);
 
@@ -181,7 +182,7 @@
 		AddedRequestHeaders added = new AddedRequestHeaders(server,
 				(this.organisation != null) ? this.organisation.id() : null, remaining,
 				(lastEventId >= 0) ? Long.valueOf(lastEventId) : null);
-		boolean replaceable = progress.mayAbandonAttempt();
+		boolean replaceable = progress.mayReplaceAttempt();
 		return new AttemptPlan(this.services.protocol(), permit.backendServer(), head.requestId(), head.method(),
 				head.target(), this.services.protocol().backendRequestHeaders(this.request.headers(), added),
 				this.request.body(), estimate(), tokensPerEvent(), lastEventId, progress.isResponseStarted(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Objects;
+import java.util.function.Function;
 
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -23,12 +24,14 @@
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.Tier;
-import org.sardineport.daemon.telemetry.EventLog;
 
 /**
  * Runs one admitted request up to its final response: waits for a permit, makes attempts
- * one after another as far as the route and the retry budget allow, and passes the
- * response on. Confined to the event loop.
+ * as far as the route and the retry budget allow, and passes the response on. An attempt
+ * that fails is followed by another. One whose backend server is silent goes on, and a
+ * replacement is made beside it; the first of the two to send data is kept. A response
+ * that has begun is therefore closed only if no attempt is left that could continue it.
+ * Confined to the event loop.
  */
 final class RelayRun implements AttemptListener {
 
@@ -47,8 +50,6 @@
 	/** Time after which a caller may retry if no better estimate is known. */
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
-	private static final EventLog LOG = EventLog.of(RelayRun.class);
-
 	private final RelayServices services;
 
 	private final RelayRequest request;
@@ -59,17 +60,19 @@
 
 	private final PoolName pool;
 
-	private final Tier tier;
-
 	private final RequestProgress progress;
 
 	private final AttemptPlanner planner;
 
+	private final RelayRunReport report;
+
 	private @Nullable SchedulingRequest pendingRequest;
 
-	private @Nullable Permit permit;
+	/** The attempt whose response is passed on, or that could not be passed on yet. */
+	private @Nullable PermittedAttempt current;
 
-	private @Nullable Attempt attempt;
+	/** Attempt beside a silent one; takes its place when it sends data first. */
+	private @Nullable PermittedAttempt replacement;
 
 	private @Nullable ErrorResponse lastErrorResponse;
 
@@ -79,6 +82,8 @@
 
 	private long deadlineTimer = -1;
 
+	private long retrySpentAtMillis;
+
 	private boolean finished;
 
 	RelayRun(RelayServices services, RelayRequest request, CallerResponse response) {
@@ -87,10 +92,11 @@
 		this.response = response;
 		this.context = services.vertx().getOrCreateContext();
 		RelayAdmission admission = request.admission();
+		Tier tier = admission.route().tier((admission.organisation() != null) ? admission.organisation().rank() : null);
 		this.pool = admission.route().pool(services.random().nextDouble());
-		this.tier = admission.route().tier((admission.organisation() != null) ? admission.organisation().rank() : null);
 		this.progress = RequestProgress.of(admission.route());
-		this.planner = new AttemptPlanner(services, request, this.pool, this.tier);
+		this.planner = new AttemptPlanner(services, request, this.pool, tier);
+		this.report = new RelayRunReport(services, request, this.progress, tier);
 	}
 
 	void start() {
@@ -125,7 +131,7 @@
 		}
 		catch (RefusedException ex) {
 			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
-			refused(ex.refusal());
+			permitRefused(ex.refusal());
 		}
 	}
 
@@ -133,63 +139,139 @@
 		return this.services.fleet().current().backendServers().contains(grantedPermit.backendServer());
 	}
 
-	private void dispatch(Permit grantedPermit) {
-		this.permit = grantedPermit;
+	private void permitRefused(Refusal refusal) {
+		if (this.current == null) {
+			refused(refusal);
+		}
+		else {
+			refundRetry();
+			this.report.replacementEnded(refusal.reason().label() + ": " + refusal.detail());
+		}
+	}
+
+	private void dispatch(Permit permit) {
 		this.progress.sent();
-		LOG.info("request.dispatched", "request", id(), "route", route(), "backend-server",
-				grantedPermit.backendServer().id(), "attempt", this.progress.attempts(), "tier", this.tier.label(),
-				"version", version(), "proof-age-ms", this.services.inForce().readAgeMillis(), "waited-ms",
-				ageMillis());
-		Attempt newAttempt = new Attempt(this.services,
-				this.planner.attemptPlan(grantedPermit, this.progress, this.lastEventId), this);
-		this.attempt = newAttempt;
-		newAttempt.start();
+		this.report.dispatched(permit.backendServer());
+		if (this.current != null) {
+			recordLastEvent(this.current);
+		}
+		Attempt attempt = new Attempt(this.services, this.planner.attemptPlan(permit, this.progress, this.lastEventId),
+				this);
+		PermittedAttempt permitted = new PermittedAttempt(permit, attempt);
+		if (this.current == null) {
+			this.current = permitted;
+		}
+		else {
+			this.replacement = permitted;
+		}
+		attempt.start();
+	}
+
+	@Override
+	public void silent(Attempt attempt) {
+		PermittedAttempt silent = this.current;
+		if (silent == null || silent.attempt() != attempt || this.replacement != null || this.pendingRequest != null) {
+			return;
+		}
+		boolean replaceable = isTimeLeft() && this.progress.mayReplaceAttempt() && spendRetry();
+		this.report.silent(silent, replaceable);
+		if (replaceable) {
+			this.progress.silent(silent.server());
+			requestPermit();
+		}
+	}
+
+	/**
+	 * Keeps an attempt that has sent data, and ends the other one if there are two.
+	 * @param attempt the attempt
+	 */
+	private void keepOnly(Attempt attempt) {
+		PermittedAttempt former = this.current;
+		PermittedAttempt other = this.replacement;
+		if (former == null) {
+			throw new IllegalStateException("the attempt must not have ended");
+		}
+		if (former.attempt() == attempt) {
+			endReplacement();
+		}
+		else {
+			this.current = other;
+			this.replacement = null;
+			former.attempt().abort();
+			endReplaced(former);
+		}
+	}
+
+	private void endReplacement() {
+		PermittedAttempt unused = this.replacement;
+		if (unused != null) {
+			this.replacement = null;
+			unused.attempt().abort();
+			release(unused, RunEnd.CANCELLED);
+			this.report.replacementEnded("the backend server that was silent goes on");
+		}
+		else if (this.pendingRequest != null) {
+			this.services.scheduler().abandon(this.pendingRequest.id());
+			this.pendingRequest = null;
+			refundRetry();
+			this.report.replacementEnded("not needed");
+		}
+	}
+
+	private void endReplaced(PermittedAttempt former) {
+		this.progress.ended(former.server(), AttemptEnd.SILENT);
+		this.report.attemptEnded(former.server(), AttemptEnd.SILENT, true, this.planner.fingerprint(),
+				"nothing came for " + former.attempt().silence().toMillis() + " ms, another backend server goes on");
+		release(former, RunEnd.TIMED_OUT);
 	}
 
 	@Override
-	public void responseReceived(ResponseHead head, MultiMap headers, Buffer body) {
+	public void responseReceived(Attempt attempt, ResponseHead head, MultiMap headers, Buffer body) {
 		if (head.isServerError() || head.impliesNotRun()) {
 			this.lastErrorResponse = head.impliesNotRun() ? null : new ErrorResponse(head.status(), headers, body);
-			attemptEnded(AttemptEnd.FAILED, "status " + head.status());
+			failed(attempt, AttemptEnd.FAILED, "status " + head.status());
 			return;
 		}
-		releasePermit(RunEnd.COMPLETED);
+		keepOnly(attempt);
+		releaseCurrent(RunEnd.COMPLETED);
 		recordIfSuccessful(head);
 		forward(head.status(), headers, body);
 	}
 
 	private void forward(int status, MultiMap headers, Buffer body) {
 		finish();
-		recordResponse(status);
+		this.report.answered(status);
 		this.response.send(status, this.services.protocol().callerResponseHeaders(headers), body);
 	}
 
 	@Override
-	public void responseStarted(ResponseHead head, MultiMap headers) {
+	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
+		keepOnly(attempt);
 		if (!this.progress.isResponseStarted()) {
 			this.progress.responseStarted();
 			this.startedResponse = head;
-			this.services.telemetry().timeToFirstByte(this.tier).update(Duration.ofMillis(ageMillis()));
+			this.report.responseStarted();
 			this.response.begin(head.status(), this.services.protocol().callerResponseHeaders(headers));
 		}
 	}
 
 	@Override
-	public void dataReceived(Buffer bytes) {
-		if (this.response.write(bytes) && this.attempt != null) {
-			Attempt current = this.attempt;
-			current.pause();
-			this.response.onDrained(current::resume);
+	public void dataReceived(Attempt attempt, Buffer bytes) {
+		keepOnly(attempt);
+		if (this.response.write(bytes)) {
+			attempt.pause();
+			this.response.onDrained(attempt::resume);
 		}
 	}
 
 	@Override
-	public void responseCompleted() {
+	public void responseCompleted(Attempt attempt) {
 		ResponseHead head = Objects.requireNonNull(this.startedResponse, "the response must have started");
-		releasePermit(RunEnd.COMPLETED);
+		keepOnly(attempt);
+		releaseCurrent(RunEnd.COMPLETED);
 		recordIfSuccessful(head);
 		finish();
-		recordResponse(head.status());
+		this.report.answered(head.status());
 		this.response.end();
 	}
 
@@ -201,50 +283,74 @@
 	}
 
 	@Override
-	public void failed(AttemptEnd end, String detail) {
-		attemptEnded(end, detail);
-	}
-
-	private void attemptEnded(AttemptEnd end, String detail) {
-		Permit usedPermit = this.permit;
-		if (usedPermit == null) {
-			throw new IllegalStateException("an attempt must hold a permit");
-		}
-		this.progress.ended(usedPermit.backendServer().id(), end);
-		this.lastEventId = (this.attempt != null) ? Math.max(this.lastEventId, this.attempt.lastEventId())
-				: this.lastEventId;
-		boolean retry = mayRetry(end);
-		LOG.info("request.attempt-ended", "request", id(), "backend-server", usedPermit.backendServer().id(), "end",
-				end.label(), "attempt", this.progress.attempts(), "again", retry, "age-ms", ageMillis(), "fingerprint",
-				this.planner.fingerprint(), "detail", detail);
-		releasePermit(runEnd(end, usedPermit));
-		if (retry) {
-			this.services.telemetry().retried(end.retryReason()).inc();
+	public void failed(Attempt attempt, AttemptEnd end, String detail) {
+		PermittedAttempt ended = (this.current != null && this.current.attempt() == attempt) ? this.current
+				: this.replacement;
+		if (ended == null) {
+			throw new IllegalStateException("the attempt must not have ended before");
+		}
+		recordLastEvent(ended);
+		this.progress.ended(ended.server(), end);
+		boolean otherAttempt = removeEnded(ended);
+		boolean again = otherAttempt || mayRetry(end);
+		this.report.attemptEnded(ended.server(), end, again, this.planner.fingerprint(), detail);
+		release(ended, runEnd(end, ended));
+		if (otherAttempt && end == AttemptEnd.NOT_CONNECTED) {
+			refundRetry();
+		}
+		else if (!otherAttempt && again) {
 			requestPermit();
 		}
-		else {
+		else if (!again) {
 			endWithoutRetry(end, detail);
 		}
 	}
 
-	private RunEnd runEnd(AttemptEnd end, Permit usedPermit) {
+	/**
+	 * Removes an attempt that has ended.
+	 * @param ended the attempt
+	 * @return whether another attempt goes on, or its permit has been requested
+	 */
+	private boolean removeEnded(PermittedAttempt ended) {
+		if (ended == this.current) {
+			this.current = this.replacement;
+		}
+		this.replacement = null;
+		return this.current != null || this.pendingRequest != null;
+	}
+
+	private void recordLastEvent(PermittedAttempt attempt) {
+		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
+	}
+
+	private RunEnd runEnd(AttemptEnd end, PermittedAttempt ended) {
 		if (end != AttemptEnd.BROKEN) {
 			return end.runEnd();
 		}
-		StrikeKey suspect = new StrikeKey(this.planner.fingerprint(), usedPermit.backendServer().process());
-		BackendConnection broken = (this.attempt != null) ? this.attempt.connection() : null;
-		boolean lastConnection = this.services.crashes().connectionBroke(suspect, broken);
+		StrikeKey suspect = new StrikeKey(this.planner.fingerprint(), ended.permit().backendServer().process());
+		boolean lastConnection = this.services.crashes().connectionBroke(suspect, ended.attempt().connection());
 		return lastConnection ? RunEnd.BROKEN : RunEnd.REJECTED;
 	}
 
 	private boolean mayRetry(AttemptEnd end) {
-		boolean enoughTime = now().plus(RESPONSE_MARGIN).plus(MIN_ATTEMPT_TIME).isBefore(this.request.deadline());
-		if (this.finished || !enoughTime || !this.progress.mayRetry()) {
+		if (this.finished || !isTimeLeft() || !this.progress.mayRetry()) {
 			return false;
 		}
+		return end == AttemptEnd.NOT_CONNECTED || spendRetry();
+	}
+
+	private boolean isTimeLeft() {
+		return now().plus(RESPONSE_MARGIN).plus(MIN_ATTEMPT_TIME).isBefore(this.request.deadline());
+	}
+
+	private boolean spendRetry() {
 		int daemons = Math.max(1, this.services.fleet().current().members().size());
-		return end == AttemptEnd.NOT_CONNECTED
-				|| this.services.retryAllowance().trySpend(this.pool, daemons, this.services.clock().millis());
+		this.retrySpentAtMillis = this.services.clock().millis();
+		return this.services.retryAllowance().trySpend(this.pool, daemons, this.retrySpentAtMillis);
+	}
+
+	private void refundRetry() {
+		this.services.retryAllowance().refund(this.pool, this.retrySpentAtMillis, this.services.clock().millis());
 	}
 
 	private void endWithoutRetry(AttemptEnd end, String detail) {
@@ -264,18 +370,12 @@
 		}
 		finish();
 		Refusal sentRefusal = this.progress.mayHaveRun() ? asUnknownOutcome(refusal) : withRetryAfter(refusal);
-		this.services.telemetry().refused(sentRefusal.reason()).inc();
-		LOG.info("request.refused", "request", id(), "route", route(), "kind", sentRefusal.reason().label(), "attempts",
-				this.progress.attempts(), "begun", this.progress.isResponseStarted(), "version", version(),
-				"proof-age-ms", this.services.inForce().readAgeMillis(), "age-ms", ageMillis(), "limit-ms",
-				Duration.between(this.request.arrival(), this.request.deadline()).toMillis(), "detail",
-				sentRefusal.detail());
+		this.report.refused(sentRefusal);
 		if (this.progress.isResponseStarted()) {
-			this.services.telemetry().cut(sentRefusal.reason()).inc();
 			this.response.abort();
 		}
 		else {
-			this.response.refuse(id(), sentRefusal, false);
+			this.response.refuse(this.request.head().requestId(), sentRefusal, false);
 		}
 	}
 
@@ -299,15 +399,11 @@
 		if (this.finished) {
 			return;
 		}
-		boolean running = this.attempt != null && this.permit != null;
-		if (this.pendingRequest != null) {
-			this.services.scheduler().abandon(this.pendingRequest.id());
-		}
+		boolean running = this.current != null;
 		if (running) {
-			this.progress.ended(this.permit.backendServer().id(), AttemptEnd.SILENT);
-			this.attempt.abort();
-			releasePermit(RunEnd.TIMED_OUT);
+			this.progress.silent(this.current.server());
 		}
+		abortAll((attempt) -> RunEnd.TIMED_OUT);
 		RefusalReason reason = running ? RefusalReason.BACKEND_TIMEOUT : RefusalReason.DEADLINE_PASSED;
 		refused(Refusal.retryAfter(reason, "the time limit passed", DEFAULT_RETRY_AFTER));
 	}
@@ -317,36 +413,41 @@
 			return;
 		}
 		finish();
-		LOG.info("request.caller-left", "request", id(), "route", route(), "attempts", this.progress.attempts(),
-				"begun", this.progress.isResponseStarted(), "age-ms", ageMillis());
-		this.services.telemetry().refused(RefusalReason.CALLER_GONE).inc();
+		this.report.callerDisconnected();
+		abortAll((attempt) -> (attempt.silence().compareTo(UNRESPONSIVE_AFTER) >= 0) ? RunEnd.TIMED_OUT
+				: RunEnd.CANCELLED);
+		this.response.callerDisconnected();
+	}
+
+	private void abortAll(Function<Attempt, RunEnd> runEnd) {
 		if (this.pendingRequest != null) {
 			this.services.scheduler().abandon(this.pendingRequest.id());
+			this.pendingRequest = null;
 		}
-		boolean unresponsive = this.attempt != null && this.attempt.isUnresponsiveFor(UNRESPONSIVE_AFTER);
-		if (this.attempt != null) {
-			this.attempt.abort();
+		abort(this.current, runEnd);
+		abort(this.replacement, runEnd);
+		this.current = null;
+		this.replacement = null;
+	}
+
+	private void abort(@Nullable PermittedAttempt permitted, Function<Attempt, RunEnd> runEnd) {
+		if (permitted != null) {
+			RunEnd end = runEnd.apply(permitted.attempt());
+			permitted.attempt().abort();
+			release(permitted, end);
 		}
-		releasePermit(unresponsive ? RunEnd.TIMED_OUT : RunEnd.CANCELLED);
-		this.response.callerDisconnected();
 	}
 
-	private void releasePermit(RunEnd end) {
-		Permit heldPermit = this.permit;
-		Attempt endedAttempt = this.attempt;
-		this.permit = null;
-		this.attempt = null;
-		if (heldPermit != null) {
-			this.services.scheduler()
-				.release(heldPermit, (endedAttempt != null) ? endedAttempt.measurement(end) : RunMeasurement.none(end));
+	private void releaseCurrent(RunEnd end) {
+		PermittedAttempt ended = this.current;
+		this.current = null;
+		if (ended != null) {
+			release(ended, end);
 		}
 	}
 
-	private void recordResponse(int status) {
-		this.services.telemetry().completed(this.tier).inc();
-		this.services.telemetry().duration(this.tier).update(Duration.ofMillis(ageMillis()));
-		LOG.info("request.answered", "request", id(), "route", route(), "status", status, "attempts",
-				this.progress.attempts(), "version", version(), "age-ms", ageMillis());
+	private void release(PermittedAttempt ended, RunEnd end) {
+		this.services.scheduler().release(ended.permit(), ended.attempt().measurement(end));
 	}
 
 	private void finish() {
@@ -358,22 +459,6 @@
 		return this.services.clock().instant();
 	}
 
-	private long ageMillis() {
-		return Duration.between(this.request.arrival(), now()).toMillis();
-	}
-
-	private String id() {
-		return this.request.head().requestId();
-	}
-
-	private String route() {
-		return this.request.admission().route().name();
-	}
-
-	private long version() {
-		return this.request.admission().configuration().version();
-	}
-
 	/**
 	 * Error response of a backend server, kept for the caller in case no other attempt
 	 * succeeds.
@@ -404,7 +489,7 @@
 			RelayRun.this.context.runOnContext((ignored) -> {
 				if (RelayRun.this.pendingRequest == this.schedulingRequest) {
 					RelayRun.this.pendingRequest = null;
-					RelayRun.this.refused(refusal);
+					permitRefused(refusal);
 				}
 			});
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
@@ -0,0 +1,110 @@
+package org.sardineport.daemon.relay;
+
+import java.time.Duration;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.relay.AttemptEnd;
+import org.sardineport.core.relay.RequestProgress;
+import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
+import org.sardineport.core.request.Tier;
+import org.sardineport.daemon.telemetry.EventLog;
+
+/**
+ * Log lines and metrics of one forwarded request. Confined to the event loop.
+ */
+final class RelayRunReport {
+
+	private static final EventLog LOG = EventLog.of(RelayRun.class);
+
+	private final RelayServices services;
+
+	private final RelayRequest request;
+
+	private final RequestProgress progress;
+
+	private final Tier tier;
+
+	RelayRunReport(RelayServices services, RelayRequest request, RequestProgress progress, Tier tier) {
+		this.services = services;
+		this.request = request;
+		this.progress = progress;
+		this.tier = tier;
+	}
+
+	void dispatched(BackendServer server) {
+		LOG.info("request.dispatched", "request", id(), "route", route(), "backend-server", server.id(), "attempt",
+				this.progress.attempts(), "tier", this.tier.label(), "version", version(), "proof-age-ms",
+				this.services.inForce().readAgeMillis(), "waited-ms", ageMillis());
+	}
+
+	void silent(PermittedAttempt attempt, boolean replacementRequested) {
+		LOG.info("request.backend-silent", "request", id(), "backend-server", attempt.server(), "silent-ms",
+				attempt.attempt().silence().toMillis(), "attempt", this.progress.attempts(), "begun",
+				this.progress.isResponseStarted(), "replacement-requested", replacementRequested, "age-ms",
+				ageMillis());
+	}
+
+	void replacementEnded(String cause) {
+		LOG.info("request.replacement-ended", "request", id(), "attempt", this.progress.attempts(), "begun",
+				this.progress.isResponseStarted(), "age-ms", ageMillis(), "cause", cause);
+		this.services.telemetry().counter("requests.replacements.unused").inc();
+	}
+
+	void attemptEnded(BackendServerId server, AttemptEnd end, boolean again, Fingerprint fingerprint, String detail) {
+		LOG.info("request.attempt-ended", "request", id(), "backend-server", server, "end", end.label(), "attempt",
+				this.progress.attempts(), "again", again, "age-ms", ageMillis(), "fingerprint", fingerprint, "detail",
+				detail);
+		if (again) {
+			this.services.telemetry().retried(end.retryReason()).inc();
+		}
+	}
+
+	void responseStarted() {
+		this.services.telemetry().timeToFirstByte(this.tier).update(Duration.ofMillis(ageMillis()));
+	}
+
+	void answered(int status) {
+		this.services.telemetry().completed(this.tier).inc();
+		this.services.telemetry().duration(this.tier).update(Duration.ofMillis(ageMillis()));
+		LOG.info("request.answered", "request", id(), "route", route(), "status", status, "attempts",
+				this.progress.attempts(), "version", version(), "age-ms", ageMillis());
+	}
+
+	void refused(Refusal refusal) {
+		this.services.telemetry().refused(refusal.reason()).inc();
+		LOG.info("request.refused", "request", id(), "route", route(), "kind", refusal.reason().label(), "attempts",
+				this.progress.attempts(), "begun", this.progress.isResponseStarted(), "version", version(),
+				"proof-age-ms", this.services.inForce().readAgeMillis(), "age-ms", ageMillis(), "limit-ms",
+				Duration.between(this.request.arrival(), this.request.deadline()).toMillis(), "detail",
+				refusal.detail());
+		if (this.progress.isResponseStarted()) {
+			this.services.telemetry().cut(refusal.reason()).inc();
+		}
+	}
+
+	void callerDisconnected() {
+		LOG.info("request.caller-left", "request", id(), "route", route(), "attempts", this.progress.attempts(),
+				"begun", this.progress.isResponseStarted(), "age-ms", ageMillis());
+		this.services.telemetry().refused(RefusalReason.CALLER_GONE).inc();
+	}
+
+	private long ageMillis() {
+		return Duration.between(this.request.arrival(), this.services.clock().instant()).toMillis();
+	}
+
+	private String id() {
+		return this.request.head().requestId();
+	}
+
+	private String route() {
+		return this.request.admission().route().name();
+	}
+
+	private long version() {
+		return this.request.admission().configuration().version();
+	}
+
+}
