Never take a connection with a request in flight for idle

What callers saw: neither a response nor a refusal to a whole request, with the connection closed about one idle time-out after an earlier response.

With a short idle time, as after a change of it, the check closed the connection.

Evidence: the new test of two pipelined requests failed on the code before; the line caller.idle with busy=true showed the closing, 1.5 s after the first response, with the second request at its backend server. The users' callers are not known to pipeline, so whether they met it is open.

Change: a connection counts its requests in flight and is idle only without any. The field busy of caller.idle goes, as it can only be false.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -20,12 +20,7 @@
 
 	private static final EventLog LOG = EventLog.of(CallerConnections.class);
 
-	/** Value of a connection that carries a request. */
-	private static final long BUSY = Long.MAX_VALUE;
-
-	private final Map<HttpConnection, Long> idleSince = new IdentityHashMap<>();
-
-	private final Map<HttpConnection, Integer> requestsInFlight = new IdentityHashMap<>();
+	private final Map<HttpConnection, Activity> activities = new IdentityHashMap<>();
 
 	private final InstantSource clock;
 
@@ -42,25 +37,28 @@
 	}
 
 	void opened(HttpConnection connection) {
-		this.idleSince.put(connection, this.clock.millis());
-		connection.closeHandler((ignored) -> {
-			this.idleSince.remove(connection);
-			this.requestsInFlight.remove(connection);
-		});
+		this.activities.put(connection, new Activity(this.clock.millis()));
+		connection.closeHandler((ignored) -> this.activities.remove(connection));
 	}
 
 	void requestStarted(HttpConnection connection) {
-		this.requestsInFlight.merge(connection, 1, Integer::sum);
-		this.idleSince.replace(connection, BUSY);
+		Activity activity = this.activities.get(connection);
+		if (activity != null) {
+			activity.requestsInFlight++;
+		}
 	}
 
 	/**
-	 * Marks a connection as idle after the final response to its request.
+	 * Records the final response to a request. The connection is idle from now on unless
+	 * a pipelined request follows, which may have started before this call.
 	 * @param connection the connection; ignored if it is closed already
 	 */
 	void requestEnded(HttpConnection connection) {
-		this.requestsInFlight.computeIfPresent(connection, (key, count) -> (count > 1) ? count - 1 : null);
-		this.idleSince.replace(connection, this.clock.millis());
+		Activity activity = this.activities.get(connection);
+		if (activity != null) {
+			activity.requestsInFlight--;
+			activity.lastResponseAt = this.clock.millis();
+		}
 	}
 
 	/**
@@ -69,16 +67,32 @@
 	void closeIdle() {
 		long expiredBefore = this.clock.millis() - this.idleTimeout.get().toMillis();
 		List<HttpConnection> expired = new ArrayList<>();
-		this.idleSince.forEach((connection, idleSinceMillis) -> {
-			if (idleSinceMillis <= expiredBefore) {
+		this.activities.forEach((connection, activity) -> {
+			if (activity.requestsInFlight == 0 && activity.lastResponseAt <= expiredBefore) {
 				expired.add(connection);
 			}
 		});
 		for (HttpConnection connection : expired) {
-			LOG.info("caller.idle", "remote", connection.remoteAddress(), "busy",
-					this.requestsInFlight.containsKey(connection), "timeout-ms", this.idleTimeout.get().toMillis());
+			LOG.info("caller.idle", "remote", connection.remoteAddress(), "timeout-ms",
+					this.idleTimeout.get().toMillis());
 			connection.close();
 		}
 	}
 
+	/**
+	 * What one connection carries.
+	 */
+	private static final class Activity {
+
+		private int requestsInFlight;
+
+		/** Milliseconds; the time at which the connection was opened before any. */
+		private long lastResponseAt;
+
+		Activity(long openedAt) {
+			this.lastResponseAt = openedAt;
+		}
+
+	}
+
 }
