Read which stream a caller takes up again

The head of a request now holds it; a refusal reason says that the version of the stream is not known. Neither is used yet.

--- a/core/src/main/java/org/sardineport/core/relay/RequestHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/RequestHead.java
@@ -22,10 +22,12 @@
  * {@code null} if not given
  * @param prefixHash hash of the prompt prefix, equal for requests that share it; 0 if
  * none
+ * @param resumedStream the stream that the caller takes up again, or {@code null} if it
+ * has received no event of one
  */
 public record RequestHead(String requestId, String method, String target, String host, @Nullable String key,
 		@Nullable Duration remainingTime, @Nullable TokenEstimate size, @Nullable Integer expectedAnswerTokens,
-		long prefixHash) {
+		long prefixHash, @Nullable ResumedStream resumedStream) {
 
 	/**
 	 * Creates the head; rejects missing mandatory components.
--- a/core/src/main/java/org/sardineport/core/request/RefusalReason.java
+++ b/core/src/main/java/org/sardineport/core/request/RefusalReason.java
@@ -68,6 +68,13 @@
 	/** No backend server of the pool is available. */
 	NO_BACKEND_SERVER(503, Outcome.NOT_RUN, "Send again after the given time; operators see the pool in status."),
 
+	/**
+	 * The software version that began a resumed stream is not known, so that no backend
+	 * server is known to continue it.
+	 */
+	STREAM_VERSION_UNKNOWN(503, Outcome.NOT_RUN,
+			"Send again after the given time, or without the last event to begin a new stream."),
+
 	/** A ring buffer between two event loops is full. */
 	RING_FULL(503, Outcome.NOT_RUN, "Send to another entry address."),
 
