Rank the daemons for a key by rendezvous hashing

Cause: Ownership told the owner of a key only, and the registry of stream origins needs several daemons for a key, also those that are leaving.

Change: Ownership.ranking ranks the eligible daemons for a key, and Ownership.rankingOfAll daemons of any status, with the score in use.

--- a/core/src/main/java/org/sardineport/core/ownership/Ownership.java
+++ b/core/src/main/java/org/sardineport/core/ownership/Ownership.java
@@ -72,6 +72,31 @@
 			.map(Scored::member);
 	}
 
+	/**
+	 * Ranks the eligible daemons for a key. No failure domain takes precedence.
+	 * @param key the key
+	 * @param members the known daemons, in any order; ineligible ones are ignored
+	 * @return the eligible daemons, the owner of the key first
+	 */
+	public static List<Member> ranking(String key, Collection<Member> members) {
+		return rankingOfAll(key, members.stream().filter((member) -> member.status().isEligible()).toList());
+	}
+
+	/**
+	 * Ranks daemons for a key whatever their status.
+	 * @param key the key
+	 * @param members the daemons, in any order
+	 * @return all of them, the one with the highest score first
+	 */
+	public static List<Member> rankingOfAll(String key, Collection<Member> members) {
+		Objects.requireNonNull(key, "key must not be null");
+		return members.stream()
+			.map((member) -> new Scored(member, true, score(key, member.id())))
+			.sorted(Scored.ORDER)
+			.map(Scored::member)
+			.toList();
+	}
+
 	private static List<Member> rank(FailureDomain preferred, String key, Collection<Member> members, int maximum) {
 		if (maximum < 1) {
 			throw new IllegalArgumentException("maximum must be at least 1, found %d".formatted(maximum));
