Add the messages about the origin of streams

Cause: daemons need to report and look up the origin of a stream.

Change: StreamOriginCodec in field 13 of the envelope, as bytes of a fixed layout.

--- a/wire/src/main/java/org/sardineport/wire/message/Envelope.java
+++ b/wire/src/main/java/org/sardineport/wire/message/Envelope.java
@@ -29,6 +29,7 @@
     MEMBERSHIP(10),
     SCHEDULING(11),
     CONFIGURATION(12),
+    STREAM_ORIGIN(13),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -47,6 +48,7 @@
         case 10: return MEMBERSHIP;
         case 11: return SCHEDULING;
         case 12: return CONFIGURATION;
+        case 13: return STREAM_ORIGIN;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -516,6 +518,61 @@
     }
   }
 
+  public static final int STREAM_ORIGIN_FIELD_NUMBER = 13;
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   * @return Whether the streamOrigin field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOrigin() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   * @return The streamOrigin.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getStreamOrigin() {
+    if (bodyCase_ == 13) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   * @param value The streamOrigin to set.
+   */
+  private void setStreamOrigin(com.google.protobuf.ByteString value) {
+    java.lang.Class<?> valueClass = value.getClass();
+  bodyCase_ = 13;
+    body_ = value;
+  }
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   */
+  private void clearStreamOrigin() {
+    if (bodyCase_ == 13) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.sardineport.wire.message.Envelope parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1076,6 +1133,58 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Layout in StreamOriginCodec.
+     * </pre>
+     *
+     * <code>bytes stream_origin = 13;</code>
+     * @return Whether the streamOrigin field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOrigin() {
+      return instance.hasStreamOrigin();
+    }
+    /**
+     * <pre>
+     * Layout in StreamOriginCodec.
+     * </pre>
+     *
+     * <code>bytes stream_origin = 13;</code>
+     * @return The streamOrigin.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getStreamOrigin() {
+      return instance.getStreamOrigin();
+    }
+    /**
+     * <pre>
+     * Layout in StreamOriginCodec.
+     * </pre>
+     *
+     * <code>bytes stream_origin = 13;</code>
+     * @param value The streamOrigin to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStreamOrigin(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setStreamOrigin(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Layout in StreamOriginCodec.
+     * </pre>
+     *
+     * <code>bytes stream_origin = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStreamOrigin() {
+      copyOnWrite();
+      instance.clearStreamOrigin();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.Envelope)
   }
   @java.lang.Override
@@ -1106,8 +1215,9 @@
             org.sardineport.wire.message.ConfigurationMessage.class,
           };
           java.lang.String info =
-              "\u0000\n\u0001\u0000\u0001\f\n\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0003" +
-              "\u0004\u0208\u0005\u000b\u0006\u0003\u0007\u0003\n<\u0000\u000b<\u0000\f<\u0000";
+              "\u0000\u000b\u0001\u0000\u0001\r\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003" +
+              "\u0003\u0004\u0208\u0005\u000b\u0006\u0003\u0007\u0003\n<\u0000\u000b<\u0000\f<\u0000" +
+              "\r=\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
@@ -119,5 +119,24 @@
    */
   org.sardineport.wire.message.ConfigurationMessage getConfiguration();
 
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   * @return Whether the streamOrigin field is set.
+   */
+  boolean hasStreamOrigin();
+  /**
+   * <pre>
+   * Layout in StreamOriginCodec.
+   * </pre>
+   *
+   * <code>bytes stream_origin = 13;</code>
+   * @return The streamOrigin.
+   */
+  com.google.protobuf.ByteString getStreamOrigin();
+
   public org.sardineport.wire.message.Envelope.BodyCase getBodyCase();
 }
