Run the registry of stream origins in the relay daemon

Cause: the relay needs to report dispatches and look origins up from its event loop.

RelayDaemon starts it after the fleet and before scheduling; RelayServices hands it on as its last component. RelayRun does not call it yet.

Evidence: StreamOriginServiceTests with six daemons: found by each of the others after the serving daemon is gone; a cut-off daemon gets no confirmation.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -28,10 +28,12 @@
 import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.scheduling.SchedulingService;
 import org.sardineport.daemon.stop.StopCoordinator;
+import org.sardineport.daemon.stream.StreamOriginService;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.settings.SchedulingSettings;
 import org.sardineport.wire.scheduling.SchedulingCodec;
+import org.sardineport.wire.stream.StreamOriginCodec;
 import org.sardineport.wire.transport.MembershipCodec;
 import org.sardineport.wire.transport.NettyPeerTransport;
 import org.sardineport.wire.transport.PeerIdentity;
@@ -70,12 +72,13 @@
 		PeerIdentity identity = new PeerIdentity(membership.name(), this.fleetSettings.daemon(),
 				membership.incarnation(), this.fleetSettings.peerAddress(), List.of(membership.key()));
 		NettyPeerTransport transport = NettyPeerTransport.create(identity,
-				List.of(MembershipCodec.create(), SchedulingCodec.create()), clock,
+				List.of(MembershipCodec.create(), SchedulingCodec.create(), StreamOriginCodec.create()), clock,
 				TransportCounters.create(telemetry));
 		FleetService fleet = FleetService.create(this.fleetSettings, membership.incarnation(), transport,
 				ports.vmList(), clock, telemetry);
 		SchedulingService scheduling = SchedulingService.withoutLoadReports(schedulingSettings, ASSUMPTIONS, fleet,
 				transport, clock, random.split(), telemetry);
+		StreamOriginService origins = StreamOriginService.create(fleet, transport, clock, random.split(), telemetry);
 		fleet.setStrikeReceiver(scheduling);
 		scheduling.addStrikeChannel(fleet);
 		scheduling.addStrikeChannel(ports.strikes());
@@ -93,14 +96,14 @@
 				CrashDetector.create(vertx, clock, connections, scheduling, telemetry), settings.limitTolerance(),
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
-				telemetry);
+				telemetry, origins);
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
 				this.readiness, telemetry);
 		fleet.reportFrom(this.readiness);
 		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, fleet,
-				scheduling, connections, endpoints));
+				origins, scheduling, connections, endpoints));
 		this.stop = StopCoordinator.create(settings.stop(), new RelayStopActions(fleet, server, this.readiness), clock,
 				telemetry);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.relay.RelayAdmissionCheck;
 import org.sardineport.core.relay.RetryDelays;
+import org.sardineport.daemon.stream.StreamOriginService;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
@@ -33,10 +34,11 @@
  * @param returnTimes chooses the retry delay of refused callers
  * @param schedulingIds generates identities of scheduling requests
  * @param telemetry counters and timers
+ * @param origins knows which software version began a stream
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
-		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry) {
+		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins) {
 
 }
