--- a/core/src/main/java/org/sardineport/core/backend/BackendServer.java
+++ b/core/src/main/java/org/sardineport/core/backend/BackendServer.java
@@ -21,9 +21,11 @@
  * least 1
  * @param startedAt start time of its process, which distinguishes successive processes
  * with the same name; {@link #START_UNKNOWN} if the platform does not report it
+ * @param softwareVersion version of its software; {@link SoftwareVersion#UNKNOWN} if the
+ * platform does not report it
  */
 public record BackendServer(BackendServerId id, BackendKind kind, PoolName pool, FailureDomain failureDomain,
-		NetworkAddress address, int nominalConcurrency, Instant startedAt) {
+		NetworkAddress address, int nominalConcurrency, Instant startedAt, SoftwareVersion softwareVersion) {
 
 	/** Placeholder for a start time that the platform does not report. */
 	public static final Instant START_UNKNOWN = Instant.EPOCH;
@@ -39,6 +41,7 @@
 		Objects.requireNonNull(failureDomain, "failureDomain must not be null");
 		Objects.requireNonNull(address, "address must not be null");
 		Objects.requireNonNull(startedAt, "startedAt must not be null");
+		Objects.requireNonNull(softwareVersion, "softwareVersion must not be null");
 		if (nominalConcurrency < 1) {
 			throw new IllegalArgumentException(
 					"nominalConcurrency must be at least 1, found %d".formatted(nominalConcurrency));
@@ -46,7 +49,23 @@
 	}
 
 	/**
-	 * Creates a backend server with an unknown start time.
+	 * Creates a backend server with an unknown software version.
+	 * @param id name of the backend server
+	 * @param kind kind of the backend server
+	 * @param pool the pool it serves
+	 * @param failureDomain failure domain in which it runs
+	 * @param address address on which it listens
+	 * @param nominalConcurrency number of requests it is designed to run concurrently, at
+	 * least 1
+	 * @param startedAt start time of its process; {@link #START_UNKNOWN} if unknown
+	 */
+	public BackendServer(BackendServerId id, BackendKind kind, PoolName pool, FailureDomain failureDomain,
+			NetworkAddress address, int nominalConcurrency, Instant startedAt) {
+		this(id, kind, pool, failureDomain, address, nominalConcurrency, startedAt, SoftwareVersion.UNKNOWN);
+	}
+
+	/**
+	 * Creates a backend server with an unknown start time and software version.
 	 * @param id name of the backend server
 	 * @param kind kind of the backend server
 	 * @param pool the pool it serves
@@ -66,7 +85,7 @@
 		return other instanceof BackendServer that && this.nominalConcurrency == that.nominalConcurrency
 				&& this.kind == that.kind && this.id.equals(that.id) && this.pool.equals(that.pool)
 				&& this.failureDomain.equals(that.failureDomain) && this.address.equals(that.address)
-				&& this.startedAt.equals(that.startedAt);
+				&& this.startedAt.equals(that.startedAt) && this.softwareVersion.equals(that.softwareVersion);
 	}
 
 	@Override
@@ -74,6 +93,16 @@
 		return 31 * this.id.hashCode() + this.startedAt.hashCode();
 	}
 
+	/**
+	 * Returns this listing with another software version.
+	 * @param version the software version
+	 * @return a copy
+	 */
+	public BackendServer withSoftwareVersion(SoftwareVersion version) {
+		return new BackendServer(this.id, this.kind, this.pool, this.failureDomain, this.address,
+				this.nominalConcurrency, this.startedAt, version);
+	}
+
 	/**
 	 * Returns the identity of its current process.
 	 * @return the process
@@ -85,11 +114,12 @@
 	/**
 	 * Returns whether this is a new process of a backend server that was known before.
 	 * @param former earlier listing to compare with
-	 * @return whether the names are equal and the start times differ; state learned about
-	 * the former process is then invalid
+	 * @return whether the names are equal, and the start times or the software versions
+	 * differ; state learned about the former process is then invalid
 	 */
 	public boolean isRestartOf(BackendServer former) {
-		return this.id.equals(former.id) && !this.startedAt.equals(former.startedAt);
+		return this.id.equals(former.id)
+				&& !(this.startedAt.equals(former.startedAt) && this.softwareVersion.equals(former.softwareVersion));
 	}
 
 }
