Move the return of permits and the resend time out of EntryScheduler

Change: RunningRequests returns unused permits and sends releases, as it holds what decides both; PendingRequest says when its permit request is due again. No behaviour changes.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -12,7 +12,6 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
 import org.sardineport.core.admission.PermitListener;
-import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.exchange.RetryBudget;
@@ -46,12 +45,6 @@
 	 */
 	private static final int MAX_UNANSWERED_RESENDS = 2;
 
-	/**
-	 * Interval, in milliseconds, at which the permit request of a queued request is
-	 * repeated.
-	 */
-	private static final long QUEUED_REFRESH_MILLIS = 2000;
-
 	/**
 	 * Delay, in milliseconds, before a retry if no backend server can be asked until a
 	 * fleet update arrives.
@@ -153,26 +146,21 @@
 			return;
 		}
 		this.accounting.recordRun(run, measurement);
-		PermitRelease release = new PermitRelease(permit.request(), permit.backendServer().id(), measurement);
-		this.outbox.send(run.owner(), release);
-		ServerView view = this.directory.view(permit.backendServer().id());
-		if (view != null && view.owner() != null && !view.owner().equals(run.owner())) {
-			this.outbox.send(view.owner(), release);
-		}
+		this.running.sendRelease(run, measurement);
 	}
 
 	void onGrant(DaemonId owner, PermitGrant grant) {
 		ServerView view = updateView(grant.backendServer(), grant.state());
 		PendingRequest pending = this.pendingRequests.get(grant.request());
 		if (pending == null || view == null || !pending.isAt(grant.backendServer())) {
-			returnUnused(owner, grant);
+			this.running.returnUnused(owner, grant);
 			return;
 		}
 		this.pendingRequests.remove(grant.request());
 		pending.recordReply();
 		Optional<Refusal> quarantine = this.accounting.quarantineRefusal(pending.request());
 		if (quarantine.isPresent()) {
-			returnUnused(owner, grant);
+			this.running.returnUnused(owner, grant);
 			refuse(pending, quarantine.get());
 			return;
 		}
@@ -182,16 +170,6 @@
 		pending.listener().granted(permit);
 	}
 
-	private void returnUnused(DaemonId owner, PermitGrant grant) {
-		RunningRequest run = this.running.get(grant.request());
-		boolean duplicate = run != null && run.permit().backendServer().id().equals(grant.backendServer())
-				&& run.owner().equals(owner);
-		if (!duplicate) {
-			this.outbox.send(owner,
-					new PermitRelease(grant.request(), grant.backendServer(), RunMeasurement.none(RunEnd.UNUSED)));
-		}
-	}
-
 	void onQueued(DaemonId owner, PermitQueued queued) {
 		updateView(queued.backendServer(), queued.state());
 		PendingRequest pending = this.pendingRequests.get(queued.request());
@@ -319,7 +297,7 @@
 		else if (pending.isBackingOff()) {
 			retryAfterBackoff(pending, now);
 		}
-		else if (pending.isWithoutContactSince(now - resendAfterMillis(pending))) {
+		else if (pending.isResendDue(this.limits.ownerTimeout(), now)) {
 			resendOrGiveUp(pending, now);
 		}
 		else if (pending.isQueued() && pending.moves() < MAX_MOVES) {
@@ -339,11 +317,6 @@
 		}
 	}
 
-	private long resendAfterMillis(PendingRequest pending) {
-		boolean refreshing = pending.isQueued() && pending.unansweredResends() == 0;
-		return (refreshing) ? QUEUED_REFRESH_MILLIS : this.limits.ownerTimeout().toMillis();
-	}
-
 	private void resendOrGiveUp(PendingRequest pending, long now) {
 		ServerView view = pending.server();
 		DaemonId owner = pending.owner();
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -25,6 +25,12 @@
 	 */
 	private static final long REPLY_GRACE_MILLIS = 50;
 
+	/**
+	 * Interval, in milliseconds, at which the permit request of a queued request is
+	 * repeated.
+	 */
+	private static final long QUEUED_REFRESH_MILLIS = 2000;
+
 	private final SchedulingRequest request;
 
 	private final PermitListener listener;
@@ -219,8 +225,17 @@
 		return this.backoffUntil;
 	}
 
-	boolean isWithoutContactSince(long instant) {
-		return this.lastContactAt <= instant;
+	/**
+	 * Returns whether the permit request is to be sent again.
+	 * @param ownerTimeout time within which an owner replies
+	 * @param now the current time
+	 * @return whether the owner has been silent for longer, or the request has been
+	 * queued there for {@value #QUEUED_REFRESH_MILLIS} ms
+	 */
+	boolean isResendDue(Duration ownerTimeout, long now) {
+		boolean refreshing = this.queued && this.unansweredResends == 0;
+		long interval = (refreshing) ? QUEUED_REFRESH_MILLIS : ownerTimeout.toMillis();
+		return this.lastContactAt <= now - interval;
 	}
 
 	int unansweredResends() {
--- a/core/src/main/java/org/sardineport/core/scheduling/RunningRequests.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/RunningRequests.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.routing.ServerView;
 
@@ -52,6 +55,36 @@
 		return run;
 	}
 
+	/**
+	 * Returns a permit that this daemon does not use to its owner, unless the grant
+	 * repeats that of a permit in use.
+	 * @param owner the daemon that granted the permit
+	 * @param grant the grant
+	 */
+	void returnUnused(DaemonId owner, PermitGrant grant) {
+		RunningRequest run = this.running.get(grant.request());
+		boolean duplicate = run != null && serverOf(run).equals(grant.backendServer()) && run.owner().equals(owner);
+		if (!duplicate) {
+			this.outbox.send(owner,
+					new PermitRelease(grant.request(), grant.backendServer(), RunMeasurement.none(RunEnd.UNUSED)));
+		}
+	}
+
+	/**
+	 * Tells the owner that granted a permit, and the present owner if it is another, that
+	 * the permit is no longer used.
+	 * @param run the run that has ended
+	 * @param measurement what was measured
+	 */
+	void sendRelease(RunningRequest run, RunMeasurement measurement) {
+		PermitRelease release = new PermitRelease(run.request().id(), serverOf(run), measurement);
+		this.outbox.send(run.owner(), release);
+		ServerView view = this.directory.view(serverOf(run));
+		if (view != null && view.owner() != null && !view.owner().equals(run.owner())) {
+			this.outbox.send(view.owner(), release);
+		}
+	}
+
 	int size() {
 		return this.running.size();
 	}
