Add software versions to the samples of ExplicitEqualityTests

Cause: since BackendServer has a software version, the test had no sample of that type and failed with a NullPointerException in its case of BackendServer.

Change: two samples, and SoftwareVersion itself is among the checked types.

Evidence: 12 cases before, one of them with the error.

--- a/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
+++ b/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
@@ -40,6 +41,7 @@
 			Map.entry(NetworkAddress.class, List.of(ADDRESS, NetworkAddress.of("10.0.0.2", 1))),
 			Map.entry(BackendKind.class, List.of(BackendKind.MODEL_ENGINE, BackendKind.PLAIN_SERVICE)),
 			Map.entry(MemberStatus.class, List.of(MemberStatus.ALIVE, MemberStatus.DEAD)),
+			Map.entry(SoftwareVersion.class, List.of(SoftwareVersion.of("a"), SoftwareVersion.of("b"))),
 			Map.entry(Instant.class, List.of(Instant.EPOCH, Instant.EPOCH.plusMillis(1))),
 			Map.entry(List.class, List.of(List.of(), List.of(MEMBER))));
 
@@ -57,7 +59,7 @@
 	@ParameterizedTest
 	@ValueSource(classes = { BackendServerId.class, DaemonId.class, FailureDomain.class, OrganisationId.class,
 			PoolName.class, ProfileName.class, RequestId.class, NetworkAddress.class, Member.class, BackendServer.class,
-			FleetSnapshot.class, Fingerprint.class })
+			FleetSnapshot.class, Fingerprint.class, SoftwareVersion.class })
 	void comparesEveryComponent(Class<?> type) throws ReflectiveOperationException {
 		Object first = create(type, -1);
 		assertThat(create(type, -1)).isEqualTo(first).hasSameHashCodeAs(first);
