Grant requests bound to a software version on servers of it only

Cause: servers of one pool may run several software versions, and a stream can go on only at the version that began it. Requests had no way to say so, and each choice of a server (first, after a denial, move, probe, new owner, server replaced under its name) knew the pool only.

Change: SchedulingRequest.withRequiredVersion binds a request. EntryScheduler leaves a server that is replaced by another version while the request waits, and returns a grant for such a server unused. A move also passes over excluded servers, which only the first choice did.

Ruled out: a check at the owner. Permit requests carry no version, and the entry's listing has to be checked at the grant in any case. An entry whose listing is older than the owner's may still get a grant for a replaced server; that needs the version in PermitGrant.

--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
@@ -30,6 +32,8 @@
  * @param organisationTokens tokens that the request takes from that limit
  * @param excludedServers backend servers excluded because the request failed on them
  * before
+ * @param requiredVersion software version of the backend servers that can run the
+ * request, as it continues a stream of that version; {@code null} if any can
  * @param arrival time at which the request was received
  * @param startDeadlines times by which the request should start
  * @param deadline time by which the response must be complete
@@ -37,7 +41,7 @@
 public record SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier, int rank,
 		TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
 		OrganisationLimit organisationLimit, long organisationTokens, Set<BackendServerId> excludedServers,
-		Instant arrival, StartDeadlines startDeadlines, Instant deadline) {
+		@Nullable SoftwareVersion requiredVersion, Instant arrival, StartDeadlines startDeadlines, Instant deadline) {
 
 	/**
 	 * Creates the request and checks that its parts are present.
@@ -57,6 +61,33 @@
 		Objects.requireNonNull(deadline, "deadline must not be null");
 	}
 
+	/**
+	 * Creates a request that can run on backend servers of any software version.
+	 * @param id identity of the request
+	 * @param pool pool whose backend servers can run the request
+	 * @param organisation organisation that sent the request
+	 * @param tier tier of the request
+	 * @param rank rank within its tier and organisation; 0 is served first
+	 * @param estimate estimated size in tokens
+	 * @param prefixHash hash of the prompt's first block, for cache affinity; 0 if none
+	 * @param fingerprint hash that identifies repeated requests
+	 * @param runningPolicy whether and how the request may be interrupted once it runs
+	 * @param organisationLimit fleet-wide limit of the organisation
+	 * @param organisationTokens tokens that the request takes from that limit
+	 * @param excludedServers backend servers excluded because the request failed on them
+	 * before
+	 * @param arrival time at which the request was received
+	 * @param startDeadlines times by which the request should start
+	 * @param deadline time by which the response must be complete
+	 */
+	public SchedulingRequest(RequestId id, PoolName pool, OrganisationId organisation, Tier tier, int rank,
+			TokenEstimate estimate, long prefixHash, Fingerprint fingerprint, RunningPolicy runningPolicy,
+			OrganisationLimit organisationLimit, long organisationTokens, Set<BackendServerId> excludedServers,
+			Instant arrival, StartDeadlines startDeadlines, Instant deadline) {
+		this(id, pool, organisation, tier, rank, estimate, prefixHash, fingerprint, runningPolicy, organisationLimit,
+				organisationTokens, excludedServers, null, arrival, startDeadlines, deadline);
+	}
+
 	/**
 	 * Creates a request of rank 0 that may start until its deadline, takes its estimated
 	 * tokens from the organisation's limit and excludes no backend server.
@@ -81,6 +112,19 @@
 				StartDeadlines.until(deadline), deadline);
 	}
 
+	/**
+	 * Returns this request, bound to backend servers of one software version.
+	 * @param version the version that a backend server must be listed with to run it;
+	 * {@link SoftwareVersion#UNKNOWN} for those listed without one
+	 * @return a copy
+	 */
+	public SchedulingRequest withRequiredVersion(SoftwareVersion version) {
+		Objects.requireNonNull(version, "version must not be null");
+		return new SchedulingRequest(this.id, this.pool, this.organisation, this.tier, this.rank, this.estimate,
+				this.prefixHash, this.fingerprint, this.runningPolicy, this.organisationLimit, this.organisationTokens,
+				this.excludedServers, version, this.arrival, this.startDeadlines, this.deadline);
+	}
+
 	/**
 	 * Returns the rate of the organisation's limit.
 	 * @return tokens per second over the whole fleet; 0 for no limit
--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -1,18 +1,21 @@
 package org.sardineport.core.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.SoftwareVersion;
 
 /**
- * Selects a backend server of one pool by predicted finish time. In a small pool all
- * backend servers are compared. In a large pool the router first compares those that this
- * daemon owns, whose permits need no message, and the home of the prompt's prefix. It
- * samples a few others only if none of these has room and finishes in time. Not
- * thread-safe.
+ * Selects a backend server of one pool by predicted finish time. A request that requires
+ * a software version is routed among the backend servers listed with it as if they were
+ * the pool. In a small pool all backend servers are compared. In a large pool the router
+ * first compares those that this daemon owns, whose permits need no message, and the home
+ * of the prompt's prefix. It samples a few others only if none of these has room and
+ * finishes in time. Not thread-safe.
  */
 public final class PoolRouter {
 
@@ -22,8 +25,11 @@
 	/** Number of backend servers sampled from a larger pool. */
 	private static final int SAMPLE_SIZE = 4;
 
-	/** Maximum number of owned backend servers that are compared in a larger pool. */
-	private static final int MAX_OWNED_CANDIDATES = 6;
+	/**
+	 * Number of allowed backend servers compared in a larger pool if the sample contains
+	 * none.
+	 */
+	private static final int MAX_SCANNED_CANDIDATES = 4;
 
 	/** Cache hit ratio assumed at a prefix's home before the first measurement. */
 	private static final double INITIAL_HIT_RATIO = 0.3;
@@ -33,7 +39,9 @@
 
 	private final ServerView[] servers;
 
-	private final ServerView[] owned;
+	private final Candidates all;
+
+	private final Map<SoftwareVersion, Candidates> byVersion;
 
 	private final PrefixRing ring;
 
@@ -45,7 +53,8 @@
 			RandomGenerator random) {
 		this.hitRatio = initialHitRatio;
 		this.servers = servers.toArray(new ServerView[0]);
-		this.owned = owned.stream().limit(MAX_OWNED_CANDIDATES).toArray(ServerView[]::new);
+		this.all = Candidates.of(servers, owned);
+		this.byVersion = Candidates.byVersion(servers, owned);
 		this.ring = PrefixRing.of(servers.stream().map(ServerView::server).toList());
 		this.random = Objects.requireNonNull(random, "random must not be null");
 	}
@@ -115,12 +124,17 @@
 	 */
 	public @Nullable ServerView choose(RoutingRequest request, Predicate<ServerView> allowed, long now) {
 		ServerView home = home(request.prefixHash());
+		Candidates candidates = candidates(request.requiredVersion());
+		if (candidates == null) {
+			return null;
+		}
+		ServerView[] members = candidates.servers();
 		Best best = new Best(request, home, allowed, now);
-		if (this.servers.length <= MAX_FULL_SCAN) {
-			best.consider(this.servers);
+		if (members.length <= MAX_FULL_SCAN) {
+			best.consider(members);
 			return best.view;
 		}
-		best.consider(this.owned);
+		best.consider(candidates.owned());
 		if (home != null) {
 			best.consider(home);
 		}
@@ -128,14 +142,27 @@
 			return best.view;
 		}
 		for (int i = 0; i < SAMPLE_SIZE; i++) {
-			best.consider(this.servers[this.random.nextInt(this.servers.length)]);
+			best.consider(members[this.random.nextInt(members.length)]);
 		}
 		if (best.view == null) {
-			best.considerFirstAllowedFrom(this.random.nextInt(this.servers.length));
+			best.considerFirstAllowed(members, this.random.nextInt(members.length));
 		}
 		return best.view;
 	}
 
+	private @Nullable Candidates candidates(@Nullable SoftwareVersion requiredVersion) {
+		return (requiredVersion != null) ? this.byVersion.get(requiredVersion) : this.all;
+	}
+
+	/**
+	 * Returns whether the pool has a backend server of a software version.
+	 * @param version the version
+	 * @return whether at least one is listed with it
+	 */
+	public boolean hasVersion(SoftwareVersion version) {
+		return this.byVersion.containsKey(version);
+	}
+
 	/**
 	 * Returns the cost of running a request on a backend server, by which backend servers
 	 * are compared.
@@ -212,7 +239,7 @@
 		}
 
 		void consider(ServerView candidate) {
-			if (this.isProbe || !this.allowed.test(candidate)) {
+			if (this.isProbe || !isAllowed(candidate)) {
 				return;
 			}
 			if (this.request.mayProbe() && candidate.isProbeDue(this.now)) {
@@ -232,6 +259,10 @@
 			}
 		}
 
+		private boolean isAllowed(ServerView candidate) {
+			return this.request.acceptsVersion(candidate.server().softwareVersion()) && this.allowed.test(candidate);
+		}
+
 		/**
 		 * Returns whether the search can stop.
 		 * @return whether the candidate is due for a probe, or is suitable and has room
@@ -241,14 +272,17 @@
 		}
 
 		/**
-		 * Scans the pool for the first allowed backend server, for use when no sampled
-		 * one is allowed.
+		 * Compares the first allowed backend servers, for use when no sampled one is
+		 * allowed.
+		 * @param members the backend servers
 		 * @param start index at which the scan starts; it wraps around
 		 */
-		void considerFirstAllowedFrom(int start) {
-			ServerView[] all = PoolRouter.this.servers;
-			for (int i = 0; i < all.length && this.view == null; i++) {
-				consider(all[(start + i) % all.length]);
+		void considerFirstAllowed(ServerView[] members, int start) {
+			int found = 0;
+			for (int i = 0; i < members.length && found < MAX_SCANNED_CANDIDATES; i++) {
+				ServerView candidate = members[(start + i) % members.length];
+				found += (isAllowed(candidate)) ? 1 : 0;
+				consider(candidate);
 			}
 		}
 
--- a/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.request.TokenEstimate;
 
 /**
@@ -15,9 +17,11 @@
  * @param remainingMillis milliseconds remaining until the deadline
  * @param prefersEarlyStart whether an early start of the response matters more to the
  * caller than an early end
+ * @param requiredVersion software version of the backend servers that can run the
+ * request; {@code null} if any can
  */
 public record RoutingRequest(TokenEstimate estimate, boolean topTier, boolean mayProbe, long prefixHash,
-		long remainingMillis, boolean prefersEarlyStart) {
+		long remainingMillis, boolean prefersEarlyStart, @Nullable SoftwareVersion requiredVersion) {
 
 	/**
 	 * Creates the request and checks that {@code estimate} is present.
@@ -27,7 +31,17 @@
 	}
 
 	/**
-	 * Creates a request whose caller cares only about the end of the response.
+	 * Returns whether backend servers of a software version can run the request.
+	 * @param version the version with which a backend server is listed
+	 * @return whether it is the required one, or any can
+	 */
+	public boolean acceptsVersion(SoftwareVersion version) {
+		return this.requiredVersion == null || this.requiredVersion.equals(version);
+	}
+
+	/**
+	 * Creates a request for any software version whose caller cares only about the end of
+	 * the response.
 	 * @param estimate estimated size in tokens
 	 * @param topTier whether the request is in the top tier
 	 * @param mayProbe whether the request may be used as the probe of an isolated backend
@@ -37,7 +51,7 @@
 	 */
 	public RoutingRequest(TokenEstimate estimate, boolean topTier, boolean mayProbe, long prefixHash,
 			long remainingMillis) {
-		this(estimate, topTier, mayProbe, prefixHash, remainingMillis, false);
+		this(estimate, topTier, mayProbe, prefixHash, remainingMillis, false, null);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.routing.PoolRouter;
 import org.sardineport.core.routing.RoutingRequest;
@@ -85,7 +86,7 @@
 			return null;
 		}
 		RoutingRequest request = pending.routingRequest(now);
-		ServerView other = router.choose(request, (view) -> view != current && view.hasRoom(now)
+		ServerView other = router.choose(request, (view) -> view != current && pending.admits(view) && view.hasRoom(now)
 				&& !view.state().isolated() && !isUnresponsive(view.owner(), now), now);
 		if (other == null) {
 			return null;
@@ -96,6 +97,20 @@
 		return (otherCost + MIN_GAIN_MILLIS < currentCost) ? other : null;
 	}
 
+	/**
+	 * Describes why no permit can be had for a request.
+	 * @param pending the request
+	 * @return one sentence for the caller
+	 */
+	String describeLack(PendingRequest pending) {
+		PoolRouter router = this.directory.router(pending.request().pool());
+		SoftwareVersion required = pending.request().requiredVersion();
+		if (required == null || router == null || router.hasVersion(required)) {
+			return "no backend server of the pool has room in time";
+		}
+		return "no backend server of the pool runs software version " + required;
+	}
+
 	/**
 	 * Marks an owner as unresponsive, so that its backend servers are avoided for
 	 * {@value #UNRESPONSIVE_MILLIS} ms.
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -156,6 +156,11 @@
 			this.running.returnUnused(owner, grant);
 			return;
 		}
+		if (!pending.admits(view)) {
+			this.running.returnUnused(owner, grant);
+			leaveReplaced(pending);
+			return;
+		}
 		this.pendingRequests.remove(grant.request());
 		pending.recordReply();
 		Optional<Refusal> quarantine = this.accounting.quarantineRefusal(pending.request());
@@ -170,6 +175,17 @@
 		pending.listener().granted(permit);
 	}
 
+	/**
+	 * Moves a request away from a backend server that was removed, or replaced by one
+	 * that cannot run it.
+	 * @param pending the request
+	 */
+	private void leaveReplaced(PendingRequest pending) {
+		pending.recordDenial(PermitDenial.LEAVING, Duration.ZERO);
+		withdraw(pending);
+		retry(pending, RetryReason.BACKEND_LEAVING, true);
+	}
+
 	void onQueued(DaemonId owner, PermitQueued queued) {
 		updateView(queued.backendServer(), queued.state());
 		PendingRequest pending = this.pendingRequests.get(queued.request());
@@ -255,7 +271,7 @@
 	}
 
 	private void refuseAfterDenial(PendingRequest pending) {
-		refuse(pending, pending.denial().refusalReason(), "no backend server of the pool has room in time");
+		refuse(pending, pending.denial().refusalReason(), this.routing.describeLack(pending));
 	}
 
 	private void refuse(PendingRequest pending, RefusalReason reason, String detail) {
@@ -352,10 +368,8 @@
 				continue;
 			}
 			ServerView current = this.directory.view(view.server().id());
-			if (current == null) {
-				pending.recordDenial(PermitDenial.LEAVING, Duration.ZERO);
-				withdraw(pending);
-				retry(pending, RetryReason.BACKEND_LEAVING, true);
+			if (current == null || !pending.admits(current)) {
+				leaveReplaced(pending);
 			}
 			else if (!Objects.equals(current.owner(), pending.owner())) {
 				withdraw(pending);
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.PermitListener;
 import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.request.RefusalReason;
@@ -120,6 +121,18 @@
 		return this.tried.contains(view.server().id());
 	}
 
+	/**
+	 * Returns whether the request may run on a backend server at all: it is not excluded
+	 * and is listed with the required software version, if there is one.
+	 * @param view the backend server as listed now
+	 * @return whether a permit for it may be used
+	 */
+	boolean admits(ServerView view) {
+		SoftwareVersion required = this.request.requiredVersion();
+		return !this.request.excludedServers().contains(view.server().id())
+				&& (required == null || required.equals(view.server().softwareVersion()));
+	}
+
 	/**
 	 * Begins a second round over all backend servers, in which lower-tier runs may be
 	 * preempted.
@@ -272,7 +285,7 @@
 	 */
 	RoutingRequest routingRequest(long now, boolean ignoreQueueWait) {
 		return new RoutingRequest(this.request.estimate(), ignoreQueueWait, isProbe(), this.request.prefixHash(),
-				this.deadline - now, this.startBy < this.deadline);
+				this.deadline - now, this.startBy < this.deadline, this.request.requiredVersion());
 	}
 
 	private boolean isProbe() {
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -19,6 +19,7 @@
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
@@ -84,6 +85,21 @@
 		return this;
 	}
 
+	SchedulingFixture server(String name, int concurrency, String owner, SoftwareVersion version) {
+		server(name, concurrency, owner);
+		this.servers.add(this.servers.remove(this.servers.size() - 1).withSoftwareVersion(version));
+		return this;
+	}
+
+	/**
+	 * Replaces a backend server under its name by one of another version. The daemons are
+	 * told by the next publication of the fleet.
+	 */
+	void replaceServer(String name, SoftwareVersion version) {
+		this.servers
+			.replaceAll((server) -> server.id().value().equals(name) ? server.withSoftwareVersion(version) : server);
+	}
+
 	/**
 	 * Restarts the only backend server under the same name.
 	 */
