Let a stream go on only at the software version that began it

Cause: a request is bound to its pool, and nothing between its attempts knew more. Within one response the rest of a broken stream was sent to any server of the pool; Last-Event-Id and Resumes of a caller that comes back were passed on and read by nobody, and mostly another daemon is asked than the one that began the stream.

Change: the version of the attempt that sends the first event becomes a constraint of all later permits of the request. Each dispatch of a stream is told to the registry of stream origins; a caller that comes back is held until the registry has found the version, and its permit is for that version only. Where it is not known or ambiguous, or no server of it is left, the request is refused as not run, with a reason of its own. request.dispatched holds the software version, request.resumed what was found, and requests.resumed.* count it.

Why it works: the version is checked where every permit is used, against the listing in force, whatever the path to it was (retry, replacement of a silent attempt, queue, move, hand-over).

Ruled out: guessing the only version in the listing, which a daemon that has just started cannot tell from the only version left of a release.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -117,7 +117,7 @@
 		return known;
 	}
 
-	private OrganisationId owner() {
+	OrganisationId owner() {
 		return (this.organisation != null) ? this.organisation.id() : OPEN;
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.PoolName;
@@ -45,6 +46,8 @@
 
 	private final AttemptPlanner planner;
 
+	private final ResponseVersion version;
+
 	private final RelayRunReport report;
 
 	private final RelayAttemptsListener listener;
@@ -62,13 +65,14 @@
 	private long retrySpentAtMillis;
 
 	RelayAttempts(RelayServices services, RelayRequest request, PoolName pool, RequestProgress progress,
-			AttemptPlanner planner, RelayRunReport report, RelayAttemptsListener listener) {
+			AttemptPlanner planner, ResponseVersion version, RelayRunReport report, RelayAttemptsListener listener) {
 		this.services = services;
 		this.request = request;
 		this.context = services.vertx().getOrCreateContext();
 		this.pool = pool;
 		this.progress = progress;
 		this.planner = planner;
+		this.version = version;
 		this.report = report;
 		this.listener = listener;
 	}
@@ -87,8 +91,8 @@
 	}
 
 	private void requestPermit() {
-		SchedulingRequest schedulingRequest = this.planner.schedulingRequest(this.services.schedulingIds().get(),
-				this.progress);
+		SchedulingRequest schedulingRequest = this.version
+			.restrict(this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress));
 		this.pendingRequest = schedulingRequest;
 		this.services.scheduler().submit(schedulingRequest, new EventLoopListener(schedulingRequest));
 	}
@@ -101,7 +105,7 @@
 		this.pendingRequest = null;
 		try {
 			this.services.gate().recheck(this.request.admission());
-			if (!grantedPermit.isValidAt(now()) || !isListed(grantedPermit)) {
+			if (!grantedPermit.isValidAt(now()) || !isUsable(grantedPermit)) {
 				this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
 				requestPermit();
 				return;
@@ -114,8 +118,10 @@
 		}
 	}
 
-	private boolean isListed(Permit grantedPermit) {
-		return this.services.fleet().current().backendServers().contains(grantedPermit.backendServer());
+	private boolean isUsable(Permit grantedPermit) {
+		BackendServer server = grantedPermit.backendServer();
+		return this.services.fleet().current().backendServers().contains(server)
+				&& this.version.allows(server.softwareVersion());
 	}
 
 	private void permitRefused(Refusal refusal) {
@@ -131,6 +137,7 @@
 	private void dispatch(Permit permit) {
 		this.progress.sent();
 		this.report.dispatched(permit.backendServer());
+		this.version.dispatched(permit.backendServer().softwareVersion());
 		if (this.current != null) {
 			recordLastEvent(this.current);
 		}
@@ -163,22 +170,23 @@
 	/**
 	 * Keeps an attempt that has sent data, and ends the other one if there are two.
 	 * @param attempt the attempt
+	 * @return the attempt with its permit
 	 */
-	private void keepOnly(Attempt attempt) {
+	private PermittedAttempt keepOnly(Attempt attempt) {
 		PermittedAttempt former = this.current;
 		PermittedAttempt other = this.replacement;
-		if (former == null) {
-			throw new IllegalStateException("the attempt must not have ended");
-		}
-		if (former.attempt() == attempt) {
+		if (former != null && former.attempt() == attempt) {
 			endReplacement();
+			return former;
 		}
-		else {
-			this.current = other;
-			this.replacement = null;
-			former.attempt().abort();
-			endReplaced(former);
+		if (former == null || other == null) {
+			throw new IllegalStateException("the attempt must not have ended");
 		}
+		this.current = other;
+		this.replacement = null;
+		former.attempt().abort();
+		endReplaced(former);
+		return other;
 	}
 
 	private void endReplacement() {
@@ -218,7 +226,8 @@
 
 	@Override
 	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
-		keepOnly(attempt);
+		PermittedAttempt kept = keepOnly(attempt);
+		this.version.begun(kept.permit().backendServer().softwareVersion());
 		this.listener.responseStarted(head, headers);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Objects;
 
+import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +18,7 @@
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.Tier;
+import org.sardineport.core.stream.StreamOrigin;
 
 /**
  * Runs one admitted request up to its final response, and passes the response on. A
@@ -49,6 +51,8 @@
 
 	private final RelayRunReport report;
 
+	private final ResponseVersion version;
+
 	private final RelayAttempts attempts;
 
 	private @Nullable ErrorResponse lastErrorResponse;
@@ -69,13 +73,35 @@
 		this.progress = RequestProgress.of(admission.route());
 		this.planner = new AttemptPlanner(services, request, pool, tier);
 		this.report = new RelayRunReport(services, request, this.progress, tier);
-		this.attempts = new RelayAttempts(services, request, pool, this.progress, this.planner, this.report, this);
+		this.version = new ResponseVersion(services, request, this.planner.owner());
+		this.attempts = new RelayAttempts(services, request, pool, this.progress, this.planner, this.version,
+				this.report, this);
 	}
 
 	void start() {
 		Duration remaining = Duration.between(now(), this.request.deadline()).minus(RESPONSE_MARGIN);
 		this.deadlineTimer = this.services.vertx()
 			.setTimer(Math.max(1, remaining.toMillis()), (id) -> deadlinePassed());
+		if (this.version.isResumed()) {
+			Context context = this.services.vertx().getOrCreateContext();
+			this.version.find().thenAccept((origin) -> context.runOnContext((ignored) -> resume(origin)));
+		}
+		else {
+			this.attempts.start();
+		}
+	}
+
+	private void resume(StreamOrigin origin) {
+		if (this.finished) {
+			return;
+		}
+		this.report.resumed(origin);
+		if (origin.version().isEmpty()) {
+			refused(Refusal.retryAfter(RefusalReason.STREAM_VERSION_UNKNOWN,
+					"the software version that began the stream is " + origin, DEFAULT_RETRY_AFTER));
+			return;
+		}
+		this.version.require(origin.version().get());
 		this.attempts.start();
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
@@ -6,10 +6,12 @@
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.RequestProgress;
+import org.sardineport.core.relay.ResumedStream;
 import org.sardineport.core.request.Fingerprint;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.Tier;
+import org.sardineport.core.stream.StreamOrigin;
 import org.sardineport.daemon.telemetry.EventLog;
 
 /**
@@ -35,9 +37,19 @@
 	}
 
 	void dispatched(BackendServer server) {
-		LOG.info("request.dispatched", "request", id(), "route", route(), "backend-server", server.id(), "attempt",
-				this.progress.attempts(), "tier", this.tier.label(), "version", version(), "proof-age-ms",
-				this.services.inForce().readAgeMillis(), "waited-ms", ageMillis());
+		LOG.info("request.dispatched", "request", id(), "route", route(), "backend-server", server.id(),
+				"software-version", server.softwareVersion(), "attempt", this.progress.attempts(), "tier",
+				this.tier.label(), "version", version(), "proof-age-ms", this.services.inForce().readAgeMillis(),
+				"waited-ms", ageMillis());
+	}
+
+	void resumed(StreamOrigin origin) {
+		ResumedStream resumed = this.request.head().resumedStream();
+		LOG.info("request.resumed", "request", id(), "first-request",
+				(resumed != null) ? resumed.firstRequestId() : null, "origin", origin, "age-ms", ageMillis());
+		this.services.telemetry()
+			.counter("requests.resumed." + (origin.version().isPresent() ? "known" : origin))
+			.inc();
 	}
 
 	void silent(PermittedAttempt attempt, boolean replacementRequested) {
