--- a/core/src/test/java/org/sardineport/core/relay/RequestProgressTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/RequestProgressTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sardineport.core.identity.BackendServerId;
@@ -62,6 +63,17 @@
 		assertThat(progress.mayReplaceAttempt()).isFalse();
 	}
 
+	// A server that was never connected has not run the request, though it seemed silent.
+	@Test
+	void silentServerThatWasNeverConnectedHasNotRunTheRequest() {
+		RequestProgress progress = RequestProgress.of(RelayFixture.route("/a/", RerunPolicy.UNTIL_RESPONSE, 2));
+		BackendServerId server = BackendServerId.of("server");
+		progress.sent();
+		progress.silent(server);
+		progress.ended(server, AttemptEnd.NOT_CONNECTED);
+		assertThat(progress.mayHaveRun()).isFalse();
+	}
+
 	private static void check(RerunPolicy repetition, List<Step> sequence) {
 		RequestProgress progress = RequestProgress.of(RelayFixture.route("/a/", repetition, MAX_ATTEMPTS));
 		int sent = 0;
