Bound the overlap of two runs, and ask a third server if two are silent

Change: 300 ms after the first bytes of the replacement's stream the silent run ends. Attempts are a list, and a replacement is requested when all of them are silent. Data of any response restarts the timer of silence. Whether a silent server has run the request is decided when its attempt ends.

Calls of one request that are not streams may still run beside each other until one of them is complete.

--- a/core/src/main/java/org/sardineport/core/relay/RequestProgress.java
+++ b/core/src/main/java/org/sardineport/core/relay/RequestProgress.java
@@ -18,6 +18,8 @@
 
 	private final Set<BackendServerId> failedOn = new HashSet<>();
 
+	private final Set<BackendServerId> silentOn = new HashSet<>();
+
 	private int attempts;
 
 	private boolean mayHaveRun;
@@ -59,7 +61,7 @@
 	 */
 	public void silent(BackendServerId server) {
 		this.failedOn.add(server);
-		this.mayHaveRun = true;
+		this.silentOn.add(server);
 	}
 
 	/**
@@ -69,6 +71,7 @@
 	 */
 	public void ended(BackendServerId server, AttemptEnd end) {
 		this.failedOn.add(server);
+		this.silentOn.remove(server);
 		this.mayHaveRun |= end.mayHaveRun();
 		if (end == AttemptEnd.NOT_CONNECTED) {
 			this.attempts--;
@@ -82,7 +85,7 @@
 	 */
 	public boolean mayRetry() {
 		return this.attempts < this.maximumAttempts
-				&& (!this.mayHaveRun || this.rerunPolicy.allowsRerun(this.responseStarted));
+				&& (!mayHaveRun() || this.rerunPolicy.allowsRerun(this.responseStarted));
 	}
 
 	/**
@@ -94,11 +97,12 @@
 	}
 
 	/**
-	 * Returns whether the request may have run in any attempt that has ended.
+	 * Returns whether the request may have run in any attempt that has ended or is
+	 * silent.
 	 * @return {@code false} only if the request is known not to have run
 	 */
 	public boolean mayHaveRun() {
-		return this.mayHaveRun;
+		return this.mayHaveRun || !this.silentOn.isEmpty();
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -58,6 +58,10 @@
 
 	private boolean paused;
 
+	private boolean silent;
+
+	private boolean streamStarted;
+
 	private long dataTimer = -1;
 
 	private long startedAtMillis;
@@ -104,6 +108,14 @@
 		restartDataTimer(this.plan.gapTimeout());
 	}
 
+	/**
+	 * Returns whether the backend server has sent nothing for the timeout of the plan.
+	 * @return whether the last report to the listener was that it is silent
+	 */
+	boolean isSilent() {
+		return this.silent;
+	}
+
 	/**
 	 * Returns the time since data was last received, or since the start before any.
 	 * @return the time; zero while the attempt is paused
@@ -140,6 +152,7 @@
 
 	private void dataTimedOut() {
 		restartDataTimer(this.plan.gapTimeout());
+		this.silent = true;
 		this.listener.silent(this);
 	}
 
@@ -177,6 +190,8 @@
 			return;
 		}
 		this.lastDataAtMillis = this.clock.millis();
+		this.silent = false;
+		restartDataTimer(this.plan.gapTimeout());
 		if (isStream(responseHead)) {
 			forwardEvents(responseHead, bytes);
 		}
@@ -193,7 +208,10 @@
 	}
 
 	private void forwardEvents(ResponseHead responseHead, Buffer bytes) {
-		restartDataTimer(this.plan.gapTimeout());
+		if (!this.streamStarted) {
+			this.streamStarted = true;
+			this.listener.streamStarted(this);
+		}
 		Buffer complete = this.splitter.add(bytes);
 		if (complete.length() > 0) {
 			startForwarding(responseHead);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
@@ -42,6 +42,13 @@
 	 */
 	void responseCompleted(Attempt attempt);
 
+	/**
+	 * Called once when the first bytes of an event stream arrive, which need not hold a
+	 * whole event.
+	 * @param attempt the attempt
+	 */
+	void streamStarted(Attempt attempt);
+
 	/**
 	 * Called when the backend server has sent nothing for the timeout of the plan, and
 	 * again after each further gap timeout. The attempt goes on.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Function;
 
 import io.vertx.core.Context;
@@ -15,7 +17,6 @@
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.RefusedException;
-import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.quarantine.StrikeKey;
 import org.sardineport.core.relay.AttemptEnd;
@@ -26,14 +27,20 @@
 /**
  * The attempts at one request, as far as the route and the retry budget allow. An attempt
  * that fails is followed by another. One whose backend server is silent goes on, and a
- * replacement is made beside it; the first of the two to send data is kept. Confined to
- * the event loop.
+ * replacement is made beside it; the first of them to send a whole event or a complete
+ * response is kept, and the others are ended. Confined to the event loop.
  */
 final class RelayAttempts implements AttemptListener {
 
 	/** Minimum remaining time for which another attempt is worthwhile. */
 	private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
+	/**
+	 * Time from the first bytes of a replacement's stream to the end of the silent run,
+	 * so that two backend servers do not work on one stream for long.
+	 */
+	private static final Duration HAND_OVER_TIMEOUT = Duration.ofMillis(300);
+
 	private final RelayServices services;
 
 	private final RelayRequest request;
@@ -54,16 +61,15 @@
 
 	private @Nullable SchedulingRequest pendingRequest;
 
-	/** The only attempt, or the one that is silent. */
-	private @Nullable PermittedAttempt current;
-
-	/** Attempt beside a silent one; takes its place when it sends data first. */
-	private @Nullable PermittedAttempt replacement;
+	/** Attempts that have not ended, in the order of their dispatch. */
+	private final List<PermittedAttempt> active = new ArrayList<>(2);
 
 	private long lastEventId = -1;
 
 	private long retrySpentAtMillis;
 
+	private long handOverTimer = -1;
+
 	RelayAttempts(RelayServices services, RelayRequest request, PoolName pool, RequestProgress progress,
 			AttemptPlanner planner, ResponseVersion version, RelayRunReport report, RelayAttemptsListener listener) {
 		this.services = services;
@@ -83,11 +89,11 @@
 	}
 
 	/**
-	 * Returns the backend server of the attempt that goes on.
-	 * @return the backend server, or {@code null} while the request waits for a permit
+	 * Returns whether an attempt goes on.
+	 * @return whether a backend server may be running the request
 	 */
-	@Nullable BackendServerId runningOn() {
-		return (this.current != null) ? this.current.server() : null;
+	boolean isRunning() {
+		return !this.active.isEmpty();
 	}
 
 	private void requestPermit() {
@@ -125,7 +131,7 @@
 	}
 
 	private void permitRefused(Refusal refusal) {
-		if (this.current == null) {
+		if (this.active.isEmpty()) {
 			this.listener.permitRefused(refusal);
 		}
 		else {
@@ -138,66 +144,72 @@
 		this.progress.sent();
 		this.report.dispatched(permit.backendServer());
 		this.version.dispatched(permit.backendServer().softwareVersion());
-		if (this.current != null) {
-			recordLastEvent(this.current);
-		}
+		this.active.forEach(this::recordLastEvent);
 		Attempt attempt = new Attempt(this.services, this.planner.attemptPlan(permit, this.progress, this.lastEventId),
 				this);
-		PermittedAttempt permitted = new PermittedAttempt(permit, attempt);
-		if (this.current == null) {
-			this.current = permitted;
-		}
-		else {
-			this.replacement = permitted;
-		}
+		this.active.add(new PermittedAttempt(permit, attempt));
 		attempt.start();
 	}
 
 	@Override
 	public void silent(Attempt attempt) {
-		PermittedAttempt silent = this.current;
-		if (silent == null || silent.attempt() != attempt || this.replacement != null || this.pendingRequest != null) {
+		if (this.pendingRequest != null || attempt.connection() == null || !areAllSilent()) {
 			return;
 		}
 		boolean replaceable = isTimeLeft() && this.progress.mayReplaceAttempt() && spendRetry();
-		this.report.silent(silent, replaceable);
+		this.report.silent(find(attempt), replaceable);
 		if (replaceable) {
-			this.progress.silent(silent.server());
+			this.active.forEach((each) -> this.progress.silent(each.server()));
 			requestPermit();
 		}
 	}
 
+	private boolean areAllSilent() {
+		return this.active.stream().allMatch((each) -> each.attempt().isSilent());
+	}
+
+	@Override
+	public void streamStarted(Attempt attempt) {
+		if (this.active.size() > 1 && this.handOverTimer < 0) {
+			this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
+				this.handOverTimer = -1;
+				if (this.active.stream().anyMatch((each) -> each.attempt() == attempt)) {
+					keepOnly(attempt);
+				}
+			});
+		}
+	}
+
+	private PermittedAttempt find(Attempt attempt) {
+		return this.active.stream()
+			.filter((each) -> each.attempt() == attempt)
+			.findFirst()
+			.orElseThrow(() -> new IllegalStateException("the attempt must not have ended"));
+	}
+
 	/**
-	 * Keeps an attempt that has sent data, and ends the other one if there are two.
+	 * Keeps an attempt that has sent data, and ends the others.
 	 * @param attempt the attempt
 	 * @return the attempt with its permit
 	 */
 	private PermittedAttempt keepOnly(Attempt attempt) {
-		PermittedAttempt former = this.current;
-		PermittedAttempt other = this.replacement;
-		if (former != null && former.attempt() == attempt) {
-			endReplacement();
-			return former;
+		PermittedAttempt kept = find(attempt);
+		withdrawPendingReplacement();
+		if (this.active.size() > 1) {
+			this.services.vertx().cancelTimer(this.handOverTimer);
+			this.handOverTimer = -1;
+			List<PermittedAttempt> earlier = List.copyOf(this.active.subList(0, this.active.indexOf(kept)));
+			List<PermittedAttempt> later = List
+				.copyOf(this.active.subList(this.active.indexOf(kept) + 1, this.active.size()));
+			this.active.retainAll(List.of(kept));
+			earlier.forEach(this::endReplaced);
+			later.forEach(this::endUnused);
 		}
-		if (former == null || other == null) {
-			throw new IllegalStateException("the attempt must not have ended");
-		}
-		this.current = other;
-		this.replacement = null;
-		former.attempt().abort();
-		endReplaced(former);
-		return other;
-	}
-
-	private void endReplacement() {
-		PermittedAttempt unused = this.replacement;
-		if (unused != null) {
-			this.replacement = null;
-			unused.attempt().abort();
-			release(unused, RunEnd.CANCELLED);
-			this.report.replacementEnded("the backend server that was silent goes on");
-		}
-		else if (this.pendingRequest != null) {
+		return kept;
+	}
+
+	private void withdrawPendingReplacement() {
+		if (this.pendingRequest != null) {
 			this.services.scheduler().abandon(this.pendingRequest.id());
 			this.pendingRequest = null;
 			refundRetry();
@@ -205,11 +217,18 @@
 		}
 	}
 
-	private void endReplaced(PermittedAttempt former) {
-		this.progress.ended(former.server(), AttemptEnd.SILENT);
-		this.report.attemptEnded(former.server(), AttemptEnd.SILENT, true, this.planner.fingerprint(),
-				"nothing came for " + former.attempt().silence().toMillis() + " ms, another backend server goes on");
-		release(former, RunEnd.TIMED_OUT);
+	private void endReplaced(PermittedAttempt replaced) {
+		replaced.attempt().abort();
+		this.progress.ended(replaced.server(), AttemptEnd.SILENT);
+		this.report.attemptEnded(replaced.server(), AttemptEnd.SILENT, true, this.planner.fingerprint(),
+				"nothing came for " + replaced.attempt().silence().toMillis() + " ms, another backend server goes on");
+		release(replaced, RunEnd.TIMED_OUT);
+	}
+
+	private void endUnused(PermittedAttempt replacement) {
+		replacement.attempt().abort();
+		release(replacement, RunEnd.CANCELLED);
+		this.report.replacementEnded("the backend server that was silent goes on");
 	}
 
 	@Override
@@ -219,8 +238,7 @@
 			failed(attempt, AttemptEnd.FAILED, "status " + head.status());
 			return;
 		}
-		keepOnly(attempt);
-		releaseCurrent(RunEnd.COMPLETED);
+		complete(keepOnly(attempt));
 		this.listener.responseReceived(head, headers, body);
 	}
 
@@ -239,28 +257,24 @@
 
 	@Override
 	public void responseCompleted(Attempt attempt) {
-		keepOnly(attempt);
-		releaseCurrent(RunEnd.COMPLETED);
+		complete(keepOnly(attempt));
 		this.listener.responseCompleted();
 	}
 
 	@Override
 	public void failed(Attempt attempt, AttemptEnd end, String detail) {
-		PermittedAttempt ended = (this.current != null && this.current.attempt() == attempt) ? this.current
-				: this.replacement;
-		if (ended == null) {
-			throw new IllegalStateException("the attempt must not have ended before");
-		}
+		PermittedAttempt ended = find(attempt);
+		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
-		boolean otherAttempt = removeEnded(ended);
-		boolean again = otherAttempt || mayRetry(end);
+		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
+		boolean again = continued || mayRetry(end);
 		this.report.attemptEnded(ended.server(), end, again, this.planner.fingerprint(), detail);
 		release(ended, runEnd(end, ended));
-		if (otherAttempt && end == AttemptEnd.NOT_CONNECTED) {
+		if (continued && end == AttemptEnd.NOT_CONNECTED) {
 			refundRetry();
 		}
-		else if (!otherAttempt && again) {
+		else if (!continued && again) {
 			requestPermit();
 		}
 		else if (!again) {
@@ -268,19 +282,6 @@
 		}
 	}
 
-	/**
-	 * Removes an attempt that has ended.
-	 * @param ended the attempt
-	 * @return whether another attempt goes on, or its permit has been requested
-	 */
-	private boolean removeEnded(PermittedAttempt ended) {
-		if (ended == this.current) {
-			this.current = this.replacement;
-		}
-		this.replacement = null;
-		return this.current != null || this.pendingRequest != null;
-	}
-
 	private void recordLastEvent(PermittedAttempt attempt) {
 		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
 	}
@@ -324,26 +325,20 @@
 			this.services.scheduler().abandon(this.pendingRequest.id());
 			this.pendingRequest = null;
 		}
-		abort(this.current, runEnd);
-		abort(this.replacement, runEnd);
-		this.current = null;
-		this.replacement = null;
-	}
-
-	private void abort(@Nullable PermittedAttempt permitted, Function<Attempt, RunEnd> runEnd) {
-		if (permitted != null) {
-			RunEnd end = runEnd.apply(permitted.attempt());
-			permitted.attempt().abort();
-			release(permitted, end);
+		this.services.vertx().cancelTimer(this.handOverTimer);
+		List<PermittedAttempt> ended = List.copyOf(this.active);
+		this.active.clear();
+		for (PermittedAttempt each : ended) {
+			RunEnd end = runEnd.apply(each.attempt());
+			this.progress.silent(each.server());
+			each.attempt().abort();
+			release(each, end);
 		}
 	}
 
-	private void releaseCurrent(RunEnd end) {
-		PermittedAttempt ended = this.current;
-		this.current = null;
-		if (ended != null) {
-			release(ended, end);
-		}
+	private void complete(PermittedAttempt completed) {
+		this.active.remove(completed);
+		release(completed, RunEnd.COMPLETED);
 	}
 
 	private void release(PermittedAttempt ended, RunEnd end) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -9,7 +9,6 @@
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.RunEnd;
-import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.RelayAdmission;
@@ -208,12 +207,9 @@
 		if (this.finished) {
 			return;
 		}
-		BackendServerId server = this.attempts.runningOn();
-		if (server != null) {
-			this.progress.silent(server);
-		}
+		boolean running = this.attempts.isRunning();
 		this.attempts.abort((attempt) -> RunEnd.TIMED_OUT);
-		RefusalReason reason = (server != null) ? RefusalReason.BACKEND_TIMEOUT : RefusalReason.DEADLINE_PASSED;
+		RefusalReason reason = running ? RefusalReason.BACKEND_TIMEOUT : RefusalReason.DEADLINE_PASSED;
 		refused(Refusal.retryAfter(reason, "the time limit passed", DEFAULT_RETRY_AFTER));
 	}
 
