Keep a connection open in a planned stop while a further request is on it

What callers saw: a request was read and passed on, and its connection closed without a response, when the response before it on the connection ended in a planned stop. The response had begun before the stop, so nothing had told the caller that the connection would be closed.

Cause: each response that ends in a stop closes the connection, though a pipelined request may have started. Same class as the idle connection with a request in flight.

Change: the connection is closed after the response if no request is in flight on it, else after that request's.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -61,6 +61,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether no request is in flight on a connection.
+	 * @param connection the connection
+	 * @return whether it may be closed without losing a request that was read
+	 */
+	boolean isIdle(HttpConnection connection) {
+		Activity activity = this.activities.get(connection);
+		return activity == null || activity.requestsInFlight == 0;
+	}
+
 	/**
 	 * Closes connections that have been idle for at least the timeout.
 	 */
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerResponse.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerResponse.java
@@ -31,15 +31,19 @@
 
 	private final BooleanSupplier stopping;
 
+	private final BooleanSupplier connectionIdle;
+
 	private final Runnable endHandler;
 
 	private boolean ended;
 
-	CallerResponse(HttpServerRequest request, RelayProtocol protocol, BooleanSupplier stopping, Runnable endHandler) {
+	CallerResponse(HttpServerRequest request, RelayProtocol protocol, BooleanSupplier stopping,
+			BooleanSupplier connectionIdle, Runnable endHandler) {
 		this.request = request;
 		this.response = request.response();
 		this.protocol = protocol;
 		this.stopping = stopping;
+		this.connectionIdle = connectionIdle;
 		this.endHandler = endHandler;
 	}
 
@@ -71,21 +75,23 @@
 	}
 
 	void end() {
-		if (!isClosed()) {
-			closeIfStopping(this.response.end());
-		}
+		Future<Void> written = isClosed() ? Future.succeededFuture() : this.response.end();
 		finish();
+		closeIfStopping(written);
 	}
 
 	void send(int status, MultiMap headers, Buffer body) {
-		if (!isClosed()) {
-			this.response.setStatusCode(status);
-			this.response.headers().addAll(headers);
-			addCloseHeaderIfStopping();
-			boolean bodiless = status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
-			closeIfStopping(bodiless ? this.response.end() : this.response.end(body));
+		if (isClosed()) {
+			finish();
+			return;
 		}
+		this.response.setStatusCode(status);
+		this.response.headers().addAll(headers);
+		addCloseHeaderIfStopping();
+		boolean bodiless = status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+		Future<Void> written = bodiless ? this.response.end() : this.response.end(body);
 		finish();
+		closeIfStopping(written);
 	}
 
 	/**
@@ -107,12 +113,14 @@
 		}
 		addCloseHeaderIfStopping();
 		String body = refusal.reason().label() + ": " + refusal.detail() + ". " + refusal.reason().remedy() + "\n";
-		this.response.end(body).onComplete((ignored) -> {
-			if (closeConnection || this.stopping.getAsBoolean()) {
-				this.request.connection().close();
-			}
-		});
+		Future<Void> written = this.response.end(body);
 		finish();
+		if (closeConnection) {
+			written.onComplete((ignored) -> this.request.connection().close());
+		}
+		else {
+			closeIfStopping(written);
+		}
 	}
 
 	/**
@@ -153,10 +161,13 @@
 		}
 	}
 
+	// A pipelined request may have started; the connection is closed after its response.
 	private void closeIfStopping(Future<Void> written) {
-		if (this.stopping.getAsBoolean()) {
-			written.onComplete((ignored) -> this.request.connection().close());
-		}
+		written.onComplete((ignored) -> {
+			if (this.stopping.getAsBoolean() && this.connectionIdle.getAsBoolean()) {
+				this.request.connection().close();
+			}
+		});
 	}
 
 	private void finish() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -128,10 +128,11 @@
 	private void handle(HttpServerRequest request) {
 		this.inFlight.incrementAndGet();
 		this.connections.requestStarted(request.connection());
-		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping, () -> {
-			this.inFlight.decrementAndGet();
-			this.connections.requestEnded(request.connection());
-		});
+		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping,
+				() -> this.connections.isIdle(request.connection()), () -> {
+					this.inFlight.decrementAndGet();
+					this.connections.requestEnded(request.connection());
+				});
 		RelayExchange exchange = new RelayExchange(this.services, request, response);
 		if (this.refusing) {
 			exchange
