Read an optional software version from the own VM list

Cause: on the callers' own path nothing told servers of several versions apart.

Change: a backend server of the list may have the text softwareVersion; absent or null counts as unknown.

--- a/daemon/src/main/java/org/sardineport/daemon/platform/VmListingJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/platform/VmListingJson.java
@@ -4,8 +4,10 @@
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -37,16 +39,21 @@
 	}
 
 	/**
-	 * A backend server of the list.
+	 * A backend server of the list. {@code softwareVersion} is optional; servers listed
+	 * without it count as running the same version.
 	 */
 	@JsonIgnoreProperties(ignoreUnknown = true)
 	record BackendJson(String id, BackendKind kind, String pool, String failureDomain, String address,
-			int nominalConcurrency, VmState state) {
+			int nominalConcurrency, VmState state, @Nullable String softwareVersion) {
 
 		private VmListing.ListedBackend toListed() {
 			BackendServer server = new BackendServer(BackendServerId.of(this.id), this.kind, PoolName.of(this.pool),
 					FailureDomain.of(this.failureDomain), NetworkAddress.parse(this.address), this.nominalConcurrency);
-			return new VmListing.ListedBackend(server, this.state);
+			return new VmListing.ListedBackend(server.withSoftwareVersion(version()), this.state);
+		}
+
+		private SoftwareVersion version() {
+			return (this.softwareVersion != null) ? SoftwareVersion.of(this.softwareVersion) : SoftwareVersion.UNKNOWN;
 		}
 
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/platform/VmListContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/VmListContract.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -52,6 +53,14 @@
 		assertThat(listing.backendServers()).containsExactly(new VmListing.ListedBackend(ENGINE, VmState.LEAVING));
 	}
 
+	// All versions of a pool would be taken for one.
+	@Test
+	void listsTheSoftwareVersion() {
+		BackendServer versioned = ENGINE.withSoftwareVersion(SoftwareVersion.of("v1.1"));
+		platform().putBackendServer(versioned, VmState.LIVE);
+		assertThat(fetch().backendServers()).containsExactly(new VmListing.ListedBackend(versioned, VmState.LIVE));
+	}
+
 	@Test
 	void followsChanges() {
 		platform().putEntryVm(ENTRY, VmState.LIVE);
