Resume a preempted stream on its own software version only

Cause: a run whose stream was exported asked for a permit of any server of its pool, and imported the KV cache and the rest of the stream there.

Change: PermitHolder requires the version of the server to which the run was sent for each further permit of that run. Permits that ended unused or without a connection bind nothing. If no server of the version is listed, the scheduler refuses, and the run ends as after any other refusal.

Ruled out: other ways by which a run of this path changes its server. A run that is retried was certainly unsent, and DurableTakeover collects a stream from the server that holds it.

--- a/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/PermitHolder.java
@@ -10,14 +10,16 @@
 import org.sardineport.core.quarantine.StrikeKey;
 
 /**
- * Holds the permit of a run. Each granted permit is released exactly once. Used on the
- * run's executor only.
+ * Holds the permit of a run. Each granted permit is released exactly once. Once the run
+ * was sent to a backend server, further permits are requested for the software version of
+ * that backend server only, as its stream cannot go on at another. Used on the run's
+ * executor only.
  */
 final class PermitHolder {
 
 	private final RequestScheduler scheduler;
 
-	private final SchedulingRequest request;
+	private SchedulingRequest request;
 
 	private @Nullable Permit permit;
 
@@ -71,6 +73,13 @@
 			this.permit = null;
 			this.scheduler.release(held, measurement);
 			recordCrashOrSuccess(held, measurement.end());
+			requireVersionIfSent(held, measurement.end());
+		}
+	}
+
+	private void requireVersionIfSent(Permit held, RunEnd end) {
+		if (end != RunEnd.UNUSED && end != RunEnd.NOT_CONNECTED) {
+			this.request = this.request.withRequiredVersion(held.backendServer().softwareVersion());
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
+++ b/daemon/src/test/java/org/sardineport/daemon/exchange/FakeScheduler.java
@@ -43,6 +43,8 @@
 
 	private final List<RequestId> submitted = new CopyOnWriteArrayList<>();
 
+	private final List<SchedulingRequest> requests = new CopyOnWriteArrayList<>();
+
 	private final List<RequestId> abandoned = new CopyOnWriteArrayList<>();
 
 	private final List<StrikeKey> crashes = new CopyOnWriteArrayList<>();
@@ -84,6 +86,11 @@
 		return this.submitted;
 	}
 
+	/** Returns the submitted requests in full, in order. */
+	public List<SchedulingRequest> requests() {
+		return this.requests;
+	}
+
 	public List<RequestId> abandoned() {
 		return this.abandoned;
 	}
@@ -125,6 +132,7 @@
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
 		this.submitted.add(request.id());
+		this.requests.add(request);
 		if (this.refusal != null) {
 			listener.refused(this.refusal);
 		}
--- a/daemon/src/test/java/org/sardineport/daemon/http/PreemptedRequestTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/PreemptedRequestTests.java
@@ -11,7 +11,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.standins.engine.EngineOptions;
 import org.sardineport.standins.engine.ModelEngineStandIn;
@@ -29,6 +31,8 @@
 
 	private static final String DURABLE = "/v1/completions";
 
+	private static final SoftwareVersion V1 = SoftwareVersion.of("v1");
+
 	private static final int TOKENS = 200;
 
 	private static final EngineOptions RESUMABLE = EngineOptions.fast()
@@ -59,6 +63,18 @@
 		assertThat(second.counters().prefillTokens()).isZero();
 	}
 
+	// The KV cache and the rest of the stream would go to an engine of another version.
+	@Test
+	void streamAsksToResumeOnTheVersionThatBeganIt() {
+		this.fixture = new CallerFixture(RESUMABLE);
+		ModelEngineStandIn second = this.fixture.startSecondEngine(RESUMABLE);
+		this.fixture.scheduler.serve(this.fixture.engineServer().withSoftwareVersion(V1),
+				CallerFixture.server("second", BackendKind.MODEL_ENGINE, second.address()).withSoftwareVersion(V1));
+		assertComplete(preemptWhileRunning(CHAT, Map.of()).join());
+		assertThat(this.fixture.scheduler.requests()).extracting(SchedulingRequest::requiredVersion)
+			.containsExactly(null, V1);
+	}
+
 	@Test
 	void cancellableRequestFailsWhenTheEngineCannotResume() {
 		this.fixture = new CallerFixture(NOT_RESUMABLE);
