--- a/bench/src/main/java/org/sardineport/bench/configuration/Fleet.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationFleet.java
@@ -35,7 +35,7 @@
 /**
  * The configuration duties of several daemons over real sockets, before one log service.
  */
-final class Fleet implements AutoCloseable {
+final class ConfigurationFleet implements AutoCloseable {
 
 	private static final String LOOPBACK = "127.0.0.1";
 
@@ -51,11 +51,11 @@
 
 	private final List<Service> services = new ArrayList<>();
 
-	private final List<ConfigurationService> duties = new ArrayList<>();
+	private final List<ConfigurationService> configurationServices = new ArrayList<>();
 
 	private final HttpLogService client;
 
-	private Fleet(int size) throws IOException {
+	private ConfigurationFleet(int size) throws IOException {
 		LogServiceStandIn standIn = LogServiceStandIn.create(this.vertx, this.log);
 		start(standIn);
 		this.client = HttpLogService.create(this.vertx, standIn.address(), TIMEOUT);
@@ -70,12 +70,12 @@
 		}
 	}
 
-	static Fleet start(int size) throws IOException {
-		return new Fleet(size);
+	static ConfigurationFleet start(int size) throws IOException {
+		return new ConfigurationFleet(size);
 	}
 
-	List<ConfigurationService> duties() {
-		return this.duties;
+	List<ConfigurationService> configurationServices() {
+		return this.configurationServices;
 	}
 
 	InMemoryLogService log() {
@@ -91,13 +91,13 @@
 		PeerIdentity identity = new PeerIdentity("bench", self.id(), 1, self.peerAddress(), List.of(PEER_KEY));
 		NettyPeerTransport transport = NettyPeerTransport.create(identity, List.of(ConfigurationPeerCodec.create()),
 				clock, TransportListener.NONE);
-		FleetView view = new FixedView(new FleetSnapshot(self.id(), members, List.of()));
-		ConfigurationService duty = ConfigurationService.create(ConfigurationSettings.defaults(),
+		FleetView view = new FixedFleetView(new FleetSnapshot(self.id(), members, List.of()));
+		ConfigurationService configurationService = ConfigurationService.create(ConfigurationSettings.defaults(),
 				ProfileReader.create(), HttpLogService.create(this.vertx, logAddress, TIMEOUT), view, transport, clock,
 				Telemetry.create());
 		start(transport);
-		start(duty);
-		this.duties.add(duty);
+		start(configurationService);
+		this.configurationServices.add(configurationService);
 	}
 
 	private void start(Service service) {
@@ -123,7 +123,7 @@
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	private record FixedView(FleetSnapshot current) implements FleetView {
+	private record FixedFleetView(FleetSnapshot current) implements FleetView {
 
 		@Override
 		public void addListener(Consumer<FleetSnapshot> listener) {
--- a/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
@@ -39,7 +39,7 @@
 	private static final double CONTROL_CORE_SHARE = 0.01;
 
 	/** Memory that a daemon may spend for control. */
-	private static final double CONTROL_BYTES = 64.0 * 1024 * 1024;
+	private static final double CONTROL_MEMORY_BYTES = 64.0 * 1024 * 1024;
 
 	/** As many profiles of the large kind as the rules allow, roughly. */
 	private static final int LARGE_PROFILES = 150;
@@ -59,43 +59,43 @@
 	@Override
 	public boolean run() throws Exception {
 		System.out.println("measure,value,unit,target,result");
-		try (Fleet fleet = Fleet.start(DAEMONS)) {
-			Propagation propagation = new Propagation(fleet);
-			Histogram plain = propagation.changes(this.changes);
-			print("in-force-p50", seconds(plain, 50), "s", TARGET_SECONDS);
-			print("in-force-p99", seconds(plain, 99), "s", TARGET_SECONDS);
-			print("in-force-max", seconds(plain, 100), "s", OUTAGE_TARGET_SECONDS);
+		try (ConfigurationFleet fleet = ConfigurationFleet.start(DAEMONS)) {
+			PropagationTime propagation = new PropagationTime(fleet);
+			Histogram plain = propagation.publishChanges(this.changes);
+			check("in-force-p50", seconds(plain, 50), "s", TARGET_SECONDS);
+			check("in-force-p99", seconds(plain, 99), "s", TARGET_SECONDS);
+			check("in-force-max", seconds(plain, 100), "s", OUTAGE_TARGET_SECONDS);
 			if (this.outages > 0) {
-				Histogram outage = propagation.publishedDuringOutages(this.outages, OUTAGE);
-				print("in-force-outage-max", seconds(outage, 100), "s", OUTAGE_TARGET_SECONDS);
-				Histogram lag = propagation.readsHeldBack(this.outages, OUTAGE);
-				print("in-force-reads-held-back-max", seconds(lag, 100), "s", OUTAGE_TARGET_SECONDS);
+				Histogram outage = propagation.publishDuringOutages(this.outages, OUTAGE);
+				check("in-force-outage-max", seconds(outage, 100), "s", OUTAGE_TARGET_SECONDS);
+				Histogram lag = propagation.publishDuringReadLag(this.outages, OUTAGE);
+				check("in-force-reads-held-back-max", seconds(lag, 100), "s", OUTAGE_TARGET_SECONDS);
 			}
 		}
-		costs(ProfileTexts.small(), 4, "small");
-		costs(ProfileTexts.withOrganisations(LARGE_ORGANISATIONS), LARGE_PROFILES, "large");
-		fleetTick(DAEMONS, DAEMON_DOMAINS);
-		fleetTick(LARGE_DAEMONS, LARGE_DOMAINS);
+		measureCost(ProfileTexts.small(), 4, "small");
+		measureCost(ProfileTexts.withOrganisations(LARGE_ORGANISATIONS), LARGE_PROFILES, "large");
+		measureFleetTick(DAEMONS, DAEMON_DOMAINS);
+		measureFleetTick(LARGE_DAEMONS, LARGE_DOMAINS);
 		return this.allMet;
 	}
 
-	private void costs(ProfileTexts texts, int profiles, String size) {
+	private void measureCost(ProfileTexts texts, int profiles, String size) {
 		ReplicaCost cost = ReplicaCost.measure(texts, profiles);
 		String suffix = "-" + size;
 		info("profiles" + suffix, profiles, "profiles");
 		info("record" + suffix, cost.recordBytes(), "B");
 		info("delta" + suffix, cost.deltaBytes(), "B");
 		info("apply" + suffix, cost.applyMicros(), "us");
-		print("core-share" + suffix, cost.applyMicros() * CHANGES_PER_SECOND / 1e6, "core", CONTROL_CORE_SHARE);
-		print("reader-bytes" + suffix, cost.recordBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
-		print("spread-bytes" + suffix, cost.spreadBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
+		check("core-share" + suffix, cost.applyMicros() * CHANGES_PER_SECOND / 1e6, "core", CONTROL_CORE_SHARE);
+		check("reader-bytes" + suffix, cost.recordBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
+		check("spread-bytes" + suffix, cost.distributionBytes() * CHANGES_PER_SECOND, "B/s", CONTROL_BYTES_PER_SECOND);
 		info("memory-per-profile" + suffix, cost.memoryPerProfile(), "B");
-		print("memory" + suffix, cost.memoryPerProfile() * profiles, "B", CONTROL_BYTES);
+		check("memory" + suffix, cost.memoryPerProfile() * profiles, "B", CONTROL_MEMORY_BYTES);
 	}
 
-	private void fleetTick(int daemons, int domains) {
+	private void measureFleetTick(int daemons, int domains) {
 		double micros = FleetTickCost.micros(daemons, domains);
-		print("fleet-tick-core-share-" + daemons, micros * FleetTickCost.TICKS_PER_SECOND / 1e6, "core",
+		check("fleet-tick-core-share-" + daemons, micros * FleetTickCost.TICKS_PER_SECOND / 1e6, "core",
 				CONTROL_CORE_SHARE);
 	}
 
@@ -107,7 +107,7 @@
 		System.out.println("%s,%.6g,%s,,".formatted(measure, value, unit));
 	}
 
-	private void print(String measure, double value, String unit, double target) {
+	private void check(String measure, double value, String unit, double target) {
 		boolean met = value < target;
 		this.allMet &= met;
 		System.out.println("%s,%.6g,%s,%.6g,%s".formatted(measure, value, unit, target, met ? "met" : "missed"));
--- a/bench/src/main/java/org/sardineport/bench/configuration/ProfileTexts.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ProfileTexts.java
@@ -32,12 +32,12 @@
 	/**
 	 * Returns the text of a profile.
 	 * @param name its name
-	 * @param edition a number that makes texts of the same profile differ
+	 * @param revision a number that makes texts of the same profile differ
 	 * @return the text
 	 */
-	String text(String name, int edition) {
+	String text(String name, int revision) {
 		StringBuilder text = new StringBuilder("name: ").append(name).append("\nroutes:\n");
-		route(text, "/v1/explanations", "urgent", 5 + edition % 20);
+		route(text, "/v1/explanations", "urgent", 5 + revision % 20);
 		route(text, "/v1/summaries", "interactive", 20);
 		route(text, "/v1/senses", "standard", 60);
 		route(text, "/v1/reports", "batch", 1800);
--- a/bench/src/main/java/org/sardineport/bench/configuration/Propagation.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/PropagationTime.java
@@ -19,35 +19,35 @@
  * Measures the time from the start of an append until the change is in force on all
  * daemons, in microseconds.
  */
-final class Propagation {
+final class PropagationTime {
 
 	private static final long MAXIMUM_MICROS = TimeUnit.MINUTES.toMicros(1);
 
-	private static final Duration PAUSE = Duration.ofMillis(30);
+	private static final Duration PUBLISH_INTERVAL = Duration.ofMillis(30);
 
-	private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+	private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
 	private static final ProfileName PROFILE = ProfileName.of("measured");
 
-	private final Fleet fleet;
+	private final ConfigurationFleet fleet;
 
 	private final ProfileTexts texts = ProfileTexts.small();
 
-	private final AtomicLong awaited = new AtomicLong(Long.MAX_VALUE);
+	private final AtomicLong awaitedVersion = new AtomicLong(Long.MAX_VALUE);
 
-	private final AtomicInteger missing = new AtomicInteger();
+	private final AtomicInteger pendingDaemons = new AtomicInteger();
 
-	private volatile CompletableFuture<Void> everywhere = new CompletableFuture<>();
+	private volatile CompletableFuture<Void> appliedEverywhere = new CompletableFuture<>();
 
 	private long version = -1;
 
-	private int edition;
+	private int revision;
 
-	Propagation(Fleet fleet) {
+	PropagationTime(ConfigurationFleet fleet) {
 		this.fleet = fleet;
-		this.fleet.duties().forEach((duty) -> duty.listen((snapshot) -> {
-			if (snapshot.version() >= this.awaited.get() && this.missing.decrementAndGet() == 0) {
-				this.everywhere.complete(null);
+		this.fleet.configurationServices().forEach((duty) -> duty.listen((snapshot) -> {
+			if (snapshot.version() >= this.awaitedVersion.get() && this.pendingDaemons.decrementAndGet() == 0) {
+				this.appliedEverywhere.complete(null);
 			}
 		}));
 	}
@@ -57,10 +57,10 @@
 	 * @param count how many
 	 * @return the times
 	 */
-	Histogram changes(int count) {
+	Histogram publishChanges(int count) {
 		Histogram times = histogram();
 		for (int i = 0; i < count; i++) {
-			pause(PAUSE);
+			pause(PUBLISH_INTERVAL);
 			times.recordValue(publish());
 		}
 		return times;
@@ -72,11 +72,11 @@
 	 * @param outage how long each lasts
 	 * @return the times, from the first try on
 	 */
-	Histogram publishedDuringOutages(int count, Duration outage) {
+	Histogram publishDuringOutages(int count, Duration outage) {
 		Histogram times = histogram();
 		for (int i = 0; i < count; i++) {
 			this.fleet.log().faults().outage(true);
-			end(outage, () -> this.fleet.log().faults().outage(false));
+			schedule(outage, () -> this.fleet.log().faults().outage(false));
 			times.recordValue(publish());
 		}
 		return times;
@@ -88,7 +88,7 @@
 	 * @param lag time until a record can be read
 	 * @return the times
 	 */
-	Histogram readsHeldBack(int count, Duration lag) {
+	Histogram publishDuringReadLag(int count, Duration lag) {
 		Histogram times = histogram();
 		this.fleet.log().faults().readLag(lag);
 		for (int i = 0; i < count; i++) {
@@ -100,12 +100,12 @@
 
 	private long publish() {
 		byte[] record = record();
-		this.everywhere = new CompletableFuture<>();
-		this.missing.set(this.fleet.duties().size());
-		this.awaited.set(this.version + 1);
+		this.appliedEverywhere = new CompletableFuture<>();
+		this.pendingDaemons.set(this.fleet.configurationServices().size());
+		this.awaitedVersion.set(this.version + 1);
 		long start = System.nanoTime();
 		this.version = append(record);
-		this.everywhere.join();
+		this.appliedEverywhere.join();
 		return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - start);
 	}
 
@@ -115,21 +115,21 @@
 				return this.fleet.client().append("configuration", record).toCompletableFuture().join();
 			}
 			catch (CompletionException ex) {
-				pause(RETRY_PAUSE);
+				pause(RETRY_DELAY);
 			}
 		}
 	}
 
 	private byte[] record() {
-		this.edition++;
-		ProfileDocument document = new ProfileDocument(PROFILE, this.texts.text(PROFILE.value(), this.edition));
+		this.revision++;
+		ProfileDocument document = new ProfileDocument(PROFILE, this.texts.text(PROFILE.value(), this.revision));
 		return ConfigurationRecordCodec.create()
-			.encode(new Publication("token-" + this.edition, this.version, List.of(document), List.of(), "bench"));
+			.encode(new Publication("token-" + this.revision, this.version, List.of(document), List.of(), "bench"));
 	}
 
-	private static void end(Duration after, Runnable command) {
-		Executor later = CompletableFuture.delayedExecutor(after.toMillis(), TimeUnit.MILLISECONDS);
-		later.execute(command);
+	private static void schedule(Duration delay, Runnable command) {
+		Executor delayed = CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS);
+		delayed.execute(command);
 	}
 
 	private static void pause(Duration duration) {
--- a/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
@@ -21,11 +21,11 @@
  *
  * @param recordBytes bytes of the record of one change
  * @param deltaBytes bytes of one change between daemons
- * @param spreadBytes bytes a daemon sends and receives for one change
+ * @param distributionBytes bytes a daemon sends and receives for one change
  * @param applyMicros processor time to decode and apply one change, in microseconds
  * @param memoryPerProfile memory of one profile in force, in bytes
  */
-record ReplicaCost(double recordBytes, double deltaBytes, double spreadBytes, double applyMicros,
+record ReplicaCost(double recordBytes, double deltaBytes, double distributionBytes, double applyMicros,
 		double memoryPerProfile) {
 
 	private static final int WARM_UP_CHANGES = 500;
@@ -35,23 +35,23 @@
 	private static final int MEMORY_PROFILES = 100;
 
 	/** Bytes of the frames of an announcement and a fetch together. */
-	private static final int QUESTION_BYTES = 2 * 200;
+	private static final int ANNOUNCEMENT_AND_FETCH_BYTES = 2 * 200;
 
 	static ReplicaCost measure(ProfileTexts texts, int profiles) {
 		ConfigurationRecordCodec codec = ConfigurationRecordCodec.create();
 		ConfigurationReplica replica = replica(codec, texts, profiles);
-		run(codec, texts, replica, profiles, WARM_UP_CHANGES);
-		double micros = run(codec, texts, replica, profiles, MEASURED_CHANGES);
+		applyChanges(codec, texts, replica, profiles, WARM_UP_CHANGES);
+		double micros = applyChanges(codec, texts, replica, profiles, MEASURED_CHANGES);
 		double delta = deltaBytes(codec, texts, replica, profiles);
-		double spread = (1 + ConfigurationDistribution.FAN_OUT) * (delta + QUESTION_BYTES);
-		return new ReplicaCost(record(codec, texts, 0, 1, 0).length, delta, spread, micros,
+		double distribution = (1 + ConfigurationDistribution.FAN_OUT) * (delta + ANNOUNCEMENT_AND_FETCH_BYTES);
+		return new ReplicaCost(record(codec, texts, 0, 1, 0).length, delta, distribution, micros,
 				memoryPerProfile(codec, texts));
 	}
 
 	private static double deltaBytes(ConfigurationRecordCodec codec, ProfileTexts texts, ConfigurationReplica replica,
 			int profiles) {
 		ConfigurationState before = replica.state();
-		run(codec, texts, replica, profiles, 1);
+		applyChanges(codec, texts, replica, profiles, 1);
 		ConfigurationState after = replica.state();
 		RecentChanges changes = RecentChanges.create();
 		changes.recordChanges(before, after);
@@ -77,7 +77,7 @@
 		return (double) (after - before) / MEMORY_PROFILES;
 	}
 
-	private static double run(ConfigurationRecordCodec codec, ProfileTexts texts, ConfigurationReplica replica,
+	private static double applyChanges(ConfigurationRecordCodec codec, ProfileTexts texts, ConfigurationReplica replica,
 			int profiles, int changes) {
 		long first = replica.nextOffset();
 		List<byte[]> records = new ArrayList<>();
@@ -95,11 +95,11 @@
 		return micros;
 	}
 
-	private static byte[] record(ConfigurationRecordCodec codec, ProfileTexts texts, int profile, int edition,
+	private static byte[] record(ConfigurationRecordCodec codec, ProfileTexts texts, int profile, int revision,
 			long base) {
 		String name = "profile-" + profile;
-		ProfileDocument document = new ProfileDocument(ProfileName.of(name), texts.text(name, edition));
-		return codec.encode(new Publication("token-" + edition, base, List.of(document), List.of(), "operator"));
+		ProfileDocument document = new ProfileDocument(ProfileName.of(name), texts.text(name, revision));
+		return codec.encode(new Publication("token-" + revision, base, List.of(document), List.of(), "operator"));
 	}
 
 	private static long usedMemory() {
--- a/bench/src/main/java/org/sardineport/bench/decision/DecisionMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/decision/DecisionMeasurement.java
@@ -22,11 +22,11 @@
 public final class DecisionMeasurement implements Measurement {
 
 	/** Most nanoseconds of the median decision in the smallest pool. */
-	private static final double MEDIAN_NANOS = 2000;
+	private static final double MEDIAN_NANOS_TARGET = 2000;
 
-	private static final int SMALLEST = 16;
+	private static final int SMALLEST_POOL = 16;
 
-	private static final int LARGEST = 10_000;
+	private static final int LARGEST_POOL = 10_000;
 
 	private static final int ITERATIONS = 5;
 
@@ -50,11 +50,11 @@
 		System.out.println("servers,p50_ns,p99_ns");
 		byServers.forEach((servers, statistics) -> System.out.printf(Locale.ROOT, "%d,%.0f,%.0f%n", servers,
 				statistics.getPercentile(50), statistics.getPercentile(99)));
-		double smallest = median(byServers, SMALLEST);
-		double growth = median(byServers, LARGEST) / smallest;
-		double logarithmic = Math.log(LARGEST) / Math.log(SMALLEST);
-		boolean fast = target("median with %d servers, ns".formatted(SMALLEST), smallest, MEDIAN_NANOS);
-		return target("growth up to %d servers".formatted(LARGEST), growth, logarithmic) && fast;
+		double smallest = median(byServers, SMALLEST_POOL);
+		double growth = median(byServers, LARGEST_POOL) / smallest;
+		double logarithmic = Math.log(LARGEST_POOL) / Math.log(SMALLEST_POOL);
+		boolean fast = check("median with %d servers, ns".formatted(SMALLEST_POOL), smallest, MEDIAN_NANOS_TARGET);
+		return check("growth up to %d servers".formatted(LARGEST_POOL), growth, logarithmic) && fast;
 	}
 
 	private static double median(Map<Integer, Statistics> byServers, int servers) {
@@ -65,7 +65,7 @@
 		return statistics.getPercentile(50);
 	}
 
-	private static boolean target(String name, double value, double bound) {
+	private static boolean check(String name, double value, double bound) {
 		boolean met = value <= bound;
 		System.out.printf(Locale.ROOT, "%-36s %10.2f <= %-10.2f %s%n", name, value, bound, (met) ? "met" : "MISSED");
 		return met;
--- a/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
@@ -20,9 +20,9 @@
 
 	private static final Duration SETTLING = Duration.ofSeconds(12);
 
-	private static final Duration LONGEST = Duration.ofSeconds(12);
+	private static final Duration OBSERVATION_TIME = Duration.ofSeconds(12);
 
-	private static final int KILLED = 1;
+	private static final int KILLED_DAEMON = 1;
 
 	/** Milliseconds until the last daemon gives the dead one no new work. */
 	private final Histogram suspected = new Histogram(3);
@@ -38,12 +38,12 @@
 		Detection detection = new Detection();
 		for (int seed = 1; seed <= kills; seed++) {
 			VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, seed);
-			fleet.meet();
+			fleet.introduceAll();
 			fleet.run(SETTLING.plusMillis(20L * (seed % 50)));
 			fleet.clearObservations();
 			Instant killed = fleet.now();
-			fleet.kill(KILLED);
-			fleet.run(LONGEST);
+			fleet.kill(KILLED_DAEMON);
+			fleet.run(OBSERVATION_TIME);
 			detection.add(fleet.observations(), killed, members - 1);
 		}
 		return detection;
@@ -61,7 +61,7 @@
 	static long falseDeaths(int members, Duration time, List<String> domains, MembershipTiming timing,
 			NetworkConditions network) {
 		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, members);
-		fleet.meet();
+		fleet.introduceAll();
 		fleet.run(SETTLING);
 		long deaths = 0;
 		for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(Duration.ofMinutes(1))) {
@@ -89,7 +89,8 @@
 	private static void record(Histogram histogram, List<Observation> observations, Instant killed, int observers,
 			List<MembershipEvent> events) {
 		List<Instant> first = observations.stream()
-			.filter((found) -> found.member().id().equals(VirtualFleet.id(KILLED)) && events.contains(found.event()))
+			.filter((found) -> found.member().id().equals(VirtualFleet.id(KILLED_DAEMON))
+					&& events.contains(found.event()))
 			.collect(Collectors.groupingBy(Observation::observer,
 					Collectors.mapping(Observation::at, Collectors.minBy(Instant::compareTo))))
 			.values()
@@ -98,8 +99,8 @@
 			.sorted()
 			.toList();
 		boolean known = first.size() == observers;
-		histogram
-			.recordValue((known) ? Duration.between(killed, first.get(observers - 1)).toMillis() : LONGEST.toMillis());
+		histogram.recordValue(
+				(known) ? Duration.between(killed, first.get(observers - 1)).toMillis() : OBSERVATION_TIME.toMillis());
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/fleet/FleetMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/FleetMeasurement.java
@@ -28,18 +28,18 @@
 	private static final double MEMORY_TARGET_BYTES = 64.0 * 1024 * 1024;
 
 	/** Greatest growth of the cost per daemon from 8 daemons that counts as flat. */
-	private static final double FLAT_GROWTH = 1.1;
+	private static final double MAXIMUM_GROWTH = 1.1;
 
 	private static final double LOSS = 0.05;
 
 	/** Daemons of one region at the size to design for: 3,300 in 8 regions. */
-	private static final int REGION = 413;
+	private static final int REGION_DAEMONS = 413;
 
-	private static final int FLEET = 3_300;
+	private static final int FLEET_DAEMONS = 3_300;
 
-	private static final int WORKERS = 10_000;
+	private static final int BACKEND_SERVERS = 10_000;
 
-	private static final List<String> SITES = List.of("bole", "kaliti", "piassa");
+	private static final List<String> FAILURE_DOMAINS = List.of("bole", "kaliti", "piassa");
 
 	private static final NetworkConditions NETWORK = new NetworkConditions(0, 0, Duration.ofMillis(1),
 			Duration.ofMillis(3));
@@ -59,12 +59,12 @@
 		falseDeaths(table);
 		virtualCost(table);
 		for (int members : List.of(8, 32)) {
-			RealCost cost = RealCost.measure(members, SITES, Duration.ofSeconds(10));
+			RealCost cost = RealCost.measure(members, FAILURE_DOMAINS, Duration.ofSeconds(10));
 			table.atMost("real-bytes", members, cost.bytesPerSecond(), "B/s", BYTES_TARGET);
 			table.atMost("real-core", members, cost.coreShare(), "core", CORE_TARGET);
 		}
-		movement(table, 8, 16, SITES);
-		movement(table, FLEET, WORKERS, domains());
+		movement(table, 8, 16, FAILURE_DOMAINS);
+		movement(table, FLEET_DAEMONS, BACKEND_SERVERS, designFailureDomains());
 		if (!this.skipRolling) {
 			rolling(table);
 		}
@@ -72,9 +72,9 @@
 	}
 
 	private void detection(ResultTable table) {
-		for (int members : List.of(8, 32, 128, REGION)) {
+		for (int members : List.of(8, 32, 128, REGION_DAEMONS)) {
 			int count = (members > 128) ? Math.max(1, this.kills / 20) : this.kills;
-			Detection detection = Detection.measure(members, count, SITES, this.timing, NETWORK);
+			Detection detection = Detection.measure(members, count, FAILURE_DOMAINS, this.timing, NETWORK);
 			table.info("killed-not-used-p50", members, seconds(detection.suspected(), 50), "s");
 			table.atMost("killed-not-used-max", members, seconds(detection.suspected(), 100), "s",
 					DETECTION_TARGET_SECONDS);
@@ -85,7 +85,7 @@
 
 	private void falseDeaths(ResultTable table) {
 		for (int members : List.of(8, 32, 128)) {
-			long deaths = Detection.falseDeaths(members, Duration.ofHours(1), SITES, this.timing,
+			long deaths = Detection.falseDeaths(members, Duration.ofHours(1), FAILURE_DOMAINS, this.timing,
 					NETWORK.withLoss(LOSS));
 			table.atMost("false-deaths-hour-loss-5%", members, deaths, "deaths", 0);
 		}
@@ -93,36 +93,38 @@
 
 	private void virtualCost(ResultTable table) {
 		double atEight = 0;
-		for (int members : List.of(8, 32, 128, REGION)) {
-			VirtualCost cost = VirtualCost.measure(members, SITES, this.timing, NETWORK, Duration.ofSeconds(30));
+		for (int members : List.of(8, 32, 128, REGION_DAEMONS)) {
+			VirtualCost cost = VirtualCost.measure(members, FAILURE_DOMAINS, this.timing, NETWORK,
+					Duration.ofSeconds(30));
 			atEight = (members == 8) ? cost.bytesPerSecond() : atEight;
 			print(table, members, cost, atEight);
 		}
-		print(table, FLEET, VirtualCost.measure(FLEET, domains(), this.timing, NETWORK, Duration.ofSeconds(5)),
+		print(table, FLEET_DAEMONS,
+				VirtualCost.measure(FLEET_DAEMONS, designFailureDomains(), this.timing, NETWORK, Duration.ofSeconds(5)),
 				atEight);
 	}
 
 	private static void print(ResultTable table, int members, VirtualCost cost, double atEight) {
 		table.atMost("virtual-bytes", members, cost.bytesPerSecond(), "B/s", BYTES_TARGET);
-		table.atMost("virtual-bytes-growth", members, cost.bytesPerSecond() / atEight, "times", FLAT_GROWTH);
+		table.atMost("virtual-bytes-growth", members, cost.bytesPerSecond() / atEight, "times", MAXIMUM_GROWTH);
 		table.info("virtual-largest-frame", members, cost.largestFrame(), "B");
 		table.atMost("virtual-core", members, cost.coreShare(), "core", CORE_TARGET);
 		table.atMost("virtual-memory", members, cost.memoryBytes(), "B", MEMORY_TARGET_BYTES);
 	}
 
-	private static void movement(ResultTable table, int daemons, int workers, List<String> domains) {
-		OwnershipMovement movement = OwnershipMovement.measure(daemons, workers, domains);
-		table.info("owned-by-one", daemons, movement.held(), "backend servers");
-		table.atMost("moved-when-it-goes", daemons, movement.moved(), "backend servers", movement.held());
+	private static void movement(ResultTable table, int daemons, int servers, List<String> domains) {
+		OwnershipMovement movement = OwnershipMovement.measure(daemons, servers, domains);
+		table.info("owned-by-one", daemons, movement.ownedByRemoved(), "backend servers");
+		table.atMost("moved-when-it-goes", daemons, movement.moved(), "backend servers", movement.ownedByRemoved());
 	}
 
 	private static void rolling(ResultTable table) throws Exception {
 		RollingReplacement replacement = RollingReplacement.run();
-		table.info("rolling-requests", RollingReplacement.DAEMONS, replacement.answered(), "requests");
+		table.info("rolling-requests", RollingReplacement.DAEMONS, replacement.completed(), "requests");
 		table.info("rolling-seconds", RollingReplacement.DAEMONS, replacement.seconds(), "s");
 		table.atMost("rolling-lost", RollingReplacement.DAEMONS, replacement.failures().size(), "requests", 0);
 		table.atMost("rolling-run-twice", RollingReplacement.DAEMONS,
-				Math.max(0, replacement.dispatched() - replacement.answered()), "requests", 0);
+				Math.max(0, replacement.dispatched() - replacement.completed()), "requests", 0);
 		replacement.failures().stream().limit(10).forEach(System.out::println);
 	}
 
@@ -130,7 +132,7 @@
 	 * Returns the failure domains of the size to design for.
 	 * @return 18 in 8 regions
 	 */
-	private static List<String> domains() {
+	private static List<String> designFailureDomains() {
 		List<String> domains = new ArrayList<>();
 		for (int i = 0; i < 18; i++) {
 			domains.add("region-%d.domain-%d".formatted(i % 8, i));
--- a/bench/src/main/java/org/sardineport/bench/fleet/OwnershipMovement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/OwnershipMovement.java
@@ -17,10 +17,10 @@
 /**
  * How many backend servers change their owner when one daemon goes.
  *
- * @param held backend servers that the daemon owned
+ * @param ownedByRemoved backend servers that the daemon owned
  * @param moved backend servers whose owner changed
  */
-record OwnershipMovement(int held, int moved) {
+record OwnershipMovement(int ownedByRemoved, int moved) {
 
 	static OwnershipMovement measure(int daemons, int servers, List<String> domains) {
 		List<Member> before = new ArrayList<>();
@@ -28,18 +28,18 @@
 			before.add(new Member(DaemonId.of("daemon-" + i), 1, MemberStatus.ALIVE,
 					FailureDomain.of(domains.get(i % domains.size())), address(i), address(i), 0, 0));
 		}
-		Member gone = before.get(daemons / 2);
-		List<Member> after = before.stream().filter((member) -> member != gone).toList();
-		int held = 0;
+		Member removed = before.get(daemons / 2);
+		List<Member> after = before.stream().filter((member) -> member != removed).toList();
+		int ownedByRemoved = 0;
 		int moved = 0;
 		for (int i = 0; i < servers; i++) {
 			BackendServer server = new BackendServer(BackendServerId.of("worker-" + i), BackendKind.MODEL_ENGINE,
 					PoolName.of("model"), FailureDomain.of(domains.get(i % domains.size())), address(i), 8);
 			Member owner = Ownership.owner(server, before).orElseThrow();
-			held += (owner == gone) ? 1 : 0;
+			ownedByRemoved += (owner == removed) ? 1 : 0;
 			moved += owner.equals(Ownership.owner(server, after).orElseThrow()) ? 0 : 1;
 		}
-		return new OwnershipMovement(held, moved);
+		return new OwnershipMovement(ownedByRemoved, moved);
 	}
 
 	private static NetworkAddress address(int number) {
--- a/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
@@ -49,17 +49,17 @@
 
 	private static final Duration SETTLING = Duration.ofSeconds(10);
 
-	private static final Duration PATIENCE = Duration.ofSeconds(60);
+	private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(60);
 
 	static RealCost measure(int members, List<String> domains, Duration measured) {
 		List<NetworkAddress> addresses = Stream.generate(FreeAddress::find).limit(members).toList();
 		List<Telemetry> telemetries = new ArrayList<>();
 		List<NettyPeerTransport> transports = new ArrayList<>();
-		List<FleetService> duties = new ArrayList<>();
+		List<FleetService> services = new ArrayList<>();
 		for (int i = 0; i < members; i++) {
-			start(i, addresses, domains, telemetries, transports, duties);
+			start(i, addresses, domains, telemetries, transports, services);
 		}
-		awaitAll(duties, members);
+		awaitAll(services, members);
 		LockSupport.parkNanos(SETTLING.toNanos());
 		long bytes = bytes(telemetries);
 		long cpu = cpuNanos();
@@ -67,13 +67,13 @@
 		double seconds = measured.toMillis() / 1000.0;
 		RealCost cost = new RealCost((bytes(telemetries) - bytes) / seconds / members,
 				(cpuNanos() - cpu) / 1e9 / seconds / members);
-		duties.forEach((duty) -> duty.stop().toCompletableFuture().join());
+		services.forEach((service) -> service.stop().toCompletableFuture().join());
 		transports.forEach((transport) -> transport.stop().toCompletableFuture().join());
 		return cost;
 	}
 
 	private static void start(int number, List<NetworkAddress> addresses, List<String> domains,
-			List<Telemetry> telemetries, List<NettyPeerTransport> transports, List<FleetService> duties) {
+			List<Telemetry> telemetries, List<NettyPeerTransport> transports, List<FleetService> services) {
 		SteadyInstantSource clock = SteadyInstantSource.create();
 		NetworkAddress address = addresses.get(number);
 		DaemonId id = DaemonId.of("daemon-" + number);
@@ -88,28 +88,28 @@
 				new PlatformSettings(address, address, Duration.ofSeconds(1)), CallerSettings.defaults(),
 				SchedulingSettings.defaults(), JournalSettings.defaults(), MembershipSettings.defaults(),
 				ConfigurationSettings.defaults(), StopSettings.defaults());
-		VmListing nothing = new VmListing(Instant.EPOCH, List.of(), List.of());
-		FleetService duty = FleetService.create(settings, incarnation, transport,
-				() -> CompletableFuture.completedFuture(nothing), clock, telemetry);
+		VmListing emptyListing = new VmListing(Instant.EPOCH, List.of(), List.of());
+		FleetService service = FleetService.create(settings, incarnation, transport,
+				() -> CompletableFuture.completedFuture(emptyListing), clock, telemetry);
 		transport.start().toCompletableFuture().join();
-		duty.start().toCompletableFuture().join();
+		service.start().toCompletableFuture().join();
 		telemetries.add(telemetry);
 		transports.add(transport);
-		duties.add(duty);
+		services.add(service);
 	}
 
-	private static void awaitAll(List<FleetService> duties, int members) {
-		Instant end = Instant.now().plus(PATIENCE);
-		while (duties.stream().anyMatch((duty) -> alive(duty) < members)) {
+	private static void awaitAll(List<FleetService> services, int members) {
+		Instant end = Instant.now().plus(JOIN_TIMEOUT);
+		while (services.stream().anyMatch((service) -> alive(service) < members)) {
 			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("the daemons did not find each other within " + PATIENCE);
+				throw new IllegalStateException("the daemons did not find each other within " + JOIN_TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
 		}
 	}
 
-	private static long alive(FleetService duty) {
-		return duty.current().members().stream().filter((member) -> member.status() == MemberStatus.ALIVE).count();
+	private static long alive(FleetService service) {
+		return service.current().members().stream().filter((member) -> member.status() == MemberStatus.ALIVE).count();
 	}
 
 	private static long bytes(List<Telemetry> telemetries) {
--- a/bench/src/main/java/org/sardineport/bench/fleet/ReplacementCaller.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/ReplacementCaller.java
@@ -20,7 +20,7 @@
 
 	private static final Pattern ADDRESS = Pattern.compile("\"([0-9.]+:[0-9]+)\"");
 
-	private static final String END_MARK = "data: [DONE]\n\n";
+	private static final String FINAL_EVENT = "data: [DONE]\n\n";
 
 	private static final int SHORT_TOKENS = 5;
 
@@ -28,7 +28,7 @@
 
 	private static final int REQUESTS_PER_LONG_STREAM = 8;
 
-	private static final Duration PATIENCE = Duration.ofSeconds(30);
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
@@ -42,22 +42,22 @@
 
 	private List<String> addresses;
 
-	private long keptSince;
+	private long refreshedAt;
 
-	private volatile int answered;
+	private volatile int completed;
 
-	private volatile boolean finishing;
+	private volatile boolean stopping;
 
-	ReplacementCaller(int number, List<String> known, Duration keepTime) {
+	ReplacementCaller(int number, List<String> initialAddresses, Duration keepTime) {
 		this.name = "caller" + number;
-		this.addresses = known;
+		this.addresses = initialAddresses;
 		this.keepTime = keepTime;
 		this.random = new Random(number);
-		this.keptSince = System.nanoTime() - keepTime.toNanos();
+		this.refreshedAt = System.nanoTime() - keepTime.toNanos();
 	}
 
-	void finish() {
-		this.finishing = true;
+	void stop() {
+		this.stopping = true;
 	}
 
 	/**
@@ -68,35 +68,35 @@
 		return this.failures;
 	}
 
-	int answered() {
-		return this.answered;
+	int completed() {
+		return this.completed;
 	}
 
 	@Override
 	public void run() {
 		int number = 0;
-		while (!this.finishing) {
-			if (System.nanoTime() - this.keptSince >= this.keepTime.toNanos()) {
-				askEntry();
+		while (!this.stopping) {
+			if (System.nanoTime() - this.refreshedAt >= this.keepTime.toNanos()) {
+				refreshAddresses();
 			}
 			request(this.name + "-" + number + "x");
 			number++;
 		}
 	}
 
-	private void askEntry() {
+	private void refreshAddresses() {
 		for (String address : this.addresses) {
-			List<String> found = askEntry(address);
+			List<String> found = refreshAddresses(address);
 			if (!found.isEmpty()) {
 				this.addresses = found;
-				this.keptSince = System.nanoTime();
+				this.refreshedAt = System.nanoTime();
 				return;
 			}
 		}
 		this.failures.add(this.name + ": no entry address answered of " + this.addresses);
 	}
 
-	private List<String> askEntry(String address) {
+	private List<String> refreshAddresses(String address) {
 		List<String> found = new ArrayList<>();
 		try {
 			String body = send(HttpRequest.newBuilder(URI.create("http://" + address + "/v1/entry"))).body();
@@ -117,18 +117,18 @@
 		String body = "{\"stream\":true,\"user\":\"%s\",\"max_tokens\":%d,\"messages\":[]}".formatted(user,
 				(isLong) ? LONG_TOKENS : SHORT_TOKENS);
 		try {
-			HttpResponse<String> answer = send(
+			HttpResponse<String> response = send(
 					HttpRequest.newBuilder(URI.create("http://" + address + "/v1/chat/completions"))
 						.setHeader("Sardineport-Profile", "rolling")
 						.setHeader("Sardineport-Organisation", "schools")
 						.POST(HttpRequest.BodyPublishers.ofString(body)));
-			boolean whole = answer.statusCode() == 200 && answer.body().contains(user + ":")
-					&& answer.body().endsWith(END_MARK);
-			if (whole) {
-				this.answered = this.answered + 1;
+			boolean complete = response.statusCode() == 200 && response.body().contains(user + ":")
+					&& response.body().endsWith(FINAL_EVENT);
+			if (complete) {
+				this.completed = this.completed + 1;
 			}
 			else {
-				this.failures.add(user + " at " + address + ": " + answer.statusCode() + " " + answer.body());
+				this.failures.add(user + " at " + address + ": " + response.statusCode() + " " + response.body());
 			}
 		}
 		catch (IOException ex) {
@@ -138,7 +138,7 @@
 
 	private HttpResponse<String> send(HttpRequest.Builder request) throws IOException {
 		try {
-			return this.client.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
+			return this.client.send(request.timeout(REQUEST_TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
 		}
 		catch (InterruptedException ex) {
 			throw new IOException("interrupted", ex);
--- a/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
@@ -55,7 +55,7 @@
 
 	private static final Duration KEEP_TIME = Duration.ofSeconds(1);
 
-	private static final Duration PATIENCE = Duration.ofSeconds(60);
+	private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
 	private static final String KEY = "key-of-the-measurement-0123456789";
 
@@ -104,8 +104,8 @@
 		return replacement;
 	}
 
-	int answered() {
-		return this.callers.stream().mapToInt(ReplacementCaller::answered).sum();
+	int completed() {
+		return this.callers.stream().mapToInt(ReplacementCaller::completed).sum();
 	}
 
 	int dispatched() {
@@ -147,21 +147,21 @@
 	private void replaceUnderLoad() throws Exception {
 		List<String> addresses = this.settings.stream().map((each) -> each.callerAddress().toString()).toList();
 		List<Thread> threads = new ArrayList<>();
-		until(() -> this.daemons.stream().allMatch(SardineportDaemon::isReady));
+		awaitCondition(() -> this.daemons.stream().allMatch(SardineportDaemon::isReady));
 		for (int i = 0; i < CALLERS; i++) {
 			this.callers.add(new ReplacementCaller(i, addresses, KEEP_TIME));
 			threads.add(new Thread(this.callers.get(i), "caller-" + i));
 		}
 		Instant start = this.clock.instant();
 		threads.forEach(Thread::start);
-		until(() -> this.callers.stream().allMatch((caller) -> caller.answered() > 0));
+		awaitCondition(() -> this.callers.stream().allMatch((caller) -> caller.completed() > 0));
 		for (int i = 0; i < DAEMONS; i++) {
 			await(this.daemons.get(i).stop());
 			SardineportDaemon next = start(this.settings.get(i));
 			this.daemons.set(i, next);
-			until(next::isReady);
+			awaitCondition(next::isReady);
 		}
-		this.callers.forEach(ReplacementCaller::finish);
+		this.callers.forEach(ReplacementCaller::stop);
 		for (Thread thread : threads) {
 			thread.join();
 		}
@@ -196,18 +196,18 @@
 				ConfigurationSettings.defaults(), new StopSettings(KEEP_TIME, Duration.ZERO));
 	}
 
-	private static void until(BooleanSupplier condition) {
-		Instant end = Instant.now().plus(PATIENCE);
+	private static void awaitCondition(BooleanSupplier condition) {
+		Instant end = Instant.now().plus(TIMEOUT);
 		while (!condition.getAsBoolean()) {
 			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("the condition did not come true within " + PATIENCE);
+				throw new IllegalStateException("the condition did not come true within " + TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
 		}
 	}
 
 	private static <T> T await(CompletionStage<T> stage) throws Exception {
-		return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+		return stage.toCompletableFuture().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
@@ -27,14 +27,14 @@
 			Duration measured) {
 		long heapBefore = usedHeap();
 		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, SEED);
-		fleet.meet();
+		fleet.introduceAll();
 		fleet.run(SETTLING);
 		double memory = (usedHeap() - heapBefore) / (double) members;
 		Sizes sizes = new Sizes();
-		fleet.listenToSends(sizes::add);
+		fleet.setSendListener(sizes::add);
 		fleet.run(measured);
 		double seconds = measured.toMillis() / 1000.0;
-		fleet.listenToSends((message) -> {
+		fleet.setSendListener((message) -> {
 		});
 		long cpuBefore = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 		fleet.run(measured);
--- a/bench/src/main/java/org/sardineport/bench/journal/JournalFleet.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/JournalFleet.java
@@ -25,7 +25,7 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
-	private static final Duration START_TIME = Duration.ofSeconds(20);
+	private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
 
 	private final Vertx vertx = Vertx.vertx();
 
@@ -33,7 +33,7 @@
 
 	private final LogServiceStandIn standIn = LogServiceStandIn.create(this.vertx, this.log);
 
-	private final ListedFleet fleet = new ListedFleet();
+	private final MutableFleetView fleet = new MutableFleetView();
 
 	private final List<HttpLogService> adapters = new ArrayList<>();
 
@@ -45,7 +45,7 @@
 	static JournalFleet start(int daemons, Duration roundTrip) throws Exception {
 		JournalFleet started = new JournalFleet();
 		started.log.faults().roundTrip(roundTrip);
-		started.standIn.start().toCompletableFuture().get(START_TIME.toSeconds(), TimeUnit.SECONDS);
+		started.standIn.start().toCompletableFuture().get(START_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		for (int number = 0; number < daemons; number++) {
 			started.add(DaemonId.of("d" + number), number + 1);
 		}
@@ -66,7 +66,7 @@
 	}
 
 	private void awaitReady(JournalService journal) throws Exception {
-		long until = System.nanoTime() + START_TIME.toNanos();
+		long until = System.nanoTime() + START_TIMEOUT.toNanos();
 		while (!journal.isReady()) {
 			if (System.nanoTime() > until) {
 				throw new TimeoutException("a journal did not become ready");
@@ -88,20 +88,20 @@
 		return this.log;
 	}
 
-	ListedFleet fleet() {
+	MutableFleetView fleet() {
 		return this.fleet;
 	}
 
 	@Override
 	public void close() throws Exception {
 		for (JournalService journal : this.journals) {
-			journal.stop().toCompletableFuture().get(START_TIME.toSeconds(), TimeUnit.SECONDS);
+			journal.stop().toCompletableFuture().get(START_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		}
 		for (HttpLogService adapter : this.adapters) {
-			adapter.stop().toCompletableFuture().get(START_TIME.toSeconds(), TimeUnit.SECONDS);
+			adapter.stop().toCompletableFuture().get(START_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		}
-		this.standIn.stop().toCompletableFuture().get(START_TIME.toSeconds(), TimeUnit.SECONDS);
-		this.vertx.close().toCompletionStage().toCompletableFuture().get(START_TIME.toSeconds(), TimeUnit.SECONDS);
+		this.standIn.stop().toCompletableFuture().get(START_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+		this.vertx.close().toCompletionStage().toCompletableFuture().get(START_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/journal/JournalMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/JournalMeasurement.java
@@ -29,13 +29,13 @@
 
 	private static final int WARM_UP_REQUESTS_PER_SECOND = 200;
 
-	private static final double ADDED_MILLIS = 5;
+	private static final double ADDED_LATENCY_MILLIS = 5;
 
-	private static final double APPENDS_TARGET = 300;
+	private static final double APPENDS_PER_SECOND_TARGET = 300;
 
-	private static final double REPLAY_TARGET = 200_000;
+	private static final double RECORDS_PER_SECOND_TARGET = 200_000;
 
-	private static final double BYTES_TARGET = 150;
+	private static final double BYTES_PER_KEY_TARGET = 150;
 
 	private static final double TAKEOVER_TARGET_SECONDS = 5;
 
@@ -59,8 +59,8 @@
 			appends(rate);
 		}
 		ReplayCost cost = ReplayCost.measure(this.keys);
-		atLeast("replay", cost.recordsPerSecond(), "records/s", REPLAY_TARGET);
-		atMost("memory", cost.bytesPerKey(), "B/key", BYTES_TARGET);
+		atLeast("replay", cost.recordsPerSecond(), "records/s", RECORDS_PER_SECOND_TARGET);
+		atMost("memory", cost.bytesPerKey(), "B/key", BYTES_PER_KEY_TARGET);
 		takeover();
 		return this.allMet;
 	}
@@ -73,7 +73,7 @@
 			KeyedLoad load = KeyedLoad.run(fleet, LATENCY_REQUESTS_PER_SECOND, Duration.ofSeconds(this.seconds));
 			for (double percentile : new double[] { 50, 95 }) {
 				double added = millis(load.keyed(), percentile) - millis(load.unkeyed(), percentile);
-				atMost("added-latency-p%.0f".formatted(percentile), added, "ms", 2 * roundTrip + ADDED_MILLIS);
+				atMost("added-latency-p%.0f".formatted(percentile), added, "ms", 2 * roundTrip + ADDED_LATENCY_MILLIS);
 			}
 		}
 	}
@@ -103,7 +103,7 @@
 			info("appends-per-request" + suffix, appends / load.keyed().getTotalCount(), "appends");
 			info("latency-p50" + suffix, millis(load.keyed(), 50), "ms");
 			info("latency-p95" + suffix, millis(load.keyed(), 95), "ms");
-			atMost("appends" + suffix, appends / elapsed, "appends/s", APPENDS_TARGET);
+			atMost("appends" + suffix, appends / elapsed, "appends/s", APPENDS_PER_SECOND_TARGET);
 		}
 	}
 
@@ -113,10 +113,10 @@
 			for (int round = 0; round < TAKEOVERS; round++) {
 				longest = Math.max(longest, TakeoverTime.measure(fleet, DAEMONS, round).toMillis() / 1000.0);
 			}
-			double noticed = TakeoverTime.noticed().toMillis() / 1000.0;
+			double detection = TakeoverTime.detectionTime().toMillis() / 1000.0;
 			info("takeover-from-notice-max", longest, "s");
-			info("notice-by-settings", noticed, "s");
-			atMost("takeover-max", longest + noticed, "s", TAKEOVER_TARGET_SECONDS);
+			info("notice-by-settings", detection, "s");
+			atMost("takeover-max", longest + detection, "s", TAKEOVER_TARGET_SECONDS);
 		}
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/journal/KeyedLoad.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/KeyedLoad.java
@@ -38,11 +38,11 @@
  */
 final class KeyedLoad {
 
-	private static final Duration REQUEST_TIME = Duration.ofSeconds(30);
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
 
-	private static final Duration BACKEND_TIME = Duration.ofMillis(5);
+	private static final Duration BACKEND_LATENCY = Duration.ofMillis(5);
 
-	private static final int ANSWER_BYTES = 200;
+	private static final int RESPONSE_BYTES = 200;
 
 	private static final long HIGHEST_MICROS = 60_000_000;
 
@@ -84,7 +84,7 @@
 			running.add(unkeyedRequest().toCompletableFuture());
 		}
 		CompletableFuture.allOf(running.toArray(CompletableFuture[]::new))
-			.get(REQUEST_TIME.toSeconds(), TimeUnit.SECONDS);
+			.get(REQUEST_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 	}
 
 	private CompletionStage<Void> unkeyedRequest() {
@@ -96,11 +96,11 @@
 		long start = System.nanoTime();
 		return journal.accept(request()).thenCompose((decision) -> {
 			JournalClaim claim = ((AcceptDecision.Accepted) decision).claim();
-			return journal.dispatch(claim, BackendServerId.of("server"), "stream", Instant.now().plus(REQUEST_TIME))
+			return journal.dispatch(claim, BackendServerId.of("server"), "stream", Instant.now().plus(REQUEST_TIMEOUT))
 				.thenCompose((dispatch) -> backendIfWon(dispatch))
 				.thenRun(() -> record(this.keyed, start))
 				.thenCompose((nothing) -> journal.finish(claim, Outcome.COMPLETED,
-						new StoredResponse(200, Map.of(), new byte[ANSWER_BYTES])));
+						new StoredResponse(200, Map.of(), new byte[RESPONSE_BYTES])));
 		});
 	}
 
@@ -113,7 +113,7 @@
 
 	private static CompletionStage<Void> backend() {
 		return CompletableFuture.runAsync(() -> {
-		}, CompletableFuture.delayedExecutor(BACKEND_TIME.toMillis(), TimeUnit.MILLISECONDS));
+		}, CompletableFuture.delayedExecutor(BACKEND_LATENCY.toMillis(), TimeUnit.MILLISECONDS));
 	}
 
 	private static void record(Histogram histogram, long start) {
@@ -130,9 +130,9 @@
 		Fingerprint fingerprint = Fingerprint.of(key.hashCode(), 1);
 		SchedulingRequest scheduling = new SchedulingRequest(RequestId.of("request"), PoolName.of("pool"), organisation,
 				Tier.STANDARD, TokenEstimate.NONE, 0, fingerprint, RunningPolicy.UNINTERRUPTIBLE, 0, now,
-				now.plus(REQUEST_TIME));
+				now.plus(REQUEST_TIMEOUT));
 		return new KeyedRequest(new IdempotencyKey(organisation, key, now), fingerprint, durable, "POST", "/v1/entries",
-				Map.of(), new byte[0], scheduling, now.plus(REQUEST_TIME));
+				Map.of(), new byte[0], scheduling, now.plus(REQUEST_TIMEOUT));
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/journal/ListedFleet.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/MutableFleetView.java
@@ -17,7 +17,7 @@
 /**
  * Fleet whose members the measurement sets.
  */
-final class ListedFleet implements FleetView {
+final class MutableFleetView implements FleetView {
 
 	private static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 1);
 
--- a/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
@@ -27,7 +27,7 @@
  */
 record ReplayCost(double recordsPerSecond, double bytesPerKey) {
 
-	private static final int ENTRIES_A_KEY = 3;
+	private static final int ENTRIES_PER_KEY = 3;
 
 	static ReplayCost measure(int keys) throws InvalidProtocolBufferException {
 		List<byte[]> records = records(keys);
@@ -36,11 +36,11 @@
 		long start = System.nanoTime();
 		JournalReplay replay = replay(records);
 		double seconds = (System.nanoTime() - start) / 1e9;
-		long held = usedHeap() - before;
+		long retained = usedHeap() - before;
 		if (replay.size() != keys) {
 			throw new IllegalStateException("%d keys remembered in place of %d".formatted(replay.size(), keys));
 		}
-		return new ReplayCost(records.size() / seconds, (double) held / keys);
+		return new ReplayCost(records.size() / seconds, (double) retained / keys);
 	}
 
 	private static JournalReplay replay(List<byte[]> records) throws InvalidProtocolBufferException {
@@ -60,7 +60,7 @@
 		OrganisationId organisation = OrganisationId.of("organisation");
 		Instant now = Instant.now();
 		SplittableRandom random = new SplittableRandom(1);
-		List<byte[]> records = new ArrayList<>(ENTRIES_A_KEY * keys);
+		List<byte[]> records = new ArrayList<>(ENTRIES_PER_KEY * keys);
 		for (int number = 0; number < keys; number++) {
 			String key = new UUID(random.nextLong(), random.nextLong()).toString();
 			String token = "daemon-1.abcdefgh." + number;
--- a/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
@@ -20,48 +20,48 @@
  */
 final class TakeoverTime {
 
-	private static final int DYING = 0;
+	private static final int FAILED_DAEMON = 0;
 
-	private static final Duration LONGEST = Duration.ofSeconds(30);
+	private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
 	private TakeoverTime() {
 	}
 
-	static Duration noticed() {
+	static Duration detectionTime() {
 		MembershipSettings membership = MembershipSettings.defaults();
 		return membership.probeInterval().plus(membership.probeTimeout()).multipliedBy(2);
 	}
 
 	// From the moment at which its silence is noticed.
 	static Duration measure(JournalFleet fleet, int daemons, int round) throws Exception {
-		CompletableFuture<Void> taken = new CompletableFuture<>();
+		CompletableFuture<Void> takenOver = new CompletableFuture<>();
 		for (int number = 1; number < daemons; number++) {
-			fleet.journal(number).runner(new NotingRunner(taken));
+			fleet.journal(number).runner(new TakeoverDetector(takenOver));
 		}
-		fleet.fleet().set(DaemonId.of("d" + DYING), MemberStatus.ALIVE);
-		AcceptDecision decision = fleet.journal(DYING)
+		fleet.fleet().set(DaemonId.of("d" + FAILED_DAEMON), MemberStatus.ALIVE);
+		AcceptDecision decision = fleet.journal(FAILED_DAEMON)
 			.accept(KeyedLoad.request("takeover-" + round, true))
 			.toCompletableFuture()
-			.get(LONGEST.toSeconds(), TimeUnit.SECONDS);
+			.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		if (!(decision instanceof AcceptDecision.Accepted)) {
 			throw new IllegalStateException("the request was not accepted: " + decision);
 		}
 		long start = System.nanoTime();
-		fleet.fleet().set(DaemonId.of("d" + DYING), MemberStatus.SUSPECT);
-		taken.get(LONGEST.toSeconds(), TimeUnit.SECONDS);
+		fleet.fleet().set(DaemonId.of("d" + FAILED_DAEMON), MemberStatus.SUSPECT);
+		takenOver.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		return Duration.ofNanos(System.nanoTime() - start);
 	}
 
 	/**
 	 * Notes that a request was taken over.
 	 *
-	 * @param taken completes then
+	 * @param takenOver completes then
 	 */
-	private record NotingRunner(CompletableFuture<Void> taken) implements DurableRunner {
+	private record TakeoverDetector(CompletableFuture<Void> takenOver) implements DurableRunner {
 
 		@Override
 		public void run(KeyedRequest request, JournalClaim claim) {
-			this.taken.complete(null);
+			this.takenOver.complete(null);
 		}
 
 		@Override
--- a/bench/src/main/java/org/sardineport/bench/policy/DirectPolicy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/DirectPolicy.java
@@ -25,7 +25,7 @@
 	}
 
 	@Override
-	public void arrive(Job job) {
+	public void onArrival(Job job) {
 		List<FakeServer> pool = this.run.servers()
 			.stream()
 			.filter((server) -> server.server().pool().equals(job.request().pool()))
@@ -34,20 +34,20 @@
 	}
 
 	@Override
-	public void ended(Job job, RunEnd end) {
+	public void onEnd(Job job, RunEnd end) {
 	}
 
 	@Override
-	public void expired(Job job) {
+	public void onExpiry(Job job) {
 	}
 
 	@Override
-	public void loaded(LoadReport report) {
+	public void onLoadReport(LoadReport report) {
 		this.loads.put(report.backendServer(), report.running() + report.waiting());
 	}
 
 	@Override
-	public boolean holds() {
+	public boolean isTierOrderKept() {
 		return true;
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
@@ -17,7 +17,7 @@
 final class FakeModelEngine implements FakeServer {
 
 	/** Prompt tokens prefilled in one iteration. */
-	private static final int CHUNK = 512;
+	private static final int PREFILL_CHUNK_TOKENS = 512;
 
 	/** Prefixes that fit in the cache. */
 	private static final int CACHED_PREFIXES = 8;
@@ -29,7 +29,7 @@
 
 	private final EngineSpeed speed;
 
-	private final VirtualTime time;
+	private final VirtualTimeline time;
 
 	private final Deque<Job> queue = new ArrayDeque<>();
 
@@ -37,11 +37,11 @@
 
 	private final LinkedHashSet<Long> prefixes = new LinkedHashSet<>();
 
-	private double factor = 1;
+	private double slowdown = 1;
 
 	private boolean iterating;
 
-	FakeModelEngine(BackendServer server, EngineSpeed speed, VirtualTime time) {
+	FakeModelEngine(BackendServer server, EngineSpeed speed, VirtualTimeline time) {
 		this.server = server;
 		this.speed = speed;
 		this.time = time;
@@ -68,7 +68,7 @@
 
 	@Override
 	public void slowDown(double newFactor) {
-		this.factor = newFactor;
+		this.slowdown = newFactor;
 	}
 
 	@Override
@@ -79,31 +79,31 @@
 
 	private void iterate() {
 		while (this.batch.size() < this.server.nominalConcurrency() && !this.queue.isEmpty()) {
-			join(this.queue.poll());
+			addToBatch(this.queue.poll());
 		}
 		this.iterating = !this.batch.isEmpty();
 		if (!this.iterating) {
 			return;
 		}
-		int budget = CHUNK;
-		List<Job> generating = new ArrayList<>();
+		int budget = PREFILL_CHUNK_TOKENS;
+		List<Job> decoding = new ArrayList<>();
 		for (Job job : this.batch) {
 			int tokens = Math.min(budget, job.promptTokensLeft());
 			if (tokens == 0 && job.promptTokensLeft() == 0) {
-				generating.add(job);
+				decoding.add(job);
 			}
 			job.prefill(tokens);
 			budget -= tokens;
 		}
-		double millis = this.speed.iterationMillis() + this.speed.sequenceMillis() * generating.size()
-				+ this.speed.prefillMillisPerToken() * (CHUNK - budget);
-		this.time.after(millis * this.factor, () -> finish(generating));
+		double millis = this.speed.iterationMillis() + this.speed.sequenceMillis() * decoding.size()
+				+ this.speed.prefillMillisPerToken() * (PREFILL_CHUNK_TOKENS - budget);
+		this.time.schedule(millis * this.slowdown, () -> finishIteration(decoding));
 	}
 
-	private void join(Job job) {
+	private void addToBatch(Job job) {
 		long prefix = job.request().prefixHash();
 		if (this.prefixes.remove(prefix)) {
-			job.cached((int) (job.request().estimate().prompt() * PREFIX_SHARE));
+			job.setCachedTokens((int) (job.request().estimate().prompt() * PREFIX_SHARE));
 		}
 		this.prefixes.add(prefix);
 		if (this.prefixes.size() > CACHED_PREFIXES) {
@@ -112,13 +112,13 @@
 		this.batch.add(job);
 	}
 
-	private void finish(List<Job> generating) {
-		for (Job job : generating) {
+	private void finishIteration(List<Job> decoding) {
+		for (Job job : decoding) {
 			if (!this.batch.contains(job)) {
 				continue;
 			}
-			job.generate(this.time.millisNow());
-			if (job.isWhole()) {
+			job.generateToken(this.time.millisNow());
+			if (job.isComplete()) {
 				this.batch.remove(job);
 				job.completed();
 			}
--- a/bench/src/main/java/org/sardineport/bench/policy/FakePlainService.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakePlainService.java
@@ -15,15 +15,15 @@
 
 	private final BackendServer server;
 
-	private final VirtualTime time;
+	private final VirtualTimeline time;
 
 	private final Deque<Job> queue = new ArrayDeque<>();
 
 	private final Set<Job> running = new HashSet<>();
 
-	private double factor = 1;
+	private double slowdown = 1;
 
-	FakePlainService(BackendServer server, VirtualTime time) {
+	FakePlainService(BackendServer server, VirtualTimeline time) {
 		this.server = server;
 		this.time = time;
 	}
@@ -36,20 +36,20 @@
 	@Override
 	public void admit(Job job) {
 		this.queue.add(job);
-		fill();
+		startQueued();
 	}
 
 	@Override
 	public void cancel(Job job) {
 		this.queue.remove(job);
 		if (this.running.remove(job)) {
-			fill();
+			startQueued();
 		}
 	}
 
 	@Override
 	public void slowDown(double newFactor) {
-		this.factor = newFactor;
+		this.slowdown = newFactor;
 	}
 
 	@Override
@@ -58,18 +58,18 @@
 				this.time.instant());
 	}
 
-	private void fill() {
+	private void startQueued() {
 		while (this.running.size() < this.server.nominalConcurrency() && !this.queue.isEmpty()) {
 			Job job = this.queue.remove();
 			this.running.add(job);
-			this.time.after(job.callMillis() * this.factor, () -> finish(job));
+			this.time.schedule(job.callMillis() * this.slowdown, () -> finish(job));
 		}
 	}
 
 	private void finish(Job job) {
 		if (this.running.remove(job)) {
 			job.completed();
-			fill();
+			startQueued();
 		}
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/Job.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Job.java
@@ -87,7 +87,7 @@
 		this.onCompleted = completed;
 	}
 
-	void cached(int tokens) {
+	void setCachedTokens(int tokens) {
 		this.cachedTokens = tokens;
 	}
 
@@ -107,14 +107,14 @@
 		return this.prefilledTokens;
 	}
 
-	void generate(double now) {
+	void generateToken(double now) {
 		if (this.generatedTokens == 0) {
 			this.firstTokenAt = now;
 		}
 		this.generatedTokens++;
 	}
 
-	boolean isWhole() {
+	boolean isComplete() {
 		return this.generatedTokens >= this.answerTokens;
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/Policy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Policy.java
@@ -12,31 +12,31 @@
 	 * A request arrives.
 	 * @param job the request
 	 */
-	void arrive(Job job);
+	void onArrival(Job job);
 
 	/**
 	 * A dispatched request ended.
 	 * @param job the request
 	 * @param end how it ended
 	 */
-	void ended(Job job, RunEnd end);
+	void onEnd(Job job, RunEnd end);
 
 	/**
 	 * The deadline of a request passed before it was dispatched.
 	 * @param job the request
 	 */
-	void expired(Job job);
+	void onExpiry(Job job);
 
 	/**
 	 * A load report arrives, late.
 	 * @param report the report
 	 */
-	void loaded(LoadReport report);
+	void onLoadReport(LoadReport report);
 
 	/**
 	 * Looks at the state after an event.
 	 * @return whether the order of tiers holds, or is not promised by this policy
 	 */
-	boolean holds();
+	boolean isTierOrderKept();
 
 }
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyMeasurement.java
@@ -16,13 +16,13 @@
 public final class PolicyMeasurement implements Measurement {
 
 	/** Least goodput of the top tier. */
-	private static final double TOP_GOODPUT = 0.99;
+	private static final double TOP_TIER_GOODPUT_TARGET = 0.99;
 
 	/** Least ratio to the best baseline's goodput of the top tier, where load changes. */
-	private static final double TOP_RATIO = 1.5;
+	private static final double TOP_TIER_RATIO_TARGET = 1.5;
 
 	/** Most wasted prefill, as a share of the best baseline's. */
-	private static final double WASTE_SHARE = 0.25;
+	private static final double WASTED_PREFILL_TARGET = 0.25;
 
 	@Option(name = "--seeds", description = "Number of seeds, counted from 1")
 	private int seeds = 3;
@@ -64,10 +64,10 @@
 		System.out.printf("%n%s %s, %d seeds%n", site, loadCase, this.seeds);
 		System.out.printf("%-20s %8s %8s %8s %8s %8s %8s %12s %14s %9s %7s%n", "policy", "live", "summary", "tagging",
 				"report", "lookup", "posting", "good tokens", "wasted prefill", "preempted", "cached");
-		List<List<PolicyResult>> baselines = new ArrayList<>();
-		List<PolicyResult> own = List.of();
+		List<List<RunResult>> baselines = new ArrayList<>();
+		List<RunResult> own = List.of();
 		for (PolicyKind kind : PolicyKind.values()) {
-			List<PolicyResult> results = new ArrayList<>();
+			List<RunResult> results = new ArrayList<>();
 			for (int seed = 1; seed <= this.seeds; seed++) {
 				results.add(PolicyRun.run(kind, site, loadCase, seed));
 			}
@@ -83,79 +83,80 @@
 		check(loadCase, own, baselines);
 	}
 
-	private void print(PolicyKind kind, List<PolicyResult> results) {
+	private void print(PolicyKind kind, List<RunResult> results) {
 		System.out.printf(Locale.ROOT,
 				"%-20s %7.2f%% %7.2f%% %7.2f%% %7.2f%% %7.2f%% %7.2f%% %12.0f %14.0f %9.0f %6.2f%%%n", kind,
 				100 * goodput(results, RequestClass.LIVE), 100 * goodput(results, RequestClass.SUMMARY),
 				100 * goodput(results, RequestClass.TAGGING), 100 * goodput(results, RequestClass.REPORT),
 				100 * goodput(results, RequestClass.LOOKUP), 100 * goodput(results, RequestClass.POSTING),
-				mean(results, PolicyResult::goodTokens), mean(results, PolicyResult::wastedPrefill),
-				mean(results, PolicyResult::preemptions), 100 * mean(results, PolicyResult::cachedShare));
+				mean(results, RunResult::goodTokens), mean(results, RunResult::wastedPrefill),
+				mean(results, RunResult::preemptions), 100 * mean(results, RunResult::cachedShare));
 		if (this.details && !kind.isBaseline()) {
 			results.forEach((result) -> System.out.printf("  seed %d: refusals %s, %d retries, %d messages for %d%n",
 					result.seed(), result.refusals(), result.retries(), result.messages(), result.requests()));
 		}
 	}
 
-	private void check(LoadCase loadCase, List<PolicyResult> own, List<List<PolicyResult>> baselines) {
-		checkTop(RequestClass.LIVE, loadCase, own, baselines);
-		checkTop(RequestClass.LOOKUP, loadCase, own, baselines);
+	private void check(LoadCase loadCase, List<RunResult> own, List<List<RunResult>> baselines) {
+		checkTopTier(RequestClass.LIVE, loadCase, own, baselines);
+		checkTopTier(RequestClass.LOOKUP, loadCase, own, baselines);
 		double bestTokens = baselines.stream()
-			.mapToDouble((results) -> mean(results, PolicyResult::goodTokens))
+			.mapToDouble((results) -> mean(results, RunResult::goodTokens))
 			.max()
 			.orElse(0);
 		if (loadCase.isSteady()) {
-			double tokens = mean(own, PolicyResult::goodTokens) / bestTokens;
-			target("good tokens over best baseline", tokens, ">=", 1, tokens >= 1);
+			double tokens = mean(own, RunResult::goodTokens) / bestTokens;
+			report("good tokens over best baseline", tokens, ">=", 1, tokens >= 1);
 		}
 		double leastWaste = baselines.stream()
-			.mapToDouble((results) -> mean(results, PolicyResult::wastedPrefill))
+			.mapToDouble((results) -> mean(results, RunResult::wastedPrefill))
 			.min()
 			.orElse(0);
-		double waste = mean(own, PolicyResult::wastedPrefill);
-		target("wasted prefill", waste, "<=", WASTE_SHARE * leastWaste, waste <= WASTE_SHARE * leastWaste);
-		double broken = own.stream().mapToLong(PolicyResult::brokenEvents).sum();
-		long checked = own.stream().mapToLong(PolicyResult::checkedEvents).sum();
-		target("top tier behind lower, of " + checked + " events", broken, "<=", 0, broken == 0);
-		int refused = own.stream().mapToInt(PolicyResult::topRefused).sum();
-		double shed = own.stream().mapToInt(PolicyResult::shedBehindLower).sum();
-		target("top tier shed while lower ran, of " + refused + " refused", shed, "<=", 0, shed == 0);
+		double waste = mean(own, RunResult::wastedPrefill);
+		report("wasted prefill", waste, "<=", WASTED_PREFILL_TARGET * leastWaste,
+				waste <= WASTED_PREFILL_TARGET * leastWaste);
+		double broken = own.stream().mapToLong(RunResult::tierOrderViolations).sum();
+		long checked = own.stream().mapToLong(RunResult::checkedEvents).sum();
+		report("top tier behind lower, of " + checked + " events", broken, "<=", 0, broken == 0);
+		int refused = own.stream().mapToInt(RunResult::topRefused).sum();
+		double shed = own.stream().mapToInt(RunResult::shedBehindLower).sum();
+		report("top tier shed while lower ran, of " + refused + " refused", shed, "<=", 0, shed == 0);
 	}
 
-	private void checkTop(RequestClass kind, LoadCase loadCase, List<PolicyResult> own,
-			List<List<PolicyResult>> baselines) {
+	private void checkTopTier(RequestClass kind, LoadCase loadCase, List<RunResult> own,
+			List<List<RunResult>> baselines) {
 		double top = goodput(own, kind);
-		target("top-tier goodput, " + kind, top, ">=", TOP_GOODPUT, top >= TOP_GOODPUT);
+		report("top-tier goodput, " + kind, top, ">=", TOP_TIER_GOODPUT_TARGET, top >= TOP_TIER_GOODPUT_TARGET);
 		if (loadCase.changes(kind.pool())) {
 			double best = baselines.stream().mapToDouble((results) -> goodput(results, kind)).max().orElse(0);
 			System.out.printf(Locale.ROOT, "  (the best baseline leaves room for a ratio of %.4f at most)%n", 1 / best);
-			target("top-tier goodput over best baseline, " + kind, top / best, ">=", TOP_RATIO,
-					top / best >= TOP_RATIO);
+			report("top-tier goodput over best baseline, " + kind, top / best, ">=", TOP_TIER_RATIO_TARGET,
+					top / best >= TOP_TIER_RATIO_TARGET);
 		}
 	}
 
-	private void target(String name, double value, String relation, double bound, boolean isMet) {
+	private void report(String name, double value, String relation, double bound, boolean isMet) {
 		this.met &= isMet;
 		System.out.printf(Locale.ROOT, "  %-52s %12.4f %s %-12.4f %s%n", name, value, relation, bound,
 				(isMet) ? "met" : "MISSED");
 	}
 
-	private static double goodput(List<PolicyResult> results, RequestClass kind) {
+	private static double goodput(List<RunResult> results, RequestClass kind) {
 		return mean(results, (result) -> result.goodput(kind));
 	}
 
-	private static double mean(List<PolicyResult> results, ToDoubleFunction<PolicyResult> value) {
+	private static double mean(List<RunResult> results, ToDoubleFunction<RunResult> value) {
 		return results.stream().mapToDouble(value).average().orElse(0);
 	}
 
-	private static String csvLine(PolicyResult result) {
+	private static String csvLine(RunResult result) {
 		return String.format(Locale.ROOT, "%s,%s,%d,%s,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%d,%d,%d,%.4f,%.2f,%d,%d,%d,%d",
 				result.site(), result.loadCase(), result.seed(), result.policy(), result.goodput(RequestClass.LIVE),
 				result.goodput(RequestClass.SUMMARY), result.goodput(RequestClass.TAGGING),
 				result.goodput(RequestClass.REPORT), result.goodput(RequestClass.LOOKUP),
 				result.goodput(RequestClass.POSTING), result.goodTokens(), result.wastedPrefill(), result.preemptions(),
 				result.cachedShare(), (double) result.messages() / result.requests(), result.checkedEvents(),
-				result.brokenEvents(), result.topRefused(), result.shedBehindLower());
+				result.tierOrderViolations(), result.topRefused(), result.shedBehindLower());
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
@@ -27,37 +27,37 @@
 
 	private final LoadCase loadCase;
 
-	private final VirtualTime time = new VirtualTime();
+	private final VirtualTimeline time = new VirtualTimeline();
 
 	private final List<FakeServer> servers = new ArrayList<>();
 
-	private final Map<BackendServerId, FakeServer> byId = new HashMap<>();
+	private final Map<BackendServerId, FakeServer> serversById = new HashMap<>();
 
-	private final PolicyResult result;
+	private final RunResult result;
 
 	private final Policy policy;
 
 	private final List<Workload.Arrival> arrivals;
 
-	private int open;
+	private int openRequests;
 
 	private PolicyRun(PolicyKind kind, Site site, LoadCase loadCase, long seed) {
 		this.site = site;
 		this.loadCase = loadCase;
-		this.result = new PolicyResult(kind, site, loadCase, seed);
+		this.result = new RunResult(kind, site, loadCase, seed);
 		this.arrivals = Workload.of(site, loadCase, seed);
-		this.open = this.arrivals.size();
+		this.openRequests = this.arrivals.size();
 		for (BackendServer server : site.servers()) {
 			FakeServer fake = (server.kind() == BackendKind.MODEL_ENGINE)
 					? new FakeModelEngine(server, EngineSpeed.of(this.servers.size()), this.time)
 					: new FakePlainService(server, this.time);
 			this.servers.add(fake);
-			this.byId.put(server.id(), fake);
+			this.serversById.put(server.id(), fake);
 		}
 		this.policy = kind.create(this, seed);
 	}
 
-	static PolicyResult run(PolicyKind kind, Site site, LoadCase loadCase, long seed) {
+	static RunResult run(PolicyKind kind, Site site, LoadCase loadCase, long seed) {
 		PolicyRun run = new PolicyRun(kind, site, loadCase, seed);
 		run.run();
 		return run.result;
@@ -65,28 +65,28 @@
 
 	private void run() {
 		for (Workload.Arrival arrival : this.arrivals) {
-			this.time.after(arrival.at(), () -> arrive(arrival.job()));
+			this.time.schedule(arrival.at(), () -> handleArrival(arrival.job()));
 		}
 		this.servers.forEach(this::report);
 		if (this.loadCase.slowsDown()) {
-			this.time.after(LoadCase.CHANGE_MILLIS, () -> this.servers.get(0).slowDown(LoadCase.SLOWDOWN));
+			this.time.schedule(LoadCase.CHANGE_MILLIS, () -> this.servers.get(0).slowDown(LoadCase.SLOWDOWN));
 		}
-		while (this.open > 0 && this.time.step()) {
-			this.result.checked(this.policy.holds());
+		while (this.openRequests > 0 && this.time.runNext()) {
+			this.result.recordTierOrderCheck(this.policy.isTierOrderKept());
 		}
 	}
 
-	private void arrive(Job job) {
-		this.result.offered(job);
-		this.time.after(job.deadline() - this.time.millisNow(), () -> expire(job));
-		this.policy.arrive(job);
+	private void handleArrival(Job job) {
+		this.result.recordOffered(job);
+		this.time.schedule(job.deadline() - this.time.millisNow(), () -> expire(job));
+		this.policy.onArrival(job);
 	}
 
 	private void report(FakeServer server) {
 		LoadReport report = server.load();
-		this.time.after(REPORT_DELAY_MILLIS, () -> this.policy.loaded(report));
+		this.time.schedule(REPORT_DELAY_MILLIS, () -> this.policy.onLoadReport(report));
 		if (!isOver()) {
-			this.time.after(REPORT_MILLIS, () -> report(server));
+			this.time.schedule(REPORT_MILLIS, () -> report(server));
 		}
 	}
 
@@ -94,7 +94,7 @@
 		return this.site;
 	}
 
-	VirtualTime time() {
+	VirtualTimeline time() {
 		return this.time;
 	}
 
@@ -103,7 +103,7 @@
 	}
 
 	FakeServer server(BackendServer server) {
-		FakeServer fake = this.byId.get(server.id());
+		FakeServer fake = this.serversById.get(server.id());
 		if (fake == null) {
 			throw new IllegalArgumentException("no fake of " + server.id());
 		}
@@ -111,13 +111,13 @@
 	}
 
 	boolean isOver() {
-		return this.open == 0;
+		return this.openRequests == 0;
 	}
 
 	void dispatch(Job job, FakeServer server) {
 		job.dispatch(server, this.time.millisNow(), () -> complete(job));
-		double delay = this.site.delayMillis(this.site.domain(job.entry()), server.server().failureDomain());
-		this.time.after(delay, () -> {
+		double delay = this.site.delayMillis(this.site.failureDomain(job.entry()), server.server().failureDomain());
+		this.time.schedule(delay, () -> {
 			if (!job.isEnded()) {
 				server.admit(job);
 			}
@@ -127,14 +127,14 @@
 	private void complete(Job job) {
 		if (end(job)) {
 			this.result.good(job);
-			this.policy.ended(job, RunEnd.COMPLETED);
+			this.policy.onEnd(job, RunEnd.COMPLETED);
 		}
 	}
 
 	private boolean end(Job job) {
 		boolean first = job.end();
 		if (first) {
-			this.open--;
+			this.openRequests--;
 		}
 		return first;
 	}
@@ -147,10 +147,10 @@
 		if (server != null) {
 			server.cancel(job);
 			this.result.timedOut(job);
-			this.policy.ended(job, RunEnd.TIMED_OUT);
+			this.policy.onEnd(job, RunEnd.TIMED_OUT);
 		}
 		else {
-			this.policy.expired(job);
+			this.policy.onExpiry(job);
 		}
 	}
 
@@ -165,7 +165,7 @@
 		if (server != null && end(job)) {
 			server.cancel(job);
 			this.result.preempted(job);
-			this.policy.ended(job, RunEnd.CANCELLED);
+			this.policy.onEnd(job, RunEnd.CANCELLED);
 		}
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/RequestClass.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/RequestClass.java
@@ -31,9 +31,9 @@
 	POSTING(Site.SERVICE, Tier.STANDARD, 0.6, 0, 0, 0, 0, 20, RunningPolicy.UNINTERRUPTIBLE);
 
 	/** Shortest and longest call of a plain service, in milliseconds. */
-	static final int SHORTEST_CALL = 20;
+	static final int MINIMUM_CALL_MILLIS = 20;
 
-	static final int LONGEST_CALL = 400;
+	static final int MAXIMUM_CALL_MILLIS = 400;
 
 	private final PoolName pool;
 
@@ -41,13 +41,13 @@
 
 	private final double share;
 
-	private final int leastPrompt;
+	private final int minimumPrompt;
 
-	private final int mostPrompt;
+	private final int maximumPrompt;
 
-	private final int leastAnswer;
+	private final int minimumAnswer;
 
-	private final int mostAnswer;
+	private final int maximumAnswer;
 
 	private final Duration deadline;
 
@@ -58,10 +58,10 @@
 		this.pool = pool;
 		this.tier = tier;
 		this.share = share;
-		this.leastPrompt = leastPrompt;
-		this.mostPrompt = mostPrompt;
-		this.leastAnswer = leastAnswer;
-		this.mostAnswer = mostAnswer;
+		this.minimumPrompt = leastPrompt;
+		this.maximumPrompt = mostPrompt;
+		this.minimumAnswer = leastAnswer;
+		this.maximumAnswer = mostAnswer;
 		this.deadline = Duration.ofSeconds(deadlineSeconds);
 		this.policy = policy;
 	}
@@ -87,22 +87,22 @@
 	}
 
 	int prompt(RandomGenerator random) {
-		return between(this.leastPrompt, this.mostPrompt, random);
+		return randomBetween(this.minimumPrompt, this.maximumPrompt, random);
 	}
 
 	int answer(RandomGenerator random) {
-		return between(this.leastAnswer, this.mostAnswer, random);
+		return randomBetween(this.minimumAnswer, this.maximumAnswer, random);
 	}
 
 	double meanPrompt() {
-		return mean(this.leastPrompt, this.mostPrompt);
+		return mean(this.minimumPrompt, this.maximumPrompt);
 	}
 
 	double meanAnswer() {
-		return mean(this.leastAnswer, this.mostAnswer);
+		return mean(this.minimumAnswer, this.maximumAnswer);
 	}
 
-	static int between(int least, int most, RandomGenerator random) {
+	static int randomBetween(int least, int most, RandomGenerator random) {
 		return (most == 0) ? 0 : (int) (least * Math.exp(random.nextDouble() * Math.log((double) most / least)));
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyResult.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/RunResult.java
@@ -9,7 +9,7 @@
 /**
  * What one run gave.
  */
-final class PolicyResult {
+final class RunResult {
 
 	private final PolicyKind policy;
 
@@ -19,7 +19,7 @@
 
 	private final long seed;
 
-	private final Map<RequestClass, Integer> offered = new EnumMap<>(RequestClass.class);
+	private final Map<RequestClass, Integer> recordOffered = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, Integer> good = new EnumMap<>(RequestClass.class);
 
@@ -41,21 +41,21 @@
 
 	private long checkedEvents;
 
-	private long brokenEvents;
+	private long tierOrderViolations;
 
 	private int shedBehindLower;
 
 	private int topRefused;
 
-	PolicyResult(PolicyKind policy, Site site, LoadCase loadCase, long seed) {
+	RunResult(PolicyKind policy, Site site, LoadCase loadCase, long seed) {
 		this.policy = policy;
 		this.site = site;
 		this.loadCase = loadCase;
 		this.seed = seed;
 	}
 
-	void offered(Job job) {
-		this.offered.merge(job.kind(), 1, Integer::sum);
+	void recordOffered(Job job) {
+		this.recordOffered.merge(job.kind(), 1, Integer::sum);
 	}
 
 	void good(Job job) {
@@ -85,9 +85,9 @@
 		this.shedBehindLower += (behindLower) ? 1 : 0;
 	}
 
-	void checked(boolean holds) {
+	void recordTierOrderCheck(boolean holds) {
 		this.checkedEvents++;
-		this.brokenEvents += (holds) ? 0 : 1;
+		this.tierOrderViolations += (holds) ? 0 : 1;
 	}
 
 	void message() {
@@ -120,7 +120,7 @@
 	 * @return from 0 to 1
 	 */
 	double goodput(RequestClass kind) {
-		int all = this.offered.getOrDefault(kind, 0);
+		int all = this.recordOffered.getOrDefault(kind, 0);
 		return (all == 0) ? 1 : (double) this.good.getOrDefault(kind, 0) / all;
 	}
 
@@ -153,15 +153,15 @@
 	}
 
 	int requests() {
-		return this.offered.values().stream().mapToInt(Integer::intValue).sum();
+		return this.recordOffered.values().stream().mapToInt(Integer::intValue).sum();
 	}
 
 	long checkedEvents() {
 		return this.checkedEvents;
 	}
 
-	long brokenEvents() {
-		return this.brokenEvents;
+	long tierOrderViolations() {
+		return this.tierOrderViolations;
 	}
 
 	int shedBehindLower() {
--- a/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
@@ -61,7 +61,7 @@
 			policy.schedulers.add(Scheduler.create(id, LIMITS, OwnerLookup.rendezvous(), run.time(), random.split(),
 					policy.new Effects(i)));
 		}
-		policy.tellFleet();
+		policy.publishSnapshots();
 		policy.schedulers.forEach(policy::tick);
 		return policy;
 	}
@@ -70,10 +70,11 @@
 		return DaemonId.of("daemon-" + number);
 	}
 
-	private void tellFleet() {
+	private void publishSnapshots() {
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < Site.DAEMONS; i++) {
-			members.add(new Member(daemon(i), 1, MemberStatus.ALIVE, domain(i), Site.ADDRESS, Site.ADDRESS, 0, 0));
+			members
+				.add(new Member(daemon(i), 1, MemberStatus.ALIVE, failureDomain(i), Site.ADDRESS, Site.ADDRESS, 0, 0));
 		}
 		for (int i = 0; i < Site.DAEMONS; i++) {
 			this.schedulers.get(i)
@@ -82,24 +83,24 @@
 		}
 	}
 
-	private FailureDomain domain(int daemon) {
-		return this.run.site().domain(daemon);
+	private FailureDomain failureDomain(int daemon) {
+		return this.run.site().failureDomain(daemon);
 	}
 
 	private void tick(Scheduler scheduler) {
 		scheduler.tick();
 		if (!this.run.isOver()) {
-			this.run.time().after(TICK_MILLIS, () -> tick(scheduler));
+			this.run.time().schedule(TICK_MILLIS, () -> tick(scheduler));
 		}
 	}
 
 	@Override
-	public void arrive(Job job) {
+	public void onArrival(Job job) {
 		this.schedulers.get(job.entry()).submit(job.request(), new Listener(job));
 	}
 
 	@Override
-	public void ended(Job job, RunEnd end) {
+	public void onEnd(Job job, RunEnd end) {
 		Permit permit = this.permits.remove(job.request().id());
 		if (permit != null) {
 			RunMeasurement measurement = job.measurement(end, this.run.time().millisNow());
@@ -108,17 +109,17 @@
 	}
 
 	@Override
-	public void expired(Job job) {
+	public void onExpiry(Job job) {
 		this.schedulers.get(job.entry()).abandon(job.request().id());
 	}
 
 	@Override
-	public void loaded(LoadReport report) {
+	public void onLoadReport(LoadReport report) {
 		this.schedulers.forEach((scheduler) -> scheduler.onLoadReport(report));
 	}
 
 	@Override
-	public boolean holds() {
+	public boolean isTierOrderKept() {
 		for (Scheduler scheduler : this.schedulers) {
 			if (scheduler.isPriorityInverted()) {
 				return false;
@@ -133,12 +134,12 @@
 	 * @param job the request
 	 * @return whether it was shed against the order of tiers
 	 */
-	private boolean runsLowerInstead(Job job) {
+	private boolean isShedBehindLowerTier(Job job) {
 		double left = job.deadline() - this.run.time().millisNow();
 		for (Scheduler scheduler : this.schedulers) {
 			for (ServerState state : scheduler.states()) {
 				if (isOfPool(state.backendServer(), job) && state.lowerTierRunning() && !state.isolated()
-						&& aloneMillis(state, job) < left) {
+						&& unsharedRunMillis(state, job) < left) {
 					return true;
 				}
 			}
@@ -152,7 +153,7 @@
 			.anyMatch((fake) -> fake.server().id().equals(id) && fake.server().pool().equals(job.request().pool()));
 	}
 
-	private static double aloneMillis(ServerState state, Job job) {
+	private static double unsharedRunMillis(ServerState state, Job job) {
 		if (job.request().estimate().total() == 0) {
 			return state.serviceMillis();
 		}
@@ -180,7 +181,7 @@
 		@Override
 		public void refused(Refusal refusal) {
 			boolean shed = this.job.request().tier().isTop() && refusal.reason() != RefusalReason.ORGANISATION_LIMIT
-					&& refusal.reason() != RefusalReason.QUARANTINED && runsLowerInstead(this.job);
+					&& refusal.reason() != RefusalReason.QUARANTINED && isShedBehindLowerTier(this.job);
 			SchedulerPolicy.this.run.refused(this.job, refusal, shed);
 		}
 
@@ -206,9 +207,10 @@
 		public void send(DaemonId to, SchedulingMessage message) {
 			SchedulerPolicy policy = SchedulerPolicy.this;
 			int number = policy.numbers.getOrDefault(to, -1);
-			double delay = policy.run.site().delayMillis(domain(this.from), domain(number));
+			double delay = policy.run.site().delayMillis(failureDomain(this.from), failureDomain(number));
 			policy.run.countMessage();
-			policy.run.time().after(delay, () -> policy.schedulers.get(number).onMessage(daemon(this.from), message));
+			policy.run.time()
+				.schedule(delay, () -> policy.schedulers.get(number).onMessage(daemon(this.from), message));
 		}
 
 		@Override
--- a/bench/src/main/java/org/sardineport/bench/policy/Site.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Site.java
@@ -36,25 +36,25 @@
 	/** Daemons of each site. */
 	static final int DAEMONS = 8;
 
-	private static final double NEAR_MILLIS = 0.2;
+	private static final double SAME_DOMAIN_MILLIS = 0.2;
 
 	private final int engines;
 
 	private final int services;
 
-	private final double domainMillis;
+	private final double crossDomainMillis;
 
-	private final List<String> domains;
+	private final List<String> failureDomains;
 
 	Site(int engines, int services, double domainMillis, List<String> domains) {
 		this.engines = engines;
 		this.services = services;
-		this.domainMillis = domainMillis;
-		this.domains = domains;
+		this.crossDomainMillis = domainMillis;
+		this.failureDomains = domains;
 	}
 
-	FailureDomain domain(int index) {
-		return FailureDomain.of(this.domains.get(index % this.domains.size()));
+	FailureDomain failureDomain(int index) {
+		return FailureDomain.of(this.failureDomains.get(index % this.failureDomains.size()));
 	}
 
 	/**
@@ -64,18 +64,18 @@
 	 * @return milliseconds
 	 */
 	double delayMillis(FailureDomain from, FailureDomain to) {
-		return (from.equals(to)) ? NEAR_MILLIS : this.domainMillis;
+		return (from.equals(to)) ? SAME_DOMAIN_MILLIS : this.crossDomainMillis;
 	}
 
 	List<BackendServer> servers() {
 		List<BackendServer> servers = new ArrayList<>();
 		for (int i = 0; i < this.engines; i++) {
-			servers.add(new BackendServer(BackendServerId.of("engine-" + i), BackendKind.MODEL_ENGINE, MODEL, domain(i),
-					ADDRESS, ENGINE_CONCURRENCY));
+			servers.add(new BackendServer(BackendServerId.of("engine-" + i), BackendKind.MODEL_ENGINE, MODEL,
+					failureDomain(i), ADDRESS, ENGINE_CONCURRENCY));
 		}
 		for (int i = 0; i < this.services; i++) {
 			servers.add(new BackendServer(BackendServerId.of("service-" + i), BackendKind.PLAIN_SERVICE, SERVICE,
-					domain(i), ADDRESS, SERVICE_CONCURRENCY));
+					failureDomain(i), ADDRESS, SERVICE_CONCURRENCY));
 		}
 		return servers;
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/VirtualTime.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/VirtualTimeline.java
@@ -7,7 +7,7 @@
 /**
  * Events in the order of their virtual time, and the clock that they move.
  */
-final class VirtualTime implements InstantSource {
+final class VirtualTimeline implements InstantSource {
 
 	private static final Instant START = Instant.ofEpochSecond(1_000_000);
 
@@ -22,7 +22,7 @@
 	 * @param delayMillis time from now, in milliseconds
 	 * @param action the action
 	 */
-	void after(double delayMillis, Runnable action) {
+	void schedule(double delayMillis, Runnable action) {
 		this.events.add(new Event(this.now + delayMillis, this.sequence++, action));
 	}
 
@@ -30,7 +30,7 @@
 	 * Runs the next event.
 	 * @return whether there was one
 	 */
-	boolean step() {
+	boolean runNext() {
 		Event next = this.events.poll();
 		if (next == null) {
 			return false;
--- a/bench/src/main/java/org/sardineport/bench/policy/Workload.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Workload.java
@@ -20,15 +20,15 @@
 final class Workload {
 
 	/** Shares of the five organisations. */
-	private static final double[] ORGANISATIONS = { 0.4, 0.3, 0.15, 0.1, 0.05 };
+	private static final double[] ORGANISATION_SHARES = { 0.4, 0.3, 0.15, 0.1, 0.05 };
 
 	/** Prompt prefixes of each organisation. */
-	private static final int PREFIXES = 8;
+	private static final int PREFIXES_PER_ORGANISATION = 8;
 
 	/** Bounds of the ratio between estimated and true answer tokens. */
-	private static final double LEAST_ESTIMATE = 0.7;
+	private static final double MINIMUM_ESTIMATE_RATIO = 0.7;
 
-	private static final double MOST_ESTIMATE = 1.4;
+	private static final double MAXIMUM_ESTIMATE_RATIO = 1.4;
 
 	private final Site site;
 
@@ -46,8 +46,8 @@
 
 	static List<Arrival> of(Site site, LoadCase loadCase, long seed) {
 		Workload workload = new Workload(site, loadCase, seed);
-		workload.arrive(Site.MODEL, workload.modelCapacity());
-		workload.arrive(Site.SERVICE, workload.serviceCapacity());
+		workload.addArrivals(Site.MODEL, workload.modelCapacity());
+		workload.addArrivals(Site.SERVICE, workload.serviceCapacity());
 		return workload.arrivals;
 	}
 
@@ -66,7 +66,7 @@
 	}
 
 	private double serviceCapacity() {
-		double meanMillis = RequestClass.mean(RequestClass.SHORTEST_CALL, RequestClass.LONGEST_CALL);
+		double meanMillis = RequestClass.mean(RequestClass.MINIMUM_CALL_MILLIS, RequestClass.MAXIMUM_CALL_MILLIS);
 		return this.site.services() * Site.SERVICE_CONCURRENCY * 1000 / meanMillis;
 	}
 
@@ -74,17 +74,17 @@
 		return Arrays.stream(RequestClass.values()).filter((each) -> each.pool().equals(pool)).toList();
 	}
 
-	private void arrive(PoolName pool, double capacity) {
+	private void addArrivals(PoolName pool, double capacity) {
 		List<RequestClass> classes = classes(pool);
 		double at = 0;
 		while (at < LoadCase.DURATION_MILLIS) {
 			double ratePerMilli = capacity * this.loadCase.load(at) / 1000;
 			at += -Math.log(1 - this.random.nextDouble()) / ratePerMilli;
-			this.arrivals.add(arrival(at, choose(classes)));
+			this.arrivals.add(arrival(at, randomClass(classes)));
 		}
 	}
 
-	private RequestClass choose(List<RequestClass> classes) {
+	private RequestClass randomClass(List<RequestClass> classes) {
 		double left = this.random.nextDouble();
 		for (RequestClass each : classes) {
 			left -= each.share();
@@ -97,31 +97,33 @@
 
 	private Arrival arrival(double at, RequestClass kind) {
 		int number = this.arrivals.size();
-		int organisation = organisation();
+		int organisation = randomOrganisation();
 		int prompt = kind.prompt(this.random);
 		int answer = kind.answer(this.random);
-		double ratio = LEAST_ESTIMATE + this.random.nextDouble() * (MOST_ESTIMATE - LEAST_ESTIMATE);
-		long prefix = (prompt == 0) ? 0
-				: 1 + kind.ordinal() + 16L * (organisation * PREFIXES + this.random.nextInt(PREFIXES));
-		Instant arrival = VirtualTime.at(at);
+		double ratio = MINIMUM_ESTIMATE_RATIO
+				+ this.random.nextDouble() * (MAXIMUM_ESTIMATE_RATIO - MINIMUM_ESTIMATE_RATIO);
+		long prefix = (prompt == 0) ? 0 : 1 + kind.ordinal()
+				+ 16L * (organisation * PREFIXES_PER_ORGANISATION + this.random.nextInt(PREFIXES_PER_ORGANISATION));
+		Instant arrival = VirtualTimeline.at(at);
 		SchedulingRequest request = new SchedulingRequest(RequestId.of("r" + number), kind.pool(),
 				OrganisationId.of("organisation-" + organisation), kind.tier(),
 				TokenEstimate.of(prompt, (int) (answer * ratio)), prefix, Fingerprint.of(number, 0), kind.policy(), 0,
 				arrival, arrival.plus(kind.deadline()));
 		int entry = this.random.nextInt(Site.DAEMONS);
-		double call = RequestClass.between(RequestClass.SHORTEST_CALL, RequestClass.LONGEST_CALL, this.random);
+		double call = RequestClass.randomBetween(RequestClass.MINIMUM_CALL_MILLIS, RequestClass.MAXIMUM_CALL_MILLIS,
+				this.random);
 		return new Arrival(at, kind, request, entry, answer, call);
 	}
 
-	private int organisation() {
+	private int randomOrganisation() {
 		double left = this.random.nextDouble();
-		for (int i = 0; i < ORGANISATIONS.length; i++) {
-			left -= ORGANISATIONS[i];
+		for (int i = 0; i < ORGANISATION_SHARES.length; i++) {
+			left -= ORGANISATION_SHARES[i];
 			if (left < 0) {
 				return i;
 			}
 		}
-		return ORGANISATIONS.length - 1;
+		return ORGANISATION_SHARES.length - 1;
 	}
 
 	/**
--- a/bench/src/main/java/org/sardineport/bench/slope/CapacityTable.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CapacityTable.java
@@ -11,7 +11,7 @@
 final class CapacityTable {
 
 	/** Requests a second that one daemon holds at the peak. */
-	private static final double REQUESTS = (double) FleetSize.REQUESTS_PER_SECOND / FleetSize.DAEMONS;
+	private static final double REQUESTS_PER_DAEMON = (double) DesignScale.REQUESTS_PER_SECOND / DesignScale.DAEMONS;
 
 	/** Share of the requests whose permit comes from another daemon. */
 	private static final double SPILLED_SHARE = 0.1;
@@ -26,12 +26,12 @@
 	private static final double REPLAY_WINDOW_SECONDS = 3_600;
 
 	/** Profiles in force, one for each organisation. */
-	private static final double PROFILES = FleetSize.ORGANISATIONS;
+	private static final double PROFILES = DesignScale.ORGANISATIONS;
 
-	private static final double CHANGES = (double) FleetSize.CHANGES_PER_DAY / FleetSize.SECONDS_PER_DAY;
+	private static final double CHANGES_PER_SECOND = (double) DesignScale.CHANGES_PER_DAY / DesignScale.SECONDS_PER_DAY;
 
 	/** Backend servers that one daemon owns. */
-	private static final double OWNED_SERVERS = (double) FleetSize.BACKEND_SERVERS / FleetSize.DAEMONS;
+	private static final double OWNED_SERVERS = (double) DesignScale.BACKEND_SERVERS / DesignScale.DAEMONS;
 
 	private final Map<String, SlopeResult> results;
 
@@ -46,21 +46,23 @@
 	 */
 	static List<CapacityRow> of(Map<String, SlopeResult> results) {
 		CapacityTable table = new CapacityTable(results);
-		double keyed = FleetSize.REQUESTS_PER_SECOND * KEYED_SHARE;
-		List<CapacityRow> rows = List.of(table.row("entry-own-permit-time", REQUESTS, "requests/s a daemon"),
-				table.row("entry-waiting-memory", REQUESTS * WAIT_SECONDS, "requests that wait a second each"),
-				table.row("entry-known-server-memory", FleetSize.BACKEND_SERVERS, "backend servers, all known"),
-				table.row("owner-spilled-permit-bytes", 2 * REQUESTS * SPILLED_SHARE,
+		double keyed = DesignScale.REQUESTS_PER_SECOND * KEYED_SHARE;
+		List<CapacityRow> rows = List.of(table.row("entry-own-permit-time", REQUESTS_PER_DAEMON, "requests/s a daemon"),
+				table.row("entry-waiting-memory", REQUESTS_PER_DAEMON * WAIT_SECONDS,
+						"requests that wait a second each"),
+				table.row("entry-known-server-memory", DesignScale.BACKEND_SERVERS, "backend servers, all known"),
+				table.row("owner-spilled-permit-bytes", 2 * REQUESTS_PER_DAEMON * SPILLED_SHARE,
 						"requests/s a daemon, one in ten spilled, sent and received"),
-				table.row("owner-spilled-permit-time", REQUESTS * SPILLED_SHARE, "requests/s spilled"),
-				table.row("member-memory", FleetSize.DAEMONS / (double) FleetSize.REGIONS, "daemons of a region"),
+				table.row("owner-spilled-permit-time", REQUESTS_PER_DAEMON * SPILLED_SHARE, "requests/s spilled"),
+				table.row("member-memory", DesignScale.DAEMONS / (double) DesignScale.REGIONS, "daemons of a region"),
 				table.row("member-probe-bytes", 1, "second"), table.row("member-probe-time", 1, "second"),
 				table.row("profile-memory", PROFILES, "profiles, one an organisation"),
-				table.row("change-time", CHANGES, "changes/s"), table.row("change-spread-bytes", CHANGES, "changes/s"),
+				table.row("change-time", CHANGES_PER_SECOND, "changes/s"),
+				table.row("change-spread-bytes", CHANGES_PER_SECOND, "changes/s"),
 				table.row("key-memory", keyed * REPLAY_WINDOW_SECONDS, "keys of an hour, one request in a hundred"),
 				table.row("key-replay-time", keyed, "keyed requests/s of the fleet"),
 				table.row("key-log-bytes", keyed, "keyed requests/s of the fleet"),
-				table.row("vm-list-bytes", FleetSize.BACKEND_SERVERS, "backend servers in one list a second"),
+				table.row("vm-list-bytes", DesignScale.BACKEND_SERVERS, "backend servers in one list a second"),
 				table.row("load-report-bytes", OWNED_SERVERS, "backend servers owned, one report a second"));
 		return withTotals(rows);
 	}
@@ -74,23 +76,22 @@
 		return all;
 	}
 
-	private CapacityRow row(String name, double times, String what) {
+	private CapacityRow row(String name, double factor, String factorLabel) {
 		SlopeResult result = this.results.get(name);
 		if (result == null) {
 			throw new IllegalArgumentException("no slope named " + name);
 		}
 		SlopeProbe probe = result.probe();
 		double slope = result.fit().slope();
-		String multiplication = String.format(Locale.ROOT, "%.1f x %.2f %s", slope, times, what);
-		return new CapacityRow(probe.role(), probe.costUnit(), name, multiplication, slope * times,
-				budget(probe.costUnit()));
+		String formula = String.format(Locale.ROOT, "%.1f x %.2f %s", slope, factor, factorLabel);
+		return new CapacityRow(probe.role(), probe.costUnit(), name, formula, slope * factor, budget(probe.costUnit()));
 	}
 
 	private static double budget(CostUnit unit) {
 		return switch (unit) {
-			case HEAP_BYTES -> FleetSize.MEMORY_BUDGET;
-			case WIRE_BYTES -> FleetSize.NETWORK_BUDGET;
-			case PROCESSOR_NANOSECONDS -> FleetSize.PROCESSOR_BUDGET;
+			case HEAP_BYTES -> DesignScale.MEMORY_BYTES_BUDGET;
+			case WIRE_BYTES -> DesignScale.NETWORK_BYTES_BUDGET;
+			case CPU_NANOSECONDS -> DesignScale.CPU_NANOS_BUDGET;
 		};
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
@@ -32,10 +32,10 @@
 		return List.of(
 				new SlopeProbe("profile-memory", Role.CONFIGURATION_REPLICA, "profiles in force", CostUnit.HEAP_BYTES,
 						List.of(100, 200, 400), ConfigurationSlopes::memory),
-				new SlopeProbe("change-time", Role.CONFIGURATION_REPLICA, "changes", CostUnit.PROCESSOR_NANOSECONDS,
-						changes, ConfigurationSlopes::changeTime),
+				new SlopeProbe("change-time", Role.CONFIGURATION_REPLICA, "changes", CostUnit.CPU_NANOSECONDS, changes,
+						ConfigurationSlopes::changeTime),
 				new SlopeProbe("change-spread-bytes", Role.CONFIGURATION_REPLICA, "changes", CostUnit.WIRE_BYTES,
-						changes, ConfigurationSlopes::spreadBytes));
+						changes, ConfigurationSlopes::distributionBytes));
 	}
 
 	private static double memory(int profiles, long seed) {
@@ -48,7 +48,7 @@
 		List<byte[]> records = IntStream.range(0, 2 * changes)
 			.mapToObj((change) -> codec.encode(publication(PROFILES + change, seed)))
 			.toList();
-		return ProcessorMeter.processorNanos(() -> {
+		return CpuTimeMeter.cpuNanos(() -> {
 			for (int i = 0; i < changes; i++) {
 				long offset = replica.nextOffset();
 				replica.apply(offset, codec.decode(records.get((int) offset - PROFILES)));
@@ -57,7 +57,7 @@
 	}
 
 	// a daemon is asked for a change by those that it tells, and has asked for it itself
-	private static double spreadBytes(int changes, long seed) {
+	private static double distributionBytes(int changes, long seed) {
 		ConfigurationReplica replica = replica(PROFILES, seed);
 		FrameMeter meter = new FrameMeter();
 		double bytes = 0;
@@ -93,13 +93,13 @@
 				List.of(new ProfileDocument(ProfileName.of(name), text(name, offset))), List.of(), "operator");
 	}
 
-	private static String text(String name, int edition) {
+	private static String text(String name, int revision) {
 		StringBuilder text = new StringBuilder("name: ").append(name).append("\nroutes:\n");
 		for (String path : List.of("/v1/explanations", "/v1/summaries", "/v1/senses", "/v1/reports")) {
 			text.append("  - {method: POST, path: ")
 				.append(path)
 				.append(", pool: model, tier: standard, deadline: ")
-				.append(5 + edition % 50)
+				.append(5 + revision % 50)
 				.append("s, answerTokens: 400}\n");
 		}
 		text.append("organisations:\n");
--- a/bench/src/main/java/org/sardineport/bench/slope/CostUnit.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CostUnit.java
@@ -12,7 +12,7 @@
 	WIRE_BYTES("bytes on the wire"),
 
 	/** Time of one processor. */
-	PROCESSOR_NANOSECONDS("ns of processor time");
+	CPU_NANOSECONDS("ns of processor time");
 
 	private final String label;
 
--- a/bench/src/main/java/org/sardineport/bench/slope/ProcessorMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CpuTimeMeter.java
@@ -6,11 +6,11 @@
 /**
  * Measures the processor time of the calling thread.
  */
-final class ProcessorMeter {
+final class CpuTimeMeter {
 
 	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-	private ProcessorMeter() {
+	private CpuTimeMeter() {
 	}
 
 	/**
@@ -18,7 +18,7 @@
 	 * @param work the work
 	 * @return nanoseconds
 	 */
-	static double processorNanos(Runnable work) {
+	static double cpuNanos(Runnable work) {
 		work.run();
 		long before = THREADS.getCurrentThreadCpuTime();
 		work.run();
--- a/bench/src/main/java/org/sardineport/bench/slope/FleetSize.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/DesignScale.java
@@ -3,7 +3,7 @@
 /**
  * The size that the system is designed for, and what a daemon may spend on control there.
  */
-final class FleetSize {
+final class DesignScale {
 
 	/** Daemons of the fleet. */
 	static final int DAEMONS = 3_300;
@@ -36,15 +36,15 @@
 	static final int SECONDS_PER_DAY = 86_400;
 
 	/** Processor time for control, nanoseconds a second: 1% of a core. */
-	static final double PROCESSOR_BUDGET = 1e7;
+	static final double CPU_NANOS_BUDGET = 1e7;
 
 	/** Memory for control, bytes: 64 MB. */
-	static final double MEMORY_BUDGET = 64e6;
+	static final double MEMORY_BYTES_BUDGET = 64e6;
 
 	/** Network traffic for control, bytes a second: 3 KB/s. */
-	static final double NETWORK_BUDGET = 3e3;
+	static final double NETWORK_BYTES_BUDGET = 3e3;
 
-	private FleetSize() {
+	private DesignScale() {
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/slope/HeapMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/HeapMeter.java
@@ -10,7 +10,7 @@
 final class HeapMeter {
 
 	/** Collections before each reading, so that little garbage is left. */
-	private static final int COLLECTIONS = 4;
+	private static final int COLLECTIONS_PER_READING = 4;
 
 	private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
 
@@ -24,14 +24,14 @@
 	 */
 	static double retainedBytes(Supplier<Object> structure) {
 		long before = usedBytes();
-		Object held = structure.get();
+		Object retained = structure.get();
 		long after = usedBytes();
-		java.lang.ref.Reference.reachabilityFence(held);
+		java.lang.ref.Reference.reachabilityFence(retained);
 		return after - before;
 	}
 
 	private static long usedBytes() {
-		for (int i = 0; i < COLLECTIONS; i++) {
+		for (int i = 0; i < COLLECTIONS_PER_READING; i++) {
 			MEMORY.gc();
 		}
 		return MEMORY.getHeapMemoryUsage().getUsed();
--- a/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
@@ -24,7 +24,7 @@
 
 	private static final Instant START = Instant.parse("2026-12-03T08:00:00Z");
 
-	private static final int ANSWER_BYTES = 120;
+	private static final int RESPONSE_BYTES = 120;
 
 	private JournalSlopes() {
 	}
@@ -34,8 +34,8 @@
 		return List.of(
 				new SlopeProbe("key-memory", Role.JOURNAL_WRITER, "remembered keys", CostUnit.HEAP_BYTES, keys,
 						JournalSlopes::memory),
-				new SlopeProbe("key-replay-time", Role.JOURNAL_WRITER, "keyed requests", CostUnit.PROCESSOR_NANOSECONDS,
-						keys, JournalSlopes::replayTime),
+				new SlopeProbe("key-replay-time", Role.JOURNAL_WRITER, "keyed requests", CostUnit.CPU_NANOSECONDS, keys,
+						JournalSlopes::replayTime),
 				new SlopeProbe("key-log-bytes", Role.JOURNAL_WRITER, "keyed requests", CostUnit.WIRE_BYTES,
 						List.of(1_000, 2_000, 4_000), JournalSlopes::logBytes));
 	}
@@ -58,7 +58,7 @@
 		for (int i = 0; i < keys; i++) {
 			records.add(JournalCodec.encode(entries(i, seed)));
 		}
-		return ProcessorMeter.processorNanos(() -> {
+		return CpuTimeMeter.cpuNanos(() -> {
 			JournalReplay replay = JournalReplay.create(JournalLimits.of(Duration.ofHours(1)));
 			for (int i = 0; i < keys; i++) {
 				apply(replay, i, decode(records.get(i)));
@@ -88,7 +88,7 @@
 	}
 
 	private static List<JournalEntry> entries(int number, long seed) {
-		OrganisationId organisation = OrganisationId.of("organisation-" + number % FleetSize.ORGANISATIONS);
+		OrganisationId organisation = OrganisationId.of("organisation-" + number % DesignScale.ORGANISATIONS);
 		String key = new UUID(START.toEpochMilli() << 16 | 0x7000 | seed, number).toString();
 		String token = "entry-vm-1234-" + number;
 		return List.of(
@@ -96,7 +96,7 @@
 						START.plusSeconds(30), DaemonId.of("entry-vm-1234"), 1, "", null),
 				new JournalEntry.Dispatched(organisation, key, token, 1, BackendServerId.of("worker-12"), token),
 				new JournalEntry.Finished(organisation, key, token, Outcome.COMPLETED, 200,
-						Map.of("content-type", "application/json"), 0, new byte[ANSWER_BYTES]));
+						Map.of("content-type", "application/json"), 0, new byte[RESPONSE_BYTES]));
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
@@ -19,7 +19,7 @@
 
 	private static final int DAEMONS = 64;
 
-	private static final Duration SETTLED = Duration.ofSeconds(30);
+	private static final Duration SETTLING_TIME = Duration.ofSeconds(30);
 
 	private MembershipSlopes() {
 	}
@@ -31,35 +31,35 @@
 						List.of(16, 32, 64), MembershipSlopes::memory),
 				new SlopeProbe("member-probe-bytes", Role.MEMBER, "seconds", CostUnit.WIRE_BYTES, seconds,
 						MembershipSlopes::probeBytes),
-				new SlopeProbe("member-probe-time", Role.MEMBER, "seconds", CostUnit.PROCESSOR_NANOSECONDS, seconds,
+				new SlopeProbe("member-probe-time", Role.MEMBER, "seconds", CostUnit.CPU_NANOSECONDS, seconds,
 						MembershipSlopes::probeTime));
 	}
 
 	private static double memory(int daemons, long seed) {
-		double whole = HeapMeter.retainedBytes(() -> settled(daemons, seed));
+		double whole = HeapMeter.retainedBytes(() -> settledFleet(daemons, seed));
 		return whole / daemons;
 	}
 
 	private static double probeBytes(int seconds, long seed) {
-		VirtualFleet fleet = settled(DAEMONS, seed);
+		VirtualFleet fleet = settledFleet(DAEMONS, seed);
 		FrameMeter meter = new FrameMeter();
 		double[] bytes = new double[1];
-		fleet.listenToSends((message) -> bytes[0] += 2 * meter.bytes(message));
+		fleet.setSendListener((message) -> bytes[0] += 2 * meter.bytes(message));
 		fleet.run(Duration.ofSeconds(seconds));
 		return bytes[0] / DAEMONS;
 	}
 
 	private static double probeTime(int seconds, long seed) {
-		VirtualFleet fleet = settled(DAEMONS, seed);
-		return ProcessorMeter.processorNanos(() -> fleet.run(Duration.ofSeconds(seconds))) / DAEMONS;
+		VirtualFleet fleet = settledFleet(DAEMONS, seed);
+		return CpuTimeMeter.cpuNanos(() -> fleet.run(Duration.ofSeconds(seconds))) / DAEMONS;
 	}
 
-	private static VirtualFleet settled(int daemons, long seed) {
+	private static VirtualFleet settledFleet(int daemons, long seed) {
 		MembershipSettings settings = MembershipSettings.defaults();
 		MembershipTiming timing = new MembershipTiming(settings.probeInterval(), settings.probeTimeout(),
 				settings.suspicionTimeout());
 		VirtualFleet fleet = VirtualFleet.create(daemons, FAILURE_DOMAINS, timing, NetworkConditions.PERFECT, seed);
-		fleet.run(SETTLED);
+		fleet.run(SETTLING_TIME);
 		return fleet;
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/slope/PlatformSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/PlatformSlopes.java
@@ -72,7 +72,7 @@
 		});
 	}
 
-	private static double withVertx(Measured measured) {
+	private static double withVertx(StandInCost measured) {
 		Vertx vertx = Vertx.vertx();
 		try {
 			return measured.measure(vertx);
@@ -89,11 +89,13 @@
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
 			.version(HttpClient.Version.HTTP_1_1)
 			.build();
-		HttpResponse<byte[]> answer = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofByteArray());
-		if (answer.statusCode() != 200) {
-			throw new IllegalStateException("%s must be served, found status %d".formatted(path, answer.statusCode()));
+		HttpResponse<byte[]> response = HttpClient.newHttpClient()
+			.send(request, HttpResponse.BodyHandlers.ofByteArray());
+		if (response.statusCode() != 200) {
+			throw new IllegalStateException(
+					"%s must be served, found status %d".formatted(path, response.statusCode()));
 		}
-		return answer.body().length;
+		return response.body().length;
 	}
 
 	private static void await(CompletionStage<?> stage) {
@@ -109,7 +111,7 @@
 	 * Something measured while stand-ins run.
 	 */
 	@FunctionalInterface
-	private interface Measured {
+	private interface StandInCost {
 
 		double measure(Vertx vertx) throws IOException, InterruptedException;
 
--- a/bench/src/main/java/org/sardineport/bench/slope/SchedulingSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SchedulingSlopes.java
@@ -14,9 +14,9 @@
  */
 final class SchedulingSlopes {
 
-	private static final String REQUESTS = "requests";
+	private static final String REQUESTS_UNIT = "requests";
 
-	private static final int POOL = 16;
+	private static final int POOL_SIZE = 16;
 
 	private static final int DAEMONS = 4;
 
@@ -27,26 +27,26 @@
 	}
 
 	static List<SlopeProbe> probes() {
-		List<Integer> many = List.of(2_000, 6_000, 10_000);
+		List<Integer> requestCounts = List.of(2_000, 6_000, 10_000);
 		return List.of(
-				new SlopeProbe("entry-own-permit-time", Role.ENTRY, REQUESTS, CostUnit.PROCESSOR_NANOSECONDS, many,
-						SchedulingSlopes::ownPermitTime),
-				new SlopeProbe("entry-waiting-memory", Role.ENTRY, "waiting requests", CostUnit.HEAP_BYTES, many,
-						SchedulingSlopes::waitingMemory),
+				new SlopeProbe("entry-own-permit-time", Role.ENTRY, REQUESTS_UNIT, CostUnit.CPU_NANOSECONDS,
+						requestCounts, SchedulingSlopes::ownPermitTime),
+				new SlopeProbe("entry-waiting-memory", Role.ENTRY, "waiting requests", CostUnit.HEAP_BYTES,
+						requestCounts, SchedulingSlopes::waitingMemory),
 				new SlopeProbe("entry-known-server-memory", Role.ENTRY, "known backend servers", CostUnit.HEAP_BYTES,
 						List.of(500, 1_000, 2_000), SchedulingSlopes::knownServerMemory),
-				new SlopeProbe("owner-spilled-permit-bytes", Role.OWNER, REQUESTS, CostUnit.WIRE_BYTES,
+				new SlopeProbe("owner-spilled-permit-bytes", Role.OWNER, REQUESTS_UNIT, CostUnit.WIRE_BYTES,
 						List.of(200, 400, 800), SchedulingSlopes::spilledBytes),
-				new SlopeProbe("owner-spilled-permit-time", Role.OWNER, REQUESTS, CostUnit.PROCESSOR_NANOSECONDS, many,
-						SchedulingSlopes::spilledTime));
+				new SlopeProbe("owner-spilled-permit-time", Role.OWNER, REQUESTS_UNIT, CostUnit.CPU_NANOSECONDS,
+						requestCounts, SchedulingSlopes::spilledTime));
 	}
 
 	private static double ownPermitTime(int requests, long seed) {
-		ScheduledDaemons daemons = ScheduledDaemons.create(1, POOL, seed);
-		return ProcessorMeter.processorNanos(() -> run(daemons, requests));
+		VirtualSchedulers daemons = VirtualSchedulers.create(1, POOL_SIZE, seed);
+		return CpuTimeMeter.cpuNanos(() -> run(daemons, requests));
 	}
 
-	private static void run(ScheduledDaemons daemons, int requests) {
+	private static void run(VirtualSchedulers daemons, int requests) {
 		for (int i = 0; i < requests; i++) {
 			Permit permit = daemons.submit(0);
 			daemons.advance(Duration.ofMillis(1));
@@ -55,30 +55,30 @@
 	}
 
 	private static double waitingMemory(int requests, long seed) {
-		ScheduledDaemons daemons = ScheduledDaemons.create(2, POOL, seed);
-		daemons.submitWithoutAnswers(1);
+		VirtualSchedulers daemons = VirtualSchedulers.create(2, POOL_SIZE, seed);
+		daemons.submitWithoutReplies(1);
 		return HeapMeter.retainedBytes(() -> {
-			daemons.submitWithoutAnswers(requests);
+			daemons.submitWithoutReplies(requests);
 			return daemons;
 		});
 	}
 
 	private static double knownServerMemory(int servers, long seed) {
-		return HeapMeter.retainedBytes(() -> ScheduledDaemons.create(DAEMONS, servers, seed)) / DAEMONS;
+		return HeapMeter.retainedBytes(() -> VirtualSchedulers.create(DAEMONS, servers, seed)) / DAEMONS;
 	}
 
 	private static double spilledBytes(int requests, long seed) {
-		ScheduledDaemons daemons = ScheduledDaemons.create(2, POOL, seed);
+		VirtualSchedulers daemons = VirtualSchedulers.create(2, POOL_SIZE, seed);
 		List<SchedulingMessage> messages = new ArrayList<>();
-		daemons.listenToMessages(messages::add);
+		daemons.setMessageListener(messages::add);
 		run(daemons, requests);
 		FrameMeter meter = new FrameMeter();
 		return messages.stream().mapToDouble(meter::bytes).sum();
 	}
 
 	private static double spilledTime(int requests, long seed) {
-		ScheduledDaemons daemons = ScheduledDaemons.create(2, POOL, seed);
-		return ProcessorMeter.processorNanos(() -> run(daemons, requests));
+		VirtualSchedulers daemons = VirtualSchedulers.create(2, POOL_SIZE, seed);
+		return CpuTimeMeter.cpuNanos(() -> run(daemons, requests));
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeCommand.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeCommand.java
@@ -72,9 +72,9 @@
 			SlopeProbe probe = result.probe();
 			int run = 1;
 			for (Map<Integer, Double> costs : result.runs()) {
-				String start = String.join(",", probe.role().label(), probe.name(), probe.sizeUnit(),
+				String prefix = String.join(",", probe.role().label(), probe.name(), probe.sizeUnit(),
 						probe.costUnit().label(), String.valueOf(run++));
-				costs.forEach((size, cost) -> lines.add("%s,%d,%s".formatted(start, size, cost)));
+				costs.forEach((size, cost) -> lines.add("%s,%d,%s".formatted(prefix, size, cost)));
 			}
 		}
 		return lines;
--- a/bench/src/main/java/org/sardineport/bench/slope/ScheduledDaemons.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/VirtualSchedulers.java
@@ -43,11 +43,11 @@
  * Schedulers of some daemons in virtual time. With one daemon it owns all backend
  * servers; with more, the first owns none, so that all its requests spill to an owner.
  */
-final class ScheduledDaemons {
+final class VirtualSchedulers {
 
 	private static final Duration DEADLINE = Duration.ofMinutes(10);
 
-	private static final int WAITING = 100_000;
+	private static final int MAXIMUM_WAITING = 100_000;
 
 	private static final int CONCURRENCY = 64;
 
@@ -68,24 +68,24 @@
 	private Consumer<SchedulingMessage> listener = (message) -> {
 	};
 
-	private ScheduledDaemons() {
+	private VirtualSchedulers() {
 	}
 
-	static ScheduledDaemons create(int daemons, int servers, long seed) {
-		ScheduledDaemons created = new ScheduledDaemons();
+	static VirtualSchedulers create(int daemons, int servers, long seed) {
+		VirtualSchedulers created = new VirtualSchedulers();
 		SplittableRandom random = new SplittableRandom(seed);
-		SchedulingLimits limits = new SchedulingLimits(Duration.ofSeconds(1), Duration.ofMillis(500), WAITING);
+		SchedulingLimits limits = new SchedulingLimits(Duration.ofSeconds(1), Duration.ofMillis(500), MAXIMUM_WAITING);
 		OwnerLookup owners = (daemons == 1) ? (server, members) -> OwnerLookup.rendezvous().owner(server, members)
 				: (server, members) -> OwnerLookup.rendezvous().owner(server, members.subList(1, members.size()));
 		for (int i = 0; i < daemons; i++) {
 			created.schedulers
 				.add(Scheduler.create(id(i), limits, owners, () -> created.now, random.split(), created.effects(i)));
 		}
-		created.tell(daemons, servers);
+		created.publishSnapshots(daemons, servers);
 		return created;
 	}
 
-	private void tell(int daemons, int servers) {
+	private void publishSnapshots(int daemons, int servers) {
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < daemons; i++) {
 			members.add(new Member(id(i), 1, MemberStatus.ALIVE, FAILURE_DOMAIN, address(i), address(i), 1, 10));
@@ -104,7 +104,7 @@
 		deliver();
 	}
 
-	void listenToMessages(Consumer<SchedulingMessage> newListener) {
+	void setMessageListener(Consumer<SchedulingMessage> newListener) {
 		this.listener = newListener;
 	}
 
@@ -119,7 +119,7 @@
 	 */
 	Permit submit(int daemon) {
 		this.granted = null;
-		this.schedulers.get(daemon).submit(request(), new Recorder());
+		this.schedulers.get(daemon).submit(request(), new GrantRecorder());
 		deliver();
 		Permit permit = this.granted;
 		if (permit == null) {
@@ -132,9 +132,9 @@
 	 * Submits requests whose questions get no answer.
 	 * @param requests how many
 	 */
-	void submitWithoutAnswers(int requests) {
+	void submitWithoutReplies(int requests) {
 		for (int i = 0; i < requests; i++) {
-			this.schedulers.get(0).submit(request(), new Recorder());
+			this.schedulers.get(0).submit(request(), new GrantRecorder());
 			this.deliveries.clear();
 		}
 	}
@@ -147,7 +147,7 @@
 	private SchedulingRequest request() {
 		long number = this.nextRequest++;
 		return new SchedulingRequest(RequestId.of("entry-vm-1234-" + number), POOL,
-				OrganisationId.of("organisation-" + number % FleetSize.ORGANISATIONS), Tier.STANDARD,
+				OrganisationId.of("organisation-" + number % DesignScale.ORGANISATIONS), Tier.STANDARD,
 				TokenEstimate.of(400, 200), number % 64 + 1, Fingerprint.of(number, number), RunningPolicy.CANCELLABLE,
 				0, this.now, this.now.plus(DEADLINE));
 	}
@@ -163,9 +163,9 @@
 
 			@Override
 			public void send(DaemonId to, SchedulingMessage message) {
-				ScheduledDaemons.this.listener.accept(message);
-				ScheduledDaemons.this.deliveries
-					.addLast(() -> ScheduledDaemons.this.schedulers.get(number(to)).onMessage(id(from), message));
+				VirtualSchedulers.this.listener.accept(message);
+				VirtualSchedulers.this.deliveries
+					.addLast(() -> VirtualSchedulers.this.schedulers.get(number(to)).onMessage(id(from), message));
 			}
 
 			@Override
@@ -190,11 +190,11 @@
 	/**
 	 * Keeps the permit that was granted last.
 	 */
-	private final class Recorder implements PermitListener {
+	private final class GrantRecorder implements PermitListener {
 
 		@Override
 		public void granted(Permit permit) {
-			ScheduledDaemons.this.granted = permit;
+			VirtualSchedulers.this.granted = permit;
 		}
 
 		@Override
--- a/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
+++ b/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
@@ -12,7 +12,7 @@
 
 class FakeModelEngineTests {
 
-	private final VirtualTime time = new VirtualTime();
+	private final VirtualTimeline time = new VirtualTimeline();
 
 	private final FakeModelEngine engine = new FakeModelEngine(Site.BAGMATI.servers().get(0), EngineSpeed.FAST,
 			this.time);
@@ -27,7 +27,7 @@
 	}
 
 	private void finish() {
-		while (this.time.step()) {
+		while (this.time.runNext()) {
 			assertThat(this.time.millisNow()).isLessThan(1e6);
 		}
 	}
--- a/bench/src/test/java/org/sardineport/bench/policy/PolicyRunTests.java
+++ b/bench/src/test/java/org/sardineport/bench/policy/PolicyRunTests.java
@@ -11,17 +11,17 @@
 	@ParameterizedTest
 	@EnumSource
 	void sameSeedGivesTheSameResult(PolicyKind kind) {
-		PolicyResult first = PolicyRun.run(kind, Site.BAGMATI, LoadCase.BURST_3X, 1);
-		PolicyResult second = PolicyRun.run(kind, Site.BAGMATI, LoadCase.BURST_3X, 1);
+		RunResult first = PolicyRun.run(kind, Site.BAGMATI, LoadCase.BURST_3X, 1);
+		RunResult second = PolicyRun.run(kind, Site.BAGMATI, LoadCase.BURST_3X, 1);
 		assertThat(first).usingRecursiveComparison().isEqualTo(second);
 	}
 
 	@ParameterizedTest
 	@EnumSource
 	void topTierIsNeverShedBehindLowerTiers(LoadCase loadCase) {
-		PolicyResult result = PolicyRun.run(PolicyKind.SARDINEPORT, Site.BAGMATI, loadCase, 4);
+		RunResult result = PolicyRun.run(PolicyKind.SARDINEPORT, Site.BAGMATI, loadCase, 4);
 		assertThat(result.checkedEvents()).isPositive();
-		assertThat(result.brokenEvents()).isZero();
+		assertThat(result.tierOrderViolations()).isZero();
 		assertThat(result.shedBehindLower()).isZero();
 		assertThat(result.goodput(RequestClass.LIVE)).isGreaterThanOrEqualTo(0.99);
 		assertThat(result.goodput(RequestClass.LOOKUP)).isGreaterThanOrEqualTo(0.99);
@@ -29,7 +29,7 @@
 
 	@Test
 	void overloadWithoutTiersWastesPrefill() {
-		PolicyResult result = PolicyRun.run(PolicyKind.TWO_CHOICES, Site.BAGMATI, LoadCase.BURST_3X, 4);
+		RunResult result = PolicyRun.run(PolicyKind.TWO_CHOICES, Site.BAGMATI, LoadCase.BURST_3X, 4);
 		assertThat(result.wastedPrefill()).isPositive();
 		assertThat(result.goodput(RequestClass.LIVE)).isLessThan(0.99);
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryPlainServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryPlainServiceTests.java
@@ -34,7 +34,7 @@
 	@Override
 	BackendServer absentServer() {
 		BackendServer absent = Servers.service("absent", NetworkAddress.of("127.0.0.1", 2));
-		this.fake.setAbsent(absent.id());
+		this.fake.setUnreachable(absent.id());
 		return absent;
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/engine/ModelEngineContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/ModelEngineContract.java
@@ -78,7 +78,7 @@
 		NO_FINAL_EVENT("TRUNCATED") {
 			@Override
 			void inject(EngineFaults faults) {
-				faults.leaveOutFinalEvent(true);
+				faults.omitFinalEvent(true);
 			}
 		},
 		CRASH_ON_THE_REQUEST("BROKEN") {
@@ -256,7 +256,7 @@
 
 	@Test
 	void anOrderWhoseAnswerIsLostMayHaveTakenEffect() {
-		faults(ABLE).loseOrderAnswers(true);
+		faults(ABLE).dropOrderResponses(true);
 		EngineOrder order = new EngineOrder(EngineOrder.Kind.LOAD_MODEL, "m", 8);
 		assertThat(failureOf(engine().order(server(ABLE), order))).isEqualTo(BackendFailure.BROKEN);
 		assertThat(get(engine().currentOrder(server(ABLE)))).isEqualTo(order);
--- a/daemon/src/test/java/org/sardineport/daemon/engine/PlainServiceContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/PlainServiceContract.java
@@ -46,7 +46,7 @@
 	 */
 	enum Case {
 
-		NOTHING(ServiceFault.NONE, "whole", 1), ANSWER_LOST_AFTER_EFFECT(ServiceFault.ANSWER_LOST, "BROKEN", 1),
+		NOTHING(ServiceFault.NONE, "whole", 1), ANSWER_LOST_AFTER_EFFECT(ServiceFault.RESPONSE_LOST, "BROKEN", 1),
 		ANSWER_TRUNCATED(ServiceFault.TRUNCATED, "TRUNCATED", 1),
 		REFUSED_BY_THE_SERVICE(ServiceFault.REFUSED, "whole", 0), TIME_OUT(ServiceFault.SILENT, "TIMED_OUT", 1);
 
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerStreamTests.java
@@ -51,7 +51,7 @@
 
 	@Test
 	void abortsAStreamThatEndsWithoutItsFinalEvent() throws Exception {
-		this.fixture.engine.faults().leaveOutFinalEvent(true);
+		this.fixture.engine.faults().omitFinalEvent(true);
 		assertAborted(read(CallerFixture.chat("endless", 3)));
 	}
 
@@ -150,7 +150,7 @@
 			caller.sendHead(CHAT, "Content-Length: " + body.length());
 			caller.send(body);
 			caller.readUntil(":1 ");
-			waitUntil(this.fixture.engine::isHeldBack);
+			waitUntil(this.fixture.engine::hasAppliedBackpressure);
 		}
 		waitUntil(() -> this.fixture.runner.inFlight() == 0);
 	}
@@ -189,7 +189,7 @@
 	@Test
 	void reportsUnknownOutcomeIfThePostingsResponseIsLost() throws Exception {
 		this.fixture.scheduler.serve(this.fixture.ledgerServer());
-		this.fixture.ledger.setFault(ServiceFault.ANSWER_LOST);
+		this.fixture.ledger.setFault(ServiceFault.RESPONSE_LOST);
 		HttpResponse<String> first = posting("{}");
 		this.fixture.ledger.setFault(ServiceFault.NONE);
 		HttpResponse<String> second = posting("{}");
--- a/daemon/src/test/java/org/sardineport/daemon/journal/JournalServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/journal/JournalServiceTests.java
@@ -169,7 +169,7 @@
 	void completesARequestDespiteAppendsWithUnknownResult() {
 		JournalService journal = start("first");
 		this.log.faults()
-			.failNextAppends(AppendFault.ANSWER_LOST_AFTER_EFFECT, AppendFault.LOST_BEFORE_EFFECT,
+			.failNextAppends(AppendFault.RESPONSE_LOST_AFTER_EFFECT, AppendFault.LOST_BEFORE_EFFECT,
 					AppendFault.LATE_EFFECT);
 		run(journal, request("lost", false), response(10));
 		this.log.releaseLateAppends();
--- a/daemon/src/test/java/org/sardineport/daemon/platform/LogServiceContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/LogServiceContract.java
@@ -164,7 +164,7 @@
 
 	@Test
 	void readsOnAfterALostAnswer() {
-		service().faults().failNextAppends(AppendFault.ANSWER_LOST_AFTER_EFFECT);
+		service().faults().failNextAppends(AppendFault.RESPONSE_LOST_AFTER_EFFECT);
 		failureOf(log().append(STREAM, bytes("a")));
 		get(log().append(STREAM, bytes("b")));
 		assertThat(readAll()).containsExactly("a", "b");
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
@@ -33,7 +33,7 @@
 
 	private final Set<EngineStream> active = new HashSet<>();
 
-	private volatile int heldBack;
+	private volatile int backpressureCount;
 
 	EngineBatch(Vertx vertx, EngineOptions options, EngineFaults faults, EngineCounters counters) {
 		this.vertx = vertx;
@@ -46,8 +46,8 @@
 		return this.active.size();
 	}
 
-	int heldBack() {
-		return this.heldBack;
+	int backpressureCount() {
+		return this.backpressureCount;
 	}
 
 	int waiting() {
@@ -65,17 +65,17 @@
 	void add(EngineStream stream) {
 		this.streams.put(stream.id(), stream);
 		this.waiting.add(stream);
-		fill();
+		startWaiting();
 	}
 
-	void hold(EngineStream suspended) {
+	void addSuspended(EngineStream suspended) {
 		this.streams.put(suspended.id(), suspended);
 	}
 
 	void resume(EngineStream stream) {
-		if (!stream.isOver() && !isScheduled(stream)) {
+		if (!stream.isEnded() && !isScheduled(stream)) {
 			this.waiting.add(stream);
-			fill();
+			startWaiting();
 		}
 	}
 
@@ -85,19 +85,19 @@
 	 * @return whether it was running or waiting
 	 */
 	boolean remove(EngineStream stream) {
-		if (this.streams.remove(stream.id()) == null || stream.isOver()) {
+		if (this.streams.remove(stream.id()) == null || stream.isEnded()) {
 			return false;
 		}
 		this.waiting.remove(stream);
 		this.active.remove(stream);
 		stream.cancel();
-		fill();
+		startWaiting();
 		return true;
 	}
 
 	void clear() {
 		for (EngineStream stream : this.streams.values()) {
-			if (!stream.isOver()) {
+			if (!stream.isEnded()) {
 				this.counters.cancelled(stream);
 				stream.cancel();
 			}
@@ -107,7 +107,7 @@
 		this.active.clear();
 	}
 
-	private void fill() {
+	private void startWaiting() {
 		while (this.active.size() < this.options.concurrency() && !this.waiting.isEmpty()) {
 			start(this.waiting.remove());
 		}
@@ -116,59 +116,59 @@
 	private void start(EngineStream stream) {
 		this.active.add(stream);
 		if (stream.isPrefilled()) {
-			decode(stream);
+			scheduleNext(stream);
 			return;
 		}
 		int tokens = stream.promptTokens() - stream.cachedTokens();
 		long millis = tokens * MILLIS_PER_SECOND / this.options.prefillTokensPerSecond();
-		after(millis, () -> {
-			if (!stream.isOver()) {
-				stream.prefill();
+		schedule(millis, () -> {
+			if (!stream.isEnded()) {
+				stream.markPrefilled();
 				this.counters.prefilled(stream);
-				decode(stream);
+				scheduleNext(stream);
 			}
 		});
 	}
 
-	private void decode(EngineStream stream) {
-		if (stream.isHeldBack()) {
-			this.heldBack++;
-			stream.whenDrained(() -> decode(stream));
+	private void scheduleNext(EngineStream stream) {
+		if (stream.isWriteQueueFull()) {
+			this.backpressureCount++;
+			stream.whenDrained(() -> scheduleNext(stream));
 			return;
 		}
-		after(this.options.tokenInterval().toMillis(), () -> {
-			if (!stream.isOver()) {
-				step(stream);
+		schedule(this.options.tokenInterval().toMillis(), () -> {
+			if (!stream.isEnded()) {
+				generateNext(stream);
 			}
 		});
 	}
 
-	private void step(EngineStream stream) {
-		stream.token();
+	private void generateNext(EngineStream stream) {
+		stream.generateToken();
 		if (stream.produced() == this.faults.truncateAfterTokens()) {
 			this.counters.cancelled(stream);
 			remove(stream);
 		}
 		else if (stream.isComplete()) {
 			this.counters.completed(stream);
-			stream.finish(!this.faults.isWithoutFinalEvent());
+			stream.finish(!this.faults.isOmittingFinalEvent());
 			this.active.remove(stream);
-			forgetUnlessResumable(stream);
-			fill();
+			removeUnlessResumable(stream);
+			startWaiting();
 		}
 		else {
-			decode(stream);
+			scheduleNext(stream);
 		}
 	}
 
-	private void forgetUnlessResumable(EngineStream stream) {
+	private void removeUnlessResumable(EngineStream stream) {
 		HttpServerResponse response = stream.response();
 		if (!this.options.resumesStreams() || (response != null && !response.closed())) {
 			this.streams.remove(stream.id());
 		}
 	}
 
-	private void after(long millis, Runnable step) {
+	private void schedule(long millis, Runnable step) {
 		this.vertx.setTimer(Math.max(1, millis * this.faults.slowdown()), (id) -> step.run());
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
@@ -17,9 +17,9 @@
 
 	private volatile boolean droppingEvents;
 
-	private volatile boolean withoutFinalEvent;
+	private volatile boolean omittingFinalEvent;
 
-	private volatile boolean losingOrderAnswers;
+	private volatile boolean droppingOrderResponses;
 
 	EngineFaults() {
 	}
@@ -42,10 +42,10 @@
 
 	/**
 	 * Ends each stream in good form but without its final event.
-	 * @param isWithout whether the final event is left out
+	 * @param isOmitting whether the final event is left out
 	 */
-	public void leaveOutFinalEvent(boolean isWithout) {
-		this.withoutFinalEvent = isWithout;
+	public void omitFinalEvent(boolean isOmitting) {
+		this.omittingFinalEvent = isOmitting;
 	}
 
 	/**
@@ -74,14 +74,14 @@
 
 	/**
 	 * Takes orders and loses the answers to them.
-	 * @param isLosing whether answers are lost
+	 * @param isDropping whether answers are lost
 	 */
-	public void loseOrderAnswers(boolean isLosing) {
-		this.losingOrderAnswers = isLosing;
+	public void dropOrderResponses(boolean isDropping) {
+		this.droppingOrderResponses = isDropping;
 	}
 
-	boolean isLosingOrderAnswers() {
-		return this.losingOrderAnswers;
+	boolean isDroppingOrderResponses() {
+		return this.droppingOrderResponses;
 	}
 
 	boolean crashesOn(String body) {
@@ -105,8 +105,8 @@
 		return this.droppingEvents;
 	}
 
-	boolean isWithoutFinalEvent() {
-		return this.withoutFinalEvent;
+	boolean isOmittingFinalEvent() {
+		return this.omittingFinalEvent;
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
@@ -14,7 +14,7 @@
 
 	private final String tag;
 
-	private final boolean events;
+	private final boolean streaming;
 
 	private final int promptTokens;
 
@@ -30,12 +30,12 @@
 
 	private boolean prefilled;
 
-	private boolean over;
+	private boolean ended;
 
-	EngineStream(String id, String tag, boolean events, int promptTokens, int cachedTokens, int answerTokens) {
+	EngineStream(String id, String tag, boolean streaming, int promptTokens, int cachedTokens, int answerTokens) {
 		this.id = id;
 		this.tag = tag;
-		this.events = events;
+		this.streaming = streaming;
 		this.promptTokens = promptTokens;
 		this.cachedTokens = cachedTokens;
 		this.answerTokens = answerTokens;
@@ -65,8 +65,8 @@
 		return this.prefilled;
 	}
 
-	boolean isOver() {
-		return this.over;
+	boolean isEnded() {
+		return this.ended;
 	}
 
 	boolean isComplete() {
@@ -79,7 +79,7 @@
 
 	void attach(HttpServerResponse newResponse, int fromByte) {
 		this.response = newResponse;
-		if (this.events) {
+		if (this.streaming) {
 			newResponse.putHeader("Content-Type", "text/event-stream").setChunked(true).writeHead();
 			if (fromByte < this.output.length()) {
 				newResponse.write(this.output.getBuffer(fromByte, this.output.length()));
@@ -87,7 +87,7 @@
 		}
 	}
 
-	boolean isHeldBack() {
+	boolean isWriteQueueFull() {
 		return this.response != null && !this.response.closed() && this.response.writeQueueFull();
 	}
 
@@ -101,27 +101,27 @@
 		this.response = null;
 	}
 
-	void prefill() {
+	void markPrefilled() {
 		this.prefilled = true;
 	}
 
-	void token() {
+	void generateToken() {
 		this.produced++;
-		String text = this.tag + ":" + this.produced + " ";
-		if (this.events) {
+		String content = this.tag + ":" + this.produced + " ";
+		if (this.streaming) {
 			write("data: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]}\n\n"
-				.formatted(this.id, text));
+				.formatted(this.id, content));
 		}
 		else {
-			this.output.appendString(text);
+			this.output.appendString(content);
 		}
 	}
 
 	void finish(boolean withFinalEvent) {
-		this.over = true;
+		this.ended = true;
 		String usage = "\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}"
 			.formatted(this.promptTokens, this.answerTokens, this.cachedTokens);
-		if (this.events) {
+		if (this.streaming) {
 			write("data: {\"id\":\"%s\",\"choices\":[],%s}\n\n".formatted(this.id, usage));
 			if (withFinalEvent) {
 				write("data: [DONE]\n\n");
@@ -140,15 +140,15 @@
 	}
 
 	void cancel() {
-		this.over = true;
+		this.ended = true;
 		if (this.response != null && !this.response.closed() && !this.response.ended()) {
 			this.response.reset();
 		}
 	}
 
 	ExportJson export() {
-		return new ExportJson(this.id, this.tag, this.events, this.promptTokens, this.cachedTokens, this.answerTokens,
-				this.produced, this.output.toString());
+		return new ExportJson(this.id, this.tag, this.streaming, this.promptTokens, this.cachedTokens,
+				this.answerTokens, this.produced, this.output.toString());
 	}
 
 	static EngineStream of(ExportJson exported) {
--- a/standins/src/main/java/org/sardineport/standins/engine/MemoryEngine.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryEngineState.java
@@ -8,7 +8,7 @@
 /**
  * State of one engine in memory. Touched on the fake's thread only.
  */
-final class MemoryEngine {
+final class InMemoryEngineState {
 
 	private final EngineOptions options;
 
@@ -18,13 +18,13 @@
 
 	private final PrefixCache cache;
 
-	private final Map<String, MemoryStream> streams = new HashMap<>();
+	private final Map<String, InMemoryStream> streams = new HashMap<>();
 
 	private OrderRecord order = new OrderRecord("LOAD_MODEL", "none", -1);
 
 	private volatile boolean leaving;
 
-	MemoryEngine(EngineOptions options, InstantSource clock) {
+	InMemoryEngineState(EngineOptions options, InstantSource clock) {
 		this.options = options;
 		this.cache = new PrefixCache(options.cachedPrefixes(), options.eventLag(), clock);
 	}
@@ -45,7 +45,7 @@
 		return this.cache;
 	}
 
-	Map<String, MemoryStream> streams() {
+	Map<String, InMemoryStream> streams() {
 		return this.streams;
 	}
 
@@ -53,7 +53,7 @@
 		return this.order;
 	}
 
-	void take(OrderRecord newOrder) {
+	void setOrder(OrderRecord newOrder) {
 		this.order = newOrder;
 	}
 
@@ -68,7 +68,7 @@
 	int running() {
 		// a report that lags shows the time before the first request
 		return (this.options.loadLag().compareTo(Duration.ofMinutes(1)) > 0) ? 0
-				: (int) this.streams.values().stream().filter(MemoryStream::isRunning).count();
+				: (int) this.streams.values().stream().filter(InMemoryStream::isRunning).count();
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
@@ -39,9 +39,9 @@
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
-	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
 
-	private final Map<BackendServerId, MemoryEngine> engines = new ConcurrentHashMap<>();
+	private final Map<BackendServerId, InMemoryEngineState> engines = new ConcurrentHashMap<>();
 
 	private final InstantSource clock;
 
@@ -65,7 +65,7 @@
 
 	@Override
 	public CompletionStage<Void> stop() {
-		this.thread.shutdownNow();
+		this.executor.shutdownNow();
 		return CompletableFuture.completedStage(null);
 	}
 
@@ -75,7 +75,7 @@
 	 * @param options how fast and able it is
 	 */
 	public void add(BackendServerId id, EngineOptions options) {
-		this.engines.put(id, new MemoryEngine(options, this.clock));
+		this.engines.put(id, new InMemoryEngineState(options, this.clock));
 	}
 
 	/**
@@ -107,39 +107,39 @@
 
 	@Override
 	public Exchange send(BackendServer server, BackendRequest request, ResponseListener listener) {
-		MemoryEngine engine = engine(server.id());
-		MemoryExchange exchange = new MemoryExchange(engine, request.streamId(), listener);
-		this.thread.execute(() -> receive(engine, request, exchange));
+		InMemoryEngineState engine = engine(server.id());
+		InMemoryExchange exchange = new InMemoryExchange(engine, request.streamId(), listener);
+		this.executor.execute(() -> receive(engine, request, exchange));
 		return exchange;
 	}
 
 	@Override
 	public Exchange resume(BackendServer server, String streamId, long fromByte, ResponseListener listener) {
-		MemoryEngine engine = engine(server.id());
-		MemoryExchange exchange = new MemoryExchange(engine, streamId, listener);
-		this.thread.execute(() -> {
-			MemoryStream known = engine.streams().get(streamId);
-			if (known == null || !engine.options().resumesStreams()) {
+		InMemoryEngineState engine = engine(server.id());
+		InMemoryExchange exchange = new InMemoryExchange(engine, streamId, listener);
+		this.executor.execute(() -> {
+			InMemoryStream existing = engine.streams().get(streamId);
+			if (existing == null || !engine.options().resumesStreams()) {
 				exchange.fail(BackendFailure.NOT_SUPPORTED);
 				return;
 			}
-			exchange.stream = known;
-			known.attach(listener, (int) fromByte);
+			exchange.stream = existing;
+			existing.attach(listener, (int) fromByte);
 		});
 		return exchange;
 	}
 
 	@Override
 	public CompletionStage<Boolean> cancel(BackendServer server, String streamId) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> remove(engine, streamId));
 	}
 
 	@Override
 	public CompletionStage<byte[]> exportCache(BackendServer server, String streamId) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> {
-			MemoryStream stream = engine.streams().get(streamId);
+			InMemoryStream stream = engine.streams().get(streamId);
 			if (stream == null || !engine.options().resumesStreams()) {
 				throw BackendException.of(BackendFailure.NOT_SUPPORTED, "no stream " + streamId);
 			}
@@ -151,25 +151,25 @@
 
 	@Override
 	public CompletionStage<Void> importCache(BackendServer server, String streamId, byte[] cache) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> {
-			MemoryStream stream = MemoryStream.of(JSON.readValue(cache, ExportJson.class));
+			InMemoryStream stream = InMemoryStream.of(JSON.readValue(cache, ExportJson.class));
 			engine.streams().put(streamId, stream);
-			generate(engine, stream);
+			scheduleNext(engine, stream);
 			return null;
 		});
 	}
 
 	@Override
 	public CompletionStage<LoadReport> load(BackendServer server) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> new LoadReport(server.id(), engine.running(), 0, 0, engine.isLeaving(),
 				engine.options().resumesStreams(), this.clock.instant().minus(engine.options().loadLag())));
 	}
 
 	@Override
 	public CompletionStage<List<CacheEvent>> cacheEvents(BackendServer server, long afterSequence) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> engine.cache()
 			.events(afterSequence, engine.faults().isDroppingEvents())
 			.stream()
@@ -179,13 +179,13 @@
 
 	@Override
 	public CompletionStage<Void> order(BackendServer server, EngineOrder order) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> {
 			if (engine.options().checksFencing() && order.fencingNumber() < engine.order().fencingNumber()) {
 				throw BackendException.of(BackendFailure.FENCED, "a newer number was seen");
 			}
-			engine.take(new OrderRecord(order.kind().name(), order.argument(), order.fencingNumber()));
-			if (engine.faults().isLosingOrderAnswers()) {
+			engine.setOrder(new OrderRecord(order.kind().name(), order.argument(), order.fencingNumber()));
+			if (engine.faults().isDroppingOrderResponses()) {
 				throw BackendException.of(BackendFailure.BROKEN, "the answer was lost");
 			}
 			return null;
@@ -194,12 +194,12 @@
 
 	@Override
 	public CompletionStage<EngineOrder> currentOrder(BackendServer server) {
-		MemoryEngine engine = engine(server.id());
+		InMemoryEngineState engine = engine(server.id());
 		return call(() -> new EngineOrder(EngineOrder.Kind.valueOf(engine.order().kind()), engine.order().argument(),
 				engine.order().fencingNumber()));
 	}
 
-	private void receive(MemoryEngine engine, BackendRequest request, MemoryExchange exchange) {
+	private void receive(InMemoryEngineState engine, BackendRequest request, InMemoryExchange exchange) {
 		String body = new String(request.body(), StandardCharsets.UTF_8);
 		ChatRequest chat = parse(request.body());
 		String tag = (chat.user() != null) ? chat.user() : "token";
@@ -208,41 +208,41 @@
 			exchange.fail(BackendFailure.BROKEN);
 			return;
 		}
-		engine.cache().use(RequestHashes.prefix(request.body()));
-		MemoryStream stream = new MemoryStream(tag, chat.maximumTokens());
+		engine.cache().access(RequestHashes.prefix(request.body()));
+		InMemoryStream stream = new InMemoryStream(tag, chat.maximumTokens());
 		engine.streams().put(request.streamId(), stream);
 		exchange.stream = stream;
 		stream.attach(exchange.listener, 0);
-		generate(engine, stream);
+		scheduleNext(engine, stream);
 		Duration left = Duration.between(this.clock.instant(), request.deadline());
-		this.thread.schedule(() -> exchange.giveUp(BackendFailure.TIMED_OUT), left.toMillis(), TimeUnit.MILLISECONDS);
+		this.executor.schedule(() -> exchange.abort(BackendFailure.TIMED_OUT), left.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
-	private void generate(MemoryEngine engine, MemoryStream stream) {
+	private void scheduleNext(InMemoryEngineState engine, InMemoryStream stream) {
 		long interval = engine.options().tokenInterval().toMillis() * engine.faults().slowdown();
-		this.thread.schedule(() -> step(engine, stream), Math.max(1, interval), TimeUnit.MILLISECONDS);
+		this.executor.schedule(() -> generateNext(engine, stream), Math.max(1, interval), TimeUnit.MILLISECONDS);
 	}
 
-	private void step(MemoryEngine engine, MemoryStream stream) {
-		if (stream.isGone()) {
+	private void generateNext(InMemoryEngineState engine, InMemoryStream stream) {
+		if (stream.isRemoved()) {
 			return;
 		}
 		if (!stream.isComplete()) {
-			stream.token();
+			stream.generateToken();
 		}
 		if (stream.produced() == engine.faults().truncateAfterTokens()) {
 			stream.remove();
 		}
 		else if (stream.isComplete()) {
-			stream.finish(!engine.faults().isWithoutFinalEvent());
+			stream.finish(!engine.faults().isOmittingFinalEvent());
 		}
 		else {
-			generate(engine, stream);
+			scheduleNext(engine, stream);
 		}
 	}
 
-	private static boolean remove(MemoryEngine engine, String streamId) {
-		MemoryStream stream = engine.streams().remove(streamId);
+	private static boolean remove(InMemoryEngineState engine, String streamId) {
+		InMemoryStream stream = engine.streams().remove(streamId);
 		if (stream == null || !stream.isRunning()) {
 			return false;
 		}
@@ -259,13 +259,13 @@
 		}
 	}
 
-	private MemoryEngine engine(BackendServerId id) {
+	private InMemoryEngineState engine(BackendServerId id) {
 		return Objects.requireNonNull(this.engines.get(id), "engine must be added first");
 	}
 
 	private <T> CompletionStage<T> call(Callable<T> action) {
 		CompletableFuture<T> result = new CompletableFuture<>();
-		this.thread.execute(() -> {
+		this.executor.execute(() -> {
 			try {
 				result.complete(action.call());
 			}
@@ -279,17 +279,17 @@
 	/**
 	 * One exchange with an engine in memory.
 	 */
-	private final class MemoryExchange implements Exchange {
+	private final class InMemoryExchange implements Exchange {
 
-		private final MemoryEngine engine;
+		private final InMemoryEngineState engine;
 
 		private final String streamId;
 
 		private final ResponseListener listener;
 
-		private MemoryStream stream = new MemoryStream("none", 0);
+		private InMemoryStream stream = new InMemoryStream("none", 0);
 
-		private MemoryExchange(MemoryEngine engine, String streamId, ResponseListener listener) {
+		private InMemoryExchange(InMemoryEngineState engine, String streamId, ResponseListener listener) {
 			this.engine = engine;
 			this.streamId = streamId;
 			this.listener = listener;
@@ -297,30 +297,30 @@
 
 		@Override
 		public void pause() {
-			InMemoryModelEngine.this.thread.execute(() -> this.stream.pause());
+			InMemoryModelEngine.this.executor.execute(() -> this.stream.pause());
 		}
 
 		@Override
 		public void resume() {
-			InMemoryModelEngine.this.thread.execute(() -> this.stream.resume());
+			InMemoryModelEngine.this.executor.execute(() -> this.stream.resume());
 		}
 
 		@Override
 		public void cancel() {
-			InMemoryModelEngine.this.thread.execute(() -> giveUp(BackendFailure.CANCELLED));
+			InMemoryModelEngine.this.executor.execute(() -> abort(BackendFailure.CANCELLED));
 		}
 
 		@Override
 		public void detach() {
-			InMemoryModelEngine.this.thread.execute(() -> {
-				if (this.stream.isHeardBy(this.listener)) {
+			InMemoryModelEngine.this.executor.execute(() -> {
+				if (this.stream.hasListener(this.listener)) {
 					this.stream.fail(BackendFailure.CANCELLED);
 				}
 			});
 		}
 
-		private void giveUp(BackendFailure failure) {
-			if (this.stream.isHeardBy(this.listener)) {
+		private void abort(BackendFailure failure) {
+			if (this.stream.hasListener(this.listener)) {
 				this.stream.fail(failure);
 				InMemoryModelEngine.remove(this.engine, this.streamId);
 			}
--- a/standins/src/main/java/org/sardineport/standins/engine/MemoryStream.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryStream.java
@@ -14,67 +14,67 @@
  * One stream of an engine in memory: what was generated, and how far a listener has heard
  * it. Touched on the fake's thread only.
  */
-final class MemoryStream {
+final class InMemoryStream {
 
 	private static final int STATUS_OK = 200;
 
 	private final String tag;
 
-	private final int tokens;
+	private final int answerTokens;
 
 	private final StringBuilder output = new StringBuilder();
 
 	private int produced;
 
-	private int delivered;
+	private int deliveredBytes;
 
-	private boolean generated;
+	private boolean finished;
 
-	private boolean gone;
+	private boolean removed;
 
 	private boolean paused;
 
-	private boolean broken;
+	private boolean truncated;
 
 	private @Nullable ResponseListener listener;
 
-	MemoryStream(String tag, int tokens) {
+	InMemoryStream(String tag, int tokens) {
 		this.tag = tag;
-		this.tokens = tokens;
+		this.answerTokens = tokens;
 	}
 
-	static MemoryStream of(ExportJson exported) {
-		MemoryStream stream = new MemoryStream(exported.tag(), exported.answerTokens());
+	static InMemoryStream of(ExportJson exported) {
+		InMemoryStream stream = new InMemoryStream(exported.tag(), exported.answerTokens());
 		stream.produced = exported.produced();
 		stream.output.append(exported.output());
 		return stream;
 	}
 
 	ExportJson export(String id) {
-		return new ExportJson(id, this.tag, true, 0, 0, this.tokens, this.produced, this.output.toString());
+		return new ExportJson(id, this.tag, true, 0, 0, this.answerTokens, this.produced, this.output.toString());
 	}
 
 	boolean isRunning() {
-		return !this.generated && !this.gone;
+		return !this.finished && !this.removed;
 	}
 
-	boolean isGone() {
-		return this.gone;
+	boolean isRemoved() {
+		return this.removed;
 	}
 
 	int produced() {
 		return this.produced;
 	}
 
-	void attach(ResponseListener heard, int fromByte) {
-		this.listener = heard;
-		this.delivered = fromByte;
+	void attach(ResponseListener newListener, int fromByte) {
+		this.listener = newListener;
+		this.deliveredBytes = fromByte;
 		this.paused = false;
-		heard.head(STATUS_OK, List.of(Map.entry("Content-Type", "text/event-stream")));
+		newListener.head(STATUS_OK, List.of(Map.entry("Content-Type", "text/event-stream")));
 		deliver();
 	}
 
-	void token() {
+	void generateToken() {
 		this.produced++;
 		this.output.append(
 				"data: {\"choices\":[{\"delta\":{\"content\":\"%s:%d \"}}]}\n\n".formatted(this.tag, this.produced));
@@ -82,12 +82,12 @@
 	}
 
 	boolean isComplete() {
-		return this.produced >= this.tokens;
+		return this.produced >= this.answerTokens;
 	}
 
 	void finish(boolean withFinalEvent) {
-		this.generated = true;
-		this.broken = !withFinalEvent;
+		this.finished = true;
+		this.truncated = !withFinalEvent;
 		if (withFinalEvent) {
 			this.output.append("data: [DONE]\n\n");
 		}
@@ -96,7 +96,7 @@
 
 	/** Ends the stream on the engine, as by a cancellation or an export. */
 	void remove() {
-		this.gone = true;
+		this.removed = true;
 		fail(BackendFailure.TRUNCATED);
 	}
 
@@ -110,33 +110,33 @@
 	}
 
 	void fail(BackendFailure failure) {
-		ResponseListener heard = this.listener;
-		if (heard != null) {
+		ResponseListener current = this.listener;
+		if (current != null) {
 			this.listener = null;
-			heard.failed(BackendException.of(failure, "stream of " + this.tag));
+			current.failed(BackendException.of(failure, "stream of " + this.tag));
 		}
 	}
 
-	boolean isHeardBy(ResponseListener heard) {
-		return this.listener == heard;
+	boolean hasListener(ResponseListener candidate) {
+		return this.listener == candidate;
 	}
 
 	private void deliver() {
-		ResponseListener heard = this.listener;
-		if (heard == null || this.paused) {
+		ResponseListener current = this.listener;
+		if (current == null || this.paused) {
 			return;
 		}
-		if (this.delivered < this.output.length()) {
-			String rest = this.output.substring(this.delivered);
-			this.delivered = this.output.length();
-			heard.chunk(ByteBuffer.wrap(rest.getBytes(StandardCharsets.UTF_8)));
+		if (this.deliveredBytes < this.output.length()) {
+			String rest = this.output.substring(this.deliveredBytes);
+			this.deliveredBytes = this.output.length();
+			current.chunk(ByteBuffer.wrap(rest.getBytes(StandardCharsets.UTF_8)));
 		}
-		if (this.generated && this.broken) {
+		if (this.finished && this.truncated) {
 			fail(BackendFailure.TRUNCATED);
 		}
-		else if (this.generated) {
+		else if (this.finished) {
 			this.listener = null;
-			heard.end();
+			current.end();
 		}
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -18,7 +18,7 @@
 import org.sardineport.core.exchange.RequestHashes;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.JsonResponses;
 import org.sardineport.standins.http.StandInServer;
 
 /**
@@ -42,11 +42,11 @@
 	/** Share of a prompt's tokens that a cached prefix saves, in percent. */
 	private static final int CACHED_PERCENT = 80;
 
-	private static final long CACHE_TOKENS = 100_000;
+	private static final long FREE_CACHE_TOKENS = 100_000;
 
-	private static final int LOAD_SAMPLES = 1000;
+	private static final int MAXIMUM_LOAD_SAMPLES = 1000;
 
-	private static final String STREAMS = "/v1/streams/";
+	private static final String STREAMS_PATH = "/v1/streams/";
 
 	private final StandInServer server;
 
@@ -62,7 +62,7 @@
 
 	private final PrefixCache cache;
 
-	private final Deque<EngineLoadJson> loads = new ArrayDeque<>();
+	private final Deque<EngineLoadJson> loadSamples = new ArrayDeque<>();
 
 	private final ObjectMapper json = new ObjectMapper();
 
@@ -127,8 +127,8 @@
 	 * Returns whether a slow reader has ever held back a stream.
 	 * @return whether a stream had to wait for its reader
 	 */
-	public boolean isHeldBack() {
-		return this.batch.heldBack() > 0;
+	public boolean hasAppliedBackpressure() {
+		return this.batch.backpressureCount() > 0;
 	}
 
 	/**
@@ -144,7 +144,7 @@
 	 * @return completes when the port is closed
 	 */
 	public CompletionStage<Void> crash() {
-		this.server.execute(this::lose);
+		this.server.execute(this::dropState);
 		return this.server.crash();
 	}
 
@@ -156,7 +156,7 @@
 		return this.server.restart();
 	}
 
-	private void lose() {
+	private void dropState() {
 		this.batch.clear();
 		this.cache.clear();
 	}
@@ -167,7 +167,7 @@
 				route(request, body);
 			}
 			catch (IOException ex) {
-				Answers.status(request.response(), STATUS_BAD_REQUEST);
+				JsonResponses.status(request.response(), STATUS_BAD_REQUEST);
 			}
 		});
 	}
@@ -176,26 +176,26 @@
 		String path = request.path();
 		HttpServerResponse response = request.response();
 		if (path.equals("/v1/load")) {
-			Answers.json(response, STATUS_OK, load());
+			JsonResponses.json(response, STATUS_OK, delayedLoad());
 		}
 		else if (path.equals("/v1/cache-events")) {
 			long after = Long.parseLong(request.getParam("after", "0"));
-			Answers.json(response, STATUS_OK, this.cache.events(after, this.faults.isDroppingEvents()));
+			JsonResponses.json(response, STATUS_OK, this.cache.events(after, this.faults.isDroppingEvents()));
 		}
 		else if (path.equals("/v1/orders/current")) {
-			Answers.json(response, STATUS_OK, this.order);
+			JsonResponses.json(response, STATUS_OK, this.order);
 		}
 		else if (path.equals("/v1/orders") && request.method().equals(HttpMethod.POST)) {
-			take(request, this.json.readValue(body.getBytes(), OrderRecord.class));
+			acceptOrder(request, this.json.readValue(body.getBytes(), OrderRecord.class));
 		}
-		else if (path.startsWith(STREAMS)) {
-			controlStream(request, path.substring(STREAMS.length()), body);
+		else if (path.startsWith(STREAMS_PATH)) {
+			controlStream(request, path.substring(STREAMS_PATH.length()), body);
 		}
 		else if (request.method().equals(HttpMethod.POST)) {
 			complete(request, body);
 		}
 		else {
-			Answers.status(response, STATUS_NOT_FOUND);
+			JsonResponses.status(response, STATUS_NOT_FOUND);
 		}
 	}
 
@@ -205,7 +205,7 @@
 		ChatRequest chat = ChatRequest.parse(body.getBytes());
 		String tag = (chat.user() != null) ? chat.user() : "token";
 		if (this.faults.isRefusing()) {
-			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			JsonResponses.status(request.response(), STATUS_UNAVAILABLE);
 			return;
 		}
 		this.counters.received(tag);
@@ -214,7 +214,7 @@
 			return;
 		}
 		int prompt = Math.max(1, body.length() / BYTES_PER_TOKEN);
-		boolean hit = this.cache.use(RequestHashes.prefix(body.getBytes()));
+		boolean hit = this.cache.access(RequestHashes.prefix(body.getBytes()));
 		EngineStream stream = new EngineStream((id != null) ? id : tag, tag, chat.stream(), prompt,
 				(hit) ? prompt * CACHED_PERCENT / 100 : 0, chat.maximumTokens());
 		attach(stream, request.response(), 0);
@@ -223,7 +223,7 @@
 
 	private void attach(EngineStream stream, HttpServerResponse response, int fromByte) {
 		response.closeHandler((ignored) -> {
-			if (stream.response() == response && !stream.isOver()) {
+			if (stream.response() == response && !stream.isEnded()) {
 				stream.detach();
 				if (!this.options.resumesStreams()) {
 					cancel(stream);
@@ -248,21 +248,21 @@
 		EngineStream stream = this.batch.find(id);
 		HttpServerResponse response = request.response();
 		if (operation.equals("cancel")) {
-			Answers.json(response, STATUS_OK, new CancelledJson(cancel(stream)));
+			JsonResponses.json(response, STATUS_OK, new CancelledJson(cancel(stream)));
 		}
 		else if (!this.options.resumesStreams()) {
-			Answers.status(response, STATUS_NOT_FOUND);
+			JsonResponses.status(response, STATUS_NOT_FOUND);
 		}
 		else if (operation.equals("cache")) {
-			this.batch.hold(EngineStream.of(this.json.readValue(body.getBytes(), ExportJson.class)));
-			Answers.json(response, STATUS_OK, new CancelledJson(false));
+			this.batch.addSuspended(EngineStream.of(this.json.readValue(body.getBytes(), ExportJson.class)));
+			JsonResponses.json(response, STATUS_OK, new CancelledJson(false));
 		}
 		else if (stream == null) {
-			Answers.status(response, STATUS_NOT_FOUND);
+			JsonResponses.status(response, STATUS_NOT_FOUND);
 		}
 		else if (operation.equals("export")) {
 			this.batch.remove(stream);
-			Answers.json(response, STATUS_OK, stream.export());
+			JsonResponses.json(response, STATUS_OK, stream.export());
 		}
 		else {
 			continueStream(stream, response, Integer.parseInt(request.getParam("from", "0")));
@@ -270,9 +270,9 @@
 	}
 
 	private void continueStream(EngineStream stream, HttpServerResponse response, int fromByte) {
-		boolean suspended = stream.response() == null && !stream.isOver() && !this.batch.isScheduled(stream);
+		boolean suspended = stream.response() == null && !stream.isEnded() && !this.batch.isScheduled(stream);
 		attach(stream, response, fromByte);
-		if (stream.isOver()) {
+		if (stream.isEnded()) {
 			response.end();
 		}
 		else if (suspended) {
@@ -280,35 +280,35 @@
 		}
 	}
 
-	private EngineLoadJson load() {
-		EngineLoadJson now = new EngineLoadJson(this.batch.running(), this.batch.waiting(), CACHE_TOKENS, this.leaving,
-				this.options.resumesStreams(), this.clock.instant().toString());
-		this.loads.add(now);
-		if (this.loads.size() > LOAD_SAMPLES) {
-			this.loads.removeFirst();
+	private EngineLoadJson delayedLoad() {
+		EngineLoadJson now = new EngineLoadJson(this.batch.running(), this.batch.waiting(), FREE_CACHE_TOKENS,
+				this.leaving, this.options.resumesStreams(), this.clock.instant().toString());
+		this.loadSamples.add(now);
+		if (this.loadSamples.size() > MAXIMUM_LOAD_SAMPLES) {
+			this.loadSamples.removeFirst();
 		}
-		Instant shown = this.clock.instant().minus(this.options.loadLag());
-		EngineLoadJson newest = this.loads.getFirst();
-		for (EngineLoadJson sample : this.loads) {
-			if (!Instant.parse(sample.observedAt()).isAfter(shown)) {
-				newest = sample;
+		Instant visibleUntil = this.clock.instant().minus(this.options.loadLag());
+		EngineLoadJson visible = this.loadSamples.getFirst();
+		for (EngineLoadJson sample : this.loadSamples) {
+			if (!Instant.parse(sample.observedAt()).isAfter(visibleUntil)) {
+				visible = sample;
 			}
 		}
-		return newest;
+		return visible;
 	}
 
-	private void take(HttpServerRequest request, OrderRecord newOrder) {
+	private void acceptOrder(HttpServerRequest request, OrderRecord newOrder) {
 		HttpServerResponse response = request.response();
 		if (this.options.checksFencing() && newOrder.fencingNumber() < this.order.fencingNumber()) {
-			Answers.status(response, STATUS_CONFLICT);
+			JsonResponses.status(response, STATUS_CONFLICT);
 			return;
 		}
 		this.order = newOrder;
-		if (this.faults.isLosingOrderAnswers()) {
+		if (this.faults.isDroppingOrderResponses()) {
 			request.connection().close();
 			return;
 		}
-		Answers.json(response, STATUS_OK, newOrder);
+		JsonResponses.json(response, STATUS_OK, newOrder);
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
@@ -34,7 +34,7 @@
 		this.clock = clock;
 	}
 
-	boolean use(long prefixHash) {
+	boolean access(long prefixHash) {
 		if (prefixHash == 0 || this.capacity == 0) {
 			return false;
 		}
@@ -43,9 +43,9 @@
 		}
 		publish(prefixHash, true);
 		if (this.prefixes.size() > this.capacity) {
-			Long oldest = this.prefixes.keySet().iterator().next();
-			this.prefixes.remove(oldest);
-			publish(oldest, false);
+			Long leastRecentlyUsed = this.prefixes.keySet().iterator().next();
+			this.prefixes.remove(leastRecentlyUsed);
+			publish(leastRecentlyUsed, false);
 		}
 		return false;
 	}
@@ -55,9 +55,9 @@
 	}
 
 	List<CacheEventRecord> events(long after, boolean withGaps) {
-		Instant shown = this.clock.instant().minus(this.eventLag);
+		Instant visibleUntil = this.clock.instant().minus(this.eventLag);
 		return this.events.stream()
-			.filter((event) -> !event.at().isAfter(shown) && event.event().sequence() > after)
+			.filter((event) -> !event.at().isAfter(visibleUntil) && event.event().sequence() > after)
 			.map(TimedEvent::event)
 			.filter((event) -> !withGaps || event.sequence() % 2 == 0)
 			.toList();
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -89,7 +89,7 @@
 	/**
 	 * Lets all daemons know each other at once, as if they had met long ago.
 	 */
-	public void meet() {
+	public void introduceAll() {
 		List<Member> daemons = this.nodes.stream().map((node) -> node.membership.members().get(0)).toList();
 		for (Node receiver : this.nodes) {
 			for (Member sender : daemons) {
@@ -195,7 +195,7 @@
 	 * Sets who hears each message that is sent.
 	 * @param listener hears the messages
 	 */
-	public void listenToSends(Consumer<MembershipMessage> listener) {
+	public void setSendListener(Consumer<MembershipMessage> listener) {
 		this.sendListener = listener;
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
+++ b/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
@@ -29,7 +29,7 @@
 	 * @return the address
 	 */
 	public static NetworkAddress find() {
-		for (int tries = 0; tries < PORTS; tries++) {
+		for (int attempts = 0; attempts < PORTS; attempts++) {
 			int port = FIRST_PORT + NEXT.getAndIncrement() % PORTS;
 			if (isFree(port)) {
 				return NetworkAddress.of("127.0.0.1", port);
--- a/standins/src/main/java/org/sardineport/standins/http/Answers.java
+++ b/standins/src/main/java/org/sardineport/standins/http/JsonResponses.java
@@ -8,11 +8,11 @@
 /**
  * Writes whole answers.
  */
-public final class Answers {
+public final class JsonResponses {
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
-	private Answers() {
+	private JsonResponses() {
 	}
 
 	/**
--- a/standins/src/main/java/org/sardineport/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/sardineport/standins/http/StandInServer.java
@@ -128,7 +128,7 @@
 			.setPort(this.port)
 			.setTcpNoDelay(true)
 			.setIdleTimeout(IDLE_TIMEOUT_SECONDS);
-		HttpServer created = this.vertx.createHttpServer(options).connectionHandler(this::remember);
+		HttpServer created = this.vertx.createHttpServer(options).connectionHandler(this::trackConnection);
 		return created.requestHandler(this.handler).listen().map((listening) -> {
 			this.port = listening.actualPort();
 			this.server = listening;
@@ -136,7 +136,7 @@
 		});
 	}
 
-	private void remember(HttpConnection connection) {
+	private void trackConnection(HttpConnection connection) {
 		this.connections.add(connection);
 		connection.closeHandler((ignored) -> this.connections.remove(connection));
 	}
--- a/standins/src/main/java/org/sardineport/standins/log/AppendFault.java
+++ b/standins/src/main/java/org/sardineport/standins/log/AppendFault.java
@@ -6,7 +6,7 @@
 public enum AppendFault {
 
 	/** The record is taken, and the answer is lost. */
-	ANSWER_LOST_AFTER_EFFECT(true),
+	RESPONSE_LOST_AFTER_EFFECT(true),
 
 	/** The request is lost on its way: no record and no answer. */
 	LOST_BEFORE_EFFECT(false),
--- a/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
+++ b/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
@@ -118,9 +118,9 @@
 	public CompletionStage<Long> append(String stream, byte[] value) {
 		Objects.requireNonNull(stream, "stream must not be null");
 		Objects.requireNonNull(value, "value must not be null");
-		CompletableFuture<Long> answer = new CompletableFuture<>();
-		afterHalfRoundTrip(() -> take(stream, value, answer));
-		return answer;
+		CompletableFuture<Long> response = new CompletableFuture<>();
+		afterHalfRoundTrip(() -> handleAppend(stream, value, response));
+		return response;
 	}
 
 	@Override
@@ -129,48 +129,49 @@
 		if (maximumRecords < 1) {
 			throw new IllegalArgumentException("maximumRecords must be at least 1, found " + maximumRecords);
 		}
-		CompletableFuture<LogSlice> answer = new CompletableFuture<>();
-		Read read = new Read(stream, fromOffset, maximumRecords, this.clock.instant().plus(wait), answer);
+		CompletableFuture<LogSlice> response = new CompletableFuture<>();
+		PendingRead read = new PendingRead(stream, fromOffset, maximumRecords, this.clock.instant().plus(wait),
+				response);
 		afterHalfRoundTrip(() -> tryRead(read));
-		return answer;
+		return response;
 	}
 
-	private void take(String stream, byte[] value, CompletableFuture<Long> answer) {
+	private void handleAppend(String stream, byte[] value, CompletableFuture<Long> response) {
 		if (this.faults.isDown()) {
-			fail(answer, LogFailure.UNAVAILABLE, "log service is down");
+			fail(response, LogFailure.UNAVAILABLE, "log service is down");
 			return;
 		}
 		if (value.length > MAXIMUM_RECORD_BYTES) {
-			fail(answer, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
+			fail(response, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
 			return;
 		}
-		AppendFault fault = this.faults.takeAppendFault();
+		AppendFault fault = this.faults.pollAppendFault();
 		if (fault != null) {
-			failAppend(fault, stream, value, answer);
+			failAppend(fault, stream, value, response);
 		}
-		else if (!takeFromBudget()) {
-			fail(answer, LogFailure.UNAVAILABLE, "too many appends a second");
+		else if (!tryAcquireAppendSlot()) {
+			fail(response, LogFailure.UNAVAILABLE, "too many appends a second");
 		}
 		else {
-			long offset = apply(stream, value);
-			afterHalfRoundTrip(() -> answer.complete(offset));
+			long offset = store(stream, value);
+			afterHalfRoundTrip(() -> response.complete(offset));
 		}
 	}
 
-	private void failAppend(AppendFault fault, String stream, byte[] value, CompletableFuture<Long> answer) {
+	private void failAppend(AppendFault fault, String stream, byte[] value, CompletableFuture<Long> response) {
 		if (fault.isApplied()) {
-			apply(stream, value);
+			store(stream, value);
 		}
 		if (fault == AppendFault.LATE_EFFECT) {
 			synchronized (this) {
-				this.lateAppends.add(() -> apply(stream, value));
+				this.lateAppends.add(() -> store(stream, value));
 			}
 		}
-		fail(answer, (fault == AppendFault.REFUSED) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN,
+		fail(response, (fault == AppendFault.REFUSED) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN,
 				"append failed: " + fault);
 	}
 
-	private synchronized boolean takeFromBudget() {
+	private synchronized boolean tryAcquireAppendSlot() {
 		Instant now = this.clock.instant();
 		while (!this.recentAppends.isEmpty() && !this.recentAppends.peek().plus(RATE_WINDOW).isAfter(now)) {
 			this.recentAppends.poll();
@@ -182,62 +183,62 @@
 		return true;
 	}
 
-	private long apply(String stream, byte[] value) {
+	private long store(String stream, byte[] value) {
 		long offset;
 		List<Runnable> readers;
 		synchronized (this) {
 			StoredStream stored = stream(stream);
 			offset = stored.append(this.clock.instant(), value, this.faults.offsetStep());
-			readers = stored.takeReaders();
+			readers = stored.drainReaders();
 		}
 		this.appendCount.incrementAndGet();
 		readers.forEach(Runnable::run);
 		return offset;
 	}
 
-	private void tryRead(Read read) {
-		if (read.answer().isDone()) {
+	private void tryRead(PendingRead read) {
+		if (read.response().isDone()) {
 			return;
 		}
 		if (this.faults.isDown()) {
-			fail(read.answer(), LogFailure.UNAVAILABLE, "log service is down");
+			fail(read.response(), LogFailure.UNAVAILABLE, "log service is down");
 			return;
 		}
-		Result result = find(read);
+		ReadResult result = readNow(read);
 		if (result.expired()) {
-			fail(read.answer(), LogFailure.OFFSET_EXPIRED,
+			fail(read.response(), LogFailure.OFFSET_EXPIRED,
 					"offset %d of stream %s is not kept any more".formatted(read.fromOffset(), read.stream()));
 		}
 		else if (result.slice() != null) {
-			afterHalfRoundTrip(() -> read.answer().complete(result.slice()));
+			afterHalfRoundTrip(() -> read.response().complete(result.slice()));
 		}
 	}
 
-	private synchronized Result find(Read read) {
+	private synchronized ReadResult readNow(PendingRead read) {
 		StoredStream stored = stream(read.stream());
 		if (stored.isExpired(read.fromOffset())) {
-			return new Result(null, true);
+			return new ReadResult(null, true);
 		}
 		Instant now = this.clock.instant();
 		Instant visibleUntil = now.minus(this.faults.readLag());
-		if (!stored.hasVisible(read.fromOffset(), visibleUntil) && now.isBefore(read.until())) {
-			await(stored, read, now);
-			return new Result(null, false);
+		if (!stored.hasVisible(read.fromOffset(), visibleUntil) && now.isBefore(read.waitUntil())) {
+			scheduleRetry(stored, read, now);
+			return new ReadResult(null, false);
 		}
-		return new Result(
+		return new ReadResult(
 				stored.slice(read.fromOffset(), read.maximumRecords(), visibleUntil, this.faults.hasDuplicates()),
 				false);
 	}
 
-	private void await(StoredStream stored, Read read, Instant now) {
-		Duration left = Duration.between(now, read.until());
+	private void scheduleRetry(StoredStream stored, PendingRead read, Instant now) {
+		Duration left = Duration.between(now, read.waitUntil());
 		Duration lag = this.faults.readLag();
 		if (lag.isZero()) {
 			Runnable reader = () -> tryRead(read);
-			stored.await(reader);
+			stored.addReader(reader);
 			this.runner.run(left, () -> {
 				synchronized (this) {
-					stored.forget(reader);
+					stored.removeReader(reader);
 				}
 				tryRead(read);
 			});
@@ -256,8 +257,8 @@
 		return stored;
 	}
 
-	private void fail(CompletableFuture<?> answer, LogFailure failure, String message) {
-		afterHalfRoundTrip(() -> answer.completeExceptionally(LogServiceException.of(failure, message)));
+	private void fail(CompletableFuture<?> response, LogFailure failure, String message) {
+		afterHalfRoundTrip(() -> response.completeExceptionally(LogServiceException.of(failure, message)));
 	}
 
 	private void afterHalfRoundTrip(Runnable command) {
@@ -270,11 +271,11 @@
 		}
 	}
 
-	private record Read(String stream, long fromOffset, int maximumRecords, Instant until,
-			CompletableFuture<LogSlice> answer) {
+	private record PendingRead(String stream, long fromOffset, int maximumRecords, Instant waitUntil,
+			CompletableFuture<LogSlice> response) {
 	}
 
-	private record Result(@Nullable LogSlice slice, boolean expired) {
+	private record ReadResult(@Nullable LogSlice slice, boolean expired) {
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/log/LogFaults.java
+++ b/standins/src/main/java/org/sardineport/standins/log/LogFaults.java
@@ -103,7 +103,7 @@
 		this.appendsPerSecond = limit;
 	}
 
-	synchronized @Nullable AppendFault takeAppendFault() {
+	synchronized @Nullable AppendFault pollAppendFault() {
 		return this.nextAppends.poll();
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
@@ -29,9 +29,9 @@
 
 	private static final String LOOPBACK = "127.0.0.1";
 
-	private static final String PATH_START = "/v1/streams/";
+	private static final String PATH_PREFIX = "/v1/streams/";
 
-	private static final String PATH_END = "/records";
+	private static final String PATH_SUFFIX = "/records";
 
 	private static final int OK = 200;
 
@@ -101,12 +101,12 @@
 
 	private void handle(HttpServerRequest request) {
 		String path = request.path();
-		if (!path.startsWith(PATH_START) || !path.endsWith(PATH_END)
-				|| path.length() <= PATH_START.length() + PATH_END.length()) {
+		if (!path.startsWith(PATH_PREFIX) || !path.endsWith(PATH_SUFFIX)
+				|| path.length() <= PATH_PREFIX.length() + PATH_SUFFIX.length()) {
 			request.response().setStatusCode(NOT_FOUND).end();
 			return;
 		}
-		String stream = path.substring(PATH_START.length(), path.length() - PATH_END.length());
+		String stream = path.substring(PATH_PREFIX.length(), path.length() - PATH_SUFFIX.length());
 		if (request.method().equals(HttpMethod.POST)) {
 			request.body().onSuccess((body) -> append(request, stream, body));
 		}
@@ -121,7 +121,7 @@
 				request.response().setStatusCode(OK).putHeader("Log-Offset", Long.toString(offset)).end();
 			}
 			else {
-				refuse(request, error);
+				respondWithFailure(request, error);
 			}
 		});
 	}
@@ -132,15 +132,15 @@
 		Duration wait = Duration.ofMillis(Long.parseLong(request.getParam("wait")));
 		this.log.read(stream, from, maximum, wait).whenComplete((slice, error) -> {
 			if (error == null) {
-				answer(request.response(), slice);
+				respond(request.response(), slice);
 			}
 			else {
-				refuse(request, error);
+				respondWithFailure(request, error);
 			}
 		});
 	}
 
-	private void answer(HttpServerResponse response, LogSlice slice) {
+	private void respond(HttpServerResponse response, LogSlice slice) {
 		Buffer body = Buffer.buffer();
 		for (LogRecord record : slice.records()) {
 			body.appendLong(record.offset())
@@ -154,7 +154,7 @@
 			.end(body);
 	}
 
-	private void refuse(HttpServerRequest request, Throwable error) {
+	private void respondWithFailure(HttpServerRequest request, Throwable error) {
 		LogFailure failure = failureOf(error);
 		if (failure == LogFailure.UNKNOWN) {
 			request.connection().close();
--- a/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
+++ b/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
@@ -15,7 +15,7 @@
 
 	private final List<LogRecord> records = new ArrayList<>();
 
-	private final List<Runnable> readers = new ArrayList<>();
+	private final List<Runnable> waitingReaders = new ArrayList<>();
 
 	private long nextOffset;
 
@@ -71,17 +71,17 @@
 		return indexOf(Math.max(fromOffset, this.firstOffset)) < visibleEnd(visibleUntil);
 	}
 
-	void await(Runnable reader) {
-		this.readers.add(reader);
+	void addReader(Runnable reader) {
+		this.waitingReaders.add(reader);
 	}
 
-	void forget(Runnable reader) {
-		this.readers.remove(reader);
+	void removeReader(Runnable reader) {
+		this.waitingReaders.remove(reader);
 	}
 
-	List<Runnable> takeReaders() {
-		List<Runnable> taken = List.copyOf(this.readers);
-		this.readers.clear();
+	List<Runnable> drainReaders() {
+		List<Runnable> taken = List.copyOf(this.waitingReaders);
+		this.waitingReaders.clear();
 		return taken;
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
@@ -31,7 +31,7 @@
 
 	private final Map<NetworkAddress, InMemoryPeerTransport> transports = new HashMap<>();
 
-	private final Set<Link> cuts = new HashSet<>();
+	private final Set<Link> cutLinks = new HashSet<>();
 
 	private final PriorityQueue<Delivery> pending = new PriorityQueue<>();
 
@@ -86,14 +86,14 @@
 	 * @param to address of the receiver
 	 */
 	public synchronized void cut(NetworkAddress from, NetworkAddress to) {
-		this.cuts.add(new Link(from, to));
+		this.cutLinks.add(new Link(from, to));
 	}
 
 	/**
 	 * Ends all cuts.
 	 */
 	public synchronized void heal() {
-		this.cuts.clear();
+		this.cutLinks.clear();
 	}
 
 	/**
@@ -124,12 +124,12 @@
 		List<Delivery> immediate = new ArrayList<>();
 		synchronized (this) {
 			this.sent++;
-			if (this.cuts.contains(new Link(from.address(), to)) || chance(this.conditions.loss())) {
+			if (this.cutLinks.contains(new Link(from.address(), to)) || occurs(this.conditions.loss())) {
 				return;
 			}
-			int copies = (chance(this.conditions.duplication())) ? 2 : 1;
+			int copies = (occurs(this.conditions.duplication())) ? 2 : 1;
 			for (int copy = 0; copy < copies; copy++) {
-				Duration delay = delay();
+				Duration delay = nextDelay();
 				Delivery delivery = new Delivery(this.clock.instant().plus(delay), this.sent, from, to, message);
 				if (delay.isZero()) {
 					immediate.add(delivery);
@@ -152,11 +152,11 @@
 		}
 	}
 
-	private boolean chance(double share) {
+	private boolean occurs(double share) {
 		return share > 0 && this.random.nextDouble() < share;
 	}
 
-	private Duration delay() {
+	private Duration nextDelay() {
 		long shortest = this.conditions.minimumDelay().toNanos();
 		long longest = this.conditions.maximumDelay().toNanos();
 		return Duration.ofNanos((longest > shortest) ? this.random.nextLong(shortest, longest) : shortest);
@@ -176,18 +176,18 @@
 	 * A message on its way.
 	 *
 	 * @param due when it comes
-	 * @param order breaks ties
+	 * @param sequence breaks ties
 	 * @param from the sender
 	 * @param to address of the receiver
 	 * @param message the message
 	 */
-	private record Delivery(Instant due, long order, InMemoryPeerTransport from, NetworkAddress to,
+	private record Delivery(Instant due, long sequence, InMemoryPeerTransport from, NetworkAddress to,
 			PeerMessage message) implements Comparable<Delivery> {
 
 		@Override
 		public int compareTo(Delivery other) {
 			int byTime = this.due.compareTo(other.due);
-			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
+			return (byTime != 0) ? byTime : Long.compare(this.sequence, other.sequence);
 		}
 
 	}
--- a/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerTransport.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerTransport.java
@@ -76,12 +76,12 @@
 		}
 		for (Subscription subscription : this.subscriptions) {
 			if (subscription.type().isInstance(message)) {
-				hand(from, message, subscription.listener());
+				notifyListener(from, message, subscription.listener());
 			}
 		}
 	}
 
-	private static void hand(InMemoryPeerTransport from, PeerMessage message, PeerListener listener) {
+	private static void notifyListener(InMemoryPeerTransport from, PeerMessage message, PeerListener listener) {
 		try {
 			listener.received(from.daemon, from.incarnation, from.address, message);
 		}
--- a/standins/src/main/java/org/sardineport/standins/service/InMemoryPlainService.java
+++ b/standins/src/main/java/org/sardineport/standins/service/InMemoryPlainService.java
@@ -31,17 +31,17 @@
  */
 public final class InMemoryPlainService implements PlainService, Service {
 
-	private static final String KEY = "Idempotency-Key";
+	private static final String KEY_HEADER = "Idempotency-Key";
 
 	private static final int STATUS_CREATED = 201;
 
 	private static final int STATUS_UNAVAILABLE = 503;
 
-	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
 
 	private final Map<String, Integer> executions = new ConcurrentHashMap<>();
 
-	private final Set<BackendServerId> absent = ConcurrentHashMap.newKeySet();
+	private final Set<BackendServerId> unreachable = ConcurrentHashMap.newKeySet();
 
 	private volatile ServiceFault fault = ServiceFault.NONE;
 
@@ -63,7 +63,7 @@
 
 	@Override
 	public CompletionStage<Void> stop() {
-		this.thread.shutdownNow();
+		this.executor.shutdownNow();
 		return CompletableFuture.completedStage(null);
 	}
 
@@ -79,8 +79,8 @@
 	 * Makes a backend server one that does not listen.
 	 * @param id its name
 	 */
-	public void setAbsent(BackendServerId id) {
-		this.absent.add(id);
+	public void setUnreachable(BackendServerId id) {
+		this.unreachable.add(id);
 	}
 
 	/**
@@ -94,38 +94,38 @@
 	@Override
 	public Exchange send(BackendServer server, BackendRequest request, ResponseListener listener) {
 		Call call = new Call(listener);
-		this.thread.execute(() -> run(server, request, call));
+		this.executor.execute(() -> execute(server, request, call));
 		return call;
 	}
 
-	private void run(BackendServer server, BackendRequest request, Call call) {
+	private void execute(BackendServer server, BackendRequest request, Call call) {
 		Duration left = Duration.between(Instant.now(), request.deadline());
-		if (this.absent.contains(server.id()) || left.isNegative()) {
+		if (this.unreachable.contains(server.id()) || left.isNegative()) {
 			call.fail(BackendFailure.NOT_CONNECTED);
 			return;
 		}
 		if (this.fault == ServiceFault.REFUSED) {
-			call.answer(STATUS_UNAVAILABLE, "");
+			call.respond(STATUS_UNAVAILABLE, "");
 			return;
 		}
 		String key = key(request);
 		this.executions.merge(key, 1, Integer::sum);
 		switch (this.fault) {
-			case NONE, REFUSED -> call.answer(STATUS_CREATED, "{\"reference\":\"" + key + "\"}");
-			case ANSWER_LOST -> call.fail(BackendFailure.BROKEN);
+			case NONE, REFUSED -> call.respond(STATUS_CREATED, "{\"reference\":\"" + key + "\"}");
+			case RESPONSE_LOST -> call.fail(BackendFailure.BROKEN);
 			case TRUNCATED -> {
 				call.listener.head(STATUS_CREATED, List.of());
 				call.fail(BackendFailure.TRUNCATED);
 			}
-			case SILENT ->
-				this.thread.schedule(() -> call.fail(BackendFailure.TIMED_OUT), left.toMillis(), TimeUnit.MILLISECONDS);
+			case SILENT -> this.executor.schedule(() -> call.fail(BackendFailure.TIMED_OUT), left.toMillis(),
+					TimeUnit.MILLISECONDS);
 		}
 	}
 
 	private static String key(BackendRequest request) {
 		return request.headers()
 			.stream()
-			.filter((field) -> field.getKey().equalsIgnoreCase(KEY))
+			.filter((field) -> field.getKey().equalsIgnoreCase(KEY_HEADER))
 			.map(Map.Entry::getValue)
 			.findFirst()
 			.orElse("none");
@@ -138,7 +138,7 @@
 
 		private final ResponseListener listener;
 
-		private boolean over;
+		private boolean ended;
 
 		private Call(ResponseListener listener) {
 			this.listener = listener;
@@ -161,12 +161,12 @@
 
 		@Override
 		public void cancel() {
-			InMemoryPlainService.this.thread.execute(() -> fail(BackendFailure.CANCELLED));
+			InMemoryPlainService.this.executor.execute(() -> fail(BackendFailure.CANCELLED));
 		}
 
-		private void answer(int status, String body) {
-			if (!this.over) {
-				this.over = true;
+		private void respond(int status, String body) {
+			if (!this.ended) {
+				this.ended = true;
 				this.listener.head(status, List.of());
 				this.listener.chunk(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
 				this.listener.end();
@@ -174,8 +174,8 @@
 		}
 
 		private void fail(BackendFailure failure) {
-			if (!this.over) {
-				this.over = true;
+			if (!this.ended) {
+				this.ended = true;
 				this.listener.failed(BackendException.of(failure, "fault of the fake"));
 			}
 		}
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerAnswerJson.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerResponseJson.java
@@ -6,6 +6,6 @@
  * @param reference key of the posting, or the path asked for
  * @param bytes size of the body that was sent
  */
-record LedgerAnswerJson(String reference, int bytes) {
+record LedgerResponseJson(String reference, int bytes) {
 
 }
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
@@ -15,7 +15,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.JsonResponses;
 import org.sardineport.standins.http.StandInServer;
 
 /**
@@ -30,7 +30,7 @@
 
 	private static final int STATUS_UNAVAILABLE = 503;
 
-	private static final String KEY = "Idempotency-Key";
+	private static final String KEY_HEADER = "Idempotency-Key";
 
 	private final Vertx vertx;
 
@@ -116,40 +116,40 @@
 
 	private void handle(HttpServerRequest request) {
 		if (request.path().equals("/v1/load")) {
-			Answers.json(request.response(), STATUS_OK,
+			JsonResponses.json(request.response(), STATUS_OK,
 					new ServiceLoadJson(this.running.get(), 0, 0, this.leaving, false, Instant.now().toString()));
 			return;
 		}
 		if (this.fault == ServiceFault.REFUSED) {
-			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			JsonResponses.status(request.response(), STATUS_UNAVAILABLE);
 			return;
 		}
-		request.bodyHandler((body) -> call(request, body));
+		request.bodyHandler((body) -> execute(request, body));
 	}
 
-	private void call(HttpServerRequest request, Buffer body) {
+	private void execute(HttpServerRequest request, Buffer body) {
 		this.running.incrementAndGet();
 		if (request.method().equals(HttpMethod.POST)) {
-			String key = request.getHeader(KEY);
+			String key = request.getHeader(KEY_HEADER);
 			this.executions.computeIfAbsent((key != null) ? key : "none", (ignored) -> new AtomicInteger())
 				.incrementAndGet();
 		}
 		this.vertx.setTimer(Math.max(1, this.latency.toMillis()), (id) -> {
 			this.running.decrementAndGet();
-			answer(request, body);
+			respond(request, body);
 		});
 	}
 
-	private void answer(HttpServerRequest request, Buffer body) {
+	private void respond(HttpServerRequest request, Buffer body) {
 		HttpServerResponse response = request.response();
 		switch (this.fault) {
 			case NONE, REFUSED -> {
 				boolean posting = request.method().equals(HttpMethod.POST);
-				String key = request.getHeader(KEY);
-				Answers.json(response, (posting) ? STATUS_CREATED : STATUS_OK,
-						new LedgerAnswerJson((key != null) ? key : request.path(), body.length()));
+				String key = request.getHeader(KEY_HEADER);
+				JsonResponses.json(response, (posting) ? STATUS_CREATED : STATUS_OK,
+						new LedgerResponseJson((key != null) ? key : request.path(), body.length()));
 			}
-			case ANSWER_LOST -> request.connection().close();
+			case RESPONSE_LOST -> request.connection().close();
 			case TRUNCATED -> response.putHeader("Content-Length", "1000")
 				.write("{\"key\":")
 				.onComplete((ignored) -> request.connection().close());
--- a/standins/src/main/java/org/sardineport/standins/service/ServiceFault.java
+++ b/standins/src/main/java/org/sardineport/standins/service/ServiceFault.java
@@ -8,7 +8,7 @@
 	/** Nothing. */
 	NONE,
 	/** The call takes effect and its answer is lost. */
-	ANSWER_LOST,
+	RESPONSE_LOST,
 	/** The call takes effect and its answer breaks off. */
 	TRUNCATED,
 	/** The call is answered with status 503 and has no effect. */
--- a/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
@@ -22,7 +22,7 @@
 import org.sardineport.core.port.platform.VmListException;
 import org.sardineport.core.port.platform.VmListing;
 import org.sardineport.core.port.platform.VmState;
-import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.JsonResponses;
 import org.sardineport.standins.http.StandInServer;
 
 /**
@@ -55,7 +55,7 @@
 	private VmListStandIn(Vertx vertx, InstantSource clock) {
 		this.server = StandInServer.create(vertx, this::handle);
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
-		record();
+		recordVersion();
 	}
 
 	/**
@@ -84,7 +84,7 @@
 			return CompletableFuture.failedStage(
 					VmListException.of("list of VMs in memory", new IllegalStateException("it is unavailable")));
 		}
-		return CompletableFuture.completedStage(lagging().toListing());
+		return CompletableFuture.completedStage(visibleList().toListing());
 	}
 
 	/**
@@ -102,7 +102,7 @@
 	 */
 	public synchronized void putEntryVm(NetworkAddress peerAddress, VmState state) {
 		this.entryVms.put(peerAddress, state);
-		record();
+		recordVersion();
 	}
 
 	/**
@@ -112,7 +112,7 @@
 	 */
 	public synchronized void putBackendServer(BackendServer backendServer, VmState state) {
 		this.backendServers.put(backendServer.id(), VmListJson.BackendJson.of(backendServer, state));
-		record();
+		recordVersion();
 	}
 
 	/**
@@ -121,7 +121,7 @@
 	 */
 	public synchronized void removeEntryVm(NetworkAddress peerAddress) {
 		this.entryVms.remove(peerAddress);
-		record();
+		recordVersion();
 	}
 
 	/**
@@ -130,7 +130,7 @@
 	 */
 	public synchronized void removeBackendServer(BackendServerId id) {
 		this.backendServers.remove(id);
-		record();
+		recordVersion();
 	}
 
 	/**
@@ -149,7 +149,7 @@
 		this.unavailable = isUnavailable;
 	}
 
-	private void record() {
+	private void recordVersion() {
 		List<VmListJson.EntryVmJson> vms = this.entryVms.entrySet()
 			.stream()
 			.map((vm) -> new VmListJson.EntryVmJson(vm.getKey().toString(), vm.getValue()))
@@ -159,17 +159,17 @@
 			.add(new Version(now, new VmListJson(now.toString(), vms, List.copyOf(this.backendServers.values()))));
 	}
 
-	private synchronized VmListJson lagging() {
-		Instant shown = this.clock.instant().minus(this.lag);
-		while (this.versions.size() > 1 && !secondIsAfter(shown)) {
+	private synchronized VmListJson visibleList() {
+		Instant visibleUntil = this.clock.instant().minus(this.lag);
+		while (this.versions.size() > 1 && !isSecondVersionAfter(visibleUntil)) {
 			this.versions.removeFirst();
 		}
 		VmListJson list = this.versions.getFirst().list();
-		return new VmListJson(shown.toString(), list.entryVms(), list.backendServers());
+		return new VmListJson(visibleUntil.toString(), list.entryVms(), list.backendServers());
 	}
 
-	private boolean secondIsAfter(Instant shown) {
-		return this.versions.stream().skip(1).findFirst().orElseThrow().since().isAfter(shown);
+	private boolean isSecondVersionAfter(Instant time) {
+		return this.versions.stream().skip(1).findFirst().orElseThrow().since().isAfter(time);
 	}
 
 	private synchronized boolean isUnavailable() {
@@ -178,13 +178,13 @@
 
 	private void handle(HttpServerRequest request) {
 		if (isUnavailable()) {
-			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			JsonResponses.status(request.response(), STATUS_UNAVAILABLE);
 		}
 		else if (request.path().equals("/v1/vms")) {
-			Answers.json(request.response(), STATUS_OK, lagging());
+			JsonResponses.json(request.response(), STATUS_OK, visibleList());
 		}
 		else {
-			Answers.status(request.response(), STATUS_NOT_FOUND);
+			JsonResponses.status(request.response(), STATUS_NOT_FOUND);
 		}
 	}
 
--- a/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
@@ -240,7 +240,7 @@
 
 	private static double messagesPerDaemonAndSecond(int daemons, List<String> domains) {
 		VirtualFleet fleet = VirtualFleet.create(daemons, domains, TIMING, NORMAL, 1);
-		fleet.meet();
+		fleet.introduceAll();
 		fleet.run(Duration.ofSeconds(60));
 		long before = fleet.network().sent();
 		fleet.run(Duration.ofSeconds(60));
--- a/standins/src/test/java/org/sardineport/standins/fleet/StrikeBroadcastTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/StrikeBroadcastTests.java
@@ -44,7 +44,7 @@
 	void allDaemonsHearOfAllStrikesOfACrashInTime(int daemons) {
 		for (long seed = 1; seed <= 5; seed++) {
 			VirtualFleet fleet = VirtualFleet.create(daemons, List.of("bole", "kaliti"), TIMING, LOSSY, seed);
-			fleet.meet();
+			fleet.introduceAll();
 			fleet.run(Duration.ofSeconds(1));
 			for (int i = 0; i < STRIKES; i++) {
 				fleet.membership(0).broadcast(strike(i));
