--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -11,29 +11,31 @@
 import org.sardineport.bench.slope.SlopeCommand;
 
 /**
- * Runs one measurement by name and prints its table and its CSV.
+ * Command line of the measurements. Each command prints its results as a table or CSV and
+ * compares them with its targets.
  */
 @Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
 		commands = { Help.class, ConfigurationMeasurement.class, DecisionMeasurement.class, FleetMeasurement.class,
 				JournalMeasurement.class, PolicyMeasurement.class, SlopeCommand.class })
 public final class Main {
 
-	/** Exit code when every target was met. */
+	/** Exit code if every target was met. */
 	static final int TARGETS_MET = 0;
 
-	/** Exit code when a target was missed. */
+	/** Exit code if a target was missed. */
 	static final int TARGETS_MISSED = 1;
 
-	/** Exit code for a wrong command line. */
+	/** Exit code for an invalid command line. */
 	static final int USAGE = 2;
 
 	private Main() {
 	}
 
 	/**
-	 * Runs the measurement that the arguments name.
+	 * Runs the measurement that the arguments name, and exits the JVM with 0 if every
+	 * target was met, 1 if one was missed and 2 for an invalid command line.
 	 * @param arguments name of the measurement and its options
-	 * @throws Exception if the measurement could not be made
+	 * @throws Exception if the measurement failed
 	 */
 	public static void main(String[] arguments) throws Exception {
 		System.exit(run(arguments));
--- a/bench/src/main/java/org/sardineport/bench/Measurement.java
+++ b/bench/src/main/java/org/sardineport/bench/Measurement.java
@@ -1,14 +1,15 @@
 package org.sardineport.bench;
 
 /**
- * A command that measures something and holds it against its targets.
+ * Command that runs a measurement and compares its results with their targets. Instances
+ * are used for one run.
  */
 public interface Measurement {
 
 	/**
-	 * Measures, and prints what was found.
+	 * Runs the measurement and prints its results to the standard output.
 	 * @return whether every target was met
-	 * @throws Exception if the measurement could not be made
+	 * @throws Exception if the measurement failed, so that there is no result
 	 */
 	boolean run() throws Exception;
 
--- a/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationFleet.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationFleet.java
@@ -33,7 +33,8 @@
 import org.sardineport.wire.transport.TransportListener;
 
 /**
- * The configuration duties of several daemons over real sockets, before one log service.
+ * Configuration services of several daemons that communicate over real sockets and share
+ * a log service.
  */
 final class ConfigurationFleet implements AutoCloseable {
 
--- a/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ConfigurationMeasurement.java
@@ -9,8 +9,8 @@
 import org.sardineport.bench.Measurement;
 
 /**
- * Measures how soon a change of the configuration is in force on all daemons, and what it
- * costs a daemon.
+ * Measures the time until a configuration change is in force on all daemons, and its cost
+ * for a daemon.
  */
 @Command(name = "configuration", description = "Time until a change is in force on all daemons, and its cost")
 public final class ConfigurationMeasurement implements Measurement {
@@ -29,19 +29,19 @@
 
 	private static final double OUTAGE_TARGET_SECONDS = 6;
 
-	/** Changes of configuration a day in the whole fleet. */
+	/** Rate of configuration changes in the whole fleet: 9,900 per day. */
 	private static final double CHANGES_PER_SECOND = 9900.0 / Duration.ofDays(1).toSeconds();
 
-	/** Bytes a second that a daemon may spend for control. */
+	/** Budget of a daemon for control traffic. */
 	private static final double CONTROL_BYTES_PER_SECOND = 3 * 1024;
 
-	/** Share of a core that a daemon may spend for control. */
+	/** Budget of a daemon for control work, as a share of a core. */
 	private static final double CONTROL_CORE_SHARE = 0.01;
 
-	/** Memory that a daemon may spend for control. */
+	/** Memory budget of a daemon for control work. */
 	private static final double CONTROL_MEMORY_BYTES = 64.0 * 1024 * 1024;
 
-	/** As many profiles of the large kind as the rules allow, roughly. */
+	/** Approximately the greatest number of large profiles that the limits allow. */
 	private static final int LARGE_PROFILES = 150;
 
 	private static final int LARGE_ORGANISATIONS = 380;
--- a/bench/src/main/java/org/sardineport/bench/configuration/FleetTickCost.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/FleetTickCost.java
@@ -16,11 +16,12 @@
 import org.sardineport.wire.configuration.DeflatedImageCodec;
 
 /**
- * What a daemon's regular look at the fleet costs.
+ * Measures the cost of the periodic check by which a daemon decides whether it reads the
+ * configuration from the log, and from which peer it catches up.
  */
 final class FleetTickCost {
 
-	/** Looks at the fleet in a second. */
+	/** Rate of the check. */
 	static final double TICKS_PER_SECOND = 10;
 
 	private static final int WARM_UP_TICKS = 2000;
@@ -33,10 +34,10 @@
 	}
 
 	/**
-	 * Measures the cost of one look.
-	 * @param size daemons in the fleet
-	 * @param domains failure domains in the fleet
-	 * @return the time in microseconds
+	 * Measures the duration of one check.
+	 * @param size number of daemons in the fleet
+	 * @param domains number of failure domains in the fleet
+	 * @return the duration in microseconds
 	 */
 	static double micros(int size, int domains) {
 		List<Member> members = new ArrayList<>();
@@ -60,7 +61,7 @@
 		}
 		double micros = (System.nanoTime() - start) / 1e3 / ticks;
 		if (readers > ticks) {
-			throw new IllegalStateException("nobody is newer");
+			throw new IllegalStateException("found a peer with a newer configuration");
 		}
 		return micros;
 	}
--- a/bench/src/main/java/org/sardineport/bench/configuration/ProfileTexts.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ProfileTexts.java
@@ -3,7 +3,7 @@
 import java.util.SplittableRandom;
 
 /**
- * Makes texts of profiles of one size.
+ * Generates profile documents of a given size.
  */
 final class ProfileTexts {
 
@@ -18,8 +18,9 @@
 	}
 
 	/**
-	 * Returns texts with as many organisations as a deployment of today has.
-	 * @return the texts
+	 * Returns a generator of profiles with as many organisations as a current deployment
+	 * has.
+	 * @return the generator
 	 */
 	static ProfileTexts small() {
 		return new ProfileTexts(5);
@@ -30,9 +31,9 @@
 	}
 
 	/**
-	 * Returns the text of a profile.
-	 * @param name its name
-	 * @param revision a number that makes texts of the same profile differ
+	 * Generates the YAML text of a profile.
+	 * @param name name of the profile
+	 * @param revision number that distinguishes versions of the same profile
 	 * @return the text
 	 */
 	String text(String name, int revision) {
--- a/bench/src/main/java/org/sardineport/bench/configuration/PropagationTime.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/PropagationTime.java
@@ -16,8 +16,8 @@
 import org.sardineport.wire.configuration.ConfigurationRecordCodec;
 
 /**
- * Measures the time from the start of an append until the change is in force on all
- * daemons, in microseconds.
+ * Measures the propagation time of configuration changes, from the start of the append
+ * until the change is in force on all daemons. Histograms are in microseconds.
  */
 final class PropagationTime {
 
@@ -54,8 +54,8 @@
 
 	/**
 	 * Publishes changes one after the other.
-	 * @param count how many
-	 * @return the times
+	 * @param count number of changes
+	 * @return the propagation times
 	 */
 	Histogram publishChanges(int count) {
 		Histogram times = histogram();
@@ -67,10 +67,11 @@
 	}
 
 	/**
-	 * Publishes while the log service refuses all calls, trying again until it is back.
-	 * @param count how many outages
-	 * @param outage how long each lasts
-	 * @return the times, from the first try on
+	 * Publishes changes during outages of the log service, and retries each until it is
+	 * appended.
+	 * @param count number of outages, with one change each
+	 * @param outage duration of each outage
+	 * @return the propagation times, from the first attempt on
 	 */
 	Histogram publishDuringOutages(int count, Duration outage) {
 		Histogram times = histogram();
@@ -83,10 +84,10 @@
 	}
 
 	/**
-	 * Publishes while the log service takes records but answers no read with them.
-	 * @param count how many times
-	 * @param lag time until a record can be read
-	 * @return the times
+	 * Publishes changes while reads of the log service lag behind its appends.
+	 * @param count number of changes
+	 * @param lag time until an appended record can be read
+	 * @return the propagation times
 	 */
 	Histogram publishDuringReadLag(int count, Duration lag) {
 		Histogram times = histogram();
--- a/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
@@ -17,12 +17,12 @@
 import org.sardineport.wire.configuration.DeflatedImageCodec;
 
 /**
- * What the configuration costs one daemon.
+ * Cost of the configuration for one daemon.
  *
- * @param recordBytes bytes of the record of one change
- * @param deltaBytes bytes of one change between daemons
- * @param distributionBytes bytes a daemon sends and receives for one change
- * @param applyMicros processor time to decode and apply one change, in microseconds
+ * @param recordBytes size of the log record of one change, in bytes
+ * @param deltaBytes size of one change as sent between daemons, in bytes
+ * @param distributionBytes bytes that a daemon sends and receives for one change
+ * @param applyMicros time to decode and apply one change, in microseconds
  * @param memoryPerProfile memory of one profile in force, in bytes
  */
 record ReplicaCost(double recordBytes, double deltaBytes, double distributionBytes, double applyMicros,
@@ -34,7 +34,7 @@
 
 	private static final int MEMORY_PROFILES = 100;
 
-	/** Bytes of the frames of an announcement and a fetch together. */
+	/** Size of the frames of an announcement and a fetch together. */
 	private static final int ANNOUNCEMENT_AND_FETCH_BYTES = 2 * 200;
 
 	static ReplicaCost measure(ProfileTexts texts, int profiles) {
@@ -90,7 +90,7 @@
 		}
 		double micros = (System.nanoTime() - start) / 1e3 / changes;
 		if (replica.state().version() != first + changes - 1) {
-			throw new IllegalStateException("every change must be accepted");
+			throw new IllegalStateException("replica did not accept every change");
 		}
 		return micros;
 	}
--- a/bench/src/main/java/org/sardineport/bench/configuration/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measurements of the configuration: time until a change is in force, and its cost.
+ * Measurements of the configuration: propagation time of a change, and its cost.
  */
 @NullMarked
 package org.sardineport.bench.configuration;
--- a/bench/src/main/java/org/sardineport/bench/decision/DecisionBenchmark.java
+++ b/bench/src/main/java/org/sardineport/bench/decision/DecisionBenchmark.java
@@ -46,8 +46,8 @@
 import org.sardineport.core.scheduling.SchedulingMessage;
 
 /**
- * Admits a request, routes it, grants its permit and takes the permit back, on a daemon
- * that owns the whole pool.
+ * JMH benchmark that admits a request, routes it, grants its permit and releases the
+ * permit, on a daemon that owns the whole pool. Each thread has a scheduler of its own.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.SampleTime)
@@ -65,7 +65,7 @@
 	private static final RunMeasurement MEASUREMENT = new RunMeasurement(RunEnd.COMPLETED, 500, 0, 100,
 			Duration.ofMillis(50), Duration.ofMillis(1000));
 
-	/** Backend servers of the pool. */
+	/** Number of backend servers in the pool. */
 	@Param({ "16", "100", "1000", "10000" })
 	public int servers;
 
@@ -105,8 +105,8 @@
 	}
 
 	/**
-	 * Decides one request.
-	 * @return the permit
+	 * Submits one request and releases its permit.
+	 * @return the permit, so that the JVM cannot eliminate the decision
 	 */
 	@Benchmark
 	public Permit decide() {
@@ -123,22 +123,22 @@
 
 	@Override
 	public void refused(Refusal refusal) {
-		throw new IllegalStateException("refused: " + refusal);
+		throw new IllegalStateException("benchmark request was refused: " + refusal);
 	}
 
 	@Override
 	public void preempted(Permit preempted) {
-		throw new IllegalStateException("preempted: " + preempted);
+		throw new IllegalStateException("benchmark request was preempted: " + preempted);
 	}
 
 	@Override
 	public void send(DaemonId to, SchedulingMessage message) {
-		throw new IllegalStateException("sent: " + message);
+		throw new IllegalStateException("single daemon sent a message: " + message);
 	}
 
 	@Override
 	public void recordRetry(RetryReason reason) {
-		throw new IllegalStateException("retried: " + reason);
+		throw new IllegalStateException("benchmark request was retried: " + reason);
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/decision/DecisionMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/decision/DecisionMeasurement.java
@@ -15,13 +15,13 @@
 import org.sardineport.bench.Measurement;
 
 /**
- * Time of one decision by size of the pool. Runs in this process, as no process of this
- * project starts another.
+ * Measures the duration of one scheduling decision by pool size. JMH runs without forks,
+ * since no process of this project may start another.
  */
 @Command(name = "decision", description = "Time to admit and route one request, by pool size")
 public final class DecisionMeasurement implements Measurement {
 
-	/** Most nanoseconds of the median decision in the smallest pool. */
+	/** Greatest acceptable median duration of a decision in the smallest pool. */
 	private static final double MEDIAN_NANOS_TARGET = 2000;
 
 	private static final int SMALLEST_POOL = 16;
@@ -60,7 +60,7 @@
 	private static double median(Map<Integer, Statistics> byServers, int servers) {
 		Statistics statistics = byServers.get(servers);
 		if (statistics == null) {
-			throw new IllegalStateException("nothing was measured with %d servers".formatted(servers));
+			throw new IllegalStateException("no result for %d servers".formatted(servers));
 		}
 		return statistics.getPercentile(50);
 	}
--- a/bench/src/main/java/org/sardineport/bench/decision/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/decision/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measures the time of one scheduling decision.
+ * Microbenchmark of one scheduling decision.
  */
 @NullMarked
 package org.sardineport.bench.decision;
--- a/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
@@ -14,7 +14,8 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * Times from a daemon's death until all others know, in virtual time.
+ * Measures the time from the failure of a daemon until all others have detected it, in
+ * virtual time.
  */
 final class Detection {
 
@@ -24,10 +25,13 @@
 
 	private static final int KILLED_DAEMON = 1;
 
-	/** Milliseconds until the last daemon gives the dead one no new work. */
+	/**
+	 * Milliseconds until the last daemon suspects the failed one, and sends it no new
+	 * work.
+	 */
 	private final Histogram suspected = new Histogram(3);
 
-	/** Milliseconds until the last daemon takes the dead one for dead. */
+	/** Milliseconds until the last daemon declares the failed one dead. */
 	private final Histogram dead = new Histogram(3);
 
 	private Detection() {
@@ -50,13 +54,13 @@
 	}
 
 	/**
-	 * Counts how many times daemons that live were declared dead.
+	 * Counts false positives, declarations of death of daemons that are alive.
 	 * @param members number of daemons
-	 * @param time virtual time to watch
-	 * @param domains failure domains in turn
-	 * @param timing times of the membership
-	 * @param network how messages are treated
-	 * @return number of declarations
+	 * @param time virtual time to observe
+	 * @param domains failure domains, assigned to the daemons in turn
+	 * @param timing intervals and timeouts of the membership
+	 * @param network loss, duplication and delay of messages
+	 * @return number of false declarations over all observers
 	 */
 	static long falseDeaths(int members, Duration time, List<String> domains, MembershipTiming timing,
 			NetworkConditions network) {
--- a/bench/src/main/java/org/sardineport/bench/fleet/FleetMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/FleetMeasurement.java
@@ -14,7 +14,8 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * Measures membership, ownership and planned stops.
+ * Measures the membership protocol, the movement of ownership and the rolling replacement
+ * of daemons.
  */
 @Command(name = "fleet", description = "Detection of dead daemons, cost of membership, movement, rolling replacement")
 public final class FleetMeasurement implements Measurement {
@@ -27,12 +28,12 @@
 
 	private static final double MEMORY_TARGET_BYTES = 64.0 * 1024 * 1024;
 
-	/** Greatest growth of the cost per daemon from 8 daemons that counts as flat. */
+	/** Greatest acceptable ratio of the cost per daemon to that in a fleet of 8. */
 	private static final double MAXIMUM_GROWTH = 1.1;
 
 	private static final double LOSS = 0.05;
 
-	/** Daemons of one region at the size to design for: 3,300 in 8 regions. */
+	/** Number of daemons of one region at the design scale: 3,300 in 8 regions. */
 	private static final int REGION_DAEMONS = 413;
 
 	private static final int FLEET_DAEMONS = 3_300;
@@ -129,8 +130,8 @@
 	}
 
 	/**
-	 * Returns the failure domains of the size to design for.
-	 * @return 18 in 8 regions
+	 * Returns the failure domains at the design scale.
+	 * @return 18 failure domains in 8 regions
 	 */
 	private static List<String> designFailureDomains() {
 		List<String> domains = new ArrayList<>();
--- a/bench/src/main/java/org/sardineport/bench/fleet/FrameSizes.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/FrameSizes.java
@@ -6,11 +6,13 @@
 import org.sardineport.wire.transport.MembershipCodec;
 
 /**
- * Size that a message has on the network.
+ * Computes the size of membership messages on the network.
  */
 final class FrameSizes {
 
-	/** Version byte and tag of a frame, and the headers of UDP and IPv4. */
+	/**
+	 * Version byte and authentication tag of a frame, and the headers of UDP and IPv4.
+	 */
 	private static final int HEADER_BYTES = 1 + 16 + 8 + 20;
 
 	private final MembershipCodec codec = MembershipCodec.create();
--- a/bench/src/main/java/org/sardineport/bench/fleet/OwnershipMovement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/OwnershipMovement.java
@@ -15,10 +15,10 @@
 import org.sardineport.core.ownership.Ownership;
 
 /**
- * How many backend servers change their owner when one daemon goes.
+ * Number of backend servers that change their owner when one daemon is removed.
  *
- * @param ownedByRemoved backend servers that the daemon owned
- * @param moved backend servers whose owner changed
+ * @param ownedByRemoved number of backend servers that the removed daemon owned
+ * @param moved number of backend servers whose owner changed
  */
 record OwnershipMovement(int ownedByRemoved, int moved) {
 
--- a/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
@@ -35,10 +35,11 @@
 import org.sardineport.wire.transport.PeerIdentity;
 
 /**
- * What the membership costs one daemon over real sockets, all daemons in this process.
+ * Cost of the membership protocol for one daemon over real sockets, with all daemons in
+ * this process.
  *
- * @param bytesPerSecond bytes sent, headers of UDP and IP included
- * @param coreShare processor time of its two threads, as a share of one core
+ * @param bytesPerSecond bytes sent per second, including headers of UDP and IP
+ * @param coreShare CPU time of the daemon's two threads, as a share of one core
  */
 record RealCost(double bytesPerSecond, double coreShare) {
 
@@ -102,7 +103,7 @@
 		Instant end = Instant.now().plus(JOIN_TIMEOUT);
 		while (services.stream().anyMatch((service) -> alive(service) < members)) {
 			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("the daemons did not find each other within " + JOIN_TIMEOUT);
+				throw new IllegalStateException("not all daemons joined within " + JOIN_TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
 		}
--- a/bench/src/main/java/org/sardineport/bench/fleet/ReplacementCaller.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/ReplacementCaller.java
@@ -13,8 +13,9 @@
 import java.util.regex.Pattern;
 
 /**
- * A caller that keeps its entry answer for as long as it may and sends one request after
- * the other to the first address, one in eight of them a long stream.
+ * Caller that caches the entry response for the allowed time and sends requests one after
+ * the other to the first address. One in eight is a long stream. Only the thread that
+ * runs it changes its state, except for {@link #stop()}.
  */
 final class ReplacementCaller implements Runnable {
 
@@ -61,8 +62,9 @@
 	}
 
 	/**
-	 * Returns what went wrong. Called after the caller's thread has ended.
-	 * @return one line each
+	 * Returns descriptions of all failed requests. Must not be called before the caller's
+	 * thread has ended.
+	 * @return one line for each failure
 	 */
 	List<String> failures() {
 		return this.failures;
@@ -93,7 +95,7 @@
 				return;
 			}
 		}
-		this.failures.add(this.name + ": no entry address answered of " + this.addresses);
+		this.failures.add(this.name + ": no response from any entry address of " + this.addresses);
 	}
 
 	private List<String> refreshAddresses(String address) {
--- a/bench/src/main/java/org/sardineport/bench/fleet/ResultTable.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/ResultTable.java
@@ -1,7 +1,7 @@
 package org.sardineport.bench.fleet;
 
 /**
- * Prints what was measured and holds it against the targets.
+ * Prints results as CSV and compares them with their targets. Not thread-safe.
  */
 final class ResultTable {
 
@@ -19,9 +19,9 @@
 	 * Prints a value that must not exceed its target.
 	 * @param measure name of the measure
 	 * @param members number of daemons
-	 * @param value what was measured
-	 * @param unit unit of value and target
-	 * @param target greatest value that meets the target
+	 * @param value the measured value
+	 * @param unit unit of the value and the target
+	 * @param target greatest acceptable value
 	 */
 	void atMost(String measure, int members, double value, String unit, double target) {
 		boolean met = value <= target;
--- a/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
@@ -40,8 +40,8 @@
 import org.sardineport.wire.configuration.ConfigurationRecordCodec;
 
 /**
- * Replaces all daemons of a fleet, one after the other, while callers send requests with
- * long streams among them.
+ * Rolling replacement of all daemons of a fleet, while callers send short requests and
+ * long streams.
  */
 final class RollingReplacement {
 
@@ -93,8 +93,9 @@
 	}
 
 	/**
-	 * Runs the replacement.
-	 * @return what came of it
+	 * Runs the replacement and stops the fleet.
+	 * @return the finished replacement, with its results
+	 * @throws Exception if a part of the fleet did not start or stop in time
 	 */
 	static RollingReplacement run() throws Exception {
 		RollingReplacement replacement = new RollingReplacement();
@@ -200,7 +201,7 @@
 		Instant end = Instant.now().plus(TIMEOUT);
 		while (!condition.getAsBoolean()) {
 			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("the condition did not come true within " + TIMEOUT);
+				throw new IllegalStateException("condition was not met within " + TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
 		}
--- a/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
@@ -10,12 +10,13 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * What the pure membership costs one daemon of a quiet fleet in virtual time.
+ * Cost of the membership protocol without I/O for one daemon of a fleet without changes,
+ * in virtual time.
  *
- * @param bytesPerSecond bytes sent, headers of UDP and IP included
- * @param largestFrame largest message in bytes
- * @param coreShare processor time of the decisions, as a share of one core
- * @param memoryBytes memory of the state
+ * @param bytesPerSecond bytes sent per second, including headers of UDP and IP
+ * @param largestFrame size of the largest message, in bytes
+ * @param coreShare CPU time of the protocol logic, as a share of one core
+ * @param memoryBytes memory of the daemon's state, in bytes
  */
 record VirtualCost(double bytesPerSecond, int largestFrame, double coreShare, double memoryBytes) {
 
@@ -48,7 +49,7 @@
 	}
 
 	/**
-	 * Adds up sizes of messages.
+	 * Total and maximum of message sizes.
 	 */
 	private static final class Sizes {
 
--- a/bench/src/main/java/org/sardineport/bench/fleet/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measurements of the fleet: membership, ownership and planned stops.
+ * Measurements of the fleet: membership, ownership and graceful shutdown.
  */
 @NullMarked
 package org.sardineport.bench.fleet;
--- a/bench/src/main/java/org/sardineport/bench/journal/JournalFleet.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/JournalFleet.java
@@ -19,7 +19,8 @@
 import org.sardineport.standins.log.LogServiceStandIn;
 
 /**
- * Journals of several daemons on one log service over HTTP on loopback.
+ * Journals of several daemons that share a log service, which they reach over HTTP on a
+ * loopback port.
  */
 final class JournalFleet implements AutoCloseable {
 
@@ -69,7 +70,7 @@
 		long until = System.nanoTime() + START_TIMEOUT.toNanos();
 		while (!journal.isReady()) {
 			if (System.nanoTime() > until) {
-				throw new TimeoutException("a journal did not become ready");
+				throw new TimeoutException("journal did not become ready in time");
 			}
 			CompletableFuture.runAsync(() -> {
 			}, CompletableFuture.delayedExecutor(1, TimeUnit.MILLISECONDS)).get();
--- a/bench/src/main/java/org/sardineport/bench/journal/JournalMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/JournalMeasurement.java
@@ -11,8 +11,8 @@
 import org.sardineport.bench.Measurement;
 
 /**
- * Measures what a key costs: latency, appends, replay, memory, and the time of a
- * takeover.
+ * Measures the cost of requests with an idempotency key: added latency, rate of appends,
+ * replay, memory, and the duration of a takeover.
  */
 @Command(name = "journal", description = "Cost of keyed requests: latency, appends, replay, memory, takeover")
 public final class JournalMeasurement implements Measurement {
--- a/bench/src/main/java/org/sardineport/bench/journal/KeyedLoad.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/KeyedLoad.java
@@ -33,8 +33,8 @@
 import org.sardineport.daemon.journal.JournalService;
 
 /**
- * Keyed and unkeyed requests at a steady rate, in turn, against a backend server that
- * answers after a fixed time.
+ * Load of pairs of requests at a constant rate, one with an idempotency key and one
+ * without, on a simulated backend server with a fixed latency.
  */
 final class KeyedLoad {
 
@@ -108,7 +108,7 @@
 		if (decision instanceof DispatchDecision.Won) {
 			return backend();
 		}
-		throw new IllegalStateException("a request was not dispatched: " + decision);
+		throw new IllegalStateException("journal refused the dispatch: " + decision);
 	}
 
 	private static CompletionStage<Void> backend() {
--- a/bench/src/main/java/org/sardineport/bench/journal/MutableFleetView.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/MutableFleetView.java
@@ -15,7 +15,8 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Fleet whose members the measurement sets.
+ * View of a fleet whose members the measurement sets. Listeners are not notified; users
+ * read the current snapshot. Thread-safe.
  */
 final class MutableFleetView implements FleetView {
 
--- a/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
@@ -20,10 +20,11 @@
 import org.sardineport.wire.journal.JournalCodec;
 
 /**
- * Speed and memory of a replay.
+ * Throughput and memory of a journal replay.
  *
- * @param recordsPerSecond records decoded and applied a second, one entry in each
- * @param bytesPerKey heap held for each remembered key
+ * @param recordsPerSecond records of one entry each that are decoded and applied per
+ * second
+ * @param bytesPerKey heap retained for each remembered key, in bytes
  */
 record ReplayCost(double recordsPerSecond, double bytesPerKey) {
 
@@ -38,7 +39,7 @@
 		double seconds = (System.nanoTime() - start) / 1e9;
 		long retained = usedHeap() - before;
 		if (replay.size() != keys) {
-			throw new IllegalStateException("%d keys remembered in place of %d".formatted(replay.size(), keys));
+			throw new IllegalStateException("replay remembers %d keys, expected %d".formatted(replay.size(), keys));
 		}
 		return new ReplayCost(records.size() / seconds, (double) retained / keys);
 	}
--- a/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
@@ -14,9 +14,9 @@
 import org.sardineport.settings.MembershipSettings;
 
 /**
- * Time from a daemon's death to the moment at which another holds its durable request.
- * The time until its silence is noticed is not measured but taken from the settings: two
- * probe intervals and two timeouts, for a direct and an indirect probe.
+ * Time from the failure of a daemon until another daemon has taken over its durable
+ * request. The time to detect the failure is not measured but computed from the settings:
+ * two probe intervals and two timeouts, for a direct and an indirect probe.
  */
 final class TakeoverTime {
 
@@ -32,7 +32,7 @@
 		return membership.probeInterval().plus(membership.probeTimeout()).multipliedBy(2);
 	}
 
-	// From the moment at which its silence is noticed.
+	// Measures from the moment at which the failure is detected.
 	static Duration measure(JournalFleet fleet, int daemons, int round) throws Exception {
 		CompletableFuture<Void> takenOver = new CompletableFuture<>();
 		for (int number = 1; number < daemons; number++) {
@@ -44,7 +44,7 @@
 			.toCompletableFuture()
 			.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		if (!(decision instanceof AcceptDecision.Accepted)) {
-			throw new IllegalStateException("the request was not accepted: " + decision);
+			throw new IllegalStateException("journal did not accept the durable request: " + decision);
 		}
 		long start = System.nanoTime();
 		fleet.fleet().set(DaemonId.of("d" + FAILED_DAEMON), MemberStatus.SUSPECT);
@@ -53,9 +53,9 @@
 	}
 
 	/**
-	 * Notes that a request was taken over.
+	 * Runner that reports a takeover.
 	 *
-	 * @param takenOver completes then
+	 * @param takenOver completes when a request is taken over
 	 */
 	private record TakeoverDetector(CompletableFuture<Void> takenOver) implements DurableRunner {
 
@@ -66,7 +66,7 @@
 
 		@Override
 		public void resume(DispatchedRun run) {
-			throw new IllegalStateException("nothing was dispatched");
+			throw new IllegalStateException("no request was dispatched, so none can be resumed");
 		}
 
 	}
--- a/bench/src/main/java/org/sardineport/bench/journal/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Measurements of the journal: added latency, appends, replay, memory and takeover.
+ * Measurements of the request journal: added latency, rate of appends, replay, memory and
+ * takeover.
  */
 @NullMarked
 package org.sardineport.bench.journal;
--- a/bench/src/main/java/org/sardineport/bench/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measurements of the decisions and of the daemon, each a command of its own.
+ * Measurements of the scheduling decisions and of the daemon, each with its own command.
  */
 @NullMarked
 package org.sardineport.bench;
--- a/bench/src/main/java/org/sardineport/bench/policy/DirectPolicy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/DirectPolicy.java
@@ -9,7 +9,7 @@
 import org.sardineport.core.identity.BackendServerId;
 
 /**
- * A baseline: sends each request at once, without tiers or queues of its own.
+ * Baseline policy that dispatches each request on arrival, without tiers and queues.
  */
 final class DirectPolicy implements Policy {
 
--- a/bench/src/main/java/org/sardineport/bench/policy/EngineSpeed.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/EngineSpeed.java
@@ -1,11 +1,11 @@
 package org.sardineport.bench.policy;
 
 /**
- * Speed of a fake engine, per iteration of its continuous batch.
+ * Speed of a simulated model engine, as the duration of one batch iteration.
  *
- * @param iterationMillis time of each iteration
- * @param sequenceMillis time added by each sequence that decodes
- * @param prefillMillisPerToken time added by each prompt token
+ * @param iterationMillis fixed part of the duration
+ * @param sequenceMillis duration added by each decoding sequence
+ * @param prefillMillisPerToken duration added by each prefilled prompt token
  */
 record EngineSpeed(double iterationMillis, double sequenceMillis, double prefillMillisPerToken) {
 
@@ -14,7 +14,7 @@
 	static final EngineSpeed SLOW = new EngineSpeed(20, 1.25, 0.125);
 
 	/**
-	 * Returns the speed of the engine with a number: every other one is slow.
+	 * Returns the speed of an engine by its number. Every second engine is slow.
 	 * @param index number of the engine
 	 * @return its speed
 	 */
@@ -23,11 +23,10 @@
 	}
 
 	/**
-	 * Returns how many requests a second an engine finishes with a full batch and nothing
-	 * cached.
-	 * @param meanPrompt mean tokens of a prompt
-	 * @param meanAnswer mean tokens of an answer
-	 * @return requests a second
+	 * Returns the throughput of an engine with a full batch and without cache hits.
+	 * @param meanPrompt mean length of a prompt, in tokens
+	 * @param meanAnswer mean length of a response, in tokens
+	 * @return requests per second
 	 */
 	double capacity(double meanPrompt, double meanAnswer) {
 		double perToken = this.iterationMillis / Site.ENGINE_CONCURRENCY + this.sequenceMillis;
--- a/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
@@ -10,19 +10,19 @@
 import org.sardineport.core.backend.LoadReport;
 
 /**
- * A fake engine with continuous batching: each iteration prefills up to a chunk of prompt
- * tokens and generates one token of each other sequence. Prefixes are kept in a small
- * cache, least recently used out first.
+ * Simulated model engine with continuous batching: each iteration prefills up to one
+ * chunk of prompt tokens and generates one token of each sequence that is already
+ * prefilled. A small prefix cache evicts the least recently used prefix. Not thread-safe.
  */
 final class FakeModelEngine implements FakeServer {
 
-	/** Prompt tokens prefilled in one iteration. */
+	/** Greatest number of prompt tokens prefilled in one iteration. */
 	private static final int PREFILL_CHUNK_TOKENS = 512;
 
-	/** Prefixes that fit in the cache. */
+	/** Capacity of the prefix cache. */
 	private static final int CACHED_PREFIXES = 8;
 
-	/** Share of a prompt that is its prefix. */
+	/** Share of a prompt's tokens that belong to its prefix. */
 	private static final double PREFIX_SHARE = 0.6;
 
 	private final BackendServer server;
--- a/bench/src/main/java/org/sardineport/bench/policy/FakePlainService.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakePlainService.java
@@ -9,7 +9,7 @@
 import org.sardineport.core.backend.LoadReport;
 
 /**
- * A fake plain service that runs a few calls at once and lets the others wait.
+ * Simulated plain service with limited concurrency and a FIFO queue. Not thread-safe.
  */
 final class FakePlainService implements FakeServer {
 
--- a/bench/src/main/java/org/sardineport/bench/policy/FakeServer.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakeServer.java
@@ -4,37 +4,37 @@
 import org.sardineport.core.backend.LoadReport;
 
 /**
- * A small fake of a backend server in virtual time.
+ * Simulated backend server in virtual time.
  */
 interface FakeServer {
 
 	/**
-	 * Returns which backend server this is.
+	 * Returns the backend server that this object simulates.
 	 * @return the backend server
 	 */
 	BackendServer server();
 
 	/**
-	 * Takes a request, as engines do, without regard to load.
+	 * Accepts a request regardless of the load, and queues it if it cannot run yet.
 	 * @param job the request
 	 */
 	void admit(Job job);
 
 	/**
-	 * Stops a request.
+	 * Removes a request that is running or queued.
 	 * @param job the request
 	 */
 	void cancel(Job job);
 
 	/**
-	 * Returns the load at this moment.
-	 * @return the report, which the caller delivers late
+	 * Returns the current load.
+	 * @return a report without delay
 	 */
 	LoadReport load();
 
 	/**
-	 * Changes the speed.
-	 * @param factor factor on all times
+	 * Slows the server down.
+	 * @param factor factor on all durations, 1 for full speed
 	 */
 	void slowDown(double factor);
 
--- a/bench/src/main/java/org/sardineport/bench/policy/Job.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Job.java
@@ -8,7 +8,8 @@
 import org.sardineport.core.admission.SchedulingRequest;
 
 /**
- * One request on its way through a run, with the size that is known only at its end.
+ * State of one request in a simulation run, including its true length, which the policies
+ * do not know. Not thread-safe.
  */
 final class Job {
 
@@ -125,7 +126,7 @@
 	}
 
 	/**
-	 * Ends the request, once.
+	 * Marks the request as ended.
 	 * @return whether it had not ended before
 	 */
 	boolean end() {
--- a/bench/src/main/java/org/sardineport/bench/policy/LoadCase.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/LoadCase.java
@@ -3,29 +3,29 @@
 import org.sardineport.core.identity.PoolName;
 
 /**
- * Course of the load in one run.
+ * Load over the time of one simulation run.
  */
 enum LoadCase {
 
-	/** Seven tenths of the capacity. */
+	/** Constant load of 70% of the capacity. */
 	STEADY_70(0.7, 1, false),
 
-	/** The whole capacity. */
+	/** Constant load of 100% of the capacity. */
 	STEADY_100(1.0, 1, false),
 
-	/** Seven tenths, and three times that for a while. */
+	/** Load of 70% of the capacity, with a burst of three times that load. */
 	BURST_3X(0.7, 3, false),
 
-	/** Seven tenths, and one engine slows down tenfold. */
+	/** Load of 70% of the capacity, while one engine slows down by a factor of ten. */
 	SLOWDOWN_10X(0.7, 1, true);
 
-	/** Time during which requests arrive. */
+	/** Duration for which requests arrive. */
 	static final double DURATION_MILLIS = 180_000;
 
-	/** When the burst or the slow-down begins. */
+	/** Time at which the burst or the slowdown begins. */
 	static final double CHANGE_MILLIS = 80_000;
 
-	/** How long the burst lasts. */
+	/** Duration of the burst. */
 	static final double BURST_MILLIS = 30_000;
 
 	/** Factor by which the engine slows down. */
@@ -45,7 +45,7 @@
 
 	/**
 	 * Returns the load at a time.
-	 * @param millis the time
+	 * @param millis virtual time in milliseconds
 	 * @return load as a share of the capacity
 	 */
 	double load(double millis) {
@@ -60,7 +60,7 @@
 	/**
 	 * Returns whether the load or the speed of a pool changes during the run.
 	 * @param pool the pool
-	 * @return whether it is not steady
+	 * @return whether it changes
 	 */
 	boolean changes(PoolName pool) {
 		return this.burst > 1 || (this.slowsDown && pool.equals(Site.MODEL));
--- a/bench/src/main/java/org/sardineport/bench/policy/Policy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Policy.java
@@ -4,38 +4,40 @@
 import org.sardineport.core.backend.LoadReport;
 
 /**
- * Decides where requests run in one run of the measurement.
+ * Assigns the requests of one simulation run to backend servers. Called with events in
+ * the order of virtual time.
  */
 interface Policy {
 
 	/**
-	 * A request arrives.
+	 * Handles the arrival of a request.
 	 * @param job the request
 	 */
 	void onArrival(Job job);
 
 	/**
-	 * A dispatched request ended.
+	 * Handles the end of a dispatched request.
 	 * @param job the request
 	 * @param end how it ended
 	 */
 	void onEnd(Job job, RunEnd end);
 
 	/**
-	 * The deadline of a request passed before it was dispatched.
+	 * Handles a request whose deadline has passed before it was dispatched.
 	 * @param job the request
 	 */
 	void onExpiry(Job job);
 
 	/**
-	 * A load report arrives, late.
+	 * Handles the arrival of a load report, which is delayed.
 	 * @param report the report
 	 */
 	void onLoadReport(LoadReport report);
 
 	/**
-	 * Looks at the state after an event.
-	 * @return whether the order of tiers holds, or is not promised by this policy
+	 * Checks the order of tiers after an event.
+	 * @return whether no scheduler has a priority inversion; always true for a policy
+	 * without tiers
 	 */
 	boolean isTierOrderKept();
 
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyKind.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyKind.java
@@ -10,11 +10,11 @@
 import org.sardineport.core.identity.BackendServerId;
 
 /**
- * Policies that are compared.
+ * Policies that the measurement compares.
  */
 enum PolicyKind {
 
-	/** The scheduler of this project. */
+	/** Production scheduler. */
 	SARDINEPORT {
 		@Override
 		Policy create(PolicyRun run, long seed) {
@@ -22,7 +22,7 @@
 		}
 	},
 
-	/** Each entry sends to one backend server after the other. */
+	/** Each daemon cycles through the backend servers. */
 	ROUND_ROBIN {
 		@Override
 		Policy create(PolicyRun run, long seed) {
@@ -35,7 +35,7 @@
 		}
 	},
 
-	/** Each entry sends to the least load that was reported, ties broken at random. */
+	/** Each daemon chooses the least reported load, with random tie-breaking. */
 	LEAST_REPORTED_LOAD {
 		@Override
 		Policy create(PolicyRun run, long seed) {
@@ -50,7 +50,7 @@
 		}
 	},
 
-	/** Each entry sends to the less loaded of two at random, by reported load. */
+	/** Each daemon chooses the less loaded of two random backend servers, as reported. */
 	TWO_CHOICES {
 		@Override
 		Policy create(PolicyRun run, long seed) {
@@ -74,16 +74,17 @@
 	}
 
 	/**
-	 * Chooses a backend server for a request.
+	 * Strategy of a {@link DirectPolicy} to choose a backend server.
 	 */
 	@FunctionalInterface
 	interface DirectChoice {
 
 		/**
-		 * Returns where a request is sent.
+		 * Chooses a backend server for a request.
 		 * @param job the request
-		 * @param pool backend servers that can run it
-		 * @param loads load that each reported last
+		 * @param pool the backend servers of the request's pool, at least one
+		 * @param loads number of running and waiting requests by the last load report of
+		 * each backend server
 		 * @return the backend server
 		 */
 		FakeServer choose(Job job, List<FakeServer> pool, Map<BackendServerId, Integer> loads);
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyMeasurement.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyMeasurement.java
@@ -10,18 +10,22 @@
 import org.sardineport.bench.Measurement;
 
 /**
- * Compares policies by goodput of each tier and by wasted prefill.
+ * Compares the scheduler with baseline policies by the goodput of each class of requests
+ * and by wasted prefill.
  */
 @Command(name = "policy", description = "Goodput and wasted prefill of the decisions under load")
 public final class PolicyMeasurement implements Measurement {
 
-	/** Least goodput of the top tier. */
+	/** Smallest acceptable goodput of the top tier. */
 	private static final double TOP_TIER_GOODPUT_TARGET = 0.99;
 
-	/** Least ratio to the best baseline's goodput of the top tier, where load changes. */
+	/**
+	 * Smallest acceptable ratio of the top tier's goodput to that of the best baseline,
+	 * where the load changes.
+	 */
 	private static final double TOP_TIER_RATIO_TARGET = 1.5;
 
-	/** Most wasted prefill, as a share of the best baseline's. */
+	/** Greatest acceptable wasted prefill, as a share of the best baseline's. */
 	private static final double WASTED_PREFILL_TARGET = 0.25;
 
 	@Option(name = "--seeds", description = "Number of seeds, counted from 1")
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/PolicyRun.java
@@ -13,14 +13,15 @@
 import org.sardineport.core.request.Refusal;
 
 /**
- * One run: a policy, a site, a course of the load and a seed, in virtual time.
+ * One simulation run of a policy for a site, a load case and a seed, in virtual time. Not
+ * thread-safe.
  */
 final class PolicyRun {
 
 	/** Time between two load reports. */
 	private static final double REPORT_MILLIS = 1000;
 
-	/** Time by which load reports are late. */
+	/** Delay of load reports. */
 	private static final double REPORT_DELAY_MILLIS = 2000;
 
 	private final Site site;
@@ -105,7 +106,7 @@
 	FakeServer server(BackendServer server) {
 		FakeServer fake = this.serversById.get(server.id());
 		if (fake == null) {
-			throw new IllegalArgumentException("no fake of " + server.id());
+			throw new IllegalArgumentException("no fake backend server with id " + server.id());
 		}
 		return fake;
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/RequestClass.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/RequestClass.java
@@ -8,11 +8,11 @@
 import org.sardineport.core.request.Tier;
 
 /**
- * Kinds of requests, with sizes that are spread evenly on a logarithmic scale.
+ * Classes of requests. Sizes and durations have a log-uniform distribution.
  */
 enum RequestClass {
 
-	/** Clause explanations and usage lookups that a person waits for. */
+	/** Interactive explanations and lookups, which a person waits for. */
 	LIVE(Site.MODEL, Tier.URGENT, 0.45, 50, 400, 10, 80, 4, RunningPolicy.CANCELLABLE),
 
 	/** Summaries. */
@@ -21,18 +21,19 @@
 	/** Tagging of texts. */
 	TAGGING(Site.MODEL, Tier.STANDARD, 0.15, 500, 3000, 100, 800, 60, RunningPolicy.CANCELLABLE),
 
-	/** Long reports and drafts. */
+	/** Long reports and drafts, which are preempted only if they can be resumed. */
 	REPORT(Site.MODEL, Tier.BATCH, 0.1, 2000, 5000, 500, 1000, 240, RunningPolicy.RESUMABLE_ONLY),
 
-	/** Plain lookups. */
+	/** Lookups by a plain service. */
 	LOOKUP(Site.SERVICE, Tier.URGENT, 0.4, 0, 0, 0, 0, 2, RunningPolicy.CANCELLABLE),
 
-	/** Postings that must not run twice. */
+	/** Postings, which must run at most once. */
 	POSTING(Site.SERVICE, Tier.STANDARD, 0.6, 0, 0, 0, 0, 20, RunningPolicy.UNINTERRUPTIBLE);
 
-	/** Shortest and longest call of a plain service, in milliseconds. */
+	/** Shortest call of a plain service. */
 	static final int MINIMUM_CALL_MILLIS = 20;
 
+	/** Longest call of a plain service. */
 	static final int MAXIMUM_CALL_MILLIS = 400;
 
 	private final PoolName pool;
@@ -53,15 +54,15 @@
 
 	private final RunningPolicy policy;
 
-	RequestClass(PoolName pool, Tier tier, double share, int leastPrompt, int mostPrompt, int leastAnswer,
-			int mostAnswer, int deadlineSeconds, RunningPolicy policy) {
+	RequestClass(PoolName pool, Tier tier, double share, int minimumPrompt, int maximumPrompt, int minimumAnswer,
+			int maximumAnswer, int deadlineSeconds, RunningPolicy policy) {
 		this.pool = pool;
 		this.tier = tier;
 		this.share = share;
-		this.minimumPrompt = leastPrompt;
-		this.maximumPrompt = mostPrompt;
-		this.minimumAnswer = leastAnswer;
-		this.maximumAnswer = mostAnswer;
+		this.minimumPrompt = minimumPrompt;
+		this.maximumPrompt = maximumPrompt;
+		this.minimumAnswer = minimumAnswer;
+		this.maximumAnswer = maximumAnswer;
 		this.deadline = Duration.ofSeconds(deadlineSeconds);
 		this.policy = policy;
 	}
@@ -102,12 +103,13 @@
 		return mean(this.minimumAnswer, this.maximumAnswer);
 	}
 
-	static int randomBetween(int least, int most, RandomGenerator random) {
-		return (most == 0) ? 0 : (int) (least * Math.exp(random.nextDouble() * Math.log((double) most / least)));
+	static int randomBetween(int minimum, int maximum, RandomGenerator random) {
+		return (maximum == 0) ? 0
+				: (int) (minimum * Math.exp(random.nextDouble() * Math.log((double) maximum / minimum)));
 	}
 
-	static double mean(int least, int most) {
-		return (most == 0) ? 0 : (most - least) / Math.log((double) most / least);
+	static double mean(int minimum, int maximum) {
+		return (maximum == 0) ? 0 : (maximum - minimum) / Math.log((double) maximum / minimum);
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/policy/RunResult.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/RunResult.java
@@ -7,7 +7,7 @@
 import org.sardineport.core.request.RefusalReason;
 
 /**
- * What one run gave.
+ * Result of one simulation run, accumulated while it runs. Not thread-safe.
  */
 final class RunResult {
 
@@ -115,8 +115,8 @@
 	}
 
 	/**
-	 * Returns the share of a kind's requests that were complete and on time.
-	 * @param kind the kind
+	 * Returns the share of a class's requests that completed by their deadline.
+	 * @param kind the class of requests
 	 * @return from 0 to 1
 	 */
 	double goodput(RequestClass kind) {
@@ -129,7 +129,8 @@
 	}
 
 	/**
-	 * Returns the share of the prompts of good answers that came from a cache.
+	 * Returns the share of the prompt tokens of completed requests that came from a
+	 * prefix cache.
 	 * @return from 0 to 1
 	 */
 	double cachedShare() {
--- a/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/SchedulerPolicy.java
@@ -30,8 +30,8 @@
 import org.sardineport.core.scheduling.SchedulingMessage;
 
 /**
- * The real decision code: one scheduler for each daemon, joined by messages that take
- * their time.
+ * Policy that runs the production scheduler: one instance for each daemon, connected by
+ * messages with a network delay.
  */
 final class SchedulerPolicy implements Policy {
 
@@ -129,10 +129,11 @@
 	}
 
 	/**
-	 * Returns whether a lower tier runs where a refused top-tier request could have run:
-	 * on a backend server that is not isolated and that would finish it in time alone.
-	 * @param job the request
-	 * @return whether it was shed against the order of tiers
+	 * Returns whether lower-tier requests occupy a backend server that could have run a
+	 * refused top-tier request: one that is not isolated and that would finish the
+	 * request by its deadline if it ran nothing else.
+	 * @param job the refused request
+	 * @return whether the refusal violates the order of tiers
 	 */
 	private boolean isShedBehindLowerTier(Job job) {
 		double left = job.deadline() - this.run.time().millisNow();
@@ -162,7 +163,7 @@
 	}
 
 	/**
-	 * Hears decisions for one request.
+	 * Applies the decisions on one request to the simulation run.
 	 */
 	private final class Listener implements PermitListener {
 
@@ -193,7 +194,7 @@
 	}
 
 	/**
-	 * Effects of one daemon.
+	 * Delivers the messages of one daemon's scheduler after the network delay.
 	 */
 	private final class Effects implements SchedulingEffects {
 
--- a/bench/src/main/java/org/sardineport/bench/policy/Site.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Site.java
@@ -11,14 +11,14 @@
 import org.sardineport.core.identity.PoolName;
 
 /**
- * Backend servers and distances of the two sites.
+ * Backend servers, failure domains and network delays of the simulated sites.
  */
 enum Site {
 
-	/** Six workers of a language model, three of a plain service. */
+	/** Six model engines and three plain services. */
 	BAGMATI(6, 3, 1.5, List.of("lalitpur", "baneshwor", "bhaktapur")),
 
-	/** Thirteen workers of a language model, three of a plain service. */
+	/** Thirteen model engines and three plain services. */
 	LEXICA(13, 3, 0.5, List.of("bole", "kaliti", "piassa"));
 
 	static final PoolName MODEL = PoolName.of("model");
@@ -27,13 +27,13 @@
 
 	static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 1);
 
-	/** Requests that a fake engine batches at most. */
+	/** Greatest number of sequences in the batch of a fake engine. */
 	static final int ENGINE_CONCURRENCY = 16;
 
-	/** Calls that a fake service runs at most. */
+	/** Greatest number of concurrent calls of a fake service. */
 	static final int SERVICE_CONCURRENCY = 4;
 
-	/** Daemons of each site. */
+	/** Number of daemons of each site. */
 	static final int DAEMONS = 8;
 
 	private static final double SAME_DOMAIN_MILLIS = 0.2;
@@ -46,11 +46,11 @@
 
 	private final List<String> failureDomains;
 
-	Site(int engines, int services, double domainMillis, List<String> domains) {
+	Site(int engines, int services, double crossDomainMillis, List<String> failureDomains) {
 		this.engines = engines;
 		this.services = services;
-		this.crossDomainMillis = domainMillis;
-		this.failureDomains = domains;
+		this.crossDomainMillis = crossDomainMillis;
+		this.failureDomains = failureDomains;
 	}
 
 	FailureDomain failureDomain(int index) {
@@ -58,7 +58,7 @@
 	}
 
 	/**
-	 * Returns the time of a message on its way.
+	 * Returns the network delay of a message.
 	 * @param from failure domain of the sender
 	 * @param to failure domain of the receiver
 	 * @return milliseconds
--- a/bench/src/main/java/org/sardineport/bench/policy/VirtualTimeline.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/VirtualTimeline.java
@@ -5,7 +5,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Events in the order of their virtual time, and the clock that they move.
+ * Queue of events in the order of their virtual time, and the clock that they advance.
+ * Not thread-safe.
  */
 final class VirtualTimeline implements InstantSource {
 
@@ -18,8 +19,8 @@
 	private long sequence;
 
 	/**
-	 * Runs an action later.
-	 * @param delayMillis time from now, in milliseconds
+	 * Schedules an action.
+	 * @param delayMillis delay from the current virtual time, in milliseconds
 	 * @param action the action
 	 */
 	void schedule(double delayMillis, Runnable action) {
@@ -27,8 +28,8 @@
 	}
 
 	/**
-	 * Runs the next event.
-	 * @return whether there was one
+	 * Advances the clock to the next event and runs it.
+	 * @return whether there was an event
 	 */
 	boolean runNext() {
 		Event next = this.events.poll();
@@ -41,7 +42,7 @@
 	}
 
 	/**
-	 * Returns the virtual time.
+	 * Returns the current virtual time.
 	 * @return milliseconds since the start
 	 */
 	double millisNow() {
@@ -58,10 +59,10 @@
 	}
 
 	/**
-	 * An action at its time.
+	 * Scheduled action.
 	 *
-	 * @param at time in milliseconds
-	 * @param sequence order of events of the same time
+	 * @param at virtual time in milliseconds
+	 * @param sequence order of events with the same time
 	 * @param action the action
 	 */
 	private record Event(double at, long sequence, Runnable action) implements Comparable<Event> {
--- a/bench/src/main/java/org/sardineport/bench/policy/Workload.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Workload.java
@@ -15,19 +15,21 @@
 import org.sardineport.core.request.TokenEstimate;
 
 /**
- * Requests of one run, the same for every policy.
+ * Generates the requests of one simulation run as a Poisson process. Depends only on the
+ * site, the load case and the seed, so that all policies get the same requests.
  */
 final class Workload {
 
-	/** Shares of the five organisations. */
+	/** Share of each organisation in the requests. */
 	private static final double[] ORGANISATION_SHARES = { 0.4, 0.3, 0.15, 0.1, 0.05 };
 
-	/** Prompt prefixes of each organisation. */
+	/** Number of prompt prefixes that each organisation uses in a class of requests. */
 	private static final int PREFIXES_PER_ORGANISATION = 8;
 
-	/** Bounds of the ratio between estimated and true answer tokens. */
+	/** Smallest ratio of the estimated to the true length of a response. */
 	private static final double MINIMUM_ESTIMATE_RATIO = 0.7;
 
+	/** Greatest ratio of the estimated to the true length of a response. */
 	private static final double MAXIMUM_ESTIMATE_RATIO = 1.4;
 
 	private final Site site;
@@ -127,13 +129,13 @@
 	}
 
 	/**
-	 * A request that arrives.
+	 * Arrival of one request.
 	 *
-	 * @param at when, in milliseconds
-	 * @param kind kind of the request
-	 * @param request the request
+	 * @param at virtual time in milliseconds
+	 * @param kind class of the request
+	 * @param request the request, with the estimated length of its response
 	 * @param entry number of the daemon that accepts it
-	 * @param answerTokens true length of its answer
+	 * @param answerTokens true length of its response, in tokens
 	 * @param callMillis duration of its call, for plain services
 	 */
 	record Arrival(double at, RequestClass kind, SchedulingRequest request, int entry, int answerTokens,
--- a/bench/src/main/java/org/sardineport/bench/policy/package-info.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Measures the decisions under load in virtual time against fake engines, beside
- * baselines that know no tiers.
+ * Simulation of the scheduling policy under load, in virtual time and with fake engines,
+ * in comparison with baselines that have no tiers.
  */
 @NullMarked
 package org.sardineport.bench.policy;
--- a/bench/src/main/java/org/sardineport/bench/slope/CapacityRow.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CapacityRow.java
@@ -3,21 +3,21 @@
 import java.util.Locale;
 
 /**
- * What one role spends of one resource at the designed size.
+ * Cost of one role in one resource at the design scale. Immutable.
  *
  * @param role the role
- * @param unit the resource
- * @param slopeName the slope multiplied
- * @param formula the multiplication in words
- * @param result what it comes to
- * @param budget the whole budget of a daemon for the resource
+ * @param unit unit of the resource
+ * @param slopeName name of the slope that is extrapolated
+ * @param formula the extrapolation as text
+ * @param result the extrapolated cost
+ * @param budget budget of a daemon for the resource, over all roles
  */
 record CapacityRow(Role role, CostUnit unit, String slopeName, String formula, double result, double budget) {
 
 	static final String CSV_HEADER = "role,unit,slope,multiplication,result,budget,share,within";
 
 	/**
-	 * Returns whether the role alone stays within the whole budget.
+	 * Returns whether the role alone stays within the budget for all roles.
 	 * @return whether the result is at most the budget
 	 */
 	boolean isWithinBudget() {
--- a/bench/src/main/java/org/sardineport/bench/slope/CapacityTable.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CapacityTable.java
@@ -6,31 +6,31 @@
 import java.util.Map;
 
 /**
- * What the slopes come to at the size that the system is designed for.
+ * Extrapolates the slopes to the scale that the system is designed for.
  */
 final class CapacityTable {
 
-	/** Requests a second that one daemon holds at the peak. */
+	/** Peak rate of requests that one daemon accepts, per second. */
 	private static final double REQUESTS_PER_DAEMON = (double) DesignScale.REQUESTS_PER_SECOND / DesignScale.DAEMONS;
 
-	/** Share of the requests whose permit comes from another daemon. */
+	/** Share of the requests whose permit is granted by another daemon. */
 	private static final double SPILLED_SHARE = 0.1;
 
-	/** Seconds that a request waits for its permit at the peak. */
+	/** Time that a request waits for its permit at the peak. */
 	private static final double WAIT_SECONDS = 1;
 
-	/** Share of the requests that go through the journal. */
+	/** Share of the requests that have an idempotency key and are journaled. */
 	private static final double KEYED_SHARE = 0.01;
 
-	/** Seconds for which keys are remembered. */
+	/** Time for which idempotency keys are remembered. */
 	private static final double REPLAY_WINDOW_SECONDS = 3_600;
 
-	/** Profiles in force, one for each organisation. */
+	/** Number of profiles in force, one for each organisation. */
 	private static final double PROFILES = DesignScale.ORGANISATIONS;
 
 	private static final double CHANGES_PER_SECOND = (double) DesignScale.CHANGES_PER_DAY / DesignScale.SECONDS_PER_DAY;
 
-	/** Backend servers that one daemon owns. */
+	/** Mean number of backend servers that one daemon owns. */
 	private static final double OWNED_SERVERS = (double) DesignScale.BACKEND_SERVERS / DesignScale.DAEMONS;
 
 	private final Map<String, SlopeResult> results;
@@ -40,9 +40,10 @@
 	}
 
 	/**
-	 * Multiplies the slopes.
-	 * @param results what was measured, by the name of its probe
-	 * @return a row for each slope
+	 * Extrapolates the slopes.
+	 * @param results results of the measurements, by the name of the probe
+	 * @return a row for each slope, and a total for each unit
+	 * @throws IllegalArgumentException if a result is missing
 	 */
 	static List<CapacityRow> of(Map<String, SlopeResult> results) {
 		CapacityTable table = new CapacityTable(results);
@@ -79,7 +80,7 @@
 	private CapacityRow row(String name, double factor, String factorLabel) {
 		SlopeResult result = this.results.get(name);
 		if (result == null) {
-			throw new IllegalArgumentException("no slope named " + name);
+			throw new IllegalArgumentException("no result for probe " + name);
 		}
 		SlopeProbe probe = result.probe();
 		double slope = result.fit().slope();
--- a/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
@@ -16,7 +16,8 @@
 import org.sardineport.wire.configuration.DeflatedImageCodec;
 
 /**
- * Costs of the configuration replica, for profiles of the size of today's deployments.
+ * Costs of the configuration replica, for profiles as large as those of current
+ * deployments.
  */
 final class ConfigurationSlopes {
 
@@ -56,7 +57,8 @@
 		});
 	}
 
-	// a daemon is asked for a change by those that it tells, and has asked for it itself
+	// A daemon fetches each change once, and each peer that it announces the change to
+	// fetches the change from it.
 	private static double distributionBytes(int changes, long seed) {
 		ConfigurationReplica replica = replica(PROFILES, seed);
 		FrameMeter meter = new FrameMeter();
@@ -79,7 +81,7 @@
 			replica.apply(i, publication("profile-" + i, i, seed));
 		}
 		if (replica.state().version() != profiles - 1) {
-			throw new IllegalStateException("every publication must be accepted");
+			throw new IllegalStateException("replica did not accept every publication");
 		}
 		return replica;
 	}
--- a/bench/src/main/java/org/sardineport/bench/slope/CostUnit.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CostUnit.java
@@ -1,17 +1,17 @@
 package org.sardineport.bench.slope;
 
 /**
- * Unit of a measured cost.
+ * Unit of a measured cost, with its label in the CSV files and plots.
  */
 enum CostUnit {
 
-	/** Memory that stays in use. */
+	/** Heap memory that stays in use. */
 	HEAP_BYTES("bytes of heap"),
 
-	/** Bytes that go over the network. */
+	/** Bytes sent over the network. */
 	WIRE_BYTES("bytes on the wire"),
 
-	/** Time of one processor. */
+	/** CPU time of one thread. */
 	CPU_NANOSECONDS("ns of processor time");
 
 	private final String label;
--- a/bench/src/main/java/org/sardineport/bench/slope/CpuTimeMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CpuTimeMeter.java
@@ -4,7 +4,7 @@
 import java.lang.management.ThreadMXBean;
 
 /**
- * Measures the processor time of the calling thread.
+ * Static method to measure the CPU time of the calling thread.
  */
 final class CpuTimeMeter {
 
@@ -14,9 +14,10 @@
 	}
 
 	/**
-	 * Returns the processor time that the work takes, after it ran as often to warm up.
-	 * @param work the work
-	 * @return nanoseconds
+	 * Measures the CPU time of a task. Runs the task twice and measures the second run,
+	 * since the first one warms up the JVM.
+	 * @param work the task
+	 * @return the CPU time in nanoseconds
 	 */
 	static double cpuNanos(Runnable work) {
 		work.run();
--- a/bench/src/main/java/org/sardineport/bench/slope/FrameMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/FrameMeter.java
@@ -13,7 +13,7 @@
 import org.sardineport.wire.transport.PeerIdentity;
 
 /**
- * Measures what messages between daemons take on the network.
+ * Computes the size of messages between daemons on the network.
  */
 final class FrameMeter {
 
@@ -28,9 +28,9 @@
 			InstantSource.system());
 
 	/**
-	 * Returns the bytes of a message on the network.
+	 * Returns the size of a message on the network.
 	 * @param message the message
-	 * @return bytes with the headers of IP and UDP
+	 * @return number of bytes, including the headers of IP and UDP
 	 */
 	double bytes(PeerMessage message) {
 		return HEADER_BYTES + this.frames.bytes(ADDRESS, message);
--- a/bench/src/main/java/org/sardineport/bench/slope/HeapMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/HeapMeter.java
@@ -5,11 +5,11 @@
 import java.util.function.Supplier;
 
 /**
- * Measures the heap that a structure keeps in use.
+ * Static method to measure the heap memory that a data structure retains.
  */
 final class HeapMeter {
 
-	/** Collections before each reading, so that little garbage is left. */
+	/** Garbage collections before each reading, so that little garbage is left. */
 	private static final int COLLECTIONS_PER_READING = 4;
 
 	private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
@@ -18,9 +18,10 @@
 	}
 
 	/**
-	 * Returns the bytes that stay in use while the structure is held.
-	 * @param structure makes the structure
-	 * @return bytes of heap
+	 * Measures the memory that a data structure retains. Other threads should be idle,
+	 * since their allocations count too.
+	 * @param structure creates the data structure
+	 * @return retained heap memory in bytes
 	 */
 	static double retainedBytes(Supplier<Object> structure) {
 		long before = usedBytes();
--- a/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/JournalSlopes.java
@@ -18,7 +18,7 @@
 import org.sardineport.wire.journal.JournalCodec;
 
 /**
- * Costs of the journal, for non-idempotent requests with short answers.
+ * Costs of the request journal, for non-idempotent requests with short responses.
  */
 final class JournalSlopes {
 
@@ -47,7 +47,7 @@
 				apply(replay, i, entries(i, seed));
 			}
 			if (!replay.active().isEmpty()) {
-				throw new IllegalStateException("every request must have ended");
+				throw new IllegalStateException("replay must not leave an active request");
 			}
 			return replay;
 		});
@@ -83,7 +83,7 @@
 			return JournalCodec.decode(bytes);
 		}
 		catch (com.google.protobuf.InvalidProtocolBufferException ex) {
-			throw new IllegalStateException("a record just written must be read", ex);
+			throw new IllegalStateException("record written by this measurement must be readable", ex);
 		}
 	}
 
--- a/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
@@ -9,8 +9,8 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * Costs of membership. Daemons of other regions cost nothing here: each region keeps its
- * own view.
+ * Costs of the membership protocol. Daemons of other regions cause none of them, since
+ * each region has a membership of its own.
  */
 final class MembershipSlopes {
 
--- a/bench/src/main/java/org/sardineport/bench/slope/PlatformSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/PlatformSlopes.java
@@ -26,12 +26,12 @@
 import org.sardineport.standins.vm.VmListStandIn;
 
 /**
- * Costs of asking the platform and the backend servers, with the bodies that the
- * stand-ins give.
+ * Costs of polling the platform and the backend servers, with response bodies of the
+ * fakes.
  */
 final class PlatformSlopes {
 
-	/** Head of a request and of its answer, and the headers of TCP and IP. */
+	/** Heads of a request and its response, and headers of TCP and IP. */
 	private static final int EXCHANGE_BYTES = 400;
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(20);
@@ -78,7 +78,7 @@
 			return measured.measure(vertx);
 		}
 		catch (IOException | InterruptedException ex) {
-			throw new IllegalStateException("a stand-in must answer", ex);
+			throw new IllegalStateException("request to a fake failed", ex);
 		}
 		finally {
 			await(vertx.close().toCompletionStage());
@@ -93,7 +93,7 @@
 			.send(request, HttpResponse.BodyHandlers.ofByteArray());
 		if (response.statusCode() != 200) {
 			throw new IllegalStateException(
-					"%s must be served, found status %d".formatted(path, response.statusCode()));
+					"request for %s failed with status %d".formatted(path, response.statusCode()));
 		}
 		return response.body().length;
 	}
@@ -103,12 +103,12 @@
 			stage.toCompletableFuture().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		}
 		catch (InterruptedException | ExecutionException | TimeoutException ex) {
-			throw new IllegalStateException("a stand-in must start and stop", ex);
+			throw new IllegalStateException("fake did not start or stop", ex);
 		}
 	}
 
 	/**
-	 * Something measured while stand-ins run.
+	 * Cost that is measured with the help of fakes.
 	 */
 	@FunctionalInterface
 	private interface StandInCost {
--- a/bench/src/main/java/org/sardineport/bench/slope/Role.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/Role.java
@@ -3,20 +3,21 @@
 import java.util.Locale;
 
 /**
- * Role of a daemon whose costs are measured.
+ * Role of a daemon whose costs are measured. The constants' names are the role labels of
+ * the CSV files.
  */
 enum Role {
 
-	/** Holds the requests of callers. */
+	/** Accepts the requests of callers and holds them until they run. */
 	ENTRY,
 
-	/** Hands out permits for its backend servers. */
+	/** Grants permits for the backend servers that it owns. */
 	OWNER,
 
-	/** Knows which daemons are alive. */
+	/** Takes part in the membership protocol. */
 	MEMBER,
 
-	/** Follows the configuration. */
+	/** Replicates the configuration. */
 	CONFIGURATION_REPLICA,
 
 	/** Writes and replays the journal of keyed requests. */
--- a/bench/src/main/java/org/sardineport/bench/slope/SchedulingSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SchedulingSlopes.java
@@ -10,7 +10,8 @@
 import org.sardineport.core.scheduling.SchedulingMessage;
 
 /**
- * Costs of entry and owner.
+ * Costs of scheduling for the daemon that accepts a request and for the owner of a
+ * backend server.
  */
 final class SchedulingSlopes {
 
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeCommand.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeCommand.java
@@ -14,7 +14,7 @@
 import org.sardineport.bench.Measurement;
 
 /**
- * Measures all slopes and works out what they come to at the size that the system is
+ * Measures all marginal costs and extrapolates them to the scale that the system is
  * designed for.
  */
 @Command(name = "slopes", description = "Measures what each role costs, and holds it against a daemon's budget")
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeFit.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeFit.java
@@ -7,19 +7,21 @@
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
- * Straight line through measured costs, from several runs.
+ * Linear fit of measured costs over several runs. Immutable.
  *
- * @param slope median over the runs of the cost of one more
+ * @param slope median slope of the runs, the marginal cost
  * @param lowest lowest slope of a run
  * @param highest highest slope of a run
- * @param intercept median over the runs of the cost at size zero
+ * @param intercept median intercept of the runs, the cost at size zero
  */
 record SlopeFit(double slope, double lowest, double highest, double intercept) {
 
 	/**
 	 * Fits a line to each run by least squares.
-	 * @param runs for each run, the cost by size; at least one run of two sizes
+	 * @param runs for each run, the cost by size
 	 * @return the fit
+	 * @throws IllegalArgumentException if there is no run, or a run has fewer than two
+	 * sizes
 	 */
 	static SlopeFit of(List<Map<Integer, Double>> runs) {
 		if (runs.isEmpty()) {
@@ -40,9 +42,9 @@
 	}
 
 	/**
-	 * Returns the cost that the line gives.
+	 * Returns the fitted cost at a size.
 	 * @param size the size
-	 * @return the cost, never less than zero
+	 * @return the cost, zero where the line is negative
 	 */
 	double at(double size) {
 		return Math.max(0, this.intercept + this.slope * size);
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopePlot.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopePlot.java
@@ -12,7 +12,7 @@
 import org.knowm.xchart.XYChartBuilder;
 
 /**
- * Draws the measured costs of one probe with a line for each run.
+ * Plots the measured costs of one probe, with a line for each run.
  */
 final class SlopePlot {
 
@@ -24,9 +24,9 @@
 	}
 
 	/**
-	 * Writes the plot as a PNG file.
-	 * @param result what was measured
-	 * @param directory where to write; the file has the probe's name
+	 * Writes the plot as a PNG file, which is named after the probe.
+	 * @param result result of the measurement
+	 * @param directory existing directory for the file
 	 * @return the file
 	 * @throws IOException if it could not be written
 	 */
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeProbe.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeProbe.java
@@ -4,14 +4,15 @@
 import java.util.Objects;
 
 /**
- * Measures one cost at growing sizes.
+ * Measurement of one cost at several sizes. Immutable.
  *
- * @param name name of the cost, words joined by dashes, unique among the probes
- * @param role the role that bears the cost
- * @param sizeUnit what grows, in the plural
- * @param costUnit what is measured
- * @param sizes the sizes to measure at, at least two, growing
- * @param cost measures the cost of a whole size
+ * @param name name of the cost in the CSV files, words joined by dashes, unique among the
+ * probes
+ * @param role role that bears the cost
+ * @param sizeUnit unit of the size, in the plural
+ * @param costUnit unit of the cost
+ * @param sizes sizes to measure at, at least two, in ascending order
+ * @param cost measures the total cost at a size
  */
 record SlopeProbe(String name, Role role, String sizeUnit, CostUnit costUnit, List<Integer> sizes, Cost cost) {
 
@@ -29,16 +30,16 @@
 	}
 
 	/**
-	 * Measures the cost at one size.
+	 * Measurement of the total cost at one size.
 	 */
 	@FunctionalInterface
 	interface Cost {
 
 		/**
-		 * Measures.
+		 * Measures the cost.
 		 * @param size the size
-		 * @param seed seed of whatever is random
-		 * @return the cost of the whole size
+		 * @param seed seed of all randomness
+		 * @return the total cost at this size
 		 */
 		double measure(int size, long seed);
 
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeProbes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeProbes.java
@@ -4,7 +4,7 @@
 import java.util.stream.Stream;
 
 /**
- * All costs that are measured.
+ * The list of all costs that are measured.
  */
 final class SlopeProbes {
 
--- a/bench/src/main/java/org/sardineport/bench/slope/SlopeResult.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/SlopeResult.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 
 /**
- * What was measured for one cost.
+ * Result of the measurement of one cost.
  *
- * @param probe what was measured
+ * @param probe the probe that measured it
  * @param runs for each run, the cost by size
- * @param fit the line through them
+ * @param fit linear fit of the runs
  */
 record SlopeResult(SlopeProbe probe, List<Map<Integer, Double>> runs, SlopeFit fit) {
 
--- a/bench/src/main/java/org/sardineport/bench/slope/VirtualSchedulers.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/VirtualSchedulers.java
@@ -40,8 +40,9 @@
 import org.sardineport.core.scheduling.SchedulingMessage;
 
 /**
- * Schedulers of some daemons in virtual time. With one daemon it owns all backend
- * servers; with more, the first owns none, so that all its requests spill to an owner.
+ * Schedulers of several daemons in virtual time. A single daemon owns all backend
+ * servers. Of several daemons, the first owns none, so that all its requests spill over
+ * to another owner. Not thread-safe.
  */
 final class VirtualSchedulers {
 
@@ -113,9 +114,10 @@
 	}
 
 	/**
-	 * Submits a request that must get its permit at once.
+	 * Submits a request to an idle pool, which grants its permit immediately.
 	 * @param daemon number of the daemon
 	 * @return the permit
+	 * @throws IllegalStateException if no permit is granted
 	 */
 	Permit submit(int daemon) {
 		this.granted = null;
@@ -123,14 +125,15 @@
 		deliver();
 		Permit permit = this.granted;
 		if (permit == null) {
-			throw new IllegalStateException("an idle pool must grant a permit");
+			throw new IllegalStateException("idle pool did not grant a permit");
 		}
 		return permit;
 	}
 
 	/**
-	 * Submits requests whose questions get no answer.
-	 * @param requests how many
+	 * Submits requests to the first daemon and drops its messages to the owners, so that
+	 * the requests keep waiting.
+	 * @param requests number of requests
 	 */
 	void submitWithoutReplies(int requests) {
 		for (int i = 0; i < requests; i++) {
@@ -188,7 +191,7 @@
 	}
 
 	/**
-	 * Keeps the permit that was granted last.
+	 * Records the permit that was granted last.
 	 */
 	private final class GrantRecorder implements PermitListener {
 
@@ -199,7 +202,7 @@
 
 		@Override
 		public void refused(Refusal refusal) {
-			throw new IllegalStateException("an idle pool must not refuse: " + refusal);
+			throw new IllegalStateException("idle pool refused a request: " + refusal);
 		}
 
 		@Override
--- a/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
+++ b/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
@@ -10,6 +10,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
+/**
+ * Tests for {@link FakeModelEngine}.
+ */
 class FakeModelEngineTests {
 
 	private final VirtualTimeline time = new VirtualTimeline();
@@ -33,7 +36,7 @@
 	}
 
 	@Test
-	void answersWholeAndTellsWhatItMeasured() {
+	void completesARequestAndMeasuresIt() {
 		Job job = run(0);
 		finish();
 		assertThat(this.completed).containsExactly(job);
@@ -61,7 +64,7 @@
 	}
 
 	@Test
-	void secondDispatchOfARequestIsAFault() {
+	void rejectsASecondDispatchOfARequest() {
 		Job job = run(0);
 		assertThatIllegalStateException().isThrownBy(() -> job.dispatch(this.engine, 0, () -> {
 		}));
--- a/bench/src/test/java/org/sardineport/bench/policy/PolicyRunTests.java
+++ b/bench/src/test/java/org/sardineport/bench/policy/PolicyRunTests.java
@@ -6,6 +6,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/**
+ * Tests for {@link PolicyRun}: results are reproducible, and under overload the scheduler
+ * keeps the order of tiers while a baseline without tiers misses the goodput target.
+ */
 class PolicyRunTests {
 
 	@ParameterizedTest
@@ -18,7 +22,7 @@
 
 	@ParameterizedTest
 	@EnumSource
-	void topTierIsNeverShedBehindLowerTiers(LoadCase loadCase) {
+	void topTierIsNeverShedWhileLowerTiersRun(LoadCase loadCase) {
 		RunResult result = PolicyRun.run(PolicyKind.SARDINEPORT, Site.BAGMATI, loadCase, 4);
 		assertThat(result.checkedEvents()).isPositive();
 		assertThat(result.tierOrderViolations()).isZero();
--- a/standins/src/main/java/org/sardineport/standins/engine/CancelledJson.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/CancelledJson.java
@@ -1,7 +1,10 @@
 package org.sardineport.standins.engine;
 
 /**
- * Answer to a cancellation.
+ * Response to the cancellation of a stream. Component names are part of the HTTP
+ * protocol.
+ *
+ * @param ran whether the stream was running or waiting
  */
 record CancelledJson(boolean ran) {
 
--- a/standins/src/main/java/org/sardineport/standins/engine/ChatRequest.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ChatRequest.java
@@ -8,11 +8,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The parts of a chat completion that the stand-in looks at.
+ * Fields of a chat completion request that the fakes evaluate. Component names are part
+ * of the HTTP protocol.
  *
- * @param user tag that the answer repeats, so that a test can tell answers apart
- * @param stream whether the answer is a stream of events
- * @param maximumTokens tokens of the answer
+ * @param user tag that the response repeats, so that tests can tell responses apart
+ * @param stream whether the response is sent as server-sent events
+ * @param maximumTokens length of the response, in tokens
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record ChatRequest(@Nullable String user, boolean stream, @JsonAlias("max_tokens") int maximumTokens) {
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineBatch.java
@@ -12,8 +12,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Runs streams together, as many at once as the engine can, and the others in the order
- * in which they came. Touched on the engine's context only.
+ * Batch of the streams that an engine runs concurrently, with a FIFO queue of the streams
+ * that exceed its concurrency. Confined to the Vert.x context of the engine, except for
+ * {@link #backpressureCount()}.
  */
 final class EngineBatch {
 
@@ -80,7 +81,7 @@
 	}
 
 	/**
-	 * Takes a stream out of the batch.
+	 * Cancels a stream and removes it from the batch or the queue.
 	 * @param stream the stream
 	 * @return whether it was running or waiting
 	 */
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineCounters.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineCounters.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * What an engine counted. Safe for use by any thread.
+ * Counters of the work of a fake engine. Thread-safe.
  */
 public final class EngineCounters {
 
@@ -27,8 +27,9 @@
 	}
 
 	/**
-	 * Returns how often each request was received, by its tag.
-	 * @return the numbers by tag
+	 * Returns how often each request was received. More than one dispatch of a tag shows
+	 * that a request ran again.
+	 * @return a snapshot of the numbers, by the tag of the request
 	 */
 	public Map<String, Integer> dispatches() {
 		Map<String, Integer> counts = new HashMap<>();
@@ -37,23 +38,24 @@
 	}
 
 	/**
-	 * Returns the prompt tokens worked on.
-	 * @return the number, cached tokens left out
+	 * Returns the number of prompt tokens that were prefilled.
+	 * @return the number, without tokens taken from the cache
 	 */
 	public long prefillTokens() {
 		return this.prefillTokens.get();
 	}
 
 	/**
-	 * Returns the prompt tokens worked on for answers that were not finished.
-	 * @return the number
+	 * Returns the number of prompt tokens that were prefilled for streams that did not
+	 * complete.
+	 * @return the number, without tokens taken from the cache
 	 */
 	public long wastedPrefillTokens() {
 		return this.wastedPrefillTokens.get();
 	}
 
 	/**
-	 * Returns the prompt tokens taken from the cache.
+	 * Returns the number of prompt tokens that were taken from the cache.
 	 * @return the number
 	 */
 	public long cachedTokens() {
@@ -61,7 +63,7 @@
 	}
 
 	/**
-	 * Returns the whole answers given.
+	 * Returns the number of complete responses.
 	 * @return the number
 	 */
 	public int completed() {
@@ -69,7 +71,7 @@
 	}
 
 	/**
-	 * Returns the streams that ended early.
+	 * Returns the number of streams that ended before their response was complete.
 	 * @return the number
 	 */
 	public int cancelled() {
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineFaults.java
@@ -3,7 +3,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Switches for what goes wrong in an engine. Safe for use by any thread.
+ * Fault injection for a fake engine. All faults are off at first. Thread-safe; a change
+ * applies to the requests and tokens that follow it.
  */
 public final class EngineFaults {
 
@@ -25,24 +26,25 @@
 	}
 
 	/**
-	 * Crashes the engine on each request whose body holds a text.
-	 * @param marker the text, or {@code null} to crash on none
+	 * Crashes the engine on each request whose body contains a marker.
+	 * @param marker the marker, or {@code null} to crash on no request
 	 */
 	public void crashOn(@Nullable String marker) {
 		this.crashMarker = marker;
 	}
 
 	/**
-	 * Breaks the connection of each answer after some tokens.
-	 * @param tokens the number, or -1 to break none
+	 * Breaks the connection of each response after a number of tokens.
+	 * @param tokens number of tokens, or -1 to break no connection
 	 */
 	public void truncateAfter(int tokens) {
 		this.truncateAfterTokens = tokens;
 	}
 
 	/**
-	 * Ends each stream in good form but without its final event.
-	 * @param isOmitting whether the final event is left out
+	 * Ends each response properly but without its final event, so that its HTTP framing
+	 * is complete and its content is not.
+	 * @param isOmitting whether the final event is omitted
 	 */
 	public void omitFinalEvent(boolean isOmitting) {
 		this.omittingFinalEvent = isOmitting;
@@ -50,31 +52,31 @@
 
 	/**
 	 * Slows the engine down.
-	 * @param factor factor on all its times, 1 for none
+	 * @param factor factor on all durations, 1 for full speed
 	 */
 	public void slowDown(int factor) {
 		this.slowdown = factor;
 	}
 
 	/**
-	 * Answers all requests with status 503.
-	 * @param isRefusing whether requests are refused
+	 * Rejects all requests for a completion with status 503. Has no effect in memory.
+	 * @param isRefusing whether requests are rejected
 	 */
 	public void refuse(boolean isRefusing) {
 		this.refusing = isRefusing;
 	}
 
 	/**
-	 * Leaves gaps in the cache events.
-	 * @param isDropping whether every second event is lost
+	 * Drops the cache events with odd sequence numbers.
+	 * @param isDropping whether every second event is dropped
 	 */
 	public void dropEvents(boolean isDropping) {
 		this.droppingEvents = isDropping;
 	}
 
 	/**
-	 * Takes orders and loses the answers to them.
-	 * @param isDropping whether answers are lost
+	 * Accepts orders but drops the responses to them.
+	 * @param isDropping whether responses are dropped
 	 */
 	public void dropOrderResponses(boolean isDropping) {
 		this.droppingOrderResponses = isDropping;
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineOptions.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineOptions.java
@@ -4,22 +4,25 @@
 import java.util.Objects;
 
 /**
- * How fast and how able a stand-in for a model engine is.
+ * Speed and capabilities of a fake model engine. Immutable.
  *
- * @param concurrency streams that run at once; more wait in the engine
- * @param prefillTokensPerSecond speed of prompt work
+ * @param concurrency number of streams that run at once; others wait in the engine's
+ * queue
+ * @param prefillTokensPerSecond prefill rate, in prompt tokens per second
  * @param tokenInterval time between two tokens of one stream
- * @param cachedPrefixes prompt prefixes kept in the cache
- * @param loadLag age of the load reports
- * @param eventLag age of the cache events
- * @param checksFencing whether orders with old fencing numbers are refused
- * @param resumesStreams whether streams outlive their connections and can be moved
+ * @param cachedPrefixes capacity of the prefix cache, in prompt prefixes
+ * @param loadLag delay until a change shows in the load reports
+ * @param eventLag delay until a cache event can be read
+ * @param checksFencing whether orders with an outdated fencing number are rejected
+ * @param resumesStreams whether streams outlive their connections and can be resumed,
+ * exported and imported
  */
 public record EngineOptions(int concurrency, int prefillTokensPerSecond, Duration tokenInterval, int cachedPrefixes,
 		Duration loadLag, Duration eventLag, boolean checksFencing, boolean resumesStreams) {
 
 	/**
 	 * Creates the options.
+	 * @throws NullPointerException if a duration is {@code null}
 	 */
 	public EngineOptions {
 		Objects.requireNonNull(tokenInterval, "tokenInterval must not be null");
@@ -29,16 +32,17 @@
 
 	/**
 	 * Returns the options of a fast engine for tests.
-	 * @return 8 streams at once, a token each millisecond, no lag
+	 * @return options with a concurrency of 8, one token per millisecond, no lag and all
+	 * capabilities
 	 */
 	public static EngineOptions fast() {
 		return new EngineOptions(8, 100_000, Duration.ofMillis(1), 16, Duration.ZERO, Duration.ZERO, true, true);
 	}
 
 	/**
-	 * Returns these options with another speed.
-	 * @param prefill speed of prompt work in tokens a second
-	 * @param interval time between two tokens
+	 * Returns a copy of these options with other speeds.
+	 * @param prefill prefill rate, in prompt tokens per second
+	 * @param interval time between two tokens of one stream
 	 * @return the options
 	 */
 	public EngineOptions withSpeed(int prefill, Duration interval) {
@@ -47,8 +51,8 @@
 	}
 
 	/**
-	 * Returns these options with another number of streams at once.
-	 * @param streams the number
+	 * Returns a copy of these options with another concurrency.
+	 * @param streams number of streams that run at once
 	 * @return the options
 	 */
 	public EngineOptions withConcurrency(int streams) {
@@ -57,9 +61,9 @@
 	}
 
 	/**
-	 * Returns these options with other abilities.
-	 * @param fencing whether old fencing numbers are refused
-	 * @param resuming whether streams can be resumed and moved
+	 * Returns a copy of these options with other capabilities.
+	 * @param fencing whether orders with an outdated fencing number are rejected
+	 * @param resuming whether streams can be resumed, exported and imported
 	 * @return the options
 	 */
 	public EngineOptions withAbilities(boolean fencing, boolean resuming) {
@@ -68,8 +72,8 @@
 	}
 
 	/**
-	 * Returns these options with reports that lag.
-	 * @param lag age of load reports and cache events
+	 * Returns a copy of these options with delayed load reports and cache events.
+	 * @param lag delay of both
 	 * @return the options
 	 */
 	public EngineOptions withLag(Duration lag) {
--- a/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/EngineStream.java
@@ -5,8 +5,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One stream of an engine: its prompt, and the answer as far as it has been generated.
- * Touched on the engine's context only.
+ * One stream of a {@link ModelEngineStandIn}: the size of its prompt, and the response as
+ * far as it has been generated. The response outlives its connection, so that a caller
+ * can resume it. Confined to the Vert.x context of the engine.
  */
 final class EngineStream {
 
--- a/standins/src/main/java/org/sardineport/standins/engine/InMemoryEngineState.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryEngineState.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 
 /**
- * State of one engine in memory. Touched on the fake's thread only.
+ * State of one engine of an {@link InMemoryModelEngine}. Confined to the executor thread
+ * of that fake, except for {@link #isLeaving()}, {@link #setLeaving(boolean)} and the
+ * objects that are thread-safe themselves.
  */
 final class InMemoryEngineState {
 
@@ -66,7 +68,8 @@
 	}
 
 	int running() {
-		// a report that lags shows the time before the first request
+		// A lag of more than a minute stands for a report that predates the first
+		// request.
 		return (this.options.loadLag().compareTo(Duration.ofMinutes(1)) > 0) ? 0
 				: (int) this.streams.values().stream().filter(InMemoryStream::isRunning).count();
 	}
--- a/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
@@ -32,8 +32,8 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Fake of model engines in memory, without sockets. Generates and tells listeners on one
- * thread. Safe for use by any thread.
+ * Fake of model engines in memory, without sockets. Generates tokens and calls listeners
+ * on a single thread of its own. Thread-safe.
  */
 public final class InMemoryModelEngine implements ModelEngine, Service {
 
@@ -50,8 +50,9 @@
 	}
 
 	/**
-	 * Returns a fake that works at once.
-	 * @param clock the engines' time
+	 * Creates a fake without engines. It needs no start, but must be stopped to end its
+	 * thread.
+	 * @param clock source of the engines' time
 	 * @return the fake
 	 */
 	public static InMemoryModelEngine create(InstantSource clock) {
@@ -70,36 +71,39 @@
 	}
 
 	/**
-	 * Adds an engine.
-	 * @param id its name
-	 * @param options how fast and able it is
+	 * Adds an engine, or replaces the one of the same id.
+	 * @param id id of the engine
+	 * @param options speed and capabilities of the engine
 	 */
 	public void add(BackendServerId id, EngineOptions options) {
 		this.engines.put(id, new InMemoryEngineState(options, this.clock));
 	}
 
 	/**
-	 * Returns the switches for an engine's faults.
-	 * @param id its name
-	 * @return the faults
+	 * Returns the fault injection of an engine.
+	 * @param id id of the engine
+	 * @return the faults, which can be changed at any time
+	 * @throws NullPointerException if the engine was not added
 	 */
 	public EngineFaults faults(BackendServerId id) {
 		return engine(id).faults();
 	}
 
 	/**
-	 * Returns what an engine counted.
-	 * @param id its name
-	 * @return the counters
+	 * Returns the counters of an engine.
+	 * @param id id of the engine
+	 * @return the counters, which go on counting
+	 * @throws NullPointerException if the engine was not added
 	 */
 	public EngineCounters counters(BackendServerId id) {
 		return engine(id).counters();
 	}
 
 	/**
-	 * Sets whether an engine's load reports announce that it will leave.
-	 * @param id its name
-	 * @param isLeaving whether it will leave
+	 * Sets whether the load reports of an engine announce that it is about to leave.
+	 * @param id id of the engine
+	 * @param isLeaving whether it is about to leave
+	 * @throws NullPointerException if the engine was not added
 	 */
 	public void setLeaving(BackendServerId id, boolean isLeaving) {
 		engine(id).setLeaving(isLeaving);
@@ -182,11 +186,11 @@
 		InMemoryEngineState engine = engine(server.id());
 		return call(() -> {
 			if (engine.options().checksFencing() && order.fencingNumber() < engine.order().fencingNumber()) {
-				throw BackendException.of(BackendFailure.FENCED, "a newer number was seen");
+				throw BackendException.of(BackendFailure.FENCED, "the engine has accepted a newer fencing number");
 			}
 			engine.setOrder(new OrderRecord(order.kind().name(), order.argument(), order.fencingNumber()));
 			if (engine.faults().isDroppingOrderResponses()) {
-				throw BackendException.of(BackendFailure.BROKEN, "the answer was lost");
+				throw BackendException.of(BackendFailure.BROKEN, "the response was dropped by fault injection");
 			}
 			return null;
 		});
@@ -260,7 +264,7 @@
 	}
 
 	private InMemoryEngineState engine(BackendServerId id) {
-		return Objects.requireNonNull(this.engines.get(id), "engine must be added first");
+		return Objects.requireNonNull(this.engines.get(id), "engine must have been added");
 	}
 
 	private <T> CompletionStage<T> call(Callable<T> action) {
@@ -277,7 +281,7 @@
 	}
 
 	/**
-	 * One exchange with an engine in memory.
+	 * One exchange with an engine. Hands all calls over to the executor thread.
 	 */
 	private final class InMemoryExchange implements Exchange {
 
@@ -327,7 +331,7 @@
 		}
 
 		private void fail(BackendFailure failure) {
-			this.listener.failed(BackendException.of(failure, "fault of the fake"));
+			this.listener.failed(BackendException.of(failure, "failure injected by the fake"));
 		}
 
 	}
--- a/standins/src/main/java/org/sardineport/standins/engine/InMemoryStream.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryStream.java
@@ -11,8 +11,8 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * One stream of an engine in memory: what was generated, and how far a listener has heard
- * it. Touched on the fake's thread only.
+ * One stream of an {@link InMemoryModelEngine}: the output generated so far, and how much
+ * of it the current listener has received. Confined to the executor thread of that fake.
  */
 final class InMemoryStream {
 
@@ -94,7 +94,10 @@
 		deliver();
 	}
 
-	/** Ends the stream on the engine, as by a cancellation or an export. */
+	/**
+	 * Ends the stream on the engine, as a cancellation or an export does. The listener
+	 * sees a truncated response.
+	 */
 	void remove() {
 		this.removed = true;
 		fail(BackendFailure.TRUNCATED);
--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -22,8 +22,9 @@
 import org.sardineport.standins.http.StandInServer;
 
 /**
- * Stand-in for a model engine over HTTP: chat completions with streamed events, control
- * of streams and their cache, late load reports and cache events, and orders.
+ * Fake of a model engine over HTTP on a loopback port: chat completions with server-sent
+ * events, control of streams and their KV cache, delayed load reports and cache events,
+ * and fenced orders. Thread-safe: requests are handled on one Vert.x context.
  */
 public final class ModelEngineStandIn implements Service {
 
@@ -39,7 +40,7 @@
 
 	private static final int BYTES_PER_TOKEN = 4;
 
-	/** Share of a prompt's tokens that a cached prefix saves, in percent. */
+	/** Percentage of a prompt's tokens that a cached prefix saves. */
 	private static final int CACHED_PERCENT = 80;
 
 	private static final long FREE_CACHE_TOKENS = 100_000;
@@ -79,11 +80,11 @@
 	}
 
 	/**
-	 * Returns an engine that is not started yet.
-	 * @param vertx carries input and output
-	 * @param clock the engine's time
-	 * @param options how fast and able it is
-	 * @return the stand-in
+	 * Creates an engine that has not been started.
+	 * @param vertx runs the HTTP server and the timers
+	 * @param clock source of the engine's time
+	 * @param options speed and capabilities of the engine
+	 * @return the engine
 	 */
 	public static ModelEngineStandIn create(Vertx vertx, InstantSource clock, EngineOptions options) {
 		return new ModelEngineStandIn(vertx, clock, options);
@@ -100,48 +101,48 @@
 	}
 
 	/**
-	 * Returns where the engine listens.
-	 * @return the address
+	 * Returns the address at which the engine listens. Valid after the start.
+	 * @return the loopback address
 	 */
 	public NetworkAddress address() {
 		return this.server.address();
 	}
 
 	/**
-	 * Returns the switches for faults.
-	 * @return the faults
+	 * Returns the fault injection of the engine.
+	 * @return the faults, which can be changed at any time
 	 */
 	public EngineFaults faults() {
 		return this.faults;
 	}
 
 	/**
-	 * Returns what the engine counted.
-	 * @return the counters
+	 * Returns the counters of the engine.
+	 * @return the counters, which go on counting
 	 */
 	public EngineCounters counters() {
 		return this.counters;
 	}
 
 	/**
-	 * Returns whether a slow reader has ever held back a stream.
-	 * @return whether a stream had to wait for its reader
+	 * Returns whether a slow reader has ever suspended the generation of a stream.
+	 * @return whether a stream had to wait for a full write queue
 	 */
 	public boolean hasAppliedBackpressure() {
 		return this.batch.backpressureCount() > 0;
 	}
 
 	/**
-	 * Sets whether load reports announce that the engine will leave.
-	 * @param isLeaving whether it will leave
+	 * Sets whether load reports announce that the engine is about to leave.
+	 * @param isLeaving whether it is about to leave
 	 */
 	public void setLeaving(boolean isLeaving) {
 		this.leaving = isLeaving;
 	}
 
 	/**
-	 * Crashes: all streams and the cache are lost, all connections break.
-	 * @return completes when the port is closed
+	 * Simulates a crash: drops all streams and the cache, and closes all connections.
+	 * @return a stage that completes when the port is closed
 	 */
 	public CompletionStage<Void> crash() {
 		this.server.execute(this::dropState);
@@ -149,8 +150,8 @@
 	}
 
 	/**
-	 * Comes back on the same port after a crash.
-	 * @return completes when the port is open
+	 * Listens again on the same port after a crash.
+	 * @return a stage that completes when the port is open
 	 */
 	public CompletionStage<Void> restart() {
 		return this.server.restart();
--- a/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 
 /**
- * Prefix cache of limited size that drops the prefix that was not used for the longest
- * time, and publishes its events late.
+ * Prefix cache of limited size with LRU eviction. Its events become visible after a
+ * delay. Not thread-safe.
  */
 final class PrefixCache {
 
@@ -72,7 +72,7 @@
 	}
 
 	/**
-	 * An event and when it happened.
+	 * Event with the time at which it happened.
 	 */
 	private record TimedEvent(Instant at, CacheEventRecord event) {
 
--- a/standins/src/main/java/org/sardineport/standins/engine/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Stand-in for a model engine that batches continuously and knows no priorities.
+ * Fakes of a model engine with continuous batching and without priorities, in memory and
+ * over HTTP.
  */
 @NullMarked
 package org.sardineport.standins.engine;
--- a/standins/src/main/java/org/sardineport/standins/fleet/Observation.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/Observation.java
@@ -7,12 +7,12 @@
 import org.sardineport.core.membership.MembershipEvent;
 
 /**
- * What one daemon found out about another.
+ * Membership event that one daemon has reported about another. Immutable.
  *
- * @param at when
- * @param observer who found out
- * @param event what
- * @param member about whom
+ * @param at virtual time of the event
+ * @param observer daemon that reported the event
+ * @param event the event
+ * @param member daemon that the event concerns, as the observer sees it
  */
 public record Observation(Instant at, DaemonId observer, MembershipEvent event, Member member) {
 
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualClock.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualClock.java
@@ -5,7 +5,7 @@
 import java.time.InstantSource;
 
 /**
- * Clock that goes on only when told. Not safe for use by several threads.
+ * Clock that only advances when it is told to. Not thread-safe.
  */
 public final class VirtualClock implements InstantSource {
 
@@ -16,8 +16,8 @@
 	}
 
 	/**
-	 * Returns a clock.
-	 * @param start the first time that it tells
+	 * Creates a clock.
+	 * @param start its initial time
 	 * @return the clock
 	 */
 	public static VirtualClock startingAt(Instant start) {
@@ -25,8 +25,8 @@
 	}
 
 	/**
-	 * Lets time pass.
-	 * @param duration how much
+	 * Advances the clock.
+	 * @param duration how far
 	 */
 	public void advance(Duration duration) {
 		this.now = this.now.plus(duration);
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -31,9 +31,9 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * Memberships of several daemons, driven in virtual time from one seed. Daemons are
- * numbered from zero; daemon zero is the seed by which the others join. Not safe for use
- * by several threads.
+ * Simulated fleet that runs the membership of several daemons in virtual time,
+ * reproducibly for a seed. Daemons are numbered from zero; the others join by daemons
+ * zero and one. Not thread-safe.
  */
 public final class VirtualFleet {
 
@@ -69,12 +69,12 @@
 	}
 
 	/**
-	 * Returns a fleet whose daemons have not met yet.
+	 * Creates a fleet whose daemons do not know each other yet.
 	 * @param daemons number of daemons
-	 * @param failureDomains their failure domains, in turn
-	 * @param timing times of the membership
-	 * @param conditions how the network treats messages
-	 * @param seed decides all that is random
+	 * @param failureDomains failure domains, assigned to the daemons in turn
+	 * @param timing intervals and timeouts of the membership
+	 * @param conditions loss, duplication and delay of messages
+	 * @param seed seed of all randomness
 	 * @return the fleet
 	 */
 	public static VirtualFleet create(int daemons, List<String> failureDomains, MembershipTiming timing,
@@ -87,7 +87,8 @@
 	}
 
 	/**
-	 * Lets all daemons know each other at once, as if they had met long ago.
+	 * Makes all daemons known to each other directly, so that a large fleet need not go
+	 * through the join protocol.
 	 */
 	public void introduceAll() {
 		List<Member> daemons = this.nodes.stream().map((node) -> node.membership.members().get(0)).toList();
@@ -100,8 +101,8 @@
 	}
 
 	/**
-	 * Lets time pass.
-	 * @param duration how much, a multiple of 20 milliseconds
+	 * Advances virtual time, delivers messages and runs the daemons.
+	 * @param duration how far, rounded up to a multiple of 20 milliseconds
 	 */
 	public void run(Duration duration) {
 		Instant end = this.clock.instant().plus(duration);
@@ -117,8 +118,8 @@
 	}
 
 	/**
-	 * Lets a daemon die.
-	 * @param number its number
+	 * Stops a daemon without notice, as a crash does.
+	 * @param number number of the daemon
 	 */
 	public void kill(int number) {
 		this.nodes.get(number).running = false;
@@ -126,8 +127,8 @@
 	}
 
 	/**
-	 * Starts a daemon's next run under the same name and address.
-	 * @param number its number
+	 * Replaces a daemon by a new incarnation with the same id and address.
+	 * @param number number of the daemon
 	 */
 	public void restart(int number) {
 		kill(number);
@@ -135,16 +136,16 @@
 	}
 
 	/**
-	 * Holds a daemon still. What is sent to it meanwhile is lost.
-	 * @param number its number
+	 * Suspends a daemon. Messages to it are lost until it is resumed.
+	 * @param number number of the daemon
 	 */
 	public void pause(int number) {
 		kill(number);
 	}
 
 	/**
-	 * Lets a held daemon go on.
-	 * @param number its number
+	 * Resumes a suspended daemon with the state that it had.
+	 * @param number number of the daemon
 	 */
 	public void resume(int number) {
 		this.nodes.get(number).running = true;
@@ -153,7 +154,7 @@
 
 	/**
 	 * Returns the membership of a daemon.
-	 * @param number its number
+	 * @param number number of the daemon
 	 * @return the membership
 	 */
 	public Membership membership(int number) {
@@ -161,7 +162,7 @@
 	}
 
 	/**
-	 * Returns the network.
+	 * Returns the network, on which links can be cut and conditions changed.
 	 * @return the network
 	 */
 	public InMemoryPeerNetwork network() {
@@ -169,7 +170,7 @@
 	}
 
 	/**
-	 * Returns the current time.
+	 * Returns the current virtual time.
 	 * @return the time
 	 */
 	public Instant now() {
@@ -177,33 +178,34 @@
 	}
 
 	/**
-	 * Returns what all daemons found out so far.
-	 * @return the observations in order of time
+	 * Returns the membership events that all daemons have reported.
+	 * @return a snapshot of the observations, in the order of time
 	 */
 	public List<Observation> observations() {
 		return List.copyOf(this.observations);
 	}
 
 	/**
-	 * Forgets what was found out so far.
+	 * Removes all observations made so far.
 	 */
 	public void clearObservations() {
 		this.observations.clear();
 	}
 
 	/**
-	 * Sets who hears each message that is sent.
-	 * @param listener hears the messages
+	 * Sets the listener for messages that daemons send, also for those that get lost. It
+	 * replaces an earlier one.
+	 * @param listener receives the messages
 	 */
 	public void setSendListener(Consumer<MembershipMessage> listener) {
 		this.sendListener = listener;
 	}
 
 	/**
-	 * Returns the status in which one daemon holds another.
-	 * @param observer number of the one
-	 * @param subject number of the other
-	 * @return the status; dead if it is not known at all
+	 * Returns the status of one daemon in the view of another.
+	 * @param observer number of the daemon whose view it is
+	 * @param subject number of the daemon whose status is returned
+	 * @return the status, {@code DEAD} if the observer does not know the subject
 	 */
 	public MemberStatus status(int observer, int subject) {
 		return membership(observer).members()
@@ -216,7 +218,7 @@
 
 	/**
 	 * Returns the strikes that a daemon has received from others.
-	 * @param number its number
+	 * @param number number of the daemon
 	 * @return keys of the strikes
 	 */
 	public Set<StrikeKey> receivedStrikes(int number) {
@@ -224,9 +226,9 @@
 	}
 
 	/**
-	 * Returns the name of a daemon.
-	 * @param number its number
-	 * @return the name
+	 * Returns the id of a daemon.
+	 * @param number number of the daemon
+	 * @return the id
 	 */
 	public static DaemonId id(int number) {
 		return DaemonId.of("daemon-" + number);
@@ -234,7 +236,7 @@
 
 	/**
 	 * Returns the peer address of a daemon.
-	 * @param number its number
+	 * @param number number of the daemon
 	 * @return the address
 	 */
 	public static NetworkAddress address(int number) {
@@ -257,7 +259,7 @@
 	}
 
 	/**
-	 * One daemon.
+	 * State of one simulated daemon.
 	 */
 	private static final class Node {
 
@@ -275,7 +277,7 @@
 	}
 
 	/**
-	 * Sends and records what a membership asks for.
+	 * Sends the messages of a membership and records its events.
 	 */
 	private final class Recorder implements MembershipOutput {
 
--- a/standins/src/main/java/org/sardineport/standins/fleet/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Memberships of many daemons over a network in memory, in virtual time.
+ * Simulation of the membership of many daemons over an in-memory network, in virtual
+ * time.
  */
 @NullMarked
 package org.sardineport.standins.fleet;
--- a/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
+++ b/standins/src/main/java/org/sardineport/standins/http/FreeAddress.java
@@ -9,9 +9,10 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Finds loopback addresses that are free for TCP and UDP, each once. They lie below the
- * range from which the system takes ports for outgoing connections, so that an address
- * stays free while its daemon is replaced. Safe for use by any thread.
+ * Allocates loopback addresses that are free for TCP and UDP, each once per process. The
+ * ports lie below the ephemeral range, from which the operating system takes ports for
+ * outgoing connections, so that an address stays free while its daemon is replaced.
+ * Thread-safe.
  */
 public final class FreeAddress {
 
@@ -25,8 +26,10 @@
 	}
 
 	/**
-	 * Returns an address that was not returned before.
+	 * Returns a free address that this process has not returned before. Nothing reserves
+	 * it: another process may still take the port.
 	 * @return the address
+	 * @throws IllegalStateException if no port of the range is free
 	 */
 	public static NetworkAddress find() {
 		for (int attempts = 0; attempts < PORTS; attempts++) {
@@ -35,7 +38,7 @@
 				return NetworkAddress.of("127.0.0.1", port);
 			}
 		}
-		throw new IllegalStateException("no port is free");
+		throw new IllegalStateException("no port of the range is free for TCP and UDP");
 	}
 
 	private static boolean isFree(int port) {
--- a/standins/src/main/java/org/sardineport/standins/http/JsonResponses.java
+++ b/standins/src/main/java/org/sardineport/standins/http/JsonResponses.java
@@ -6,7 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 
 /**
- * Writes whole answers.
+ * Static methods that write complete HTTP responses.
  */
 public final class JsonResponses {
 
@@ -16,10 +16,11 @@
 	}
 
 	/**
-	 * Answers with a value in JSON.
+	 * Sends a value as JSON and ends the response.
 	 * @param response the response
 	 * @param status status code
-	 * @param value the value, which Jackson can write
+	 * @param value the value
+	 * @throws IllegalArgumentException if Jackson cannot write the value
 	 */
 	public static void json(HttpServerResponse response, int status, Object value) {
 		try {
@@ -27,12 +28,12 @@
 			response.end(Buffer.buffer(JSON.writeValueAsBytes(value)));
 		}
 		catch (JsonProcessingException ex) {
-			throw new IllegalArgumentException("value must be writable as JSON", ex);
+			throw new IllegalArgumentException("value must be serializable as JSON", ex);
 		}
 	}
 
 	/**
-	 * Answers with a status alone.
+	 * Sends a status without a body and ends the response.
 	 * @param response the response
 	 * @param status status code
 	 */
--- a/standins/src/main/java/org/sardineport/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/sardineport/standins/http/StandInServer.java
@@ -20,9 +20,9 @@
 import org.sardineport.core.lifecycle.Service;
 
 /**
- * HTTP server of a stand-in on a loopback port that the system chooses. All requests are
- * handled on one context. It can crash, which breaks all connections, and come back on
- * the same port.
+ * HTTP server on a loopback port that the operating system chooses. Handles all requests
+ * on one Vert.x context. It can simulate a crash, which closes all connections, and
+ * restart on the same port. Thread-safe.
  */
 public final class StandInServer implements Service {
 
@@ -48,8 +48,8 @@
 	}
 
 	/**
-	 * Returns a server that is not started yet.
-	 * @param vertx carries input and output
+	 * Creates a server that has not been started.
+	 * @param vertx runs the HTTP server
 	 * @param handler handles each request, always on the same context
 	 * @return the server
 	 */
@@ -72,16 +72,17 @@
 	}
 
 	/**
-	 * Returns where the server listens.
-	 * @return the address
+	 * Returns the address at which the server listens. Valid after the start.
+	 * @return the loopback address
 	 */
 	public NetworkAddress address() {
 		return NetworkAddress.of(LOOPBACK, this.port);
 	}
 
 	/**
-	 * Closes the port and all connections at once.
-	 * @return completes when the port is closed
+	 * Closes the port and all connections at once, without draining requests. Has no
+	 * effect if the server is not listening.
+	 * @return a stage that completes when the port is closed
 	 */
 	public CompletionStage<Void> crash() {
 		HttpServer listening = this.server;
@@ -99,7 +100,8 @@
 
 	/**
 	 * Listens again on the same port after a crash.
-	 * @return completes when the port is open
+	 * @return a stage that completes when the port is open, and fails if it cannot be
+	 * opened
 	 */
 	public CompletionStage<Void> restart() {
 		CompletableFuture<Void> listening = new CompletableFuture<>();
@@ -115,8 +117,9 @@
 	}
 
 	/**
-	 * Runs a task on the context of the requests.
+	 * Runs a task on the context that handles the requests.
 	 * @param task the task
+	 * @throws NullPointerException if the server was never started
 	 */
 	public void execute(Runnable task) {
 		Context running = Objects.requireNonNull(this.context, "server must be started");
--- a/standins/src/main/java/org/sardineport/standins/http/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/http/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What the stand-ins that speak HTTP have in common.
+ * Shared support of the fakes that serve HTTP.
  */
 @NullMarked
 package org.sardineport.standins.http;
--- a/standins/src/main/java/org/sardineport/standins/log/AppendFault.java
+++ b/standins/src/main/java/org/sardineport/standins/log/AppendFault.java
@@ -1,20 +1,23 @@
 package org.sardineport.standins.log;
 
 /**
- * What goes wrong with one append.
+ * Fault that is injected into one append.
  */
 public enum AppendFault {
 
-	/** The record is taken, and the answer is lost. */
+	/** The record is appended, and the response is lost. */
 	RESPONSE_LOST_AFTER_EFFECT(true),
 
-	/** The request is lost on its way: no record and no answer. */
+	/** The request is lost on its way: the record is not appended. */
 	LOST_BEFORE_EFFECT(false),
 
-	/** No answer; the record is taken when the test lets it. */
+	/**
+	 * The response is lost, and the record is appended only with
+	 * {@link InMemoryLogService#releaseLateAppends()}.
+	 */
 	LATE_EFFECT(false),
 
-	/** The service refuses; no record. */
+	/** The service rejects the request, and the record is not appended. */
 	REFUSED(false);
 
 	private final boolean applied;
@@ -25,7 +28,7 @@
 
 	/**
 	 * Returns whether the record is in the stream when the call fails.
-	 * @return whether it was taken at once
+	 * @return whether it was appended at once
 	 */
 	public boolean isApplied() {
 		return this.applied;
--- a/standins/src/main/java/org/sardineport/standins/log/DelayedRunner.java
+++ b/standins/src/main/java/org/sardineport/standins/log/DelayedRunner.java
@@ -5,20 +5,20 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Runs commands later, so that tests can bring their own time.
+ * Schedules commands, so that tests can use virtual time.
  */
 @FunctionalInterface
 public interface DelayedRunner {
 
 	/**
-	 * Runs a command later.
-	 * @param delay time to wait, not negative
+	 * Runs a command after a delay.
+	 * @param delay the delay, not negative
 	 * @param command the command
 	 */
 	void run(Duration delay, Runnable command);
 
 	/**
-	 * Returns a runner on the system's time.
+	 * Returns a runner that uses the system clock and the common pool.
 	 * @return the runner
 	 */
 	static DelayedRunner system() {
--- a/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
+++ b/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
@@ -22,8 +22,8 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * Log service in memory. Safe for use by any thread; answers come on the thread of the
- * call, of an append, or of the runner.
+ * Fake log service in memory with fault injection. Thread-safe. Stages complete on the
+ * thread of the call, on that of a later append, or on that of the runner.
  */
 public final class InMemoryLogService implements LogService {
 
@@ -51,7 +51,7 @@
 	}
 
 	/**
-	 * Returns an empty service on the system's time.
+	 * Creates an empty service that uses the system clock.
 	 * @return the service
 	 */
 	public static InMemoryLogService create() {
@@ -59,9 +59,9 @@
 	}
 
 	/**
-	 * Returns an empty service.
-	 * @param clock time of the records
-	 * @param runner brings what happens later
+	 * Creates an empty service.
+	 * @param clock source of the time at which records are appended
+	 * @param runner schedules delayed appends and responses
 	 * @return the service
 	 */
 	public static InMemoryLogService create(InstantSource clock, DelayedRunner runner) {
@@ -69,23 +69,23 @@
 	}
 
 	/**
-	 * Returns the switches for faults.
-	 * @return the switches
+	 * Returns the fault injection of the service.
+	 * @return the faults, which can be changed at any time
 	 */
 	public LogFaults faults() {
 		return this.faults;
 	}
 
 	/**
-	 * Returns how many records were taken so far, in all streams.
-	 * @return the number
+	 * Returns the number of records appended so far, over all streams.
+	 * @return the number, including records that have been removed since
 	 */
 	public long appends() {
 		return this.appendCount.get();
 	}
 
 	/**
-	 * Lets all appends that were held back take effect.
+	 * Applies all appends that {@link AppendFault#LATE_EFFECT} has delayed.
 	 */
 	public void releaseLateAppends() {
 		List<Runnable> released;
@@ -97,16 +97,16 @@
 	}
 
 	/**
-	 * Drops the older records of a stream.
+	 * Removes the oldest records of a stream.
 	 * @param stream name of the stream
-	 * @param beforeOffset first offset to keep
+	 * @param beforeOffset first offset to retain
 	 */
 	public synchronized void truncate(String stream, long beforeOffset) {
 		stream(stream).truncate(beforeOffset);
 	}
 
 	/**
-	 * Returns all records that a stream keeps, lagging or not.
+	 * Returns all retained records of a stream, including those that cannot be read yet.
 	 * @param stream name of the stream
 	 * @return the records in order of offset
 	 */
@@ -138,11 +138,12 @@
 
 	private void handleAppend(String stream, byte[] value, CompletableFuture<Long> response) {
 		if (this.faults.isDown()) {
-			fail(response, LogFailure.UNAVAILABLE, "log service is down");
+			fail(response, LogFailure.UNAVAILABLE, "log service is unavailable");
 			return;
 		}
 		if (value.length > MAXIMUM_RECORD_BYTES) {
-			fail(response, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
+			fail(response, LogFailure.RECORD_TOO_LARGE,
+					"record of %d bytes exceeds the maximum size".formatted(value.length));
 			return;
 		}
 		AppendFault fault = this.faults.pollAppendFault();
@@ -150,7 +151,7 @@
 			failAppend(fault, stream, value, response);
 		}
 		else if (!tryAcquireAppendSlot()) {
-			fail(response, LogFailure.UNAVAILABLE, "too many appends a second");
+			fail(response, LogFailure.UNAVAILABLE, "rate of appends exceeds the limit");
 		}
 		else {
 			long offset = store(stream, value);
@@ -168,7 +169,7 @@
 			}
 		}
 		fail(response, (fault == AppendFault.REFUSED) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN,
-				"append failed: " + fault);
+				"append failed by fault injection: " + fault);
 	}
 
 	private synchronized boolean tryAcquireAppendSlot() {
@@ -201,13 +202,13 @@
 			return;
 		}
 		if (this.faults.isDown()) {
-			fail(read.response(), LogFailure.UNAVAILABLE, "log service is down");
+			fail(read.response(), LogFailure.UNAVAILABLE, "log service is unavailable");
 			return;
 		}
 		ReadResult result = readNow(read);
 		if (result.expired()) {
-			fail(read.response(), LogFailure.OFFSET_EXPIRED,
-					"offset %d of stream %s is not kept any more".formatted(read.fromOffset(), read.stream()));
+			fail(read.response(), LogFailure.OFFSET_EXPIRED, "offset %d of stream %s is older than the retained records"
+				.formatted(read.fromOffset(), read.stream()));
 		}
 		else if (result.slice() != null) {
 			afterHalfRoundTrip(() -> read.response().complete(result.slice()));
--- a/standins/src/main/java/org/sardineport/standins/log/LogFaults.java
+++ b/standins/src/main/java/org/sardineport/standins/log/LogFaults.java
@@ -8,8 +8,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Switches for the faults of the log service. All are off at first. Safe for use by any
- * thread.
+ * Fault injection for the fake log service. All faults are off at first. Thread-safe; a
+ * change applies to the calls that follow it.
  */
 public final class LogFaults {
 
@@ -37,40 +37,41 @@
 	}
 
 	/**
-	 * Sets what goes wrong with the appends to come, one fault each.
-	 * @param faults the faults in order
+	 * Queues faults for the next appends, one fault each.
+	 * @param faults the faults in the order of the appends
 	 */
 	public synchronized void failNextAppends(AppendFault... faults) {
 		this.nextAppends.addAll(List.of(faults));
 	}
 
 	/**
-	 * Switches an outage on or off: all calls are refused.
-	 * @param active whether the service is down
+	 * Starts or ends an outage, during which all calls are rejected.
+	 * @param active whether the service is unavailable
 	 */
 	public synchronized void outage(boolean active) {
 		this.outage = active;
 	}
 
 	/**
-	 * Makes the service slow.
-	 * @param duration time from a call to its answer; records are taken halfway
+	 * Sets the round-trip time.
+	 * @param duration time from a call to its response; a record is appended halfway
 	 */
 	public synchronized void roundTrip(Duration duration) {
 		this.roundTrip = duration;
 	}
 
 	/**
-	 * Makes reads lag behind appends.
-	 * @param lag time until a record taken can be read
+	 * Sets how far reads lag behind appends.
+	 * @param lag time until an appended record can be read
 	 */
 	public synchronized void readLag(Duration lag) {
 		this.readLag = lag;
 	}
 
 	/**
-	 * Leaves gaps between offsets.
-	 * @param step distance between two offsets, 1 for no gaps
+	 * Sets the distance between the offsets of consecutive records.
+	 * @param step the distance, 1 for no gaps
+	 * @throws IllegalArgumentException if the distance is less than 1
 	 */
 	public synchronized void offsetStep(int step) {
 		if (step < 1) {
@@ -80,7 +81,7 @@
 	}
 
 	/**
-	 * Delivers the record before the one asked for once more with each read.
+	 * Sets whether each read that finds records also delivers the one before them again.
 	 * @param active whether records are delivered twice
 	 */
 	public synchronized void duplicates(boolean active) {
@@ -88,16 +89,16 @@
 	}
 
 	/**
-	 * Limits how long records are kept.
-	 * @param duration the time, or {@code null} to keep them
+	 * Sets the retention time of records.
+	 * @param duration the time, or {@code null} to retain them for ever
 	 */
 	public synchronized void retention(@Nullable Duration duration) {
 		this.retention = duration;
 	}
 
 	/**
-	 * Limits the appends taken in a second; more are refused.
-	 * @param limit the limit
+	 * Limits the rate of appends over all streams. Appends above the limit are rejected.
+	 * @param limit greatest number of appends per second
 	 */
 	public synchronized void appendsPerSecond(int limit) {
 		this.appendsPerSecond = limit;
--- a/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
@@ -23,7 +23,8 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * The log service over HTTP, on a loopback port.
+ * HTTP front end of an {@link InMemoryLogService} on a loopback port. The protocol is
+ * described for the package. Starting and stopping are not thread-safe.
  */
 public final class LogServiceStandIn implements Service {
 
@@ -58,21 +59,21 @@
 	}
 
 	/**
-	 * Returns a stand-in that will listen on a free port.
-	 * @param vertx its event loops
-	 * @param log what it serves
-	 * @return the stand-in
+	 * Creates a server that will listen on a free port.
+	 * @param vertx runs the HTTP server
+	 * @param log the log service that it exposes
+	 * @return the server, which has not been started
 	 */
 	public static LogServiceStandIn create(Vertx vertx, InMemoryLogService log) {
 		return new LogServiceStandIn(vertx, log, 0);
 	}
 
 	/**
-	 * Returns a stand-in that will listen on the given port.
-	 * @param vertx its event loops
-	 * @param log what it serves
+	 * Creates a server that will listen on the given port.
+	 * @param vertx runs the HTTP server
+	 * @param log the log service that it exposes
 	 * @param port the port, 0 for a free one
-	 * @return the stand-in
+	 * @return the server, which has not been started
 	 */
 	public static LogServiceStandIn create(Vertx vertx, InMemoryLogService log, int port) {
 		return new LogServiceStandIn(vertx, log, port);
@@ -92,11 +93,12 @@
 	}
 
 	/**
-	 * Returns where the service listens. Valid after the start.
-	 * @return the address
+	 * Returns the address at which the server listens. Valid after the start.
+	 * @return the loopback address
+	 * @throws NullPointerException if the server was not started
 	 */
 	public NetworkAddress address() {
-		return NetworkAddress.of(LOOPBACK, Objects.requireNonNull(this.server, "not started").actualPort());
+		return NetworkAddress.of(LOOPBACK, Objects.requireNonNull(this.server, "server must be started").actualPort());
 	}
 
 	private void handle(HttpServerRequest request) {
--- a/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
+++ b/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
@@ -9,7 +9,7 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * One stream of the stand-in. Not safe for use by several threads.
+ * Records of one stream, and the readers that wait for its next record. Not thread-safe.
  */
 final class StoredStream {
 
@@ -19,7 +19,7 @@
 
 	private long nextOffset;
 
-	/** Records before this offset are gone. */
+	/** Records before this offset have been removed. */
 	private long firstOffset;
 
 	static StoredStream create() {
--- a/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
@@ -19,9 +19,10 @@
 import org.sardineport.core.port.peer.PeerMessage;
 
 /**
- * Network in memory that loses, repeats, delays and reorders messages by a seeded random
- * source. With no delay a message is delivered as it is sent; otherwise
- * {@link #deliverDue()} delivers what is due by the clock. Safe for use by any thread.
+ * In-memory network that loses, duplicates, delays and reorders messages, reproducibly
+ * for a seeded source of randomness. A message without delay is delivered on the thread
+ * that sends it; {@link #deliverDue()} delivers the others once they are due.
+ * Thread-safe.
  */
 public final class InMemoryPeerNetwork {
 
@@ -46,10 +47,10 @@
 	}
 
 	/**
-	 * Returns a network without daemons.
-	 * @param clock the clock
+	 * Creates a network without daemons.
+	 * @param clock decides which delayed messages are due
 	 * @param random source of randomness
-	 * @param conditions how it treats messages
+	 * @param conditions loss, duplication and delay of messages
 	 * @return the network
 	 */
 	public static InMemoryPeerNetwork create(InstantSource clock, RandomGenerator random,
@@ -60,10 +61,11 @@
 	}
 
 	/**
-	 * Returns a transport of a daemon. It replaces an earlier one of the same address.
-	 * @param daemon the daemon
-	 * @param incarnation number of its run
-	 * @param address its peer address
+	 * Creates the transport of a daemon. Messages to the address no longer reach an
+	 * earlier transport of the same address.
+	 * @param daemon id of the daemon
+	 * @param incarnation incarnation of the daemon
+	 * @param address peer address of the daemon
 	 * @return the transport
 	 */
 	public synchronized InMemoryPeerTransport transport(DaemonId daemon, long incarnation, NetworkAddress address) {
@@ -73,7 +75,7 @@
 	}
 
 	/**
-	 * Changes how messages sent from now on are treated.
+	 * Sets the conditions for messages that are sent from now on.
 	 * @param changed the new conditions
 	 */
 	public synchronized void conditions(NetworkConditions changed) {
@@ -81,7 +83,7 @@
 	}
 
 	/**
-	 * Loses all messages on one way.
+	 * Drops all messages from one address to another until {@link #heal()}.
 	 * @param from address of the sender
 	 * @param to address of the receiver
 	 */
@@ -90,22 +92,23 @@
 	}
 
 	/**
-	 * Ends all cuts.
+	 * Restores all links that were cut.
 	 */
 	public synchronized void heal() {
 		this.cutLinks.clear();
 	}
 
 	/**
-	 * Returns how many messages were sent, those lost included.
-	 * @return the number
+	 * Returns the number of messages sent so far.
+	 * @return the number, including lost messages and without duplicates
 	 */
 	public synchronized long sent() {
 		return this.sent;
 	}
 
 	/**
-	 * Delivers all messages that are due.
+	 * Delivers all messages that are due, on the calling thread, in the order of their
+	 * due times.
 	 */
 	public void deliverDue() {
 		@Nullable Delivery next = nextDue();
@@ -163,7 +166,7 @@
 	}
 
 	/**
-	 * One way between two daemons.
+	 * Directed link between two daemons.
 	 *
 	 * @param from address of the sender
 	 * @param to address of the receiver
@@ -173,11 +176,11 @@
 	}
 
 	/**
-	 * A message on its way.
+	 * Message in flight.
 	 *
-	 * @param due when it comes
-	 * @param sequence breaks ties
-	 * @param from the sender
+	 * @param due time of delivery
+	 * @param sequence order of messages that are due at the same time
+	 * @param from transport of the sender
 	 * @param to address of the receiver
 	 * @param message the message
 	 */
--- a/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerTransport.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerTransport.java
@@ -15,7 +15,8 @@
 import org.sardineport.core.port.peer.PeerTransport;
 
 /**
- * Transport of one daemon in an {@link InMemoryPeerNetwork}.
+ * Transport of one daemon on an {@link InMemoryPeerNetwork}. Drops messages while it is
+ * not started. Thread-safe; listeners are called on the thread that delivers the message.
  */
 public final class InMemoryPeerTransport implements PeerTransport {
 
@@ -86,15 +87,15 @@
 			listener.received(from.daemon, from.incarnation, from.address, message);
 		}
 		catch (RuntimeException ex) {
-			LOG.log(Level.WARNING, "listener failed", ex);
+			LOG.log(Level.WARNING, "peer message listener failed", ex);
 		}
 	}
 
 	/**
-	 * A listener and what it listens for.
+	 * Listener with the type of its messages.
 	 *
-	 * @param type type of the messages
-	 * @param listener hears them
+	 * @param type type of the messages that the listener receives
+	 * @param listener receives the messages
 	 */
 	private record Subscription(Class<? extends PeerMessage> type, PeerListener listener) {
 
--- a/standins/src/main/java/org/sardineport/standins/peer/NetworkConditions.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/NetworkConditions.java
@@ -3,37 +3,39 @@
 import java.time.Duration;
 
 /**
- * How a network treats messages.
+ * Loss, duplication and delay of the messages on a network. Immutable.
  *
- * @param loss share of messages lost, 0 to 1
- * @param duplication share of messages that come twice, 0 to 1
- * @param minimumDelay shortest way of a message
- * @param maximumDelay longest way of a message; messages overtake each other if it is
- * longer than the shortest
+ * @param loss probability that a message is lost, 0 to 1
+ * @param duplication probability that a message is delivered twice, 0 to 1
+ * @param minimumDelay shortest delay of a message
+ * @param maximumDelay longest delay of a message; messages can be reordered if it exceeds
+ * the shortest delay
  */
 public record NetworkConditions(double loss, double duplication, Duration minimumDelay, Duration maximumDelay) {
 
-	/** Messages come at once, each exactly once. */
+	/** Delivers each message immediately and exactly once. */
 	public static final NetworkConditions PERFECT = new NetworkConditions(0, 0, Duration.ZERO, Duration.ZERO);
 
 	/**
 	 * Creates the conditions.
-	 * @throws IllegalArgumentException if a share is out of range or the delays are out
-	 * of order
+	 * @throws IllegalArgumentException if a probability is out of range, a delay is
+	 * negative, or the maximum delay is less than the minimum
 	 */
 	public NetworkConditions {
 		if (loss < 0 || loss > 1 || duplication < 0 || duplication > 1) {
-			throw new IllegalArgumentException("shares must be 0 to 1, found %f, %f".formatted(loss, duplication));
+			throw new IllegalArgumentException(
+					"loss and duplication must be 0 to 1, found %f, %f".formatted(loss, duplication));
 		}
 		if (minimumDelay.isNegative() || maximumDelay.compareTo(minimumDelay) < 0) {
 			throw new IllegalArgumentException(
-					"delays must grow from zero, found %s, %s".formatted(minimumDelay, maximumDelay));
+					"delays must not be negative, and the minimum must not exceed the maximum, found %s, %s"
+						.formatted(minimumDelay, maximumDelay));
 		}
 	}
 
 	/**
-	 * Returns a network with a steady delay.
-	 * @param delay the way of each message
+	 * Returns conditions with a constant delay, without loss and duplication.
+	 * @param delay delay of each message
 	 * @return the conditions
 	 */
 	public static NetworkConditions delayed(Duration delay) {
@@ -41,8 +43,8 @@
 	}
 
 	/**
-	 * Returns these conditions with another loss.
-	 * @param share share of messages lost, 0 to 1
+	 * Returns a copy of these conditions with another loss.
+	 * @param share probability that a message is lost, 0 to 1
 	 * @return the conditions
 	 */
 	public NetworkConditions withLoss(double share) {
--- a/standins/src/main/java/org/sardineport/standins/peer/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/package-info.java
@@ -1,5 +1,5 @@
 /**
- * A network between daemons in memory, with faults to order.
+ * In-memory network between daemons with fault injection.
  */
 @NullMarked
 package org.sardineport.standins.peer;
--- a/standins/src/main/java/org/sardineport/standins/service/InMemoryPlainService.java
+++ b/standins/src/main/java/org/sardineport/standins/service/InMemoryPlainService.java
@@ -26,8 +26,9 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Fake of plain services in memory: executes each POST it gets, counts by key, and tells
- * listeners on one thread.
+ * Fake of plain services in memory. Executes each request it receives, also a repeated
+ * one, counts the executions of each idempotency key, and calls listeners on a single
+ * thread of its own. Thread-safe.
  */
 public final class InMemoryPlainService implements PlainService, Service {
 
@@ -49,7 +50,7 @@
 	}
 
 	/**
-	 * Returns a fake that works at once.
+	 * Creates a fake that needs no start, but must be stopped to end its thread.
 	 * @return the fake
 	 */
 	public static InMemoryPlainService create() {
@@ -68,7 +69,7 @@
 	}
 
 	/**
-	 * Sets what goes wrong from now on.
+	 * Sets the fault of the calls that follow.
 	 * @param newFault the fault
 	 */
 	public void setFault(ServiceFault newFault) {
@@ -76,16 +77,17 @@
 	}
 
 	/**
-	 * Makes a backend server one that does not listen.
-	 * @param id its name
+	 * Makes calls to a backend server fail to connect, from now on.
+	 * @param id id of the backend server
 	 */
 	public void setUnreachable(BackendServerId id) {
 		this.unreachable.add(id);
 	}
 
 	/**
-	 * Returns how often the call of each key was executed.
-	 * @return the numbers by key
+	 * Returns how often the request of each idempotency key was executed.
+	 * @return a snapshot of the numbers by key, with {@code none} for requests without
+	 * one
 	 */
 	public Map<String, Integer> executions() {
 		return Map.copyOf(this.executions);
@@ -132,7 +134,8 @@
 	}
 
 	/**
-	 * One call.
+	 * One call, which responds or fails at most once. Confined to the executor thread,
+	 * except for {@link #cancel()}.
 	 */
 	private final class Call implements Exchange {
 
@@ -146,12 +149,12 @@
 
 		@Override
 		public void pause() {
-			// an answer comes in one piece
+			// The response has a single chunk, so that there is nothing to pause.
 		}
 
 		@Override
 		public void resume() {
-			// an answer comes in one piece
+			// The response has a single chunk, so that there is nothing to pause.
 		}
 
 		@Override
@@ -176,7 +179,7 @@
 		private void fail(BackendFailure failure) {
 			if (!this.ended) {
 				this.ended = true;
-				this.listener.failed(BackendException.of(failure, "fault of the fake"));
+				this.listener.failed(BackendException.of(failure, "failure injected by the fake"));
 			}
 		}
 
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerResponseJson.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerResponseJson.java
@@ -1,10 +1,10 @@
 package org.sardineport.standins.service;
 
 /**
- * Answer of the ledger.
+ * Response of the ledger. Component names are part of the HTTP protocol.
  *
- * @param reference key of the posting, or the path asked for
- * @param bytes size of the body that was sent
+ * @param reference idempotency key of the posting, or the requested path if there is none
+ * @param bytes size of the request body
  */
 record LedgerResponseJson(String reference, int bytes) {
 
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
@@ -19,8 +19,9 @@
 import org.sardineport.standins.http.StandInServer;
 
 /**
- * Stand-in for a ledger: a plain service that executes each posting it gets, also a
- * second time, and counts the executions of each key. Safe for use by any thread.
+ * Fake of a ledger over HTTP on a loopback port: a plain service that executes each
+ * posting it receives, also a repeated one, and counts the executions of each idempotency
+ * key. Thread-safe.
  */
 public final class LedgerStandIn implements Service {
 
@@ -53,10 +54,10 @@
 	}
 
 	/**
-	 * Returns a ledger that is not started yet.
-	 * @param vertx carries input and output
-	 * @param latency time that each call takes
-	 * @return the stand-in
+	 * Creates a ledger that has not been started.
+	 * @param vertx runs the HTTP server and the timers
+	 * @param latency duration of each call; less than 1 ms counts as 1 ms
+	 * @return the ledger
 	 */
 	public static LedgerStandIn create(Vertx vertx, Duration latency) {
 		return new LedgerStandIn(vertx, latency);
@@ -73,15 +74,15 @@
 	}
 
 	/**
-	 * Returns where the ledger listens.
-	 * @return the address
+	 * Returns the address at which the ledger listens. Valid after the start.
+	 * @return the loopback address
 	 */
 	public NetworkAddress address() {
 		return this.server.address();
 	}
 
 	/**
-	 * Returns the server, to crash it and bring it back.
+	 * Returns the HTTP server, which can be crashed and restarted.
 	 * @return the server
 	 */
 	public StandInServer server() {
@@ -89,8 +90,9 @@
 	}
 
 	/**
-	 * Returns how often the posting of each key was executed.
-	 * @return the numbers by key
+	 * Returns how often the posting of each idempotency key was executed.
+	 * @return a snapshot of the numbers by key, with {@code none} for postings without
+	 * one
 	 */
 	public Map<String, Integer> executions() {
 		Map<String, Integer> counts = new ConcurrentHashMap<>();
@@ -99,7 +101,7 @@
 	}
 
 	/**
-	 * Sets what goes wrong from now on.
+	 * Sets the fault of the calls that follow.
 	 * @param newFault the fault
 	 */
 	public void setFault(ServiceFault newFault) {
@@ -107,8 +109,8 @@
 	}
 
 	/**
-	 * Sets whether the load report announces that this backend server will leave.
-	 * @param isLeaving whether it will leave
+	 * Sets whether load reports announce that this backend server is about to leave.
+	 * @param isLeaving whether it is about to leave
 	 */
 	public void setLeaving(boolean isLeaving) {
 		this.leaving = isLeaving;
@@ -154,7 +156,7 @@
 				.write("{\"key\":")
 				.onComplete((ignored) -> request.connection().close());
 			case SILENT -> {
-				// the caller waits for ever
+				// Never responds.
 			}
 		}
 	}
--- a/standins/src/main/java/org/sardineport/standins/service/ServiceFault.java
+++ b/standins/src/main/java/org/sardineport/standins/service/ServiceFault.java
@@ -1,19 +1,19 @@
 package org.sardineport.standins.service;
 
 /**
- * What goes wrong with calls to a plain service.
+ * Fault that is injected into the calls to a plain service.
  */
 public enum ServiceFault {
 
-	/** Nothing. */
+	/** No fault. */
 	NONE,
-	/** The call takes effect and its answer is lost. */
+	/** The call takes effect, and its response is lost. */
 	RESPONSE_LOST,
-	/** The call takes effect and its answer breaks off. */
+	/** The call takes effect, and its response is truncated. */
 	TRUNCATED,
-	/** The call is answered with status 503 and has no effect. */
+	/** The call is rejected with status 503 and has no effect. */
 	REFUSED,
-	/** The call takes effect and is never answered. */
+	/** The call takes effect, and no response is ever sent. */
 	SILENT
 
 }
--- a/standins/src/main/java/org/sardineport/standins/service/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/service/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Stand-in for a plain service whose calls may not be repeated.
+ * Fakes of a plain service with non-idempotent calls, in memory and over HTTP.
  */
 @NullMarked
 package org.sardineport.standins.service;
--- a/standins/src/main/java/org/sardineport/standins/vm/VmListJson.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/VmListJson.java
@@ -13,7 +13,11 @@
 import org.sardineport.core.port.platform.VmState;
 
 /**
- * List of VMs as the platform writes it.
+ * List of VMs in the platform's JSON format. Component names are part of that format.
+ *
+ * @param asOf time up to which the list is known to be correct, in ISO 8601
+ * @param entryVms the entry VMs
+ * @param backendServers the backend servers
  */
 record VmListJson(String asOf, List<EntryVmJson> entryVms, List<BackendJson> backendServers) {
 
@@ -23,7 +27,10 @@
 	}
 
 	/**
-	 * An entry VM.
+	 * Entry VM in the list.
+	 *
+	 * @param peerAddress address at which its daemon listens for other daemons
+	 * @param state state of the VM
 	 */
 	record EntryVmJson(String peerAddress, VmState state) {
 
@@ -34,7 +41,15 @@
 	}
 
 	/**
-	 * A backend server.
+	 * Backend server in the list.
+	 *
+	 * @param id id of the backend server
+	 * @param kind whether it is a model engine or a plain service
+	 * @param pool name of its pool
+	 * @param failureDomain its failure domain
+	 * @param address address at which it listens
+	 * @param nominalConcurrency number of requests that it can run at once
+	 * @param state state of its VM
 	 */
 	record BackendJson(String id, BackendKind kind, String pool, String failureDomain, String address,
 			int nominalConcurrency, VmState state) {
--- a/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/VmListStandIn.java
@@ -26,9 +26,8 @@
 import org.sardineport.standins.http.StandInServer;
 
 /**
- * Stand-in for the platform's list of VMs, which shows what was true some time ago. It
- * serves the list over HTTP once it is started, and in memory at any time. Safe for use
- * by any thread.
+ * Fake of the platform's list of VMs, which can lag behind the truth by a fixed time.
+ * Serves the list over HTTP while it is started, and in memory at any time. Thread-safe.
  */
 public final class VmListStandIn implements VmList, Service {
 
@@ -59,10 +58,10 @@
 	}
 
 	/**
-	 * Returns an empty list that is not served yet.
-	 * @param vertx carries input and output
-	 * @param clock the platform's time
-	 * @return the stand-in
+	 * Creates an empty list whose HTTP server has not been started.
+	 * @param vertx runs the HTTP server
+	 * @param clock source of the platform's time
+	 * @return the list
 	 */
 	public static VmListStandIn create(Vertx vertx, InstantSource clock) {
 		return new VmListStandIn(vertx, clock);
@@ -81,24 +80,24 @@
 	@Override
 	public synchronized CompletionStage<VmListing> fetch() {
 		if (this.unavailable) {
-			return CompletableFuture.failedStage(
-					VmListException.of("list of VMs in memory", new IllegalStateException("it is unavailable")));
+			return CompletableFuture.failedStage(VmListException.of("in-memory list of VMs",
+					new IllegalStateException("made unavailable by the test")));
 		}
 		return CompletableFuture.completedStage(visibleList().toListing());
 	}
 
 	/**
-	 * Returns where the list is served.
-	 * @return the address
+	 * Returns the address at which the list is served. Valid after the start.
+	 * @return the loopback address
 	 */
 	public NetworkAddress address() {
 		return this.server.address();
 	}
 
 	/**
-	 * Lists an entry VM, or changes its state.
-	 * @param peerAddress where its daemon is reached by others
-	 * @param state its state
+	 * Adds an entry VM, or changes its state.
+	 * @param peerAddress address at which its daemon listens for other daemons
+	 * @param state state of the VM
 	 */
 	public synchronized void putEntryVm(NetworkAddress peerAddress, VmState state) {
 		this.entryVms.put(peerAddress, state);
@@ -106,9 +105,9 @@
 	}
 
 	/**
-	 * Lists a backend server, or changes its state.
+	 * Adds a backend server, or replaces the entry of the same id.
 	 * @param backendServer the backend server
-	 * @param state its state
+	 * @param state state of its VM
 	 */
 	public synchronized void putBackendServer(BackendServer backendServer, VmState state) {
 		this.backendServers.put(backendServer.id(), VmListJson.BackendJson.of(backendServer, state));
@@ -116,8 +115,8 @@
 	}
 
 	/**
-	 * Takes an entry VM off the list.
-	 * @param peerAddress its peer address
+	 * Removes an entry VM. Has no effect if it is not listed.
+	 * @param peerAddress peer address of its daemon
 	 */
 	public synchronized void removeEntryVm(NetworkAddress peerAddress) {
 		this.entryVms.remove(peerAddress);
@@ -125,8 +124,8 @@
 	}
 
 	/**
-	 * Takes a backend server off the list.
-	 * @param id its name
+	 * Removes a backend server. Has no effect if it is not listed.
+	 * @param id id of the backend server
 	 */
 	public synchronized void removeBackendServer(BackendServerId id) {
 		this.backendServers.remove(id);
@@ -134,16 +133,17 @@
 	}
 
 	/**
-	 * Sets how far the list lags behind.
-	 * @param newLag the lag
+	 * Sets the time after which a change shows in the list.
+	 * @param newLag the time
 	 */
 	public synchronized void setLag(Duration newLag) {
 		this.lag = Objects.requireNonNull(newLag, "newLag must not be null");
 	}
 
 	/**
-	 * Sets whether the list can be had at all.
-	 * @param isUnavailable whether requests are answered with status 503
+	 * Sets whether the list is unavailable.
+	 * @param isUnavailable whether HTTP requests are rejected with status 503 and
+	 * {@link #fetch()} fails
 	 */
 	public synchronized void setUnavailable(boolean isUnavailable) {
 		this.unavailable = isUnavailable;
@@ -189,7 +189,10 @@
 	}
 
 	/**
-	 * What became true at some time.
+	 * Contents of the list from a time on.
+	 *
+	 * @param since time of the change that led to this version
+	 * @param list the contents
 	 */
 	private record Version(Instant since, VmListJson list) {
 
--- a/standins/src/main/java/org/sardineport/standins/vm/package-info.java
+++ b/standins/src/main/java/org/sardineport/standins/vm/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Stand-in for the platform's list of VMs.
+ * Fake of the platform's list of VMs.
  */
 @NullMarked
 package org.sardineport.standins.vm;
--- a/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/MembershipFaultTests.java
@@ -19,6 +19,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/**
+ * Tests the detection of failed daemons under message loss, partitions and restarts: dead
+ * daemons must be found in time, and live ones must not be declared dead.
+ */
 class MembershipFaultTests {
 
 	private static final MembershipTiming TIMING = new MembershipTiming(Duration.ofMillis(400), Duration.ofMillis(200),
@@ -26,16 +30,16 @@
 
 	private static final Duration DETECTION_TARGET = Duration.ofSeconds(3);
 
-	private static final Duration SETTLED = Duration.ofSeconds(10);
+	private static final Duration SETTLING_TIME = Duration.ofSeconds(10);
 
 	private static final List<String> DOMAINS = List.of("bole", "kaliti", "piassa");
 
 	private static final NetworkConditions NORMAL = new NetworkConditions(0, 0, Duration.ofMillis(1),
 			Duration.ofMillis(4));
 
-	private static VirtualFleet settled(int daemons, NetworkConditions conditions, long seed) {
+	private static VirtualFleet settledFleet(int daemons, NetworkConditions conditions, long seed) {
 		VirtualFleet fleet = VirtualFleet.create(daemons, DOMAINS, TIMING, NORMAL, seed);
-		fleet.run(SETTLED);
+		fleet.run(SETTLING_TIME);
 		for (int observer = 0; observer < daemons; observer++) {
 			assertThat(fleet.membership(observer).members()).hasSize(daemons)
 				.allMatch((member) -> member.status() == MemberStatus.ALIVE);
@@ -49,7 +53,7 @@
 		return fleet.observations().stream().filter((found) -> found.event() == MembershipEvent.DIED).toList();
 	}
 
-	private static void assertAllHoldEachOtherAlive(VirtualFleet fleet, int daemons) {
+	private static void assertAllSeeEachOtherAlive(VirtualFleet fleet, int daemons) {
 		for (int observer = 0; observer < daemons; observer++) {
 			for (int subject = 0; subject < daemons; subject++) {
 				assertThat(fleet.status(observer, subject)).as("%d of %d", observer, subject)
@@ -62,7 +66,7 @@
 	@ValueSource(ints = { 2, 3, 8, 32 })
 	void detectsAKilledDaemonEverywhereWithinTheTarget(int daemons) {
 		for (long seed = 1; seed <= 40; seed++) {
-			VirtualFleet fleet = settled(daemons, NORMAL, seed);
+			VirtualFleet fleet = settledFleet(daemons, NORMAL, seed);
 			Instant killed = fleet.now();
 			fleet.kill(1);
 			fleet.run(DETECTION_TARGET);
@@ -79,47 +83,47 @@
 
 	@ParameterizedTest
 	@CsvSource({ "8, 1", "8, 2", "32, 1" })
-	void declaresNobodyDeadInAnHourOfLoss(int daemons, long seed) {
-		VirtualFleet fleet = settled(daemons, NORMAL.withLoss(0.05), seed);
+	void declaresNoDaemonDeadInAnHourOfMessageLoss(int daemons, long seed) {
+		VirtualFleet fleet = settledFleet(daemons, NORMAL.withLoss(0.05), seed);
 		fleet.run(Duration.ofHours(1));
 		assertThat(deaths(fleet)).isEmpty();
 	}
 
 	@ParameterizedTest
 	@EnumSource(HarmlessFault.class)
-	void declaresNobodyDeadUnder(HarmlessFault fault) {
-		VirtualFleet fleet = settled(8, NORMAL, 7);
+	void declaresNoDaemonDeadUnder(HarmlessFault fault) {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 7);
 		fault.inject.accept(fleet);
 		fleet.run(Duration.ofMinutes(1));
 		assertThat(deaths(fleet)).isEmpty();
 		fleet.network().heal();
 		fleet.network().conditions(NORMAL);
-		fleet.run(SETTLED);
+		fleet.run(SETTLING_TIME);
 		assertThat(deaths(fleet)).isEmpty();
-		assertAllHoldEachOtherAlive(fleet, 8);
+		assertAllSeeEachOtherAlive(fleet, 8);
 	}
 
 	@ParameterizedTest
-	@EnumSource(CutDaemon.class)
-	void aCutDaemonIsDeclaredDeadOnceAndComesBackOnce(CutDaemon cut) {
-		VirtualFleet fleet = settled(8, NORMAL, 11);
-		cut.inject.accept(fleet);
+	@EnumSource(Isolation.class)
+	void anIsolatedDaemonIsDeclaredDeadOnceAndRejoinsOnce(Isolation isolation) {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 11);
+		isolation.inject.accept(fleet);
 		fleet.run(Duration.ofMinutes(1));
 		Set<String> declared = deaths(fleet).stream()
 			.map((found) -> found.member().id().value())
 			.collect(Collectors.toSet());
-		assertThat(declared).as("nobody but the cut daemon is declared dead").containsExactly("daemon-3");
+		assertThat(declared).as("only the isolated daemon is declared dead").containsExactly("daemon-3");
 		assertThat(deaths(fleet)).as("each daemon declares it once").hasSize(7);
 		fleet.network().heal();
 		fleet.resume(3);
-		fleet.run(SETTLED);
-		assertAllHoldEachOtherAlive(fleet, 8);
-		assertThat(deaths(fleet)).as("its return declares nobody else dead").hasSize(7);
+		fleet.run(SETTLING_TIME);
+		assertAllSeeEachOtherAlive(fleet, 8);
+		assertThat(deaths(fleet)).as("its return causes no further declaration").hasSize(7);
 	}
 
 	@Test
-	void halvesThatLostEachOtherMeetAgain() {
-		VirtualFleet fleet = settled(8, NORMAL, 5);
+	void halvesOfAPartitionMergeAfterItHeals() {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 5);
 		for (int one = 0; one < 8; one++) {
 			for (int other = 0; other < 8; other++) {
 				if (one % 2 != other % 2) {
@@ -132,41 +136,41 @@
 		assertThat(fleet.status(0, 1).isEligible()).isFalse();
 		fleet.network().heal();
 		fleet.run(Duration.ofSeconds(20));
-		assertAllHoldEachOtherAlive(fleet, 8);
+		assertAllSeeEachOtherAlive(fleet, 8);
 	}
 
 	@Test
-	void aRestartedDaemonTakesThePlaceOfItsEarlierRun() {
-		VirtualFleet fleet = settled(8, NORMAL, 3);
+	void aRestartedDaemonReplacesItsEarlierIncarnation() {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 3);
 		fleet.restart(4);
-		fleet.run(SETTLED);
-		assertAllHoldEachOtherAlive(fleet, 8);
+		fleet.run(SETTLING_TIME);
+		assertAllSeeEachOtherAlive(fleet, 8);
 		assertThat(deaths(fleet)).isEmpty();
 	}
 
 	@Test
-	void aDaemonThatFlapsIsHeldByItsLastRun() {
-		VirtualFleet fleet = settled(8, NORMAL, 3);
+	void aFlappingDaemonIsKnownByItsLastIncarnation() {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 3);
 		for (int run = 0; run < 10; run++) {
 			fleet.kill(4);
 			fleet.run(Duration.ofMillis(3_500));
 			fleet.restart(4);
 			fleet.run(Duration.ofMillis(1_500));
 		}
-		fleet.run(SETTLED);
-		assertAllHoldEachOtherAlive(fleet, 8);
+		fleet.run(SETTLING_TIME);
+		assertAllSeeEachOtherAlive(fleet, 8);
 	}
 
 	@Test
 	void leavingIsKnownEverywhereWithinOneProbeTimeout() {
-		VirtualFleet fleet = settled(8, NORMAL, 9);
+		VirtualFleet fleet = settledFleet(8, NORMAL, 9);
 		fleet.membership(2).leave();
 		fleet.run(TIMING.probeTimeout());
 		for (int observer = 0; observer < 8; observer++) {
 			assertThat(fleet.status(observer, 2)).isEqualTo(MemberStatus.LEAVING);
 		}
 		fleet.run(Duration.ofMinutes(10));
-		assertThat(deaths(fleet)).as("a leaving daemon lives as long as it answers").isEmpty();
+		assertThat(deaths(fleet)).as("a leaving daemon stays alive as long as it responds").isEmpty();
 		fleet.membership(2).announceStopped();
 		fleet.kill(2);
 		fleet.run(TIMING.probeTimeout());
@@ -178,9 +182,9 @@
 	}
 
 	@Test
-	void leavingIsKnownEverywhereInSpiteOfLoss() {
+	void leavingIsKnownEverywhereDespiteMessageLoss() {
 		for (long seed = 1; seed <= 20; seed++) {
-			VirtualFleet fleet = settled(32, NORMAL.withLoss(0.2), seed);
+			VirtualFleet fleet = settledFleet(32, NORMAL.withLoss(0.2), seed);
 			fleet.membership(2).leave();
 			fleet.run(Duration.ofSeconds(2));
 			for (int observer = 0; observer < 32; observer++) {
@@ -191,7 +195,7 @@
 
 	@Test
 	void aLeavingDaemonThatDiesIsFoundDead() {
-		VirtualFleet fleet = settled(8, NORMAL, 9);
+		VirtualFleet fleet = settledFleet(8, NORMAL, 9);
 		fleet.membership(2).leave();
 		fleet.run(Duration.ofSeconds(5));
 		fleet.kill(2);
@@ -200,8 +204,8 @@
 	}
 
 	@Test
-	void halfOfTheFleetThatDiesAtOnceIsNeverTakenForAlive() {
-		VirtualFleet fleet = settled(8, NORMAL, 13);
+	void halfOfTheFleetThatDiesAtOnceIsNeverEligible() {
+		VirtualFleet fleet = settledFleet(8, NORMAL, 13);
 		for (int number = 4; number < 8; number++) {
 			fleet.kill(number);
 		}
@@ -215,7 +219,7 @@
 	@Test
 	void daemonsOfOtherRegionsAreNotMembers() {
 		VirtualFleet fleet = VirtualFleet.create(8, List.of("east.a", "west.a"), TIMING, NORMAL, 2);
-		fleet.run(SETTLED);
+		fleet.run(SETTLING_TIME);
 		assertThat(fleet.membership(0).members()).hasSize(4)
 			.allMatch((member) -> member.failureDomain().value().equals("east.a"));
 	}
@@ -252,7 +256,8 @@
 	}
 
 	/**
-	 * Faults that others can bridge or that end soon enough.
+	 * Faults that must not lead to a declaration of death: indirect probes bypass them,
+	 * or they end before the suspicion times out.
 	 */
 	enum HarmlessFault {
 
@@ -302,17 +307,17 @@
 	}
 
 	/**
-	 * Ways in which one daemon is cut from all others.
+	 * Ways in which one daemon is separated from all others.
 	 */
-	enum CutDaemon {
+	enum Isolation {
 
-		HEARS_NOBODY((fleet) -> {
+		RECEIVES_NOTHING((fleet) -> {
 			for (int other = 0; other < 8; other++) {
 				cutOneWay(fleet, other, 3);
 			}
 		}),
 
-		HEARD_BY_NOBODY((fleet) -> {
+		IS_NOT_RECEIVED((fleet) -> {
 			for (int other = 0; other < 8; other++) {
 				cutOneWay(fleet, 3, other);
 			}
@@ -329,7 +334,7 @@
 
 		private final Consumer<VirtualFleet> inject;
 
-		CutDaemon(Consumer<VirtualFleet> inject) {
+		Isolation(Consumer<VirtualFleet> inject) {
 			this.inject = inject;
 		}
 
--- a/standins/src/test/java/org/sardineport/standins/fleet/StrikeBroadcastTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/StrikeBroadcastTests.java
@@ -17,8 +17,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against daemons that hear too late that a request crashed a backend server, and
- * run it again meanwhile.
+ * Tests that strikes reach all daemons in time. A daemon that receives a strike too late
+ * runs again a request that has already crashed a backend server.
  */
 class StrikeBroadcastTests {
 
@@ -28,10 +28,10 @@
 	private static final NetworkConditions LOSSY = new NetworkConditions(0.05, 0, Duration.ofMillis(1),
 			Duration.ofMillis(4));
 
-	/** The shortest time after which the users count further runs. */
+	/** Runs of a crashing request that start later than this count as violations. */
 	private static final Duration TARGET = Duration.ofSeconds(3);
 
-	/** Requests that ran on the process that crashed. */
+	/** Number of requests that were running on the process that crashed. */
 	private static final int STRIKES = 12;
 
 	private static StrikeUpdate strike(int number) {
@@ -41,7 +41,7 @@
 
 	@ParameterizedTest
 	@ValueSource(ints = { 8, 88, 300 })
-	void allDaemonsHearOfAllStrikesOfACrashInTime(int daemons) {
+	void allStrikesOfACrashReachAllDaemonsInTime(int daemons) {
 		for (long seed = 1; seed <= 5; seed++) {
 			VirtualFleet fleet = VirtualFleet.create(daemons, List.of("bole", "kaliti"), TIMING, LOSSY, seed);
 			fleet.introduceAll();
