--- a/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/Detection.java
@@ -14,20 +14,24 @@
 import org.sardineport.standins.peer.NetworkConditions;
 
 /**
- * Times from a daemon's death until all others know, in virtual time.
+ * Measures the time from the failure of a daemon until all others have detected it, in
+ * virtual time.
  */
 final class Detection {
 
 	private static final Duration SETTLING = Duration.ofSeconds(12);
 
-	private static final Duration LONGEST = Duration.ofSeconds(12);
+	private static final Duration OBSERVATION_TIME = Duration.ofSeconds(12);
 
-	private static final int KILLED = 1;
+	private static final int KILLED_DAEMON = 1;
 
-	/** Milliseconds until the last daemon gives the dead one no new work. */
+	/**
+	 * Milliseconds until the last daemon suspects the failed one, and sends it no new
+	 * work.
+	 */
 	private final Histogram suspected = new Histogram(3);
 
-	/** Milliseconds until the last daemon takes the dead one for dead. */
+	/** Milliseconds until the last daemon declares the failed one dead. */
 	private final Histogram dead = new Histogram(3);
 
 	private Detection() {
@@ -38,30 +42,30 @@
 		Detection detection = new Detection();
 		for (int seed = 1; seed <= kills; seed++) {
 			VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, seed);
-			fleet.meet();
+			fleet.introduceAll();
 			fleet.run(SETTLING.plusMillis(20L * (seed % 50)));
 			fleet.clearObservations();
 			Instant killed = fleet.now();
-			fleet.kill(KILLED);
-			fleet.run(LONGEST);
+			fleet.kill(KILLED_DAEMON);
+			fleet.run(OBSERVATION_TIME);
 			detection.add(fleet.observations(), killed, members - 1);
 		}
 		return detection;
 	}
 
 	/**
-	 * Counts how many times daemons that live were declared dead.
+	 * Counts false positives, declarations of death of daemons that are alive.
 	 * @param members number of daemons
-	 * @param time virtual time to watch
-	 * @param domains failure domains in turn
-	 * @param timing times of the membership
-	 * @param network how messages are treated
-	 * @return number of declarations
+	 * @param time virtual time to observe
+	 * @param domains failure domains, assigned to the daemons in turn
+	 * @param timing intervals and timeouts of the membership
+	 * @param network loss, duplication and delay of messages
+	 * @return number of false declarations over all observers
 	 */
 	static long falseDeaths(int members, Duration time, List<String> domains, MembershipTiming timing,
 			NetworkConditions network) {
 		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, members);
-		fleet.meet();
+		fleet.introduceAll();
 		fleet.run(SETTLING);
 		long deaths = 0;
 		for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(Duration.ofMinutes(1))) {
@@ -89,7 +93,8 @@
 	private static void record(Histogram histogram, List<Observation> observations, Instant killed, int observers,
 			List<MembershipEvent> events) {
 		List<Instant> first = observations.stream()
-			.filter((found) -> found.member().id().equals(VirtualFleet.id(KILLED)) && events.contains(found.event()))
+			.filter((found) -> found.member().id().equals(VirtualFleet.id(KILLED_DAEMON))
+					&& events.contains(found.event()))
 			.collect(Collectors.groupingBy(Observation::observer,
 					Collectors.mapping(Observation::at, Collectors.minBy(Instant::compareTo))))
 			.values()
@@ -98,8 +103,8 @@
 			.sorted()
 			.toList();
 		boolean known = first.size() == observers;
-		histogram
-			.recordValue((known) ? Duration.between(killed, first.get(observers - 1)).toMillis() : LONGEST.toMillis());
+		histogram.recordValue(
+				(known) ? Duration.between(killed, first.get(observers - 1)).toMillis() : OBSERVATION_TIME.toMillis());
 	}
 
 }
--- a/bench/src/main/java/org/sardineport/bench/journal/ListedFleet.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/MutableFleetView.java
@@ -15,9 +15,10 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Fleet whose members the measurement sets.
+ * View of a fleet whose members the measurement sets. Listeners are not notified; users
+ * read the current snapshot. Thread-safe.
  */
-final class ListedFleet implements FleetView {
+final class MutableFleetView implements FleetView {
 
 	private static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 1);
 
--- a/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
@@ -20,14 +20,15 @@
 import org.sardineport.wire.journal.JournalCodec;
 
 /**
- * Speed and memory of a replay.
+ * Throughput and memory of a journal replay.
  *
- * @param recordsPerSecond records decoded and applied a second, one entry in each
- * @param bytesPerKey heap held for each remembered key
+ * @param recordsPerSecond records of one entry each that are decoded and applied per
+ * second
+ * @param bytesPerKey heap retained for each remembered key, in bytes
  */
 record ReplayCost(double recordsPerSecond, double bytesPerKey) {
 
-	private static final int ENTRIES_A_KEY = 3;
+	private static final int ENTRIES_PER_KEY = 3;
 
 	static ReplayCost measure(int keys) throws InvalidProtocolBufferException {
 		List<byte[]> records = records(keys);
@@ -36,11 +37,11 @@
 		long start = System.nanoTime();
 		JournalReplay replay = replay(records);
 		double seconds = (System.nanoTime() - start) / 1e9;
-		long held = usedHeap() - before;
+		long retained = usedHeap() - before;
 		if (replay.size() != keys) {
-			throw new IllegalStateException("%d keys remembered in place of %d".formatted(replay.size(), keys));
+			throw new IllegalStateException("replay remembers %d keys, expected %d".formatted(replay.size(), keys));
 		}
-		return new ReplayCost(records.size() / seconds, (double) held / keys);
+		return new ReplayCost(records.size() / seconds, (double) retained / keys);
 	}
 
 	private static JournalReplay replay(List<byte[]> records) throws InvalidProtocolBufferException {
@@ -60,7 +61,7 @@
 		OrganisationId organisation = OrganisationId.of("organisation");
 		Instant now = Instant.now();
 		SplittableRandom random = new SplittableRandom(1);
-		List<byte[]> records = new ArrayList<>(ENTRIES_A_KEY * keys);
+		List<byte[]> records = new ArrayList<>(ENTRIES_PER_KEY * keys);
 		for (int number = 0; number < keys; number++) {
 			String key = new UUID(random.nextLong(), random.nextLong()).toString();
 			String token = "daemon-1.abcdefgh." + number;
--- a/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/TakeoverTime.java
@@ -14,59 +14,59 @@
 import org.sardineport.settings.MembershipSettings;
 
 /**
- * Time from a daemon's death to the moment at which another holds its durable request.
- * The time until its silence is noticed is not measured but taken from the settings: two
- * probe intervals and two timeouts, for a direct and an indirect probe.
+ * Time from the failure of a daemon until another daemon has taken over its durable
+ * request. The time to detect the failure is not measured but computed from the settings:
+ * two probe intervals and two timeouts, for a direct and an indirect probe.
  */
 final class TakeoverTime {
 
-	private static final int DYING = 0;
+	private static final int FAILED_DAEMON = 0;
 
-	private static final Duration LONGEST = Duration.ofSeconds(30);
+	private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
 	private TakeoverTime() {
 	}
 
-	static Duration noticed() {
+	static Duration detectionTime() {
 		MembershipSettings membership = MembershipSettings.defaults();
 		return membership.probeInterval().plus(membership.probeTimeout()).multipliedBy(2);
 	}
 
-	// From the moment at which its silence is noticed.
+	// Measures from the moment at which the failure is detected.
 	static Duration measure(JournalFleet fleet, int daemons, int round) throws Exception {
-		CompletableFuture<Void> taken = new CompletableFuture<>();
+		CompletableFuture<Void> takenOver = new CompletableFuture<>();
 		for (int number = 1; number < daemons; number++) {
-			fleet.journal(number).runner(new NotingRunner(taken));
+			fleet.journal(number).runner(new TakeoverDetector(takenOver));
 		}
-		fleet.fleet().set(DaemonId.of("d" + DYING), MemberStatus.ALIVE);
-		AcceptDecision decision = fleet.journal(DYING)
+		fleet.fleet().set(DaemonId.of("d" + FAILED_DAEMON), MemberStatus.ALIVE);
+		AcceptDecision decision = fleet.journal(FAILED_DAEMON)
 			.accept(KeyedLoad.request("takeover-" + round, true))
 			.toCompletableFuture()
-			.get(LONGEST.toSeconds(), TimeUnit.SECONDS);
+			.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		if (!(decision instanceof AcceptDecision.Accepted)) {
-			throw new IllegalStateException("the request was not accepted: " + decision);
+			throw new IllegalStateException("journal did not accept the durable request: " + decision);
 		}
 		long start = System.nanoTime();
-		fleet.fleet().set(DaemonId.of("d" + DYING), MemberStatus.SUSPECT);
-		taken.get(LONGEST.toSeconds(), TimeUnit.SECONDS);
+		fleet.fleet().set(DaemonId.of("d" + FAILED_DAEMON), MemberStatus.SUSPECT);
+		takenOver.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 		return Duration.ofNanos(System.nanoTime() - start);
 	}
 
 	/**
-	 * Notes that a request was taken over.
+	 * Runner that reports a takeover.
 	 *
-	 * @param taken completes then
+	 * @param takenOver completes when a request is taken over
 	 */
-	private record NotingRunner(CompletableFuture<Void> taken) implements DurableRunner {
+	private record TakeoverDetector(CompletableFuture<Void> takenOver) implements DurableRunner {
 
 		@Override
 		public void run(KeyedRequest request, JournalClaim claim) {
-			this.taken.complete(null);
+			this.takenOver.complete(null);
 		}
 
 		@Override
 		public void resume(DispatchedRun run) {
-			throw new IllegalStateException("nothing was dispatched");
+			throw new IllegalStateException("no request was dispatched, so none can be resumed");
 		}
 
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/PolicyResult.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/RunResult.java
@@ -7,9 +7,9 @@
 import org.sardineport.core.request.RefusalReason;
 
 /**
- * What one run gave.
+ * Result of one simulation run, accumulated while it runs. Not thread-safe.
  */
-final class PolicyResult {
+final class RunResult {
 
 	private final PolicyKind policy;
 
@@ -19,7 +19,7 @@
 
 	private final long seed;
 
-	private final Map<RequestClass, Integer> offered = new EnumMap<>(RequestClass.class);
+	private final Map<RequestClass, Integer> recordOffered = new EnumMap<>(RequestClass.class);
 
 	private final Map<RequestClass, Integer> good = new EnumMap<>(RequestClass.class);
 
@@ -41,21 +41,21 @@
 
 	private long checkedEvents;
 
-	private long brokenEvents;
+	private long tierOrderViolations;
 
 	private int shedBehindLower;
 
 	private int topRefused;
 
-	PolicyResult(PolicyKind policy, Site site, LoadCase loadCase, long seed) {
+	RunResult(PolicyKind policy, Site site, LoadCase loadCase, long seed) {
 		this.policy = policy;
 		this.site = site;
 		this.loadCase = loadCase;
 		this.seed = seed;
 	}
 
-	void offered(Job job) {
-		this.offered.merge(job.kind(), 1, Integer::sum);
+	void recordOffered(Job job) {
+		this.recordOffered.merge(job.kind(), 1, Integer::sum);
 	}
 
 	void good(Job job) {
@@ -85,9 +85,9 @@
 		this.shedBehindLower += (behindLower) ? 1 : 0;
 	}
 
-	void checked(boolean holds) {
+	void recordTierOrderCheck(boolean holds) {
 		this.checkedEvents++;
-		this.brokenEvents += (holds) ? 0 : 1;
+		this.tierOrderViolations += (holds) ? 0 : 1;
 	}
 
 	void message() {
@@ -115,12 +115,12 @@
 	}
 
 	/**
-	 * Returns the share of a kind's requests that were complete and on time.
-	 * @param kind the kind
+	 * Returns the share of a class's requests that completed by their deadline.
+	 * @param kind the class of requests
 	 * @return from 0 to 1
 	 */
 	double goodput(RequestClass kind) {
-		int all = this.offered.getOrDefault(kind, 0);
+		int all = this.recordOffered.getOrDefault(kind, 0);
 		return (all == 0) ? 1 : (double) this.good.getOrDefault(kind, 0) / all;
 	}
 
@@ -129,7 +129,8 @@
 	}
 
 	/**
-	 * Returns the share of the prompts of good answers that came from a cache.
+	 * Returns the share of the prompt tokens of completed requests that came from a
+	 * prefix cache.
 	 * @return from 0 to 1
 	 */
 	double cachedShare() {
@@ -153,15 +154,15 @@
 	}
 
 	int requests() {
-		return this.offered.values().stream().mapToInt(Integer::intValue).sum();
+		return this.recordOffered.values().stream().mapToInt(Integer::intValue).sum();
 	}
 
 	long checkedEvents() {
 		return this.checkedEvents;
 	}
 
-	long brokenEvents() {
-		return this.brokenEvents;
+	long tierOrderViolations() {
+		return this.tierOrderViolations;
 	}
 
 	int shedBehindLower() {
--- a/bench/src/main/java/org/sardineport/bench/policy/Site.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Site.java
@@ -11,14 +11,14 @@
 import org.sardineport.core.identity.PoolName;
 
 /**
- * Backend servers and distances of the two sites.
+ * Backend servers, failure domains and network delays of the simulated sites.
  */
 enum Site {
 
-	/** Six workers of a language model, three of a plain service. */
+	/** Six model engines and three plain services. */
 	BAGMATI(6, 3, 1.5, List.of("lalitpur", "baneshwor", "bhaktapur")),
 
-	/** Thirteen workers of a language model, three of a plain service. */
+	/** Thirteen model engines and three plain services. */
 	LEXICA(13, 3, 0.5, List.of("bole", "kaliti", "piassa"));
 
 	static final PoolName MODEL = PoolName.of("model");
@@ -27,55 +27,55 @@
 
 	static final NetworkAddress ADDRESS = NetworkAddress.of("127.0.0.1", 1);
 
-	/** Requests that a fake engine batches at most. */
+	/** Greatest number of sequences in the batch of a fake engine. */
 	static final int ENGINE_CONCURRENCY = 16;
 
-	/** Calls that a fake service runs at most. */
+	/** Greatest number of concurrent calls of a fake service. */
 	static final int SERVICE_CONCURRENCY = 4;
 
-	/** Daemons of each site. */
+	/** Number of daemons of each site. */
 	static final int DAEMONS = 8;
 
-	private static final double NEAR_MILLIS = 0.2;
+	private static final double SAME_DOMAIN_MILLIS = 0.2;
 
 	private final int engines;
 
 	private final int services;
 
-	private final double domainMillis;
+	private final double crossDomainMillis;
 
-	private final List<String> domains;
+	private final List<String> failureDomains;
 
-	Site(int engines, int services, double domainMillis, List<String> domains) {
+	Site(int engines, int services, double crossDomainMillis, List<String> failureDomains) {
 		this.engines = engines;
 		this.services = services;
-		this.domainMillis = domainMillis;
-		this.domains = domains;
+		this.crossDomainMillis = crossDomainMillis;
+		this.failureDomains = failureDomains;
 	}
 
-	FailureDomain domain(int index) {
-		return FailureDomain.of(this.domains.get(index % this.domains.size()));
+	FailureDomain failureDomain(int index) {
+		return FailureDomain.of(this.failureDomains.get(index % this.failureDomains.size()));
 	}
 
 	/**
-	 * Returns the time of a message on its way.
+	 * Returns the network delay of a message.
 	 * @param from failure domain of the sender
 	 * @param to failure domain of the receiver
 	 * @return milliseconds
 	 */
 	double delayMillis(FailureDomain from, FailureDomain to) {
-		return (from.equals(to)) ? NEAR_MILLIS : this.domainMillis;
+		return (from.equals(to)) ? SAME_DOMAIN_MILLIS : this.crossDomainMillis;
 	}
 
 	List<BackendServer> servers() {
 		List<BackendServer> servers = new ArrayList<>();
 		for (int i = 0; i < this.engines; i++) {
-			servers.add(new BackendServer(BackendServerId.of("engine-" + i), BackendKind.MODEL_ENGINE, MODEL, domain(i),
-					ADDRESS, ENGINE_CONCURRENCY));
+			servers.add(new BackendServer(BackendServerId.of("engine-" + i), BackendKind.MODEL_ENGINE, MODEL,
+					failureDomain(i), ADDRESS, ENGINE_CONCURRENCY));
 		}
 		for (int i = 0; i < this.services; i++) {
 			servers.add(new BackendServer(BackendServerId.of("service-" + i), BackendKind.PLAIN_SERVICE, SERVICE,
-					domain(i), ADDRESS, SERVICE_CONCURRENCY));
+					failureDomain(i), ADDRESS, SERVICE_CONCURRENCY));
 		}
 		return servers;
 	}
--- a/bench/src/main/java/org/sardineport/bench/policy/VirtualTime.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/VirtualTimeline.java
@@ -5,9 +5,10 @@
 import java.util.PriorityQueue;
 
 /**
- * Events in the order of their virtual time, and the clock that they move.
+ * Queue of events in the order of their virtual time, and the clock that they advance.
+ * Not thread-safe.
  */
-final class VirtualTime implements InstantSource {
+final class VirtualTimeline implements InstantSource {
 
 	private static final Instant START = Instant.ofEpochSecond(1_000_000);
 
@@ -18,19 +19,19 @@
 	private long sequence;
 
 	/**
-	 * Runs an action later.
-	 * @param delayMillis time from now, in milliseconds
+	 * Schedules an action.
+	 * @param delayMillis delay from the current virtual time, in milliseconds
 	 * @param action the action
 	 */
-	void after(double delayMillis, Runnable action) {
+	void schedule(double delayMillis, Runnable action) {
 		this.events.add(new Event(this.now + delayMillis, this.sequence++, action));
 	}
 
 	/**
-	 * Runs the next event.
-	 * @return whether there was one
+	 * Advances the clock to the next event and runs it.
+	 * @return whether there was an event
 	 */
-	boolean step() {
+	boolean runNext() {
 		Event next = this.events.poll();
 		if (next == null) {
 			return false;
@@ -41,7 +42,7 @@
 	}
 
 	/**
-	 * Returns the virtual time.
+	 * Returns the current virtual time.
 	 * @return milliseconds since the start
 	 */
 	double millisNow() {
@@ -58,10 +59,10 @@
 	}
 
 	/**
-	 * An action at its time.
+	 * Scheduled action.
 	 *
-	 * @param at time in milliseconds
-	 * @param sequence order of events of the same time
+	 * @param at virtual time in milliseconds
+	 * @param sequence order of events with the same time
 	 * @param action the action
 	 */
 	private record Event(double at, long sequence, Runnable action) implements Comparable<Event> {
--- a/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/ConfigurationSlopes.java
@@ -16,7 +16,8 @@
 import org.sardineport.wire.configuration.DeflatedImageCodec;
 
 /**
- * Costs of the configuration replica, for profiles of the size of today's deployments.
+ * Costs of the configuration replica, for profiles as large as those of current
+ * deployments.
  */
 final class ConfigurationSlopes {
 
@@ -32,10 +33,10 @@
 		return List.of(
 				new SlopeProbe("profile-memory", Role.CONFIGURATION_REPLICA, "profiles in force", CostUnit.HEAP_BYTES,
 						List.of(100, 200, 400), ConfigurationSlopes::memory),
-				new SlopeProbe("change-time", Role.CONFIGURATION_REPLICA, "changes", CostUnit.PROCESSOR_NANOSECONDS,
-						changes, ConfigurationSlopes::changeTime),
+				new SlopeProbe("change-time", Role.CONFIGURATION_REPLICA, "changes", CostUnit.CPU_NANOSECONDS, changes,
+						ConfigurationSlopes::changeTime),
 				new SlopeProbe("change-spread-bytes", Role.CONFIGURATION_REPLICA, "changes", CostUnit.WIRE_BYTES,
-						changes, ConfigurationSlopes::spreadBytes));
+						changes, ConfigurationSlopes::distributionBytes));
 	}
 
 	private static double memory(int profiles, long seed) {
@@ -48,7 +49,7 @@
 		List<byte[]> records = IntStream.range(0, 2 * changes)
 			.mapToObj((change) -> codec.encode(publication(PROFILES + change, seed)))
 			.toList();
-		return ProcessorMeter.processorNanos(() -> {
+		return CpuTimeMeter.cpuNanos(() -> {
 			for (int i = 0; i < changes; i++) {
 				long offset = replica.nextOffset();
 				replica.apply(offset, codec.decode(records.get((int) offset - PROFILES)));
@@ -56,8 +57,9 @@
 		});
 	}
 
-	// a daemon is asked for a change by those that it tells, and has asked for it itself
-	private static double spreadBytes(int changes, long seed) {
+	// A daemon fetches each change once, and each peer that it announces the change to
+	// fetches the change from it.
+	private static double distributionBytes(int changes, long seed) {
 		ConfigurationReplica replica = replica(PROFILES, seed);
 		FrameMeter meter = new FrameMeter();
 		double bytes = 0;
@@ -79,7 +81,7 @@
 			replica.apply(i, publication("profile-" + i, i, seed));
 		}
 		if (replica.state().version() != profiles - 1) {
-			throw new IllegalStateException("every publication must be accepted");
+			throw new IllegalStateException("replica did not accept every publication");
 		}
 		return replica;
 	}
@@ -93,13 +95,13 @@
 				List.of(new ProfileDocument(ProfileName.of(name), text(name, offset))), List.of(), "operator");
 	}
 
-	private static String text(String name, int edition) {
+	private static String text(String name, int revision) {
 		StringBuilder text = new StringBuilder("name: ").append(name).append("\nroutes:\n");
 		for (String path : List.of("/v1/explanations", "/v1/summaries", "/v1/senses", "/v1/reports")) {
 			text.append("  - {method: POST, path: ")
 				.append(path)
 				.append(", pool: model, tier: standard, deadline: ")
-				.append(5 + edition % 50)
+				.append(5 + revision % 50)
 				.append("s, answerTokens: 400}\n");
 		}
 		text.append("organisations:\n");
--- a/bench/src/main/java/org/sardineport/bench/slope/ProcessorMeter.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/CpuTimeMeter.java
@@ -4,21 +4,22 @@
 import java.lang.management.ThreadMXBean;
 
 /**
- * Measures the processor time of the calling thread.
+ * Static method to measure the CPU time of the calling thread.
  */
-final class ProcessorMeter {
+final class CpuTimeMeter {
 
 	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-	private ProcessorMeter() {
+	private CpuTimeMeter() {
 	}
 
 	/**
-	 * Returns the processor time that the work takes, after it ran as often to warm up.
-	 * @param work the work
-	 * @return nanoseconds
+	 * Measures the CPU time of a task. Runs the task twice and measures the second run,
+	 * since the first one warms up the JVM.
+	 * @param work the task
+	 * @return the CPU time in nanoseconds
 	 */
-	static double processorNanos(Runnable work) {
+	static double cpuNanos(Runnable work) {
 		work.run();
 		long before = THREADS.getCurrentThreadCpuTime();
 		work.run();
--- a/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
+++ b/bench/src/test/java/org/sardineport/bench/policy/FakeModelEngineTests.java
@@ -10,9 +10,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
+/**
+ * Tests for {@link FakeModelEngine}.
+ */
 class FakeModelEngineTests {
 
-	private final VirtualTime time = new VirtualTime();
+	private final VirtualTimeline time = new VirtualTimeline();
 
 	private final FakeModelEngine engine = new FakeModelEngine(Site.BAGMATI.servers().get(0), EngineSpeed.FAST,
 			this.time);
@@ -27,13 +30,13 @@
 	}
 
 	private void finish() {
-		while (this.time.step()) {
+		while (this.time.runNext()) {
 			assertThat(this.time.millisNow()).isLessThan(1e6);
 		}
 	}
 
 	@Test
-	void answersWholeAndTellsWhatItMeasured() {
+	void completesARequestAndMeasuresIt() {
 		Job job = run(0);
 		finish();
 		assertThat(this.completed).containsExactly(job);
@@ -61,7 +64,7 @@
 	}
 
 	@Test
-	void secondDispatchOfARequestIsAFault() {
+	void rejectsASecondDispatchOfARequest() {
 		Job job = run(0);
 		assertThatIllegalStateException().isThrownBy(() -> job.dispatch(this.engine, 0, () -> {
 		}));
--- a/standins/src/main/java/org/sardineport/standins/engine/MemoryEngine.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryEngineState.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 
 /**
- * State of one engine in memory. Touched on the fake's thread only.
+ * State of one engine of an {@link InMemoryModelEngine}. Confined to the executor thread
+ * of that fake, except for {@link #isLeaving()}, {@link #setLeaving(boolean)} and the
+ * objects that are thread-safe themselves.
  */
-final class MemoryEngine {
+final class InMemoryEngineState {
 
 	private final EngineOptions options;
 
@@ -18,13 +20,13 @@
 
 	private final PrefixCache cache;
 
-	private final Map<String, MemoryStream> streams = new HashMap<>();
+	private final Map<String, InMemoryStream> streams = new HashMap<>();
 
 	private OrderRecord order = new OrderRecord("LOAD_MODEL", "none", -1);
 
 	private volatile boolean leaving;
 
-	MemoryEngine(EngineOptions options, InstantSource clock) {
+	InMemoryEngineState(EngineOptions options, InstantSource clock) {
 		this.options = options;
 		this.cache = new PrefixCache(options.cachedPrefixes(), options.eventLag(), clock);
 	}
@@ -45,7 +47,7 @@
 		return this.cache;
 	}
 
-	Map<String, MemoryStream> streams() {
+	Map<String, InMemoryStream> streams() {
 		return this.streams;
 	}
 
@@ -53,7 +55,7 @@
 		return this.order;
 	}
 
-	void take(OrderRecord newOrder) {
+	void setOrder(OrderRecord newOrder) {
 		this.order = newOrder;
 	}
 
@@ -66,9 +68,10 @@
 	}
 
 	int running() {
-		// a report that lags shows the time before the first request
+		// A lag of more than a minute stands for a report that predates the first
+		// request.
 		return (this.options.loadLag().compareTo(Duration.ofMinutes(1)) > 0) ? 0
-				: (int) this.streams.values().stream().filter(MemoryStream::isRunning).count();
+				: (int) this.streams.values().stream().filter(InMemoryStream::isRunning).count();
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/PrefixCache.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 
 /**
- * Prefix cache of limited size that drops the prefix that was not used for the longest
- * time, and publishes its events late.
+ * Prefix cache of limited size with LRU eviction. Its events become visible after a
+ * delay. Not thread-safe.
  */
 final class PrefixCache {
 
@@ -34,7 +34,7 @@
 		this.clock = clock;
 	}
 
-	boolean use(long prefixHash) {
+	boolean access(long prefixHash) {
 		if (prefixHash == 0 || this.capacity == 0) {
 			return false;
 		}
@@ -43,9 +43,9 @@
 		}
 		publish(prefixHash, true);
 		if (this.prefixes.size() > this.capacity) {
-			Long oldest = this.prefixes.keySet().iterator().next();
-			this.prefixes.remove(oldest);
-			publish(oldest, false);
+			Long leastRecentlyUsed = this.prefixes.keySet().iterator().next();
+			this.prefixes.remove(leastRecentlyUsed);
+			publish(leastRecentlyUsed, false);
 		}
 		return false;
 	}
@@ -55,9 +55,9 @@
 	}
 
 	List<CacheEventRecord> events(long after, boolean withGaps) {
-		Instant shown = this.clock.instant().minus(this.eventLag);
+		Instant visibleUntil = this.clock.instant().minus(this.eventLag);
 		return this.events.stream()
-			.filter((event) -> !event.at().isAfter(shown) && event.event().sequence() > after)
+			.filter((event) -> !event.at().isAfter(visibleUntil) && event.event().sequence() > after)
 			.map(TimedEvent::event)
 			.filter((event) -> !withGaps || event.sequence() % 2 == 0)
 			.toList();
@@ -72,7 +72,7 @@
 	}
 
 	/**
-	 * An event and when it happened.
+	 * Event with the time at which it happened.
 	 */
 	private record TimedEvent(Instant at, CacheEventRecord event) {
 
--- a/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/log/LogServiceStandIn.java
@@ -23,15 +23,16 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * The log service over HTTP, on a loopback port.
+ * HTTP front end of an {@link InMemoryLogService} on a loopback port. The protocol is
+ * described for the package. Starting and stopping are not thread-safe.
  */
 public final class LogServiceStandIn implements Service {
 
 	private static final String LOOPBACK = "127.0.0.1";
 
-	private static final String PATH_START = "/v1/streams/";
+	private static final String PATH_PREFIX = "/v1/streams/";
 
-	private static final String PATH_END = "/records";
+	private static final String PATH_SUFFIX = "/records";
 
 	private static final int OK = 200;
 
@@ -58,21 +59,21 @@
 	}
 
 	/**
-	 * Returns a stand-in that will listen on a free port.
-	 * @param vertx its event loops
-	 * @param log what it serves
-	 * @return the stand-in
+	 * Creates a server that will listen on a free port.
+	 * @param vertx runs the HTTP server
+	 * @param log the log service that it exposes
+	 * @return the server, which has not been started
 	 */
 	public static LogServiceStandIn create(Vertx vertx, InMemoryLogService log) {
 		return new LogServiceStandIn(vertx, log, 0);
 	}
 
 	/**
-	 * Returns a stand-in that will listen on the given port.
-	 * @param vertx its event loops
-	 * @param log what it serves
+	 * Creates a server that will listen on the given port.
+	 * @param vertx runs the HTTP server
+	 * @param log the log service that it exposes
 	 * @param port the port, 0 for a free one
-	 * @return the stand-in
+	 * @return the server, which has not been started
 	 */
 	public static LogServiceStandIn create(Vertx vertx, InMemoryLogService log, int port) {
 		return new LogServiceStandIn(vertx, log, port);
@@ -92,21 +93,22 @@
 	}
 
 	/**
-	 * Returns where the service listens. Valid after the start.
-	 * @return the address
+	 * Returns the address at which the server listens. Valid after the start.
+	 * @return the loopback address
+	 * @throws NullPointerException if the server was not started
 	 */
 	public NetworkAddress address() {
-		return NetworkAddress.of(LOOPBACK, Objects.requireNonNull(this.server, "not started").actualPort());
+		return NetworkAddress.of(LOOPBACK, Objects.requireNonNull(this.server, "server must be started").actualPort());
 	}
 
 	private void handle(HttpServerRequest request) {
 		String path = request.path();
-		if (!path.startsWith(PATH_START) || !path.endsWith(PATH_END)
-				|| path.length() <= PATH_START.length() + PATH_END.length()) {
+		if (!path.startsWith(PATH_PREFIX) || !path.endsWith(PATH_SUFFIX)
+				|| path.length() <= PATH_PREFIX.length() + PATH_SUFFIX.length()) {
 			request.response().setStatusCode(NOT_FOUND).end();
 			return;
 		}
-		String stream = path.substring(PATH_START.length(), path.length() - PATH_END.length());
+		String stream = path.substring(PATH_PREFIX.length(), path.length() - PATH_SUFFIX.length());
 		if (request.method().equals(HttpMethod.POST)) {
 			request.body().onSuccess((body) -> append(request, stream, body));
 		}
@@ -121,7 +123,7 @@
 				request.response().setStatusCode(OK).putHeader("Log-Offset", Long.toString(offset)).end();
 			}
 			else {
-				refuse(request, error);
+				respondWithFailure(request, error);
 			}
 		});
 	}
@@ -132,15 +134,15 @@
 		Duration wait = Duration.ofMillis(Long.parseLong(request.getParam("wait")));
 		this.log.read(stream, from, maximum, wait).whenComplete((slice, error) -> {
 			if (error == null) {
-				answer(request.response(), slice);
+				respond(request.response(), slice);
 			}
 			else {
-				refuse(request, error);
+				respondWithFailure(request, error);
 			}
 		});
 	}
 
-	private void answer(HttpServerResponse response, LogSlice slice) {
+	private void respond(HttpServerResponse response, LogSlice slice) {
 		Buffer body = Buffer.buffer();
 		for (LogRecord record : slice.records()) {
 			body.appendLong(record.offset())
@@ -154,7 +156,7 @@
 			.end(body);
 	}
 
-	private void refuse(HttpServerRequest request, Throwable error) {
+	private void respondWithFailure(HttpServerRequest request, Throwable error) {
 		LogFailure failure = failureOf(error);
 		if (failure == LogFailure.UNKNOWN) {
 			request.connection().close();
--- a/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
+++ b/standins/src/main/java/org/sardineport/standins/log/StoredStream.java
@@ -9,17 +9,17 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * One stream of the stand-in. Not safe for use by several threads.
+ * Records of one stream, and the readers that wait for its next record. Not thread-safe.
  */
 final class StoredStream {
 
 	private final List<LogRecord> records = new ArrayList<>();
 
-	private final List<Runnable> readers = new ArrayList<>();
+	private final List<Runnable> waitingReaders = new ArrayList<>();
 
 	private long nextOffset;
 
-	/** Records before this offset are gone. */
+	/** Records before this offset have been removed. */
 	private long firstOffset;
 
 	static StoredStream create() {
@@ -71,17 +71,17 @@
 		return indexOf(Math.max(fromOffset, this.firstOffset)) < visibleEnd(visibleUntil);
 	}
 
-	void await(Runnable reader) {
-		this.readers.add(reader);
+	void addReader(Runnable reader) {
+		this.waitingReaders.add(reader);
 	}
 
-	void forget(Runnable reader) {
-		this.readers.remove(reader);
+	void removeReader(Runnable reader) {
+		this.waitingReaders.remove(reader);
 	}
 
-	List<Runnable> takeReaders() {
-		List<Runnable> taken = List.copyOf(this.readers);
-		this.readers.clear();
+	List<Runnable> drainReaders() {
+		List<Runnable> taken = List.copyOf(this.waitingReaders);
+		this.waitingReaders.clear();
 		return taken;
 	}
 
--- a/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
+++ b/standins/src/main/java/org/sardineport/standins/peer/InMemoryPeerNetwork.java
@@ -19,9 +19,10 @@
 import org.sardineport.core.port.peer.PeerMessage;
 
 /**
- * Network in memory that loses, repeats, delays and reorders messages by a seeded random
- * source. With no delay a message is delivered as it is sent; otherwise
- * {@link #deliverDue()} delivers what is due by the clock. Safe for use by any thread.
+ * In-memory network that loses, duplicates, delays and reorders messages, reproducibly
+ * for a seeded source of randomness. A message without delay is delivered on the thread
+ * that sends it; {@link #deliverDue()} delivers the others once they are due.
+ * Thread-safe.
  */
 public final class InMemoryPeerNetwork {
 
@@ -31,7 +32,7 @@
 
 	private final Map<NetworkAddress, InMemoryPeerTransport> transports = new HashMap<>();
 
-	private final Set<Link> cuts = new HashSet<>();
+	private final Set<Link> cutLinks = new HashSet<>();
 
 	private final PriorityQueue<Delivery> pending = new PriorityQueue<>();
 
@@ -46,10 +47,10 @@
 	}
 
 	/**
-	 * Returns a network without daemons.
-	 * @param clock the clock
+	 * Creates a network without daemons.
+	 * @param clock decides which delayed messages are due
 	 * @param random source of randomness
-	 * @param conditions how it treats messages
+	 * @param conditions loss, duplication and delay of messages
 	 * @return the network
 	 */
 	public static InMemoryPeerNetwork create(InstantSource clock, RandomGenerator random,
@@ -60,10 +61,11 @@
 	}
 
 	/**
-	 * Returns a transport of a daemon. It replaces an earlier one of the same address.
-	 * @param daemon the daemon
-	 * @param incarnation number of its run
-	 * @param address its peer address
+	 * Creates the transport of a daemon. Messages to the address no longer reach an
+	 * earlier transport of the same address.
+	 * @param daemon id of the daemon
+	 * @param incarnation incarnation of the daemon
+	 * @param address peer address of the daemon
 	 * @return the transport
 	 */
 	public synchronized InMemoryPeerTransport transport(DaemonId daemon, long incarnation, NetworkAddress address) {
@@ -73,7 +75,7 @@
 	}
 
 	/**
-	 * Changes how messages sent from now on are treated.
+	 * Sets the conditions for messages that are sent from now on.
 	 * @param changed the new conditions
 	 */
 	public synchronized void conditions(NetworkConditions changed) {
@@ -81,31 +83,32 @@
 	}
 
 	/**
-	 * Loses all messages on one way.
+	 * Drops all messages from one address to another until {@link #heal()}.
 	 * @param from address of the sender
 	 * @param to address of the receiver
 	 */
 	public synchronized void cut(NetworkAddress from, NetworkAddress to) {
-		this.cuts.add(new Link(from, to));
+		this.cutLinks.add(new Link(from, to));
 	}
 
 	/**
-	 * Ends all cuts.
+	 * Restores all links that were cut.
 	 */
 	public synchronized void heal() {
-		this.cuts.clear();
+		this.cutLinks.clear();
 	}
 
 	/**
-	 * Returns how many messages were sent, those lost included.
-	 * @return the number
+	 * Returns the number of messages sent so far.
+	 * @return the number, including lost messages and without duplicates
 	 */
 	public synchronized long sent() {
 		return this.sent;
 	}
 
 	/**
-	 * Delivers all messages that are due.
+	 * Delivers all messages that are due, on the calling thread, in the order of their
+	 * due times.
 	 */
 	public void deliverDue() {
 		@Nullable Delivery next = nextDue();
@@ -124,12 +127,12 @@
 		List<Delivery> immediate = new ArrayList<>();
 		synchronized (this) {
 			this.sent++;
-			if (this.cuts.contains(new Link(from.address(), to)) || chance(this.conditions.loss())) {
+			if (this.cutLinks.contains(new Link(from.address(), to)) || occurs(this.conditions.loss())) {
 				return;
 			}
-			int copies = (chance(this.conditions.duplication())) ? 2 : 1;
+			int copies = (occurs(this.conditions.duplication())) ? 2 : 1;
 			for (int copy = 0; copy < copies; copy++) {
-				Duration delay = delay();
+				Duration delay = nextDelay();
 				Delivery delivery = new Delivery(this.clock.instant().plus(delay), this.sent, from, to, message);
 				if (delay.isZero()) {
 					immediate.add(delivery);
@@ -152,18 +155,18 @@
 		}
 	}
 
-	private boolean chance(double share) {
+	private boolean occurs(double share) {
 		return share > 0 && this.random.nextDouble() < share;
 	}
 
-	private Duration delay() {
+	private Duration nextDelay() {
 		long shortest = this.conditions.minimumDelay().toNanos();
 		long longest = this.conditions.maximumDelay().toNanos();
 		return Duration.ofNanos((longest > shortest) ? this.random.nextLong(shortest, longest) : shortest);
 	}
 
 	/**
-	 * One way between two daemons.
+	 * Directed link between two daemons.
 	 *
 	 * @param from address of the sender
 	 * @param to address of the receiver
@@ -173,21 +176,21 @@
 	}
 
 	/**
-	 * A message on its way.
+	 * Message in flight.
 	 *
-	 * @param due when it comes
-	 * @param order breaks ties
-	 * @param from the sender
+	 * @param due time of delivery
+	 * @param sequence order of messages that are due at the same time
+	 * @param from transport of the sender
 	 * @param to address of the receiver
 	 * @param message the message
 	 */
-	private record Delivery(Instant due, long order, InMemoryPeerTransport from, NetworkAddress to,
+	private record Delivery(Instant due, long sequence, InMemoryPeerTransport from, NetworkAddress to,
 			PeerMessage message) implements Comparable<Delivery> {
 
 		@Override
 		public int compareTo(Delivery other) {
 			int byTime = this.due.compareTo(other.due);
-			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
+			return (byTime != 0) ? byTime : Long.compare(this.sequence, other.sequence);
 		}
 
 	}
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
@@ -15,12 +15,13 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.standins.http.Answers;
+import org.sardineport.standins.http.JsonResponses;
 import org.sardineport.standins.http.StandInServer;
 
 /**
- * Stand-in for a ledger: a plain service that executes each posting it gets, also a
- * second time, and counts the executions of each key. Safe for use by any thread.
+ * Fake of a ledger over HTTP on a loopback port: a plain service that executes each
+ * posting it receives, also a repeated one, and counts the executions of each idempotency
+ * key. Thread-safe.
  */
 public final class LedgerStandIn implements Service {
 
@@ -30,7 +31,7 @@
 
 	private static final int STATUS_UNAVAILABLE = 503;
 
-	private static final String KEY = "Idempotency-Key";
+	private static final String KEY_HEADER = "Idempotency-Key";
 
 	private final Vertx vertx;
 
@@ -53,10 +54,10 @@
 	}
 
 	/**
-	 * Returns a ledger that is not started yet.
-	 * @param vertx carries input and output
-	 * @param latency time that each call takes
-	 * @return the stand-in
+	 * Creates a ledger that has not been started.
+	 * @param vertx runs the HTTP server and the timers
+	 * @param latency duration of each call; less than 1 ms counts as 1 ms
+	 * @return the ledger
 	 */
 	public static LedgerStandIn create(Vertx vertx, Duration latency) {
 		return new LedgerStandIn(vertx, latency);
@@ -73,15 +74,15 @@
 	}
 
 	/**
-	 * Returns where the ledger listens.
-	 * @return the address
+	 * Returns the address at which the ledger listens. Valid after the start.
+	 * @return the loopback address
 	 */
 	public NetworkAddress address() {
 		return this.server.address();
 	}
 
 	/**
-	 * Returns the server, to crash it and bring it back.
+	 * Returns the HTTP server, which can be crashed and restarted.
 	 * @return the server
 	 */
 	public StandInServer server() {
@@ -89,8 +90,9 @@
 	}
 
 	/**
-	 * Returns how often the posting of each key was executed.
-	 * @return the numbers by key
+	 * Returns how often the posting of each idempotency key was executed.
+	 * @return a snapshot of the numbers by key, with {@code none} for postings without
+	 * one
 	 */
 	public Map<String, Integer> executions() {
 		Map<String, Integer> counts = new ConcurrentHashMap<>();
@@ -99,7 +101,7 @@
 	}
 
 	/**
-	 * Sets what goes wrong from now on.
+	 * Sets the fault of the calls that follow.
 	 * @param newFault the fault
 	 */
 	public void setFault(ServiceFault newFault) {
@@ -107,8 +109,8 @@
 	}
 
 	/**
-	 * Sets whether the load report announces that this backend server will leave.
-	 * @param isLeaving whether it will leave
+	 * Sets whether load reports announce that this backend server is about to leave.
+	 * @param isLeaving whether it is about to leave
 	 */
 	public void setLeaving(boolean isLeaving) {
 		this.leaving = isLeaving;
@@ -116,45 +118,45 @@
 
 	private void handle(HttpServerRequest request) {
 		if (request.path().equals("/v1/load")) {
-			Answers.json(request.response(), STATUS_OK,
+			JsonResponses.json(request.response(), STATUS_OK,
 					new ServiceLoadJson(this.running.get(), 0, 0, this.leaving, false, Instant.now().toString()));
 			return;
 		}
 		if (this.fault == ServiceFault.REFUSED) {
-			Answers.status(request.response(), STATUS_UNAVAILABLE);
+			JsonResponses.status(request.response(), STATUS_UNAVAILABLE);
 			return;
 		}
-		request.bodyHandler((body) -> call(request, body));
+		request.bodyHandler((body) -> execute(request, body));
 	}
 
-	private void call(HttpServerRequest request, Buffer body) {
+	private void execute(HttpServerRequest request, Buffer body) {
 		this.running.incrementAndGet();
 		if (request.method().equals(HttpMethod.POST)) {
-			String key = request.getHeader(KEY);
+			String key = request.getHeader(KEY_HEADER);
 			this.executions.computeIfAbsent((key != null) ? key : "none", (ignored) -> new AtomicInteger())
 				.incrementAndGet();
 		}
 		this.vertx.setTimer(Math.max(1, this.latency.toMillis()), (id) -> {
 			this.running.decrementAndGet();
-			answer(request, body);
+			respond(request, body);
 		});
 	}
 
-	private void answer(HttpServerRequest request, Buffer body) {
+	private void respond(HttpServerRequest request, Buffer body) {
 		HttpServerResponse response = request.response();
 		switch (this.fault) {
 			case NONE, REFUSED -> {
 				boolean posting = request.method().equals(HttpMethod.POST);
-				String key = request.getHeader(KEY);
-				Answers.json(response, (posting) ? STATUS_CREATED : STATUS_OK,
-						new LedgerAnswerJson((key != null) ? key : request.path(), body.length()));
+				String key = request.getHeader(KEY_HEADER);
+				JsonResponses.json(response, (posting) ? STATUS_CREATED : STATUS_OK,
+						new LedgerResponseJson((key != null) ? key : request.path(), body.length()));
 			}
-			case ANSWER_LOST -> request.connection().close();
+			case RESPONSE_LOST -> request.connection().close();
 			case TRUNCATED -> response.putHeader("Content-Length", "1000")
 				.write("{\"key\":")
 				.onComplete((ignored) -> request.connection().close());
 			case SILENT -> {
-				// the caller waits for ever
+				// Never responds.
 			}
 		}
 	}
