Do not refuse the rest of a begun response for the denials of others

What callers saw: a begun response whose backend server had ended was closed with the reason retry-budget-spent, though the fleet's retry budget had allowed the retry and another server had room.

Cause: the scheduler has a budget of its own for permit requests to a second owner, a message that costs no run. It is one for the whole daemon and all pools, and in a burst the denials of new requests spend it; then it refused the first denial of a retry as well.

Evidence: the new test in SchedulerFaultTests failed without this change.

Change: a request that ran elsewhere before is exempt, as its retry is paid for and MAX_RETRIES bounds its messages. New requests are treated as before; whether a budget of messages is a good reason to refuse them stays open.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -229,7 +229,7 @@
 		if (!topTier && (unsuitable || pending.incrementRetries() > MAX_RETRIES)) {
 			refuseAfterDenial(pending);
 		}
-		else if (!topTier && !this.retryBudget.trySpend()) {
+		else if (!topTier && !pending.isRetryOfRun() && !this.retryBudget.trySpend()) {
 			refuse(pending, RefusalReason.RETRY_BUDGET_SPENT, "the budget of retries is spent");
 		}
 		else {
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -113,6 +113,15 @@
 		return this.queued;
 	}
 
+	/**
+	 * Returns whether the request ran at another backend server before. Such a retry is
+	 * limited by the retry budget of whoever submitted it.
+	 * @return whether it is exempt from the budget of messages between daemons
+	 */
+	boolean isRetryOfRun() {
+		return !this.request.excludedServers().isEmpty();
+	}
+
 	boolean isAt(BackendServerId id) {
 		return this.server != null && this.server.server().id().equals(id);
 	}
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sardineport.core.admission.RunEnd;
+import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.request.RefusalReason;
@@ -298,4 +299,40 @@
 
 	}
 
+	// The rest of a begun response was refused as other requests had been denied lately.
+	@Test
+	void retryOfARunIsNotRefusedForTheDenialsOfOtherRequests() {
+		SchedulingFixture fleet = new SchedulingFixture().daemons("a", "b");
+		for (String server : List.of("s1", "s2", "s3")) {
+			fleet.server(server, 8, "b");
+		}
+		fleet.publishFleet();
+		for (String server : List.of("s1", "s2", "s3")) {
+			SchedulingFixture.reportLoad(fleet, "b", server, 0, true);
+		}
+		RefusalReason reason = RefusalReason.NO_BACKEND_SERVER;
+		for (int i = 0; i < 500 && reason != RefusalReason.RETRY_BUDGET_SPENT; i++) {
+			reason = submitted(fleet, fleet.request(Tier.STANDARD)).refusal().reason();
+		}
+		assertThat(reason).isEqualTo(RefusalReason.RETRY_BUDGET_SPENT);
+		SchedulingFixture.reportLoad(fleet, "b", "s3", 0, false);
+		for (int i = 0; i < 4; i++) {
+			assertThat(submitted(fleet, retryOfRun(fleet)).isGranted()).isTrue();
+		}
+	}
+
+	private static Caller submitted(SchedulingFixture fleet, SchedulingRequest request) {
+		Caller caller = fleet.submit("a", request);
+		fleet.deliver();
+		return caller;
+	}
+
+	private static SchedulingRequest retryOfRun(SchedulingFixture fleet) {
+		SchedulingRequest fresh = fleet.request(Tier.STANDARD);
+		return new SchedulingRequest(fresh.id(), fresh.pool(), fresh.organisation(), fresh.tier(), fresh.rank(),
+				fresh.estimate(), fresh.prefixHash(), fresh.fingerprint(), fresh.runningPolicy(),
+				fresh.organisationLimit(), fresh.organisationTokens(), Set.of(BackendServerId.of("failed")), null,
+				fresh.arrival(), fresh.startDeadlines(), fresh.deadline());
+	}
+
 }
