Pass the first event of a second version on only if other daemons know it

Seen by reading, with the registry's report: after attempts at two versions before the first event, a daemon that is cut off from the others in between could begin the stream at the second version while they only know of the first; taken up elsewhere the stream would go on at the wrong one.

Change: the first event of such a stream passes only if the report of its version has been confirmed, which takes some milliseconds of the prefill; otherwise the attempt ends as failed. Streams with attempts at one version are not affected. No test of its own: it needs a cut between two attempts.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -215,6 +215,9 @@
 		Buffer complete = this.splitter.add(bytes);
 		if (complete.length() > 0) {
 			startForwarding(responseHead);
+			if (this.ended) {
+				return;
+			}
 			this.listener.dataReceived(this, complete);
 		}
 		if (this.splitter.isTooLong()) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -16,6 +16,7 @@
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.quarantine.StrikeKey;
@@ -244,8 +245,14 @@
 
 	@Override
 	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
-		PermittedAttempt kept = keepOnly(attempt);
-		this.version.begun(kept.permit().backendServer().softwareVersion());
+		SoftwareVersion softwareVersion = find(attempt).permit().backendServer().softwareVersion();
+		if (!this.version.mayBegin(softwareVersion)) {
+			attempt.abort();
+			failed(attempt, AttemptEnd.FAILED, "no other daemon confirmed the software version in time");
+			return;
+		}
+		keepOnly(attempt);
+		this.version.begun(softwareVersion);
 		this.listener.responseStarted(head, headers);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import io.vertx.core.Context;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.SoftwareVersion;
@@ -35,8 +36,12 @@
 
 	private final StreamRun run;
 
+	private final Context context;
+
 	private final Set<SoftwareVersion> dispatched = new HashSet<>();
 
+	private final Set<SoftwareVersion> confirmed = new HashSet<>();
+
 	private @Nullable SoftwareVersion required;
 
 	ResponseVersion(RelayServices services, RelayRequest request, OrganisationId organisation) {
@@ -44,6 +49,7 @@
 		this.request = request;
 		this.streams = request.admission().route().streams();
 		this.organisation = organisation;
+		this.context = services.vertx().getOrCreateContext();
 		this.run = new StreamRun(key(firstRequestId()), services.random().nextInt());
 	}
 
@@ -103,10 +109,25 @@
 	void dispatched(SoftwareVersion version) {
 		if (this.streams) {
 			this.dispatched.add(version);
-			this.services.origins().dispatched(this.run, version, keepTime());
+			this.services.origins().dispatched(this.run, version, keepTime()).thenAccept((known) -> {
+				if (known) {
+					this.context.runOnContext((ignored) -> this.confirmed.add(version));
+				}
+			});
 		}
 	}
 
+	/**
+	 * Returns whether the first event of the stream may come from a version. After
+	 * attempts at several versions, other daemons must know of this one, as they would
+	 * otherwise continue the stream at another one.
+	 * @param version the version of the backend server that sent the event
+	 * @return whether the event may be passed on
+	 */
+	boolean mayBegin(SoftwareVersion version) {
+		return this.required != null || this.dispatched.size() <= 1 || this.confirmed.contains(version);
+	}
+
 	/**
 	 * Records that the caller is about to receive the first event of the stream.
 	 * @param version the version of the backend server that sent it
