--- a/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
+++ b/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
@@ -142,8 +142,7 @@
 			return;
 		}
 		if (value.length > MAXIMUM_RECORD_BYTES) {
-			fail(response, LogFailure.RECORD_TOO_LARGE,
-					"record has %d bytes".formatted(value.length));
+			fail(response, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
 			return;
 		}
 		AppendFault fault = this.faults.pollAppendFault();
@@ -207,8 +206,8 @@
 		}
 		ReadResult result = readNow(read);
 		if (result.expired()) {
-			fail(read.response(), LogFailure.OFFSET_EXPIRED, "offset %d of stream %s is not kept any more"
-				.formatted(read.fromOffset(), read.stream()));
+			fail(read.response(), LogFailure.OFFSET_EXPIRED,
+					"offset %d of stream %s is not kept any more".formatted(read.fromOffset(), read.stream()));
 		}
 		else if (result.slice() != null) {
 			afterHalfRoundTrip(() -> read.response().complete(result.slice()));
