--- a/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
+++ b/standins/src/main/java/org/sardineport/standins/log/InMemoryLogService.java
@@ -138,12 +138,11 @@
 
 	private void handleAppend(String stream, byte[] value, CompletableFuture<Long> response) {
 		if (this.faults.isDown()) {
-			fail(response, LogFailure.UNAVAILABLE, "log service is unavailable");
+			fail(response, LogFailure.UNAVAILABLE, "log service is down");
 			return;
 		}
 		if (value.length > MAXIMUM_RECORD_BYTES) {
-			fail(response, LogFailure.RECORD_TOO_LARGE,
-					"record of %d bytes exceeds the maximum size".formatted(value.length));
+			fail(response, LogFailure.RECORD_TOO_LARGE, "record has %d bytes".formatted(value.length));
 			return;
 		}
 		AppendFault fault = this.faults.pollAppendFault();
@@ -151,7 +150,7 @@
 			failAppend(fault, stream, value, response);
 		}
 		else if (!tryAcquireAppendSlot()) {
-			fail(response, LogFailure.UNAVAILABLE, "rate of appends exceeds the limit");
+			fail(response, LogFailure.UNAVAILABLE, "too many appends a second");
 		}
 		else {
 			long offset = store(stream, value);
@@ -169,7 +168,7 @@
 			}
 		}
 		fail(response, (fault == AppendFault.REFUSED) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN,
-				"append failed by fault injection: " + fault);
+				"append failed: " + fault);
 	}
 
 	private synchronized boolean tryAcquireAppendSlot() {
@@ -202,13 +201,13 @@
 			return;
 		}
 		if (this.faults.isDown()) {
-			fail(read.response(), LogFailure.UNAVAILABLE, "log service is unavailable");
+			fail(read.response(), LogFailure.UNAVAILABLE, "log service is down");
 			return;
 		}
 		ReadResult result = readNow(read);
 		if (result.expired()) {
-			fail(read.response(), LogFailure.OFFSET_EXPIRED, "offset %d of stream %s is older than the retained records"
-				.formatted(read.fromOffset(), read.stream()));
+			fail(read.response(), LogFailure.OFFSET_EXPIRED,
+					"offset %d of stream %s is not kept any more".formatted(read.fromOffset(), read.stream()));
 		}
 		else if (result.slice() != null) {
 			afterHalfRoundTrip(() -> read.response().complete(result.slice()));
