Join logic that stands twice in standins and bench

The two load report records become http.LoadReportJson, the default tag of a request stands in ChatRequest, and the heap reading of three measurements in HeapUsage, with the number of collections that each had. The two fake servers of bench share AbstractFakeServer, the weighted choices of Workload one method, the polling loops of RealCost and RollingReplacement one class, and MembershipSlopes takes its timing from FleetService. Behaviour is unchanged. Left alone: delegations to StandInServer, and HeapMeter, which reads the heap through its MXBean.

CallerFixture takes a port, closes the socket and binds the port later, so that any other socket may take it in between; this commit touches neither.

--- a/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/ReplicaCost.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.sardineport.bench.HeapUsage;
 import org.sardineport.core.configuration.ConfigurationDistribution;
 import org.sardineport.core.configuration.ConfigurationImage;
 import org.sardineport.core.configuration.ConfigurationReplica;
@@ -28,6 +29,9 @@
 record ReplicaCost(double recordBytes, double deltaBytes, double distributionBytes, double applyMicros,
 		double memoryPerProfile) {
 
+	/** Garbage collections before each reading of the heap. */
+	private static final int COLLECTIONS = 4;
+
 	private static final int WARM_UP_CHANGES = 500;
 
 	private static final int MEASURED_CHANGES = 500;
@@ -69,9 +73,9 @@
 
 	private static double memoryPerProfile(ConfigurationRecordCodec codec, ProfileTexts texts) {
 		ConfigurationReplica few = replica(codec, texts, 1);
-		long before = usedMemory();
+		long before = HeapUsage.usedBytes(COLLECTIONS);
 		ConfigurationReplica many = replica(codec, texts, MEMORY_PROFILES + 1);
-		long after = usedMemory();
+		long after = HeapUsage.usedBytes(COLLECTIONS);
 		Reference.reachabilityFence(few);
 		Reference.reachabilityFence(many);
 		return (double) (after - before) / MEMORY_PROFILES;
@@ -102,11 +106,4 @@
 		return codec.encode(new Publication("token-" + revision, base, List.of(document), List.of(), "operator"));
 	}
 
-	private static long usedMemory() {
-		for (int i = 0; i < 4; i++) {
-			System.gc();
-		}
-		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-	}
-
 }
--- a/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RealCost.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 
@@ -100,13 +99,8 @@
 	}
 
 	private static void awaitAll(List<FleetService> services, int members) {
-		Instant end = Instant.now().plus(JOIN_TIMEOUT);
-		while (services.stream().anyMatch((service) -> alive(service) < members)) {
-			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("not all daemons joined within " + JOIN_TIMEOUT);
-			}
-			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
-		}
+		Polling.awaitCondition(() -> services.stream().allMatch((service) -> alive(service) >= members),
+				Duration.ofMillis(50), JOIN_TIMEOUT, "not all daemons joined");
 	}
 
 	private static long alive(FleetService service) {
--- a/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/RollingReplacement.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
@@ -198,13 +197,7 @@
 	}
 
 	private static void awaitCondition(BooleanSupplier condition) {
-		Instant end = Instant.now().plus(TIMEOUT);
-		while (!condition.getAsBoolean()) {
-			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("condition was not met within " + TIMEOUT);
-			}
-			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
-		}
+		Polling.awaitCondition(condition, Duration.ofMillis(10), TIMEOUT, "condition was not met");
 	}
 
 	private static <T> T await(CompletionStage<T> stage) throws Exception {
--- a/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
+++ b/bench/src/main/java/org/sardineport/bench/fleet/VirtualCost.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.sardineport.bench.HeapUsage;
 import org.sardineport.core.membership.MembershipMessage;
 import org.sardineport.core.membership.MembershipTiming;
 import org.sardineport.standins.fleet.VirtualFleet;
@@ -20,17 +21,20 @@
  */
 record VirtualCost(double bytesPerSecond, int largestFrame, double coreShare, double memoryBytes) {
 
+	/** Garbage collections before each reading of the heap. */
+	private static final int COLLECTIONS = 1;
+
 	private static final Duration SETTLING = Duration.ofSeconds(5);
 
 	private static final long SEED = 1;
 
 	static VirtualCost measure(int members, List<String> domains, MembershipTiming timing, NetworkConditions network,
 			Duration measured) {
-		long heapBefore = usedHeap();
+		long heapBefore = HeapUsage.usedBytes(COLLECTIONS);
 		VirtualFleet fleet = VirtualFleet.create(members, domains, timing, network, SEED);
 		fleet.introduceAll();
 		fleet.run(SETTLING);
-		double memory = (usedHeap() - heapBefore) / (double) members;
+		double memory = (HeapUsage.usedBytes(COLLECTIONS) - heapBefore) / (double) members;
 		Sizes sizes = new Sizes();
 		fleet.setSendListener(sizes::add);
 		fleet.run(measured);
@@ -43,11 +47,6 @@
 		return new VirtualCost(sizes.total / seconds / members, sizes.largest, cpuSeconds / seconds / members, memory);
 	}
 
-	private static long usedHeap() {
-		System.gc();
-		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-	}
-
 	/**
 	 * Total and maximum of message sizes.
 	 */
--- a/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
+++ b/bench/src/main/java/org/sardineport/bench/journal/ReplayCost.java
@@ -9,6 +9,7 @@
 import java.util.UUID;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.sardineport.bench.HeapUsage;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.OrganisationId;
@@ -28,16 +29,19 @@
  */
 record ReplayCost(double recordsPerSecond, double bytesPerKey) {
 
+	/** Garbage collections before each reading of the heap. */
+	private static final int COLLECTIONS = 3;
+
 	private static final int ENTRIES_PER_KEY = 3;
 
 	static ReplayCost measure(int keys) throws InvalidProtocolBufferException {
 		List<byte[]> records = records(keys);
 		replay(records);
-		long before = usedHeap();
+		long before = HeapUsage.usedBytes(COLLECTIONS);
 		long start = System.nanoTime();
 		JournalReplay replay = replay(records);
 		double seconds = (System.nanoTime() - start) / 1e9;
-		long retained = usedHeap() - before;
+		long retained = HeapUsage.usedBytes(COLLECTIONS) - before;
 		if (replay.size() != keys) {
 			throw new IllegalStateException("replay remembers %d keys, expected %d".formatted(replay.size(), keys));
 		}
@@ -80,11 +84,4 @@
 		return JournalCodec.encode(List.of(entry));
 	}
 
-	private static long usedHeap() {
-		for (int round = 0; round < 3; round++) {
-			System.gc();
-		}
-		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-	}
-
 }
--- a/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/FakeModelEngine.java
@@ -1,20 +1,17 @@
 package org.sardineport.bench.policy;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.backend.LoadReport;
 
 /**
  * Simulated model engine with continuous batching: each iteration prefills up to one
  * chunk of prompt tokens and generates one token of each sequence that is already
  * prefilled. A small prefix cache evicts the least recently used prefix. Not thread-safe.
  */
-final class FakeModelEngine implements FakeServer {
+final class FakeModelEngine extends AbstractFakeServer {
 
 	/** Greatest number of prompt tokens prefilled in one iteration. */
 	private static final int PREFILL_CHUNK_TOKENS = 512;
@@ -25,36 +22,27 @@
 	/** Share of a prompt's tokens that belong to its prefix. */
 	private static final double PREFIX_SHARE = 0.6;
 
-	private final BackendServer server;
-
 	private final EngineSpeed speed;
 
-	private final VirtualTimeline time;
-
-	private final Deque<Job> queue = new ArrayDeque<>();
-
 	private final List<Job> batch = new ArrayList<>();
 
 	private final LinkedHashSet<Long> prefixes = new LinkedHashSet<>();
 
-	private double slowdown = 1;
-
 	private boolean iterating;
 
 	FakeModelEngine(BackendServer server, EngineSpeed speed, VirtualTimeline time) {
-		this.server = server;
+		super(server, time);
 		this.speed = speed;
-		this.time = time;
 	}
 
 	@Override
-	public BackendServer server() {
-		return this.server;
+	int running() {
+		return this.batch.size();
 	}
 
 	@Override
 	public void admit(Job job) {
-		this.queue.add(job);
+		queue().add(job);
 		if (!this.iterating) {
 			iterate();
 		}
@@ -62,24 +50,13 @@
 
 	@Override
 	public void cancel(Job job) {
-		this.queue.remove(job);
+		queue().remove(job);
 		this.batch.remove(job);
 	}
 
-	@Override
-	public void slowDown(double newFactor) {
-		this.slowdown = newFactor;
-	}
-
-	@Override
-	public LoadReport load() {
-		return new LoadReport(this.server.id(), this.batch.size(), this.queue.size(), 0, false, false,
-				this.time.instant());
-	}
-
 	private void iterate() {
-		while (this.batch.size() < this.server.nominalConcurrency() && !this.queue.isEmpty()) {
-			addToBatch(this.queue.poll());
+		while (canStartNext()) {
+			addToBatch(queue().poll());
 		}
 		this.iterating = !this.batch.isEmpty();
 		if (!this.iterating) {
@@ -97,7 +74,7 @@
 		}
 		double millis = this.speed.iterationMillis() + this.speed.sequenceMillis() * decoding.size()
 				+ this.speed.prefillMillisPerToken() * (PREFILL_CHUNK_TOKENS - budget);
-		this.time.schedule(millis * this.slowdown, () -> finishIteration(decoding));
+		schedule(millis, () -> finishIteration(decoding));
 	}
 
 	private void addToBatch(Job job) {
@@ -117,7 +94,7 @@
 			if (!this.batch.contains(job)) {
 				continue;
 			}
-			job.generateToken(this.time.millisNow());
+			job.generateToken(millisNow());
 			if (job.isComplete()) {
 				this.batch.remove(job);
 				job.completed();
--- a/bench/src/main/java/org/sardineport/bench/policy/Workload.java
+++ b/bench/src/main/java/org/sardineport/bench/policy/Workload.java
@@ -87,19 +87,23 @@
 	}
 
 	private RequestClass randomClass(List<RequestClass> classes) {
+		return classes.get(randomIndex(classes.stream().mapToDouble(RequestClass::share).toArray()));
+	}
+
+	private int randomIndex(double[] shares) {
 		double left = this.random.nextDouble();
-		for (RequestClass each : classes) {
-			left -= each.share();
+		for (int i = 0; i < shares.length; i++) {
+			left -= shares[i];
 			if (left < 0) {
-				return each;
+				return i;
 			}
 		}
-		return classes.get(classes.size() - 1);
+		return shares.length - 1;
 	}
 
 	private Arrival arrival(double at, RequestClass kind) {
 		int number = this.arrivals.size();
-		int organisation = randomOrganisation();
+		int organisation = randomIndex(ORGANISATION_SHARES);
 		int prompt = kind.prompt(this.random);
 		int answer = kind.answer(this.random);
 		double ratio = MINIMUM_ESTIMATE_RATIO
@@ -117,17 +121,6 @@
 		return new Arrival(at, kind, request, entry, answer, call);
 	}
 
-	private int randomOrganisation() {
-		double left = this.random.nextDouble();
-		for (int i = 0; i < ORGANISATION_SHARES.length; i++) {
-			left -= ORGANISATION_SHARES[i];
-			if (left < 0) {
-				return i;
-			}
-		}
-		return ORGANISATION_SHARES.length - 1;
-	}
-
 	/**
 	 * Arrival of one request.
 	 *
--- a/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
+++ b/bench/src/main/java/org/sardineport/bench/slope/MembershipSlopes.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.sardineport.core.membership.MembershipTiming;
+import org.sardineport.daemon.fleet.FleetService;
 import org.sardineport.settings.MembershipSettings;
 import org.sardineport.standins.fleet.VirtualFleet;
 import org.sardineport.standins.peer.NetworkConditions;
@@ -55,9 +56,7 @@
 	}
 
 	private static VirtualFleet settledFleet(int daemons, long seed) {
-		MembershipSettings settings = MembershipSettings.defaults();
-		MembershipTiming timing = new MembershipTiming(settings.probeInterval(), settings.probeTimeout(),
-				settings.suspicionTimeout());
+		MembershipTiming timing = FleetService.timing(MembershipSettings.defaults());
 		VirtualFleet fleet = VirtualFleet.create(daemons, FAILURE_DOMAINS, timing, NetworkConditions.PERFECT, seed);
 		fleet.run(SETTLING_TIME);
 		return fleet;
--- a/standins/src/main/java/org/sardineport/standins/engine/ChatRequest.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ChatRequest.java
@@ -20,8 +20,14 @@
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
+	private static final String DEFAULT_TAG = "token";
+
 	private static final int DEFAULT_TOKENS = 16;
 
+	String tag() {
+		return (this.user != null) ? this.user : DEFAULT_TAG;
+	}
+
 	static ChatRequest parse(byte[] body) throws IOException {
 		ChatRequest parsed = JSON.readValue(body, ChatRequest.class);
 		int tokens = (parsed.maximumTokens > 0) ? parsed.maximumTokens : DEFAULT_TOKENS;
--- a/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/InMemoryModelEngine.java
@@ -206,7 +206,7 @@
 	private void receive(InMemoryEngineState engine, BackendRequest request, InMemoryExchange exchange) {
 		String body = new String(request.body(), StandardCharsets.UTF_8);
 		ChatRequest chat = parse(request.body());
-		String tag = (chat.user() != null) ? chat.user() : "token";
+		String tag = chat.tag();
 		engine.counters().received(tag);
 		if (engine.faults().crashesOn(body)) {
 			exchange.fail(BackendFailure.BROKEN);
--- a/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/engine/ModelEngineStandIn.java
@@ -19,6 +19,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.standins.http.JsonResponses;
+import org.sardineport.standins.http.LoadReportJson;
 import org.sardineport.standins.http.StandInServer;
 
 /**
@@ -63,7 +64,7 @@
 
 	private final PrefixCache cache;
 
-	private final Deque<EngineLoadJson> loadSamples = new ArrayDeque<>();
+	private final Deque<LoadReportJson> loadSamples = new ArrayDeque<>();
 
 	private final ObjectMapper json = new ObjectMapper();
 
@@ -204,7 +205,7 @@
 		String text = body.toString();
 		String id = request.getHeader("X-Request-Id");
 		ChatRequest chat = ChatRequest.parse(body.getBytes());
-		String tag = (chat.user() != null) ? chat.user() : "token";
+		String tag = chat.tag();
 		if (this.faults.isRefusing()) {
 			JsonResponses.status(request.response(), STATUS_UNAVAILABLE);
 			return;
@@ -281,16 +282,16 @@
 		}
 	}
 
-	private EngineLoadJson delayedLoad() {
-		EngineLoadJson now = new EngineLoadJson(this.batch.running(), this.batch.waiting(), FREE_CACHE_TOKENS,
+	private LoadReportJson delayedLoad() {
+		LoadReportJson now = new LoadReportJson(this.batch.running(), this.batch.waiting(), FREE_CACHE_TOKENS,
 				this.leaving, this.options.resumesStreams(), this.clock.instant().toString());
 		this.loadSamples.add(now);
 		if (this.loadSamples.size() > MAXIMUM_LOAD_SAMPLES) {
 			this.loadSamples.removeFirst();
 		}
 		Instant visibleUntil = this.clock.instant().minus(this.options.loadLag());
-		EngineLoadJson visible = this.loadSamples.getFirst();
-		for (EngineLoadJson sample : this.loadSamples) {
+		LoadReportJson visible = this.loadSamples.getFirst();
+		for (LoadReportJson sample : this.loadSamples) {
 			if (!Instant.parse(sample.observedAt()).isAfter(visibleUntil)) {
 				visible = sample;
 			}
--- a/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
+++ b/standins/src/main/java/org/sardineport/standins/service/LedgerStandIn.java
@@ -16,6 +16,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.standins.http.JsonResponses;
+import org.sardineport.standins.http.LoadReportJson;
 import org.sardineport.standins.http.StandInServer;
 
 /**
@@ -119,7 +120,7 @@
 	private void handle(HttpServerRequest request) {
 		if (request.path().equals("/v1/load")) {
 			JsonResponses.json(request.response(), STATUS_OK,
-					new ServiceLoadJson(this.running.get(), 0, 0, this.leaving, false, Instant.now().toString()));
+					new LoadReportJson(this.running.get(), 0, 0, this.leaving, false, Instant.now().toString()));
 			return;
 		}
 		if (this.fault == ServiceFault.REFUSED) {
