--- a/bench/src/main/java/org/sardineport/bench/configuration/PropagationTime.java
+++ b/bench/src/main/java/org/sardineport/bench/configuration/PropagationTime.java
@@ -45,7 +45,7 @@
 
 	PropagationTime(ConfigurationFleet fleet) {
 		this.fleet = fleet;
-		this.fleet.configurationServices().forEach((duty) -> duty.listen((snapshot) -> {
+		this.fleet.configurationServices().forEach((service) -> service.listen((snapshot) -> {
 			if (snapshot.version() >= this.awaitedVersion.get() && this.pendingDaemons.decrementAndGet() == 0) {
 				this.appliedEverywhere.complete(null);
 			}
