Resume a stream after the last event that was passed on

Events of a second version that no other daemon has confirmed are read and not passed on; the next attempt then resumed after them.

Evidence: AttemptTests failed before (last event 3 where the caller has none).

Change: the last event of an attempt is the last one passed on.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -56,6 +56,8 @@
 
 	private boolean ended;
 
+	private long lastEventId;
+
 	private boolean paused;
 
 	private boolean silent;
@@ -77,6 +79,7 @@
 		this.listener = listener;
 		this.call = new BackendCall(services.connections(), plan.server(), this);
 		this.splitter = new EventSplitter(plan.lastEventId());
+		this.lastEventId = plan.lastEventId();
 	}
 
 	void start() {
@@ -132,8 +135,12 @@
 		return this.call.connection();
 	}
 
+	/**
+	 * Returns the identity of the last event that was passed on.
+	 * @return the identity, or that of the plan before any
+	 */
 	long lastEventId() {
-		return this.splitter.lastId();
+		return this.lastEventId;
 	}
 
 	RunMeasurement measurement(RunEnd end) {
@@ -218,6 +225,7 @@
 			if (this.ended) {
 				return;
 			}
+			this.lastEventId = this.splitter.lastId();
 			this.listener.dataReceived(this, complete);
 		}
 		if (this.splitter.isTooLong()) {
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -0,0 +1,130 @@
+package org.sardineport.daemon.relay;
+
+import java.lang.reflect.Proxy;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.relay.AttemptEnd;
+import org.sardineport.core.relay.ResponseHead;
+import org.sardineport.core.request.TokenEstimate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards which events of a stream count as received by the caller.
+ */
+class AttemptTests {
+
+	private static final long NO_EVENT = -1;
+
+	private final Vertx vertx = Vertx.vertx();
+
+	@AfterEach
+	void close() {
+		this.vertx.close().toCompletionStage().toCompletableFuture().join();
+	}
+
+	private NetworkAddress serverOfThreeEvents() {
+		NetServer server = this.vertx.createNetServer()
+			.connectHandler((socket) -> socket.handler((ignored) -> socket
+				.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+						+ "1e\r\nid: 1\n\nid: 2\n\nid: 3\ndata: x\n\n\r\n")));
+		int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
+		return NetworkAddress.of("127.0.0.1", port);
+	}
+
+	private Attempt attempt(AttemptListener listener) {
+		RelayProtocol protocol = (RelayProtocol) Proxy.newProxyInstance(RelayProtocol.class.getClassLoader(),
+				new Class<?>[] { RelayProtocol.class },
+				(proxy, method, arguments) -> new ResponseHead(200, "id", false, true, false, true, null));
+		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null,
+				BackendConnections.create(this.vertx, Clock.systemUTC()), null, null, null, Clock.systemUTC(), null,
+				null, null, null, null);
+		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
+				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
+		AttemptPlan plan = new AttemptPlan(protocol, server, "id", "POST", "/", MultiMap.caseInsensitiveMultiMap(),
+				Buffer.buffer(), TokenEstimate.NONE, 1, NO_EVENT, false, Duration.ofSeconds(1), null, null);
+		return new Attempt(services, plan, listener);
+	}
+
+	// A stream lacked events: they were received, not passed on, and not requested again.
+	@Test
+	void eventsThatTheListenerRejectsDoNotCountAsReceivedByTheCaller() throws Exception {
+		assertThat(lastEventId(true)).isEqualTo(NO_EVENT);
+	}
+
+	@Test
+	void eventsThatArePassedOnCountAsReceivedByTheCaller() throws Exception {
+		assertThat(lastEventId(false)).isEqualTo(3);
+	}
+
+	private long lastEventId(boolean rejects) throws Exception {
+		CompletableFuture<Long> result = new CompletableFuture<>();
+		Attempt attempt = attempt(new RecordingListener(rejects, result));
+		this.vertx.runOnContext((ignored) -> attempt.start());
+		return result.get(10, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Completes a result with the last event after the first events.
+	 *
+	 * @param rejects whether it aborts the attempt when the response starts
+	 * @param result the result
+	 */
+	private record RecordingListener(boolean rejects, CompletableFuture<Long> result) implements AttemptListener {
+
+		@Override
+		public void responseReceived(Attempt attempt, ResponseHead head, MultiMap headers, Buffer body) {
+			this.result.completeExceptionally(new AssertionError("the response is no stream"));
+		}
+
+		@Override
+		public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
+			if (this.rejects) {
+				attempt.abort();
+				this.result.complete(attempt.lastEventId());
+			}
+		}
+
+		@Override
+		public void dataReceived(Attempt attempt, Buffer bytes) {
+			Vertx.currentContext().runOnContext((ignored) -> this.result.complete(attempt.lastEventId()));
+		}
+
+		@Override
+		public void responseCompleted(Attempt attempt) {
+			// The stream has no end.
+		}
+
+		@Override
+		public void streamStarted(Attempt attempt) {
+			// Not needed.
+		}
+
+		@Override
+		public void silent(Attempt attempt) {
+			// Not needed.
+		}
+
+		@Override
+		public void failed(Attempt attempt, AttemptEnd end, String detail) {
+			this.result.completeExceptionally(new AssertionError(end + ": " + detail));
+		}
+
+	}
+
+}
