--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -103,7 +103,9 @@
 	}
 
 	/**
-	 * Records that an attempt is about to be sent to a backend server.
+	 * Records that an attempt is about to be sent to a backend server. Its events need
+	 * not wait until other daemons have confirmed the version: a stream that none of them
+	 * knows is refused when its caller comes back, and never continued elsewhere.
 	 * @param version the version of the backend server
 	 */
 	void dispatched(SoftwareVersion version) {
