Hold the first event of a stream until its version is confirmed

What callers saw: 502 for a stream that one backend server had rejected and another one, of another software version, had begun at once.

Cause: after attempts at several versions an event may only go out if other daemons remember the version that sends it. An event that came before their replies ended the attempt, although the replies were on their way: a wait was missing, not a reply. A fast backend server, or a busy machine, is enough.

A silent run beside it is not ended for an attempt that holds its events.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -64,6 +64,9 @@
 
 	private boolean streamStarted;
 
+	/** Whole events that wait until they may be passed on. */
+	private @Nullable Buffer heldEvents;
+
 	private long dataTimer = -1;
 
 	private long startedAtMillis;
@@ -221,18 +224,55 @@
 		}
 		Buffer complete = this.splitter.add(bytes);
 		if (complete.length() > 0) {
-			startForwarding(responseHead);
-			if (this.ended) {
-				return;
-			}
-			this.lastEventId = this.splitter.lastId();
-			this.listener.dataReceived(this, complete);
+			forwardOrHold(responseHead, complete);
 		}
 		if (this.splitter.isTooLong()) {
 			fail(AttemptEnd.INVALID, "an event of the stream has no end");
 		}
 	}
 
+	private void forwardOrHold(ResponseHead responseHead, Buffer events) {
+		recordFirstData();
+		if (this.forwarding || this.listener.mayForward(this)) {
+			forward(responseHead, events);
+		}
+		else {
+			this.heldEvents = events;
+			pause();
+		}
+	}
+
+	private void forward(ResponseHead responseHead, Buffer events) {
+		startForwarding(responseHead);
+		this.lastEventId = this.splitter.lastId();
+		this.listener.dataReceived(this, events);
+	}
+
+	/**
+	 * Passes the held events on and reads on. Has no effect if the attempt holds none.
+	 */
+	void forwardHeldEvents() {
+		Buffer events = this.heldEvents;
+		ResponseHead responseHead = this.head;
+		if (this.ended || events == null || responseHead == null) {
+			return;
+		}
+		this.heldEvents = null;
+		this.paused = false;
+		forward(responseHead, events);
+		if (!this.ended && !this.paused) {
+			resume();
+		}
+	}
+
+	/**
+	 * Returns whether the first events of the stream wait until they may be passed on.
+	 * @return whether the attempt holds events
+	 */
+	boolean isHolding() {
+		return this.heldEvents != null;
+	}
+
 	private void bufferData(ResponseHead responseHead, Buffer bytes) {
 		recordFirstData();
 		this.buffered.appendBuffer(bytes);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptListener.java
@@ -20,6 +20,15 @@
 	 */
 	void responseReceived(Attempt attempt, ResponseHead head, MultiMap headers, Buffer body);
 
+	/**
+	 * Called with the first whole events of an event stream, before any of it is passed
+	 * on. Not called for other responses.
+	 * @param attempt the attempt
+	 * @return whether to pass the events on now; otherwise the attempt holds them and
+	 * reads no more until {@link Attempt#forwardHeldEvents()} or {@link Attempt#abort()}
+	 */
+	boolean mayForward(Attempt attempt);
+
 	/**
 	 * Called when a response begins that is passed on in parts.
 	 * @param attempt the attempt
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import io.vertx.core.Context;
@@ -16,7 +17,6 @@
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.quarantine.StrikeKey;
@@ -174,7 +174,8 @@
 		if (this.active.size() > 1 && this.handOverTimer < 0) {
 			this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
 				this.handOverTimer = -1;
-				if (this.active.stream().anyMatch((each) -> each.attempt() == attempt)) {
+				boolean isActive = this.active.stream().anyMatch((each) -> each.attempt() == attempt);
+				if (isActive && !attempt.isHolding()) {
 					keepOnly(attempt);
 				}
 			});
@@ -244,15 +245,32 @@
 	}
 
 	@Override
-	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
-		SoftwareVersion softwareVersion = find(attempt).permit().backendServer().softwareVersion();
-		if (!this.version.mayBegin(softwareVersion)) {
+	public boolean mayForward(Attempt attempt) {
+		CompletableFuture<Boolean> known = this.version.known(find(attempt).permit().backendServer().softwareVersion());
+		if (known.getNow(false)) {
+			return true;
+		}
+		known.thenAccept((isKnown) -> this.context.runOnContext((ignored) -> forwardHeldEvents(attempt, isKnown)));
+		return false;
+	}
+
+	private void forwardHeldEvents(Attempt attempt, boolean isVersionKnown) {
+		if (this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
+			return;
+		}
+		if (isVersionKnown) {
+			attempt.forwardHeldEvents();
+		}
+		else {
 			attempt.abort();
 			failed(attempt, AttemptEnd.FAILED, "no other daemon confirmed the software version in time");
-			return;
 		}
-		keepOnly(attempt);
-		this.version.begun(softwareVersion);
+	}
+
+	@Override
+	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
+		PermittedAttempt kept = keepOnly(attempt);
+		this.version.begun(kept.permit().backendServer().softwareVersion());
 		this.listener.responseStarted(head, headers);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -1,12 +1,11 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-import io.vertx.core.Context;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.SoftwareVersion;
@@ -36,11 +35,8 @@
 
 	private final StreamRun run;
 
-	private final Context context;
-
-	private final Set<SoftwareVersion> dispatched = new HashSet<>();
-
-	private final Set<SoftwareVersion> confirmed = new HashSet<>();
+	/** Whether other daemons remember each version to which an attempt was sent. */
+	private final Map<SoftwareVersion, CompletableFuture<Boolean>> dispatched = new HashMap<>();
 
 	private @Nullable SoftwareVersion required;
 
@@ -49,7 +45,6 @@
 		this.request = request;
 		this.streams = request.admission().route().streams();
 		this.organisation = organisation;
-		this.context = services.vertx().getOrCreateContext();
 		this.run = new StreamRun(key(firstRequestId()), services.random().nextInt());
 	}
 
@@ -110,12 +105,10 @@
 	 */
 	void dispatched(SoftwareVersion version) {
 		if (this.streams) {
-			this.dispatched.add(version);
-			this.services.origins().dispatched(this.run, version, keepTime()).thenAccept((known) -> {
-				if (known) {
-					this.context.runOnContext((ignored) -> this.confirmed.add(version));
-				}
-			});
+			CompletableFuture<Boolean> reported = this.services.origins()
+				.dispatched(this.run, version, keepTime())
+				.toCompletableFuture();
+			this.dispatched.merge(version, reported, (earlier, later) -> earlier.getNow(false) ? earlier : later);
 		}
 	}
 
@@ -124,10 +117,14 @@
 	 * attempts at several versions, other daemons must know of this one, as they would
 	 * otherwise continue the stream at another one.
 	 * @param version the version of the backend server that sent the event
-	 * @return whether the event may be passed on
+	 * @return completes on any thread, within a second, with whether the event may be
+	 * passed on
 	 */
-	boolean mayBegin(SoftwareVersion version) {
-		return this.required != null || this.dispatched.size() <= 1 || this.confirmed.contains(version);
+	CompletableFuture<Boolean> known(SoftwareVersion version) {
+		if (this.required != null || this.dispatched.size() <= 1) {
+			return CompletableFuture.completedFuture(true);
+		}
+		return this.dispatched.get(version);
 	}
 
 	/**
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -64,28 +64,43 @@
 	// A stream lacked events: they were received, not passed on, and not requested again.
 	@Test
 	void eventsThatTheListenerRejectsDoNotCountAsReceivedByTheCaller() throws Exception {
-		assertThat(lastEventId(true)).isEqualTo(NO_EVENT);
+		assertThat(lastEventId(Reaction.REJECT)).isEqualTo(NO_EVENT);
+	}
+
+	// Events that waited for a confirmation were dropped with their attempt.
+	@Test
+	void eventsThatAreHeldArePassedOnLater() throws Exception {
+		assertThat(lastEventId(Reaction.HOLD)).isEqualTo(3);
 	}
 
 	@Test
 	void eventsThatArePassedOnCountAsReceivedByTheCaller() throws Exception {
-		assertThat(lastEventId(false)).isEqualTo(3);
+		assertThat(lastEventId(Reaction.FORWARD)).isEqualTo(3);
 	}
 
-	private long lastEventId(boolean rejects) throws Exception {
+	private long lastEventId(Reaction reaction) throws Exception {
 		CompletableFuture<Long> result = new CompletableFuture<>();
-		Attempt attempt = attempt(new RecordingListener(rejects, result));
+		Attempt attempt = attempt(new RecordingListener(reaction, result));
 		this.vertx.runOnContext((ignored) -> attempt.start());
 		return result.get(10, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * What a listener does with the first events.
+	 */
+	private enum Reaction {
+
+		REJECT, HOLD, FORWARD
+
+	}
+
 	/**
 	 * Completes a result with the last event after the first events.
 	 *
-	 * @param rejects whether it aborts the attempt when the response starts
+	 * @param reaction what it does with the first events
 	 * @param result the result
 	 */
-	private record RecordingListener(boolean rejects, CompletableFuture<Long> result) implements AttemptListener {
+	private record RecordingListener(Reaction reaction, CompletableFuture<Long> result) implements AttemptListener {
 
 		@Override
 		public void responseReceived(Attempt attempt, ResponseHead head, MultiMap headers, Buffer body) {
@@ -93,11 +108,20 @@
 		}
 
 		@Override
-		public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
-			if (this.rejects) {
+		public boolean mayForward(Attempt attempt) {
+			if (this.reaction == Reaction.REJECT) {
 				attempt.abort();
 				this.result.complete(attempt.lastEventId());
 			}
+			else if (this.reaction == Reaction.HOLD) {
+				Vertx.currentContext().runOnContext((ignored) -> attempt.forwardHeldEvents());
+			}
+			return this.reaction == Reaction.FORWARD;
+		}
+
+		@Override
+		public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
+			// Not needed.
 		}
 
 		@Override
