Let a stream go on only where its version is certain, not just listed

Cause: the version of a server is that of the list, which is read once a second, less often when the store is slow. A server that ends and returns under its name and address with another version is the former one to the daemon until the next read. Class of fault: an identity decided from an older observation is used for a later contact.

Change: a new connection proves nothing about the process behind it, but a read of the list that began after a connection was opened does. So - events that continue a stream are held until the list was read after their connection (or another one that is still open) had been opened; an attempt that isn't certain after 1 s ends as failed and another one may follow; - a stream whose own first attempt isn't certain is not continued, and if the list then shows another version, the daemons that remember its origin are told that it is not known; - such a read is asked for early, at most two reads a second, none after a failed one; first events of new streams wait for nothing.

VmListReads- Tests: 6. What remains: a caller that takes up, at another daemon, a stream of such a server before the next read of the list.

--- /dev/null
+++ b/core/src/main/java/org/sardineport/core/fleet/ListRead.java
@@ -0,0 +1,67 @@
+package org.sardineport.core.fleet;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.port.platform.VmListing;
+
+/**
+ * One successful read of the VM list, with the time at which it began. Immutable.
+ */
+public final class ListRead {
+
+	/** Placeholder before the first read. */
+	public static final ListRead NONE = new ListRead(Instant.MIN, Map.of());
+
+	private final Instant startedAt;
+
+	private final Map<BackendServerId, BackendServer> servers;
+
+	private ListRead(Instant startedAt, Map<BackendServerId, BackendServer> servers) {
+		this.startedAt = startedAt;
+		this.servers = servers;
+	}
+
+	/**
+	 * Returns a read.
+	 * @param startedAt time at which the read began, by a monotonic clock
+	 * @param listing the result
+	 * @return the read
+	 */
+	public static ListRead of(Instant startedAt, VmListing listing) {
+		Objects.requireNonNull(startedAt, "startedAt must not be null");
+		Map<BackendServerId, BackendServer> servers = new HashMap<>();
+		listing.backendServers().forEach((listed) -> servers.put(listed.server().id(), listed.server()));
+		return new ListRead(startedAt, servers);
+	}
+
+	/**
+	 * Returns whether the read began at a time or later.
+	 * @param time the time
+	 * @return whether it did
+	 */
+	public boolean beganSince(Instant time) {
+		return !this.startedAt.isBefore(time);
+	}
+
+	/**
+	 * Returns whether the list showed a backend server with the same software version,
+	 * live or leaving.
+	 * @param server the backend server as listed earlier
+	 * @return whether the version under its name was the same
+	 */
+	public boolean showsVersion(BackendServer server) {
+		BackendServer listed = this.servers.get(server.id());
+		return listed != null && listed.softwareVersion().equals(server.softwareVersion());
+	}
+
+	@Override
+	public String toString() {
+		return "ListRead[startedAt=%s, servers=%d]".formatted(this.startedAt, this.servers.size());
+	}
+
+}
--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -112,6 +112,17 @@
 		report(run, RunOrigin.begun(run.number(), version), keep, listener);
 	}
 
+	/**
+	 * Reports that a run's first event came from another process than the one listed.
+	 * From then on the origin of the run is ambiguous.
+	 * @param run the run
+	 * @param keep how long the caller may come back
+	 */
+	public void contradicted(StreamRun run, Duration keep) {
+		report(run, RunOrigin.contradicted(run.number()), keep, (ignored) -> {
+		});
+	}
+
 	private void report(StreamRun run, RunOrigin news, Duration keep, Consumer<Boolean> listener) {
 		StreamKey key = run.key();
 		Duration limited = limited(keep);
--- a/core/src/main/java/org/sardineport/core/stream/RunOrigin.java
+++ b/core/src/main/java/org/sardineport/core/stream/RunOrigin.java
@@ -45,6 +45,16 @@
 		return new RunOrigin(run, RunState.BEGUN, version);
 	}
 
+	/**
+	 * Returns the origin of a run whose first event came from another process than the
+	 * one listed, so that its version is not known.
+	 * @param run number of the run
+	 * @return the origin
+	 */
+	public static RunOrigin contradicted(int run) {
+		return new RunOrigin(run, RunState.CONTRADICTORY, SoftwareVersion.UNKNOWN);
+	}
+
 	/**
 	 * Combines two reports of the same run.
 	 * @param other the other report
--- a/core/src/main/java/org/sardineport/core/stream/RunState.java
+++ b/core/src/main/java/org/sardineport/core/stream/RunState.java
@@ -15,7 +15,10 @@
 	/** The first event came from a known version. */
 	BEGUN,
 
-	/** Two versions were reported to have brought the first event. */
+	/**
+	 * Two versions were reported to have brought the first event, or a process that was
+	 * not the one listed.
+	 */
 	CONTRADICTORY
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
@@ -19,6 +18,7 @@
 import org.sardineport.core.fleet.BackendDirectory;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.ListReads;
 import org.sardineport.core.fleet.ListedMembers;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
@@ -65,7 +65,7 @@
 
 	private final VmList vmList;
 
-	private final Duration vmListInterval;
+	private final VmListReads listReads;
 
 	private final List<NetworkAddress> seeds;
 
@@ -81,10 +81,6 @@
 
 	private @Nullable VmListing listing;
 
-	private Instant nextFetch = Instant.MIN;
-
-	private final AtomicBoolean fetching = new AtomicBoolean();
-
 	private boolean listReachable = true;
 
 	private final CompletableFuture<Void> leaving = new CompletableFuture<>();
@@ -99,7 +95,7 @@
 		this.telemetry = telemetry;
 		this.clock = clock;
 		this.vmList = vmList;
-		this.vmListInterval = settings.membership().vmListInterval();
+		this.listReads = new VmListReads(settings.membership().vmListInterval());
 		this.seeds = settings.seeds();
 		this.backends = BackendDirectory.create(clock);
 		this.reporter = new MembershipReporter(transport, telemetry, this.backends, clock);
@@ -226,6 +222,14 @@
 		return this.snapshot;
 	}
 
+	/**
+	 * Returns the reads of the VM list.
+	 * @return the reads
+	 */
+	public ListReads listReads() {
+		return this.listReads;
+	}
+
 	@Override
 	public void addListener(Consumer<FleetSnapshot> listener) {
 		this.listeners.add(Objects.requireNonNull(listener, "listener must not be null"));
@@ -255,15 +259,19 @@
 	}
 
 	private void fetchIfDue() {
-		Instant now = this.clock.instant();
-		if (now.isBefore(this.nextFetch) || !this.fetching.compareAndSet(false, true)) {
-			return;
+		if (this.listReads.beginIfDue(this.clock.instant())) {
+			this.vmList.fetch().whenComplete(this::fetched);
 		}
-		this.nextFetch = now.plus(this.vmListInterval);
-		this.vmList.fetch().whenComplete((fetched, failure) -> {
-			this.fetching.set(false);
-			offer(() -> handleFetchResult(fetched, failure));
-		});
+	}
+
+	private void fetched(@Nullable VmListing fetched, @Nullable Throwable failure) {
+		if (fetched != null) {
+			this.listReads.completed(fetched);
+		}
+		else {
+			this.listReads.failed();
+		}
+		offer(() -> handleFetchResult(fetched, failure));
 	}
 
 	private void handleFetchResult(@Nullable VmListing fetched, @Nullable Throwable failure) {
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/VmListReads.java
@@ -0,0 +1,105 @@
+package org.sardineport.daemon.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.sardineport.core.fleet.ListRead;
+import org.sardineport.core.fleet.ListReads;
+import org.sardineport.core.port.platform.VmListing;
+
+/**
+ * Schedules the reads of the VM list and keeps who waits for one. Thread-safe.
+ */
+final class VmListReads implements ListReads {
+
+	/** Minimum time between the starts of two reads. */
+	private static final Duration MIN_INTERVAL = Duration.ofMillis(500);
+
+	private final Duration interval;
+
+	private final List<Waiter> waiters = new ArrayList<>();
+
+	private ListRead last = ListRead.NONE;
+
+	private Instant startedAt = Instant.MIN;
+
+	private boolean reading;
+
+	private boolean wantedSoon;
+
+	private boolean failed;
+
+	VmListReads(Duration interval) {
+		this.interval = interval;
+	}
+
+	/**
+	 * Begins a read if one is due and none is in progress.
+	 * @param now the time
+	 * @return whether to read now; then {@link #completed} or {@link #failed} must follow
+	 */
+	synchronized boolean beginIfDue(Instant now) {
+		boolean soon = this.wantedSoon && !this.failed && MIN_INTERVAL.compareTo(this.interval) < 0;
+		boolean due = !now.minus(soon ? MIN_INTERVAL : this.interval).isBefore(this.startedAt);
+		if (this.reading || !due) {
+			return false;
+		}
+		this.reading = true;
+		this.wantedSoon = false;
+		this.startedAt = now;
+		return true;
+	}
+
+	synchronized void failed() {
+		this.reading = false;
+		this.failed = true;
+	}
+
+	void completed(VmListing listing) {
+		ListRead read;
+		List<Waiter> satisfied;
+		synchronized (this) {
+			this.reading = false;
+			this.failed = false;
+			read = ListRead.of(this.startedAt, listing);
+			this.last = read;
+			satisfied = this.waiters.stream().filter((waiter) -> read.beganSince(waiter.time())).toList();
+			this.waiters.removeAll(satisfied);
+		}
+		satisfied.forEach((waiter) -> waiter.future().complete(read));
+	}
+
+	@Override
+	public synchronized ListRead last() {
+		return this.last;
+	}
+
+	@Override
+	public synchronized CompletableFuture<ListRead> since(Instant time) {
+		if (this.last.beganSince(time)) {
+			return CompletableFuture.completedFuture(this.last);
+		}
+		Waiter waiter = new Waiter(time, new CompletableFuture<>());
+		this.waiters.add(waiter);
+		return waiter.future();
+	}
+
+	@Override
+	public synchronized void readSoon() {
+		this.wantedSoon = true;
+	}
+
+	/**
+	 * Waits for a read.
+	 *
+	 * @param time earliest start of the read
+	 * @param future completed with the read
+	 */
+	private record Waiter(Instant time, CompletableFuture<ListRead> future) {
+
+	}
+
+}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon.relay;
 
+import java.time.Instant;
 import java.time.InstantSource;
 
 import io.vertx.core.http.HttpClientConnection;
@@ -19,6 +20,8 @@
 
 	private final InstantSource clock;
 
+	private final Instant openedAt;
+
 	private long lastDataAt;
 
 	private boolean closedHere;
@@ -33,7 +36,8 @@
 		this.connection = connection;
 		this.process = process;
 		this.clock = clock;
-		this.lastDataAt = clock.millis();
+		this.openedAt = clock.instant();
+		this.lastDataAt = this.openedAt.toEpochMilli();
 	}
 
 	HttpClientConnection http() {
@@ -44,6 +48,10 @@
 		return this.process;
 	}
 
+	Instant openedAt() {
+		return this.openedAt;
+	}
+
 	/**
 	 * Closes the connection. It does not count as closed by the backend server then.
 	 */
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -19,6 +19,8 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.ListRead;
+import org.sardineport.core.fleet.ListReads;
 import org.sardineport.core.lifecycle.Service;
 
 /**
@@ -34,10 +36,13 @@
 
 	private final HttpClientAgent client;
 
+	private final ListReads listReads;
+
 	private final Map<BackendProcess, ProcessConnections> processes = new HashMap<>();
 
-	private BackendConnections(Vertx vertx, InstantSource clock) {
+	private BackendConnections(Vertx vertx, InstantSource clock, ListReads listReads) {
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.listReads = Objects.requireNonNull(listReads, "listReads must not be null");
 		this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true)
 			.setPipelining(false)
 			.setDecompressionSupported(false)
@@ -49,10 +54,11 @@
 	 * Returns a pool without connections.
 	 * @param vertx performs input and output
 	 * @param clock a monotonic clock
+	 * @param listReads reads of the VM list, by the same clock
 	 * @return the pool
 	 */
-	static BackendConnections create(Vertx vertx, InstantSource clock) {
-		return new BackendConnections(vertx, clock);
+	static BackendConnections create(Vertx vertx, InstantSource clock, ListReads listReads) {
+		return new BackendConnections(vertx, clock, listReads);
 	}
 
 	@Override
@@ -116,6 +122,44 @@
 		}
 	}
 
+	/**
+	 * Returns whether a backend server certainly runs the software version that was
+	 * listed. It may have been replaced under its name and address since the list was
+	 * read. But if the list was read after a connection had been opened, and that
+	 * connection is still open, then the process is one that was listed.
+	 * @param server the backend server as listed
+	 * @return whether it is certain now
+	 */
+	boolean isVersionCertain(BackendServer server) {
+		ProcessConnections connections = this.processes.get(server.process());
+		ListRead read = this.listReads.last();
+		return connections != null && connections.oldestOpenedAt().filter(read::beganSince).isPresent()
+				&& read.showsVersion(server);
+	}
+
+	/**
+	 * Waits until it is known whether a connection led to the software version that was
+	 * listed.
+	 * @param connection the connection, which may be closed by now
+	 * @param server the backend server as listed when the connection was acquired
+	 * @return completes on any thread once the list was read after the connection had
+	 * been opened, with whether it still showed the version; never fails
+	 */
+	CompletableFuture<Boolean> versionCertainty(BackendConnection connection, BackendServer server) {
+		if (isVersionCertain(server)) {
+			return CompletableFuture.completedFuture(true);
+		}
+		return this.listReads.since(connection.openedAt()).thenApply((read) -> read.showsVersion(server));
+	}
+
+	/**
+	 * Asks for an early read of the list, so that {@link #versionCertainty} completes
+	 * soon.
+	 */
+	void readListSoon() {
+		this.listReads.readSoon();
+	}
+
 	/**
 	 * Returns the connections to the same process as a broken one: those that are open,
 	 * and those that the backend server has closed lately.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -1,11 +1,14 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -79,6 +82,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns when the oldest open connection was opened.
+	 * @return the time, or empty if none is open
+	 */
+	Optional<Instant> oldestOpenedAt() {
+		return this.open.stream().map(BackendConnection::openedAt).min(Comparator.naturalOrder());
+	}
+
 	List<BackendConnection> known(long closedSince) {
 		List<BackendConnection> known = new ArrayList<>(this.open);
 		this.closed.stream().filter((each) -> each.isClosedByServerSince(closedSince)).forEach(known::add);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -24,6 +24,7 @@
 import org.sardineport.core.relay.RequestProgress;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
 
 /**
  * The attempts at one request, as far as the route and the retry budget allow. An attempt
@@ -101,9 +102,34 @@
 		SchedulingRequest schedulingRequest = this.version
 			.restrict(this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress));
 		this.pendingRequest = schedulingRequest;
+		CompletableFuture<Boolean> mayContinue = this.version.mayContinue();
+		if (mayContinue.getNow(false)) {
+			submit(schedulingRequest);
+		}
+		else {
+			mayContinue.thenAccept((isCertain) -> this.context
+				.runOnContext((ignored) -> submitIfCertain(schedulingRequest, isCertain)));
+		}
+	}
+
+	private void submit(SchedulingRequest schedulingRequest) {
 		this.services.scheduler().submit(schedulingRequest, new EventLoopListener(schedulingRequest));
 	}
 
+	private void submitIfCertain(SchedulingRequest schedulingRequest, boolean isCertain) {
+		if (this.pendingRequest != schedulingRequest) {
+			return;
+		}
+		if (isCertain) {
+			submit(schedulingRequest);
+		}
+		else {
+			this.pendingRequest = null;
+			permitRefused(Refusal.of(RefusalReason.STREAM_VERSION_UNKNOWN,
+					"the backend server that began the stream may have been replaced before"));
+		}
+	}
+
 	private void granted(SchedulingRequest schedulingRequest, Permit grantedPermit) {
 		if (this.pendingRequest != schedulingRequest) {
 			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
@@ -144,7 +170,7 @@
 	private void dispatch(Permit permit) {
 		this.progress.sent();
 		this.report.dispatched(permit.backendServer());
-		this.version.dispatched(permit.backendServer().softwareVersion());
+		this.version.dispatched(permit.backendServer());
 		this.active.forEach(this::recordLastEvent);
 		Attempt attempt = new Attempt(this.services, this.planner.attemptPlan(permit, this.progress, this.lastEventId),
 				this);
@@ -246,31 +272,33 @@
 
 	@Override
 	public boolean mayForward(Attempt attempt) {
-		CompletableFuture<Boolean> known = this.version.known(find(attempt).permit().backendServer().softwareVersion());
-		if (known.getNow(false)) {
+		PermittedAttempt begun = find(attempt);
+		CompletableFuture<Boolean> mayBegin = this.version.mayBegin(begun);
+		if (mayBegin.getNow(false)) {
 			return true;
 		}
-		known.thenAccept((isKnown) -> this.context.runOnContext((ignored) -> forwardHeldEvents(attempt, isKnown)));
+		this.report.eventsHeld(begun.server());
+		mayBegin
+			.thenAccept((isCertain) -> this.context.runOnContext((ignored) -> forwardHeldEvents(attempt, isCertain)));
 		return false;
 	}
 
-	private void forwardHeldEvents(Attempt attempt, boolean isVersionKnown) {
+	private void forwardHeldEvents(Attempt attempt, boolean isCertain) {
 		if (this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
 			return;
 		}
-		if (isVersionKnown) {
+		if (isCertain) {
 			attempt.forwardHeldEvents();
 		}
 		else {
 			attempt.abort();
-			failed(attempt, AttemptEnd.FAILED, "no other daemon confirmed the software version in time");
+			failed(attempt, AttemptEnd.FAILED, "the software version was not certain in time");
 		}
 	}
 
 	@Override
 	public void responseStarted(Attempt attempt, ResponseHead head, MultiMap headers) {
-		PermittedAttempt kept = keepOnly(attempt);
-		this.version.begun(kept.permit().backendServer().softwareVersion());
+		this.version.begun(keepOnly(attempt));
 		this.listener.responseStarted(head, headers);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -88,7 +88,7 @@
 			.listen(new ConfigurationWatch(inForce, telemetry),
 					() -> ReadPacing.configurationWait(fleet.current().members().size()));
 		BooleanSupplier backendsKnown = () -> !fleet.current().backendServers().isEmpty();
-		BackendConnections connections = BackendConnections.create(vertx, clock);
+		BackendConnections connections = BackendConnections.create(vertx, clock, fleet.listReads());
 		AtomicLong idCounter = new AtomicLong();
 		String idPrefix = this.fleetSettings.daemon().value() + "-" + membership.incarnation() + "-";
 		RelayServices relayServices = new RelayServices(vertx, ports.protocol(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
@@ -59,6 +59,12 @@
 				ageMillis());
 	}
 
+	void eventsHeld(BackendServerId server) {
+		LOG.info("request.events-held", "request", id(), "backend-server", server, "attempt", this.progress.attempts(),
+				"begun", this.progress.isResponseStarted(), "age-ms", ageMillis());
+		this.services.telemetry().counter("requests.events-held").inc();
+	}
+
 	void replacementEnded(String cause) {
 		LOG.info("request.replacement-ended", "request", id(), "attempt", this.progress.attempts(), "begun",
 				this.progress.isResponseStarted(), "age-ms", ageMillis(), "cause", cause);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -3,17 +3,21 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.SchedulingRequest;
+import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.relay.ResumedStream;
 import org.sardineport.core.stream.StreamKey;
 import org.sardineport.core.stream.StreamOrigin;
 import org.sardineport.core.stream.StreamRun;
+import org.sardineport.daemon.stream.StreamOriginService;
 
 /**
  * Keeps the event stream of one request to backend servers of one software version, and
@@ -25,6 +29,15 @@
 	/** Time beyond the time limit for which the fleet remembers a stream. */
 	private static final Duration KEEP_MARGIN = Duration.ofSeconds(10);
 
+	/**
+	 * Maximum time to wait until it is certain which process has sent events. Callers
+	 * leave a stream after two seconds of silence.
+	 */
+	static final Duration CERTAINTY_TIMEOUT = Duration.ofSeconds(1);
+
+	/** Time after which a new connection is usually open. */
+	private static final Duration CONNECT_MARGIN = Duration.ofMillis(50);
+
 	private final RelayServices services;
 
 	private final RelayRequest request;
@@ -40,6 +53,9 @@
 
 	private @Nullable SoftwareVersion required;
 
+	/** The attempt that began the stream; {@code null} if another request did. */
+	private @Nullable PermittedAttempt first;
+
 	ResponseVersion(RelayServices services, RelayRequest request, OrganisationId organisation) {
 		this.services = services;
 		this.request = request;
@@ -101,43 +117,98 @@
 	 * Records that an attempt is about to be sent to a backend server. Its events need
 	 * not wait until other daemons have confirmed the version: a stream that none of them
 	 * knows is refused when its caller comes back, and never continued elsewhere.
-	 * @param version the version of the backend server
+	 * @param server the backend server
 	 */
-	void dispatched(SoftwareVersion version) {
+	void dispatched(BackendServer server) {
 		if (this.streams) {
+			SoftwareVersion version = server.softwareVersion();
 			CompletableFuture<Boolean> reported = this.services.origins()
 				.dispatched(this.run, version, keepTime())
 				.toCompletableFuture();
 			this.dispatched.merge(version, reported, (earlier, later) -> earlier.getNow(false) ? earlier : later);
+			readListSoon(server);
+		}
+	}
+
+	// The list is read while the backend server prepares the first event.
+	private void readListSoon(BackendServer server) {
+		if (this.required != null && !this.services.connections().isVersionCertain(server)) {
+			this.services.vertx()
+				.setTimer(CONNECT_MARGIN.toMillis(), (id) -> this.services.connections().readListSoon());
 		}
 	}
 
 	/**
-	 * Returns whether the first event of the stream may come from a version. After
-	 * attempts at several versions, other daemons must know of this one, as they would
-	 * otherwise continue the stream at another one.
-	 * @param version the version of the backend server that sent the event
-	 * @return completes on any thread, within a second, with whether the event may be
-	 * passed on
+	 * Returns whether the first events of an attempt may be passed on. After attempts at
+	 * several versions, other daemons must know of this one, as they would otherwise
+	 * continue the stream at another one. Events that continue a stream must certainly
+	 * come from its version, as a backend server may have been replaced since the list
+	 * was read.
+	 * @param attempt the attempt that has sent the events
+	 * @return completes on any thread, within {@link #CERTAINTY_TIMEOUT}, with whether
+	 * the events may be passed on
 	 */
-	CompletableFuture<Boolean> known(SoftwareVersion version) {
-		if (this.required != null || this.dispatched.size() <= 1) {
+	CompletableFuture<Boolean> mayBegin(PermittedAttempt attempt) {
+		if (!this.streams) {
 			return CompletableFuture.completedFuture(true);
 		}
-		return this.dispatched.get(version);
+		if (this.required != null) {
+			return certainty(attempt);
+		}
+		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
+		return (this.dispatched.size() <= 1) ? CompletableFuture.completedFuture(true) : this.dispatched.get(version);
+	}
+
+	/**
+	 * Returns whether the stream may be continued by another attempt, as it is certain
+	 * which version began it.
+	 * @return completes on any thread, within {@link #CERTAINTY_TIMEOUT}
+	 */
+	CompletableFuture<Boolean> mayContinue() {
+		PermittedAttempt began = this.first;
+		return (began != null) ? certainty(began) : CompletableFuture.completedFuture(true);
+	}
+
+	private CompletableFuture<Boolean> certainty(PermittedAttempt attempt) {
+		CompletableFuture<Boolean> certainty = listedCertainty(attempt);
+		if (certainty.isDone()) {
+			return certainty;
+		}
+		this.services.connections().readListSoon();
+		return certainty.copy().completeOnTimeout(false, CERTAINTY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private CompletableFuture<Boolean> listedCertainty(PermittedAttempt attempt) {
+		BackendConnection connection = Objects.requireNonNull(attempt.attempt().connection(),
+				"the attempt must have been sent");
+		return this.services.connections().versionCertainty(connection, attempt.permit().backendServer());
 	}
 
 	/**
 	 * Records that the caller is about to receive the first event of the stream.
-	 * @param version the version of the backend server that sent it
+	 * @param attempt the attempt that has sent it
 	 */
-	void begun(SoftwareVersion version) {
-		if (this.streams && this.required == null) {
-			this.required = version;
-			if (this.dispatched.size() > 1) {
-				this.services.origins().begun(this.run, version, keepTime());
-			}
+	void begun(PermittedAttempt attempt) {
+		if (!this.streams || this.required != null) {
+			return;
+		}
+		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
+		this.required = version;
+		this.first = attempt;
+		if (this.dispatched.size() > 1) {
+			this.services.origins().begun(this.run, version, keepTime());
 		}
+		reportIfReplaced(listedCertainty(attempt), this.services.origins(), this.run, keepTime());
+	}
+
+	// Keeps no reference to the request, as an outage of the list may last long.
+	private static void reportIfReplaced(CompletableFuture<Boolean> certainty, StreamOriginService origins,
+			StreamRun run, Duration keep) {
+		certainty.thenAccept((isCertain) -> {
+			if (!isCertain) {
+				origins.contradicted(run, keep);
+			}
+		});
 	}
 
 	private Duration keepTime() {
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -126,6 +126,16 @@
 		return bounded(confirmed, false);
 	}
 
+	/**
+	 * Reports that a run's first event came from another process than the one listed. A
+	 * caller that comes back is refused from then on.
+	 * @param run the run
+	 * @param keep how long the caller may come back
+	 */
+	public void contradicted(StreamRun run, Duration keep) {
+		offer(() -> this.registry.contradicted(run, keep));
+	}
+
 	/**
 	 * Looks up which version began a stream.
 	 * @param key key of the stream
--- /dev/null
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/VmListReadsTests.java
@@ -0,0 +1,97 @@
+package org.sardineport.daemon.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+import org.sardineport.core.backend.BackendKind;
+import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
+import org.sardineport.core.fleet.ListRead;
+import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.FailureDomain;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards when the VM list is read, and which reads prove the version of a backend server.
+ */
+class VmListReadsTests {
+
+	private static final Instant START = Instant.ofEpochSecond(100);
+
+	private static final BackendServer SERVER = new BackendServer(BackendServerId.of("one"), BackendKind.MODEL_ENGINE,
+			PoolName.of("pool"), FailureDomain.of("zone"), NetworkAddress.of("127.0.0.1", 1), 1)
+		.withSoftwareVersion(SoftwareVersion.of("v1"));
+
+	private final VmListReads reads = new VmListReads(Duration.ofSeconds(1));
+
+	private static VmListing listing(BackendServer server, VmState state) {
+		return new VmListing(START, List.of(), List.of(new VmListing.ListedBackend(server, state)));
+	}
+
+	private void readAt(Instant time) {
+		assertThat(this.reads.beginIfDue(time)).isTrue();
+		this.reads.completed(listing(SERVER, VmState.LIVE));
+	}
+
+	@Test
+	void readsAtTheIntervalAndNotDuringARead() {
+		assertThat(this.reads.beginIfDue(START)).isTrue();
+		assertThat(this.reads.beginIfDue(START.plusSeconds(5))).isFalse();
+		this.reads.completed(listing(SERVER, VmState.LIVE));
+		assertThat(this.reads.beginIfDue(START.plusMillis(999))).isFalse();
+		assertThat(this.reads.beginIfDue(START.plusMillis(1000))).isTrue();
+	}
+
+	// Requests for early reads must not exhaust the store's calls.
+	@Test
+	void readsEarlyOnceAndNotMoreThanTwiceInASecond() {
+		readAt(START);
+		this.reads.readSoon();
+		assertThat(this.reads.beginIfDue(START.plusMillis(499))).isFalse();
+		readAt(START.plusMillis(500));
+		assertThat(this.reads.beginIfDue(START.plusMillis(1400))).isFalse();
+	}
+
+	@Test
+	void doesNotReadEarlyAfterAFailedRead() {
+		readAt(START);
+		assertThat(this.reads.beginIfDue(START.plusSeconds(1))).isTrue();
+		this.reads.failed();
+		this.reads.readSoon();
+		assertThat(this.reads.beginIfDue(START.plusMillis(1600))).isFalse();
+		assertThat(this.reads.beginIfDue(START.plusSeconds(2))).isTrue();
+	}
+
+	// A read in progress when a connection is opened may show the former process.
+	@Test
+	void waitsForAReadThatBeganSince() {
+		assertThat(this.reads.beginIfDue(START)).isTrue();
+		CompletableFuture<ListRead> since = this.reads.since(START.plusMillis(1));
+		this.reads.completed(listing(SERVER, VmState.LIVE));
+		assertThat(since).isNotDone();
+		readAt(START.plusSeconds(1));
+		assertThat(since).isDone();
+		assertThat(this.reads.since(START.plusSeconds(1))).isDone();
+	}
+
+	@Test
+	void showsTheVersionOfALeavingServer() {
+		assertThat(ListRead.of(START, listing(SERVER, VmState.LEAVING)).showsVersion(SERVER)).isTrue();
+	}
+
+	@Test
+	void doesNotShowAnotherVersionOrAServerThatIsNotListed() {
+		BackendServer other = SERVER.withSoftwareVersion(SoftwareVersion.of("v2"));
+		assertThat(ListRead.of(START, listing(other, VmState.LIVE)).showsVersion(SERVER)).isFalse();
+		assertThat(ListRead.NONE.showsVersion(SERVER)).isFalse();
+	}
+
+}
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.fleet.ListRead;
+import org.sardineport.core.fleet.ListReads;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -52,8 +54,8 @@
 				new Class<?>[] { RelayProtocol.class },
 				(proxy, method, arguments) -> new ResponseHead(200, "id", false, true, false, true, null));
 		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null,
-				BackendConnections.create(this.vertx, Clock.systemUTC()), null, null, null, Clock.systemUTC(), null,
-				null, null, null, null);
+				BackendConnections.create(this.vertx, Clock.systemUTC(), reads()), null, null, null, Clock.systemUTC(),
+				null, null, null, null, null);
 		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, server, "id", "POST", "/", MultiMap.caseInsensitiveMultiMap(),
@@ -61,6 +63,11 @@
 		return new Attempt(services, plan, listener);
 	}
 
+	private static ListReads reads() {
+		return (ListReads) Proxy.newProxyInstance(ListReads.class.getClassLoader(), new Class<?>[] { ListReads.class },
+				(proxy, method, arguments) -> ListRead.NONE);
+	}
+
 	// A stream lacked events: they were received, not passed on, and not requested again.
 	@Test
 	void eventsThatTheListenerRejectsDoNotCountAsReceivedByTheCaller() throws Exception {
