Move the owner side out of Scheduler

Change: OwnerScheduler takes and gives up ownership, keeps the models and passes events to the permit owners, as EntryScheduler does for the entry side. No change of behaviour; the states for the digests are collected before the first one is sent, which changes neither their content nor their order.

--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -1,27 +1,20 @@
 package org.sardineport.core.scheduling;
 
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
 import org.sardineport.core.admission.Permit;
 import org.sardineport.core.admission.PermitListener;
-import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.fleet.FleetSnapshot;
-import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.quarantine.QuarantineEffects;
@@ -47,16 +40,8 @@
 	 */
 	private static final long DIGEST_INTERVAL_MILLIS = 1000;
 
-	/**
-	 * Time after its last permit request for which an entry gets digests, in
-	 * milliseconds.
-	 */
-	private static final long DIGEST_SUBSCRIPTION_MILLIS = 10_000;
-
 	private final DaemonId self;
 
-	private final SchedulingLimits limits;
-
 	private final InstantSource clock;
 
 	private final SchedulingEffects effects;
@@ -65,18 +50,14 @@
 
 	private final EntryScheduler entry;
 
+	private final OwnerScheduler owner;
+
 	private final OrganisationQuotas quotas;
 
 	private final QuarantineEffects quarantineEffects;
 
 	private final StrikeRegistry strikes;
 
-	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
-
-	private final Map<BackendServerId, ServerModel> models = new HashMap<>();
-
-	private final Map<BackendServerId, Map<DaemonId, Long>> digestSubscribers = new HashMap<>();
-
 	private final Deque<SchedulingMessage> localMessages = new ArrayDeque<>();
 
 	private boolean deliveringLocal;
@@ -88,7 +69,7 @@
 	private Scheduler(DaemonId self, SchedulingLimits limits, OwnerLookup ownerLookup, InstantSource clock,
 			RandomGenerator random, SchedulingEffects effects) {
 		this.self = Objects.requireNonNull(self, "self must not be null");
-		this.limits = Objects.requireNonNull(limits, "limits must not be null");
+		Objects.requireNonNull(limits, "limits must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.effects = Objects.requireNonNull(effects, "effects must not be null");
 		this.directory = new PoolDirectory(self, ownerLookup, limits.assumptions(), random);
@@ -97,6 +78,7 @@
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
 				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
+		this.owner = new OwnerScheduler(self, limits, this.directory, this::send);
 	}
 
 	/**
@@ -163,61 +145,19 @@
 		long now = this.clock.millis();
 		boolean changed = this.directory.update(fleet, now);
 		if (changed) {
-			updateOwnership(now);
+			this.owner.onOwnersChanged(now);
 			this.entry.onFleetChanged();
 		}
-		this.owners.values().forEach((owner) -> owner.onEntriesChanged(this.directory.presentDaemons(), now));
+		this.owner.onEntriesChanged(now);
 		deliverLocal();
 	}
 
-	private void updateOwnership(long now) {
-		for (PermitOwner owner : new ArrayList<>(this.owners.values())) {
-			BackendServerId id = owner.server().id();
-			if (!this.directory.isOwner(id)) {
-				this.owners.remove(id);
-				this.digestSubscribers.remove(id);
-				owner.resign(now);
-			}
-		}
-		this.directory.owned().forEach((server) -> takeOwnership(server, now));
-		this.models.keySet().removeIf((id) -> this.directory.view(id) == null);
-	}
-
-	private void takeOwnership(BackendServer server, long now) {
-		PermitOwner former = this.owners.get(server.id());
-		if (former != null && former.server().equals(server)) {
-			return;
-		}
-		boolean restarted = former != null && server.isRestartOf(former.server());
-		boolean knownIdle = restarted || this.directory.isFleetNew();
-		PermitOwner owner = new PermitOwner(server, model(server), this::send, this.limits.permitLifetime(), knownIdle,
-				now);
-		this.owners.put(server.id(), owner);
-		if (former != null) {
-			former.handOver(owner, now);
-		}
-	}
-
-	private ServerModel model(BackendServer server) {
-		ServerModel known = this.models.get(server.id());
-		if (known != null && known.server().equals(server)) {
-			known.resetRunning();
-			return known;
-		}
-		ServerModel created = new ServerModel(server, this.limits.assumptions());
-		this.models.put(server.id(), created);
-		return created;
-	}
-
 	/**
 	 * Applies a load report of a backend server. Ignored if this daemon is not its owner.
 	 * @param report the report
 	 */
 	public void onLoadReport(LoadReport report) {
-		PermitOwner owner = this.owners.get(report.backendServer());
-		if (owner != null) {
-			owner.onLoadReport(report, this.clock.millis());
-		}
+		this.owner.onLoadReport(report, this.clock.millis());
 		deliverLocal();
 	}
 
@@ -226,7 +166,7 @@
 	 */
 	public void tick() {
 		long now = this.clock.millis();
-		this.owners.values().forEach((owner) -> owner.tick(now));
+		this.owner.tick(now);
 		this.entry.tick();
 		this.quotas.tick(now);
 		if (now - this.reportedAt >= REPORT_INTERVAL_MILLIS) {
@@ -242,13 +182,10 @@
 	}
 
 	private void sendDigests(long now) {
-		this.owners.forEach((id, owner) -> {
-			ServerState state = owner.state(now);
-			this.entry.updateView(id, state);
-			Map<DaemonId, Long> entries = this.digestSubscribers.getOrDefault(id, Map.of());
-			entries.values().removeIf((requestedAt) -> requestedAt < now - DIGEST_SUBSCRIPTION_MILLIS);
-			entries.keySet().forEach((daemon) -> send(daemon, new ServerDigest(state)));
-		});
+		for (ServerState state : this.owner.states(now)) {
+			this.entry.updateView(state.backendServer(), state);
+			this.owner.sendDigest(state, now);
+		}
 	}
 
 	/**
@@ -256,7 +193,7 @@
 	 * @return the backend servers
 	 */
 	public Collection<BackendServer> ownedServers() {
-		return this.owners.values().stream().map(PermitOwner::server).toList();
+		return this.owner.ownedServers();
 	}
 
 	/**
@@ -264,8 +201,7 @@
 	 * @return the states
 	 */
 	public List<ServerState> states() {
-		long now = this.clock.millis();
-		return this.owners.values().stream().map((owner) -> owner.state(now)).toList();
+		return this.owner.states(this.clock.millis());
 	}
 
 	/**
@@ -274,7 +210,7 @@
 	 * @return whether priority is inverted
 	 */
 	public boolean isPriorityInverted() {
-		return this.owners.values().stream().anyMatch(PermitOwner::isPriorityInverted);
+		return this.owner.isPriorityInverted();
 	}
 
 	/**
@@ -354,7 +290,7 @@
 
 	private void handle(DaemonId sender, SchedulingMessage message) {
 		if (message instanceof PermitRequest permitRequest) {
-			onPermitRequest(sender, permitRequest);
+			this.owner.onPermitRequest(sender, permitRequest, this.clock.millis());
 		}
 		else if (message instanceof PermitGrant grant) {
 			this.entry.onGrant(sender, grant);
@@ -385,38 +321,14 @@
 	private void handleForOwner(DaemonId sender, SchedulingMessage message) {
 		long now = this.clock.millis();
 		if (message instanceof PermitRelease release) {
-			PermitOwner owner = this.owners.get(release.backendServer());
-			if (owner != null) {
-				owner.release(release.request(), release.measurement(), now);
-			}
+			this.owner.onRelease(release, now);
 		}
 		else if (message instanceof PermitWithdrawal withdrawal) {
-			PermitOwner owner = this.owners.get(withdrawal.backendServer());
-			if (owner != null) {
-				owner.release(withdrawal.request(), RunMeasurement.none(RunEnd.UNUSED), now);
-			}
+			this.owner.onWithdrawal(withdrawal, now);
 		}
 		else if (message instanceof RunningPermits permits) {
-			PermitOwner owner = this.owners.get(permits.backendServer());
-			if (owner != null) {
-				owner.onRunningPermits(sender, permits.running(), now);
-			}
-		}
-	}
-
-	private void onPermitRequest(DaemonId sender, PermitRequest permitRequest) {
-		long now = this.clock.millis();
-		PermitOwner owner = this.owners.get(permitRequest.backendServer());
-		if (owner == null) {
-			send(sender, new PermitRefusal(permitRequest.request(), permitRequest.backendServer(),
-					PermitDenial.NOT_OWNER, Duration.ZERO, null));
-			return;
-		}
-		if (!this.self.equals(sender)) {
-			this.digestSubscribers.computeIfAbsent(permitRequest.backendServer(), (id) -> new HashMap<>())
-				.put(sender, now);
+			this.owner.onRunningPermits(sender, permits, now);
 		}
-		owner.request(sender, permitRequest, now);
 	}
 
 }
