Move the admission check and the replies out of PermitOwner

Change: AdmissionCheck decides whether there is room, how long a request would wait and whether it would finish in time. PermitReplies sends the decisions to the entries with the state of the backend server. The accessor PermitOwner.isLowerTierRunning had no caller outside and is gone; the occupancy is asked instead. No change of behaviour.

--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -38,23 +38,9 @@
 	 */
 	private static final long ORPHAN_GRACE_MILLIS = 5000;
 
-	/**
-	 * Remaining slack, in milliseconds, at which a waiting top-tier request is granted
-	 * regardless of the limit.
-	 */
-	private static final long TOP_TIER_SLACK_MILLIS = 100;
-
-	/**
-	 * Time, in milliseconds, for which a new owner without a load report grants lower
-	 * tiers only half the limit.
-	 */
-	private static final long WARM_UP_MILLIS = 1000;
-
 	private final BackendServer server;
 
-	private final MessageOutbox replies;
-
-	private final Duration permitLifetime;
+	private final PermitReplies replies;
 
 	private final OwnerQueue queue = new OwnerQueue();
 
@@ -62,9 +48,7 @@
 
 	private final ServerModel model;
 
-	private final long warmUpEndsAt;
-
-	private boolean reportSeen;
+	private final AdmissionCheck check;
 
 	private boolean leaving;
 
@@ -75,20 +59,19 @@
 	 * @param server the backend server
 	 * @param model what this daemon has learned about the backend server, including
 	 * during an earlier ownership
-	 * @param replies outbox for replies to entries
+	 * @param outbox outbox for replies to entries
 	 * @param permitLifetime time within which a permit must be used
 	 * @param knownIdle whether no entry can have unreported runs there, so that no
 	 * warm-up is needed
 	 * @param now the current time
 	 */
-	PermitOwner(BackendServer server, ServerModel model, MessageOutbox replies, Duration permitLifetime,
+	PermitOwner(BackendServer server, ServerModel model, MessageOutbox outbox, Duration permitLifetime,
 			boolean knownIdle, long now) {
 		this.server = Objects.requireNonNull(server, "server must not be null");
-		this.replies = Objects.requireNonNull(replies, "replies must not be null");
-		this.permitLifetime = Objects.requireNonNull(permitLifetime, "permitLifetime must not be null");
+		this.replies = new PermitReplies(server.id(), outbox, permitLifetime, this::state);
 		this.occupancy = new ServerOccupancy(now);
 		this.model = Objects.requireNonNull(model, "model must not be null");
-		this.warmUpEndsAt = (knownIdle) ? now : now + WARM_UP_MILLIS;
+		this.check = new AdmissionCheck(this.occupancy, this.queue, model, knownIdle, now);
 	}
 
 	BackendServer server() {
@@ -106,10 +89,10 @@
 		OutstandingPermit permit = this.occupancy.get(permitRequest.request());
 		WaitingRequest waiting = this.queue.get(permitRequest.request());
 		if (permit != null) {
-			sendGrant(permit, now);
+			this.replies.sendGrant(permit, now);
 		}
 		else if (waiting != null) {
-			sendQueued(waiting, now);
+			this.replies.sendQueued(waiting, expectedWait(waiting, now), now);
 		}
 		else {
 			decide(WaitingRequest.of(permitRequest, entry, now), now);
@@ -118,22 +101,22 @@
 
 	private void decide(WaitingRequest waiting, long now) {
 		if (this.leaving) {
-			refuse(waiting, PermitDenial.LEAVING, 0, now);
+			this.replies.sendRefusal(waiting, PermitDenial.LEAVING, 0, now);
 		}
 		else if (this.model.health().isIsolated()) {
 			grantProbeOrRefuse(waiting, now);
 		}
-		else if (!canFinish(waiting, 0, now)) {
-			refuse(waiting, PermitDenial.DEADLINE_UNREACHABLE, 0, now);
+		else if (!this.check.canFinish(waiting, 0, now)) {
+			this.replies.sendRefusal(waiting, PermitDenial.DEADLINE_UNREACHABLE, 0, now);
 		}
-		else if (hasRoom(waiting.permitRequest().tier(), now)
+		else if (this.check.hasRoom(waiting.permitRequest().tier(), now)
 				&& this.queue.countAhead(waiting.permitRequest().tier()) == 0) {
 			grant(waiting, now);
 		}
 		else if (waiting.permitRequest().tier().isTop() && !waiting.permitRequest().mayPreempt()) {
-			refuse(waiting, PermitDenial.NO_ROOM, 0, now);
+			this.replies.sendRefusal(waiting, PermitDenial.NO_ROOM, 0, now);
 		}
-		else if (waiting.permitRequest().tier().isTop() && (makeRoom(now) || isSlackUsedUp(waiting, now))) {
+		else if (waiting.permitRequest().tier().isTop() && (makeRoom(now) || this.check.isSlackUsedUp(waiting, now))) {
 			grant(waiting, now);
 		}
 		else {
@@ -148,41 +131,25 @@
 			grant(waiting, now);
 		}
 		else {
-			refuse(waiting, PermitDenial.ISOLATED, this.model.health().millisUntilProbe(now), now);
+			this.replies.sendRefusal(waiting, PermitDenial.ISOLATED, this.model.health().millisUntilProbe(now), now);
 		}
 	}
 
 	private void enqueue(WaitingRequest waiting, long now) {
-		long wait = expectedWait(waiting.permitRequest().tier(), now);
-		boolean behindLowerTier = waiting.permitRequest().tier().isTop() && isLowerTierRunning();
-		if (behindLowerTier || canFinish(waiting, wait + extraWaitIfLate(waiting, wait, now), now)) {
+		long wait = expectedWait(waiting, now);
+		boolean behindLowerTier = waiting.permitRequest().tier().isTop() && this.occupancy.isLowerTierRunning();
+		if (behindLowerTier
+				|| this.check.canFinish(waiting, wait + this.check.extraWaitIfLate(waiting, wait, now), now)) {
 			this.queue.add(waiting);
-			sendQueued(waiting, now);
+			this.replies.sendQueued(waiting, expectedWait(waiting, now), now);
 		}
 		else {
-			refuse(waiting, PermitDenial.OVERLOADED, wait, now);
-		}
-	}
-
-	// A request that will be late is queued behind all requests that are late already.
-	private long extraWaitIfLate(WaitingRequest waiting, long queueWait, long now) {
-		if (now + queueWait <= waiting.targetStartBy()) {
-			return 0;
-		}
-		int late = this.queue.size() - this.queue.onTimeSize();
-		return (long) (late * this.model.serviceMillis(now) / this.model.limit().limit());
-	}
-
-	private boolean hasRoom(Tier tier, long now) {
-		if (tier.isTop()) {
-			return this.occupancy.size() < this.model.limit().hardLimit();
+			this.replies.sendRefusal(waiting, PermitDenial.OVERLOADED, wait, now);
 		}
-		int limit = this.model.lowerTierLimit(now);
-		return this.occupancy.size() < (isWarmedUp(now) ? limit : (limit + 1) / 2);
 	}
 
-	private boolean isWarmedUp(long now) {
-		return this.reportSeen || now >= this.warmUpEndsAt;
+	private long expectedWait(WaitingRequest waiting, long now) {
+		return this.check.expectedWait(waiting.permitRequest().tier(), now);
 	}
 
 	/**
@@ -196,53 +163,24 @@
 			.min(Comparator.comparingDouble((permit) -> permit.wastedPrefill(now)));
 		victim.ifPresent((permit) -> {
 			permit.markPreempting();
-			this.replies.send(permit.entry(), new PermitPreemption(permit.permitRequest().request(), this.server.id()));
+			this.replies.sendPreemption(permit);
 		});
 		return victim.isPresent();
 	}
 
-	/**
-	 * Returns whether a top-tier request must be granted now regardless of the limit.
-	 * Otherwise it would be refused while a lower tier runs.
-	 * @param waiting the request
-	 * @param now the current time
-	 * @return whether its slack is used up while lower-tier work is running
-	 */
-	private boolean isSlackUsedUp(WaitingRequest waiting, long now) {
-		return waiting.permitRequest().tier().isTop() && isLowerTierRunning()
-				&& !canFinish(waiting, TOP_TIER_SLACK_MILLIS, now);
-	}
-
 	private Stream<OutstandingPermit> preemptible() {
 		return this.occupancy.permits()
 			.filter((permit) -> !permit.isTop() && !permit.isPreempting()
 					&& permit.permitRequest().runningPolicy().isPreemptible(this.resumesStreams));
 	}
 
-	private boolean canFinish(WaitingRequest waiting, long waitMillis, long now) {
-		if (waiting.deadline() <= now + waitMillis || waiting.startBy() < now + waitMillis) {
-			return false;
-		}
-		int concurrent = (waiting.permitRequest().tier().isTop()) ? this.occupancy.topTierSize()
-				: this.occupancy.size();
-		RunForecast forecast = this.model.forecast(waiting.permitRequest(), concurrent + 1, now);
-		double backlog = (waitMillis > 0) ? 0 : forecast.backlogMillis();
-		double total = backlog + forecast.prefillMillis() + forecast.decodeMillis();
-		return now + waitMillis + total <= waiting.deadline();
-	}
-
-	private long expectedWait(Tier tier, long now) {
-		int ahead = this.queue.countAhead(tier) + 1;
-		return (long) (ahead * this.model.serviceMillis(now) / this.model.limit().limit());
-	}
-
 	private void grant(WaitingRequest waiting, long now) {
 		RunForecast forecast = this.model.forecastAtFullLoad(waiting.permitRequest(), now);
 		OutstandingPermit permit = new OutstandingPermit(waiting.permitRequest(), waiting.entry(), now, forecast,
 				this.occupancy.size() + 1);
 		this.occupancy.add(permit, now);
 		this.model.runStarted(permit, now);
-		sendGrant(permit, now);
+		this.replies.sendGrant(permit, now);
 	}
 
 	/**
@@ -297,7 +235,7 @@
 	 * @param now the current time
 	 */
 	void onLoadReport(LoadReport report, long now) {
-		this.reportSeen = true;
+		this.check.onLoadReport();
 		this.leaving = report.leaving();
 		this.resumesStreams = report.resumesStreams();
 		this.occupancy.onLoadReport(report.running() + report.waiting(), now);
@@ -331,7 +269,7 @@
 		if (this.model.health().isIsolated()) {
 			refuseWaiting((waiting) -> true, PermitDenial.ISOLATED, now);
 		}
-		refuseWaiting((waiting) -> !canFinish(waiting, 0, now), PermitDenial.OVERLOADED, now);
+		refuseWaiting((waiting) -> !this.check.canFinish(waiting, 0, now), PermitDenial.OVERLOADED, now);
 		grantWaiting(now);
 	}
 
@@ -355,7 +293,7 @@
 
 	private void refuseWaiting(Predicate<WaitingRequest> condition, PermitDenial denial, long now) {
 		for (WaitingRequest waiting : this.queue.removeIf(condition)) {
-			refuse(waiting, denial, expectedWait(waiting.permitRequest().tier(), now), now);
+			this.replies.sendRefusal(waiting, denial, expectedWait(waiting, now), now);
 		}
 	}
 
@@ -364,11 +302,11 @@
 		WaitingRequest next = this.queue.peek();
 		while (next != null && mayRunNow(next, now)) {
 			this.queue.take(next);
-			if (canFinish(next, 0, now)) {
+			if (this.check.canFinish(next, 0, now)) {
 				grant(next, now);
 			}
 			else {
-				refuse(next, PermitDenial.OVERLOADED, expectedWait(next.permitRequest().tier(), now), now);
+				this.replies.sendRefusal(next, PermitDenial.OVERLOADED, expectedWait(next, now), now);
 			}
 			next = this.queue.peek();
 		}
@@ -378,16 +316,8 @@
 		if (this.model.health().isIsolated()) {
 			return false;
 		}
-		return hasRoom(next.permitRequest().tier(), now)
-				|| (next.permitRequest().tier().isTop() && (makeRoom(now) || isSlackUsedUp(next, now)));
-	}
-
-	/**
-	 * Returns whether a permit below the top tier is outstanding.
-	 * @return whether lower-tier work may be running
-	 */
-	boolean isLowerTierRunning() {
-		return this.occupancy.isLowerTierRunning();
+		return this.check.hasRoom(next.permitRequest().tier(), now)
+				|| (next.permitRequest().tier().isTop() && (makeRoom(now) || this.check.isSlackUsedUp(next, now)));
 	}
 
 	/**
@@ -404,19 +334,4 @@
 		return this.model.state(this.occupancy, this.queue.onTimeSize(), now);
 	}
 
-	private void sendGrant(OutstandingPermit permit, long now) {
-		this.replies.send(permit.entry(),
-				new PermitGrant(permit.permitRequest().request(), this.server.id(), this.permitLifetime, state(now)));
-	}
-
-	private void sendQueued(WaitingRequest waiting, long now) {
-		this.replies.send(waiting.entry(), new PermitQueued(waiting.permitRequest().request(), this.server.id(),
-				Duration.ofMillis(expectedWait(waiting.permitRequest().tier(), now)), state(now)));
-	}
-
-	private void refuse(WaitingRequest waiting, PermitDenial denial, long retryAfterMillis, long now) {
-		this.replies.send(waiting.entry(), new PermitRefusal(waiting.permitRequest().request(), this.server.id(),
-				denial, Duration.ofMillis(retryAfterMillis), state(now)));
-	}
-
 }
