Move the handling of received updates out of Membership

Change: GossipReceiver applies the updates of a received message and the fact that its sender is alive. The fan-out of urgent updates, which both classes use, is a constant of Outbox. No change of behaviour.

--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -30,15 +30,6 @@
 	/** Number of daemons asked to probe one that does not respond. */
 	private static final int INDIRECT_PROBES = 3;
 
-	/**
-	 * Number of daemons that an urgent update is sent to without waiting for the next
-	 * probe.
-	 */
-	private static final int URGENT_FANOUT = 8;
-
-	/** Number of daemons that an urgent update from another daemon is forwarded to. */
-	private static final int RELAYED_FANOUT = 3;
-
 	/**
 	 * Number of times that the announcement of a planned stop is sent, to compensate for
 	 * message loss.
@@ -64,6 +55,8 @@
 
 	private final ProbeSchedule schedule;
 
+	private final GossipReceiver receiver;
+
 	private final JoinResponder joinResponder;
 
 	private final IsolationDetector isolation = new IsolationDetector();
@@ -90,6 +83,8 @@
 		this.composer = new UpdateComposer(this.table, this.backendUpdates);
 		this.schedule = new ProbeSchedule(this.table, random);
 		this.outbox = new Outbox(this.self, this.table, this.composer, this.schedule, clock, output);
+		this.receiver = new GossipReceiver(this.self, this.table, this.backendUpdates, this.composer, this.outbox,
+				timing.probeInterval(), output);
 		this.joinResponder = new JoinResponder(this.table, this.schedule);
 		this.lastTick = clock.instant();
 		this.contacts = new JoinContacts(self.peerAddress(), random);
@@ -149,7 +144,7 @@
 	public void leave() {
 		if (this.self.member().status() == MemberStatus.ALIVE) {
 			this.self.changeStatus(MemberStatus.LEAVING);
-			this.outbox.scheduleUrgent(URGENT_ROUNDS, URGENT_FANOUT);
+			this.outbox.scheduleUrgent(URGENT_ROUNDS, Outbox.URGENT_FANOUT);
 		}
 	}
 
@@ -159,7 +154,7 @@
 	 */
 	public void announceStopped() {
 		this.self.changeStatus(MemberStatus.DEAD);
-		this.outbox.sendToRandom(URGENT_FANOUT);
+		this.outbox.sendToRandom(Outbox.URGENT_FANOUT);
 	}
 
 	/**
@@ -168,7 +163,7 @@
 	 */
 	public void broadcast(StrikeUpdate strike) {
 		if (this.backendUpdates.add(strike, this.clock.instant())) {
-			this.outbox.scheduleUrgent(1, URGENT_FANOUT);
+			this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
 		}
 	}
 
@@ -217,8 +212,9 @@
 			return;
 		}
 		Instant now = this.clock.instant();
-		applyUpdates(sender, message, now);
-		handleLiveSender(sender, now);
+		boolean rebroadcast = !(message instanceof JoinResponse) || this.contacts.isSettled(now);
+		this.receiver.apply(sender, message.updates(), rebroadcast, now);
+		this.receiver.handleLiveSender(sender, now);
 		if (message instanceof ProbeRequest probe) {
 			this.outbox.send(address,
 					new ProbeResponse(probe.sequence(), this.outbox.updatesFor(this.table.peer(sender))));
@@ -288,7 +284,7 @@
 		boolean isNew = target.suspectedAt() == null;
 		if (target.suspectLocally(!this.isolation.isIsolated(), now)) {
 			this.composer.broadcast(target.member().id());
-			this.outbox.scheduleUrgent(1, URGENT_FANOUT);
+			this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
 		}
 		if (isNew) {
 			this.output.onEvent(MembershipEvent.SUSPECTED, target.member());
@@ -320,75 +316,12 @@
 			if (peer.isSuspicionExpired(now, this.timing.suspicionTimeout())) {
 				peer.markDead(now);
 				this.composer.broadcast(peer.member().id());
-				this.outbox.scheduleUrgent(1, URGENT_FANOUT);
+				this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
 				this.output.onEvent(MembershipEvent.DIED, peer.member());
 			}
 		}
 	}
 
-	private void applyUpdates(DaemonId sender, MembershipMessage message, Instant now) {
-		GossipUpdates updates = message.updates();
-		boolean rebroadcast = !(message instanceof JoinResponse) || this.contacts.isSettled(now);
-		for (Member update : updates.members()) {
-			if (update.id().equals(this.self.member().id())) {
-				applySelfUpdate(update);
-			}
-			else if (Region.of(update.failureDomain()).equals(Region.of(this.self.member().failureDomain()))) {
-				applyUpdate(update, update.id().equals(sender), rebroadcast, now);
-			}
-		}
-		for (StrikeUpdate strike : updates.strikes()) {
-			if (this.backendUpdates.add(strike, now)) {
-				this.output.onStrike(strike);
-				this.outbox.scheduleUrgent(1, RELAYED_FANOUT);
-			}
-		}
-		for (LeavingUpdate leaving : updates.leavingBackends()) {
-			if (this.backendUpdates.add(leaving, now)) {
-				this.output.onBackendLeaving(leaving);
-			}
-		}
-	}
-
-	private void applyUpdate(Member update, boolean direct, boolean rebroadcast, Instant now) {
-		MemberTable.Change change = this.table.apply(update, direct, now);
-		if (change == MemberTable.Change.NONE) {
-			return;
-		}
-		if (rebroadcast) {
-			this.composer.broadcast(update.id());
-		}
-		if (change.isUrgent()) {
-			this.outbox.scheduleUrgent(1, RELAYED_FANOUT);
-		}
-		MembershipEvent event = change.event();
-		if (event != null) {
-			this.output.onEvent(event, update);
-		}
-	}
-
-	private void applySelfUpdate(Member update) {
-		MembershipEvent event = this.self.apply(update);
-		if (event != null) {
-			this.output.onEvent(event, this.self.member());
-			this.outbox.scheduleUrgent(1, URGENT_FANOUT);
-		}
-	}
-
-	private void handleLiveSender(DaemonId sender, Instant now) {
-		Peer peer = this.table.peer(sender);
-		if (peer == null || peer.status() == MemberStatus.ALIVE) {
-			return;
-		}
-		if (peer.clearUnsharedSuspicion(now)) {
-			this.output.onEvent(MembershipEvent.CLEARED, peer.member());
-		}
-		else if (peer.status() != MemberStatus.LEAVING
-				&& peer.markNotified(now, now.minus(this.timing.probeInterval()))) {
-			this.outbox.probe(peer);
-		}
-	}
-
 	private void handleProbeResponse(long sequence, Instant now) {
 		if (this.isolation.responseReceived()) {
 			this.table.peers().forEach((peer) -> peer.restartSuspicion(now));
--- a/core/src/main/java/org/sardineport/core/membership/Outbox.java
+++ b/core/src/main/java/org/sardineport/core/membership/Outbox.java
@@ -11,6 +11,12 @@
  */
 final class Outbox {
 
+	/**
+	 * Number of daemons that an urgent update is sent to without waiting for the next
+	 * probe.
+	 */
+	static final int URGENT_FANOUT = 8;
+
 	private final SelfState self;
 
 	private final MemberTable table;
