Move the ends of a dispatched request out of RequestRun

RunPermitListener passes the scheduler's decisions to the run's executor, as RunAttempt does for an exchange. RunRequest creates the request to the backend server. No change of behaviour.

--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRun.java
@@ -19,7 +19,6 @@
 import org.sardineport.core.journal.DispatchDecision;
 import org.sardineport.core.port.backend.BackendException;
 import org.sardineport.core.port.backend.BackendFailure;
-import org.sardineport.core.port.backend.BackendRequest;
 import org.sardineport.core.port.backend.Exchange;
 import org.sardineport.core.request.Outcome;
 import org.sardineport.core.request.Refusal;
@@ -29,9 +28,9 @@
 
 /**
  * Runs one request, from waiting for a permit to the last byte of the response. State is
- * accessed on the run's executor only; callbacks may arrive on any thread.
+ * accessed on the run's executor only.
  */
-final class RequestRun implements PermitListener {
+final class RequestRun {
 
 	private static final EventLog LOG = EventLog.of(RequestRun.class);
 
@@ -57,12 +56,18 @@
 
 	private final PermitHolder permit;
 
+	private final PermitListener permitListener;
+
 	private final Preemption preemption;
 
 	private final StreamMigration migration;
 
 	private final RunRetries retries;
 
+	private final UnsentRequestCompletion unsentCompletion;
+
+	private final DispatchedRequestCompletion completion;
+
 	private final CurrentExchange exchange = new CurrentExchange();
 
 	private Runnable cancelDeadline = () -> {
@@ -82,10 +87,14 @@
 		this.recorder = recorder;
 		this.whenEnded = whenEnded;
 		this.permit = new PermitHolder(services.scheduler(), this.scheduling);
+		this.permitListener = new RunPermitListener(this, executor);
 		this.retries = new RunRetries(services);
 		this.relay = new ResponseRelay(this.scheduling, sink, services.telemetry(), recorder.maxResponseBytes());
 		this.preemption = new Preemption(this, services, this.scheduling, executor);
 		this.migration = this.preemption.migration();
+		this.unsentCompletion = new UnsentRequestCompletion(services, request, sink, executor, this::finishRun);
+		this.completion = new DispatchedRequestCompletion(this.life, this.permit, this.relay, this.migration, recorder,
+				services.clock(), this::finishRun);
 	}
 
 	void start() {
@@ -99,7 +108,7 @@
 		Duration remaining = Duration.between(now(), this.scheduling.deadline());
 		this.cancelDeadline.run();
 		this.cancelDeadline = this.executor.schedule(remaining, this::onDeadline);
-		this.permit.submit(this);
+		this.permit.submit(this.permitListener);
 	}
 
 	void callerDisconnected() {
@@ -119,40 +128,26 @@
 		}
 		else if (this.migration.isSuspended()) {
 			this.permit.abandon();
-			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
+			this.completion.fail(BackendFailure.CANCELLED, false);
 		}
 		else {
 			this.exchange.cancel();
 		}
 	}
 
-	@Override
-	public void granted(Permit granted) {
-		this.executor.execute(() -> onGranted(granted));
-	}
-
-	@Override
-	public void refused(Refusal refusal) {
-		this.executor.execute(() -> {
-			if (this.life.phase() == RequestPhase.WAITING && !this.permit.isHeld()) {
-				refuseUnsent(RequestPhase.FAILED, refusal);
-			}
-			else if (this.migration.isSuspended() && !this.permit.isHeld()) {
-				this.preemption.refused(refusal);
-			}
-		});
-	}
-
-	@Override
-	public void preempted(Permit revoked) {
-		this.executor.execute(() -> {
-			if (this.permit.holds(revoked)) {
-				onPreempted(revoked);
-			}
-		});
+	void onRefused(Refusal refusal) {
+		if (this.life.phase() == RequestPhase.WAITING && !this.permit.isHeld()) {
+			refuseUnsent(RequestPhase.FAILED, refusal);
+		}
+		else if (this.migration.isSuspended() && !this.permit.isHeld()) {
+			this.preemption.refused(refusal);
+		}
 	}
 
-	private void onPreempted(Permit revoked) {
+	void onPreempted(Permit revoked) {
+		if (!this.permit.holds(revoked)) {
+			return;
+		}
 		if (this.life.phase() == RequestPhase.DISPATCHED) {
 			this.preemption.preempt(revoked);
 		}
@@ -178,7 +173,7 @@
 		}
 		this.permit.release(this.relay.measurement(RunEnd.CANCELLED, now()));
 		if (this.callerDisconnected && !this.recorder.continuesAfterDisconnect()) {
-			fail(RunVerdict.of(BackendFailure.CANCELLED, false), BackendFailure.CANCELLED);
+			this.completion.fail(BackendFailure.CANCELLED, false);
 			return false;
 		}
 		submit();
@@ -198,10 +193,10 @@
 	}
 
 	void failMigration() {
-		fail(RunVerdict.of(BackendFailure.CANCELLED, true), BackendFailure.CANCELLED);
+		this.completion.fail(BackendFailure.CANCELLED, true);
 	}
 
-	private void onGranted(Permit granted) {
+	void onGranted(Permit granted) {
 		boolean wanted = this.life.phase() == RequestPhase.WAITING || this.migration.isSuspended();
 		if (!wanted || this.permit.isHeld()) {
 			this.permit.returnUnused(granted);
@@ -231,14 +226,11 @@
 		this.permit.release(RunMeasurement.none(RunEnd.UNUSED));
 		if (decision instanceof DispatchDecision.Lost) {
 			this.life.tryEnter(RequestPhase.FAILED);
-			JoinedResponse.deliverWhenFinished(this.services, this.request, this.sink, this.executor, this::finishRun);
-			return;
 		}
-		Refusal refusal = (decision instanceof DispatchDecision.Refused refused) ? refused.refusal()
-				: Refusal.of(RefusalReason.JOURNAL_UNSETTLED, "The journal failed: " + failure);
-		enterFinal(RequestPhase.FAILED);
-		this.sink.refuse(refusal);
-		finishRun();
+		else {
+			enterFinal(RequestPhase.FAILED);
+		}
+		this.unsentCompletion.completeUndispatched(decision, failure);
 	}
 
 	private void onDispatchAllowed(Permit granted) {
@@ -264,11 +256,10 @@
 		}
 		this.cancelDeadline.run();
 		this.relay.startMeter(RunMeter.dispatched(now, this.scheduling.estimate()));
-		BackendRequest backendRequest = new BackendRequest(this.scheduling.id().value(), this.request.method(),
-				this.request.pathAndQuery(), this.request.headers(), this.request.body(), this.scheduling.deadline());
 		RunAttempt attempt = new RunAttempt(this, this.executor, false);
 		this.exchange.begin(attempt);
-		this.exchange.attach(this.services.engines().send(granted.backendServer(), backendRequest, attempt));
+		this.exchange
+			.attach(this.services.engines().send(granted.backendServer(), this.request.backendRequest(), attempt));
 	}
 
 	boolean isCurrent(RunAttempt candidate) {
@@ -287,16 +278,7 @@
 	}
 
 	void onEnd() {
-		RunVerdict rejection = this.relay.rejection();
-		if (rejection != null) {
-			fail(rejection, BackendFailure.NOT_SUPPORTED);
-			return;
-		}
-		enterFinal(RequestPhase.COMPLETED);
-		this.migration.close();
-		this.permit.release(this.relay.measurement(RunEnd.COMPLETED, now()));
-		this.recorder.finish(Outcome.COMPLETED, this.relay.complete(now()));
-		finishRun();
+		this.completion.complete();
 	}
 
 	void onExchangeFailed(BackendException failure) {
@@ -322,8 +304,7 @@
 		}
 		LOG.debug("run.failed", "request", this.scheduling.id(), "failure", failure.failure(), "message",
 				failure.getMessage());
-		RunVerdict rejection = this.relay.rejection();
-		fail((rejection != null) ? rejection : RunVerdict.of(failure.failure(), this.preempted), failure.failure());
+		this.completion.failExchange(failure.failure(), this.preempted);
 	}
 
 	private void onNotConnected(BackendException failure) {
@@ -336,22 +317,11 @@
 		}
 	}
 
-	private void fail(RunVerdict verdict, BackendFailure failure) {
-		if (!this.life.tryEnter((failure == BackendFailure.CANCELLED) ? RequestPhase.CANCELLED : RequestPhase.FAILED)) {
-			return;
-		}
-		this.permit.release(this.relay.measurement(verdict.end(), now()));
-		this.relay.fail(verdict);
-		this.migration.close();
-		this.recorder.finish(Outcome.UNKNOWN, null);
-		finishRun();
-	}
-
 	private void onDeadline() {
 		if (this.life.phase() == RequestPhase.DISPATCHED
 				&& (this.migration.isSuspended() || this.migration.hasMigrated())) {
 			this.permit.abandon();
-			fail(RunVerdict.of(BackendFailure.TIMED_OUT, false), BackendFailure.TIMED_OUT);
+			this.completion.fail(BackendFailure.TIMED_OUT, false);
 			this.exchange.cancel();
 			return;
 		}
@@ -364,8 +334,7 @@
 
 	private void refuseUnsent(RequestPhase end, Refusal refusal) {
 		enterFinal(end);
-		new UnsentRequestCompletion(this.services, this.request, this.sink, this.executor, this::finishRun)
-			.complete(refusal, this.recorder.release(refusal));
+		this.unsentCompletion.complete(refusal, this.recorder.release(refusal));
 	}
 
 	private void retry(RetryReason reason, Refusal fallback) {
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RunRequest.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RunRequest.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.journal.IdempotencyKey;
+import org.sardineport.core.port.backend.BackendRequest;
 
 /**
  * An admitted request, ready to be run.
@@ -33,4 +34,13 @@
 		Objects.requireNonNull(body, "body must not be null");
 	}
 
+	/**
+	 * Returns the request to send to a backend server, with the deadline as its timeout.
+	 * @return the request, which shares the body
+	 */
+	BackendRequest backendRequest() {
+		return new BackendRequest(this.scheduling.id().value(), this.method, this.pathAndQuery, this.headers, this.body,
+				this.scheduling.deadline());
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/UnsentRequestCompletion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/UnsentRequestCompletion.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionStage;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.journal.DispatchDecision;
 import org.sardineport.core.journal.KeyState;
 import org.sardineport.core.request.Outcome;
 import org.sardineport.core.request.Refusal;
@@ -59,6 +60,24 @@
 		}));
 	}
 
+	/**
+	 * Responds to the caller after the journal did not allow the dispatch. If another run
+	 * holds the key, its response is delivered when it has finished.
+	 * @param decision a decision against the dispatch, or {@code null} if the journal
+	 * failed
+	 * @param failure the failure of the journal, or {@code null} if it decided
+	 */
+	void completeUndispatched(@Nullable DispatchDecision decision, @Nullable Throwable failure) {
+		if (decision instanceof DispatchDecision.Lost) {
+			JoinedResponse.deliverWhenFinished(this.services, this.request, this.sink, this.executor, this.whenEnded);
+			return;
+		}
+		Refusal refusal = (decision instanceof DispatchDecision.Refused refused) ? refused.refusal()
+				: Refusal.of(RefusalReason.JOURNAL_UNSETTLED, "The journal failed: " + failure);
+		this.sink.refuse(refusal);
+		this.whenEnded.run();
+	}
+
 	private void onReleased(Refusal refusal, @Nullable KeyState state) {
 		if (this.responded) {
 			return;
