Confirm attempts of several versions with every daemon that is told

Evidence: r2 was sent to a server of v1, which broke before its first event, then to one of v3, which began the stream. The daemon asked when the caller came back found "version v1" while three later lookups found "ambiguous": it had the first report and not yet the second.

Cause: two of up to four daemons had to remember the second dispatch before the event went out, but one answer is enough for a lookup. The two need not overlap. One dispatched version needs no quorum, as any daemon that knows the run knows the truth.

Change: a report of several versions is confirmed only by all daemons that are told; otherwise the attempt ends before its first event. Reads stay at one answer, so a caller can come back after most daemons are lost. The rule costs a failed attempt if a daemon that is told has just died, and only for streams of which attempts at two versions were made.

Two tests of OriginRegistryTests fail without the change. Ruled out: more answers for each lookup, which would refuse streams of one version after the loss of half the fleet.

Remains: a daemon that is told of the first dispatch and, as the view of the fleet changed in between, not of the second.

--- a/core/src/main/java/org/sardineport/core/stream/OriginConfirmation.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginConfirmation.java
@@ -8,7 +8,8 @@
 /**
  * Waits until other daemons remember a report about a run. It ends when all of them do,
  * or shortly later if at least {@link OriginRegistry#CONFIRMATIONS} do, and repeats the
- * report to those that have not replied.
+ * report to those that have not replied. A report that attempts of several versions were
+ * dispatched must be remembered by all.
  */
 final class OriginConfirmation extends PendingReplies {
 
@@ -29,11 +30,16 @@
 		super(run.key(), told, now, now + OriginRegistry.LOOKUP_TIMEOUT.toMillis());
 		this.run = run;
 		this.report = report;
-		this.required = Math.min(OriginRegistry.CONFIRMATIONS, told.size());
+		this.required = requiredOf(report.run().state(), told.size());
 		this.effects = effects;
 		this.listener = listener;
 	}
 
+	// One that knows of the first version only would answer a lookup with that version.
+	private static int requiredOf(RunState state, int told) {
+		return (state == RunState.SEVERAL) ? told : Math.min(OriginRegistry.CONFIRMATIONS, told);
+	}
+
 	@Override
 	void accept(StreamRecord record, long now) {
 		if (record.run(this.run.number()).filter(this::isConfirmed).isPresent()) {
--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -46,7 +46,10 @@
 	/** Time after which an unconfirmed report is repeated, then with each tick. */
 	public static final Duration REPEAT_AFTER = Duration.ofMillis(40);
 
-	/** Number of other daemons that must confirm a report, if there are. */
+	/**
+	 * Number of other daemons that must confirm a report, if there are. All must if
+	 * attempts of several versions were dispatched.
+	 */
 	public static final int CONFIRMATIONS = 2;
 
 	private final Supplier<FleetSnapshot> fleet;
--- a/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
@@ -136,6 +136,42 @@
 		assertThat(this.sent).allMatch((message) -> ((OriginReport) message).run().state() == RunState.SEVERAL);
 	}
 
+	// A daemon that knew of the first dispatch only answered that its version began the
+	// stream, although the first event had come from another one.
+	@Test
+	void dispatchAtAnotherVersionIsConfirmedOnlyByAllDaemonsTold() {
+		this.registry.dispatched(RUN, V1, KEEP, (ignored) -> {
+		});
+		this.sent.clear();
+		this.receivers.clear();
+		this.registry.dispatched(RUN, V2, KEEP, this.dispatched::add);
+		StreamRecord known = StreamRecord
+			.of(RunOrigin.dispatched(RUN.number(), V1).merge(RunOrigin.dispatched(RUN.number(), V2)));
+		for (int i = 1; i < OriginReplicas.REPLICAS; i++) {
+			reply(i, known);
+		}
+		pass(OriginRegistry.CONFIRMATION_WINDOW);
+		assertThat(this.dispatched).isEmpty();
+		reply(0, known);
+		assertThat(this.dispatched).containsExactly(true);
+	}
+
+	@Test
+	void dispatchAtAnotherVersionIsNotConfirmedIfOneDaemonDoesNotReply() {
+		this.registry.dispatched(RUN, V1, KEEP, (ignored) -> {
+		});
+		this.sent.clear();
+		this.receivers.clear();
+		this.registry.dispatched(RUN, V2, KEEP, this.dispatched::add);
+		StreamRecord known = StreamRecord
+			.of(RunOrigin.dispatched(RUN.number(), V1).merge(RunOrigin.dispatched(RUN.number(), V2)));
+		for (int i = 1; i < OriginReplicas.REPLICAS; i++) {
+			reply(i, known);
+		}
+		pass(OriginRegistry.LOOKUP_TIMEOUT);
+		assertThat(this.dispatched).containsExactly(false);
+	}
+
 	// A lookup must not wait for daemons that are gone once it has an answer.
 	@Test
 	void lookupEndsShortlyAfterTheFirstUsefulReply() {
