Do not close a begun stream because the list lacks its first server

Change: only a list that shows another version under the name of the server rejects events; a server that is not listed, or a list that cannot be read for a second, does not. What the list said of the first attempt is remembered. The wait before a permit is gone: an attempt that continues a stream is held until a read that is later than both connections. The hand-over waits until the replacement may go on.

Not mended: a continuing response that ends without a whole new event is not checked.

--- a/core/src/main/java/org/sardineport/core/fleet/ListRead.java
+++ b/core/src/main/java/org/sardineport/core/fleet/ListRead.java
@@ -59,6 +59,17 @@
 		return listed != null && listed.softwareVersion().equals(server.softwareVersion());
 	}
 
+	/**
+	 * Returns whether the list showed another software version under the name of a
+	 * backend server. A server that is not listed may have left and still be serving.
+	 * @param server the backend server as listed earlier
+	 * @return whether it was listed with another version
+	 */
+	public boolean showsOtherVersion(BackendServer server) {
+		BackendServer listed = this.servers.get(server.id());
+		return listed != null && !listed.softwareVersion().equals(server.softwareVersion());
+	}
+
 	@Override
 	public String toString() {
 		return "ListRead[startedAt=%s, servers=%d]".formatted(this.startedAt, this.servers.size());
--- a/core/src/main/java/org/sardineport/core/fleet/ListReads.java
+++ b/core/src/main/java/org/sardineport/core/fleet/ListReads.java
@@ -17,14 +17,14 @@
 	/**
 	 * Waits for a read that began at a time or later.
 	 * @param time the time
-	 * @return completes on any thread with the first such read, and not at all while the
-	 * list cannot be read; never fails
+	 * @return completes on any thread with the last such read, or the next one, and not
+	 * at all while the list cannot be read; never fails
 	 */
 	CompletableFuture<ListRead> since(Instant time);
 
 	/**
-	 * Asks for a read earlier than the next periodic one. Has no effect if the list was
-	 * read very recently, or if the last read failed.
+	 * Asks for a read earlier than the next periodic one, as soon as the minimum interval
+	 * between reads permits. Has no effect while the last read has failed.
 	 */
 	void readSoon();
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -138,23 +138,23 @@
 	}
 
 	/**
-	 * Waits until it is known whether a connection led to the software version that was
-	 * listed.
+	 * Waits until it is known whether a connection led to another software version than
+	 * the one listed.
 	 * @param connection the connection, which may be closed by now
 	 * @param server the backend server as listed when the connection was acquired
 	 * @return completes on any thread once the list was read after the connection had
-	 * been opened, with whether it still showed the version; never fails
+	 * been opened, with whether it showed another version; not at all while the list
+	 * cannot be read; never fails
 	 */
-	CompletableFuture<Boolean> versionCertainty(BackendConnection connection, BackendServer server) {
+	CompletableFuture<Boolean> isReplaced(BackendConnection connection, BackendServer server) {
 		if (isVersionCertain(server)) {
-			return CompletableFuture.completedFuture(true);
+			return CompletableFuture.completedFuture(false);
 		}
-		return this.listReads.since(connection.openedAt()).thenApply((read) -> read.showsVersion(server));
+		return this.listReads.since(connection.openedAt()).thenApply((read) -> read.showsOtherVersion(server));
 	}
 
 	/**
-	 * Asks for an early read of the list, so that {@link #versionCertainty} completes
-	 * soon.
+	 * Asks for an early read of the list, so that {@link #isReplaced} completes soon.
 	 */
 	void readListSoon() {
 		this.listReads.readSoon();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -24,7 +24,6 @@
 import org.sardineport.core.relay.RequestProgress;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.Refusal;
-import org.sardineport.core.request.RefusalReason;
 
 /**
  * The attempts at one request, as far as the route and the retry budget allow. An attempt
@@ -102,34 +101,9 @@
 		SchedulingRequest schedulingRequest = this.version
 			.restrict(this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress));
 		this.pendingRequest = schedulingRequest;
-		CompletableFuture<Boolean> mayContinue = this.version.mayContinue();
-		if (mayContinue.getNow(false)) {
-			submit(schedulingRequest);
-		}
-		else {
-			mayContinue.thenAccept((isCertain) -> this.context
-				.runOnContext((ignored) -> submitIfCertain(schedulingRequest, isCertain)));
-		}
-	}
-
-	private void submit(SchedulingRequest schedulingRequest) {
 		this.services.scheduler().submit(schedulingRequest, new EventLoopListener(schedulingRequest));
 	}
 
-	private void submitIfCertain(SchedulingRequest schedulingRequest, boolean isCertain) {
-		if (this.pendingRequest != schedulingRequest) {
-			return;
-		}
-		if (isCertain) {
-			submit(schedulingRequest);
-		}
-		else {
-			this.pendingRequest = null;
-			permitRefused(Refusal.of(RefusalReason.STREAM_VERSION_UNKNOWN,
-					"the backend server that began the stream may have been replaced before"));
-		}
-	}
-
 	private void granted(SchedulingRequest schedulingRequest, Permit grantedPermit) {
 		if (this.pendingRequest != schedulingRequest) {
 			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
@@ -198,16 +172,26 @@
 	@Override
 	public void streamStarted(Attempt attempt) {
 		if (this.active.size() > 1 && this.handOverTimer < 0) {
-			this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
-				this.handOverTimer = -1;
-				boolean isActive = this.active.stream().anyMatch((each) -> each.attempt() == attempt);
-				if (isActive && !attempt.isHolding()) {
-					keepOnly(attempt);
-				}
-			});
+			startHandOver(attempt);
 		}
 	}
 
+	// An attempt whose version is not certain may still be ended, so the others go on.
+	private void startHandOver(Attempt attempt) {
+		this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
+			this.handOverTimer = -1;
+			if (this.active.size() < 2 || this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
+				return;
+			}
+			if (this.version.mayBegin(find(attempt)).getNow(false)) {
+				keepOnly(attempt);
+			}
+			else {
+				startHandOver(attempt);
+			}
+		});
+	}
+
 	private PermittedAttempt find(Attempt attempt) {
 		return this.active.stream()
 			.filter((each) -> each.attempt() == attempt)
@@ -292,7 +276,7 @@
 		}
 		else {
 			attempt.abort();
-			failed(attempt, AttemptEnd.FAILED, "the software version was not certain in time");
+			failed(attempt, AttemptEnd.FAILED, "the software version is not certain");
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -30,10 +30,10 @@
 	private static final Duration KEEP_MARGIN = Duration.ofSeconds(10);
 
 	/**
-	 * Maximum time to wait until it is certain which process has sent events. Callers
-	 * leave a stream after two seconds of silence.
+	 * Maximum time for which events wait for a read of the list. Callers leave a stream
+	 * after two seconds of silence.
 	 */
-	static final Duration CERTAINTY_TIMEOUT = Duration.ofSeconds(1);
+	static final Duration LIST_TIMEOUT = Duration.ofSeconds(1);
 
 	/** Time after which a new connection is usually open. */
 	private static final Duration CONNECT_MARGIN = Duration.ofMillis(50);
@@ -53,8 +53,11 @@
 
 	private @Nullable SoftwareVersion required;
 
-	/** The attempt that began the stream; {@code null} if another request did. */
-	private @Nullable PermittedAttempt first;
+	/**
+	 * Whether the stream began at another version than the one listed; {@code null} if it
+	 * did not begin with this request.
+	 */
+	private @Nullable CompletableFuture<Boolean> beganElsewhere;
 
 	ResponseVersion(RelayServices services, RelayRequest request, OrganisationId organisation) {
 		this.services = services;
@@ -141,47 +144,42 @@
 	/**
 	 * Returns whether the first events of an attempt may be passed on. After attempts at
 	 * several versions, other daemons must know of this one, as they would otherwise
-	 * continue the stream at another one. Events that continue a stream must certainly
-	 * come from its version, as a backend server may have been replaced since the list
-	 * was read.
+	 * continue the stream at another one. Events that continue a stream wait until the
+	 * list was read after the connection had been opened, as the backend server may have
+	 * been replaced before. While the list cannot be read, the last one counts.
 	 * @param attempt the attempt that has sent the events
-	 * @return completes on any thread, within {@link #CERTAINTY_TIMEOUT}, with whether
-	 * the events may be passed on
+	 * @return completes on any thread, within {@link #LIST_TIMEOUT}, with whether the
+	 * events may be passed on
 	 */
 	CompletableFuture<Boolean> mayBegin(PermittedAttempt attempt) {
 		if (!this.streams) {
 			return CompletableFuture.completedFuture(true);
 		}
 		if (this.required != null) {
-			return certainty(attempt);
+			return mayContinue(attempt);
 		}
 		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
 		return (this.dispatched.size() <= 1) ? CompletableFuture.completedFuture(true) : this.dispatched.get(version);
 	}
 
-	/**
-	 * Returns whether the stream may be continued by another attempt, as it is certain
-	 * which version began it.
-	 * @return completes on any thread, within {@link #CERTAINTY_TIMEOUT}
-	 */
-	CompletableFuture<Boolean> mayContinue() {
-		PermittedAttempt began = this.first;
-		return (began != null) ? certainty(began) : CompletableFuture.completedFuture(true);
-	}
-
-	private CompletableFuture<Boolean> certainty(PermittedAttempt attempt) {
-		CompletableFuture<Boolean> certainty = listedCertainty(attempt);
-		if (certainty.isDone()) {
-			return certainty;
+	private CompletableFuture<Boolean> mayContinue(PermittedAttempt attempt) {
+		CompletableFuture<Boolean> began = this.beganElsewhere;
+		CompletableFuture<Boolean> replaced = isReplaced(attempt);
+		if (began != null) {
+			replaced = replaced.thenCombine(began, (own, first) -> own || first);
+		}
+		CompletableFuture<Boolean> mayContinue = replaced.thenApply((isReplaced) -> !isReplaced);
+		if (!mayContinue.isDone()) {
+			this.services.connections().readListSoon();
+			mayContinue.completeOnTimeout(true, LIST_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
 		}
-		this.services.connections().readListSoon();
-		return certainty.copy().completeOnTimeout(false, CERTAINTY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+		return mayContinue;
 	}
 
-	private CompletableFuture<Boolean> listedCertainty(PermittedAttempt attempt) {
+	private CompletableFuture<Boolean> isReplaced(PermittedAttempt attempt) {
 		BackendConnection connection = Objects.requireNonNull(attempt.attempt().connection(),
 				"the attempt must have been sent");
-		return this.services.connections().versionCertainty(connection, attempt.permit().backendServer());
+		return this.services.connections().isReplaced(connection, attempt.permit().backendServer());
 	}
 
 	/**
@@ -194,18 +192,18 @@
 		}
 		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
 		this.required = version;
-		this.first = attempt;
 		if (this.dispatched.size() > 1) {
 			this.services.origins().begun(this.run, version, keepTime());
 		}
-		reportIfReplaced(listedCertainty(attempt), this.services.origins(), this.run, keepTime());
+		this.beganElsewhere = isReplaced(attempt);
+		reportIfReplaced(this.beganElsewhere, this.services.origins(), this.run, keepTime());
 	}
 
 	// Keeps no reference to the request, as an outage of the list may last long.
-	private static void reportIfReplaced(CompletableFuture<Boolean> certainty, StreamOriginService origins,
+	private static void reportIfReplaced(CompletableFuture<Boolean> replaced, StreamOriginService origins,
 			StreamRun run, Duration keep) {
-		certainty.thenAccept((isCertain) -> {
-			if (!isCertain) {
+		replaced.thenAccept((isReplaced) -> {
+			if (isReplaced) {
 				origins.contradicted(run, keep);
 			}
 		});
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/VmListReadsTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/VmListReadsTests.java
@@ -94,4 +94,14 @@
 		assertThat(ListRead.NONE.showsVersion(SERVER)).isFalse();
 	}
 
+	// A server that has left the list may still serve, and its streams must not be
+	// closed.
+	@Test
+	void aServerThatIsNotListedHasNotBeenReplaced() {
+		BackendServer other = SERVER.withSoftwareVersion(SoftwareVersion.of("v2"));
+		assertThat(ListRead.of(START, listing(other, VmState.LIVE)).showsOtherVersion(SERVER)).isTrue();
+		assertThat(ListRead.of(START, listing(SERVER, VmState.LIVE)).showsOtherVersion(SERVER)).isFalse();
+		assertThat(ListRead.NONE.showsOtherVersion(SERVER)).isFalse();
+	}
+
 }
