--- a/daemon/src/main/java/org/sardineport/daemon/engine/CacheEventJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/CacheEventJson.java
@@ -4,7 +4,7 @@
 import org.sardineport.core.port.backend.CacheEvent;
 
 /**
- * Event of the prefix cache as engines write it.
+ * JSON form of a prefix cache event, as sent by model engines.
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record CacheEventJson(long sequence, long prefixHash, boolean stored) {
--- a/daemon/src/main/java/org/sardineport/daemon/engine/CancelJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/CancelJson.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 
 /**
- * Answer to a cancellation.
+ * JSON form of the response to a cancellation.
+ *
+ * @param ran whether the stream was running when it was cancelled
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record CancelJson(boolean ran) {
--- a/daemon/src/main/java/org/sardineport/daemon/engine/WholeAnswer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/ControlResponse.java
@@ -13,13 +13,15 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Gathers the answer to a control call.
+ * Collects the complete response to a control request. Status 409 is reported as
+ * {@link BackendFailure#FENCED}, any other status of 300 or above as
+ * {@link BackendFailure#NOT_SUPPORTED}.
  */
-final class WholeAnswer implements ResponseListener {
+final class ControlResponse implements ResponseListener {
 
 	private static final int STATUS_CONFLICT = 409;
 
-	private static final int FIRST_FAILURE_STATUS = 300;
+	private static final int MIN_FAILURE_STATUS = 300;
 
 	private final CompletableFuture<byte[]> body = new CompletableFuture<>();
 
@@ -29,7 +31,7 @@
 
 	private int status;
 
-	WholeAnswer(BackendServer server) {
+	ControlResponse(BackendServer server) {
 		this.server = server;
 	}
 
@@ -38,8 +40,8 @@
 	}
 
 	@Override
-	public void head(int answerStatus, List<Map.Entry<String, String>> headers) {
-		this.status = answerStatus;
+	public void head(int responseStatus, List<Map.Entry<String, String>> headers) {
+		this.status = responseStatus;
 	}
 
 	@Override
@@ -53,11 +55,12 @@
 	public void end() {
 		if (this.status == STATUS_CONFLICT) {
 			this.body.completeExceptionally(BackendException.of(BackendFailure.FENCED,
-					"%s has seen a newer fencing number".formatted(this.server.id())));
+					"%s rejected the fencing number: it has accepted a newer one".formatted(this.server.id())));
 		}
-		else if (this.status >= FIRST_FAILURE_STATUS) {
+		else if (this.status >= MIN_FAILURE_STATUS) {
 			this.body.completeExceptionally(BackendException.of(BackendFailure.NOT_SUPPORTED,
-					"%s answered with status %d".formatted(this.server.id(), this.status)));
+					"%s responded with status %d, expected a status below 300".formatted(this.server.id(),
+							this.status)));
 		}
 		else {
 			this.body.complete(this.bytes.toByteArray());
--- a/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
@@ -26,7 +26,8 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * One request in flight to a backend server. All state is touched on one context only.
+ * One request in flight to a backend server. State is confined to the Vert.x context that
+ * is current at creation; calls from other threads are forwarded to it.
  */
 final class HttpExchange implements Exchange {
 
@@ -38,37 +39,37 @@
 
 	private final ResponseListener listener;
 
-	private final Runnable cancelOnServer;
+	private final Runnable serverCancellation;
 
 	private @Nullable HttpClientRequest request;
 
 	private @Nullable HttpClientResponse response;
 
-	private @Nullable CompletionCheck endMark;
+	private @Nullable CompletionCheck completionCheck;
 
 	private long deadlineTimer = -1;
 
-	private boolean over;
+	private boolean ended;
 
 	private boolean paused;
 
-	HttpExchange(Vertx vertx, BackendServer server, ResponseListener listener, Runnable cancelOnServer) {
+	HttpExchange(Vertx vertx, BackendServer server, ResponseListener listener, Runnable serverCancellation) {
 		this.vertx = vertx;
 		this.context = vertx.getOrCreateContext();
 		this.server = server;
 		this.listener = listener;
-		this.cancelOnServer = cancelOnServer;
+		this.serverCancellation = serverCancellation;
 	}
 
-	void start(HttpClient client, InstantSource clock, BackendRequest sent) {
-		onContext(() -> connect(client, clock, sent));
+	void start(HttpClient client, InstantSource clock, BackendRequest backendRequest) {
+		runOnContext(() -> connect(client, clock, backendRequest));
 	}
 
 	@Override
 	public void pause() {
-		onContext(() -> {
+		runOnContext(() -> {
 			this.paused = true;
-			if (this.response != null && !this.over) {
+			if (this.response != null && !this.ended) {
 				this.response.pause();
 			}
 		});
@@ -76,9 +77,9 @@
 
 	@Override
 	public void resume() {
-		onContext(() -> {
+		runOnContext(() -> {
 			this.paused = false;
-			if (this.response != null && !this.over) {
+			if (this.response != null && !this.ended) {
 				this.response.resume();
 			}
 		});
@@ -86,12 +87,12 @@
 
 	@Override
 	public void cancel() {
-		onContext(() -> {
-			if (!this.over) {
-				boolean sent = this.request != null;
-				abort(BackendFailure.CANCELLED, "exchange was cancelled", null);
-				if (sent) {
-					this.cancelOnServer.run();
+		runOnContext(() -> {
+			if (!this.ended) {
+				boolean wasSent = this.request != null;
+				abort(BackendFailure.CANCELLED, "exchange cancelled", null);
+				if (wasSent) {
+					this.serverCancellation.run();
 				}
 			}
 		});
@@ -99,108 +100,108 @@
 
 	@Override
 	public void detach() {
-		onContext(() -> abort(BackendFailure.CANCELLED, "exchange was let go of", null));
+		runOnContext(() -> abort(BackendFailure.CANCELLED, "exchange detached", null));
 	}
 
-	private void connect(HttpClient client, InstantSource clock, BackendRequest sent) {
-		long left = Duration.between(clock.instant(), sent.deadline()).toMillis();
-		if (left <= 0) {
-			abort(BackendFailure.NOT_CONNECTED, "the deadline had passed before a connection was asked for", null);
+	private void connect(HttpClient client, InstantSource clock, BackendRequest backendRequest) {
+		long remainingMillis = Duration.between(clock.instant(), backendRequest.deadline()).toMillis();
+		if (remainingMillis <= 0) {
+			abort(BackendFailure.NOT_CONNECTED, "deadline passed before a connection was requested", null);
 			return;
 		}
-		this.deadlineTimer = this.vertx.setTimer(left, (id) -> onDeadline());
+		this.deadlineTimer = this.vertx.setTimer(remainingMillis, (id) -> onDeadline());
 		RequestOptions options = new RequestOptions().setHost(this.server.address().ip())
 			.setPort(this.server.address().port())
-			.setMethod(HttpMethod.valueOf(sent.method()))
-			.setURI(sent.pathAndQuery());
+			.setMethod(HttpMethod.valueOf(backendRequest.method()))
+			.setURI(backendRequest.pathAndQuery());
 		try {
 			client.request(options)
-				.onSuccess((connected) -> onContext(() -> onConnected(connected, sent)))
-				.onFailure((cause) -> onContext(() -> onNotConnected(cause)));
+				.onSuccess((connected) -> runOnContext(() -> onConnected(connected, backendRequest)))
+				.onFailure((cause) -> runOnContext(() -> onConnectFailed(cause)));
 		}
 		catch (IllegalStateException ex) {
-			// the client was closed, as the daemon stops
-			onNotConnected(ex);
+			// The client is closed while the daemon stops.
+			onConnectFailed(ex);
 		}
 	}
 
-	private void onNotConnected(Throwable cause) {
+	private void onConnectFailed(Throwable cause) {
 		abort(BackendFailure.NOT_CONNECTED, "no connection to " + this.server.address(), cause);
 	}
 
-	private void onConnected(HttpClientRequest connected, BackendRequest sent) {
-		connected.exceptionHandler((cause) -> onContext(() -> onBroken(cause)));
-		if (this.over) {
+	private void onConnected(HttpClientRequest connected, BackendRequest backendRequest) {
+		connected.exceptionHandler((cause) -> runOnContext(() -> onConnectionFailed(cause)));
+		if (this.ended) {
 			connected.reset();
 			return;
 		}
 		this.request = connected;
 		connected.response()
-			.onSuccess((answer) -> onContext(() -> onResponse(answer)))
-			.onFailure((cause) -> onContext(() -> onBroken(cause)));
-		sent.headers().forEach((field) -> connected.headers().add(field.getKey(), field.getValue()));
-		connected.putHeader(HeaderNames.STREAM_ID, sent.streamId());
-		if (sent.body().length == 0 && isBodilessMethod(sent.method())) {
+			.onSuccess((received) -> runOnContext(() -> onResponse(received)))
+			.onFailure((cause) -> runOnContext(() -> onConnectionFailed(cause)));
+		backendRequest.headers().forEach((field) -> connected.headers().add(field.getKey(), field.getValue()));
+		connected.putHeader(HeaderNames.STREAM_ID, backendRequest.streamId());
+		if (backendRequest.body().length == 0 && isBodilessMethod(backendRequest.method())) {
 			connected.end();
 		}
 		else {
-			connected.end(Buffer.buffer(sent.body()));
+			connected.end(Buffer.buffer(backendRequest.body()));
 		}
 	}
 
-	private void onResponse(HttpClientResponse answer) {
-		if (this.over) {
+	private void onResponse(HttpClientResponse received) {
+		if (this.ended) {
 			return;
 		}
-		this.response = answer;
-		List<Map.Entry<String, String>> headers = fields(answer.headers());
-		this.endMark = CompletionCheck.of(this.server.kind(), answer.statusCode(), headers);
-		answer.exceptionHandler((cause) -> onContext(() -> onBroken(cause)));
-		answer.handler((bytes) -> onContext(() -> onChunk(bytes)));
-		answer.endHandler((end) -> onContext(this::onEnd));
+		this.response = received;
+		List<Map.Entry<String, String>> headers = fields(received.headers());
+		this.completionCheck = CompletionCheck.of(this.server.kind(), received.statusCode(), headers);
+		received.exceptionHandler((cause) -> runOnContext(() -> onConnectionFailed(cause)));
+		received.handler((bytes) -> runOnContext(() -> onChunk(bytes)));
+		received.endHandler((end) -> runOnContext(this::onEnd));
 		if (this.paused) {
-			answer.pause();
+			received.pause();
 		}
-		this.listener.head(answer.statusCode(), headers);
+		this.listener.head(received.statusCode(), headers);
 	}
 
 	private void onChunk(Buffer bytes) {
-		if (!this.over && this.endMark != null) {
+		if (!this.ended && this.completionCheck != null) {
 			ByteBuffer chunk = ByteBuffer.wrap(bytes.getBytes());
-			this.endMark.add(chunk);
+			this.completionCheck.add(chunk);
 			this.listener.chunk(chunk);
 		}
 	}
 
 	private void onEnd() {
-		if (this.over || this.endMark == null) {
+		if (this.ended || this.completionCheck == null) {
 			return;
 		}
-		if (!this.endMark.isComplete()) {
-			abort(BackendFailure.TRUNCATED, "the answer of " + this.server.id() + " has no end mark", null);
+		if (!this.completionCheck.isComplete()) {
+			abort(BackendFailure.TRUNCATED, "response of " + this.server.id() + " ended without its terminator", null);
 			return;
 		}
 		close();
 		this.listener.end();
 	}
 
-	private void onBroken(Throwable cause) {
+	private void onConnectionFailed(Throwable cause) {
 		BackendFailure failure = (this.response != null) ? BackendFailure.TRUNCATED : BackendFailure.BROKEN;
-		abort(failure, "the connection to " + this.server.id() + " broke", cause);
+		abort(failure, "connection to " + this.server.id() + " failed", cause);
 	}
 
 	private void onDeadline() {
 		BackendFailure failure = (this.request != null) ? BackendFailure.TIMED_OUT : BackendFailure.NOT_CONNECTED;
-		boolean sent = this.request != null;
-		boolean wasOver = this.over;
-		abort(failure, "the deadline passed at " + this.server.id(), null);
-		if (sent && !wasOver) {
-			this.cancelOnServer.run();
+		boolean wasSent = this.request != null;
+		boolean wasEnded = this.ended;
+		abort(failure, "deadline passed while waiting for " + this.server.id(), null);
+		if (wasSent && !wasEnded) {
+			this.serverCancellation.run();
 		}
 	}
 
 	private void abort(BackendFailure failure, String message, @Nullable Throwable cause) {
-		if (this.over) {
+		if (this.ended) {
 			return;
 		}
 		close();
@@ -212,11 +213,11 @@
 	}
 
 	private void close() {
-		this.over = true;
+		this.ended = true;
 		this.vertx.cancelTimer(this.deadlineTimer);
 	}
 
-	private void onContext(Runnable step) {
+	private void runOnContext(Runnable step) {
 		if (Vertx.currentContext() == this.context) {
 			step.run();
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/engine/HttpModelEngine.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/HttpModelEngine.java
@@ -28,20 +28,23 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Sends requests to model engines and plain services over HTTP/1.1. Nothing is ever sent
- * twice: the client neither retries nor follows redirects, and it closes idle connections
- * before the servers do. Safe for use by any thread.
+ * HTTP/1.1 client for model engines and plain services. Each request is sent at most
+ * once: the client neither retries nor follows redirects, and it closes idle connections
+ * before the servers do. Thread-safe.
  */
 public final class HttpModelEngine implements ModelEngine, Service {
 
-	/** Shorter than the idle timeout that backend servers must keep. */
+	/**
+	 * Must be shorter than the idle timeout of backend servers, so that no request is
+	 * sent on a connection that the server is closing.
+	 */
 	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
 	private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
-	private static final int CONNECTIONS_PER_SERVER = 1024;
+	private static final int MAX_CONNECTIONS_PER_SERVER = 1024;
 
 	private static final byte[] NO_BODY = new byte[0];
 
@@ -60,14 +63,14 @@
 			.setKeepAliveTimeout((int) IDLE_TIMEOUT.toSeconds())
 			.setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
 			.setTcpNoDelay(true);
-		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_SERVER));
+		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_SERVER));
 	}
 
 	/**
-	 * Returns an adapter.
-	 * @param vertx carries input and output
-	 * @param clock the time
-	 * @return the adapter
+	 * Creates a client whose connections run on the event loops of the given instance.
+	 * @param vertx the instance; not closed by {@link #stop()}
+	 * @param clock the clock that request deadlines refer to
+	 * @return the client
 	 */
 	public static HttpModelEngine create(Vertx vertx, InstantSource clock) {
 		return new HttpModelEngine(vertx, clock);
@@ -86,7 +89,7 @@
 	@Override
 	public Exchange send(BackendServer server, BackendRequest request, ResponseListener listener) {
 		HttpExchange exchange = new HttpExchange(this.vertx, server, listener,
-				() -> cancelAfterwards(server, request.streamId()));
+				() -> cancelStream(server, request.streamId()));
 		exchange.start(this.client, this.clock, request);
 		return exchange;
 	}
@@ -96,7 +99,7 @@
 		BackendRequest request = new BackendRequest(streamId, "GET", streamPath(streamId, "?from=" + fromByte),
 				List.of(), NO_BODY, this.clock.instant().plus(Duration.ofHours(1)));
 		HttpExchange exchange = new HttpExchange(this.vertx, server, new ResumeListener(server, listener),
-				() -> cancelAfterwards(server, streamId));
+				() -> cancelStream(server, streamId));
 		exchange.start(this.client, this.clock, request);
 		return exchange;
 	}
@@ -104,7 +107,7 @@
 	@Override
 	public CompletionStage<Boolean> cancel(BackendServer server, String streamId) {
 		return call(server, "POST", streamPath(streamId, "/cancel"), NO_BODY)
-			.thenCompose((body) -> read(body, CancelJson.class))
+			.thenCompose((body) -> parse(body, CancelJson.class))
 			.thenApply(CancelJson::ran);
 	}
 
@@ -120,14 +123,14 @@
 
 	@Override
 	public CompletionStage<LoadReport> load(BackendServer server) {
-		return call(server, "GET", "/v1/load", NO_BODY).thenCompose((body) -> read(body, LoadJson.class))
+		return call(server, "GET", "/v1/load", NO_BODY).thenCompose((body) -> parse(body, LoadJson.class))
 			.thenApply((report) -> report.toReport(server.id()));
 	}
 
 	@Override
 	public CompletionStage<List<CacheEvent>> cacheEvents(BackendServer server, long afterSequence) {
 		return call(server, "GET", "/v1/cache-events?after=" + afterSequence, NO_BODY)
-			.thenCompose((body) -> read(body, CacheEventJson[].class))
+			.thenCompose((body) -> parse(body, CacheEventJson[].class))
 			.thenApply((events) -> List.of(events).stream().map(CacheEventJson::toEvent).toList());
 	}
 
@@ -135,7 +138,7 @@
 	public CompletionStage<Void> order(BackendServer server, EngineOrder order) {
 		try {
 			byte[] body = this.json.writeValueAsBytes(OrderJson.of(order));
-			return call(server, "POST", "/v1/orders", body).thenApply((answer) -> null);
+			return call(server, "POST", "/v1/orders", body).thenApply((response) -> null);
 		}
 		catch (IOException ex) {
 			return CompletableFuture.failedStage(ex);
@@ -144,37 +147,37 @@
 
 	@Override
 	public CompletionStage<EngineOrder> currentOrder(BackendServer server) {
-		return call(server, "GET", "/v1/orders/current", NO_BODY).thenCompose((body) -> read(body, OrderJson.class))
+		return call(server, "GET", "/v1/orders/current", NO_BODY).thenCompose((body) -> parse(body, OrderJson.class))
 			.thenApply(OrderJson::toOrder);
 	}
 
 	private CompletionStage<byte[]> call(BackendServer server, String method, String path, byte[] body) {
-		WholeAnswer answer = new WholeAnswer(server);
+		ControlResponse response = new ControlResponse(server);
 		Instant deadline = this.clock.instant().plus(CONTROL_TIMEOUT);
 		BackendRequest request = new BackendRequest("control", method, path, List.of(), body, deadline);
-		new HttpExchange(this.vertx, server, answer, () -> {
+		new HttpExchange(this.vertx, server, response, () -> {
 		}).start(this.client, this.clock, request);
-		return answer.body();
+		return response.body();
 	}
 
-	private <T> CompletionStage<T> read(byte[] body, Class<T> type) {
+	private <T> CompletionStage<T> parse(byte[] body, Class<T> type) {
 		try {
 			return CompletableFuture.completedStage(this.json.readValue(body, type));
 		}
 		catch (IOException ex) {
-			return CompletableFuture
-				.failedStage(BackendException.of(BackendFailure.NOT_SUPPORTED, "the answer has an unknown form", ex));
+			return CompletableFuture.failedStage(BackendException.of(BackendFailure.NOT_SUPPORTED,
+					"control response is not valid JSON of the expected form", ex));
 		}
 	}
 
-	private void cancelAfterwards(BackendServer server, String streamId) {
+	private void cancelStream(BackendServer server, String streamId) {
 		if (server.kind() == BackendKind.MODEL_ENGINE) {
 			cancel(server, streamId);
 		}
 	}
 
-	private static String streamPath(String streamId, String rest) {
-		return "/v1/streams/" + streamId + rest;
+	private static String streamPath(String streamId, String suffix) {
+		return "/v1/streams/" + streamId + suffix;
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/engine/LoadJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/LoadJson.java
@@ -7,7 +7,7 @@
 import org.sardineport.core.identity.BackendServerId;
 
 /**
- * Load report as backend servers write it.
+ * JSON form of a load report, as sent by backend servers.
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record LoadJson(int running, int waiting, long freeCacheTokens, boolean leaving, boolean resumesStreams,
--- a/daemon/src/main/java/org/sardineport/daemon/engine/OrderJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/OrderJson.java
@@ -4,7 +4,7 @@
 import org.sardineport.core.port.backend.EngineOrder;
 
 /**
- * Order as engines read and write it.
+ * JSON form of an engine order, as exchanged with model engines.
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record OrderJson(EngineOrder.Kind kind, String argument, long fencingNumber) {
--- a/daemon/src/main/java/org/sardineport/daemon/engine/ResumeListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/ResumeListener.java
@@ -10,7 +10,9 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Turns an engine's refusal to resume a stream into a failure.
+ * Forwards the response to a request that resumes a stream. Any status other than 200
+ * means that the engine can't resume the stream and is reported as
+ * {@link BackendFailure#NOT_SUPPORTED}.
  */
 final class ResumeListener implements ResponseListener {
 
@@ -28,10 +30,10 @@
 	}
 
 	@Override
-	public void head(int answerStatus, List<Map.Entry<String, String>> headers) {
-		this.status = answerStatus;
-		if (answerStatus == STATUS_OK) {
-			this.listener.head(answerStatus, headers);
+	public void head(int responseStatus, List<Map.Entry<String, String>> headers) {
+		this.status = responseStatus;
+		if (responseStatus == STATUS_OK) {
+			this.listener.head(responseStatus, headers);
 		}
 	}
 
@@ -49,7 +51,8 @@
 		}
 		else {
 			this.listener.failed(BackendException.of(BackendFailure.NOT_SUPPORTED,
-					"%s does not resume the stream, status %d".formatted(this.server.id(), this.status)));
+					"%s did not resume the stream: got status %d, expected 200".formatted(this.server.id(),
+							this.status)));
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/engine/Servers.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/BackendServers.java
@@ -8,11 +8,11 @@
 import org.sardineport.core.identity.PoolName;
 
 /**
- * Makes backend servers.
+ * Creates backend servers for tests.
  */
-final class Servers {
+final class BackendServers {
 
-	private Servers() {
+	private BackendServers() {
 	}
 
 	static BackendServer service(String id, NetworkAddress address) {
--- a/daemon/src/test/java/org/sardineport/daemon/engine/HttpModelEngineTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/HttpModelEngineTests.java
@@ -14,7 +14,7 @@
 import org.sardineport.standins.engine.ModelEngineStandIn;
 
 /**
- * The contract over HTTP.
+ * Runs the model engine contract against the HTTP client and stand-in engines.
  */
 class HttpModelEngineTests extends ModelEngineContract {
 
@@ -45,7 +45,7 @@
 
 	@Override
 	BackendServer server(int index) {
-		return Servers.engine("engine-" + index, this.engines.get(index).address());
+		return BackendServers.engine("engine-" + index, this.engines.get(index).address());
 	}
 
 	@Override
--- a/daemon/src/test/java/org/sardineport/daemon/engine/HttpPlainServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/HttpPlainServiceTests.java
@@ -14,7 +14,7 @@
 import org.sardineport.standins.service.ServiceFault;
 
 /**
- * The contract over HTTP.
+ * Runs the plain service contract against the HTTP client and a stand-in service.
  */
 class HttpPlainServiceTests extends PlainServiceContract {
 
@@ -41,12 +41,12 @@
 
 	@Override
 	BackendServer server() {
-		return Servers.service("ledger", this.ledger.address());
+		return BackendServers.service("ledger", this.ledger.address());
 	}
 
 	@Override
 	BackendServer absentServer() {
-		return Servers.service("absent", FreeAddress.find());
+		return BackendServers.service("absent", FreeAddress.find());
 	}
 
 	@Override
--- a/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryModelEngineTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryModelEngineTests.java
@@ -14,7 +14,7 @@
 import org.sardineport.standins.engine.InMemoryModelEngine;
 
 /**
- * The contract of the fake in memory.
+ * Runs the model engine contract against the in-memory fake.
  */
 class InMemoryModelEngineTests extends ModelEngineContract {
 
@@ -41,7 +41,7 @@
 
 	@Override
 	BackendServer server(int index) {
-		return Servers.engine("engine-" + index, NetworkAddress.of("127.0.0.1", 1 + index));
+		return BackendServers.engine("engine-" + index, NetworkAddress.of("127.0.0.1", 1 + index));
 	}
 
 	@Override
--- a/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryPlainServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/InMemoryPlainServiceTests.java
@@ -10,7 +10,7 @@
 import org.sardineport.standins.service.ServiceFault;
 
 /**
- * The contract of the fake in memory.
+ * Runs the plain service contract against the in-memory fake.
  */
 class InMemoryPlainServiceTests extends PlainServiceContract {
 
@@ -28,12 +28,12 @@
 
 	@Override
 	BackendServer server() {
-		return Servers.service("ledger", NetworkAddress.of("127.0.0.1", 1));
+		return BackendServers.service("ledger", NetworkAddress.of("127.0.0.1", 1));
 	}
 
 	@Override
 	BackendServer absentServer() {
-		BackendServer absent = Servers.service("absent", NetworkAddress.of("127.0.0.1", 2));
+		BackendServer absent = BackendServers.service("absent", NetworkAddress.of("127.0.0.1", 2));
 		this.fake.setUnreachable(absent.id());
 		return absent;
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/engine/ModelEngineContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/ModelEngineContract.java
@@ -27,27 +27,27 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * What each adapter to model engines must do, faults included. There are two able
- * engines, one that neither resumes streams nor checks fencing numbers, and one whose
- * reports lag far behind.
+ * Contract of {@link ModelEngine} implementations, with and without injected faults. The
+ * tests use two engines with all capabilities, one that neither resumes streams nor
+ * checks fencing numbers, and one whose reports lag by an hour.
  */
 abstract class ModelEngineContract {
 
-	static final int ABLE = 0;
+	static final int CAPABLE = 0;
 
-	static final int OTHER = 1;
+	static final int SECOND_CAPABLE = 1;
 
-	static final int UNABLE = 2;
+	static final int LIMITED = 2;
 
 	static final int LAGGING = 3;
 
-	private static final Duration LONG = Duration.ofSeconds(15);
+	private static final Duration LONG_TIMEOUT = Duration.ofSeconds(15);
 
-	private static final Duration SHORT = Duration.ofMillis(300);
+	private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
 
-	private static final int ENDLESS = 1_000_000;
+	private static final int UNLIMITED_TOKENS = 1_000_000;
 
-	// The adapter under test.
+	// Returns the implementation under test.
 	abstract ModelEngine engine();
 
 	abstract BackendServer server(int index);
@@ -59,14 +59,14 @@
 	abstract void setLeaving(int index);
 
 	/**
-	 * What goes wrong, and how the answer must end.
+	 * An injected fault and the expected outcome of the response.
 	 */
 	enum Fault {
 
 		NOTHING("whole") {
 			@Override
 			void inject(EngineFaults faults) {
-				// nothing goes wrong
+				// No fault is injected.
 			}
 		},
 		TRUNCATED_STREAM("TRUNCATED") {
@@ -81,23 +81,23 @@
 				faults.omitFinalEvent(true);
 			}
 		},
-		CRASH_ON_THE_REQUEST("BROKEN") {
+		CRASH_ON_REQUEST("BROKEN") {
 			@Override
 			void inject(EngineFaults faults) {
 				faults.crashOn("tag");
 			}
 		},
-		TIME_OUT("TIMED_OUT") {
+		TIMEOUT("TIMED_OUT") {
 			@Override
 			void inject(EngineFaults faults) {
 				faults.slowDown(100_000);
 			}
 		};
 
-		private final String ending;
+		private final String expectedOutcome;
 
-		Fault(String ending) {
-			this.ending = ending;
+		Fault(String expectedOutcome) {
+			this.expectedOutcome = expectedOutcome;
 		}
 
 		abstract void inject(EngineFaults faults);
@@ -107,130 +107,131 @@
 	@ParameterizedTest
 	@EnumSource
 	void endsOnceAndIsDispatchedOnce(Fault fault) throws Exception {
-		fault.inject(faults(ABLE));
+		fault.inject(faults(CAPABLE));
 		RecordingListener listener = new RecordingListener();
-		engine().send(server(ABLE), chat("s1", "tag", 10, (fault == Fault.TIME_OUT) ? SHORT : LONG), listener);
-		assertThat(listener.ending()).isEqualTo(fault.ending);
-		assertThat(listener.endings()).isOne();
-		assertThat(listener.eventsAfterTheEnd()).isZero();
-		assertThat(dispatches(ABLE, "tag")).isOne();
+		engine().send(server(CAPABLE), chat("s1", "tag", 10, (fault == Fault.TIMEOUT) ? SHORT_TIMEOUT : LONG_TIMEOUT),
+				listener);
+		assertThat(listener.awaitOutcome()).isEqualTo(fault.expectedOutcome);
+		assertThat(listener.endCount()).isOne();
+		assertThat(listener.eventsAfterEnd()).isZero();
+		assertThat(dispatches(CAPABLE, "tag")).isOne();
 	}
 
 	@Test
-	void holdsBackChunksWhilePaused() throws Exception {
+	void deliversNoEndWhilePaused() throws Exception {
 		RecordingListener listener = new RecordingListener();
-		Exchange exchange = engine().send(server(ABLE), chat("s1", "tag", 400, LONG), listener);
+		Exchange exchange = engine().send(server(CAPABLE), chat("s1", "tag", 400, LONG_TIMEOUT), listener);
 		listener.awaitFirstChunk();
 		exchange.pause();
 		RecordingListener later = new RecordingListener();
-		engine().send(server(ABLE), chat("s2", "later", 400, LONG), later);
-		assertThat(later.ending()).isEqualTo("whole");
-		assertThat(listener.endings()).isZero();
+		engine().send(server(CAPABLE), chat("s2", "later", 400, LONG_TIMEOUT), later);
+		assertThat(later.awaitOutcome()).isEqualTo("whole");
+		assertThat(listener.endCount()).isZero();
 		exchange.resume();
-		assertThat(listener.ending()).isEqualTo("whole");
+		assertThat(listener.awaitOutcome()).isEqualTo("whole");
 		assertThat(listener.body()).contains("tag:1 ", "tag:400 ");
 	}
 
 	@Test
 	void cancelsARunOnTheEngine() throws Exception {
 		RecordingListener listener = new RecordingListener();
-		Exchange exchange = engine().send(server(ABLE), chat("s1", "tag", ENDLESS, LONG), listener);
+		Exchange exchange = engine().send(server(CAPABLE), chat("s1", "tag", UNLIMITED_TOKENS, LONG_TIMEOUT), listener);
 		listener.awaitFirstChunk();
 		exchange.cancel();
-		assertThat(listener.failure()).isEqualTo(BackendFailure.CANCELLED);
-		until(() -> get(engine().load(server(ABLE))).running() == 0);
+		assertThat(listener.awaitFailure()).isEqualTo(BackendFailure.CANCELLED);
+		until(() -> get(engine().load(server(CAPABLE))).running() == 0);
 	}
 
 	@Test
-	void tellsWhetherACancelledStreamRan() throws Exception {
+	void reportsWhetherACancelledStreamWasRunning() throws Exception {
 		RecordingListener listener = new RecordingListener();
-		engine().send(server(ABLE), chat("s1", "tag", ENDLESS, LONG), listener);
+		engine().send(server(CAPABLE), chat("s1", "tag", UNLIMITED_TOKENS, LONG_TIMEOUT), listener);
 		listener.awaitFirstChunk();
-		assertThat(get(engine().cancel(server(ABLE), "s1"))).isTrue();
-		assertThat(get(engine().cancel(server(ABLE), "s1"))).isFalse();
-		assertThat(listener.failure()).isEqualTo(BackendFailure.TRUNCATED);
+		assertThat(get(engine().cancel(server(CAPABLE), "s1"))).isTrue();
+		assertThat(get(engine().cancel(server(CAPABLE), "s1"))).isFalse();
+		assertThat(listener.awaitFailure()).isEqualTo(BackendFailure.TRUNCATED);
 	}
 
 	@Test
 	void resumesAStreamFromAnyByte() throws Exception {
 		RecordingListener first = new RecordingListener();
-		Exchange exchange = engine().send(server(ABLE), chat("s1", "tag", 300, LONG), first);
+		Exchange exchange = engine().send(server(CAPABLE), chat("s1", "tag", 300, LONG_TIMEOUT), first);
 		first.awaitFirstChunk();
 		exchange.detach();
-		assertThat(first.failure()).isEqualTo(BackendFailure.CANCELLED);
+		assertThat(first.awaitFailure()).isEqualTo(BackendFailure.CANCELLED);
 		RecordingListener rest = new RecordingListener();
-		engine().resume(server(ABLE), "s1", first.length(), rest);
-		assertThat(rest.ending()).isEqualTo("whole");
-		assertWholeAnswer(first.body() + rest.body(), 300);
-		assertThat(dispatches(ABLE, "tag")).isOne();
+		engine().resume(server(CAPABLE), "s1", first.length(), rest);
+		assertThat(rest.awaitOutcome()).isEqualTo("whole");
+		assertComplete(first.body() + rest.body(), 300);
+		assertThat(dispatches(CAPABLE, "tag")).isOne();
 	}
 
 	@Test
-	void movesAStreamByItsCache() throws Exception {
+	void migratesAStreamByItsExportedCache() throws Exception {
 		RecordingListener first = new RecordingListener();
-		engine().send(server(ABLE), chat("s1", "tag", 300, LONG), first);
+		engine().send(server(CAPABLE), chat("s1", "tag", 300, LONG_TIMEOUT), first);
 		first.awaitFirstChunk();
-		byte[] cache = get(engine().exportCache(server(ABLE), "s1"));
-		first.ending();
-		get(engine().importCache(server(OTHER), "s1", cache));
+		byte[] cache = get(engine().exportCache(server(CAPABLE), "s1"));
+		first.awaitOutcome();
+		get(engine().importCache(server(SECOND_CAPABLE), "s1", cache));
 		RecordingListener rest = new RecordingListener();
-		engine().resume(server(OTHER), "s1", first.length(), rest);
-		assertThat(rest.ending()).isEqualTo("whole");
-		assertWholeAnswer(first.body() + rest.body(), 300);
-		assertThat(dispatches(OTHER, "tag")).isZero();
+		engine().resume(server(SECOND_CAPABLE), "s1", first.length(), rest);
+		assertThat(rest.awaitOutcome()).isEqualTo("whole");
+		assertComplete(first.body() + rest.body(), 300);
+		assertThat(dispatches(SECOND_CAPABLE, "tag")).isZero();
 	}
 
 	@Test
-	void saysSoIfAStreamCannotBeResumed() throws Exception {
+	void failsIfAStreamCannotBeResumed() throws Exception {
 		RecordingListener absent = new RecordingListener();
-		engine().resume(server(ABLE), "absent", 0, absent);
-		assertThat(absent.failure()).isEqualTo(BackendFailure.NOT_SUPPORTED);
+		engine().resume(server(CAPABLE), "absent", 0, absent);
+		assertThat(absent.awaitFailure()).isEqualTo(BackendFailure.NOT_SUPPORTED);
 		RecordingListener unable = new RecordingListener();
-		engine().resume(server(UNABLE), "absent", 0, unable);
-		assertThat(unable.failure()).isEqualTo(BackendFailure.NOT_SUPPORTED);
-		assertThat(failureOf(engine().exportCache(server(UNABLE), "absent"))).isEqualTo(BackendFailure.NOT_SUPPORTED);
+		engine().resume(server(LIMITED), "absent", 0, unable);
+		assertThat(unable.awaitFailure()).isEqualTo(BackendFailure.NOT_SUPPORTED);
+		assertThat(failureOf(engine().exportCache(server(LIMITED), "absent"))).isEqualTo(BackendFailure.NOT_SUPPORTED);
 	}
 
 	@Test
 	void reportsItsLoad() throws Exception {
-		assertThat(get(engine().load(server(ABLE))).running()).isZero();
+		assertThat(get(engine().load(server(CAPABLE))).running()).isZero();
 		RecordingListener listener = new RecordingListener();
-		engine().send(server(ABLE), chat("s1", "tag", ENDLESS, LONG), listener);
+		engine().send(server(CAPABLE), chat("s1", "tag", UNLIMITED_TOKENS, LONG_TIMEOUT), listener);
 		listener.awaitFirstChunk();
-		LoadReport report = get(engine().load(server(ABLE)));
+		LoadReport report = get(engine().load(server(CAPABLE)));
 		assertThat(report.running()).isOne();
-		assertThat(report.backendServer()).isEqualTo(server(ABLE).id());
+		assertThat(report.backendServer()).isEqualTo(server(CAPABLE).id());
 		assertThat(report.resumesStreams()).isTrue();
 		assertThat(report.leaving()).isFalse();
-		setLeaving(ABLE);
-		assertThat(get(engine().load(server(ABLE))).leaving()).isTrue();
+		setLeaving(CAPABLE);
+		assertThat(get(engine().load(server(CAPABLE))).leaving()).isTrue();
 	}
 
 	@Test
-	void reportsThatLagShowAnOlderState() throws Exception {
+	void showsAnOlderStateInLaggingReports() throws Exception {
 		assertThat(get(engine().load(server(LAGGING))).running()).isZero();
 		RecordingListener listener = new RecordingListener();
-		engine().send(server(LAGGING), chat("s1", "tag", ENDLESS, LONG), listener);
+		engine().send(server(LAGGING), chat("s1", "tag", UNLIMITED_TOKENS, LONG_TIMEOUT), listener);
 		listener.awaitFirstChunk();
 		assertThat(get(engine().load(server(LAGGING))).running()).isZero();
 		assertThat(get(engine().cacheEvents(server(LAGGING), 0))).isEmpty();
 	}
 
 	@Test
-	void tellsCacheEventsInOrderAndAgainIfAsked() throws Exception {
-		promptsOfDifferentPrefixes(6);
-		List<CacheEvent> all = get(engine().cacheEvents(server(ABLE), 0));
+	void returnsTheSameCacheEventsInOrderOnEachRead() throws Exception {
+		sendPromptsWithDistinctPrefixes(6);
+		List<CacheEvent> all = get(engine().cacheEvents(server(CAPABLE), 0));
 		assertThat(all).hasSize(6).allMatch(CacheEvent::stored);
 		assertThat(all.stream().map(CacheEvent::sequence)).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
-		assertThat(get(engine().cacheEvents(server(ABLE), 0))).isEqualTo(all);
-		assertThat(get(engine().cacheEvents(server(ABLE), 4))).isEqualTo(all.subList(4, 6));
+		assertThat(get(engine().cacheEvents(server(CAPABLE), 0))).isEqualTo(all);
+		assertThat(get(engine().cacheEvents(server(CAPABLE), 4))).isEqualTo(all.subList(4, 6));
 	}
 
 	@Test
 	void aLostCacheEventShowsAsAGap() throws Exception {
-		promptsOfDifferentPrefixes(6);
-		faults(ABLE).dropEvents(true);
-		assertThat(get(engine().cacheEvents(server(ABLE), 0)).stream().map(CacheEvent::sequence)).containsExactly(2L,
+		sendPromptsWithDistinctPrefixes(6);
+		faults(CAPABLE).dropEvents(true);
+		assertThat(get(engine().cacheEvents(server(CAPABLE), 0)).stream().map(CacheEvent::sequence)).containsExactly(2L,
 				4L, 6L);
 	}
 
@@ -238,43 +239,43 @@
 	void refusesAnOlderOrderOnlyIfTheEngineChecks() {
 		EngineOrder newer = new EngineOrder(EngineOrder.Kind.LOAD_ADAPTER, "law", 8);
 		EngineOrder older = new EngineOrder(EngineOrder.Kind.LOAD_ADAPTER, "school", 7);
-		get(engine().order(server(ABLE), newer));
-		assertThat(failureOf(engine().order(server(ABLE), older))).isEqualTo(BackendFailure.FENCED);
-		assertThat(get(engine().currentOrder(server(ABLE)))).isEqualTo(newer);
-		get(engine().order(server(UNABLE), newer));
-		get(engine().order(server(UNABLE), older));
-		assertThat(get(engine().currentOrder(server(UNABLE)))).isEqualTo(older);
+		get(engine().order(server(CAPABLE), newer));
+		assertThat(failureOf(engine().order(server(CAPABLE), older))).isEqualTo(BackendFailure.FENCED);
+		assertThat(get(engine().currentOrder(server(CAPABLE)))).isEqualTo(newer);
+		get(engine().order(server(LIMITED), newer));
+		get(engine().order(server(LIMITED), older));
+		assertThat(get(engine().currentOrder(server(LIMITED)))).isEqualTo(older);
 	}
 
 	@Test
-	void takesTheSameOrderTwice() {
+	void acceptsTheSameOrderTwice() {
 		EngineOrder order = new EngineOrder(EngineOrder.Kind.CHANGE_ROLE, "prefill", 8);
-		get(engine().order(server(ABLE), order));
-		get(engine().order(server(ABLE), order));
-		assertThat(get(engine().currentOrder(server(ABLE)))).isEqualTo(order);
+		get(engine().order(server(CAPABLE), order));
+		get(engine().order(server(CAPABLE), order));
+		assertThat(get(engine().currentOrder(server(CAPABLE)))).isEqualTo(order);
 	}
 
 	@Test
-	void anOrderWhoseAnswerIsLostMayHaveTakenEffect() {
-		faults(ABLE).dropOrderResponses(true);
+	void appliesAnOrderWhoseResponseIsLost() {
+		faults(CAPABLE).dropOrderResponses(true);
 		EngineOrder order = new EngineOrder(EngineOrder.Kind.LOAD_MODEL, "m", 8);
-		assertThat(failureOf(engine().order(server(ABLE), order))).isEqualTo(BackendFailure.BROKEN);
-		assertThat(get(engine().currentOrder(server(ABLE)))).isEqualTo(order);
+		assertThat(failureOf(engine().order(server(CAPABLE), order))).isEqualTo(BackendFailure.BROKEN);
+		assertThat(get(engine().currentOrder(server(CAPABLE)))).isEqualTo(order);
 	}
 
-	private void promptsOfDifferentPrefixes(int count) throws Exception {
+	private void sendPromptsWithDistinctPrefixes(int count) throws Exception {
 		for (int i = 0; i < count; i++) {
 			RecordingListener listener = new RecordingListener();
 			String prompt = ("prompt " + i + " ").repeat(60);
 			String body = "{\"stream\":true,\"user\":\"u\",\"max_tokens\":1,\"messages\":[{\"content\":\"%s\"}]}"
 				.formatted(prompt);
-			engine().send(server(ABLE), new BackendRequest("p" + i, "POST", "/v1/chat/completions", List.of(),
-					body.getBytes(StandardCharsets.UTF_8), Instant.now().plus(LONG)), listener);
-			assertThat(listener.ending()).isEqualTo("whole");
+			engine().send(server(CAPABLE), new BackendRequest("p" + i, "POST", "/v1/chat/completions", List.of(),
+					body.getBytes(StandardCharsets.UTF_8), Instant.now().plus(LONG_TIMEOUT)), listener);
+			assertThat(listener.awaitOutcome()).isEqualTo("whole");
 		}
 	}
 
-	private static void assertWholeAnswer(String body, int tokens) {
+	private static void assertComplete(String body, int tokens) {
 		int from = 0;
 		for (int i = 1; i <= tokens; i++) {
 			from = body.indexOf("\"tag:%d \"".formatted(i), from);
@@ -284,10 +285,10 @@
 		assertThat(body).endsWith("data: [DONE]\n\n");
 	}
 
-	private static BackendRequest chat(String streamId, String tag, int tokens, Duration patience) {
+	private static BackendRequest chat(String streamId, String tag, int tokens, Duration timeout) {
 		String body = "{\"stream\":true,\"user\":\"%s\",\"max_tokens\":%d,\"messages\":[]}".formatted(tag, tokens);
 		return new BackendRequest(streamId, "POST", "/v1/chat/completions", List.of(),
-				body.getBytes(StandardCharsets.UTF_8), Instant.now().plus(patience));
+				body.getBytes(StandardCharsets.UTF_8), Instant.now().plus(timeout));
 	}
 
 	private static <T> T get(CompletionStage<T> stage) {
@@ -297,7 +298,7 @@
 	private static BackendFailure failureOf(CompletionStage<?> stage) {
 		try {
 			Object result = stage.toCompletableFuture().join();
-			throw new AssertionError("no failure but " + result);
+			throw new AssertionError("expected a failure but got " + result);
 		}
 		catch (CompletionException ex) {
 			return ((BackendException) ex.getCause()).failure();
@@ -305,10 +306,10 @@
 	}
 
 	private static void until(BooleanSupplier condition) {
-		long end = System.nanoTime() + LONG.toNanos();
+		long end = System.nanoTime() + LONG_TIMEOUT.toNanos();
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > end) {
-				throw new IllegalStateException("the condition did not come true within " + LONG);
+				throw new IllegalStateException("condition not met within " + LONG_TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
 		}
--- a/daemon/src/test/java/org/sardineport/daemon/engine/PlainServiceContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/PlainServiceContract.java
@@ -20,21 +20,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * What each adapter to plain services must do, faults included.
+ * Contract of {@link PlainService} implementations, with and without injected faults.
  */
 abstract class PlainServiceContract {
 
-	private static final Duration LONG = Duration.ofSeconds(15);
+	private static final Duration LONG_TIMEOUT = Duration.ofSeconds(15);
 
-	private static final Duration SHORT = Duration.ofMillis(300);
+	private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
 
-	// The adapter under test.
+	// Returns the implementation under test.
 	abstract PlainService service();
 
-	// A backend server that executes each POST by its key.
+	// Returns a backend server that counts the executions of each idempotency key.
 	abstract BackendServer server();
 
-	// A backend server that does not listen.
+	// Returns a backend server that refuses connections.
 	abstract BackendServer absentServer();
 
 	abstract void setFault(ServiceFault fault);
@@ -42,24 +42,25 @@
 	abstract Map<String, Integer> executions();
 
 	/**
-	 * What goes wrong, how the answer must end, and how often the call is executed.
+	 * An injected fault, the expected outcome of the response, and the expected number of
+	 * executions.
 	 */
 	enum Case {
 
-		NOTHING(ServiceFault.NONE, "whole", 1), ANSWER_LOST_AFTER_EFFECT(ServiceFault.RESPONSE_LOST, "BROKEN", 1),
-		ANSWER_TRUNCATED(ServiceFault.TRUNCATED, "TRUNCATED", 1),
-		REFUSED_BY_THE_SERVICE(ServiceFault.REFUSED, "whole", 0), TIME_OUT(ServiceFault.SILENT, "TIMED_OUT", 1);
+		NOTHING(ServiceFault.NONE, "whole", 1), RESPONSE_LOST_AFTER_EXECUTION(ServiceFault.RESPONSE_LOST, "BROKEN", 1),
+		RESPONSE_TRUNCATED(ServiceFault.TRUNCATED, "TRUNCATED", 1),
+		REFUSED_BY_SERVICE(ServiceFault.REFUSED, "whole", 0), TIMEOUT(ServiceFault.SILENT, "TIMED_OUT", 1);
 
 		private final ServiceFault fault;
 
-		private final String ending;
+		private final String expectedOutcome;
 
-		private final int executions;
+		private final int expectedExecutions;
 
-		Case(ServiceFault fault, String ending, int executions) {
+		Case(ServiceFault fault, String expectedOutcome, int expectedExecutions) {
 			this.fault = fault;
-			this.ending = ending;
-			this.executions = executions;
+			this.expectedOutcome = expectedOutcome;
+			this.expectedExecutions = expectedExecutions;
 		}
 
 	}
@@ -69,76 +70,76 @@
 	void endsOnceAndExecutesAtMostOnce(Case fault) throws Exception {
 		setFault(fault.fault);
 		RecordingListener listener = new RecordingListener();
-		service().send(server(), posting("k1", (fault == Case.TIME_OUT) ? SHORT : LONG), listener);
-		assertThat(listener.ending()).isEqualTo(fault.ending);
-		assertThat(listener.endings()).isOne();
-		assertThat(listener.eventsAfterTheEnd()).isZero();
-		assertThat(executions().getOrDefault("k1", 0)).isEqualTo(fault.executions);
+		service().send(server(), posting("k1", (fault == Case.TIMEOUT) ? SHORT_TIMEOUT : LONG_TIMEOUT), listener);
+		assertThat(listener.awaitOutcome()).isEqualTo(fault.expectedOutcome);
+		assertThat(listener.endCount()).isOne();
+		assertThat(listener.eventsAfterEnd()).isZero();
+		assertThat(executions().getOrDefault("k1", 0)).isEqualTo(fault.expectedExecutions);
 	}
 
 	@Test
 	void passesTheStatusOfARefusal() throws Exception {
 		setFault(ServiceFault.REFUSED);
 		RecordingListener listener = new RecordingListener();
-		service().send(server(), posting("k1", LONG), listener);
-		assertThat(listener.ending()).isEqualTo("whole");
+		service().send(server(), posting("k1", LONG_TIMEOUT), listener);
+		assertThat(listener.awaitOutcome()).isEqualTo("whole");
 		assertThat(listener.status()).isEqualTo(503);
 	}
 
 	@Test
-	void saysThatNothingWasSentIfNobodyListens() throws Exception {
+	void reportsThatNothingWasSentIfTheConnectionIsRefused() throws Exception {
 		RecordingListener listener = new RecordingListener();
-		service().send(absentServer(), posting("k1", LONG), listener);
-		assertThat(listener.failure()).isEqualTo(BackendFailure.NOT_CONNECTED);
-		assertThat(listener.failure().isCertainlyUnsent()).isTrue();
+		service().send(absentServer(), posting("k1", LONG_TIMEOUT), listener);
+		assertThat(listener.awaitFailure()).isEqualTo(BackendFailure.NOT_CONNECTED);
+		assertThat(listener.awaitFailure().isCertainlyUnsent()).isTrue();
 	}
 
 	@Test
 	void sendsNothingAfterTheDeadline() throws Exception {
 		RecordingListener listener = new RecordingListener();
 		service().send(server(), posting("k1", Duration.ofSeconds(-1)), listener);
-		assertThat(listener.failure()).isEqualTo(BackendFailure.NOT_CONNECTED);
+		assertThat(listener.awaitFailure()).isEqualTo(BackendFailure.NOT_CONNECTED);
 		assertThat(executions()).isEmpty();
 	}
 
 	@Test
-	void tellsOfACancellationOnce() throws Exception {
+	void reportsACancellationOnce() throws Exception {
 		setFault(ServiceFault.SILENT);
 		RecordingListener listener = new RecordingListener();
-		Exchange exchange = service().send(server(), posting("k1", LONG), listener);
+		Exchange exchange = service().send(server(), posting("k1", LONG_TIMEOUT), listener);
 		exchange.cancel();
 		exchange.cancel();
-		assertThat(listener.failure()).isEqualTo(BackendFailure.CANCELLED);
-		assertThat(listener.endings()).isOne();
+		assertThat(listener.awaitFailure()).isEqualTo(BackendFailure.CANCELLED);
+		assertThat(listener.endCount()).isOne();
 	}
 
 	@Test
-	void aCancellationAfterTheEndChangesNothing() throws Exception {
+	void ignoresACancellationAfterTheEnd() throws Exception {
 		RecordingListener listener = new RecordingListener();
-		Exchange exchange = service().send(server(), posting("k1", LONG), listener);
-		assertThat(listener.ending()).isEqualTo("whole");
+		Exchange exchange = service().send(server(), posting("k1", LONG_TIMEOUT), listener);
+		assertThat(listener.awaitOutcome()).isEqualTo("whole");
 		exchange.cancel();
 		RecordingListener next = new RecordingListener();
-		service().send(server(), posting("k2", LONG), next);
-		assertThat(next.ending()).isEqualTo("whole");
-		assertThat(listener.endings()).isOne();
+		service().send(server(), posting("k2", LONG_TIMEOUT), next);
+		assertThat(next.awaitOutcome()).isEqualTo("whole");
+		assertThat(listener.endCount()).isOne();
 	}
 
 	@Test
-	void givesEachRequestItsOwnAnswer() throws Exception {
+	void deliversEachResponseToItsOwnRequest() throws Exception {
 		List<RecordingListener> listeners = Stream.generate(RecordingListener::new).limit(50).toList();
 		for (int i = 0; i < listeners.size(); i++) {
-			service().send(server(), posting("key-" + i + ".", LONG), listeners.get(i));
+			service().send(server(), posting("key-" + i + ".", LONG_TIMEOUT), listeners.get(i));
 		}
 		for (int i = 0; i < listeners.size(); i++) {
-			assertThat(listeners.get(i).ending()).isEqualTo("whole");
+			assertThat(listeners.get(i).awaitOutcome()).isEqualTo("whole");
 			assertThat(listeners.get(i).body()).contains("\"key-" + i + ".\"");
 		}
 	}
 
-	private static BackendRequest posting(String key, Duration patience) {
+	private static BackendRequest posting(String key, Duration timeout) {
 		return new BackendRequest("s-" + key, "POST", "/postings", List.of(Map.entry("Idempotency-Key", key)),
-				"{}".getBytes(StandardCharsets.UTF_8), Instant.now().plus(patience));
+				"{}".getBytes(StandardCharsets.UTF_8), Instant.now().plus(timeout));
 	}
 
 }
--- a/daemon/src/test/java/org/sardineport/daemon/engine/RecordingListener.java
+++ b/daemon/src/test/java/org/sardineport/daemon/engine/RecordingListener.java
@@ -15,33 +15,33 @@
 import org.sardineport.core.port.backend.ResponseListener;
 
 /**
- * Records an answer, and that it ends once.
+ * Records a response, the number of its ends, and events received after the end.
  */
 final class RecordingListener implements ResponseListener {
 
-	private static final int PATIENCE_SECONDS = 20;
+	private static final int TIMEOUT_SECONDS = 20;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private final CompletableFuture<String> ended = new CompletableFuture<>();
+	private final CompletableFuture<String> outcome = new CompletableFuture<>();
 
 	private final CountDownLatch firstChunk = new CountDownLatch(1);
 
-	private final AtomicInteger endings = new AtomicInteger();
+	private final AtomicInteger endCount = new AtomicInteger();
 
-	private final AtomicInteger late = new AtomicInteger();
+	private final AtomicInteger eventsAfterEnd = new AtomicInteger();
 
 	private volatile int status;
 
 	@Override
-	public void head(int answerStatus, List<Map.Entry<String, String>> headers) {
-		this.late.addAndGet(this.endings.get());
-		this.status = answerStatus;
+	public void head(int responseStatus, List<Map.Entry<String, String>> headers) {
+		this.eventsAfterEnd.addAndGet(this.endCount.get());
+		this.status = responseStatus;
 	}
 
 	@Override
 	public synchronized void chunk(ByteBuffer bytes) {
-		this.late.addAndGet(this.endings.get());
+		this.eventsAfterEnd.addAndGet(this.endCount.get());
 		byte[] copy = new byte[bytes.remaining()];
 		bytes.get(copy);
 		this.body.writeBytes(copy);
@@ -50,37 +50,40 @@
 
 	@Override
 	public void end() {
-		this.endings.incrementAndGet();
-		this.ended.complete("whole");
+		this.endCount.incrementAndGet();
+		this.outcome.complete("whole");
 	}
 
 	@Override
 	public void failed(BackendException failure) {
-		this.endings.incrementAndGet();
-		this.ended.complete(failure.failure().name());
+		this.endCount.incrementAndGet();
+		this.outcome.complete(failure.failure().name());
 	}
 
-	/** Waits for the end: "whole" or the name of the failure. */
-	String ending() throws Exception {
-		return this.ended.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+	/**
+	 * Waits up to 20 s for the end of the response.
+	 * @return "whole" if it is complete, else the name of the {@link BackendFailure}
+	 */
+	String awaitOutcome() throws Exception {
+		return this.outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 	}
 
-	BackendFailure failure() throws Exception {
-		return BackendFailure.valueOf(ending());
+	BackendFailure awaitFailure() throws Exception {
+		return BackendFailure.valueOf(awaitOutcome());
 	}
 
 	void awaitFirstChunk() throws InterruptedException {
-		if (!this.firstChunk.await(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-			throw new IllegalStateException("no chunk came");
+		if (!this.firstChunk.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+			throw new IllegalStateException("no chunk received within the timeout");
 		}
 	}
 
-	int endings() {
-		return this.endings.get();
+	int endCount() {
+		return this.endCount.get();
 	}
 
-	int eventsAfterTheEnd() {
-		return this.late.get();
+	int eventsAfterEnd() {
+		return this.eventsAfterEnd.get();
 	}
 
 	int status() {
