Reword the platform clients of the daemon in the usual terms of the field

The classes are described as HTTP clients with their failure contract and timeouts instead of as adapters; messages give the expected and the received status. Status constants carry STATUS_, and test names state the outcome (failsIf..., reportsUnknownIf...) instead of what a test "says" or "knows". JSON names, paths and headers are kept.

--- a/daemon/src/main/java/org/sardineport/daemon/platform/HttpLogService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/platform/HttpLogService.java
@@ -27,21 +27,22 @@
 import org.sardineport.core.port.log.LogSlice;
 
 /**
- * Log service over HTTP. A call fails with {@link LogFailure#UNAVAILABLE} only if no byte
- * of it was sent, or if the service says that it had no effect; any other failure is
- * {@link LogFailure#UNKNOWN}. Nothing is sent twice. Safe for use by any thread.
+ * HTTP client for the log service. A call fails with {@link LogFailure#UNAVAILABLE} only
+ * if no byte of the request was sent or the service reports that it had no effect; a
+ * failure after which an append may have taken effect is {@link LogFailure#UNKNOWN}.
+ * Requests are not retried. Thread-safe.
  */
 public final class HttpLogService implements LogService, Service {
 
-	private static final int MAXIMUM_CONNECTIONS = 64;
+	private static final int MAX_CONNECTIONS = 64;
 
-	private static final int OK = 200;
+	private static final int STATUS_OK = 200;
 
-	private static final int GONE = 410;
+	private static final int STATUS_GONE = 410;
 
-	private static final int TOO_LARGE = 413;
+	private static final int STATUS_TOO_LARGE = 413;
 
-	private static final int RECORD_HEAD_BYTES = 2 * Long.BYTES + Integer.BYTES;
+	private static final int RECORD_HEADER_BYTES = 2 * Long.BYTES + Integer.BYTES;
 
 	private final HttpClient client;
 
@@ -56,15 +57,16 @@
 	}
 
 	/**
-	 * Returns an adapter to the log service.
-	 * @param vertx event loops of its connections
-	 * @param address where the service is
-	 * @param timeout time to wait for a connection, and again for an answer
-	 * @return the adapter
+	 * Creates a client whose connections run on the event loops of the given instance.
+	 * @param vertx the instance; not closed by {@link #stop()}
+	 * @param address address of the log service
+	 * @param timeout time to wait for a connection, and again for the response; a read
+	 * waits for its response longer by its own wait time
+	 * @return the client
 	 */
 	public static HttpLogService create(Vertx vertx, NetworkAddress address, Duration timeout) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
-		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS);
+		PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
 		return new HttpLogService(vertx.createHttpClient(options, pool), address, timeout);
 	}
 
@@ -103,7 +105,7 @@
 		return "/v1/streams/" + Objects.requireNonNull(stream, "stream must not be null") + "/records";
 	}
 
-	// A failure in here comes before any byte of the request.
+	// No byte of the request has been sent if this fails.
 	private Future<HttpClientRequest> connect(HttpMethod method, String uri) {
 		RequestOptions options = new RequestOptions().setMethod(method)
 			.setHost(this.address.ip())
@@ -112,23 +114,24 @@
 			.setConnectTimeout(this.timeout.toMillis());
 		return this.client.request(options)
 			.recover((error) -> Future.failedFuture(
-					LogServiceException.of(LogFailure.UNAVAILABLE, "no connection to the log service", error)));
+					LogServiceException.of(LogFailure.UNAVAILABLE, "could not connect to the log service", error)));
 	}
 
-	// From here on bytes of the request may have been sent.
-	private <T> Future<T> exchange(HttpClientRequest request, Buffer body, Duration limit, AnswerReader<T> reader) {
+	// The request may have been sent, in part or whole, if this fails.
+	private <T> Future<T> exchange(HttpClientRequest request, Buffer body, Duration responseTimeout,
+			ResponseReader<T> reader) {
 		return request.send(body)
 			.compose((response) -> response.body().compose((bytes) -> read(reader, response, bytes)))
-			.timeout(limit.toMillis(), TimeUnit.MILLISECONDS)
+			.timeout(responseTimeout.toMillis(), TimeUnit.MILLISECONDS)
 			.recover((error) -> {
 				request.reset();
-				return Future.failedFuture(unknownUnlessTyped(error));
+				return Future.failedFuture(toLogServiceException(error));
 			});
 	}
 
-	private static <T> Future<T> read(AnswerReader<T> reader, HttpClientResponse response, Buffer body) {
+	private static <T> Future<T> read(ResponseReader<T> reader, HttpClientResponse response, Buffer body) {
 		try {
-			if (response.statusCode() != OK) {
+			if (response.statusCode() != STATUS_OK) {
 				return Future.failedFuture(failureOf(response, body));
 			}
 			return Future.succeededFuture(reader.read(response, body));
@@ -141,16 +144,17 @@
 	private static LogServiceException failureOf(HttpClientResponse response, Buffer body) {
 		boolean noEffect = "none".equals(response.getHeader("Log-Effect"));
 		LogFailure failure = switch (response.statusCode()) {
-			case GONE -> LogFailure.OFFSET_EXPIRED;
-			case TOO_LARGE -> (noEffect) ? LogFailure.RECORD_TOO_LARGE : LogFailure.UNKNOWN;
+			case STATUS_GONE -> LogFailure.OFFSET_EXPIRED;
+			case STATUS_TOO_LARGE -> (noEffect) ? LogFailure.RECORD_TOO_LARGE : LogFailure.UNKNOWN;
 			default -> (noEffect) ? LogFailure.UNAVAILABLE : LogFailure.UNKNOWN;
 		};
-		return LogServiceException.of(failure, "log service answered %d: %s".formatted(response.statusCode(), body));
+		return LogServiceException.of(failure,
+				"log service responded with status %d: %s".formatted(response.statusCode(), body));
 	}
 
-	private static LogServiceException unknownUnlessTyped(Throwable error) {
+	private static LogServiceException toLogServiceException(Throwable error) {
 		return (error instanceof LogServiceException typed) ? typed
-				: LogServiceException.of(LogFailure.UNKNOWN, "no usable answer from the log service", error);
+				: LogServiceException.of(LogFailure.UNKNOWN, "no valid response from the log service", error);
 	}
 
 	private static Long readOffset(HttpClientResponse response, Buffer body) {
@@ -162,7 +166,7 @@
 		int position = 0;
 		while (position < body.length()) {
 			int length = body.getInt(position + 2 * Long.BYTES);
-			int start = position + RECORD_HEAD_BYTES;
+			int start = position + RECORD_HEADER_BYTES;
 			records.add(new LogRecord(body.getLong(position), Instant.ofEpochMilli(body.getLong(position + Long.BYTES)),
 					body.getBytes(start, start + length)));
 			position = start + length;
@@ -172,12 +176,12 @@
 	}
 
 	/**
-	 * Reads the body of a good answer.
+	 * Parses a response with status 200.
 	 *
-	 * @param <T> what it holds
+	 * @param <T> type of the parsed value
 	 */
 	@FunctionalInterface
-	private interface AnswerReader<T> {
+	private interface ResponseReader<T> {
 
 		T read(HttpClientResponse response, Buffer body);
 
--- a/daemon/src/main/java/org/sardineport/daemon/platform/HttpVmList.java
+++ b/daemon/src/main/java/org/sardineport/daemon/platform/HttpVmList.java
@@ -22,13 +22,13 @@
 import org.sardineport.core.port.platform.VmListing;
 
 /**
- * Fetches the platform's list of VMs over HTTP.
+ * Fetches the platform's list of VMs over HTTP. A failed fetch is not retried.
  */
 public final class HttpVmList implements VmList, Service {
 
 	private static final int STATUS_OK = 200;
 
-	private static final String PATH = "/v1/vms";
+	private static final String VM_LIST_PATH = "/v1/vms";
 
 	private final HttpClient client;
 
@@ -45,11 +45,11 @@
 	}
 
 	/**
-	 * Returns an adapter.
-	 * @param vertx carries input and output
-	 * @param address where the platform serves its list
-	 * @param timeout time to wait for the list
-	 * @return the adapter
+	 * Creates a client whose connections run on the event loops of the given instance.
+	 * @param vertx the instance; not closed by {@link #stop()}
+	 * @param address address of the platform's list
+	 * @param timeout timeout of the connection, of the request, and of idle connections
+	 * @return the client
 	 */
 	public static HttpVmList create(Vertx vertx, NetworkAddress address, Duration timeout) {
 		return new HttpVmList(vertx, address, timeout);
@@ -70,20 +70,20 @@
 		RequestOptions options = new RequestOptions().setHost(this.address.ip())
 			.setPort(this.address.port())
 			.setMethod(HttpMethod.GET)
-			.setURI(PATH)
+			.setURI(VM_LIST_PATH)
 			.setTimeout(this.timeout.toMillis())
 			.setIdleTimeout(this.timeout.toMillis());
 		return this.client.request(options)
-			.compose((request) -> request.send().compose(this::body))
+			.compose((request) -> request.send().compose(this::readBody))
 			.compose(this::parse)
-			.recover((cause) -> Future.failedFuture(
-					VmListException.of("list of VMs at %s: %s".formatted(this.address, cause.getMessage()), cause)))
+			.recover((cause) -> Future.failedFuture(VmListException
+				.of("could not fetch the list of VMs from %s: %s".formatted(this.address, cause.getMessage()), cause)))
 			.toCompletionStage();
 	}
 
-	private Future<Buffer> body(HttpClientResponse response) {
+	private Future<Buffer> readBody(HttpClientResponse response) {
 		if (response.statusCode() != STATUS_OK) {
-			return Future.failedFuture(new IOException("status " + response.statusCode()));
+			return Future.failedFuture(new IOException("expected status 200, got " + response.statusCode()));
 		}
 		return response.body();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/platform/VmListingJson.java
+++ b/daemon/src/main/java/org/sardineport/daemon/platform/VmListingJson.java
@@ -16,18 +16,22 @@
 import org.sardineport.core.port.platform.VmState;
 
 /**
- * List of VMs as the platform writes it.
+ * JSON form of the platform's list of VMs.
+ *
+ * @param asOf time of the list, in ISO 8601
+ * @param entryVms the entry VMs
+ * @param backendServers the backend servers
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 record VmListingJson(String asOf, List<EntryVmJson> entryVms, List<BackendJson> backendServers) {
 
 	VmListing toListing() {
 		return new VmListing(Instant.parse(this.asOf), this.entryVms.stream().map(EntryVmJson::toEntryVm).toList(),
-				this.backendServers.stream().map(BackendJson::toListed).toList());
+				this.backendServers.stream().map(BackendJson::toListedBackend).toList());
 	}
 
 	/**
-	 * An entry VM of the list.
+	 * JSON form of a listed entry VM.
 	 */
 	@JsonIgnoreProperties(ignoreUnknown = true)
 	record EntryVmJson(String peerAddress, VmState state) {
@@ -39,14 +43,14 @@
 	}
 
 	/**
-	 * A backend server of the list. {@code softwareVersion} is optional; servers listed
-	 * without it count as running the same version.
+	 * JSON form of a listed backend server. {@code softwareVersion} is optional; servers
+	 * without it are treated as running the same, unknown version.
 	 */
 	@JsonIgnoreProperties(ignoreUnknown = true)
 	record BackendJson(String id, BackendKind kind, String pool, String failureDomain, String address,
 			int nominalConcurrency, VmState state, @Nullable String softwareVersion) {
 
-		private VmListing.ListedBackend toListed() {
+		private VmListing.ListedBackend toListedBackend() {
 			BackendServer server = new BackendServer(BackendServerId.of(this.id), this.kind, PoolName.of(this.pool),
 					FailureDomain.of(this.failureDomain), NetworkAddress.parse(this.address), this.nominalConcurrency);
 			return new VmListing.ListedBackend(server.withSoftwareVersion(version()), this.state);
--- a/daemon/src/main/java/org/sardineport/daemon/platform/package-info.java
+++ b/daemon/src/main/java/org/sardineport/daemon/platform/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Adapters to the platform's services.
+ * HTTP clients for the platform's list of VMs and its log service.
  */
 @NullMarked
 package org.sardineport.daemon.platform;
--- a/daemon/src/test/java/org/sardineport/daemon/platform/HttpLogServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/HttpLogServiceTests.java
@@ -18,7 +18,7 @@
 import org.sardineport.standins.log.LogServiceStandIn;
 
 /**
- * The contract over HTTP, and failures of connections.
+ * Runs the log service contract against the HTTP client, and tests connection failures.
  */
 class HttpLogServiceTests extends LogServiceContract {
 
@@ -66,14 +66,14 @@
 	}
 
 	@Test
-	void knowsThatARefusedConnectionHadNoEffect() {
+	void reportsUnavailableIfTheConnectionIsRefused() {
 		int port = this.standIn.address().port();
 		this.standIn.stop().toCompletableFuture().join();
 		assertAppendFails(port, LogFailure.UNAVAILABLE);
 	}
 
 	@Test
-	void doesNotKnowOfAnAppendWhoseConnectionBroke() {
+	void reportsUnknownIfTheConnectionCloses() {
 		NetServer server = this.vertx.createNetServer()
 			.connectHandler((socket) -> socket.handler((bytes) -> socket.close()))
 			.listen(0, "127.0.0.1")
@@ -84,14 +84,14 @@
 	}
 
 	@Test
-	void doesNotKnowOfAnAppendThatTimedOut() {
+	void reportsUnknownIfTheAppendTimesOut() {
 		NetServer server = this.vertx.createNetServer().connectHandler((socket) -> socket.handler((bytes) -> {
 		})).listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
 		assertAppendFails(server.actualPort(), LogFailure.UNKNOWN);
 	}
 
 	@Test
-	void doesNotTrustAnErrorThatSaysNothingOfTheEffect() {
+	void reportsUnknownIfAnErrorDoesNotStateTheEffect() {
 		HttpServer server = this.vertx.createHttpServer()
 			.requestHandler((request) -> request.response().setStatusCode(503).end())
 			.listen(0, "127.0.0.1")
@@ -102,7 +102,7 @@
 	}
 
 	@Test
-	void doesNotKnowOfAnAppendWhoseAnswerCannotBeRead() {
+	void reportsUnknownIfTheResponseIsMalformed() {
 		HttpServer server = this.vertx.createHttpServer()
 			.requestHandler((request) -> request.response().end())
 			.listen(0, "127.0.0.1")
--- a/daemon/src/test/java/org/sardineport/daemon/platform/HttpVmListTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/HttpVmListTests.java
@@ -20,7 +20,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
- * The contract over HTTP, and answers that make no sense.
+ * Runs the VM list contract against the HTTP client, and tests malformed responses.
  */
 class HttpVmListTests extends VmListContract {
 
@@ -54,12 +54,12 @@
 	}
 
 	@Test
-	void saysSoIfNobodyListens() {
+	void failsIfTheConnectionIsRefused() {
 		assertFails(FreeAddress.find(), TIMEOUT);
 	}
 
 	@Test
-	void saysSoIfNoAnswerComesInTime() {
+	void failsIfNoResponseArrivesWithinTheTimeout() {
 		StandInServer silent = StandInServer.create(this.vertx, (request) -> {
 		});
 		silent.start().toCompletableFuture().join();
@@ -70,7 +70,7 @@
 	@ValueSource(strings = { "", "no json", "{}", "{\"asOf\":\"yesterday\",\"entryVms\":[],\"backendServers\":[]}",
 			"{\"asOf\":\"2026-12-03T20:00:00Z\",\"entryVms\":[{\"peerAddress\":\"host:1\",\"state\":\"LIVE\"}],"
 					+ "\"backendServers\":[]}" })
-	void saysSoIfTheAnswerMakesNoSense(String body) {
+	void failsOnAMalformedResponse(String body) {
 		StandInServer strange = StandInServer.create(this.vertx, (request) -> request.response().end(body));
 		strange.start().toCompletableFuture().join();
 		assertFails(strange.address(), TIMEOUT);
--- a/daemon/src/test/java/org/sardineport/daemon/platform/InMemoryLogServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/InMemoryLogServiceTests.java
@@ -4,7 +4,7 @@
 import org.sardineport.standins.log.InMemoryLogService;
 
 /**
- * The contract on the fake.
+ * Runs the log service contract against the in-memory fake.
  */
 class InMemoryLogServiceTests extends LogServiceContract {
 
--- a/daemon/src/test/java/org/sardineport/daemon/platform/InMemoryVmListTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/InMemoryVmListTests.java
@@ -7,7 +7,7 @@
 import org.sardineport.standins.vm.VmListStandIn;
 
 /**
- * The contract of the stand-in itself, without a socket.
+ * Runs the VM list contract against the stand-in, called directly instead of over HTTP.
  */
 class InMemoryVmListTests extends VmListContract {
 
--- a/daemon/src/test/java/org/sardineport/daemon/platform/LogServiceContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/LogServiceContract.java
@@ -21,18 +21,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * What each adapter to the log service must do, faults included.
+ * Contract of {@link LogService} implementations, with and without injected faults.
  */
 abstract class LogServiceContract {
 
 	private static final String STREAM = "contract";
 
-	private static final Duration LONG_WAIT = Duration.ofSeconds(20);
+	private static final Duration LONG_POLL_TIMEOUT = Duration.ofSeconds(20);
 
-	// The adapter under test.
+	// Returns the implementation under test.
 	abstract LogService log();
 
-	// The service behind it.
+	// Returns the in-memory service that the implementation under test uses.
 	abstract InMemoryLogService service();
 
 	private static byte[] bytes(String text) {
@@ -46,7 +46,7 @@
 	private static LogFailure failureOf(CompletionStage<?> stage) {
 		try {
 			Object result = stage.toCompletableFuture().join();
-			throw new AssertionError("no failure but " + result);
+			throw new AssertionError("expected a failure but got " + result);
 		}
 		catch (CompletionException ex) {
 			assertThat(ex).hasCauseInstanceOf(LogServiceException.class);
@@ -103,7 +103,7 @@
 	}
 
 	@Test
-	void keepsRecordsThatHoldNoBytes() {
+	void readsEmptyRecords() {
 		get(log().append(STREAM, new byte[0]));
 		assertThat(read(LogService.EARLIEST).records()).singleElement()
 			.satisfies((record) -> assertThat(record.value()).isEmpty());
@@ -111,13 +111,13 @@
 
 	@Test
 	void waitsForTheNextRecord() {
-		CompletionStage<LogSlice> waiting = log().read(STREAM, 0, 10, LONG_WAIT);
+		CompletionStage<LogSlice> waiting = log().read(STREAM, 0, 10, LONG_POLL_TIMEOUT);
 		get(log().append(STREAM, bytes("late")));
 		assertThat(texts(get(waiting))).containsExactly("late");
 	}
 
 	@Test
-	void endsAWaitWithoutRecords() {
+	void returnsNoRecordsWhenTheWaitEnds() {
 		assertThat(get(log().read(STREAM, 0, 10, Duration.ofMillis(5))).records()).isEmpty();
 	}
 
@@ -131,7 +131,7 @@
 	}
 
 	@Test
-	void saysThatAnAppendDuringAnOutageHadNoEffect() {
+	void reportsUnavailableDuringAnOutage() {
 		service().faults().outage(true);
 		assertThat(failureOf(log().append(STREAM, bytes("a")))).isEqualTo(LogFailure.UNAVAILABLE);
 		assertThat(failureOf(log().read(STREAM, 0, 10, Duration.ZERO))).isEqualTo(LogFailure.UNAVAILABLE);
@@ -140,7 +140,7 @@
 	}
 
 	@Test
-	void saysThatAnAppendOverTheRateHadNoEffect() {
+	void reportsUnavailableIfTheAppendRateIsExceeded() {
 		service().faults().appendsPerSecond(0);
 		assertThat(failureOf(log().append(STREAM, bytes("a")))).isEqualTo(LogFailure.UNAVAILABLE);
 		assertThat(service().records(STREAM)).isEmpty();
@@ -153,7 +153,7 @@
 
 	@ParameterizedTest
 	@EnumSource
-	void tellsUnknownUnlessTheAppendHadNoEffect(AppendFault fault) {
+	void reportsUnknownUnlessTheAppendHadNoEffect(AppendFault fault) {
 		service().faults().failNextAppends(fault);
 		LogFailure failure = failureOf(log().append(STREAM, bytes("a")));
 		assertThat(failure.isCertainlyNotApplied()).isEqualTo(fault == AppendFault.REFUSED);
@@ -163,7 +163,7 @@
 	}
 
 	@Test
-	void readsOnAfterALostAnswer() {
+	void readsAllRecordsAfterALostResponse() {
 		service().faults().failNextAppends(AppendFault.RESPONSE_LOST_AFTER_EFFECT);
 		failureOf(log().append(STREAM, bytes("a")));
 		get(log().append(STREAM, bytes("b")));
--- a/daemon/src/test/java/org/sardineport/daemon/platform/VmListContract.java
+++ b/daemon/src/test/java/org/sardineport/daemon/platform/VmListContract.java
@@ -21,7 +21,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
- * What each adapter to the platform's list of VMs must do, faults included.
+ * Contract of {@link VmList} implementations, with and without injected faults.
  */
 abstract class VmListContract {
 
@@ -31,21 +31,21 @@
 			BackendKind.MODEL_ENGINE, PoolName.of("dictionary"), FailureDomain.of("bole"),
 			NetworkAddress.of("10.1.0.21", 9000), 16);
 
-	// The adapter under test.
+	// Returns the implementation under test.
 	abstract VmList list();
 
-	// The platform behind it.
+	// Returns the stand-in of the platform.
 	abstract VmListStandIn platform();
 
 	@Test
-	void listsNothingAtFirst() {
+	void isEmptyInitially() {
 		VmListing listing = fetch();
 		assertThat(listing.entryVms()).isEmpty();
 		assertThat(listing.backendServers()).isEmpty();
 	}
 
 	@Test
-	void listsAllThatThePlatformKnows() {
+	void listsEntryVmsAndBackendServers() {
 		platform().putEntryVm(ENTRY, VmState.LIVE);
 		platform().putBackendServer(ENGINE, VmState.LEAVING);
 		VmListing listing = fetch();
@@ -53,7 +53,7 @@
 		assertThat(listing.backendServers()).containsExactly(new VmListing.ListedBackend(ENGINE, VmState.LEAVING));
 	}
 
-	// All versions of a pool would be taken for one.
+	// Without the version, servers of different versions would be treated as equal.
 	@Test
 	void listsTheSoftwareVersion() {
 		BackendServer versioned = ENGINE.withSoftwareVersion(SoftwareVersion.of("v1.1"));
@@ -83,7 +83,7 @@
 	}
 
 	@Test
-	void saysSoWhileTheListCannotBeHad() {
+	void failsWhileTheListIsUnavailable() {
 		platform().setUnavailable(true);
 		assertThatThrownBy(() -> list().fetch().toCompletableFuture().join()).isInstanceOf(CompletionException.class)
 			.hasCauseInstanceOf(VmListException.class);
