Reword the entry point of the daemon and its process tests

The classes are described by their contract: exit codes, the incarnation taken from the clock, what a planned stop waits for, and what holds before all services have started. Private names follow (closeServices, onServicesStopped, readinessBlockers, markStarted). Log events are kept. A caller sent 503 not-ready requests to a daemon that had just been started again. Likely course, by the log and by reading: it asked that daemon for entry addresses before the daemon knew another member or had a configuration, and EntrySelector then returns the daemon's own address. Not changed here.

--- a/daemon/src/main/java/org/sardineport/daemon/DaemonReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/DaemonReport.java
@@ -8,11 +8,12 @@
 import org.sardineport.daemon.fleet.SelfReport;
 
 /**
- * What a daemon tells the others of itself.
+ * Values that a daemon reports about itself to the other members. Each call reads the
+ * current state.
  *
- * @param configuration the configuration in force
- * @param fleet the fleet
- * @param inFlight the number of requests that the daemon holds
+ * @param configuration source of the configuration version in force
+ * @param fleet source of the capacity that the load is relative to
+ * @param inFlight number of requests in flight on the daemon
  */
 record DaemonReport(ConfigurationView configuration, FleetView fleet, IntSupplier inFlight) implements SelfReport {
 
--- a/daemon/src/main/java/org/sardineport/daemon/DaemonStopActions.java
+++ b/daemon/src/main/java/org/sardineport/daemon/DaemonStopActions.java
@@ -12,7 +12,7 @@
 import org.sardineport.daemon.stop.StopActions;
 
 /**
- * What a planned stop does to the parts of this daemon.
+ * Applies the steps of a planned stop to the services of this daemon.
  */
 final class DaemonStopActions implements StopActions {
 
@@ -38,9 +38,10 @@
 	}
 
 	/**
-	 * Takes that all parts were started.
+	 * Called when all services have started. Before that, {@link #announce()} and
+	 * {@link #flush()} complete without effect.
 	 */
-	void started() {
+	void markStarted() {
 		this.started.set(true);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/Main.java
+++ b/daemon/src/main/java/org/sardineport/daemon/Main.java
@@ -18,7 +18,9 @@
 import org.sardineport.settings.DaemonSettingsReader;
 
 /**
- * Command line of the daemon.
+ * Entry point of the daemon process. Exits with 0 after a planned stop or a successful
+ * check of the settings, 1 if the start fails, 2 on invalid arguments, and 3 if the
+ * settings are unreadable or invalid.
  */
 @Command(name = "sardineportd", description = "Runs one daemon of sardineport until it is told to stop")
 public final class Main {
@@ -41,7 +43,7 @@
 	private boolean checkOnly;
 
 	/**
-	 * Runs the daemon.
+	 * Starts the daemon and returns; the daemon runs until the process receives SIGTERM.
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -50,8 +50,8 @@
 import org.sardineport.wire.transport.PeerIdentity;
 
 /**
- * One daemon: all its parts, started and stopped together. Several can run in one
- * process.
+ * One daemon with all its services, which are started and stopped together. Several
+ * daemons can run in one process.
  */
 public final class SardineportDaemon implements Service {
 
@@ -67,9 +67,9 @@
 
 	private final StopCoordinator stop;
 
-	private final AtomicBoolean released = new AtomicBoolean();
+	private final AtomicBoolean closing = new AtomicBoolean();
 
-	private final CompletableFuture<Void> ended = new CompletableFuture<>();
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
 	private final ServiceSequence services;
 
@@ -102,7 +102,7 @@
 						AdmissionCheck.create(IdempotencyKeys.of(settings.journal().replayWindow())), configuration,
 						fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
-		Readiness readiness = () -> missing(configuration.isReady(), journal.isReady());
+		Readiness readiness = () -> readinessBlockers(configuration.isReady(), journal.isReady());
 		this.readiness = readiness;
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
@@ -114,9 +114,11 @@
 	}
 
 	/**
-	 * Returns a daemon that is not started yet.
-	 * @param settings its settings
-	 * @param clock the time
+	 * Creates a daemon without starting it. The clock's current time in milliseconds
+	 * becomes its incarnation, so it must be later than at any earlier start under the
+	 * same name.
+	 * @param settings the settings
+	 * @param clock the clock of all services
 	 * @return the daemon
 	 */
 	public static SardineportDaemon create(DaemonSettings settings, InstantSource clock) {
@@ -126,64 +128,67 @@
 	@Override
 	public CompletionStage<Void> start() {
 		return this.services.start().thenRun(() -> {
-			this.stopActions.started();
+			this.stopActions.markStarted();
 			LOG.info("daemon.started", "daemon", this.settings.daemon(), "failure-domain",
 					this.settings.failureDomain(), "callers", this.settings.callerAddress());
 		});
 	}
 
 	/**
-	 * Returns whether the daemon serves callers.
-	 * @return whether nothing keeps it from serving
+	 * Returns whether the configuration and the journal have been read, so that the
+	 * daemon serves callers.
+	 * @return whether the daemon is ready
 	 */
 	public boolean isReady() {
 		return this.readiness.blockers().isEmpty();
 	}
 
 	/**
-	 * Stops in a planned way: serves callers that still hold the address, then refuses
-	 * new requests, and ends after the work in flight. Further calls wait for the first.
-	 * @return completes when nothing is left running
+	 * Performs a planned stop: announces it, serves callers that still use the address
+	 * for the linger time, then refuses new requests and waits for the requests in
+	 * flight, at most until the stop limit if one is set. Repeated calls wait for the
+	 * first one.
+	 * @return completes when all services have stopped
 	 */
 	@Override
 	public CompletionStage<Void> stop() {
-		return this.stop.request().thenCompose((ignored) -> release());
+		return this.stop.request().thenCompose((ignored) -> closeServices());
 	}
 
-	private CompletionStage<Void> release() {
-		if (this.released.compareAndSet(false, true)) {
+	private CompletionStage<Void> closeServices() {
+		if (this.closing.compareAndSet(false, true)) {
 			this.services.stop()
 				.thenCompose((ignored) -> this.vertx.close().toCompletionStage())
-				.whenComplete((ignored, failure) -> ended(failure));
+				.whenComplete((ignored, failure) -> onServicesStopped(failure));
 		}
-		return this.ended.copy();
+		return this.stopped.copy();
 	}
 
-	private void ended(@Nullable Throwable failure) {
+	private void onServicesStopped(@Nullable Throwable failure) {
 		if (failure != null) {
 			LOG.error("daemon.stop-failed", failure, "daemon", this.settings.daemon());
-			this.ended.completeExceptionally(failure);
+			this.stopped.completeExceptionally(failure);
 			return;
 		}
 		LOG.info("daemon.stopped", "daemon", this.settings.daemon());
-		this.ended.complete(null);
+		this.stopped.complete(null);
 	}
 
 	private static StopTiming stopTiming(DaemonSettings settings) {
-		Duration newsBound = FleetService.timing(settings.membership()).detectionBound();
+		Duration detectionBound = FleetService.timing(settings.membership()).detectionBound();
 		return StopTiming.withMinimumLinger(settings.stop().linger(), settings.stop().limit(),
-				settings.callers().keepTime(), newsBound);
+				settings.callers().keepTime(), detectionBound);
 	}
 
-	private static List<String> missing(boolean configurationReady, boolean journalReady) {
-		List<String> missing = new ArrayList<>();
+	private static List<String> readinessBlockers(boolean configurationReady, boolean journalReady) {
+		List<String> blockers = new ArrayList<>();
 		if (!configurationReady) {
-			missing.add("The configuration is being read.");
+			blockers.add("The configuration is being read.");
 		}
 		if (!journalReady) {
-			missing.add("The journal is being read.");
+			blockers.add("The journal is being read.");
 		}
-		return missing;
+		return blockers;
 	}
 
 	private static PeerTransport transport(DaemonSettings settings, long incarnation, InstantSource clock,
--- a/daemon/src/main/java/org/sardineport/daemon/package-info.java
+++ b/daemon/src/main/java/org/sardineport/daemon/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The daemon: its wiring and its command line.
+ * Entry point of the daemon and construction of its services.
  */
 @NullMarked
 package org.sardineport.daemon;
--- a/daemon/src/test/java/org/sardineport/daemon/DaemonProcess.java
+++ b/daemon/src/test/java/org/sardineport/daemon/DaemonProcess.java
@@ -8,7 +8,7 @@
 import org.sardineport.settings.DaemonSettings;
 
 /**
- * A daemon in a process of its own, started by its command line.
+ * A daemon that runs in a separate process, started through {@link Main}.
  */
 final class DaemonProcess implements AutoCloseable {
 
@@ -42,14 +42,14 @@
 		this.process.destroy();
 	}
 
-	/** Sends SIGKILL and waits for the end. */
+	/** Sends SIGKILL and waits until the process has exited. */
 	void kill() throws InterruptedException {
 		this.process.destroyForcibly().waitFor();
 	}
 
 	int exitStatus() throws InterruptedException {
-		if (!this.process.waitFor(FleetFixture.PATIENCE.toSeconds(), TimeUnit.SECONDS)) {
-			throw new IllegalStateException("the daemon did not end within " + FleetFixture.PATIENCE);
+		if (!this.process.waitFor(FleetFixture.TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
+			throw new IllegalStateException("daemon process did not exit within " + FleetFixture.TIMEOUT);
 		}
 		return this.process.exitValue();
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/DaemonProcessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/DaemonProcessTests.java
@@ -15,13 +15,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * A daemon in a process of its own that is stopped or killed, beside one that lives.
+ * Tests the termination and the crash of a daemon in a separate process while another
+ * daemon of the fleet keeps running.
  */
 class DaemonProcessTests {
 
-	private static final int SURVIVOR = 0;
+	private static final int SURVIVING_DAEMON = 0;
 
-	private static final int MORTAL = 1;
+	private static final int STOPPED_DAEMON = 1;
 
 	@TempDir
 	private Path directory;
@@ -44,45 +45,45 @@
 	}
 
 	@Test
-	void terminationCutsOffNoAnswer() throws Exception {
-		CompletableFuture<HttpResponse<String>> answer = this.fleet.client.sendAsync(
-				this.fleet.request(MORTAL, "POST", "/v1/chat/completions", FleetFixture.chat("long", 1500), Map.of()),
+	void completesRunningResponsesOnTermination() throws Exception {
+		CompletableFuture<HttpResponse<String>> response = this.fleet.client.sendAsync(this.fleet
+			.request(STOPPED_DAEMON, "POST", "/v1/chat/completions", FleetFixture.chatRequest("long", 1500), Map.of()),
 				HttpResponse.BodyHandlers.ofString());
-		FleetFixture.until(() -> dispatched("long") == 1 || answer.isDone());
+		FleetFixture.awaitCondition(() -> dispatched("long") == 1 || response.isDone());
 		this.process.terminate();
 		this.process.terminate();
-		assertThat(answer.join().body()).contains("long:1500 ").endsWith("data: [DONE]\n\n");
+		assertThat(response.join().body()).contains("long:1500 ").endsWith("data: [DONE]\n\n");
 		assertThat(this.process.exitStatus()).isZero();
 		assertThat(dispatched("long")).isOne();
 	}
 
 	@Test
-	void aDraftOutlivesTheDaemonThatDispatchedIt() throws Exception {
-		String key = FleetFixture.key();
-		HttpResponse<String> accepted = this.fleet.send(MORTAL, "POST", "/v1/completions",
-				FleetFixture.chat("draft", 3000), Map.of("Idempotency-Key", key, "Prefer", "respond-async"));
+	void takesOverDurableWorkOfAKilledDaemon() throws Exception {
+		String key = FleetFixture.newIdempotencyKey();
+		HttpResponse<String> accepted = this.fleet.send(STOPPED_DAEMON, "POST", "/v1/completions",
+				FleetFixture.chatRequest("draft", 3000), Map.of("Idempotency-Key", key, "Prefer", "respond-async"));
 		assertThat(accepted.statusCode()).as(accepted.body()).isEqualTo(202);
-		FleetFixture.until(() -> dispatched("draft") == 1);
+		FleetFixture.awaitCondition(() -> dispatched("draft") == 1);
 		this.process.kill();
-		this.fleet.forget(this.process);
-		FleetFixture.until(() -> lookup(key).contains("data: [DONE]"));
+		this.fleet.removeSettings(this.process);
+		FleetFixture.awaitCondition(() -> lookup(key).contains("data: [DONE]"));
 		assertThat(lookup(key)).contains("draft:1 ", "draft:3000 ");
 		assertThat(dispatched("draft")).isOne();
 	}
 
 	@Test
-	void aPostingOfADeadDaemonIsUnknownAndNeverRunsAgain() throws Exception {
-		String key = FleetFixture.key();
+	void reportsAnUnknownOutcomeOfAKilledDaemonAndDoesNotExecuteAgain() throws Exception {
+		String key = FleetFixture.newIdempotencyKey();
 		this.fleet.ledger.setFault(ServiceFault.SILENT);
 		CompletableFuture<HttpResponse<String>> lost = this.fleet.client.sendAsync(
-				this.fleet.request(MORTAL, "POST", "/postings", "{}", Map.of("Idempotency-Key", key)),
+				this.fleet.request(STOPPED_DAEMON, "POST", "/postings", "{}", Map.of("Idempotency-Key", key)),
 				HttpResponse.BodyHandlers.ofString());
-		FleetFixture.until(() -> this.fleet.ledger.executions().containsKey(key));
+		FleetFixture.awaitCondition(() -> this.fleet.ledger.executions().containsKey(key));
 		this.process.kill();
-		this.fleet.forget(this.process);
+		this.fleet.removeSettings(this.process);
 		this.fleet.ledger.setFault(ServiceFault.NONE);
 		assertThat(lost.handle((response, failure) -> failure).join()).isNotNull();
-		HttpResponse<String> again = this.fleet.send(SURVIVOR, "POST", "/postings", "{}",
+		HttpResponse<String> again = this.fleet.send(SURVIVING_DAEMON, "POST", "/postings", "{}",
 				Map.of("Idempotency-Key", key));
 		assertThat(again.body()).contains("\"outcome\":\"unknown\"");
 		assertThat(this.fleet.ledger.executions()).containsExactly(Map.entry(key, 1));
@@ -90,10 +91,10 @@
 
 	private String lookup(String key) {
 		try {
-			return this.fleet.send(SURVIVOR, "GET", "/v1/requests/" + key, "", Map.of()).body();
+			return this.fleet.send(SURVIVING_DAEMON, "GET", "/v1/requests/" + key, "", Map.of()).body();
 		}
 		catch (Exception ex) {
-			throw new IllegalStateException("the survivor must answer", ex);
+			throw new IllegalStateException("request to the surviving daemon failed", ex);
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/WholePathTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/EndToEndTests.java
@@ -14,9 +14,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Requests from callers through a fleet of daemons to backend servers and back.
+ * Sends requests through each daemon of a fleet to model engines and a plain service.
  */
-class WholePathTests {
+class EndToEndTests {
 
 	private FleetFixture fleet;
 
@@ -32,11 +32,13 @@
 	}
 
 	@Test
-	void anyDaemonAnswersEachCallerWholly() {
+	void completesConcurrentRequestsThroughAnyDaemon() {
 		List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
 		for (int i = 0; i < 60; i++) {
-			answers.add(this.fleet.client.sendAsync(this.fleet.request(i % 3, "POST", "/v1/chat/completions",
-					FleetFixture.chat("c" + i + "x", 5), Map.of()), HttpResponse.BodyHandlers.ofString()));
+			answers.add(this.fleet.client.sendAsync(
+					this.fleet.request(i % 3, "POST", "/v1/chat/completions",
+							FleetFixture.chatRequest("c" + i + "x", 5), Map.of()),
+					HttpResponse.BodyHandlers.ofString()));
 		}
 		for (int i = 0; i < answers.size(); i++) {
 			HttpResponse<String> answer = answers.get(i).join();
@@ -48,7 +50,7 @@
 	}
 
 	@Test
-	void anyDaemonReachesThePlainService() throws Exception {
+	void reachesThePlainServiceThroughAnyDaemon() throws Exception {
 		for (int i = 0; i < 3; i++) {
 			HttpResponse<String> answer = this.fleet.send(i, "GET", "/accounts/" + i, "", Map.of());
 			assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
--- a/daemon/src/test/java/org/sardineport/daemon/EntryCaller.java
+++ b/daemon/src/test/java/org/sardineport/daemon/EntryCaller.java
@@ -16,8 +16,8 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * A caller that asks which addresses to use, keeps the answer for as long as it may, and
- * sends one request after the other to the first address until it is told to finish.
+ * A caller that fetches the entry addresses, caches them for the keep time, and sends
+ * sequential requests to the first address until {@link #finish()} is called.
  */
 final class EntryCaller implements Runnable {
 
@@ -39,17 +39,17 @@
 
 	private List<String> addresses;
 
-	private long keptSince;
+	private long fetchedAtNanos;
 
 	private volatile boolean finishing;
 
-	EntryCaller(String name, List<NetworkAddress> known, Duration keepTime, int longTokens, long seed) {
+	EntryCaller(String name, List<NetworkAddress> initialAddresses, Duration keepTime, int longTokens, long seed) {
 		this.name = name;
-		this.addresses = known.stream().map(NetworkAddress::toString).toList();
+		this.addresses = initialAddresses.stream().map(NetworkAddress::toString).toList();
 		this.keepTime = keepTime;
 		this.longTokens = longTokens;
 		this.random = new Random(seed);
-		this.keptSince = System.nanoTime() - keepTime.toNanos();
+		this.fetchedAtNanos = System.nanoTime() - keepTime.toNanos();
 	}
 
 	void finish() {
@@ -67,67 +67,67 @@
 	@Override
 	public void run() {
 		for (int number = 0; !this.finishing; number++) {
-			if (System.nanoTime() - this.keptSince >= this.keepTime.toNanos()) {
-				askEntry();
+			if (System.nanoTime() - this.fetchedAtNanos >= this.keepTime.toNanos()) {
+				refreshAddresses();
 			}
 			request(number);
 		}
 	}
 
-	private void askEntry() {
+	private void refreshAddresses() {
 		for (String address : this.addresses) {
 			try {
-				HttpResponse<String> answer = this.client
+				HttpResponse<String> response = this.client
 					.send(HttpRequest.newBuilder(URI.create("http://" + address + "/v1/entry"))
-						.timeout(FleetFixture.PATIENCE)
+						.timeout(FleetFixture.TIMEOUT)
 						.build(), HttpResponse.BodyHandlers.ofString());
 				List<String> found = new ArrayList<>();
-				Matcher matcher = ADDRESS.matcher(answer.body());
+				Matcher matcher = ADDRESS.matcher(response.body());
 				while (matcher.find()) {
 					found.add(matcher.group(1));
 				}
 				if (!found.isEmpty()) {
 					this.addresses = found;
-					this.keptSince = System.nanoTime();
+					this.fetchedAtNanos = System.nanoTime();
 					return;
 				}
 			}
 			catch (IOException ex) {
-				// The next address may answer.
+				// Tries the next address.
 			}
 			catch (InterruptedException ex) {
-				throw new IllegalStateException("nobody interrupts a caller", ex);
+				throw new IllegalStateException("caller thread interrupted", ex);
 			}
 		}
-		this.failures.add(this.name + ": no entry address answered of " + this.addresses);
+		this.failures.add(this.name + ": no response from any entry address of " + this.addresses);
 	}
 
 	private void request(int number) {
-		boolean streamsLong = this.random.nextInt(8) == 0;
+		boolean longStream = this.random.nextInt(8) == 0;
 		String user = this.name + "-" + number;
 		String address = this.addresses.get(0);
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/v1/chat/completions"))
-			.timeout(FleetFixture.PATIENCE)
+			.timeout(FleetFixture.TIMEOUT)
 			.setHeader("Sardineport-Profile", "dictionary")
 			.setHeader("Sardineport-Organisation", "schools")
 			.POST(HttpRequest.BodyPublishers
-				.ofString(FleetFixture.chat(user + "x", (streamsLong) ? this.longTokens : 5)))
+				.ofString(FleetFixture.chatRequest(user + "x", (longStream) ? this.longTokens : 5)))
 			.build();
 		try {
-			HttpResponse<String> answer = this.client.send(request, HttpResponse.BodyHandlers.ofString());
-			if (answer.statusCode() == 200 && answer.body().contains(user + "x:")
-					&& answer.body().endsWith("data: [DONE]\n\n")) {
+			HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
+			if (response.statusCode() == 200 && response.body().contains(user + "x:")
+					&& response.body().endsWith("data: [DONE]\n\n")) {
 				this.completed.incrementAndGet();
 			}
 			else {
-				this.failures.add(user + " at " + address + ": " + answer.statusCode() + " " + answer.body());
+				this.failures.add(user + " at " + address + ": " + response.statusCode() + " " + response.body());
 			}
 		}
 		catch (IOException ex) {
 			this.failures.add(user + " at " + address + ": " + ex);
 		}
 		catch (InterruptedException ex) {
-			throw new IllegalStateException("nobody interrupts a caller", ex);
+			throw new IllegalStateException("caller thread interrupted", ex);
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/FleetFixture.java
@@ -49,14 +49,14 @@
 import org.sardineport.wire.configuration.ConfigurationRecordCodec;
 
 /**
- * A fleet in one process: daemons in three failure domains before stand-ins for the
- * platform, two engines and a ledger, with a profile published through the log.
+ * A fleet in one process: daemons in three failure domains with stand-ins for the
+ * platform, two model engines and a ledger, and one profile published through the log.
  */
 final class FleetFixture implements AutoCloseable {
 
 	static final String OPERATOR_TOKEN = "operators-token-of-the-test";
 
-	static final Duration PATIENCE = Duration.ofSeconds(30);
+	static final Duration TIMEOUT = Duration.ofSeconds(30);
 
 	static final Duration KEEP_TIME = Duration.ofMillis(300);
 
@@ -88,7 +88,7 @@
 
 	final List<ModelEngineStandIn> engines = new ArrayList<>();
 
-	private final List<BackendServer> listed = new ArrayList<>();
+	private final List<BackendServer> listedEngines = new ArrayList<>();
 
 	final LedgerStandIn ledger = LedgerStandIn.create(this.vertx, Duration.ofMillis(2));
 
@@ -107,12 +107,13 @@
 		await(this.logServer.start());
 		await(this.vmList.start());
 		await(this.ledger.start());
-		list("ledger", BackendKind.PLAIN_SERVICE, "ledger", this.ledger.address(), 0, 16);
+		addBackendServer("ledger", BackendKind.PLAIN_SERVICE, "ledger", this.ledger.address(), 0, 16);
 		for (int i = 0; i < 2; i++) {
 			ModelEngineStandIn engine = ModelEngineStandIn.create(this.vertx, this.clock, options);
 			await(engine.start());
 			this.engines.add(engine);
-			list("engine" + i, BackendKind.MODEL_ENGINE, "engines", engine.address(), i, options.concurrency());
+			addBackendServer("engine" + i, BackendKind.MODEL_ENGINE, "engines", engine.address(), i,
+					options.concurrency());
 		}
 		publish(PROFILE);
 		for (int i = 0; i < size; i++) {
@@ -125,22 +126,25 @@
 		}
 	}
 
-	/** Starts one more daemon, as a process of its own. */
+	/** Starts one more daemon in a separate process. */
 	DaemonProcess startProcess(Path directory) throws IOException {
 		addSettings(this.settings.size());
 		return DaemonProcess.start(this.settings.get(this.settings.size() - 1), directory);
 	}
 
-	/** Forgets a daemon that has ended. */
-	void forget(DaemonProcess process) {
+	/** Removes the settings of an exited daemon, so that it is no longer awaited. */
+	void removeSettings(DaemonProcess process) {
 		this.settings.remove(process.settings());
 	}
 
-	/** Waits until each daemon serves, knows all others and all backend servers. */
+	/**
+	 * Waits until each daemon is ready, sees all members alive, and lists all backend
+	 * servers.
+	 */
 	void awaitReady() throws Exception {
 		for (DaemonSettings each : this.settings) {
-			until(() -> {
-				String status = operators(each, "/status");
+			awaitCondition(() -> {
+				String status = fetchAsOperator(each, "/status");
 				return status.contains("\"ready\":true") && count(status, "\"alive\"") == this.settings.size()
 						&& count(status, "\"nominalConcurrency\"") == 3;
 			});
@@ -150,7 +154,7 @@
 	HttpRequest request(int daemon, String method, String path, String body, Map<String, String> headers) {
 		HttpRequest.Builder builder = HttpRequest
 			.newBuilder(URI.create("http://" + this.settings.get(daemon).callerAddress() + path))
-			.timeout(PATIENCE)
+			.timeout(TIMEOUT)
 			.setHeader("Sardineport-Profile", "dictionary")
 			.setHeader("Sardineport-Organisation", "schools")
 			.method(method, HttpRequest.BodyPublishers.ofString(body));
@@ -163,45 +167,45 @@
 		return this.client.send(request(daemon, method, path, body, headers), HttpResponse.BodyHandlers.ofString());
 	}
 
-	String operators(DaemonSettings each, String path) {
+	String fetchAsOperator(DaemonSettings each, String path) {
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + each.operatorAddress() + path))
-			.timeout(PATIENCE)
+			.timeout(TIMEOUT)
 			.header("Authorization", "Bearer " + OPERATOR_TOKEN)
 			.build();
 		try {
 			return this.client.send(request, HttpResponse.BodyHandlers.ofString()).body();
 		}
 		catch (IOException ex) {
-			return "no answer yet: " + ex;
+			return "no response: " + ex;
 		}
 		catch (InterruptedException ex) {
-			throw new IllegalStateException("the test must not be interrupted", ex);
+			throw new IllegalStateException("test thread interrupted", ex);
 		}
 	}
 
-	static String chat(String user, int tokens) {
+	static String chatRequest(String user, int tokens) {
 		return "{\"stream\":true,\"user\":\"%s\",\"max_tokens\":%d,\"messages\":[]}".formatted(user, tokens);
 	}
 
-	static String key() {
+	static String newIdempotencyKey() {
 		long millis = Instant.now().toEpochMilli();
 		UUID random = UUID.randomUUID();
 		long high = (millis << 16) | 0x7000 | (random.getMostSignificantBits() & 0x0fff);
 		return new UUID(high, random.getLeastSignificantBits()).toString();
 	}
 
-	static void until(BooleanSupplier condition) {
-		Instant end = Instant.now().plus(PATIENCE);
+	static void awaitCondition(BooleanSupplier condition) {
+		Instant end = Instant.now().plus(TIMEOUT);
 		while (!condition.getAsBoolean()) {
 			if (Instant.now().isAfter(end)) {
-				throw new IllegalStateException("the condition did not come true within " + PATIENCE);
+				throw new IllegalStateException("condition not met within " + TIMEOUT);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
 		}
 	}
 
 	static <T> T await(CompletionStage<T> stage) throws Exception {
-		return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+		return stage.toCompletableFuture().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 	}
 
 	@Override
@@ -219,32 +223,33 @@
 		await(this.log.append("configuration", ConfigurationRecordCodec.create().encode(publication)));
 	}
 
-	private void list(String id, BackendKind kind, String pool, NetworkAddress address, int domain, int concurrency) {
+	private void addBackendServer(String id, BackendKind kind, String pool, NetworkAddress address, int domain,
+			int concurrency) {
 		BackendServer server = new BackendServer(BackendServerId.of(id), kind, PoolName.of(pool),
 				FailureDomain.of(DOMAINS.get(domain)), address, concurrency);
 		this.vmList.putBackendServer(server, VmState.LIVE);
 		if (kind == BackendKind.MODEL_ENGINE) {
-			this.listed.add(server);
+			this.listedEngines.add(server);
 		}
 	}
 
-	/** Lists an engine as leaving. */
+	/** Changes the state of an engine in the VM list to leaving. */
 	void listLeaving(int engine) {
-		this.vmList.putBackendServer(this.listed.get(engine), VmState.LEAVING);
+		this.vmList.putBackendServer(this.listedEngines.get(engine), VmState.LEAVING);
 	}
 
-	/** Returns how many requests an engine was given. */
+	/** Returns the number of requests dispatched to an engine. */
 	int dispatched(int engine) {
 		return this.engines.get(engine).counters().dispatches().values().stream().mapToInt(Integer::intValue).sum();
 	}
 
-	/** Returns how many requests all engines were given. */
+	/** Returns the number of requests dispatched to all engines. */
 	int dispatched() {
 		return dispatched(0) + dispatched(1);
 	}
 
-	/** Returns settings of a daemon that is not among those started. */
-	DaemonSettings settingsOfAnother() throws IOException {
+	/** Returns settings for a daemon that the fixture neither starts nor lists. */
+	DaemonSettings settingsOfUnstartedDaemon() throws IOException {
 		return settings(this.settings.size());
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/LeavingBackendTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/LeavingBackendTests.java
@@ -16,16 +16,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * A backend server that leaves gets nothing new once the bound has passed, however the
- * fleet learns of it.
+ * Tests that a leaving backend server receives no new requests after 3 s, whether its own
+ * load report or the VM list announces that it is leaving.
  */
 class LeavingBackendTests {
 
-	private static final Duration BOUND = Duration.ofSeconds(3);
+	private static final Duration MAX_LEAVING_DELAY = Duration.ofSeconds(3);
 
 	private static final int CALLERS = 6;
 
-	private static final int REQUESTS_AFTERWARDS = 100;
+	private static final int REQUESTS_AFTER_BOUND = 100;
 
 	private FleetFixture fleet;
 
@@ -53,16 +53,16 @@
 	}
 
 	@ParameterizedTest
-	@EnumSource(Word.class)
-	void getsNothingNewAfterTheBound(Word word) throws Exception {
-		FleetFixture.until(() -> this.fleet.dispatched(0) > 0 && this.fleet.dispatched(1) > 0);
-		Instant said = Instant.now();
-		word.say.accept(this.fleet);
-		FleetFixture.until(() -> Instant.now().isAfter(said.plus(BOUND)));
-		int atTheBound = this.fleet.dispatched(0);
-		int answered = answered();
-		FleetFixture.until(() -> answered() >= answered + REQUESTS_AFTERWARDS);
-		assertThat(this.fleet.dispatched(0)).isEqualTo(atTheBound);
+	@EnumSource(Announcement.class)
+	void receivesNoNewRequestsAfterTheBound(Announcement announcement) throws Exception {
+		FleetFixture.awaitCondition(() -> this.fleet.dispatched(0) > 0 && this.fleet.dispatched(1) > 0);
+		Instant announcedAt = Instant.now();
+		announcement.announce.accept(this.fleet);
+		FleetFixture.awaitCondition(() -> Instant.now().isAfter(announcedAt.plus(MAX_LEAVING_DELAY)));
+		int dispatchedAtBound = this.fleet.dispatched(0);
+		int completedAtBound = completedRequests();
+		FleetFixture.awaitCondition(() -> completedRequests() >= completedAtBound + REQUESTS_AFTER_BOUND);
+		assertThat(this.fleet.dispatched(0)).isEqualTo(dispatchedAtBound);
 		this.callers.forEach(EntryCaller::finish);
 		for (Thread thread : this.threads) {
 			thread.join();
@@ -70,28 +70,28 @@
 		assertThat(this.callers).flatExtracting(EntryCaller::failures).isEmpty();
 	}
 
-	private int answered() {
+	private int completedRequests() {
 		return this.callers.stream().mapToInt(EntryCaller::completed).sum();
 	}
 
 	/**
-	 * Ways in which the fleet learns that a backend server leaves.
+	 * Sources that announce that a backend server is leaving.
 	 */
-	enum Word {
+	enum Announcement {
 
-		ITS_OWN_LOAD_REPORT((fleet) -> fleet.engines.get(0).setLeaving(true)),
+		LOAD_REPORT((fleet) -> fleet.engines.get(0).setLeaving(true)),
 
-		THE_LIST((fleet) -> fleet.listLeaving(0)),
+		VM_LIST((fleet) -> fleet.listLeaving(0)),
 
-		ITS_OWN_LOAD_REPORT_WHILE_THE_LIST_IS_DOWN((fleet) -> {
+		LOAD_REPORT_WHILE_VM_LIST_IS_UNAVAILABLE((fleet) -> {
 			fleet.vmList.setUnavailable(true);
 			fleet.engines.get(0).setLeaving(true);
 		});
 
-		private final Consumer<FleetFixture> say;
+		private final Consumer<FleetFixture> announce;
 
-		Word(Consumer<FleetFixture> say) {
-			this.say = say;
+		Announcement(Consumer<FleetFixture> announce) {
+			this.announce = announce;
 		}
 
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/MainTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/MainTests.java
@@ -13,7 +13,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Command line of the daemon.
+ * Tests the exit status and the messages of the daemon's command line.
  */
 class MainTests {
 
@@ -23,13 +23,13 @@
 	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
 	@Test
-	void checksTheExample() {
+	void acceptsTheDocumentedExample() {
 		assertThat(run("--settings", "../docs/examples/settings.yaml", "--check")).isZero();
 		assertThat(written()).contains("valid");
 	}
 
 	@Test
-	void namesEveryFaultAtOnce() throws IOException {
+	void reportsAllFaults() throws IOException {
 		Path file = this.directory.resolve("settings.yaml");
 		Files.writeString(file, "daemon: entry 1\nfailureDomian: x\ncallerAddress: localhost:80\n");
 		assertThat(run("--settings", file.toString(), "--check")).isEqualTo(3);
@@ -37,13 +37,13 @@
 	}
 
 	@Test
-	void saysSoIfTheFileCannotBeRead() {
+	void reportsAnUnreadableFile() {
 		assertThat(run("--settings", this.directory.resolve("absent.yaml").toString())).isEqualTo(3);
 		assertThat(written()).contains("absent.yaml");
 	}
 
 	@Test
-	void showsItsUsage() {
+	void printsUsageOnInvalidArguments() {
 		assertThat(run()).isEqualTo(2);
 		assertThat(run("--other")).isEqualTo(2);
 		assertThat(written()).contains("Usage: sardineportd --settings FILE [--check]");
--- a/daemon/src/test/java/org/sardineport/daemon/PlannedStopTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/PlannedStopTests.java
@@ -17,7 +17,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Planned stops of daemons that serve callers.
+ * Tests planned stops of daemons under load, during a log outage, and before they serve.
  */
 class PlannedStopTests {
 
@@ -25,7 +25,7 @@
 
 	private static final int LONG_STREAM_TOKENS = 2_000;
 
-	private static final MembershipSettings QUICK = new MembershipSettings(Duration.ofMillis(200),
+	private static final MembershipSettings FAST_MEMBERSHIP = new MembershipSettings(Duration.ofMillis(200),
 			Duration.ofMillis(100), Duration.ofMillis(500), Duration.ofMillis(200));
 
 	private FleetFixture fleet;
@@ -35,7 +35,7 @@
 	private final List<Thread> threads = new ArrayList<>();
 
 	private void start(int daemons) throws Exception {
-		this.fleet = new FleetFixture(daemons, EngineOptions.fast().withConcurrency(32), QUICK);
+		this.fleet = new FleetFixture(daemons, EngineOptions.fast().withConcurrency(32), FAST_MEMBERSHIP);
 		this.fleet.awaitReady();
 	}
 
@@ -54,7 +54,7 @@
 			this.threads.add(thread);
 			thread.start();
 		}
-		FleetFixture.until(() -> this.callers.stream().allMatch((caller) -> caller.completed() > 0));
+		FleetFixture.awaitCondition(() -> this.callers.stream().allMatch((caller) -> caller.completed() > 0));
 	}
 
 	private void finishCallers() throws InterruptedException {
@@ -64,7 +64,7 @@
 		}
 	}
 
-	private void replace(int... numbers) throws Exception {
+	private void restart(int... numbers) throws Exception {
 		List<CompletionStage<Void>> stops = new ArrayList<>();
 		for (int number : numbers) {
 			stops.add(this.fleet.daemons.get(number).stop());
@@ -80,40 +80,40 @@
 		this.fleet.awaitReady();
 	}
 
-	private void assertNothingLost() {
+	private void assertNoRequestLost() {
 		assertThat(this.callers).flatExtracting(EntryCaller::failures).isEmpty();
 		int answered = this.callers.stream().mapToInt(EntryCaller::completed).sum();
 		assertThat(this.fleet.dispatched()).as("each request ran once").isEqualTo(answered);
 	}
 
 	@Test
-	void replacingAllDaemonsOneAfterTheOtherLosesNoRequest() throws Exception {
+	void losesNoRequestInARollingRestart() throws Exception {
 		start(8);
 		startCallers();
 		for (int number = 0; number < 8; number++) {
-			replace(number);
+			restart(number);
 		}
 		finishCallers();
-		assertNothingLost();
+		assertNoRequestLost();
 	}
 
 	@Test
-	void stoppingSeveralAtOnceLosesNoRequest() throws Exception {
+	void losesNoRequestIfSeveralDaemonsStopAtOnce() throws Exception {
 		start(6);
 		startCallers();
-		replace(0, 1, 2);
-		replace(3, 4, 5);
+		restart(0, 1, 2);
+		restart(3, 4, 5);
 		finishCallers();
-		assertNothingLost();
+		assertNoRequestLost();
 	}
 
 	@Test
-	void aStopWaitsForALongStreamAndASecondRequestChangesNothing() throws Exception {
+	void waitsForRunningStreamsAndIgnoresARepeatedStop() throws Exception {
 		start(2);
-		CompletableFuture<HttpResponse<String>> answer = this.fleet.client.sendAsync(
-				this.fleet.request(0, "POST", "/v1/chat/completions", FleetFixture.chat("longx", 3_000), Map.of()),
+		CompletableFuture<HttpResponse<String>> answer = this.fleet.client.sendAsync(this.fleet.request(0, "POST",
+				"/v1/chat/completions", FleetFixture.chatRequest("longx", 3_000), Map.of()),
 				HttpResponse.BodyHandlers.ofString());
-		FleetFixture.until(() -> this.fleet.dispatched() == 1);
+		FleetFixture.awaitCondition(() -> this.fleet.dispatched() == 1);
 		CompletionStage<Void> first = this.fleet.daemons.get(0).stop();
 		CompletionStage<Void> second = this.fleet.daemons.get(0).stop();
 		HttpResponse<String> whole = answer.join();
@@ -124,13 +124,14 @@
 	}
 
 	@Test
-	void allDaemonsLeavingAtOnceStillServeWhoHoldsTheirAddresses() throws Exception {
+	void servesCallersWithCachedAddressesWhileAllDaemonsStop() throws Exception {
 		start(3);
 		List<CompletionStage<Void>> stops = this.fleet.daemons.stream().map(SardineportDaemon::stop).toList();
-		FleetFixture.until(() -> !this.fleet.operators(this.fleet.settings.get(0), "/status").contains("\"alive\""));
+		FleetFixture.awaitCondition(
+				() -> !this.fleet.fetchAsOperator(this.fleet.settings.get(0), "/status").contains("\"alive\""));
 		for (int i = 0; i < 3; i++) {
 			HttpResponse<String> answer = this.fleet.send(i, "POST", "/v1/chat/completions",
-					FleetFixture.chat("c" + i + "x", 5), Map.of());
+					FleetFixture.chatRequest("c" + i + "x", 5), Map.of());
 			assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
 		}
 		for (CompletionStage<Void> stop : stops) {
@@ -139,31 +140,31 @@
 	}
 
 	@Test
-	void aStopDuringALogOutageServesAndEnds() throws Exception {
+	void servesAndStopsDuringALogOutage() throws Exception {
 		start(2);
 		this.fleet.log.faults().outage(true);
 		CompletionStage<Void> stop = this.fleet.daemons.get(0).stop();
 		HttpResponse<String> answer = this.fleet.send(0, "POST", "/v1/chat/completions",
-				FleetFixture.chat("outagex", 5), Map.of());
+				FleetFixture.chatRequest("outagex", 5), Map.of());
 		assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
 		FleetFixture.await(stop);
 		this.fleet.log.faults().outage(false);
 	}
 
 	@Test
-	void aDaemonThatNeverServedStopsAtOnce() throws Exception {
+	void stopsWithoutLingerIfItNeverServed() throws Exception {
 		start(1);
 		this.fleet.log.faults().outage(true);
-		SardineportDaemon joining = SardineportDaemon.create(this.fleet.settingsOfAnother(), this.fleet.clock);
+		SardineportDaemon joining = SardineportDaemon.create(this.fleet.settingsOfUnstartedDaemon(), this.fleet.clock);
 		FleetFixture.await(joining.start());
 		FleetFixture.await(joining.stop());
 		this.fleet.log.faults().outage(false);
 	}
 
 	@Test
-	void aDaemonThatWasNotStartedCanBeStopped() throws Exception {
+	void stopsIfItWasNeverStarted() throws Exception {
 		start(1);
-		SardineportDaemon idle = SardineportDaemon.create(this.fleet.settingsOfAnother(), this.fleet.clock);
+		SardineportDaemon idle = SardineportDaemon.create(this.fleet.settingsOfUnstartedDaemon(), this.fleet.clock);
 		FleetFixture.await(idle.stop());
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/SardineportDaemonTests.java
@@ -36,13 +36,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * One daemon with all its parts before the platform's stand-ins.
+ * Tests the operators' port of one complete daemon with stand-ins for the platform.
  */
 class SardineportDaemonTests {
 
 	private static final String TOKEN = "operators-token-of-the-test";
 
-	private static final Duration PATIENCE = Duration.ofSeconds(20);
+	private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
 	private final SteadyInstantSource clock = SteadyInstantSource.create();
 
@@ -76,12 +76,12 @@
 	}
 
 	@Test
-	void tellsHealthWithoutToken() throws Exception {
+	void servesHealthWithoutToken() throws Exception {
 		assertThat(operators("/health", null).statusCode()).isEqualTo(200);
 	}
 
 	@Test
-	void wantsTheOperatorsTokenForAllElse() throws Exception {
+	void requiresTheOperatorTokenForOtherPaths() throws Exception {
 		for (String path : List.of("/metrics", "/status", "/profiles", "/other")) {
 			assertThat(operators(path, null).statusCode()).as(path).isEqualTo(401);
 			assertThat(operators(path, TOKEN + "x").statusCode()).as(path).isEqualTo(401);
@@ -89,14 +89,14 @@
 	}
 
 	@Test
-	void showsItselfInStatus() throws Exception {
+	void reportsItsOwnStatus() throws Exception {
 		HttpResponse<String> status = operators("/status", TOKEN);
 		assertThat(status.statusCode()).isEqualTo(200);
 		assertThat(status.body()).contains("\"daemon\":\"d1\"", "\"members\":[", "\"backendServers\":[");
 	}
 
 	@Test
-	void hasAllRefusalAndRetryCountersAtZero() throws Exception {
+	void exportsAllRefusalAndRetryCountersFromTheStart() throws Exception {
 		String metrics = operators("/metrics", TOKEN).body();
 		for (RefusalReason reason : RefusalReason.values()) {
 			assertThat(metrics).contains("sardineport_requests_refused_total{reason=\"" + reason.label() + "\"} 0\n");
@@ -109,7 +109,7 @@
 	private HttpResponse<String> operators(String path, String token) throws IOException, InterruptedException {
 		HttpRequest.Builder request = HttpRequest
 			.newBuilder(URI.create("http://" + this.settings.operatorAddress() + path))
-			.timeout(PATIENCE);
+			.timeout(TIMEOUT);
 		if (token != null) {
 			request.header("Authorization", "Bearer " + token);
 		}
@@ -129,7 +129,7 @@
 	}
 
 	private static <T> T await(CompletionStage<T> stage) throws Exception {
-		return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+		return stage.toCompletableFuture().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
 	}
 
 }
