Reword the configuration and transport codecs in the usual terms of the field

Frames are encoded, signed, verified and dropped where they were "taken apart", "heard" or "let in"; limits give their unit and what happens at the bound, and drop reasons state every case. Constants begin with MAX_ in place of MAXIMUM_, except those that other packages use. Test names say roundTrips, accepts, drops or rejects.

--- a/wire/src/main/java/org/sardineport/wire/configuration/Compression.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/Compression.java
@@ -10,7 +10,8 @@
 import java.util.zip.InflaterInputStream;
 
 /**
- * DEFLATE in memory, with a bound on what comes out.
+ * In-memory compression with DEFLATE. The size of inflated data is limited, so that a
+ * small input can't exhaust the memory.
  */
 final class Compression {
 
@@ -29,17 +30,18 @@
 	}
 
 	/**
-	 * Inflates.
-	 * @param bytes what was deflated
-	 * @param maximumBytes most bytes to come out
-	 * @return the bytes that come out
-	 * @throws IOException if the bytes are damaged, or more would come out
+	 * Inflates data.
+	 * @param bytes the deflated data
+	 * @param maxBytes maximum size of the inflated data, in bytes
+	 * @return the inflated data
+	 * @throws IOException if the data is malformed or inflates to more than
+	 * {@code maxBytes}
 	 */
-	static byte[] inflate(byte[] bytes, int maximumBytes) throws IOException {
+	static byte[] inflate(byte[] bytes, int maxBytes) throws IOException {
 		try (InputStream inflater = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
-			byte[] inflated = inflater.readNBytes(maximumBytes + 1);
-			if (inflated.length > maximumBytes) {
-				throw new IOException("more than %d bytes come out".formatted(maximumBytes));
+			byte[] inflated = inflater.readNBytes(maxBytes + 1);
+			if (inflated.length > maxBytes) {
+				throw new IOException("inflated data exceeds %d bytes".formatted(maxBytes));
 			}
 			return inflated;
 		}
--- a/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationPeerCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationPeerCodec.java
@@ -9,7 +9,7 @@
 import org.sardineport.wire.transport.PeerCodec;
 
 /**
- * Codec of the messages between daemons about the configuration.
+ * Codec of the messages by which daemons distribute the configuration. Thread-safe.
  */
 public final class ConfigurationPeerCodec implements PeerCodec<ConfigurationMessage> {
 
@@ -17,8 +17,8 @@
 	}
 
 	/**
-	 * Returns the codec.
-	 * @return the codec
+	 * Creates a codec.
+	 * @return the codec, which has no state
 	 */
 	public static ConfigurationPeerCodec create() {
 		return new ConfigurationPeerCodec();
--- a/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationRecordCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/ConfigurationRecordCodec.java
@@ -14,20 +14,20 @@
 import org.sardineport.wire.message.ProfileText;
 
 /**
- * Codec of the records of the configuration stream. Pure: the same bytes give the same
- * record on every daemon. Safe for use by any thread.
+ * Codec of the records of the configuration stream. Decoding is deterministic: the same
+ * bytes yield the same record on every daemon. Thread-safe.
  */
 public final class ConfigurationRecordCodec {
 
-	/** Most bytes of a publication once inflated. */
-	private static final int MAXIMUM_BYTES = 16 * 1024 * 1024;
+	/** Maximum size of an inflated publication, in bytes. */
+	private static final int MAX_PUBLICATION_BYTES = 16 * 1024 * 1024;
 
 	private ConfigurationRecordCodec() {
 	}
 
 	/**
-	 * Returns the codec.
-	 * @return the codec
+	 * Creates a codec.
+	 * @return the codec, which has no state
 	 */
 	public static ConfigurationRecordCodec create() {
 		return new ConfigurationRecordCodec();
@@ -69,7 +69,7 @@
 	/**
 	 * Decodes a record.
 	 * @param value bytes of the record
-	 * @return the record; an unreadable one if the bytes are none
+	 * @return the record, or an {@link UnreadableRecord} if the bytes can't be decoded
 	 */
 	public ConfigurationRecord decode(byte[] value) {
 		try {
@@ -88,7 +88,7 @@
 
 	private static org.sardineport.wire.message.Publication inflate(ByteString deflated) throws IOException {
 		return org.sardineport.wire.message.Publication
-			.parseFrom(Compression.inflate(deflated.toByteArray(), MAXIMUM_BYTES));
+			.parseFrom(Compression.inflate(deflated.toByteArray(), MAX_PUBLICATION_BYTES));
 	}
 
 	private static Publication publication(org.sardineport.wire.message.Publication body) {
--- a/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/DeflatedImageCodec.java
@@ -18,19 +18,20 @@
 import org.sardineport.wire.message.ProfileText;
 
 /**
- * Encodes images as protobuf under DEFLATE. Safe for use by any thread.
+ * Codec of configuration images, encoded as protobuf messages and compressed with
+ * DEFLATE. Thread-safe.
  */
 public final class DeflatedImageCodec implements ImageCodec {
 
-	/** Most bytes of an image once inflated. */
-	private static final int MAXIMUM_BYTES = 32 * 1024 * 1024;
+	/** Maximum size of an inflated image, in bytes. */
+	private static final int MAX_IMAGE_BYTES = 32 * 1024 * 1024;
 
 	private DeflatedImageCodec() {
 	}
 
 	/**
-	 * Returns the codec.
-	 * @return the codec
+	 * Creates a codec.
+	 * @return the codec, which has no state
 	 */
 	public static DeflatedImageCodec create() {
 		return new DeflatedImageCodec();
@@ -68,7 +69,7 @@
 	@Override
 	public Optional<ConfigurationImage> decode(byte[] bytes) {
 		try {
-			return Optional.of(image(ConfigurationState.parseFrom(Compression.inflate(bytes, MAXIMUM_BYTES))));
+			return Optional.of(image(ConfigurationState.parseFrom(Compression.inflate(bytes, MAX_IMAGE_BYTES))));
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Optional.empty();
--- a/wire/src/main/java/org/sardineport/wire/configuration/PageCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/PageCodec.java
@@ -5,7 +5,7 @@
 import org.sardineport.wire.message.ConfigurationPage;
 
 /**
- * Codec of pages of images.
+ * Codec of the pages into which configuration images are split.
  */
 final class PageCodec {
 
@@ -24,9 +24,9 @@
 
 	/**
 	 * Decodes a page.
-	 * @param page the page
-	 * @return the page
-	 * @throws IllegalArgumentException if a number is out of range
+	 * @param page the encoded page
+	 * @return the decoded page
+	 * @throws IllegalArgumentException if the index or the count is out of range
 	 */
 	static ImagePage decode(ConfigurationPage page) {
 		return new ImagePage(page.getId(), page.getVersion(), page.getIndex(), page.getCount(),
--- a/wire/src/main/java/org/sardineport/wire/configuration/package-info.java
+++ b/wire/src/main/java/org/sardineport/wire/configuration/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Wire forms of the configuration: records of its stream, images, and messages between
+ * Codecs of the configuration: records of its log stream, images, and messages between
  * daemons.
  */
 @NullMarked
--- a/wire/src/main/java/org/sardineport/wire/transport/CodecRegistry.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/CodecRegistry.java
@@ -9,7 +9,7 @@
 import org.sardineport.wire.message.Envelope;
 
 /**
- * Finds the codec for a message or an envelope. Immutable.
+ * Selects the codec of a message by its type, and of an envelope by its body. Immutable.
  */
 final class CodecRegistry {
 
@@ -20,8 +20,8 @@
 	}
 
 	/**
-	 * Returns a registry of codecs.
-	 * @param codecs one for each area
+	 * Returns a registry of the given codecs.
+	 * @param codecs the codecs, one for each body of the envelope
 	 * @return the registry
 	 * @throws IllegalArgumentException if two codecs use the same body
 	 */
@@ -36,10 +36,10 @@
 	}
 
 	/**
-	 * Writes a message as an envelope's body.
+	 * Encodes a message into an envelope's body.
 	 * @param message the message
-	 * @param envelope where to write it
-	 * @throws IllegalArgumentException if no codec takes the message
+	 * @param envelope the envelope to write to
+	 * @throws IllegalArgumentException if no codec supports the type of the message
 	 */
 	void encode(PeerMessage message, Envelope.Builder envelope) {
 		for (PeerCodec<?> codec : this.byCase.values()) {
@@ -48,14 +48,14 @@
 				return;
 			}
 		}
-		throw new IllegalArgumentException("no codec for messages of %s".formatted(message.getClass()));
+		throw new IllegalArgumentException("no codec for messages of type %s".formatted(message.getClass()));
 	}
 
 	/**
-	 * Reads the message of an envelope.
+	 * Decodes the message of an envelope.
 	 * @param envelope the envelope
 	 * @return the message
-	 * @throws MalformedMessageException if the body is unknown or can't be read
+	 * @throws MalformedMessageException if the body is unknown or can't be decoded
 	 */
 	PeerMessage decode(Envelope envelope) throws MalformedMessageException {
 		@Nullable PeerCodec<?> codec = this.byCase.get(envelope.getBodyCase());
@@ -66,7 +66,7 @@
 			return codec.decode(envelope);
 		}
 		catch (RuntimeException ex) {
-			throw MalformedMessageException.of("body %s could not be read".formatted(envelope.getBodyCase()), ex);
+			throw MalformedMessageException.of("could not decode body %s".formatted(envelope.getBodyCase()), ex);
 		}
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/transport/FrameAuthenticator.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/FrameAuthenticator.java
@@ -13,9 +13,9 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Signs and verifies frames with HMAC-SHA256, cut to 128 bits. The tag covers the
- * receiver's address too, so that a frame can't be replayed at another daemon. Not safe
- * for use by several threads.
+ * Signs and verifies frames with HMAC-SHA256 truncated to 128 bits. The tag also covers
+ * the receiver's address, so that a frame can't be replayed to another daemon. Not
+ * thread-safe.
  */
 final class FrameAuthenticator {
 
@@ -31,8 +31,9 @@
 	}
 
 	/**
-	 * Returns an authenticator.
-	 * @param keys the secrets; the first signs, all verify
+	 * Creates an authenticator.
+	 * @param keys the secrets; frames are signed with the first and accepted with any, so
+	 * that keys can be rotated
 	 * @return the authenticator
 	 */
 	static FrameAuthenticator create(List<String> keys) {
@@ -73,7 +74,7 @@
 			return mac;
 		}
 		catch (GeneralSecurityException ex) {
-			throw new IllegalStateException("every Java platform has " + ALGORITHM, ex);
+			throw new IllegalStateException("missing required algorithm " + ALGORITHM, ex);
 		}
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/transport/FrameCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/FrameCodec.java
@@ -12,13 +12,13 @@
 import org.sardineport.wire.message.Envelope;
 
 /**
- * Builds frames and takes them apart: one byte of version, the tag, and the envelope. Not
- * safe for use by several threads.
+ * Encodes and decodes frames. A frame consists of a version byte, the authentication tag,
+ * and the encoded envelope. Not thread-safe.
  */
 final class FrameCodec {
 
-	/** Largest frame in bytes; it fits into one datagram. */
-	static final int MAXIMUM_FRAME_BYTES = 60 * 1024;
+	/** Maximum size of a frame in bytes, so that it fits into one UDP datagram. */
+	static final int MAX_FRAME_BYTES = 60 * 1024;
 
 	private static final byte VERSION = 1;
 
@@ -48,11 +48,12 @@
 	}
 
 	/**
-	 * Builds a frame.
-	 * @param to the receiver
+	 * Encodes a message into a signed frame with the next sequence number.
+	 * @param to address of the receiver
 	 * @param message the message
 	 * @return the frame
-	 * @throws FrameDroppedException if the message is too large
+	 * @throws FrameDroppedException if the frame would exceed {@link #MAX_FRAME_BYTES}
+	 * @throws IllegalArgumentException if no codec supports the type of the message
 	 */
 	byte[] encode(NetworkAddress to, PeerMessage message) throws FrameDroppedException {
 		Envelope.Builder envelope = Envelope.newBuilder()
@@ -65,7 +66,7 @@
 			.setSequence(this.nextSequence++);
 		this.codecs.encode(message, envelope);
 		byte[] payload = envelope.build().toByteArray();
-		if (payload.length + HEADER_BYTES > MAXIMUM_FRAME_BYTES) {
+		if (payload.length + HEADER_BYTES > MAX_FRAME_BYTES) {
 			throw FrameDroppedException.of(DropReason.TOO_LARGE);
 		}
 		byte[] frame = new byte[HEADER_BYTES + payload.length];
@@ -76,13 +77,14 @@
 	}
 
 	/**
-	 * Takes a frame apart.
-	 * @param frame the bytes of a datagram, of any origin
+	 * Verifies and decodes a frame.
+	 * @param frame the bytes of a datagram from an untrusted source
 	 * @return the message with its authenticated sender
-	 * @throws FrameDroppedException if the frame is not to be heard
+	 * @throws FrameDroppedException if the frame is malformed, not authentic, stale, or
+	 * replayed
 	 */
 	ReceivedMessage decode(byte[] frame) throws FrameDroppedException {
-		if (frame.length > MAXIMUM_FRAME_BYTES) {
+		if (frame.length > MAX_FRAME_BYTES) {
 			throw FrameDroppedException.of(DropReason.TOO_LARGE);
 		}
 		if (frame.length <= HEADER_BYTES || frame[0] != VERSION) {
@@ -93,17 +95,17 @@
 		if (!this.authenticator.verify(this.identity.address(), payload, tag)) {
 			throw FrameDroppedException.of(DropReason.NOT_AUTHENTIC);
 		}
-		return open(parse(payload));
+		return validate(parse(payload));
 	}
 
-	private ReceivedMessage open(Envelope envelope) throws FrameDroppedException {
+	private ReceivedMessage validate(Envelope envelope) throws FrameDroppedException {
 		if (!envelope.getFleet().equals(this.identity.fleet())) {
 			throw FrameDroppedException.of(DropReason.OTHER_FLEET);
 		}
-		Optional<DropReason> repeated = this.replayGuard.check(envelope.getSender(), envelope.getIncarnation(),
+		Optional<DropReason> dropReason = this.replayGuard.check(envelope.getSender(), envelope.getIncarnation(),
 				envelope.getSequence(), Instant.ofEpochMilli(envelope.getSentAtMillis()), this.clock.instant());
-		if (repeated.isPresent()) {
-			throw FrameDroppedException.of(repeated.get());
+		if (dropReason.isPresent()) {
+			throw FrameDroppedException.of(dropReason.get());
 		}
 		try {
 			return new ReceivedMessage(DaemonId.of(envelope.getSender()), envelope.getIncarnation(),
--- a/wire/src/main/java/org/sardineport/wire/transport/FrameDroppedException.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/FrameDroppedException.java
@@ -4,7 +4,7 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * A frame was not sent or not heard.
+ * Thrown when a frame can't be sent or is rejected on receipt.
  */
 final class FrameDroppedException extends SardineportException {
 
--- a/wire/src/main/java/org/sardineport/wire/transport/FrameSizes.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/FrameSizes.java
@@ -7,8 +7,7 @@
 import org.sardineport.core.port.peer.PeerMessage;
 
 /**
- * Tells how large the frames of messages are, for capacity planning. Not safe for use by
- * several threads.
+ * Computes the sizes of frames for capacity planning. Not thread-safe.
  */
 public final class FrameSizes {
 
@@ -19,21 +18,21 @@
 	}
 
 	/**
-	 * Returns the sizes of frames that a daemon would send.
-	 * @param identity the daemon
-	 * @param codecs translate the messages
-	 * @param clock the clock
-	 * @return the sizes
+	 * Creates a calculator for the frames of one daemon.
+	 * @param identity identity of the sending daemon
+	 * @param codecs codecs of the messages
+	 * @param clock source of the frames' timestamps
+	 * @return the calculator
 	 */
 	public static FrameSizes of(PeerIdentity identity, List<PeerCodec<?>> codecs, InstantSource clock) {
 		return new FrameSizes(FrameCodec.create(identity, CodecRegistry.of(codecs), clock));
 	}
 
 	/**
-	 * Returns the size of a message's frame.
-	 * @param to the receiver
+	 * Returns the size of the frame of a message.
+	 * @param to address of the receiver
 	 * @param message the message
-	 * @return bytes without the headers of IP and UDP
+	 * @return size in bytes, without the headers of IP and UDP
 	 * @throws IllegalArgumentException if the message is too large for a frame
 	 */
 	public int bytes(NetworkAddress to, PeerMessage message) {
--- a/wire/src/main/java/org/sardineport/wire/transport/MalformedMessageException.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MalformedMessageException.java
@@ -4,7 +4,7 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * A message between daemons has a missing field or one out of range.
+ * Thrown when a message between daemons has a missing field or a field out of range.
  */
 public final class MalformedMessageException extends SardineportException {
 
@@ -15,19 +15,19 @@
 	}
 
 	/**
-	 * Returns the error.
-	 * @param message what was found
-	 * @return the error
+	 * Creates an exception.
+	 * @param message the field or body in error
+	 * @return the exception
 	 */
 	public static MalformedMessageException of(String message) {
 		return new MalformedMessageException(message, null);
 	}
 
 	/**
-	 * Returns the error with its cause.
-	 * @param message what was found
+	 * Creates an exception with a cause.
+	 * @param message the field or body in error
 	 * @param cause the cause
-	 * @return the error
+	 * @return the exception
 	 */
 	public static MalformedMessageException of(String message, Throwable cause) {
 		return new MalformedMessageException(message, cause);
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -34,7 +34,8 @@
 import org.sardineport.wire.message.Strike;
 
 /**
- * Codec of the membership messages.
+ * Codec of the membership messages. Fields of a member that equal those of the envelope's
+ * sender are omitted, which keeps frames small. Thread-safe.
  */
 public final class MembershipCodec implements PeerCodec<MembershipMessage> {
 
@@ -42,8 +43,8 @@
 	}
 
 	/**
-	 * Returns the codec.
-	 * @return the codec
+	 * Creates a codec.
+	 * @return the codec, which has no state
 	 */
 	public static MembershipCodec create() {
 		return new MembershipCodec();
--- a/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/NettyPeerTransport.java
@@ -37,16 +37,19 @@
 import org.sardineport.core.port.peer.PeerTransport;
 
 /**
- * Sends each message as one authenticated datagram. One thread of its own signs, sends,
- * verifies and calls the listeners.
+ * Sends each message as one authenticated UDP datagram. Frames are signed and verified,
+ * and listeners called, on a single thread owned by the transport. Thread-safe.
  */
 public final class NettyPeerTransport implements PeerTransport {
 
-	/** Largest message in bytes once encoded. */
-	public static final int MAXIMUM_MESSAGE_BYTES = FrameCodec.MAXIMUM_FRAME_BYTES - 1024;
+	/**
+	 * Maximum size of an encoded message in bytes; the rest of the frame is reserved for
+	 * the header and the fields of the envelope.
+	 */
+	public static final int MAXIMUM_MESSAGE_BYTES = FrameCodec.MAX_FRAME_BYTES - 1024;
 
-	/** Most messages that wait to be sent. */
-	private static final int MAXIMUM_QUEUED = 8192;
+	/** Maximum number of messages in the send queue. */
+	private static final int MAX_QUEUED_MESSAGES = 8192;
 
 	private static final int RECEIVE_BUFFER_BYTES = 1024 * 1024;
 
@@ -56,7 +59,7 @@
 
 	private final FrameCodec frames;
 
-	private final TransportListener counts;
+	private final TransportListener transportListener;
 
 	private final List<Subscription> subscriptions = new CopyOnWriteArrayList<>();
 
@@ -66,29 +69,30 @@
 
 	private volatile @Nullable Channel channel;
 
-	private NettyPeerTransport(PeerIdentity identity, FrameCodec frames, TransportListener counts) {
+	private NettyPeerTransport(PeerIdentity identity, FrameCodec frames, TransportListener transportListener) {
 		this.identity = identity;
 		this.frames = frames;
-		this.counts = counts;
+		this.transportListener = transportListener;
 		this.group = new MultiThreadIoEventLoopGroup(1,
 				new DefaultThreadFactory("peer-transport-" + identity.daemon(), true), NioIoHandler.newFactory());
 	}
 
 	/**
-	 * Returns a transport that is not started yet.
-	 * @param identity who it speaks for
-	 * @param codecs one for each area of messages
-	 * @param clock the clock
-	 * @param counts hears what passes
+	 * Creates a transport without starting it.
+	 * @param identity identity of this daemon
+	 * @param codecs the codecs, one for each body of the envelope
+	 * @param clock source of the frames' timestamps
+	 * @param transportListener listener for metrics of frames and drops
 	 * @return the transport
 	 * @throws IllegalArgumentException if two codecs use the same body
 	 */
 	public static NettyPeerTransport create(PeerIdentity identity, List<PeerCodec<?>> codecs, InstantSource clock,
-			TransportListener counts) {
+			TransportListener transportListener) {
 		Objects.requireNonNull(identity, "identity must not be null");
 		Objects.requireNonNull(clock, "clock must not be null");
-		Objects.requireNonNull(counts, "counts must not be null");
-		return new NettyPeerTransport(identity, FrameCodec.create(identity, CodecRegistry.of(codecs), clock), counts);
+		Objects.requireNonNull(transportListener, "transportListener must not be null");
+		return new NettyPeerTransport(identity, FrameCodec.create(identity, CodecRegistry.of(codecs), clock),
+				transportListener);
 	}
 
 	@Override
@@ -104,7 +108,7 @@
 		ChannelFuture bound = new Bootstrap().group(this.group)
 			.channel(NioDatagramChannel.class)
 			.option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(FrameCodec.MAXIMUM_FRAME_BYTES + 1))
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(FrameCodec.MAX_FRAME_BYTES + 1))
 			.handler(new Receiver())
 			.bind(socketAddress(this.identity.address()));
 		bound.addListener((Future<Void> future) -> {
@@ -129,7 +133,7 @@
 			shutDown();
 		}
 		else {
-			// Behind the messages that wait to be sent.
+			// Closes the channel after the queued messages have been sent.
 			open.eventLoop().execute(() -> open.close().addListener((future) -> shutDown()));
 		}
 		return stopped;
@@ -145,12 +149,12 @@
 		Objects.requireNonNull(message, "message must not be null");
 		Channel open = this.channel;
 		if (open == null || !open.isActive()) {
-			this.counts.dropped(DropReason.SEND_FAILED);
+			this.transportListener.dropped(DropReason.SEND_FAILED);
 			return;
 		}
-		if (this.queued.incrementAndGet() > MAXIMUM_QUEUED) {
+		if (this.queued.incrementAndGet() > MAX_QUEUED_MESSAGES) {
 			this.queued.decrementAndGet();
-			this.counts.dropped(DropReason.SEND_QUEUE_FULL);
+			this.transportListener.dropped(DropReason.SEND_QUEUE_FULL);
 			return;
 		}
 		try {
@@ -158,7 +162,7 @@
 		}
 		catch (RejectedExecutionException ex) {
 			this.queued.decrementAndGet();
-			this.counts.dropped(DropReason.SEND_FAILED);
+			this.transportListener.dropped(DropReason.SEND_FAILED);
 		}
 	}
 
@@ -169,18 +173,18 @@
 			open.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(frame), socketAddress(to)))
 				.addListener((future) -> {
 					if (future.isSuccess()) {
-						this.counts.sent(frame.length);
+						this.transportListener.sent(frame.length);
 					}
 					else {
-						this.counts.dropped(DropReason.SEND_FAILED);
+						this.transportListener.dropped(DropReason.SEND_FAILED);
 					}
 				});
 		}
 		catch (FrameDroppedException ex) {
-			this.counts.dropped(ex.reason());
+			this.transportListener.dropped(ex.reason());
 		}
 		catch (IllegalArgumentException ex) {
-			this.counts.dropped(DropReason.MALFORMED);
+			this.transportListener.dropped(DropReason.MALFORMED);
 		}
 	}
 
@@ -190,23 +194,23 @@
 			received = this.frames.decode(frame);
 		}
 		catch (FrameDroppedException ex) {
-			this.counts.dropped(ex.reason());
+			this.transportListener.dropped(ex.reason());
 			return;
 		}
-		this.counts.received(frame.length);
+		this.transportListener.received(frame.length);
 		for (Subscription subscription : this.subscriptions) {
 			if (subscription.type().isInstance(received.message())) {
-				hand(received, subscription.listener());
+				deliver(received, subscription.listener());
 			}
 		}
 	}
 
-	private void hand(ReceivedMessage received, PeerListener listener) {
+	private void deliver(ReceivedMessage received, PeerListener listener) {
 		try {
 			listener.received(received.sender(), received.incarnation(), received.senderAddress(), received.message());
 		}
 		catch (RuntimeException ex) {
-			this.counts.listenerFailed(received.sender(), ex);
+			this.transportListener.listenerFailed(received.sender(), ex);
 		}
 	}
 
@@ -224,17 +228,17 @@
 	}
 
 	/**
-	 * A listener and what it listens for.
+	 * A listener and the type of the messages that it receives.
 	 *
 	 * @param type type of the messages
-	 * @param listener hears them
+	 * @param listener the listener
 	 */
 	private record Subscription(Class<? extends PeerMessage> type, PeerListener listener) {
 
 	}
 
 	/**
-	 * Hands datagrams to the transport.
+	 * Passes received datagrams to the transport.
 	 */
 	private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
@@ -245,7 +249,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			NettyPeerTransport.this.counts.dropped(DropReason.MALFORMED);
+			NettyPeerTransport.this.transportListener.dropped(DropReason.MALFORMED);
 		}
 
 	}
--- a/wire/src/main/java/org/sardineport/wire/transport/PeerIdentity.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/PeerIdentity.java
@@ -7,24 +7,25 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Who a transport speaks for, and the keys that prove it.
+ * Identity of a daemon towards its peers, with the keys that authenticate it.
  *
  * @param fleet name of the fleet
  * @param daemon name of the daemon
  * @param incarnation number of this run of the daemon, greater than that of any earlier
  * run
- * @param address where other daemons reach this one
- * @param keys secrets that authenticate frames; the first signs, all verify; at least 32
- * characters each
+ * @param address peer address of the daemon
+ * @param keys secrets that authenticate frames, at least 32 characters each; frames are
+ * signed with the first and accepted with any
  */
 public record PeerIdentity(String fleet, DaemonId daemon, long incarnation, NetworkAddress address, List<String> keys) {
 
-	/** Shortest secret, in characters. */
+	/** Minimum length of a secret, in characters. */
 	public static final int MINIMUM_KEY_LENGTH = 32;
 
 	/**
-	 * Creates the identity.
-	 * @throws IllegalArgumentException if there is no key or one is too short
+	 * Creates an identity.
+	 * @throws IllegalArgumentException if there is no key, or a key has less than
+	 * {@link #MINIMUM_KEY_LENGTH} characters
 	 */
 	public PeerIdentity {
 		Objects.requireNonNull(fleet, "fleet must not be null");
--- a/wire/src/main/java/org/sardineport/wire/transport/ReceivedMessage.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/ReceivedMessage.java
@@ -5,7 +5,7 @@
 import org.sardineport.core.port.peer.PeerMessage;
 
 /**
- * A message with its authenticated sender.
+ * A decoded message with its authenticated sender.
  *
  * @param sender name of the sending daemon
  * @param incarnation number of the sender's run
--- a/wire/src/main/java/org/sardineport/wire/transport/ReplayGuard.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/ReplayGuard.java
@@ -7,38 +7,41 @@
 import java.util.Optional;
 
 /**
- * Tells new frames from stale and repeated ones. It remembers each sender for as long as
- * frames of that age are let in, so that its memory is bounded by the number of daemons
- * heard in that time. Not safe for use by several threads.
+ * Detects stale and replayed frames. The state of a sender is kept until all its frames
+ * are stale, so that memory is bounded by the number of daemons that sent frames within
+ * that time. Not thread-safe.
  */
 final class ReplayGuard {
 
-	/** Greatest difference between the clocks of two daemons plus the way of a frame. */
-	static final Duration MAXIMUM_AGE = Duration.ofSeconds(60);
+	/**
+	 * Maximum age of a frame, and how far ahead its timestamp may be. Covers the clock
+	 * skew between two daemons plus the transit time.
+	 */
+	static final Duration MAX_AGE = Duration.ofSeconds(60);
 
-	/** Most senders remembered; further ones are refused until others have aged out. */
-	static final int MAXIMUM_SENDERS = 8192;
+	/** Maximum number of tracked senders; others are rejected until one expires. */
+	static final int MAX_SENDERS = 8192;
 
 	private final Map<String, Sender> senders = new HashMap<>();
 
-	private Instant nextSweep = Instant.MIN;
+	private Instant nextExpiry = Instant.MIN;
 
 	/**
-	 * Checks a frame and remembers it.
-	 * @param sender name of its sender
+	 * Checks a frame and records its sequence number.
+	 * @param sender name of the sender
 	 * @param incarnation number of the sender's run
-	 * @param sequence number of the frame
-	 * @param sentAt when it was sent, by the sender's clock
-	 * @param now the current time
-	 * @return why to drop it, or empty if it is new
+	 * @param sequence sequence number of the frame within that run
+	 * @param sentAt time of sending, by the sender's clock
+	 * @param now the current time, by the receiver's clock
+	 * @return the reason to drop the frame, or empty if it is new
 	 */
 	Optional<DropReason> check(String sender, long incarnation, long sequence, Instant sentAt, Instant now) {
-		if (Duration.between(sentAt, now).abs().compareTo(MAXIMUM_AGE) > 0) {
+		if (Duration.between(sentAt, now).abs().compareTo(MAX_AGE) > 0) {
 			return Optional.of(DropReason.STALE);
 		}
-		sweep(now);
+		removeExpired(now);
 		Sender known = this.senders.get(sender);
-		if (known == null && this.senders.size() >= MAXIMUM_SENDERS) {
+		if (known == null && this.senders.size() >= MAX_SENDERS) {
 			return Optional.of(DropReason.STALE);
 		}
 		if (known != null && incarnation < known.incarnation) {
@@ -55,23 +58,23 @@
 		return Optional.empty();
 	}
 
-	int senders() {
+	int senderCount() {
 		return this.senders.size();
 	}
 
-	private void sweep(Instant now) {
-		if (now.isBefore(this.nextSweep)) {
+	private void removeExpired(Instant now) {
+		if (now.isBefore(this.nextExpiry)) {
 			return;
 		}
-		// A frame let in may carry a time that lies ahead, so it stays valid for twice
-		// the maximum age.
-		Instant oldest = now.minus(MAXIMUM_AGE.multipliedBy(2));
+		// An accepted frame may carry a timestamp in the future, so it remains valid for
+		// up to twice the maximum age.
+		Instant oldest = now.minus(MAX_AGE.multipliedBy(2));
 		this.senders.values().removeIf((sender) -> sender.lastHeard.isBefore(oldest));
-		this.nextSweep = now.plus(MAXIMUM_AGE);
+		this.nextExpiry = now.plus(MAX_AGE);
 	}
 
 	/**
-	 * One run of a sending daemon.
+	 * State of a sending daemon for its latest incarnation.
 	 */
 	private static final class Sender {
 
--- a/wire/src/main/java/org/sardineport/wire/transport/ReplayWindow.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/ReplayWindow.java
@@ -1,12 +1,12 @@
 package org.sardineport.wire.transport;
 
 /**
- * Remembers which of a sender's latest sequence numbers were received. Numbers older than
- * the window count as received.
+ * Sliding window over the sequence numbers received from one sender. Numbers below the
+ * window count as received. Not thread-safe.
  */
 final class ReplayWindow {
 
-	/** Number of latest sequence numbers remembered. */
+	/** Number of sequence numbers in the window. */
 	static final int SIZE = 1024;
 
 	private static final int WORDS = SIZE / Long.SIZE;
@@ -16,9 +16,10 @@
 	private long highest = -1;
 
 	/**
-	 * Marks a number as received.
-	 * @param sequence the number, not negative
-	 * @return whether it had not been received before
+	 * Marks a sequence number as received.
+	 * @param sequence the sequence number
+	 * @return whether it is new; false if it was received before, is below the window, or
+	 * is negative
 	 */
 	boolean accept(long sequence) {
 		if (sequence < 0 || sequence <= this.highest - SIZE) {
--- a/wire/src/main/java/org/sardineport/wire/transport/TransportListener.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/TransportListener.java
@@ -3,12 +3,12 @@
 import org.sardineport.core.identity.DaemonId;
 
 /**
- * Hears what passes through a transport, to count it. Called on the transport's thread
- * and, for a full send queue, on the sender's; returns at once.
+ * Receives the events of a transport, for metrics. Methods are called on the transport's
+ * thread or, if a message can't be queued, on the sender's thread; they must not block.
  */
 public interface TransportListener {
 
-	/** Counts nothing. */
+	/** Listener that ignores all events. */
 	TransportListener NONE = new TransportListener() {
 
 		@Override
@@ -30,27 +30,27 @@
 	};
 
 	/**
-	 * A frame was sent.
-	 * @param bytes its size without the headers of IP and UDP
+	 * Called when a frame has been sent.
+	 * @param bytes size of the frame, without the headers of IP and UDP
 	 */
 	void sent(int bytes);
 
 	/**
-	 * A frame was received and accepted.
-	 * @param bytes its size without the headers of IP and UDP
+	 * Called when a frame has been received and accepted.
+	 * @param bytes size of the frame, without the headers of IP and UDP
 	 */
 	void received(int bytes);
 
 	/**
-	 * A frame or message was dropped.
-	 * @param reason why
+	 * Called when a frame or message has been dropped.
+	 * @param reason the reason
 	 */
 	void dropped(DropReason reason);
 
 	/**
-	 * A message was dropped as whoever listens for it failed.
-	 * @param sender the daemon that sent it
-	 * @param cause the failure
+	 * Called when a listener threw an exception for a received message.
+	 * @param sender the daemon that sent the message
+	 * @param cause the exception
 	 */
 	void listenerFailed(DaemonId sender, RuntimeException cause);
 
--- a/wire/src/main/java/org/sardineport/wire/transport/package-info.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Authenticated datagrams between daemons.
+ * Authenticated datagram transport between daemons.
  */
 @NullMarked
 package org.sardineport.wire.transport;
--- a/wire/src/test/java/org/sardineport/wire/configuration/ConfigurationCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/configuration/ConfigurationCodecTests.java
@@ -48,12 +48,12 @@
 	private final DeflatedImageCodec images = DeflatedImageCodec.create();
 
 	@Test
-	void publicationSurvives() {
+	void roundTripsAPublication() {
 		assertThat(this.records.decode(this.records.encode(PUBLICATION))).isEqualTo(PUBLICATION);
 	}
 
 	@Test
-	void imageSurvivesInPages() {
+	void roundTripsAnImageInPages() {
 		byte[] encoded = this.images.encode(IMAGE);
 		ByteArrayOutputStream joined = new ByteArrayOutputStream();
 		List<ImagePage> pages = ImagePage.split("id", 8, encoded, 10);
@@ -67,7 +67,7 @@
 	}
 
 	@Test
-	void messagesSurvive() throws MalformedMessageException {
+	void roundTripsMessages() throws MalformedMessageException {
 		List<ConfigurationMessage> all = List.of(new ConfigurationFetch(-1, 3),
 				new ConfigurationAnnouncement(7, 9, true), new ImagePage("id", 8, 1, 2, new byte[] { 1, 2 }));
 		for (ConfigurationMessage message : all) {
@@ -84,7 +84,7 @@
 	}
 
 	@Test
-	void damagedRecordsAreUnreadableOrRecordsButNeverFail() {
+	void decodesDamagedRecordsWithoutException() {
 		Random random = new Random(1);
 		byte[] whole = this.records.encode(PUBLICATION);
 		List<ConfigurationRecord> decoded = new ArrayList<>();
@@ -99,7 +99,7 @@
 	}
 
 	@Test
-	void damagedImagesAreNone() {
+	void rejectsDamagedImages() {
 		byte[] whole = this.images.encode(IMAGE);
 		assertThat(this.images.decode(new byte[] { 1, 2, 3 })).isEmpty();
 		assertThat(this.images.decode(new byte[0])).isEmpty();
@@ -107,7 +107,7 @@
 	}
 
 	@Test
-	void imageThatInflatesWithoutBoundIsNone() throws IOException {
+	void rejectsAnImageAboveTheSizeLimit() throws IOException {
 		ByteArrayOutputStream bomb = new ByteArrayOutputStream();
 		try (DeflaterOutputStream deflater = new DeflaterOutputStream(bomb)) {
 			byte[] zeros = new byte[1024 * 1024];
--- a/wire/src/test/java/org/sardineport/wire/transport/FrameCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/FrameCodecTests.java
@@ -50,7 +50,7 @@
 	}
 
 	@Test
-	void hearsBothKeysWhileTheyAreRotated() throws FrameDroppedException {
+	void acceptsBothKeysDuringRotation() throws FrameDroppedException {
 		FrameCodec oldFirst = codec("fleet", RECEIVER, NOW, KEY, NEXT_KEY);
 		assertThat(oldFirst.decode(codec("fleet", SENDER, NOW, KEY).encode(RECEIVER, MESSAGE))).isNotNull();
 		FrameCodec newSigner = codec("fleet", NetworkAddress.of("127.0.0.1", 7003), NOW, NEXT_KEY, KEY);
@@ -59,14 +59,14 @@
 
 	@ParameterizedTest
 	@EnumSource(Fault.class)
-	void dropsAndNames(Fault fault) throws FrameDroppedException {
+	void dropsWithReason(Fault fault) throws FrameDroppedException {
 		byte[] frame = fault.damage.apply(fault.sender.encode(fault.to, MESSAGE));
 		assertThatExceptionOfType(FrameDroppedException.class).isThrownBy(() -> this.receiver.decode(frame))
 			.satisfies((ex) -> assertThat(ex.reason()).isEqualTo(fault.reason));
 	}
 
 	@Test
-	void dropsAFrameThatComesTwice() throws FrameDroppedException {
+	void dropsAReplayedFrame() throws FrameDroppedException {
 		byte[] frame = codec("fleet", SENDER, NOW, KEY).encode(RECEIVER, MESSAGE);
 		this.receiver.decode(frame);
 		assertThatExceptionOfType(FrameDroppedException.class).isThrownBy(() -> this.receiver.decode(frame))
@@ -89,18 +89,18 @@
 	}
 
 	/**
-	 * Frames that must not be heard.
+	 * Frames that the receiver must drop, with the expected reason.
 	 */
 	enum Fault {
 
-		STRANGER_KEY(codec("fleet", SENDER, NOW, FOREIGN_KEY), RECEIVER, UnaryOperator.identity(),
+		UNKNOWN_KEY(codec("fleet", SENDER, NOW, FOREIGN_KEY), RECEIVER, UnaryOperator.identity(),
 				DropReason.NOT_AUTHENTIC),
 
 		OTHER_FLEET(codec("other", SENDER, NOW, KEY), RECEIVER, UnaryOperator.identity(), DropReason.OTHER_FLEET),
 
-		MEANT_FOR_ANOTHER(codec("fleet", SENDER, NOW, KEY), SENDER, UnaryOperator.identity(), DropReason.NOT_AUTHENTIC),
+		OTHER_RECEIVER(codec("fleet", SENDER, NOW, KEY), SENDER, UnaryOperator.identity(), DropReason.NOT_AUTHENTIC),
 
-		TOO_OLD(codec("fleet", SENDER, NOW.minus(ReplayGuard.MAXIMUM_AGE).minusMillis(1), KEY), RECEIVER,
+		TOO_OLD(codec("fleet", SENDER, NOW.minus(ReplayGuard.MAX_AGE).minusMillis(1), KEY), RECEIVER,
 				UnaryOperator.identity(), DropReason.STALE),
 
 		ONE_BIT_CHANGED(codec("fleet", SENDER, NOW, KEY), RECEIVER, (frame) -> {
@@ -108,7 +108,7 @@
 			return frame;
 		}, DropReason.NOT_AUTHENTIC),
 
-		CUT_SHORT(codec("fleet", SENDER, NOW, KEY), RECEIVER, (frame) -> Arrays.copyOf(frame, frame.length - 3),
+		TRUNCATED(codec("fleet", SENDER, NOW, KEY), RECEIVER, (frame) -> Arrays.copyOf(frame, frame.length - 3),
 				DropReason.NOT_AUTHENTIC),
 
 		HEADER_ONLY(codec("fleet", SENDER, NOW, KEY), RECEIVER, (frame) -> Arrays.copyOf(frame, 10),
@@ -122,7 +122,7 @@
 		}, DropReason.NOT_A_FRAME),
 
 		TOO_LARGE(codec("fleet", SENDER, NOW, KEY), RECEIVER,
-				(frame) -> Arrays.copyOf(frame, FrameCodec.MAXIMUM_FRAME_BYTES + 1), DropReason.TOO_LARGE);
+				(frame) -> Arrays.copyOf(frame, FrameCodec.MAX_FRAME_BYTES + 1), DropReason.TOO_LARGE);
 
 		private final FrameCodec sender;
 
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -48,29 +48,29 @@
 	}
 
 	static Stream<MembershipMessage> messages() {
-		GossipUpdates news = new GossipUpdates(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)),
+		GossipUpdates updates = new GossipUpdates(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)),
 				List.of(new StrikeUpdate(STRIKE, Duration.ofSeconds(9))),
 				List.of(new LeavingUpdate(BackendServerId.of("w2"), Duration.ofMillis(250))));
-		return Stream.of(new ProbeRequest(-1, news), new ProbeResponse(7, news),
-				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, news), new JoinRequest(true, news),
-				new JoinRequest(false, news), new JoinResponse(news));
+		return Stream.of(new ProbeRequest(-1, updates), new ProbeResponse(7, updates),
+				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, updates), new JoinRequest(true, updates),
+				new JoinRequest(false, updates), new JoinResponse(updates));
 	}
 
 	@ParameterizedTest
 	@MethodSource("messages")
-	void carriesEachMessage(MembershipMessage message) throws Exception {
-		assertThat(throughTheWire(message)).isEqualTo(message);
+	void roundTripsEachMessage(MembershipMessage message) throws Exception {
+		assertThat(roundTrip(message)).isEqualTo(message);
 	}
 
 	@ParameterizedTest
 	@EnumSource(MemberStatus.class)
-	void carriesEachStatus(MemberStatus status) throws Exception {
+	void roundTripsEachStatus(MemberStatus status) throws Exception {
 		MembershipMessage message = new JoinRequest(true, GossipUpdates.of(member(status)));
-		assertThat(throughTheWire(message)).isEqualTo(message);
+		assertThat(roundTrip(message)).isEqualTo(message);
 	}
 
 	@Test
-	void leavesOutWhatTheEnvelopeSaysOfItsSender() throws Exception {
+	void omitsFieldsEqualToTheEnvelopeSender() throws Exception {
 		Member sender = new Member(DaemonId.of("a"), 7, MemberStatus.ALIVE, FailureDomain.of("bole"), PEER,
 				NetworkAddress.of(PEER.ip(), 8000), 3, 4);
 		MembershipMessage message = new ProbeRequest(1, GossipUpdates.of(sender, member(MemberStatus.SUSPECT)));
@@ -93,7 +93,7 @@
 		assertThatExceptionOfType(MalformedMessageException.class).isThrownBy(() -> this.codec.decode(envelope));
 	}
 
-	private MembershipMessage throughTheWire(MembershipMessage message)
+	private MembershipMessage roundTrip(MembershipMessage message)
 			throws InvalidProtocolBufferException, MalformedMessageException {
 		Envelope.Builder envelope = Envelope.newBuilder();
 		this.codec.encode(message, envelope);
--- a/wire/src/test/java/org/sardineport/wire/transport/ReplayGuardTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/ReplayGuardTests.java
@@ -11,58 +11,58 @@
 
 	private static final Instant NOW = Instant.parse("2026-12-03T08:00:00Z");
 
-	private static final Duration TOO_OLD = ReplayGuard.MAXIMUM_AGE.plusMillis(1);
+	private static final Duration TOO_OLD = ReplayGuard.MAX_AGE.plusMillis(1);
 
 	private final ReplayGuard guard = new ReplayGuard();
 
 	@Test
-	void letsInANewFrameOnce() {
+	void acceptsANewFrameOnce() {
 		assertThat(this.guard.check("one", 1, 7, NOW, NOW)).isEmpty();
 		assertThat(this.guard.check("one", 1, 7, NOW, NOW)).contains(DropReason.REPLAYED);
 	}
 
 	@Test
-	void dropsFramesOfFarTimes() {
+	void dropsFramesBeyondTheMaximumAge() {
 		assertThat(this.guard.check("one", 1, 1, NOW.minus(TOO_OLD), NOW)).contains(DropReason.STALE);
 		assertThat(this.guard.check("one", 1, 2, NOW.plus(TOO_OLD), NOW)).contains(DropReason.STALE);
 	}
 
 	@Test
-	void dropsFramesOfAnEarlierRun() {
+	void dropsFramesOfAnEarlierIncarnation() {
 		assertThat(this.guard.check("one", 2, 0, NOW, NOW)).isEmpty();
 		assertThat(this.guard.check("one", 1, 1, NOW, NOW)).contains(DropReason.STALE);
 	}
 
 	@Test
-	void startsAfreshWithALaterRun() {
+	void acceptsTheSameSequenceOfALaterIncarnation() {
 		assertThat(this.guard.check("one", 1, 0, NOW, NOW)).isEmpty();
 		assertThat(this.guard.check("one", 2, 0, NOW, NOW)).isEmpty();
 	}
 
 	@Test
-	void hearsADaemonWhoseClockWentBackOnceItsEarlierRunHasAged() {
+	void acceptsALowerIncarnationAfterTheHigherOneExpires() {
 		assertThat(this.guard.check("one", 2, 0, NOW, NOW)).isEmpty();
-		Instant later = NOW.plus(ReplayGuard.MAXIMUM_AGE.multipliedBy(3));
+		Instant later = NOW.plus(ReplayGuard.MAX_AGE.multipliedBy(3));
 		assertThat(this.guard.check("one", 1, 0, later, later)).isEmpty();
 	}
 
 	@Test
-	void keepsAFrameFromTheFutureRefusedForAsLongAsItWouldPass() {
-		Instant ahead = NOW.plus(ReplayGuard.MAXIMUM_AGE);
+	void dropsAReplayedFrameWithAFutureTimestamp() {
+		Instant ahead = NOW.plus(ReplayGuard.MAX_AGE);
 		assertThat(this.guard.check("one", 1, 0, ahead, NOW)).isEmpty();
-		Instant last = ahead.plus(ReplayGuard.MAXIMUM_AGE);
+		Instant last = ahead.plus(ReplayGuard.MAX_AGE);
 		assertThat(this.guard.check("one", 1, 0, ahead, last)).contains(DropReason.REPLAYED);
 	}
 
 	@Test
-	void remembersABoundedNumberOfSenders() {
-		for (int i = 0; i <= ReplayGuard.MAXIMUM_SENDERS; i++) {
+	void limitsTheNumberOfSenders() {
+		for (int i = 0; i <= ReplayGuard.MAX_SENDERS; i++) {
 			this.guard.check("daemon-" + i, 1, 0, NOW, NOW);
 		}
-		assertThat(this.guard.senders()).isEqualTo(ReplayGuard.MAXIMUM_SENDERS);
-		Instant later = NOW.plus(ReplayGuard.MAXIMUM_AGE.multipliedBy(3));
+		assertThat(this.guard.senderCount()).isEqualTo(ReplayGuard.MAX_SENDERS);
+		Instant later = NOW.plus(ReplayGuard.MAX_AGE.multipliedBy(3));
 		assertThat(this.guard.check("late", 1, 0, later, later)).isEmpty();
-		assertThat(this.guard.senders()).isEqualTo(1);
+		assertThat(this.guard.senderCount()).isEqualTo(1);
 	}
 
 }
--- a/wire/src/test/java/org/sardineport/wire/transport/ReplayWindowTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/ReplayWindowTests.java
@@ -27,7 +27,7 @@
 	}
 
 	@Test
-	void forgetsWhatAJumpLeavesBehind() {
+	void clearsTheWindowWhenTheSequenceJumps() {
 		for (long sequence = 0; sequence < ReplayWindow.SIZE; sequence++) {
 			this.window.accept(sequence);
 		}
