Reword the settings readers in the usual terms of the field

Settings have units, bounds and relations in their comments; formats, sections and limits are described by contract. MAX_ and MIN_ replace MAXIMUM_ and MINIMUM_ in constants, defaultValue replaces otherwise, rejectUnknownKeys replaces finish, formatDuration replaces show, IpAddresses replaces IpNumbers. Keys, formats and defaults are kept.

--- a/settings/src/main/java/org/sardineport/settings/DaemonSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/DaemonSettings.java
@@ -10,22 +10,22 @@
  * Settings of one daemon.
  *
  * @param fleet name of the fleet, the same on all its daemons
- * @param daemon name of this daemon
- * @param failureDomain where it runs
- * @param callerAddress where callers reach it
- * @param operatorAddress where operators reach it
- * @param peerAddress where other daemons reach it
- * @param seeds peer addresses of daemons to join by
- * @param peerKeys secrets that authenticate frames between daemons; the first signs, all
- * verify; at least 32 characters each
+ * @param daemon name of this daemon, unique within the fleet
+ * @param failureDomain failure domain in which the daemon runs
+ * @param callerAddress address of the callers' port
+ * @param operatorAddress address of the operators' port
+ * @param peerAddress address of the port for other daemons
+ * @param seeds peer addresses of daemons to contact when joining the fleet
+ * @param peerKeys secrets that authenticate frames between daemons, at least 32
+ * characters each; frames are signed with the first and accepted with any
  * @param operatorToken bearer token for the operators' port
- * @param platform where the platform's services are
- * @param callers limits towards callers
+ * @param platform addresses of the platform's services
+ * @param callers limits on requests of callers
  * @param scheduling limits of scheduling
- * @param journal the journal
- * @param membership probing of other daemons
- * @param configuration reading of the configuration
- * @param stop planned stops
+ * @param journal settings of the journal
+ * @param membership settings of failure detection
+ * @param configuration settings of the configuration stream
+ * @param stop settings of planned stops
  */
 public record DaemonSettings(String fleet, DaemonId daemon, FailureDomain failureDomain, NetworkAddress callerAddress,
 		NetworkAddress operatorAddress, NetworkAddress peerAddress, List<NetworkAddress> seeds, List<String> peerKeys,
@@ -34,7 +34,7 @@
 		StopSettings stop) {
 
 	/**
-	 * Creates the settings.
+	 * Creates settings with copies of the lists.
 	 */
 	public DaemonSettings {
 		seeds = List.copyOf(seeds);
--- a/settings/src/main/java/org/sardineport/settings/DaemonSettingsReader.java
+++ b/settings/src/main/java/org/sardineport/settings/DaemonSettingsReader.java
@@ -17,8 +17,7 @@
 import org.sardineport.settings.yaml.YamlDocument;
 
 /**
- * Reads a daemon's settings from YAML and names every fault at once. Safe for use by any
- * thread.
+ * Parses a daemon's settings in YAML and reports all their faults together. Thread-safe.
  */
 public final class DaemonSettingsReader {
 
@@ -26,15 +25,15 @@
 
 	private static final DocumentLimits LIMITS = new DocumentLimits(64 * 1024, 2000, 5);
 
-	private static final int MAXIMUM_SEEDS = 64;
+	private static final int MAX_SEEDS = 64;
 
-	private static final int MAXIMUM_PEER_KEYS = 2;
+	private static final int MAX_PEER_KEYS = 2;
 
-	private static final int MINIMUM_PEER_KEY_LENGTH = 32;
+	private static final int MIN_PEER_KEY_LENGTH = 32;
 
-	private static final int MINIMUM_TOKEN_LENGTH = 16;
+	private static final int MIN_TOKEN_LENGTH = 16;
 
-	private static final int MAXIMUM_SECRET_LENGTH = 256;
+	private static final int MAX_SECRET_LENGTH = 256;
 
 	private static final ScalarFormat<String> FLEET = Formats.name((text) -> DaemonId.of(text).value());
 
@@ -42,18 +41,18 @@
 	}
 
 	/**
-	 * Returns a reader.
-	 * @return the reader
+	 * Creates a reader.
+	 * @return the reader, which has no state
 	 */
 	public static DaemonSettingsReader create() {
 		return new DaemonSettingsReader();
 	}
 
 	/**
-	 * Reads settings.
-	 * @param yaml their text
+	 * Parses settings.
+	 * @param yaml the text of the settings
 	 * @return the settings
-	 * @throws InvalidDocumentException with all faults that were found
+	 * @throws InvalidDocumentException if the text is invalid; contains all faults found
 	 */
 	public DaemonSettings read(String yaml) throws InvalidDocumentException {
 		Objects.requireNonNull(yaml, "yaml must not be null");
@@ -71,10 +70,10 @@
 		NetworkAddress caller = root.required("callerAddress", Formats.address());
 		NetworkAddress operator = root.required("operatorAddress", Formats.address());
 		NetworkAddress peer = root.required("peerAddress", Formats.address());
-		List<NetworkAddress> seeds = root.list("seeds", Formats.address(), MAXIMUM_SEEDS);
-		List<String> peerKeys = root.list("peerKeys", Formats.secret(MINIMUM_PEER_KEY_LENGTH, MAXIMUM_SECRET_LENGTH),
-				MAXIMUM_PEER_KEYS);
-		String token = root.required("operatorToken", Formats.secret(MINIMUM_TOKEN_LENGTH, MAXIMUM_SECRET_LENGTH));
+		List<NetworkAddress> seeds = root.list("seeds", Formats.address(), MAX_SEEDS);
+		List<String> peerKeys = root.list("peerKeys", Formats.secret(MIN_PEER_KEY_LENGTH, MAX_SECRET_LENGTH),
+				MAX_PEER_KEYS);
+		String token = root.required("operatorToken", Formats.secret(MIN_TOKEN_LENGTH, MAX_SECRET_LENGTH));
 		PlatformSettings platform = SectionReaders.platform(root.section("platform"));
 		CallerSettings callers = SectionReaders.callers(root.section("callers"));
 		SchedulingSettings scheduling = SectionReaders.scheduling(root.section("scheduling"));
@@ -82,7 +81,7 @@
 		MembershipSettings membership = SectionReaders.membership(root.section("membership"));
 		ConfigurationSettings configuration = SectionReaders.configuration(root.section("configuration"));
 		StopSettings stop = SectionReaders.stop(root.section("stop"));
-		root.finish();
+		root.rejectUnknownKeys();
 		checkAddresses(root, caller, operator, peer);
 		checkPeerKeys(root, peerKeys);
 		CrossChecks.check(root, callers, scheduling, journal, membership, stop);
@@ -92,16 +91,16 @@
 	}
 
 	private static <T> T present(@Nullable T value) {
-		return Objects.requireNonNull(value, "a missing value must have been reported as a fault");
+		return Objects.requireNonNull(value, "missing value without a recorded fault");
 	}
 
 	private static void checkAddresses(Section root, @Nullable NetworkAddress caller, @Nullable NetworkAddress operator,
 			@Nullable NetworkAddress peer) {
 		if (operator != null && operator.equals(caller)) {
-			root.fault("operatorAddress", "the callerAddress a second time", "write another port");
+			root.fault("operatorAddress", "the same address as callerAddress", "write another port");
 		}
 		if (peer != null && (peer.equals(caller) || peer.equals(operator))) {
-			root.fault("peerAddress", "another address of this daemon a second time", "write another port");
+			root.fault("peerAddress", "the same address as callerAddress or operatorAddress", "write another port");
 		}
 	}
 
@@ -111,7 +110,7 @@
 					"write the secret that all daemons of the fleet share, and during a rotation a second one");
 		}
 		if (peerKeys.stream().distinct().count() < peerKeys.size()) {
-			root.fault("peerKeys", "the same key twice", "remove one of the two");
+			root.fault("peerKeys", "a duplicate key", "remove one of the two");
 		}
 	}
 
--- a/settings/src/main/java/org/sardineport/settings/MembershipSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/MembershipSettings.java
@@ -3,19 +3,19 @@
 import java.time.Duration;
 
 /**
- * Probing of other daemons.
+ * Settings of failure detection among daemons.
  *
- * @param probeInterval time between two probes by one daemon
- * @param probeTimeout time within which a probe must be answered
- * @param suspicionTimeout time after which a suspected daemon is taken to be dead
+ * @param probeInterval time between two probes sent by one daemon
+ * @param probeTimeout time to wait for the response to a probe; shorter than the interval
+ * @param suspicionTimeout time after which a suspected daemon is declared dead
  * @param vmListInterval time between two fetches of the VM list
  */
 public record MembershipSettings(Duration probeInterval, Duration probeTimeout, Duration suspicionTimeout,
 		Duration vmListInterval) {
 
 	/**
-	 * Returns the defaults.
-	 * @return the settings that hold where a file says nothing
+	 * Returns the values of keys that are absent from the settings file.
+	 * @return the default settings
 	 */
 	public static MembershipSettings defaults() {
 		return new MembershipSettings(Duration.ofMillis(400), Duration.ofMillis(200), Duration.ofMillis(1000),
--- a/settings/src/main/java/org/sardineport/settings/PlatformSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/PlatformSettings.java
@@ -5,11 +5,11 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Where the platform's services are.
+ * Addresses of the platform's services.
  *
  * @param logService address of the log service
  * @param vmList address of the VM list
- * @param timeout time to wait for an answer of either
+ * @param timeout timeout of a connection or request to either service
  */
 public record PlatformSettings(NetworkAddress logService, NetworkAddress vmList, Duration timeout) {
 
--- a/settings/src/main/java/org/sardineport/settings/SectionReaders.java
+++ b/settings/src/main/java/org/sardineport/settings/SectionReaders.java
@@ -10,8 +10,7 @@
 import org.sardineport.settings.yaml.Section;
 
 /**
- * Readers of the sections of a daemon's settings. What a section leaves out has its
- * default.
+ * Readers of the sections of a daemon's settings. Absent keys have their default values.
  */
 final class SectionReaders {
 
@@ -21,9 +20,9 @@
 
 	private static final Duration HOUR = Duration.ofHours(1);
 
-	private static final int MAXIMUM_BYTES = 64 * 1024 * 1024;
+	private static final int MAX_BYTES = 64 * 1024 * 1024;
 
-	private static final int MAXIMUM_REQUESTS = 1_000_000;
+	private static final int MAX_REQUESTS = 1_000_000;
 
 	private SectionReaders() {
 	}
@@ -33,21 +32,21 @@
 		NetworkAddress vmList = section.required("vmList", Formats.address());
 		Duration timeout = section.optional("timeout", Formats.duration(Duration.ofMillis(10), MINUTE),
 				Duration.ofSeconds(2));
-		section.finish();
+		section.rejectUnknownKeys();
 		return (logService != null && vmList != null) ? new PlatformSettings(logService, vmList, timeout) : null;
 	}
 
 	static CallerSettings callers(Section section) {
 		CallerSettings defaults = CallerSettings.defaults();
-		int bodyBytes = section.optional("maximumBodyBytes", Formats.integer(1024, MAXIMUM_BYTES),
+		int bodyBytes = section.optional("maximumBodyBytes", Formats.integer(1024, MAX_BYTES),
 				defaults.maximumBodyBytes());
 		Duration bodyTimeout = section.optional("bodyTimeout", Formats.duration(Duration.ofMillis(100), HOUR),
 				defaults.bodyTimeout());
-		int inFlight = section.optional("maximumInFlight", Formats.integer(1, MAXIMUM_REQUESTS),
+		int inFlight = section.optional("maximumInFlight", Formats.integer(1, MAX_REQUESTS),
 				defaults.maximumInFlight());
 		Duration keepTime = section.optional("keepTime", Formats.duration(Duration.ofMillis(100), HOUR),
 				defaults.keepTime());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new CallerSettings(bodyBytes, bodyTimeout, inFlight, keepTime);
 	}
 
@@ -55,10 +54,9 @@
 		SchedulingSettings defaults = SchedulingSettings.defaults();
 		Duration permitLifetime = section.optional("permitLifetime", upTo(MINUTE), defaults.permitLifetime());
 		Duration ownerTimeout = section.optional("ownerTimeout", upTo(MINUTE), defaults.ownerTimeout());
-		int waiting = section.optional("maximumWaiting", Formats.integer(1, MAXIMUM_REQUESTS),
-				defaults.maximumWaiting());
+		int waiting = section.optional("maximumWaiting", Formats.integer(1, MAX_REQUESTS), defaults.maximumWaiting());
 		Duration reports = section.optional("loadReportInterval", upTo(MINUTE), defaults.loadReportInterval());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new SchedulingSettings(permitLifetime, ownerTimeout, waiting, reports);
 	}
 
@@ -70,10 +68,10 @@
 		int appends = section.optional("appendsPerSecond", Formats.integer(1, 1000), defaults.appendsPerSecond());
 		Duration batchDelay = section.optional("batchDelay", Formats.duration(Duration.ZERO, Duration.ofSeconds(1)),
 				defaults.batchDelay());
-		int answerBytes = section.optional("maximumAnswerBytes", Formats.integer(1, MAXIMUM_BYTES),
+		int answerBytes = section.optional("maximumAnswerBytes", Formats.integer(1, MAX_BYTES),
 				defaults.maximumAnswerBytes());
 		Duration takeover = section.optional("takeoverAfter", upTo(HOUR), defaults.takeoverAfter());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new JournalSettings(partitions, window, appends, batchDelay, answerBytes, takeover);
 	}
 
@@ -83,7 +81,7 @@
 		Duration timeout = section.optional("probeTimeout", upTo(MINUTE), defaults.probeTimeout());
 		Duration suspicion = section.optional("suspicionTimeout", upTo(HOUR), defaults.suspicionTimeout());
 		Duration vmList = section.optional("vmListInterval", upTo(MINUTE), defaults.vmListInterval());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new MembershipSettings(interval, timeout, suspicion, vmList);
 	}
 
@@ -95,7 +93,7 @@
 				defaults.readWait());
 		Duration snapshots = section.optional("snapshotInterval",
 				Formats.duration(Duration.ofSeconds(1), Duration.ofHours(24)), defaults.snapshotInterval());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new ConfigurationSettings(stream, readWait, snapshots);
 	}
 
@@ -104,7 +102,7 @@
 		Duration linger = section.optional("linger", Formats.duration(MILLISECOND, HOUR), defaults.linger());
 		Duration limit = section.optional("limit", Formats.duration(Duration.ZERO, Duration.ofHours(24)),
 				defaults.limit());
-		section.finish();
+		section.rejectUnknownKeys();
 		return new StopSettings(linger, limit);
 	}
 
--- a/settings/src/main/java/org/sardineport/settings/StopSettings.java
+++ b/settings/src/main/java/org/sardineport/settings/StopSettings.java
@@ -3,17 +3,18 @@
 import java.time.Duration;
 
 /**
- * Planned stops.
+ * Settings of planned stops.
  *
- * @param linger time for which callers are served after the stop was announced; longer
- * than the keep time
- * @param limit time after which running work is cut off; zero for never
+ * @param linger time for which new requests are served after a stop is announced; longer
+ * than {@link CallerSettings#keepTime()}, so that callers with a cached address are
+ * served
+ * @param limit time after which requests in flight are aborted; zero for no limit
  */
 public record StopSettings(Duration linger, Duration limit) {
 
 	/**
-	 * Returns the defaults.
-	 * @return the settings that hold where a file says nothing
+	 * Returns the values of keys that are absent from the settings file.
+	 * @return the default settings
 	 */
 	public static StopSettings defaults() {
 		return new StopSettings(Duration.ofSeconds(15), Duration.ZERO);
--- a/settings/src/main/java/org/sardineport/settings/package-info.java
+++ b/settings/src/main/java/org/sardineport/settings/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Settings of a daemon and texts of profiles: their YAML form, checks and defaults.
+ * Settings of a daemon: their YAML format, validation and defaults.
  */
 @NullMarked
 package org.sardineport.settings;
--- a/settings/src/main/java/org/sardineport/settings/profile/ProfileReader.java
+++ b/settings/src/main/java/org/sardineport/settings/profile/ProfileReader.java
@@ -25,30 +25,30 @@
 import org.sardineport.settings.yaml.YamlDocument;
 
 /**
- * Reads profiles from YAML. Pure: the same text gives the same profile or the same faults
- * on every daemon. Safe for use by any thread.
+ * Parses profiles in YAML. Deterministic: the same text yields the same profile or the
+ * same faults on every daemon. Thread-safe.
  */
 public final class ProfileReader implements ProfileParser {
 
 	private static final DocumentLimits LIMITS = new DocumentLimits(256 * 1024, 20_000, 6);
 
-	private static final int MAXIMUM_ROUTES = 256;
+	private static final int MAX_ROUTES = 256;
 
-	private static final int MAXIMUM_ORGANISATIONS = 2000;
+	private static final int MAX_ORGANISATIONS = 2000;
 
-	private static final int MAXIMUM_TOKENS = 8;
+	private static final int MAX_TOKEN_HASHES = 8;
 
-	private static final Duration MINIMUM_DEADLINE = Duration.ofMillis(10);
+	private static final Duration MIN_DEADLINE = Duration.ofMillis(10);
 
-	private static final Duration MAXIMUM_DEADLINE = Duration.ofHours(24);
+	private static final Duration MAX_DEADLINE = Duration.ofHours(24);
 
-	private static final int DEFAULT_BODY_BYTES = 1024 * 1024;
+	private static final int DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 
-	private static final int MAXIMUM_BODY_BYTES = 64 * 1024 * 1024;
+	private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-	private static final int MAXIMUM_ANSWER_TOKENS = 1_000_000;
+	private static final int MAX_ANSWER_TOKENS = 1_000_000;
 
-	private static final long MAXIMUM_TOKENS_PER_SECOND = 1_000_000_000;
+	private static final long MAX_TOKENS_PER_SECOND = 1_000_000_000;
 
 	private static final ScalarFormat<String> METHOD = Formats
 		.matching("an HTTP method in upper case, or '*' in quotes", Pattern.compile("[A-Z]{1,16}|\\*"));
@@ -61,7 +61,7 @@
 	private static final ScalarFormat<String> TOKEN_HASH = ScalarFormat
 		.secret("the SHA-256 hash of a token, 64 lower-case hexadecimal digits", (text) -> {
 			if (!text.matches("[0-9a-f]{64}")) {
-				throw new IllegalArgumentException("not a SHA-256 hash");
+				throw new IllegalArgumentException("value must be a SHA-256 hash");
 			}
 			return text;
 		});
@@ -70,18 +70,18 @@
 	}
 
 	/**
-	 * Returns a reader.
-	 * @return the reader
+	 * Creates a reader.
+	 * @return the reader, which has no state
 	 */
 	public static ProfileReader create() {
 		return new ProfileReader();
 	}
 
 	/**
-	 * Reads a profile.
-	 * @param yaml its text
+	 * Parses a profile.
+	 * @param yaml the text of the profile
 	 * @return the profile
-	 * @throws InvalidDocumentException with all faults that were found
+	 * @throws InvalidDocumentException if the text is invalid; contains all faults found
 	 */
 	@Override
 	public Profile parse(String yaml) throws InvalidDocumentException {
@@ -89,9 +89,9 @@
 		FaultList faults = FaultList.create();
 		Section root = YamlDocument.read("profile", yaml, LIMITS, faults);
 		ProfileName name = root.required("name", Formats.name(ProfileName::of));
-		List<Route> routes = root.sections("routes", MAXIMUM_ROUTES, ProfileReader::route);
+		List<Route> routes = root.sections("routes", MAX_ROUTES, ProfileReader::route);
 		Map<OrganisationId, OrganisationPolicy> organisations = organisations(root);
-		root.finish();
+		root.rejectUnknownKeys();
 		checkShadowing(root, routes);
 		if (faults.isEmpty() && routes.isEmpty()) {
 			root.fault("routes", "no route", "write at least one route");
@@ -108,13 +108,13 @@
 		String path = section.required("path", PATH);
 		PoolName pool = section.required("pool", Formats.name(PoolName::of));
 		Tier tier = section.required("tier", Formats.constant(Tier.class));
-		Duration deadline = section.required("deadline", Formats.duration(MINIMUM_DEADLINE, MAXIMUM_DEADLINE));
-		boolean nonIdempotent = section.optional("nonIdempotent", Formats.truth(), false);
-		boolean durable = section.optional("durable", Formats.truth(), false);
-		int bodyBytes = section.optional("maximumBodyBytes", Formats.integer(0, MAXIMUM_BODY_BYTES),
-				DEFAULT_BODY_BYTES);
-		int answerTokens = section.optional("answerTokens", Formats.integer(0, MAXIMUM_ANSWER_TOKENS), 0);
-		section.finish();
+		Duration deadline = section.required("deadline", Formats.duration(MIN_DEADLINE, MAX_DEADLINE));
+		boolean nonIdempotent = section.optional("nonIdempotent", Formats.bool(), false);
+		boolean durable = section.optional("durable", Formats.bool(), false);
+		int bodyBytes = section.optional("maximumBodyBytes", Formats.integer(0, MAX_BODY_BYTES),
+				DEFAULT_MAX_BODY_BYTES);
+		int answerTokens = section.optional("answerTokens", Formats.integer(0, MAX_ANSWER_TOKENS), 0);
+		section.rejectUnknownKeys();
 		if (path == null || pool == null || tier == null || deadline == null) {
 			return null;
 		}
@@ -123,10 +123,10 @@
 
 	private static Map<OrganisationId, OrganisationPolicy> organisations(Section root) {
 		Map<OrganisationId, OrganisationPolicy> result = new LinkedHashMap<>();
-		root.sections("organisations", MAXIMUM_ORGANISATIONS, (section) -> {
+		root.sections("organisations", MAX_ORGANISATIONS, (section) -> {
 			OrganisationPolicy policy = organisation(section);
 			if (policy != null && result.putIfAbsent(policy.organisation(), policy) != null) {
-				section.fault("name", "organisation '%s' a second time".formatted(policy.organisation()),
+				section.fault("name", "a duplicate organisation '%s'".formatted(policy.organisation()),
 						"keep one of the two");
 			}
 			return policy;
@@ -136,9 +136,9 @@
 
 	private static @Nullable OrganisationPolicy organisation(Section section) {
 		OrganisationId name = section.required("name", Formats.name(OrganisationId::of));
-		long limit = section.optional("tokensPerSecond", Formats.number(0, MAXIMUM_TOKENS_PER_SECOND), 0L);
-		List<String> hashes = section.list("tokenHashes", TOKEN_HASH, MAXIMUM_TOKENS);
-		section.finish();
+		long limit = section.optional("tokensPerSecond", Formats.longInteger(0, MAX_TOKENS_PER_SECOND), 0L);
+		List<String> hashes = section.list("tokenHashes", TOKEN_HASH, MAX_TOKEN_HASHES);
+		section.rejectUnknownKeys();
 		return (name != null) ? new OrganisationPolicy(name, limit, hashes) : null;
 	}
 
@@ -149,7 +149,7 @@
 					root.fault("routes",
 							"%s %s after %s %s, which matches all its requests".formatted(routes.get(later).method(),
 									routes.get(later).path(), routes.get(earlier).method(), routes.get(earlier).path()),
-							"move the narrower route before the wider one, or remove it");
+							"move the more specific route before the more general one, or remove it");
 					break;
 				}
 			}
--- a/settings/src/main/java/org/sardineport/settings/profile/RouteCoverage.java
+++ b/settings/src/main/java/org/sardineport/settings/profile/RouteCoverage.java
@@ -3,7 +3,7 @@
 import org.sardineport.core.profile.Route;
 
 /**
- * Tells whether one route matches all requests of another.
+ * Determines whether one route matches every request that another route matches.
  */
 final class RouteCoverage {
 
--- a/settings/src/main/java/org/sardineport/settings/profile/package-info.java
+++ b/settings/src/main/java/org/sardineport/settings/profile/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The YAML form of profiles and its checks.
+ * Parsing and validation of profiles in YAML.
  */
 @NullMarked
 package org.sardineport.settings.profile;
--- a/settings/src/main/java/org/sardineport/settings/yaml/DocumentLimits.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/DocumentLimits.java
@@ -1,21 +1,22 @@
 package org.sardineport.settings.yaml;
 
 /**
- * Bounds on a document, so that a hostile or mistaken one costs little.
+ * Limits on a document, so that a malicious or malformed one can't exhaust memory or CPU
+ * time.
  *
- * @param maximumCharacters most characters
- * @param maximumNodes most values, keys, lists and sections together
- * @param maximumDepth deepest nesting
+ * @param maximumCharacters maximum number of characters
+ * @param maximumNodes maximum number of values, keys, lists and sections together
+ * @param maximumDepth maximum nesting depth
  */
 public record DocumentLimits(int maximumCharacters, int maximumNodes, int maximumDepth) {
 
 	/**
-	 * Creates the limits.
+	 * Creates limits.
 	 * @throws IllegalArgumentException if a limit is not positive
 	 */
 	public DocumentLimits {
 		if (maximumCharacters < 1 || maximumNodes < 1 || maximumDepth < 1) {
-			throw new IllegalArgumentException("limits must be positive");
+			throw new IllegalArgumentException("limits must be at least 1");
 		}
 	}
 
--- a/settings/src/main/java/org/sardineport/settings/yaml/FaultList.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/FaultList.java
@@ -7,15 +7,15 @@
 import org.sardineport.core.error.InvalidDocumentException;
 
 /**
- * Gathers the faults of one document. Not safe for use by several threads.
+ * Collects the faults of one document. Not thread-safe.
  */
 public final class FaultList {
 
-	/** Most faults that are kept; a document with more is hardly read to the end. */
-	private static final int MAXIMUM_FAULTS = 100;
+	/** Maximum number of faults reported for a document; further ones are discarded. */
+	private static final int MAX_FAULTS = 100;
 
-	/** Longest quotation of what was found, in characters. */
-	private static final int MAXIMUM_QUOTATION = 60;
+	/** Maximum number of characters quoted from a value. */
+	private static final int MAX_QUOTED_CHARACTERS = 60;
 
 	private final List<DocumentFault> faults = new ArrayList<>();
 
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Returns an empty list.
+	 * Creates an empty list.
 	 * @return the list
 	 */
 	public static FaultList create() {
@@ -31,20 +31,20 @@
 	}
 
 	/**
-	 * Adds a fault.
-	 * @param path where it is
-	 * @param line line, from 1; 0 for none
-	 * @param found what stands there; never a secret
-	 * @param remedy what to write instead
+	 * Adds a fault, unless the list already holds 100.
+	 * @param path path of the value within the document
+	 * @param line line of the value, starting at 1; 0 if there is none
+	 * @param found description of the value found; must not contain a secret
+	 * @param remedy description of a valid value
 	 */
 	public void add(String path, int line, String found, String remedy) {
-		if (this.faults.size() < MAXIMUM_FAULTS) {
+		if (this.faults.size() < MAX_FAULTS) {
 			this.faults.add(new DocumentFault(path, line, found, remedy));
 		}
 	}
 
 	/**
-	 * Returns whether no fault was added.
+	 * Returns whether the list contains no faults.
 	 * @return whether the list is empty
 	 */
 	public boolean isEmpty() {
@@ -52,9 +52,9 @@
 	}
 
 	/**
-	 * Fails if a fault was added.
-	 * @param document what the document is
-	 * @throws InvalidDocumentException with all faults
+	 * Throws an exception if the list contains faults.
+	 * @param document kind of the document, for the message
+	 * @throws InvalidDocumentException if there are faults; contains all of them
 	 */
 	public void throwIfAny(String document) throws InvalidDocumentException {
 		if (!this.faults.isEmpty()) {
@@ -63,12 +63,14 @@
 	}
 
 	/**
-	 * Quotes a text that was found, shortened and without control characters.
+	 * Quotes a text. Control characters are replaced by question marks, and a text of
+	 * more than 60 characters is truncated.
 	 * @param text the text
-	 * @return the quotation
+	 * @return the quoted text
 	 */
-	static String quoted(String text) {
-		String shortened = (text.length() > MAXIMUM_QUOTATION) ? text.substring(0, MAXIMUM_QUOTATION) + "..." : text;
+	static String quote(String text) {
+		String shortened = (text.length() > MAX_QUOTED_CHARACTERS) ? text.substring(0, MAX_QUOTED_CHARACTERS) + "..."
+				: text;
 		return "'" + shortened.replaceAll("\\p{Cntrl}", "?") + "'";
 	}
 
--- a/settings/src/main/java/org/sardineport/settings/yaml/Formats.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/Formats.java
@@ -11,7 +11,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * The forms of values that documents use.
+ * Factory methods for the formats of scalar values in settings and profiles.
  */
 public final class Formats {
 
@@ -23,8 +23,9 @@
 	}
 
 	/**
-	 * Returns the form of a name.
-	 * @param parser turns the text into the name
+	 * Returns the format of a name.
+	 * @param parser converts the text to the name; throws
+	 * {@link IllegalArgumentException} if it is invalid
 	 * @param <T> type of the name
 	 * @return the format
 	 */
@@ -33,9 +34,9 @@
 	}
 
 	/**
-	 * Returns the form of a whole number within a range.
-	 * @param minimum least value
-	 * @param maximum greatest value
+	 * Returns the format of an {@code int} in decimal notation without leading zeros.
+	 * @param minimum smallest valid value
+	 * @param maximum largest valid value
 	 * @return the format
 	 */
 	public static ScalarFormat<Integer> integer(int minimum, int maximum) {
@@ -43,36 +44,36 @@
 	}
 
 	/**
-	 * Returns the form of a long whole number within a range.
-	 * @param minimum least value
-	 * @param maximum greatest value
+	 * Returns the format of a {@code long} in decimal notation without leading zeros.
+	 * @param minimum smallest valid value
+	 * @param maximum largest valid value
 	 * @return the format
 	 */
-	public static ScalarFormat<Long> number(long minimum, long maximum) {
+	public static ScalarFormat<Long> longInteger(long minimum, long maximum) {
 		return ScalarFormat.of(range(minimum, maximum), (text) -> parse(text, minimum, maximum));
 	}
 
 	/**
-	 * Returns the form of a truth value.
+	 * Returns the format of a boolean, {@code true} or {@code false}.
 	 * @return the format
 	 */
-	public static ScalarFormat<Boolean> truth() {
+	public static ScalarFormat<Boolean> bool() {
 		return ScalarFormat.of("true or false", (text) -> switch (text) {
 			case "true" -> Boolean.TRUE;
 			case "false" -> Boolean.FALSE;
-			default -> throw new IllegalArgumentException("neither true nor false");
+			default -> throw new IllegalArgumentException("value must be true or false");
 		});
 	}
 
 	/**
-	 * Returns the form of a duration within a range.
-	 * @param minimum least value
-	 * @param maximum greatest value
+	 * Returns the format of a duration: a whole number followed by ms, s, m or h.
+	 * @param minimum shortest valid duration
+	 * @param maximum longest valid duration
 	 * @return the format
 	 */
 	public static ScalarFormat<Duration> duration(Duration minimum, Duration maximum) {
-		String expectation = "a duration of %s to %s, a whole number with ms, s, m or h".formatted(show(minimum),
-				show(maximum));
+		String expectation = "a duration of %s to %s, a whole number with ms, s, m or h"
+			.formatted(formatDuration(minimum), formatDuration(maximum));
 		return ScalarFormat.of(expectation, (text) -> {
 			Duration value = parseDuration(text);
 			require(value.compareTo(minimum) >= 0 && value.compareTo(maximum) <= 0);
@@ -81,21 +82,22 @@
 	}
 
 	/**
-	 * Returns the form of an IP address with a port.
+	 * Returns the format of an IP address with a port. Host names and the unspecified
+	 * address are invalid.
 	 * @return the format
 	 */
 	public static ScalarFormat<NetworkAddress> address() {
 		return ScalarFormat.of("ip:port with an IP number such as 10.0.0.1:8080 or [fd00::1]:8080, not a host name "
 				+ "and not the unspecified address", (text) -> {
 					NetworkAddress value = NetworkAddress.parse(text);
-					require(IpNumbers.isValid(value.ip()) && !IpNumbers.isUnspecified(value.ip()));
+					require(IpAddresses.isValid(value.ip()) && !IpAddresses.isUnspecified(value.ip()));
 					return value;
 				});
 	}
 
 	/**
-	 * Returns the form of a constant of an enum, in lower case.
-	 * @param type the enum
+	 * Returns the format of an enum constant, written in lower case.
+	 * @param type class of the enum
 	 * @param <E> type of the constant
 	 * @return the format
 	 */
@@ -110,9 +112,9 @@
 	}
 
 	/**
-	 * Returns the form of a text that matches a pattern.
-	 * @param expectation what to write
-	 * @param pattern the pattern
+	 * Returns the format of a text that matches a pattern.
+	 * @param expectation description of a valid value, to follow the word "write"
+	 * @param pattern pattern that the whole text must match
 	 * @return the format
 	 */
 	public static ScalarFormat<String> matching(String expectation, Pattern pattern) {
@@ -123,9 +125,10 @@
 	}
 
 	/**
-	 * Returns the form of a secret, of printable ASCII characters without spaces.
-	 * @param minimumLength least length in characters
-	 * @param maximumLength greatest length in characters
+	 * Returns the format of a secret of printable ASCII characters without spaces. The
+	 * secret never appears in a fault.
+	 * @param minimumLength minimum length in characters
+	 * @param maximumLength maximum length in characters
 	 * @return the format
 	 */
 	public static ScalarFormat<String> secret(int minimumLength, int maximumLength) {
@@ -139,11 +142,11 @@
 	}
 
 	/**
-	 * Returns a duration in the form in which documents write it.
-	 * @param duration the duration, of whole milliseconds
-	 * @return the text
+	 * Formats a duration as in a document, in the largest unit that divides it.
+	 * @param duration the duration; truncated to milliseconds
+	 * @return the number followed by ms, s, m or h
 	 */
-	public static String show(Duration duration) {
+	public static String formatDuration(Duration duration) {
 		long millis = duration.toMillis();
 		if (millis == 0 || millis % 1000 != 0) {
 			return millis + "ms";
@@ -179,7 +182,7 @@
 
 	private static void require(boolean condition) {
 		if (!condition) {
-			throw new IllegalArgumentException("value has another form or is out of range");
+			throw new IllegalArgumentException("value is malformed or out of range");
 		}
 	}
 
--- a/settings/src/main/java/org/sardineport/settings/yaml/ScalarFormat.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/ScalarFormat.java
@@ -4,7 +4,7 @@
 import java.util.function.Function;
 
 /**
- * The form of a single value: how it is parsed and what a fault says of it. Immutable.
+ * Format of a scalar value: its parser and the description used in faults. Immutable.
  *
  * @param <T> type of the value
  */
@@ -23,10 +23,10 @@
 	}
 
 	/**
-	 * Returns a format.
-	 * @param expectation what to write, after the word "write"
-	 * @param parser parses the text; throws {@link IllegalArgumentException} if it has
-	 * another form
+	 * Creates a format.
+	 * @param expectation description of a valid value, to follow the word "write"
+	 * @param parser parses the text; throws {@link IllegalArgumentException} if it is
+	 * invalid
 	 * @param <T> type of the value
 	 * @return the format
 	 */
@@ -35,10 +35,10 @@
 	}
 
 	/**
-	 * Returns a format whose values never appear in a fault.
-	 * @param expectation what to write, after the word "write"
-	 * @param parser parses the text; throws {@link IllegalArgumentException} if it has
-	 * another form
+	 * Creates a format whose values never appear in a fault.
+	 * @param expectation description of a valid value, to follow the word "write"
+	 * @param parser parses the text; throws {@link IllegalArgumentException} if it is
+	 * invalid
 	 * @param <T> type of the value
 	 * @return the format
 	 */
@@ -53,11 +53,11 @@
 		return this.parser.apply(text);
 	}
 
-	String found(String text) {
+	String describe(String text) {
 		if (text.isEmpty()) {
 			return "nothing";
 		}
-		return this.secret ? "a value of %d characters".formatted(text.length()) : FaultList.quoted(text);
+		return this.secret ? "a value of %d characters".formatted(text.length()) : FaultList.quote(text);
 	}
 
 	String expectation() {
--- a/settings/src/main/java/org/sardineport/settings/yaml/Section.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/Section.java
@@ -17,10 +17,10 @@
 import org.yaml.snakeyaml.nodes.SequenceNode;
 
 /**
- * A section of keys and values. Each value that is asked for marks its key as known;
- * {@link #finish()} then refuses the other keys. A value with a fault is reported and the
- * caller gets null or the default, so that reading goes on to the next fault. Not safe
- * for use by several threads.
+ * A section of keys and values. Reading a value marks its key as known;
+ * {@link #rejectUnknownKeys()} then reports all other keys. For an invalid value a fault
+ * is recorded and null or the default is returned, so that all faults of a document are
+ * found in one pass. Not thread-safe.
  */
 public final class Section {
 
@@ -34,7 +34,7 @@
 
 	private final Map<String, Integer> lines = new HashMap<>();
 
-	private final Set<String> known = new LinkedHashSet<>();
+	private final Set<String> knownKeys = new LinkedHashSet<>();
 
 	private Section(String path, int line, FaultList faults) {
 		this.path = path;
@@ -62,50 +62,50 @@
 		}
 		String name = key.getValue();
 		if (this.values.putIfAbsent(name, tuple.getValueNode()) != null) {
-			this.faults.add(child(name), keyLine, "the key a second time", "keep one of the two");
+			this.faults.add(child(name), keyLine, "a duplicate key", "keep one of the two");
 			return;
 		}
 		this.lines.put(name, keyLine);
 	}
 
 	/**
-	 * Returns where a key of this section is.
+	 * Returns the path of a key of this section.
 	 * @param key the key
-	 * @return its path
+	 * @return the path within the document, with dots between the keys
 	 */
 	public String child(String key) {
-		String shown = key.replaceAll("\\p{Cntrl}", "?");
-		return this.path.isEmpty() ? shown : this.path + "." + shown;
+		String printableKey = key.replaceAll("\\p{Cntrl}", "?");
+		return this.path.isEmpty() ? printableKey : this.path + "." + printableKey;
 	}
 
 	/**
-	 * Reports a fault of a key's value.
-	 * @param key the key
-	 * @param found what stands there; never a secret
-	 * @param remedy what to write instead
+	 * Records a fault of a value.
+	 * @param key key of the value
+	 * @param found description of the value found; must not contain a secret
+	 * @param remedy description of a valid value
 	 */
 	public void fault(String key, String found, String remedy) {
 		this.faults.add(child(key), this.lines.getOrDefault(key, this.line), found, remedy);
 	}
 
 	/**
-	 * Returns whether a key stands in the section.
+	 * Returns whether the section contains a key.
 	 * @param key the key
-	 * @return whether it does
+	 * @return whether the key is present
 	 */
 	public boolean has(String key) {
 		return this.values.containsKey(key);
 	}
 
 	/**
-	 * Returns a required value.
-	 * @param key its key
-	 * @param format the form of the value
+	 * Reads a required value.
+	 * @param key key of the value
+	 * @param format format of the value
 	 * @param <T> type of the value
-	 * @return the value, or null if it is missing or has a fault, which is then reported
+	 * @return the value, or null after recording a fault if it is missing or invalid
 	 */
 	public <T> @Nullable T required(String key, ScalarFormat<T> format) {
-		this.known.add(key);
+		this.knownKeys.add(key);
 		Node node = this.values.get(key);
 		if (node == null) {
 			this.faults.add(child(key), this.line, "nothing", "write " + format.expectation());
@@ -115,28 +115,28 @@
 	}
 
 	/**
-	 * Returns a value that may be left out.
-	 * @param key its key
-	 * @param format the form of the value
-	 * @param otherwise what holds if the key is absent
+	 * Reads an optional value.
+	 * @param key key of the value
+	 * @param format format of the value
+	 * @param defaultValue value to use if the key is absent
 	 * @param <T> type of the value
-	 * @return the value, or {@code otherwise} if it is absent or has a fault, which is
-	 * then reported
+	 * @return the value, or {@code defaultValue} if it is absent or, after recording a
+	 * fault, if it is invalid
 	 */
-	public <T> T optional(String key, ScalarFormat<T> format, T otherwise) {
-		this.known.add(key);
+	public <T> T optional(String key, ScalarFormat<T> format, T defaultValue) {
+		this.knownKeys.add(key);
 		Node node = this.values.get(key);
 		T value = (node != null) ? scalar(node, child(key), format) : null;
-		return (value != null) ? value : otherwise;
+		return (value != null) ? value : defaultValue;
 	}
 
 	/**
-	 * Returns a list of values.
-	 * @param key its key; an absent key is an empty list
-	 * @param format the form of each value
-	 * @param maximum most values
+	 * Reads a list of values.
+	 * @param key key of the list
+	 * @param format format of each value
+	 * @param maximum maximum number of values
 	 * @param <T> type of the values
-	 * @return the values without those that have a fault
+	 * @return the valid values; empty if the key is absent or the list is too long
 	 */
 	public <T> List<T> list(String key, ScalarFormat<T> format, int maximum) {
 		List<T> result = new ArrayList<>();
@@ -152,12 +152,12 @@
 	}
 
 	/**
-	 * Returns a list of sections.
-	 * @param key its key; an absent key is an empty list
-	 * @param maximum most sections
-	 * @param reader turns a section into a value, or null if it has a fault
+	 * Reads a list of sections.
+	 * @param key key of the list
+	 * @param maximum maximum number of sections
+	 * @param reader converts a section to a value, or to null if it is invalid
 	 * @param <T> type of the values
-	 * @return the values without those that have a fault
+	 * @return the valid values; empty if the key is absent or the list is too long
 	 */
 	public <T> List<T> sections(String key, int maximum, Function<Section, @Nullable T> reader) {
 		List<T> result = new ArrayList<>();
@@ -179,12 +179,13 @@
 	}
 
 	/**
-	 * Returns a section inside this one.
-	 * @param key its key
-	 * @return the section; an empty one if the key is absent or has a fault
+	 * Returns a nested section.
+	 * @param key key of the section
+	 * @return the section; empty if the key is absent or, after recording a fault, if its
+	 * value is not a section
 	 */
 	public Section section(String key) {
-		this.known.add(key);
+		this.knownKeys.add(key);
 		Node node = this.values.get(key);
 		if (node instanceof MappingNode mapping) {
 			return of(mapping, child(key), this.faults);
@@ -196,18 +197,19 @@
 	}
 
 	/**
-	 * Refuses all keys that were not asked for.
+	 * Records a fault for each key that has not been read. To be called after all values
+	 * have been read.
 	 */
-	public void finish() {
+	public void rejectUnknownKeys() {
 		for (String key : this.values.keySet()) {
-			if (!this.known.contains(key)) {
-				fault(key, "an unknown key", "remove it, or write one of: " + String.join(", ", this.known));
+			if (!this.knownKeys.contains(key)) {
+				fault(key, "an unknown key", "remove it, or write one of: " + String.join(", ", this.knownKeys));
 			}
 		}
 	}
 
 	private List<Node> items(String key, int maximum) {
-		this.known.add(key);
+		this.knownKeys.add(key);
 		Node node = this.values.get(key);
 		if (node == null) {
 			return List.of();
@@ -224,16 +226,17 @@
 		return sequence.getValue();
 	}
 
-	private <T> @Nullable T scalar(Node node, String place, ScalarFormat<T> format) {
+	private <T> @Nullable T scalar(Node node, String valuePath, ScalarFormat<T> format) {
 		if (!(node instanceof ScalarNode scalar)) {
-			this.faults.add(place, lineOf(node), kindOf(node), "write " + format.expectation());
+			this.faults.add(valuePath, lineOf(node), kindOf(node), "write " + format.expectation());
 			return null;
 		}
 		try {
 			return format.parse(scalar.getValue());
 		}
 		catch (IllegalArgumentException ex) {
-			this.faults.add(place, lineOf(node), format.found(scalar.getValue()), "write " + format.expectation());
+			this.faults.add(valuePath, lineOf(node), format.describe(scalar.getValue()),
+					"write " + format.expectation());
 			return null;
 		}
 	}
--- a/settings/src/main/java/org/sardineport/settings/yaml/YamlDocument.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/YamlDocument.java
@@ -22,8 +22,8 @@
 import org.yaml.snakeyaml.representer.Representer;
 
 /**
- * Reads the YAML text of one document within limits. Anchors, aliases, tags and several
- * documents in one text are refused, so that what an operator reads is what holds.
+ * Parses the YAML text of one document within limits. Anchors, aliases, tags and multiple
+ * documents are rejected, so that each value stands in the text where it applies.
  */
 public final class YamlDocument {
 
@@ -31,14 +31,14 @@
 	}
 
 	/**
-	 * Reads a document.
-	 * @param name what the document is, for errors
-	 * @param text its text
-	 * @param limits bounds on it
-	 * @param faults takes the faults that are found while the section is read
-	 * @return its topmost section
-	 * @throws InvalidDocumentException if the text is no section of YAML within the
-	 * limits
+	 * Parses a document.
+	 * @param name kind of the document, for the message of an exception
+	 * @param text the text of the document
+	 * @param limits limits on the document
+	 * @param faults receives the faults that are found when the section's values are read
+	 * @return the root section
+	 * @throws InvalidDocumentException if the text is not valid YAML, is not a mapping,
+	 * or exceeds a limit
 	 */
 	public static Section read(String name, String text, DocumentLimits limits, FaultList faults)
 			throws InvalidDocumentException {
@@ -53,10 +53,10 @@
 		}
 		fatal.throwIfAny(name);
 		if (!(root instanceof MappingNode mapping)) {
-			fatal.add("", 1, (root != null) ? "no section" : "nothing",
+			fatal.add("", 1, (root != null) ? "a text that is not a section" : "nothing",
 					"write keys with values, such as 'name: value'");
 			fatal.throwIfAny(name);
-			throw new IllegalStateException("a fault was added");
+			throw new IllegalStateException("unreachable: the fault must have been thrown");
 		}
 		return Section.of(mapping, "", faults);
 	}
@@ -68,11 +68,11 @@
 		}
 		catch (MarkedYAMLException ex) {
 			int line = (ex.getProblemMark() != null) ? ex.getProblemMark().getLine() + 1 : 0;
-			fatal.add("", line, "text that is no YAML (" + ex.getProblem() + ")",
+			fatal.add("", line, "text that is not valid YAML (" + ex.getProblem() + ")",
 					"correct the indentation, quotes or brackets at this line");
 		}
 		catch (YAMLException ex) {
-			fatal.add("", 0, "text that is no YAML (" + ex.getMessage() + ")", "write plain YAML");
+			fatal.add("", 0, "text that is not valid YAML (" + ex.getMessage() + ")", "write plain YAML");
 		}
 		return null;
 	}
--- a/settings/src/main/java/org/sardineport/settings/yaml/package-info.java
+++ b/settings/src/main/java/org/sardineport/settings/yaml/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Bounded reading of YAML documents, with every fault named by its place.
+ * Parsing of YAML documents within size limits. All faults of a document are reported
+ * with their path and line.
  */
 @NullMarked
 package org.sardineport.settings.yaml;
--- a/settings/src/test/java/org/sardineport/settings/DaemonSettingsReaderTests.java
+++ b/settings/src/test/java/org/sardineport/settings/DaemonSettingsReaderTests.java
@@ -32,7 +32,7 @@
 	private final DaemonSettingsReader reader = DaemonSettingsReader.create();
 
 	@Test
-	void fillsWhatIsLeftOutWithDefaults() throws InvalidDocumentException {
+	void usesDefaultsForAbsentKeys() throws InvalidDocumentException {
 		DaemonSettings settings = this.reader.read(VALID);
 		assertThat(settings.callers()).isEqualTo(CallerSettings.defaults());
 		assertThat(settings.scheduling()).isEqualTo(SchedulingSettings.defaults());
@@ -57,7 +57,7 @@
 	}
 
 	@Test
-	void namesEveryFaultAtOnce() {
+	void reportsAllFaults() {
 		InvalidDocumentException error = catchThrowableOfType(InvalidDocumentException.class, () -> this.reader.read("""
 				fleet: 'two words'
 				daemon: entry-1
@@ -82,7 +82,7 @@
 	}
 
 	@Test
-	void neverShowsASecret() {
+	void doesNotRevealSecrets() {
 		InvalidDocumentException error = catchThrowableOfType(InvalidDocumentException.class,
 				() -> this.reader.read(VALID.replace("operatorToken: 0123456789abcdef", "operatorToken: hush-hush")));
 		assertThat(error.getMessage()).doesNotContain("hush").contains("9 characters");
@@ -100,7 +100,7 @@
 
 		LINGER_NOT_ABOVE_KEEP_TIME(VALID + "callers: {keepTime: 15s}", "stop"),
 		STOP_LIMIT_BELOW_LINGER(VALID + "stop: {limit: 10s}", "stop"),
-		LEAVING_BACKEND_SERVER_TOO_LATE(VALID + "scheduling: {loadReportInterval: 2s}", "scheduling"),
+		LEAVING_DELAY_TOO_LONG(VALID + "scheduling: {loadReportInterval: 2s}", "scheduling"),
 		TAKEOVER_AFTER_REPLAY_WINDOW(VALID + "journal: {replayWindow: 1m, takeoverAfter: 1m}", "journal"),
 		REPLAY_WINDOW_BELOW_BODY_TIMEOUT(VALID + "journal: {replayWindow: 20s}", "journal"),
 		PROBE_TIMEOUT_ABOVE_INTERVAL(VALID + "membership: {probeTimeout: 500ms}", "membership"),
@@ -113,7 +113,7 @@
 		SAME_ADDRESS_TWICE(VALID.replace("10.0.0.1:8081", "10.0.0.1:8080"), "operatorAddress"),
 		ADDRESS_OUT_OF_RANGE(VALID.replace("10.0.0.1:8080", "10.0.0.256:8080"), "callerAddress"),
 		ADDRESS_UNSPECIFIED(VALID.replace("10.0.0.1:8080", "0.0.0.0:8080"), "callerAddress"),
-		ADDRESS_THAT_READS_AS_A_NAME(VALID.replace("10.0.0.1:8080", "dead:8080"), "callerAddress"),
+		HOST_NAME_OF_HEX_DIGITS(VALID.replace("10.0.0.1:8080", "dead:8080"), "callerAddress"),
 		IPV6_MALFORMED(VALID.replace("[fd00::1]", "[fd00::1::2]"), "peerAddress"),
 		NUMBER_IN_OCTAL(VALID + "callers: {maximumInFlight: 010}", "callers.maximumInFlight"),
 		NUMBER_TOO_LARGE(VALID + "journal: {partitions: 99999999999999999999}", "journal.partitions"),
--- a/settings/src/test/java/org/sardineport/settings/profile/ProfileReaderTests.java
+++ b/settings/src/test/java/org/sardineport/settings/profile/ProfileReaderTests.java
@@ -65,7 +65,7 @@
 	}
 
 	@Test
-	void namesEveryFaultAtOnce() {
+	void reportsAllFaults() {
 		InvalidDocumentException error = catchThrowableOfType(InvalidDocumentException.class,
 				() -> this.reader.parse("""
 						name: ledger
