--- a/cli/src/main/java/org/sardineport/cli/Console.java
+++ b/cli/src/main/java/org/sardineport/cli/Console.java
@@ -10,8 +10,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 
 /**
- * What a command reads from and writes to: standard output, standard error and the
- * environment.
+ * Standard output, standard error and environment variables of a command.
  */
 public final class Console {
 
@@ -30,9 +29,9 @@
 	}
 
 	/**
-	 * Returns a console.
-	 * @param out standard output
-	 * @param err standard error
+	 * Creates a console on the given streams.
+	 * @param out stream for results
+	 * @param err stream for progress and errors
 	 * @param environment environment variables
 	 * @return the console
 	 */
@@ -41,7 +40,7 @@
 	}
 
 	/**
-	 * Returns the console of this process.
+	 * Returns a console on the streams and the environment of this process.
 	 * @return the console
 	 */
 	public static Console system() {
@@ -49,38 +48,38 @@
 	}
 
 	/**
-	 * Writes a line of the result.
-	 * @param line the line
+	 * Writes a line of the result to standard output.
+	 * @param line the line, without a line break
 	 */
 	public void line(String line) {
 		this.out.println(line);
 	}
 
 	/**
-	 * Writes the result as JSON.
-	 * @param value a record of the result
+	 * Writes the result as indented JSON to standard output.
+	 * @param value the result, a record that Jackson can serialise
 	 */
 	public void json(Object value) {
 		try {
 			this.out.println(this.json.writeValueAsString(value));
 		}
 		catch (JsonProcessingException ex) {
-			throw new IllegalArgumentException("value must be writable as JSON", ex);
+			throw new IllegalArgumentException("could not serialise the result as JSON", ex);
 		}
 	}
 
 	/**
-	 * Writes a line about the course of the command.
-	 * @param line the line
+	 * Writes a line about progress or an error to standard error.
+	 * @param line the line, without a line break
 	 */
 	public void note(String line) {
 		this.err.println(line);
 	}
 
 	/**
-	 * Returns an environment variable.
-	 * @param name its name
-	 * @return its value, or empty if it is not set
+	 * Returns the value of an environment variable.
+	 * @param name name of the variable
+	 * @return the value, or empty if it is unset or an empty string
 	 */
 	public Optional<String> environment(String name) {
 		return Optional.ofNullable(this.environment.get(name)).filter((value) -> !value.isEmpty());
--- a/cli/src/main/java/org/sardineport/cli/ExitCode.java
+++ b/cli/src/main/java/org/sardineport/cli/ExitCode.java
@@ -1,23 +1,23 @@
 package org.sardineport.cli;
 
 /**
- * Exit codes of the command line, for scripts.
+ * Exit codes of the command line. Scripts rely on the numbers, so they must not change.
  */
 public enum ExitCode {
 
-	/** All was done. */
+	/** The command succeeded. */
 	OK(0),
 
-	/** Something failed that no other code stands for. */
+	/** The command failed for a reason without a code of its own. */
 	FAILED(1),
 
-	/** The command line is wrong, or a file cannot be read. */
+	/** The command line is invalid, or a file cannot be read. */
 	USAGE(2),
 
 	/** A document has faults; nothing was published. */
 	INVALID(3),
 
-	/** Others changed a profile first; nothing was published. */
+	/** A profile has been changed since the base version; nothing was published. */
 	CONFLICT(4),
 
 	/** There are warnings that were not accepted; nothing was published. */
@@ -26,13 +26,15 @@
 	/** The log service or a daemon could not be reached; nothing was published. */
 	UNAVAILABLE(6),
 
-	/** It cannot be told whether the publication is or will be in force. */
+	/** The outcome is unknown: the publication may be or come into force. */
 	UNKNOWN(7),
 
-	/** The publication is accepted, but not all live daemons have reported it in time. */
+	/**
+	 * The publication is accepted, but not reported by all live daemons within the wait.
+	 */
 	NOT_EVERYWHERE(8),
 
-	/** There are differences. */
+	/** The files differ from the profiles in force. */
 	DIFFERENT(9);
 
 	private final int code;
@@ -42,8 +44,8 @@
 	}
 
 	/**
-	 * Returns the number that the process exits with.
-	 * @return the number
+	 * Returns the exit status of the process.
+	 * @return the status, from 0 to 9
 	 */
 	public int code() {
 		return this.code;
--- a/cli/src/main/java/org/sardineport/cli/Main.java
+++ b/cli/src/main/java/org/sardineport/cli/Main.java
@@ -24,7 +24,7 @@
 import org.sardineport.core.port.log.LogServiceException;
 
 /**
- * Command line of the operators.
+ * Entry point of the command line for operators.
  */
 @Cli(name = "sardineport", description = "Operates a fleet of sardineport daemons",
 		commands = { Help.class, StatusCommand.class, EntryCommand.class, ExplainCommand.class, DemoCommand.class },
@@ -38,17 +38,17 @@
 	}
 
 	/**
-	 * Runs the command line.
-	 * @param arguments the arguments
+	 * Runs a command and exits the process with its exit code.
+	 * @param arguments the command and its options
 	 */
 	public static void main(String[] arguments) {
 		System.exit(run(Console.system(), arguments).code());
 	}
 
 	/**
-	 * Runs the command line within a process that goes on.
-	 * @param console where it reads from and writes to
-	 * @param arguments the arguments
+	 * Runs a command without exiting the process.
+	 * @param console console for input and output
+	 * @param arguments the command and its options
 	 * @return the exit code
 	 */
 	public static ExitCode run(Console console, String... arguments) {
@@ -61,8 +61,8 @@
 			console.note("Run 'sardineport help' for the commands, 'sardineport help profile publish' for one.");
 			return ExitCode.USAGE;
 		}
-		if (command instanceof CliCommand known) {
-			return run(console, known);
+		if (command instanceof CliCommand cliCommand) {
+			return run(console, cliCommand);
 		}
 		((Runnable) command).run();
 		return ExitCode.OK;
--- a/cli/src/main/java/org/sardineport/cli/UsageException.java
+++ b/cli/src/main/java/org/sardineport/cli/UsageException.java
@@ -3,7 +3,7 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * The command line cannot be carried out as it was written.
+ * Thrown when the arguments of a command are missing or invalid.
  */
 public final class UsageException extends SardineportException {
 
@@ -14,10 +14,10 @@
 	}
 
 	/**
-	 * Returns the error.
-	 * @param message what is wrong
-	 * @param remedy what to write instead
-	 * @return the error
+	 * Creates an exception.
+	 * @param message the argument in error
+	 * @param remedy description of a valid argument
+	 * @return the exception
 	 */
 	public static UsageException of(String message, String remedy) {
 		return new UsageException(message, remedy);
--- a/cli/src/main/java/org/sardineport/cli/command/CliCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/CliCommand.java
@@ -12,7 +12,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * A command of the command line.
+ * Base class of the commands.
  */
 public abstract class CliCommand {
 
@@ -24,7 +24,7 @@
 
 	/**
 	 * Runs the command.
-	 * @param console where it reads from and writes to
+	 * @param console console for input and output
 	 * @return the exit code
 	 * @throws SardineportException if the command fails
 	 * @throws IOException if a file cannot be read
@@ -32,21 +32,21 @@
 	public abstract ExitCode run(Console console) throws SardineportException, IOException;
 
 	/**
-	 * Returns whether the result is to be written as JSON.
-	 * @return whether JSON is wanted
+	 * Returns whether the result must be written as JSON instead of text.
+	 * @return whether the output format is JSON
 	 */
 	protected final boolean isJson() {
 		return JSON.equals(this.output);
 	}
 
 	/**
-	 * Returns an address that is given by an option or by an environment variable.
-	 * @param value value of the option, empty if it is not given
-	 * @param option name of the option
-	 * @param variable name of the variable
-	 * @param console the console
-	 * @return the address, or empty if neither is given
-	 * @throws UsageException if the text is no address
+	 * Returns an address from an option or, if it is absent, an environment variable.
+	 * @param value value of the option; empty if it is absent
+	 * @param option name of the option, for messages
+	 * @param variable name of the environment variable
+	 * @param console source of environment variables
+	 * @return the address, or empty if both are absent
+	 * @throws UsageException if the value is not a valid address
 	 */
 	protected static Optional<NetworkAddress> address(String value, String option, String variable, Console console)
 			throws UsageException {
@@ -64,14 +64,14 @@
 	}
 
 	/**
-	 * Returns the error for an address that is not given.
-	 * @param what what the address is of
+	 * Creates the exception for a missing address.
+	 * @param what service or port that the address belongs to
 	 * @param option name of the option
-	 * @param variable name of the variable
-	 * @return the error
+	 * @param variable name of the environment variable
+	 * @return the exception
 	 */
 	protected static UsageException missing(String what, String option, String variable) {
-		return UsageException.of("the address of %s is not given".formatted(what),
+		return UsageException.of("missing the address of %s".formatted(what),
 				"Give it with %s ip:port or in the environment variable %s.".formatted(option, variable));
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/command/EntryCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/EntryCommand.java
@@ -13,11 +13,11 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * Shows which addresses a caller would be told.
+ * Shows the entry addresses that a daemon returns to callers.
  */
-@Command(name = "entry", description = "Shows which addresses a caller would be told to use")
+@Command(name = "entry", description = "Shows the entry addresses that callers receive")
 @Examples(examples = "sardineport entry --caller 10.1.0.11:8080",
-		descriptions = "Shows what the daemon at this address tells callers.")
+		descriptions = "Shows the entry addresses from the daemon at this address.")
 public final class EntryCommand extends CliCommand {
 
 	private static final String OPTION = "--caller";
@@ -32,16 +32,16 @@
 
 	@Override
 	public ExitCode run(Console console) throws SardineportException {
-		EntryResponse answer = DaemonClient
+		EntryResponse response = DaemonClient
 			.of(address(this.address, OPTION, VARIABLE, console)
 				.orElseThrow(() -> missing("a daemon's callers' port", OPTION, VARIABLE)), Optional.empty(), TIMEOUT)
 			.entry();
 		if (isJson()) {
-			console.json(answer);
+			console.json(response);
 		}
 		else {
-			answer.addresses().forEach(console::line);
-			console.line("keep for %d s".formatted(answer.keepSeconds()));
+			response.addresses().forEach(console::line);
+			console.line("keep for %d s".formatted(response.keepSeconds()));
 		}
 		return ExitCode.OK;
 	}
--- a/cli/src/main/java/org/sardineport/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ExplainCommand.java
@@ -15,34 +15,34 @@
 import org.sardineport.cli.Console;
 import org.sardineport.cli.ExitCode;
 import org.sardineport.cli.UsageException;
-import org.sardineport.cli.explain.RequestStory;
+import org.sardineport.cli.explain.RequestHistory;
 import org.sardineport.core.error.SardineportException;
 
 /**
- * Tells what became of one request, from the logs of several daemons.
+ * Shows the course and the outcome of a request from the logs of several daemons.
  */
-@Command(name = "explain", description = "Tells from logs what became of a request, and why")
+@Command(name = "explain", description = "Shows the course and the outcome of a request from daemon logs")
 @Examples(examples = "sardineport explain 9c41d07be2a35f68 front-1.log front-2.log",
-		descriptions = "Tells the story of one request over two daemons' logs.")
+		descriptions = "Shows the events of one request in the logs of two daemons.")
 public final class ExplainCommand extends CliCommand {
 
 	@Arguments(title = { "REQUEST-ID", "FILE" },
-			description = "The request's identity, then files with logs; standard input without files")
+			description = "Id of the request, then log files; standard input if there are none")
 	private List<String> arguments = new ArrayList<>();
 
 	@Override
 	public ExitCode run(Console console) throws SardineportException, IOException {
 		if (this.arguments.isEmpty()) {
-			throw UsageException.of("the request's identity is not given", "Give it as the first argument.");
+			throw UsageException.of("missing the id of the request", "Give it as the first argument.");
 		}
-		RequestStory story = RequestStory.gather(this.arguments.get(0), lines());
+		RequestHistory history = RequestHistory.fromLogs(this.arguments.get(0), lines());
 		if (isJson()) {
-			console.json(story.lines());
+			console.json(history.lines());
 		}
 		else {
-			story.lines().forEach(console::line);
+			history.lines().forEach(console::line);
 		}
-		return story.isKnown() ? ExitCode.OK : ExitCode.UNKNOWN;
+		return history.isKnown() ? ExitCode.OK : ExitCode.UNKNOWN;
 	}
 
 	private List<String> lines() throws IOException {
--- a/cli/src/main/java/org/sardineport/cli/command/LogOptions.java
+++ b/cli/src/main/java/org/sardineport/cli/command/LogOptions.java
@@ -15,7 +15,7 @@
 import org.sardineport.daemon.platform.HttpLogService;
 
 /**
- * Options that name the configuration stream.
+ * Options for access to the configuration stream.
  */
 public final class LogOptions {
 
@@ -35,11 +35,13 @@
 	private int timeoutSeconds = 10;
 
 	/**
-	 * Runs an action with a replica of the stream that was read to its end.
-	 * @param console the console
+	 * Runs an action with a replica that has read the stream to its end. The connection
+	 * to the log service is closed when the action returns.
+	 * @param console source of environment variables
 	 * @param action the action
-	 * @return what the action returns
-	 * @throws SardineportException if the log service fails, or the action
+	 * @return the exit code of the action
+	 * @throws SardineportException if the address is missing or invalid, the log service
+	 * fails, the stream has a gap, or the action fails
 	 */
 	ExitCode withReplica(Console console, Action action) throws SardineportException {
 		NetworkAddress service = CliCommand.address(this.address, OPTION, VARIABLE, console)
@@ -62,23 +64,23 @@
 	}
 
 	/**
-	 * Returns the time to wait for the log service.
-	 * @return the time
+	 * Returns the timeout of requests to the log service.
+	 * @return the timeout
 	 */
 	Duration timeout() {
 		return Duration.ofSeconds(this.timeoutSeconds);
 	}
 
 	/**
-	 * What is done with a replica.
+	 * Action on a replica of the configuration.
 	 */
 	interface Action {
 
 		/**
-		 * Does it.
-		 * @param replica the replica
+		 * Runs the action.
+		 * @param replica replica that has read the stream to its end
 		 * @return the exit code
-		 * @throws SardineportException if it fails
+		 * @throws SardineportException if the action fails
 		 */
 		ExitCode run(StreamReplica replica) throws SardineportException;
 
--- a/cli/src/main/java/org/sardineport/cli/command/OperatorOptions.java
+++ b/cli/src/main/java/org/sardineport/cli/command/OperatorOptions.java
@@ -13,7 +13,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Options that name the operators' port of a daemon.
+ * Options for access to the operators' port of a daemon.
  */
 public final class OperatorOptions {
 
@@ -34,11 +34,11 @@
 	private String tokenFile = "";
 
 	/**
-	 * Returns a client of the daemon that is named.
-	 * @param console the console
-	 * @return the client, or empty if no daemon is named
+	 * Returns a client for the daemon given by option or environment variable.
+	 * @param console source of environment variables
+	 * @return the client, or empty if no address is given
 	 * @throws UsageException if the address is malformed
-	 * @throws IOException if the file with the token cannot be read
+	 * @throws IOException if the token file cannot be read
 	 */
 	Optional<DaemonClient> client(Console console) throws UsageException, IOException {
 		Optional<NetworkAddress> port = CliCommand.address(this.address, OPTION, VARIABLE, console);
@@ -51,11 +51,11 @@
 	}
 
 	/**
-	 * Returns a client of the daemon that is named.
-	 * @param console the console
+	 * Returns a client for the daemon given by option or environment variable.
+	 * @param console source of environment variables
 	 * @return the client
-	 * @throws UsageException if no daemon is named, or the address is malformed
-	 * @throws IOException if the file with the token cannot be read
+	 * @throws UsageException if the address is missing or malformed
+	 * @throws IOException if the token file cannot be read
 	 */
 	DaemonClient requiredClient(Console console) throws UsageException, IOException {
 		return client(console).orElseThrow(() -> CliCommand.missing("a daemon's operators' port", OPTION, VARIABLE));
--- a/cli/src/main/java/org/sardineport/cli/command/PlanView.java
+++ b/cli/src/main/java/org/sardineport/cli/command/PlanView.java
@@ -8,12 +8,12 @@
 import org.sardineport.core.publishing.PublicationPlan;
 
 /**
- * A plan as it is shown.
+ * Output form of a publication plan.
  *
- * @param baseVersion version that the publication is based on
- * @param differences what changes
- * @param warnings changes that are probably not meant
- * @param faults what makes it impossible
+ * @param baseVersion configuration version that the publication is based on
+ * @param differences changes to the profiles
+ * @param warnings changes that are probably unintended
+ * @param faults faults that prevent the publication
  */
 record PlanView(long baseVersion, List<DifferenceView> differences, List<WarningView> warnings,
 		List<FaultView> faults) {
@@ -40,7 +40,7 @@
 	}
 
 	/**
-	 * What changes in a profile.
+	 * Output form of the changes to a profile.
 	 */
 	record DifferenceView(String profile, String change, List<String> lines) {
 
@@ -51,13 +51,13 @@
 	}
 
 	/**
-	 * A change that is probably not meant.
+	 * Output form of a change that is probably unintended.
 	 */
 	record WarningView(String slip, String profile, String place, String consequence) {
 	}
 
 	/**
-	 * A fault.
+	 * Output form of a fault.
 	 */
 	record FaultView(String path, int line, String found, String remedy, String text) {
 
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileCheckCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileCheckCommand.java
@@ -13,7 +13,7 @@
 import org.sardineport.cli.command.PlanView.FaultView;
 
 /**
- * Checks files with profiles; asks no service.
+ * Validates profile files without access to any service.
  */
 @Command(name = "check", description = "Checks files with profiles and lists every fault; needs no service")
 @Examples(examples = "sardineport profile check *.yaml", descriptions = "Checks all profiles of a directory.")
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileDiffCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileDiffCommand.java
@@ -23,7 +23,7 @@
 import org.sardineport.settings.profile.ProfileReader;
 
 /**
- * Shows how files differ from the profiles in force.
+ * Shows the differences between profile files and the profiles in force.
  */
 @Command(name = "diff", description = "Shows how files differ from the profiles in force; exits with 9 if they do")
 @Examples(examples = "sardineport profile diff bagmati.yaml", descriptions = "Shows what publishing would change.")
@@ -40,7 +40,7 @@
 	public ExitCode run(Console console) throws SardineportException, IOException {
 		ProfileFiles read = new ProfileFiles();
 		List<ProfileDocument> documents = read.read(this.files);
-		read.throwIfFaulty();
+		read.throwIfInvalid();
 		return this.logOptions.withReplica(console, (replica) -> compare(console, documents, replica.state()));
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileFiles.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileFiles.java
@@ -16,8 +16,9 @@
 import org.sardineport.settings.profile.ProfileReader;
 
 /**
- * Files with profiles. A first line that {@code profile show} writes tells which version
- * the operator saw. Not safe for use by several threads.
+ * Reads profile files and collects their faults. The first line written by
+ * {@code profile show} gives the configuration version that the file is based on. Not
+ * thread-safe.
  */
 final class ProfileFiles {
 
@@ -27,22 +28,22 @@
 
 	private final List<DocumentFault> faults = new ArrayList<>();
 
-	private OptionalLong base = OptionalLong.empty();
+	private OptionalLong baseVersion = OptionalLong.empty();
 
 	/**
-	 * Returns a profile's text with the line that tells its version.
-	 * @param version the version in force
-	 * @param text the text
-	 * @return the text of a file
+	 * Returns a profile's text preceded by a line with the version.
+	 * @param version the configuration version in force
+	 * @param text the text of the profile
+	 * @return the text of a profile file
 	 */
 	static String withVersion(long version, String text) {
 		return VERSION_PREFIX + version + "\n" + text;
 	}
 
 	/**
-	 * Reads files. Faults are gathered.
-	 * @param files their names
-	 * @return the profiles of the files without faults
+	 * Reads files and records their faults.
+	 * @param files paths of the files
+	 * @return the profiles of the valid files
 	 * @throws IOException if a file cannot be read
 	 */
 	List<ProfileDocument> read(List<String> files) throws IOException {
@@ -63,26 +64,26 @@
 	}
 
 	/**
-	 * Returns the version that the operator saw.
-	 * @return the oldest version that a file names, or empty if none does
+	 * Returns the version that the files read so far are based on.
+	 * @return the oldest version in the files, or empty if no file contains one
 	 */
-	OptionalLong base() {
-		return this.base;
+	OptionalLong baseVersion() {
+		return this.baseVersion;
 	}
 
 	/**
-	 * Returns the faults of all files read.
-	 * @return the faults
+	 * Returns the faults of all files read so far.
+	 * @return the faults; their paths begin with the path of the file
 	 */
 	List<DocumentFault> faults() {
 		return this.faults;
 	}
 
 	/**
-	 * Fails if a file had faults.
-	 * @throws InvalidDocumentException with all faults
+	 * Throws an exception if a file has faults.
+	 * @throws InvalidDocumentException if there are faults; contains all of them
 	 */
-	void throwIfFaulty() throws InvalidDocumentException {
+	void throwIfInvalid() throws InvalidDocumentException {
 		if (!this.faults.isEmpty()) {
 			throw InvalidDocumentException.of("profile", this.faults);
 		}
@@ -94,7 +95,7 @@
 			return text;
 		}
 		long version = Long.parseLong(matcher.group(1));
-		this.base = OptionalLong.of(Math.min(version, this.base.orElse(version)));
+		this.baseVersion = OptionalLong.of(Math.min(version, this.baseVersion.orElse(version)));
 		return text.substring(matcher.end());
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileListCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileListCommand.java
@@ -16,7 +16,7 @@
 /**
  * Lists the profiles in force.
  */
-@Command(name = "list", description = "Lists the profiles in force, as the log tells them")
+@Command(name = "list", description = "Lists the profiles in force according to the log")
 @Examples(examples = "sardineport profile list --output json", descriptions = "Lists the profiles for a script.")
 public final class ProfileListCommand extends CliCommand {
 
--- a/cli/src/main/java/org/sardineport/cli/command/Names.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileNames.java
@@ -7,22 +7,22 @@
 import org.sardineport.core.identity.ProfileName;
 
 /**
- * Names on the command line.
+ * Parses profile names on the command line.
  */
-final class Names {
+final class ProfileNames {
 
-	private Names() {
+	private ProfileNames() {
 	}
 
-	static List<ProfileName> profiles(List<String> texts) throws UsageException {
+	static List<ProfileName> parseAll(List<String> texts) throws UsageException {
 		List<ProfileName> names = new ArrayList<>();
 		for (String text : texts) {
-			names.add(profile(text));
+			names.add(parse(text));
 		}
 		return names;
 	}
 
-	static ProfileName profile(String text) throws UsageException {
+	static ProfileName parse(String text) throws UsageException {
 		try {
 			return ProfileName.of(text);
 		}
--- a/cli/src/main/java/org/sardineport/cli/command/ProfilePublishCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfilePublishCommand.java
@@ -13,7 +13,7 @@
 import org.sardineport.core.publishing.PublicationDraft;
 
 /**
- * Publishes new profiles, and in the same step replaces and retires others.
+ * Publishes new profiles, and optionally replaces and retires others, in one publication.
  */
 @Command(name = "publish", description = "Publishes new profiles, all or none")
 @Examples(
@@ -35,8 +35,8 @@
 
 	@Override
 	PublicationDraft draft(ProfileFiles read) throws UsageException, IOException {
-		return new PublicationDraft(read.read(this.files), read.read(this.replaced), Names.profiles(this.retired),
-				OptionalLong.empty());
+		return new PublicationDraft(read.read(this.files), read.read(this.replaced),
+				ProfileNames.parseAll(this.retired), OptionalLong.empty());
 	}
 
 }
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileRetireCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileRetireCommand.java
@@ -23,7 +23,7 @@
 
 	@Override
 	PublicationDraft draft(ProfileFiles read) throws UsageException {
-		return new PublicationDraft(List.of(), List.of(), Names.profiles(this.names), OptionalLong.empty());
+		return new PublicationDraft(List.of(), List.of(), ProfileNames.parseAll(this.names), OptionalLong.empty());
 	}
 
 }
--- a/cli/src/main/java/org/sardineport/cli/command/ProfileShowCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/ProfileShowCommand.java
@@ -31,7 +31,7 @@
 	public ExitCode run(Console console) throws SardineportException {
 		return this.logOptions.withReplica(console, (replica) -> {
 			ConfigurationState state = replica.state();
-			StoredProfile stored = state.profile(Names.profile(this.name))
+			StoredProfile stored = state.profile(ProfileNames.parse(this.name))
 				.orElseThrow(() -> UsageException.of("no profile %s is in force".formatted(this.name),
 						"Run 'sardineport profile list' for those in force."));
 			if (isJson()) {
--- a/cli/src/main/java/org/sardineport/cli/command/PublishingCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/PublishingCommand.java
@@ -37,8 +37,8 @@
 import org.sardineport.settings.profile.ProfileReader;
 
 /**
- * A command that changes profiles: shows the difference, publishes, and waits until all
- * live daemons report the new version.
+ * Base class of the commands that change profiles. Shows the differences, publishes, and
+ * waits until all live daemons report the new version.
  */
 public abstract class PublishingCommand extends CliCommand {
 
@@ -76,10 +76,10 @@
 	private final InstantSource clock = InstantSource.system();
 
 	/**
-	 * Returns what is to be changed.
-	 * @param files reads the files
-	 * @return the draft; its base is set by the caller
-	 * @throws SardineportException if a name is malformed
+	 * Returns the changes to publish.
+	 * @param files reader of profile files, which collects their faults
+	 * @return the draft; the caller sets its base version
+	 * @throws SardineportException if a profile name is malformed
 	 * @throws IOException if a file cannot be read
 	 */
 	abstract PublicationDraft draft(ProfileFiles files) throws SardineportException, IOException;
@@ -88,8 +88,8 @@
 	public final ExitCode run(Console console) throws SardineportException, IOException {
 		ProfileFiles files = new ProfileFiles();
 		PublicationDraft read = draft(files);
-		files.throwIfFaulty();
-		OptionalLong base = (this.baseVersion != NO_BASE) ? OptionalLong.of(this.baseVersion) : files.base();
+		files.throwIfInvalid();
+		OptionalLong base = (this.baseVersion != NO_BASE) ? OptionalLong.of(this.baseVersion) : files.baseVersion();
 		PublicationDraft draft = new PublicationDraft(read.published(), read.replaced(), read.retired(), base);
 		Optional<DaemonClient> daemon = this.operatorOptions.client(console);
 		return this.logOptions.withReplica(console, (replica) -> publish(console, draft, replica, daemon));
@@ -105,23 +105,23 @@
 		if (!isJson()) {
 			view.write(console);
 		}
-		Optional<ExitCode> refused = refuse(plan);
+		Optional<ExitCode> refused = checkPlan(plan);
 		if (refused.isPresent()) {
-			return show(console, PublishingView.refused(view, refused.get()), refused.get());
+			return write(console, PublishingView.notPublished(view, refused.get()), refused.get());
 		}
 		String operator = this.operatorName.isEmpty() ? console.environment("USER").orElse("unknown")
 				: this.operatorName;
 		Publication publication = plan.publication(draft, UUID.randomUUID().toString(), operator);
-		PublicationTracker settlement = Publisher.create(replica, this.logOptions.timeout(), this.clock)
+		PublicationTracker tracker = Publisher.create(replica, this.logOptions.timeout(), this.clock)
 			.publish(publication);
-		if (settlement.outcome() != PublicationOutcome.ACCEPTED) {
-			ExitCode code = exitCode(settlement.outcome());
-			return show(console, PublishingView.settled(view, publication, settlement, List.of(), false), code);
+		if (tracker.outcome() != PublicationOutcome.ACCEPTED) {
+			ExitCode code = exitCode(tracker.outcome());
+			return write(console, PublishingView.ofOutcome(view, publication, tracker, List.of(), false), code);
 		}
-		return await(console, daemon, view, publication, settlement);
+		return awaitDaemons(console, daemon, view, publication, tracker);
 	}
 
-	private Optional<ExitCode> refuse(PublicationPlan plan) {
+	private Optional<ExitCode> checkPlan(PublicationPlan plan) {
 		if (!plan.faults().isEmpty()) {
 			return Optional.of(ExitCode.INVALID);
 		}
@@ -132,30 +132,30 @@
 		return warned ? Optional.of(ExitCode.WARNINGS) : Optional.empty();
 	}
 
-	private ExitCode await(Console console, Optional<DaemonClient> daemon, PlanView view, Publication publication,
-			PublicationTracker settlement) {
-		long version = settlement.verdict().map(Verdict::offset).orElseThrow();
+	private ExitCode awaitDaemons(Console console, Optional<DaemonClient> daemon, PlanView view,
+			Publication publication, PublicationTracker tracker) {
+		long version = tracker.verdict().map(Verdict::offset).orElseThrow();
 		if (daemon.isEmpty()) {
 			console.note("Not checked which daemons report the version: no operators' port is named.");
-			return show(console, PublishingView.settled(view, publication, settlement, List.of(), false), ExitCode.OK);
+			return write(console, PublishingView.ofOutcome(view, publication, tracker, List.of(), false), ExitCode.OK);
 		}
 		Instant end = this.clock.instant().plusSeconds(this.waitSeconds);
-		List<String> behind = behind(daemon.get(), version);
+		List<String> behind = daemonsBehind(daemon.get(), version);
 		while (!behind.isEmpty() && this.clock.instant().isBefore(end)) {
 			LockSupport.parkNanos(POLL_INTERVAL.toNanos());
-			behind = behind(daemon.get(), version);
+			behind = daemonsBehind(daemon.get(), version);
 		}
 		ExitCode code = behind.isEmpty() ? ExitCode.OK : ExitCode.NOT_EVERYWHERE;
-		return show(console, PublishingView.settled(view, publication, settlement, behind, true), code);
+		return write(console, PublishingView.ofOutcome(view, publication, tracker, behind, true), code);
 	}
 
-	private static List<String> behind(DaemonClient daemon, long version) {
+	private static List<String> daemonsBehind(DaemonClient daemon, long version) {
 		try {
 			FleetStatus status = daemon.status();
 			if (status.configurationVersion() < version) {
 				return List.of(status.daemon());
 			}
-			return status.behind(version);
+			return status.daemonsBehind(version);
 		}
 		catch (DaemonUnreachableException ex) {
 			return List.of("(" + ex.getMessage() + ")");
@@ -191,7 +191,7 @@
 		return pools;
 	}
 
-	private ExitCode show(Console console, PublishingView view, ExitCode code) {
+	private ExitCode write(Console console, PublishingView view, ExitCode code) {
 		if (isJson()) {
 			console.json(view);
 		}
--- a/cli/src/main/java/org/sardineport/cli/command/PublishingView.java
+++ b/cli/src/main/java/org/sardineport/cli/command/PublishingView.java
@@ -10,20 +10,20 @@
 import org.sardineport.core.publishing.PublicationTracker;
 
 /**
- * What became of a publication, as it is shown.
+ * Output form of the outcome of a publication.
  *
- * @param outcome what became of it, in lower case
- * @param version version in force by it; null if it is not in force
- * @param token its identity; null if nothing was published
+ * @param outcome the outcome in lower case
+ * @param version configuration version of the publication; null if it is not in force
+ * @param token identity of the publication; null if nothing was published
  * @param behind live daemons that do not report the version yet
- * @param sentence the result in a sentence
- * @param plan the difference and the warnings
+ * @param sentence summary of the outcome for operators
+ * @param plan the plan with differences, warnings and faults
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 record PublishingView(String outcome, @Nullable Long version, @Nullable String token, List<String> behind,
 		String sentence, PlanView plan) {
 
-	static PublishingView refused(PlanView plan, ExitCode code) {
+	static PublishingView notPublished(PlanView plan, ExitCode code) {
 		String sentence = switch (code) {
 			case INVALID -> "Nothing was published: correct the faults.";
 			case WARNINGS -> "Nothing was published: repeat with --accept-warnings if this is what you mean.";
@@ -32,12 +32,12 @@
 		return new PublishingView("not-published", null, null, List.of(), sentence, plan);
 	}
 
-	static PublishingView settled(PlanView plan, Publication publication, PublicationTracker settlement,
+	static PublishingView ofOutcome(PlanView plan, Publication publication, PublicationTracker tracker,
 			List<String> behind, boolean checked) {
-		String reason = settlement.verdict().map((verdict) -> verdict.reason() + ". " + verdict.remedy()).orElse("");
-		Long version = settlement.verdict().filter(Verdict::isAccepted).map(Verdict::offset).orElse(null);
+		String reason = tracker.verdict().map((verdict) -> verdict.reason() + ". " + verdict.remedy()).orElse("");
+		Long version = tracker.verdict().filter(Verdict::isAccepted).map(Verdict::offset).orElse(null);
 		String token = publication.token();
-		return switch (settlement.outcome()) {
+		return switch (tracker.outcome()) {
 			case ACCEPTED ->
 				new PublishingView("accepted", version, token, behind, accepted(version, behind, checked), plan);
 			case CONFLICT ->
--- a/cli/src/main/java/org/sardineport/cli/command/StatusCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/command/StatusCommand.java
@@ -13,7 +13,7 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * Shows the fleet as one daemon knows it.
+ * Shows the status of the fleet as known to one daemon.
  */
 @Command(name = "status", description = "Shows daemons, versions in force, backend servers and their owners")
 @Examples(examples = "sardineport status --operator 10.1.0.11:8081",
--- a/cli/src/main/java/org/sardineport/cli/command/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/command/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The commands of the command line.
+ * Commands and options of the command line.
  */
 @NullMarked
 package org.sardineport.cli.command;
--- a/cli/src/main/java/org/sardineport/cli/configuration/Publisher.java
+++ b/cli/src/main/java/org/sardineport/cli/configuration/Publisher.java
@@ -14,69 +14,70 @@
 import org.sardineport.wire.configuration.ConfigurationRecordCodec;
 
 /**
- * Publishes and finds out what became of it, within a time limit.
+ * Appends a publication to the configuration stream and determines its outcome, with
+ * retries until a timeout. Not thread-safe.
  */
 public final class Publisher {
 
-	private static final Duration FIRST_PAUSE = Duration.ofMillis(20);
+	private static final Duration INITIAL_BACKOFF = Duration.ofMillis(20);
 
-	private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
+	private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
 
 	private final StreamReplica replica;
 
-	private final Duration limit;
+	private final Duration timeout;
 
 	private final InstantSource clock;
 
-	private Duration pause = FIRST_PAUSE;
+	private Duration pause = INITIAL_BACKOFF;
 
-	private Publisher(StreamReplica replica, Duration limit, InstantSource clock) {
+	private Publisher(StreamReplica replica, Duration timeout, InstantSource clock) {
 		this.replica = Objects.requireNonNull(replica, "replica must not be null");
-		this.limit = Objects.requireNonNull(limit, "limit must not be null");
+		this.timeout = Objects.requireNonNull(timeout, "timeout must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 	}
 
 	/**
-	 * Returns a publisher.
-	 * @param replica replica of the stream, read to its end
-	 * @param limit time after which nothing more is tried
-	 * @param clock the clock
+	 * Creates a publisher.
+	 * @param replica replica that has read the stream to its end
+	 * @param timeout time after which no further append or read is started
+	 * @param clock clock that the timeout is measured with
 	 * @return the publisher
 	 */
-	public static Publisher create(StreamReplica replica, Duration limit, InstantSource clock) {
-		return new Publisher(replica, limit, clock);
+	public static Publisher create(StreamReplica replica, Duration timeout, InstantSource clock) {
+		return new Publisher(replica, timeout, clock);
 	}
 
 	/**
-	 * Publishes.
+	 * Publishes and blocks until the outcome is known or the timeout has passed.
 	 * @param publication the publication
-	 * @return what became of it
+	 * @return tracker with the outcome, which is unknown after a timeout
 	 */
 	public PublicationTracker publish(Publication publication) {
-		PublicationTracker settlement = PublicationTracker.create(publication.token());
+		PublicationTracker tracker = PublicationTracker.create(publication.token());
 		byte[] record = ConfigurationRecordCodec.create().encode(publication);
-		Instant end = this.clock.instant().plus(this.limit);
-		boolean possible = true;
-		Step step = settlement.nextStep();
-		while (possible && step != Step.FINISHED && this.clock.instant().isBefore(end)) {
+		Instant end = this.clock.instant().plus(this.timeout);
+		boolean retryable = true;
+		Step step = tracker.nextStep();
+		while (retryable && step != Step.FINISHED && this.clock.instant().isBefore(end)) {
 			if (step == Step.APPEND) {
-				possible = append(record, settlement);
+				retryable = append(record, tracker);
 			}
 			else {
-				read(settlement);
+				read(tracker);
 			}
-			step = settlement.nextStep();
+			step = tracker.nextStep();
 		}
-		return settlement;
+		return tracker;
 	}
 
-	private boolean append(byte[] record, PublicationTracker settlement) {
+	private boolean append(byte[] record, PublicationTracker tracker) {
 		try {
 			this.replica.append(record);
-			settlement.appended();
+			tracker.appended();
 		}
 		catch (LogServiceException ex) {
-			settlement.onAppendFailed(ex.failure());
+			tracker.onAppendFailed(ex.failure());
 			if (ex.failure() == LogFailure.RECORD_TOO_LARGE) {
 				return false;
 			}
@@ -85,16 +86,16 @@
 		return true;
 	}
 
-	private void read(PublicationTracker settlement) {
+	private void read(PublicationTracker tracker) {
 		try {
-			settlement.onVerdicts(this.replica.readToEnd());
-			settlement.readToEnd();
+			tracker.onVerdicts(this.replica.readToEnd());
+			tracker.readToEnd();
 		}
 		catch (LogServiceException ex) {
 			pause();
 			return;
 		}
-		if (settlement.nextStep() == Step.READ) {
+		if (tracker.nextStep() == Step.READ) {
 			pause();
 		}
 	}
@@ -102,7 +103,7 @@
 	private void pause() {
 		LockSupport.parkNanos(this.pause.toNanos());
 		Duration next = this.pause.multipliedBy(2);
-		this.pause = (next.compareTo(LONGEST_PAUSE) < 0) ? next : LONGEST_PAUSE;
+		this.pause = (next.compareTo(MAX_BACKOFF) < 0) ? next : MAX_BACKOFF;
 	}
 
 }
--- a/cli/src/main/java/org/sardineport/cli/configuration/StreamReplica.java
+++ b/cli/src/main/java/org/sardineport/cli/configuration/StreamReplica.java
@@ -23,12 +23,12 @@
 import org.sardineport.wire.configuration.DeflatedImageCodec;
 
 /**
- * Replays the configuration stream, waiting for each answer of the log service. Not safe
- * for use by several threads.
+ * Replica of the configuration that is read from the log stream with blocking calls. Not
+ * thread-safe.
  */
 public final class StreamReplica {
 
-	private static final int RECORDS_PER_READ = 256;
+	private static final int MAX_RECORDS_PER_READ = 256;
 
 	private final LogService log;
 
@@ -41,7 +41,7 @@
 	private final ConfigurationReplica replica = ConfigurationReplica.create(ProfileReader.create(),
 			DeflatedImageCodec.create());
 
-	private boolean begun;
+	private boolean started;
 
 	private StreamReplica(LogService log, String stream, Duration timeout) {
 		this.log = Objects.requireNonNull(log, "log must not be null");
@@ -50,10 +50,10 @@
 	}
 
 	/**
-	 * Returns a replica that has read nothing yet.
+	 * Creates a replica that has not read any record.
 	 * @param log the log service
 	 * @param stream name of the stream
-	 * @param timeout time to wait for an answer of the log service
+	 * @param timeout time to wait for each response of the log service
 	 * @return the replica
 	 */
 	public static StreamReplica create(LogService log, String stream, Duration timeout) {
@@ -61,7 +61,7 @@
 	}
 
 	/**
-	 * Returns the state as far as it was read.
+	 * Returns the configuration as of the last record read.
 	 * @return the state
 	 */
 	public ConfigurationState state() {
@@ -69,41 +69,41 @@
 	}
 
 	/**
-	 * Returns whether records are missing that the log does not keep any more.
-	 * @return whether the state is not known
+	 * Returns whether records are missing because the log has expired them.
+	 * @return whether the state is incomplete
 	 */
 	public boolean hasGap() {
 		return this.replica.hasGap();
 	}
 
 	/**
-	 * Reads the stream to its end.
-	 * @return verdicts that were reached; empty at the first call, which begins near the
-	 * end of the stream
+	 * Reads the stream to its end. The first call starts at the latest snapshot that it
+	 * finds near the end of the stream.
+	 * @return verdicts on the publications read; empty at the first call
 	 * @throws LogServiceException if the log service fails
 	 */
 	public List<Verdict> readToEnd() throws LogServiceException {
-		if (!this.begun) {
-			findStart();
-			this.begun = true;
+		if (!this.started) {
+			readFromLatestSnapshot();
+			this.started = true;
 			return List.of();
 		}
-		return readOn();
+		return readRemaining();
 	}
 
-	private void findStart() throws LogServiceException {
+	private void readFromLatestSnapshot() throws LogServiceException {
 		long endOffset = await(this.log.read(this.stream, LogService.EARLIEST, 1, Duration.ZERO)).endOffset();
 		TailSearch search = TailSearch.before(endOffset);
 		long start;
 		do {
 			start = search.next();
 			this.replica.beginAt(start);
-			readOn();
+			readRemaining();
 		}
 		while (this.replica.hasGap() && start > 0);
 	}
 
-	private List<Verdict> readOn() throws LogServiceException {
+	private List<Verdict> readRemaining() throws LogServiceException {
 		List<Verdict> verdicts = new ArrayList<>();
 		LogSlice slice;
 		do {
@@ -119,14 +119,14 @@
 
 	private LogSlice read() throws LogServiceException {
 		try {
-			return await(this.log.read(this.stream, this.replica.nextOffset(), RECORDS_PER_READ, Duration.ZERO));
+			return await(this.log.read(this.stream, this.replica.nextOffset(), MAX_RECORDS_PER_READ, Duration.ZERO));
 		}
 		catch (LogServiceException ex) {
 			if (ex.failure() != LogFailure.OFFSET_EXPIRED) {
 				throw ex;
 			}
 			this.replica.expired();
-			return await(this.log.read(this.stream, this.replica.nextOffset(), RECORDS_PER_READ, Duration.ZERO));
+			return await(this.log.read(this.stream, this.replica.nextOffset(), MAX_RECORDS_PER_READ, Duration.ZERO));
 		}
 	}
 
@@ -151,11 +151,11 @@
 			throw LogServiceException.of(LogFailure.UNKNOWN, "log service failed: " + ex.getCause(), ex);
 		}
 		catch (TimeoutException ex) {
-			throw LogServiceException.of(LogFailure.UNKNOWN, "no answer from the log service in time", ex);
+			throw LogServiceException.of(LogFailure.UNKNOWN, "no response from the log service within the timeout", ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			throw LogServiceException.of(LogFailure.UNKNOWN, "interrupted", ex);
+			throw LogServiceException.of(LogFailure.UNKNOWN, "interrupted while waiting for the log service", ex);
 		}
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/configuration/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/configuration/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Reading and writing of the configuration stream by the command line.
+ * Reads and appends to the configuration stream of the log service.
  */
 @NullMarked
 package org.sardineport.cli.configuration;
--- a/cli/src/main/java/org/sardineport/cli/demo/CallResult.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/CallResult.java
@@ -3,36 +3,36 @@
 import java.time.Duration;
 
 /**
- * What a caller got for one request.
+ * Result of one request as observed by its caller.
  *
  * @param item the request
- * @param ending how it ended
- * @param reason kind and outcome of a refusal, or what broke
- * @param latency from the planned time of sending to the end of the answer
+ * @param outcome outcome of the request
+ * @param reason kind and outcome of a refusal, or the cause of a failure; empty otherwise
+ * @param latency time from the planned sending to the end of the response
  */
-record CallResult(WorkItem item, Ending ending, String reason, Duration latency) {
+record CallResult(WorkItem item, Outcome outcome, String reason, Duration latency) {
 
 	boolean isGood() {
-		return this.ending == Ending.WHOLE && this.latency.compareTo(this.item.kind().deadline()) <= 0;
+		return this.outcome == Outcome.COMPLETE && this.latency.compareTo(this.item.kind().deadline()) <= 0;
 	}
 
 	/**
-	 * How a request ended for its caller.
+	 * Outcome of a request for its caller.
 	 */
-	enum Ending {
+	enum Outcome {
 
-		/** The whole answer to this request came. */
-		WHOLE,
-		/** A refusal with outcome not-run. */
+		/** The complete response to this request was received. */
+		COMPLETE,
+		/** The request was refused with outcome not-run, or no address was reachable. */
 		NOT_RUN,
-		/** A refusal with outcome unknown or completed. */
+		/** The request was refused with another outcome than not-run. */
 		UNKNOWN,
-		/** The answer ended with a notice that it is not whole. */
-		BROKEN_OFF,
-		/** The connection broke without a word. */
-		CUT_OFF,
-		/** An answer came that is not the one to this request, or not whole. */
-		WRONG
+		/** The response was aborted with an error event. */
+		ABORTED,
+		/** The connection was closed without an error event. */
+		CONNECTION_LOST,
+		/** The response is incomplete or does not belong to this request. */
+		INCORRECT
 
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/demo/DemoCallers.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoCallers.java
@@ -21,14 +21,15 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Callers that send the planned requests over real sockets, each to the address that the
- * system told it, whether earlier answers have come or not.
+ * Callers that send the planned requests over HTTP to their current entry address. Each
+ * request is sent at its planned time, even if earlier ones are still pending (open
+ * loop).
  */
 final class DemoCallers {
 
-	private static final int CALLERS = 12;
+	private static final int CALLER_COUNT = 12;
 
-	private static final int CONNECTIONS = 512;
+	private static final int MAX_CONNECTIONS = 512;
 
 	private final Vertx vertx;
 
@@ -36,16 +37,16 @@
 
 	private final HttpClient client;
 
-	private final List<EntryChooser> choosers = new ArrayList<>();
+	private final List<EntryAddressCache> addressCaches = new ArrayList<>();
 
 	DemoCallers(Vertx vertx, List<NetworkAddress> contacts) {
 		this.vertx = vertx;
 		this.context = vertx.getOrCreateContext();
-		this.client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(CONNECTIONS));
-		for (int i = 0; i < CALLERS; i++) {
+		this.client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+		for (int i = 0; i < CALLER_COUNT; i++) {
 			List<NetworkAddress> rotated = new ArrayList<>(contacts);
 			Collections.rotate(rotated, i);
-			this.choosers.add(new EntryChooser(vertx, rotated));
+			this.addressCaches.add(new EntryAddressCache(vertx, rotated));
 		}
 	}
 
@@ -55,21 +56,23 @@
 		for (WorkItem item : items) {
 			CompletableFuture<CallResult> result = new CompletableFuture<>();
 			results.add(result);
-			EntryChooser chooser = this.choosers.get(Math.floorMod(item.tag().hashCode(), CALLERS));
+			EntryAddressCache addressCache = this.addressCaches.get(Math.floorMod(item.tag().hashCode(), CALLER_COUNT));
 			this.context.runOnContext((ignored) -> this.vertx.setTimer(Math.max(1, item.at().toMillis()),
-					(id) -> send(item, chooser, start + item.at().toNanos(), result)));
+					(id) -> send(item, addressCache, start + item.at().toNanos(), result)));
 		}
 		return results;
 	}
 
-	private void send(WorkItem item, EntryChooser chooser, long planned, CompletableFuture<CallResult> result) {
-		chooser.addresses().onSuccess((addresses) -> connect(item, addresses, 0, planned, result));
+	private void send(WorkItem item, EntryAddressCache addressCache, long plannedNanos,
+			CompletableFuture<CallResult> result) {
+		addressCache.addresses().onSuccess((addresses) -> connect(item, addresses, 0, plannedNanos, result));
 	}
 
-	private void connect(WorkItem item, List<NetworkAddress> addresses, int index, long planned,
+	private void connect(WorkItem item, List<NetworkAddress> addresses, int index, long plannedNanos,
 			CompletableFuture<CallResult> result) {
 		if (index >= addresses.size()) {
-			result.complete(new CallResult(item, CallResult.Ending.NOT_RUN, "no address answers", since(planned)));
+			result.complete(
+					new CallResult(item, CallResult.Outcome.NOT_RUN, "no address answers", elapsedSince(plannedNanos)));
 			return;
 		}
 		NetworkAddress address = addresses.get(index);
@@ -78,36 +81,36 @@
 			.setMethod(HttpMethod.POST)
 			.setURI(item.kind().path());
 		this.client.request(options)
-			.onFailure((cause) -> connect(item, addresses, index + 1, planned, result))
-			.onSuccess((request) -> exchange(request, item, planned, result));
+			.onFailure((cause) -> connect(item, addresses, index + 1, plannedNanos, result))
+			.onSuccess((request) -> exchange(request, item, plannedNanos, result));
 	}
 
-	private void exchange(HttpClientRequest request, WorkItem item, long planned,
+	private void exchange(HttpClientRequest request, WorkItem item, long plannedNanos,
 			CompletableFuture<CallResult> result) {
 		request.putHeader("Sardineport-Profile", "demo");
 		request.putHeader("Sardineport-Organisation", item.organisation());
 		if (!item.key().isEmpty()) {
 			request.putHeader("Idempotency-Key", item.key());
 		}
-		Buffer answer = Buffer.buffer();
+		Buffer body = Buffer.buffer();
 		request.send(Buffer.buffer(item.body()))
-			.compose((response) -> read(response, answer).map((complete) -> AnswerCheck.check(item,
-					response.statusCode(), answer.toString(), complete, since(planned))))
+			.compose((response) -> readBody(response, body).map((complete) -> ResponseCheck.check(item,
+					response.statusCode(), body.toString(), complete, elapsedSince(plannedNanos))))
 			.onSuccess(result::complete)
-			.onFailure((cause) -> result.complete(new CallResult(item, CallResult.Ending.CUT_OFF,
-					Objects.toString(cause.getMessage()), since(planned))));
+			.onFailure((cause) -> result.complete(new CallResult(item, CallResult.Outcome.CONNECTION_LOST,
+					Objects.toString(cause.getMessage()), elapsedSince(plannedNanos))));
 	}
 
-	private static Future<Boolean> read(HttpClientResponse response, Buffer answer) {
-		Promise<Boolean> read = Promise.promise();
-		response.handler(answer::appendBuffer);
-		response.endHandler((ignored) -> read.tryComplete(true));
-		response.exceptionHandler((cause) -> read.tryComplete(false));
-		return read.future();
+	private static Future<Boolean> readBody(HttpClientResponse response, Buffer body) {
+		Promise<Boolean> complete = Promise.promise();
+		response.handler(body::appendBuffer);
+		response.endHandler((ignored) -> complete.tryComplete(true));
+		response.exceptionHandler((cause) -> complete.tryComplete(false));
+		return complete.future();
 	}
 
-	private static Duration since(long planned) {
-		return Duration.ofNanos(System.nanoTime() - planned);
+	private static Duration elapsedSince(long plannedNanos) {
+		return Duration.ofNanos(System.nanoTime() - plannedNanos);
 	}
 
 }
--- a/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoCommand.java
@@ -25,8 +25,8 @@
 import org.sardineport.settings.DaemonSettings;
 
 /**
- * Runs a whole fleet in this process, sends it a mix of requests, stops one daemon in the
- * middle, and checks what callers were told.
+ * Runs a fleet in this process, sends it a mix of requests, stops one daemon halfway, and
+ * checks that the responses to callers match the requests that backend servers received.
  */
 @Command(name = "demo", description = "Runs a fleet with stand-ins in one process and checks its promises")
 @Examples(examples = "sardineport demo --seconds 10", descriptions = "Sends requests for ten seconds.")
--- a/cli/src/main/java/org/sardineport/cli/demo/DemoFleet.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoFleet.java
@@ -34,8 +34,8 @@
 import org.sardineport.standins.vm.VmListStandIn;
 
 /**
- * Eight daemons in three failure domains, and stand-ins for the platform, two unlike
- * model engines and a ledger.
+ * Eight daemons in three failure domains with stand-ins for the platform, two model
+ * engines of different speed, and a ledger.
  */
 final class DemoFleet {
 
@@ -47,7 +47,7 @@
 
 	private static final String PEER_KEY = "key-of-the-demonstration-and-of-nothing-else";
 
-	private static final Duration LAG = Duration.ofMillis(500);
+	private static final Duration REPORT_LAG = Duration.ofMillis(500);
 
 	private static final Duration KEEP_TIME = Duration.ofSeconds(2);
 
@@ -71,7 +71,7 @@
 		this.vertx = vertx;
 		this.log = LogServiceStandIn.create(vertx, InMemoryLogService.create());
 		this.vmList = VmListStandIn.create(vertx, this.clock);
-		EngineOptions options = EngineOptions.fast().withLag(LAG);
+		EngineOptions options = EngineOptions.fast().withLag(REPORT_LAG);
 		this.engines = List.of(ModelEngineStandIn.create(vertx, this.clock, options.withConcurrency(16)
 			.withSpeed(20_000, Duration.ofMillis(6))), ModelEngineStandIn.create(vertx, this.clock,
 					options.withConcurrency(6).withSpeed(5_000, Duration.ofMillis(14)).withAbilities(false, false)));
@@ -82,10 +82,10 @@
 		join(this.log.start());
 		join(this.vmList.start());
 		join(this.ledger.start());
-		list("ledger", BackendKind.PLAIN_SERVICE, "ledger", this.ledger.address(), 0, 32);
+		addBackendServer("ledger", BackendKind.PLAIN_SERVICE, "ledger", this.ledger.address(), 0, 32);
 		for (int i = 0; i < this.engines.size(); i++) {
 			join(this.engines.get(i).start());
-			list("engine-" + i, BackendKind.MODEL_ENGINE, "dictionary", this.engines.get(i).address(), i,
+			addBackendServer("engine-" + i, BackendKind.MODEL_ENGINE, "dictionary", this.engines.get(i).address(), i,
 					(i == 0) ? 16 : 6);
 		}
 		for (int i = 0; i < DAEMONS; i++) {
@@ -120,8 +120,9 @@
 	}
 
 	/**
-	 * Returns what each backend server counted.
-	 * @return the requests received, by tag on engines and by key on the ledger
+	 * Returns the numbers of requests that the backend servers received.
+	 * @return one map for each backend server, keyed by tag on engines and by idempotency
+	 * key on the ledger
 	 */
 	List<Map<String, Integer>> dispatches() {
 		List<Map<String, Integer>> counts = new ArrayList<>();
@@ -148,7 +149,8 @@
 				KEEP_TIME);
 	}
 
-	private void list(String id, BackendKind kind, String pool, NetworkAddress address, int domain, int concurrency) {
+	private void addBackendServer(String id, BackendKind kind, String pool, NetworkAddress address, int domain,
+			int concurrency) {
 		this.vmList.putBackendServer(new BackendServer(BackendServerId.of(id), kind, PoolName.of(pool),
 				FailureDomain.of(FAILURE_DOMAINS.get(domain)), address, concurrency), VmState.LIVE);
 	}
--- a/cli/src/main/java/org/sardineport/cli/demo/DemoReport.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/DemoReport.java
@@ -8,21 +8,21 @@
 import org.sardineport.standins.engine.ModelEngineStandIn;
 
 /**
- * Result of the demonstration.
+ * Results of the demonstration.
  *
- * @param tiers figures of each tier
- * @param prefillTokens prompt tokens that the engines worked on
- * @param wastedPrefillTokens those of them whose answers were not finished
- * @param wastedPrefillPercent the share
- * @param stopMillis time that the planned stop took
- * @param broken promises that were broken
+ * @param tiers results of each tier
+ * @param prefillTokens number of prompt tokens that the engines processed
+ * @param wastedPrefillTokens number of those whose responses were not completed
+ * @param wastedPrefillPercent wasted prompt tokens in percent of the processed ones
+ * @param stopMillis duration of the planned stop in milliseconds
+ * @param broken descriptions of the violated promises
  */
 record DemoReport(List<TierReport> tiers, long prefillTokens, long wastedPrefillTokens, double wastedPrefillPercent,
 		long stopMillis, List<String> broken) {
 
 	private static final double PERCENT = 100;
 
-	private static final int SHOWN = 20;
+	private static final int MAX_SHOWN_VIOLATIONS = 20;
 
 	static DemoReport of(List<CallResult> results, List<ModelEngineStandIn> engines, long stopMillis,
 			List<String> broken) {
@@ -41,7 +41,7 @@
 		console.line("prefill tokens=%d wasted=%d (%.2f%%)".formatted(this.prefillTokens, this.wastedPrefillTokens,
 				this.wastedPrefillPercent));
 		console.line("planned stop of one daemon took %d ms".formatted(this.stopMillis));
-		this.broken.stream().limit(SHOWN).forEach((line) -> console.line("BROKEN: " + line));
+		this.broken.stream().limit(MAX_SHOWN_VIOLATIONS).forEach((line) -> console.line("BROKEN: " + line));
 		console
 			.line((this.broken.isEmpty()) ? "all promises held" : "%d promises broken".formatted(this.broken.size()));
 	}
--- a/cli/src/main/java/org/sardineport/cli/demo/PromiseCheck.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/PromiseCheck.java
@@ -8,7 +8,8 @@
 import org.sardineport.core.request.Tier;
 
 /**
- * Compares what callers were told with what the stand-ins counted.
+ * Compares the results of callers with the requests that the stand-ins received, and
+ * reports violated promises.
  */
 final class PromiseCheck {
 
@@ -16,7 +17,7 @@
 
 	private final Map<String, Integer> runs;
 
-	private final List<String> broken = new ArrayList<>();
+	private final List<String> violations = new ArrayList<>();
 
 	private PromiseCheck(List<CallResult> results, Map<String, Integer> runs) {
 		this.results = results;
@@ -25,66 +26,70 @@
 
 	/**
 	 * Checks all promises.
-	 * @param results what callers got
-	 * @param dispatches requests that each backend server received, by tag or key
-	 * @return one line for each promise that was broken
+	 * @param results results of all requests
+	 * @param dispatches numbers of requests that each backend server received, by tag or
+	 * idempotency key
+	 * @return one line for each violation
 	 */
 	static List<String> check(List<CallResult> results, List<Map<String, Integer>> dispatches) {
 		Map<String, Integer> runs = new HashMap<>();
 		dispatches.forEach((server) -> server.forEach((name, count) -> runs.merge(name, count, Integer::sum)));
 		PromiseCheck check = new PromiseCheck(results, runs);
-		check.ranAtMostOnce();
-		check.answersAreOwnAndWhole();
-		check.notRunIsTrue();
-		check.completedDidRun();
-		check.nothingWasCutOff();
-		check.topTierWasNotShed();
-		return check.broken;
+		check.checkDispatchedAtMostOnce();
+		check.checkResponsesAreCorrect();
+		check.checkNotRunWasNotDispatched();
+		check.checkCompletedWasDispatched();
+		check.checkNoConnectionWasLost();
+		check.checkTopTierWasNotShed();
+		return check.violations;
 	}
 
-	private void ranAtMostOnce() {
+	private void checkDispatchedAtMostOnce() {
 		this.runs.forEach((name, count) -> {
 			if (count > 1) {
-				this.broken.add("%s was dispatched %d times".formatted(name, count));
+				this.violations.add("%s was dispatched %d times".formatted(name, count));
 			}
 		});
 	}
 
-	private void answersAreOwnAndWhole() {
+	private void checkResponsesAreCorrect() {
 		this.results.stream()
-			.filter((result) -> result.ending() == CallResult.Ending.WRONG)
-			.forEach((result) -> this.broken.add(result.item().tag() + " got a wrong or partial answer as if whole"));
+			.filter((result) -> result.outcome() == CallResult.Outcome.INCORRECT)
+			.forEach((result) -> this.violations
+				.add(result.item().tag() + " received an incorrect or incomplete response without an error"));
 	}
 
-	private void notRunIsTrue() {
+	private void checkNotRunWasNotDispatched() {
 		Map<String, Boolean> onlyNotRun = new HashMap<>();
 		this.results.forEach((result) -> onlyNotRun.merge(name(result.item()),
-				result.ending() == CallResult.Ending.NOT_RUN, Boolean::logicalAnd));
+				result.outcome() == CallResult.Outcome.NOT_RUN, Boolean::logicalAnd));
 		onlyNotRun.forEach((name, notRun) -> {
 			if (notRun && this.runs.containsKey(name)) {
-				this.broken.add(name + " ran, and its caller was told that it did not");
+				this.violations.add(name + " was dispatched although its caller received the outcome not-run");
 			}
 		});
 	}
 
-	private void completedDidRun() {
+	private void checkCompletedWasDispatched() {
 		this.results.stream()
-			.filter((result) -> result.ending() == CallResult.Ending.WHOLE)
+			.filter((result) -> result.outcome() == CallResult.Outcome.COMPLETE)
 			.filter((result) -> !this.runs.containsKey(name(result.item())))
-			.forEach((result) -> this.broken.add(result.item().tag() + " was answered and never ran"));
+			.forEach((result) -> this.violations
+				.add(result.item().tag() + " received a complete response without being dispatched"));
 	}
 
-	private void nothingWasCutOff() {
+	private void checkNoConnectionWasLost() {
 		this.results.stream()
-			.filter((result) -> result.ending() == CallResult.Ending.CUT_OFF)
-			.forEach((result) -> this.broken.add("%s was cut off: %s".formatted(result.item().tag(), result.reason())));
+			.filter((result) -> result.outcome() == CallResult.Outcome.CONNECTION_LOST)
+			.forEach((result) -> this.violations.add("%s lost its connection without an error event: %s"
+				.formatted(result.item().tag(), result.reason())));
 	}
 
-	private void topTierWasNotShed() {
+	private void checkTopTierWasNotShed() {
 		this.results.stream()
 			.filter((result) -> result.item().kind().tier() == Tier.URGENT)
 			.filter((result) -> result.reason().startsWith("overloaded"))
-			.forEach((result) -> this.broken.add(result.item().tag() + " of the top tier was shed"));
+			.forEach((result) -> this.violations.add(result.item().tag() + " of the top tier was shed"));
 	}
 
 	private static String name(WorkItem item) {
--- a/cli/src/main/java/org/sardineport/cli/demo/AnswerCheck.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/ResponseCheck.java
@@ -7,46 +7,49 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * Tells whether an answer is the whole answer to its request.
+ * Determines the outcome of a request from its response: whether the response is
+ * complete, belongs to the request, or is a refusal.
  */
-final class AnswerCheck {
+final class ResponseCheck {
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
-	private static final int FIRST_REFUSAL = 400;
+	private static final int MIN_REFUSAL_STATUS = 400;
 
 	private static final String FINAL_EVENT = "data: [DONE]\n\n";
 
-	private AnswerCheck() {
+	private ResponseCheck() {
 	}
 
 	static CallResult check(WorkItem item, int status, String body, boolean complete, Duration latency) {
-		if (status >= FIRST_REFUSAL) {
+		if (status >= MIN_REFUSAL_STATUS) {
 			return refusal(item, body, latency);
 		}
 		if (!complete) {
-			boolean noticed = body.contains("event: error\n");
-			return new CallResult(item, (noticed) ? CallResult.Ending.BROKEN_OFF : CallResult.Ending.CUT_OFF,
-					(noticed) ? kindOfNotice(body) : "no end mark", latency);
+			boolean hasErrorEvent = body.contains("event: error\n");
+			return new CallResult(item,
+					(hasErrorEvent) ? CallResult.Outcome.ABORTED : CallResult.Outcome.CONNECTION_LOST,
+					(hasErrorEvent) ? errorEventKind(body) : "no end mark", latency);
 		}
-		boolean whole = (item.kind().isGenerated()) ? isWholeStream(item, body) : body.contains(item.key());
-		return new CallResult(item, (whole) ? CallResult.Ending.WHOLE : CallResult.Ending.WRONG, "", latency);
+		boolean correct = (item.kind().isGenerated()) ? isCompleteStream(item, body) : body.contains(item.key());
+		return new CallResult(item, (correct) ? CallResult.Outcome.COMPLETE : CallResult.Outcome.INCORRECT, "",
+				latency);
 	}
 
 	private static CallResult refusal(WorkItem item, String body, Duration latency) {
 		try {
 			JsonNode problem = JSON.readTree(body);
-			String outcome = problem.path("outcome").asText();
+			String problemOutcome = problem.path("outcome").asText();
 			return new CallResult(item,
-					(outcome.equals("not-run")) ? CallResult.Ending.NOT_RUN : CallResult.Ending.UNKNOWN,
-					problem.path("kind").asText() + "/" + outcome, latency);
+					(problemOutcome.equals("not-run")) ? CallResult.Outcome.NOT_RUN : CallResult.Outcome.UNKNOWN,
+					problem.path("kind").asText() + "/" + problemOutcome, latency);
 		}
 		catch (IOException ex) {
-			return new CallResult(item, CallResult.Ending.WRONG, "refusal without problem document", latency);
+			return new CallResult(item, CallResult.Outcome.INCORRECT, "refusal without problem document", latency);
 		}
 	}
 
-	private static boolean isWholeStream(WorkItem item, String body) {
+	private static boolean isCompleteStream(WorkItem item, String body) {
 		int tokens = item.kind().answerTokens();
 		int found = 0;
 		int from = body.indexOf("\"content\":\"");
@@ -60,7 +63,7 @@
 		return found == tokens && body.endsWith(FINAL_EVENT);
 	}
 
-	private static String kindOfNotice(String body) {
+	private static String errorEventKind(String body) {
 		int kind = body.indexOf("\"kind\":\"") + "\"kind\":\"".length();
 		return body.substring(kind, Math.max(kind, body.indexOf('"', kind)));
 	}
--- a/cli/src/main/java/org/sardineport/cli/demo/TierReport.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/TierReport.java
@@ -7,30 +7,30 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Figures of one tier.
+ * Results of one tier.
  *
- * @param tier its name
- * @param sent requests sent
- * @param good requests with a whole answer on time
- * @param goodputPercent share of good ones in those sent
- * @param p50Millis median time to a whole answer
- * @param p95Millis time within which 95 of 100 whole answers came
- * @param p99Millis time within which 99 of 100 whole answers came
- * @param refusals other endings by reason
+ * @param tier name of the tier
+ * @param sent number of requests sent
+ * @param good number of requests with a complete response before their deadline
+ * @param goodputPercent good requests in percent of those sent
+ * @param p50Millis median latency of complete responses, in milliseconds
+ * @param p95Millis 95th percentile of that latency
+ * @param p99Millis 99th percentile of that latency
+ * @param refusals number of other outcomes by reason
  */
 record TierReport(String tier, int sent, int good, double goodputPercent, long p50Millis, long p95Millis,
 		long p99Millis, Map<String, Integer> refusals) {
 
-	private static final int DIGITS = 3;
+	private static final int SIGNIFICANT_DIGITS = 3;
 
 	private static final double PERCENT = 100;
 
 	static TierReport of(String tier, List<CallResult> results) {
-		Histogram latency = new Histogram(DIGITS);
+		Histogram latency = new Histogram(SIGNIFICANT_DIGITS);
 		Map<String, Integer> refusals = new TreeMap<>();
 		int good = 0;
 		for (CallResult result : results) {
-			if (result.ending() == CallResult.Ending.WHOLE) {
+			if (result.outcome() == CallResult.Outcome.COMPLETE) {
 				latency.recordValue(result.latency().toMillis());
 			}
 			else {
--- a/cli/src/main/java/org/sardineport/cli/demo/WorkItem.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/WorkItem.java
@@ -3,14 +3,14 @@
 import java.time.Duration;
 
 /**
- * One request of the mix.
+ * A planned request of the demonstration.
  *
- * @param kind its kind
- * @param tag text that its answer must repeat
- * @param key its key, or empty
- * @param body its body
- * @param organisation who sends it
- * @param at when it is sent, from the start of the load
+ * @param kind kind of the request
+ * @param tag text that the tokens of the response must repeat
+ * @param key idempotency key; empty if none
+ * @param body body of the request
+ * @param organisation organisation on whose behalf the request is sent
+ * @param at planned time of sending, relative to the start of the load
  */
 record WorkItem(WorkKind kind, String tag, String key, String body, String organisation, Duration at) {
 
--- a/cli/src/main/java/org/sardineport/cli/demo/WorkKind.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/WorkKind.java
@@ -5,7 +5,8 @@
 import org.sardineport.core.request.Tier;
 
 /**
- * Kinds of requests in the mix, as the demonstration's profile treats them.
+ * Kinds of requests of the demonstration, with the tiers and deadlines of their routes in
+ * the demonstration's profile.
  */
 enum WorkKind {
 
--- a/cli/src/main/java/org/sardineport/cli/demo/WorkPlan.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/WorkPlan.java
@@ -10,8 +10,8 @@
 import java.util.UUID;
 
 /**
- * Plans the mix of requests: arrivals at random times, a burst of long drafts in the
- * middle, and some postings that their callers send twice.
+ * Plans the requests of the demonstration: arrivals at random times, a burst of long
+ * drafts halfway, and duplicates of some postings with the same idempotency key.
  */
 final class WorkPlan {
 
@@ -19,17 +19,17 @@
 
 	private static final int BURST_DRAFTS = 30;
 
-	private static final int REPEATED_PERCENT = 20;
+	private static final int DUPLICATE_PERCENT = 20;
 
 	private static final long MILLIS_PER_SECOND = 1000;
 
-	private static final int TIMESTAMP_SHIFT = 16;
+	private static final int TIMESTAMP_SHIFT_BITS = 16;
 
 	private static final long VERSION_7 = 0x7000;
 
-	private static final long RANDOM_BITS = 0x0fff;
+	private static final long RANDOM_MASK = 0x0fff;
 
-	private static final long VARIANT_BITS = 0x3fffffffffffffffL;
+	private static final long VARIANT_MASK = 0x3fffffffffffffffL;
 
 	private static final long VARIANT = 0x8000000000000000L;
 
@@ -50,21 +50,21 @@
 	static List<WorkItem> create(long seed, Instant start, Duration length) {
 		WorkPlan plan = new WorkPlan(seed, start, length);
 		for (WorkKind kind : WorkKind.values()) {
-			plan.spread(kind);
+			plan.addArrivals(kind);
 		}
-		plan.burst();
+		plan.addBurst();
 		plan.items.sort(Comparator.comparing(WorkItem::at));
 		return List.copyOf(plan.items);
 	}
 
-	private void spread(WorkKind kind) {
+	private void addArrivals(WorkKind kind) {
 		long count = kind.perSecond() * this.length.toSeconds();
 		for (int i = 0; i < count; i++) {
 			add(kind, this.random.nextLong(this.length.toMillis()));
 		}
 	}
 
-	private void burst() {
+	private void addBurst() {
 		long middle = this.length.toMillis() / 2;
 		for (int i = 0; i < BURST_DRAFTS; i++) {
 			add(WorkKind.DRAFT, middle + this.random.nextLong(MILLIS_PER_SECOND));
@@ -78,7 +78,7 @@
 		String organisation = ORGANISATIONS.get(this.random.nextInt(ORGANISATIONS.size()));
 		WorkItem item = new WorkItem(kind, tag, key, body(kind, tag), organisation, at);
 		this.items.add(item);
-		if (kind == WorkKind.POSTING && this.random.nextInt(100) < REPEATED_PERCENT) {
+		if (kind == WorkKind.POSTING && this.random.nextInt(100) < DUPLICATE_PERCENT) {
 			Duration again = at.plusMillis(this.random.nextLong(MILLIS_PER_SECOND));
 			this.items.add(new WorkItem(kind, tag, key, item.body(), organisation, again));
 		}
@@ -96,8 +96,9 @@
 	}
 
 	private String key(Instant issued) {
-		long high = (issued.toEpochMilli() << TIMESTAMP_SHIFT) | VERSION_7 | (this.random.nextLong() & RANDOM_BITS);
-		long low = (this.random.nextLong() & VARIANT_BITS) | VARIANT;
+		long high = (issued.toEpochMilli() << TIMESTAMP_SHIFT_BITS) | VERSION_7
+				| (this.random.nextLong() & RANDOM_MASK);
+		long low = (this.random.nextLong() & VARIANT_MASK) | VARIANT;
 		return new UUID(high, low).toString();
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/demo/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/demo/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The demonstration: a fleet before stand-ins in one process, under a mix of requests.
+ * Demonstration of a fleet with stand-ins in one process, under a mix of requests.
  */
 @NullMarked
 package org.sardineport.cli.demo;
--- a/cli/src/main/java/org/sardineport/cli/explain/LoggedEvent.java
+++ b/cli/src/main/java/org/sardineport/cli/explain/LoggedEvent.java
@@ -8,7 +8,7 @@
 import java.util.regex.Pattern;
 
 /**
- * One event of a log. Immutable.
+ * An event parsed from a log line. Immutable.
  */
 public final class LoggedEvent {
 
@@ -23,9 +23,10 @@
 	}
 
 	/**
-	 * Reads a line.
-	 * @param line the line, in any form with keys and values
-	 * @return the event, or empty if the line holds none
+	 * Parses a log line.
+	 * @param line a line with fields in the form {@code key=value} or
+	 * {@code key="quoted value"}; other text is ignored
+	 * @return the event, or empty if the line has no field {@code event}
 	 */
 	public static Optional<LoggedEvent> parse(String line) {
 		Objects.requireNonNull(line, "line must not be null");
@@ -46,9 +47,9 @@
 	}
 
 	/**
-	 * Returns a field.
-	 * @param key its key
-	 * @return its value, empty if the event has none
+	 * Returns the value of a field.
+	 * @param key key of the field
+	 * @return the value, or an empty string if the event has no such field
 	 */
 	public String field(String key) {
 		return this.fields.getOrDefault(key, "");
--- a/cli/src/main/java/org/sardineport/cli/explain/RequestStory.java
+++ b/cli/src/main/java/org/sardineport/cli/explain/RequestHistory.java
@@ -6,9 +6,9 @@
 import java.util.Objects;
 
 /**
- * What the logs tell of one request, in the order of time.
+ * The logged events of one request, ordered by time. Immutable.
  */
-public final class RequestStory {
+public final class RequestHistory {
 
 	private static final String REFUSED = "request.refused";
 
@@ -24,18 +24,18 @@
 
 	private final List<LoggedEvent> events;
 
-	private RequestStory(String requestId, List<LoggedEvent> events) {
+	private RequestHistory(String requestId, List<LoggedEvent> events) {
 		this.requestId = requestId;
 		this.events = events;
 	}
 
 	/**
-	 * Gathers the story of one request.
-	 * @param requestId identity of the request
-	 * @param lines lines of the logs, in any order
-	 * @return the story
+	 * Collects the events of a request from log lines.
+	 * @param requestId id of the request
+	 * @param lines log lines of any daemons, in any order
+	 * @return the history
 	 */
-	public static RequestStory gather(String requestId, Iterable<String> lines) {
+	public static RequestHistory fromLogs(String requestId, Iterable<String> lines) {
 		Objects.requireNonNull(requestId, "requestId must not be null");
 		List<LoggedEvent> found = new ArrayList<>();
 		for (String line : lines) {
@@ -46,32 +46,33 @@
 			}
 		}
 		found.sort(Comparator.comparing((event) -> event.field("time")));
-		return new RequestStory(requestId, found);
+		return new RequestHistory(requestId, found);
 	}
 
 	/**
-	 * Returns whether the logs know the request.
-	 * @return whether there is an event of it
+	 * Returns whether the logs contain an event of the request.
+	 * @return whether there is at least one event
 	 */
 	public boolean isKnown() {
 		return !this.events.isEmpty();
 	}
 
 	/**
-	 * Returns the story as text.
-	 * @return a line for each event, then the cause, then what is missing
+	 * Formats the history as text.
+	 * @return one line for each event, a line with the cause of the outcome, and a line
+	 * about the missing final event if there is none
 	 */
 	public List<String> lines() {
 		List<String> lines = new ArrayList<>();
-		this.events.forEach((event) -> lines.add(event.field("time") + "  " + sentence(event)));
+		this.events.forEach((event) -> lines.add(event.field("time") + "  " + describe(event)));
 		lines.add("cause: " + cause());
 		if (!isEnded()) {
-			lines.add("missing: no final answer is logged; look whether the daemon ended, and at its last lines.");
+			lines.add("missing: no final response is logged; check whether the daemon exited, and its last log lines.");
 		}
 		return lines;
 	}
 
-	private static String sentence(LoggedEvent event) {
+	private static String describe(LoggedEvent event) {
 		return switch (event.name()) {
 			case DISPATCHED -> "sent to %s as attempt %s of tier %s, after a wait of %s ms, under configuration %s"
 				.formatted(event.field("backend-server"), event.field("attempt"), event.field("tier"),
@@ -93,14 +94,14 @@
 
 	private String cause() {
 		if (this.events.isEmpty()) {
-			return "not known: no line names request " + this.requestId;
+			return "unknown: no event of request " + this.requestId;
 		}
 		LoggedEvent last = this.events.get(this.events.size() - 1);
 		return switch (last.name()) {
 			case ANSWERED -> "none: the caller was answered";
 			case CALLER_LEFT -> "the caller closed its connection";
 			case REFUSED -> causeOfRefusal(last);
-			case DISPATCHED -> "the answer of " + last.field("backend-server") + " is not logged";
+			case DISPATCHED -> "the response of " + last.field("backend-server") + " is not logged";
 			default -> last.field("detail");
 		};
 	}
@@ -114,7 +115,7 @@
 			case "organisation-limit" -> "the organisation used up its limit over the whole fleet";
 			case "overloaded", "retry-budget-spent", "deadline-unreachable", "deadline-passed" ->
 				"no backend server had room while the caller waited";
-			case "no-backend-server" -> "no backend server of the pool was listed and well";
+			case "no-backend-server" -> "no healthy backend server of the pool was listed";
 			case "backend-timeout" -> "the backend server was silent until the time limit; whether it ran is not known";
 			case "backend-failed" ->
 				"the backend server failed after the request was sent; whether it ran is not known";
--- a/cli/src/main/java/org/sardineport/cli/explain/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/explain/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tells from the logs of several daemons what became of one request, and why.
+ * Reconstructs the course and the outcome of a request from the logs of several daemons.
  */
 @NullMarked
 package org.sardineport.cli.explain;
--- a/cli/src/main/java/org/sardineport/cli/operator/DaemonClient.java
+++ b/cli/src/main/java/org/sardineport/cli/operator/DaemonClient.java
@@ -14,7 +14,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 
 /**
- * Asks one daemon over HTTP.
+ * Blocking HTTP client for one port of a daemon.
  */
 public final class DaemonClient {
 
@@ -38,10 +38,10 @@
 	}
 
 	/**
-	 * Returns a client.
-	 * @param address address of the port
-	 * @param token bearer token, if the port wants one
-	 * @param timeout time to wait for a connection, and again for an answer
+	 * Creates a client.
+	 * @param address address of the callers' or operators' port
+	 * @param token bearer token, if the port requires one
+	 * @param timeout time to wait for a connection, and again for the response
 	 * @return the client
 	 */
 	public static DaemonClient of(NetworkAddress address, Optional<String> token, Duration timeout) {
@@ -49,18 +49,18 @@
 	}
 
 	/**
-	 * Returns what the daemon tells of itself and the fleet.
+	 * Fetches the status of the daemon and the fleet from the operators' port.
 	 * @return the status
-	 * @throws DaemonUnreachableException if the daemon does not answer as it should
+	 * @throws DaemonUnreachableException if there is no valid response with status 200
 	 */
 	public FleetStatus status() throws DaemonUnreachableException {
 		return get("/status", FleetStatus.class);
 	}
 
 	/**
-	 * Returns what the daemon tells callers about addresses.
-	 * @return the answer
-	 * @throws DaemonUnreachableException if the daemon does not answer as it should
+	 * Fetches the entry addresses from the callers' port.
+	 * @return the addresses
+	 * @throws DaemonUnreachableException if there is no valid response with status 200
 	 */
 	public EntryResponse entry() throws DaemonUnreachableException {
 		return get("/v1/entry", EntryResponse.class);
@@ -73,16 +73,16 @@
 		try {
 			HttpResponse<byte[]> response = this.client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
 			if (response.statusCode() != STATUS_OK) {
-				throw DaemonUnreachableException.status(url, response.statusCode());
+				throw DaemonUnreachableException.unexpectedStatus(url, response.statusCode());
 			}
 			return this.json.readValue(response.body(), type);
 		}
 		catch (IOException ex) {
-			throw DaemonUnreachableException.noAnswer(url, ex);
+			throw DaemonUnreachableException.noResponse(url, ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			throw DaemonUnreachableException.noAnswer(url, ex);
+			throw DaemonUnreachableException.noResponse(url, ex);
 		}
 	}
 
--- a/cli/src/main/java/org/sardineport/cli/operator/DaemonUnreachableException.java
+++ b/cli/src/main/java/org/sardineport/cli/operator/DaemonUnreachableException.java
@@ -4,7 +4,7 @@
 import org.sardineport.core.error.SardineportException;
 
 /**
- * A daemon did not answer as it should.
+ * Thrown when a daemon does not respond, or not with status 200.
  */
 public final class DaemonUnreachableException extends SardineportException {
 
@@ -14,15 +14,16 @@
 		super(message, remedy, cause);
 	}
 
-	static DaemonUnreachableException noAnswer(String url, Throwable cause) {
-		return new DaemonUnreachableException("no answer from %s (%s)".formatted(url, cause),
+	static DaemonUnreachableException noResponse(String url, Throwable cause) {
+		return new DaemonUnreachableException("no valid response from %s (%s)".formatted(url, cause),
 				"Check the address, or name the address of another daemon.", cause);
 	}
 
-	static DaemonUnreachableException status(String url, int status) {
+	static DaemonUnreachableException unexpectedStatus(String url, int status) {
 		String remedy = (status == 401) ? "Give the operators' token in SARDINEPORT_OPERATOR_TOKEN or --token-file."
 				: "Check that the address is that of the operators' port of a daemon.";
-		return new DaemonUnreachableException("%s answered with status %d".formatted(url, status), remedy, null);
+		return new DaemonUnreachableException("%s responded with status %d, expected 200".formatted(url, status),
+				remedy, null);
 	}
 
 }
--- a/cli/src/main/java/org/sardineport/cli/operator/FleetStatus.java
+++ b/cli/src/main/java/org/sardineport/cli/operator/FleetStatus.java
@@ -5,21 +5,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What a daemon tells operators of itself and the fleet.
+ * Status of a daemon and of the fleet as known to it.
  *
- * @param daemon the daemon that answers
- * @param incarnation grows with each of its starts
- * @param configurationVersion version in force there
- * @param ready whether it may serve
- * @param reasons why it is not ready
- * @param members the daemons that it knows
- * @param backendServers the backend servers that it knows
+ * @param daemon name of the responding daemon
+ * @param incarnation number of the daemon's run, which grows with each start
+ * @param configurationVersion configuration version in force on the daemon
+ * @param ready whether the daemon serves callers
+ * @param reasons reasons why the daemon is not ready; empty if it is
+ * @param members the daemons known to the responding daemon
+ * @param backendServers the backend servers known to the responding daemon
  */
 public record FleetStatus(String daemon, long incarnation, long configurationVersion, boolean ready,
 		List<String> reasons, List<MemberStatus> members, List<BackendServerStatus> backendServers) {
 
 	/**
-	 * Creates the status; absent lists are empty.
+	 * Creates a status; absent lists are empty.
 	 */
 	public FleetStatus {
 		reasons = (reasons != null) ? List.copyOf(reasons) : List.of();
@@ -28,11 +28,11 @@
 	}
 
 	/**
-	 * Returns the daemons that are alive and do not report a version yet.
-	 * @param version the version
-	 * @return their names
+	 * Returns the other daemons that are not dead and report an older version.
+	 * @param version the configuration version to compare with
+	 * @return names of the daemons
 	 */
-	public List<String> behind(long version) {
+	public List<String> daemonsBehind(long version) {
 		return this.members.stream()
 			.filter((member) -> !member.daemon().equals(this.daemon) && member.isServing())
 			.filter((member) -> member.configurationVersion() < version)
@@ -43,19 +43,19 @@
 	/**
 	 * A daemon of the fleet.
 	 *
-	 * @param daemon its name
-	 * @param status its state in lower case
-	 * @param failureDomain where it is
-	 * @param callerAddress where callers reach it
-	 * @param configurationVersion version in force there, as last heard
-	 * @param load share of its capacity in use
+	 * @param daemon name of the daemon
+	 * @param status membership state in lower case
+	 * @param failureDomain failure domain of the daemon
+	 * @param callerAddress address of the callers' port
+	 * @param configurationVersion configuration version that the daemon last reported
+	 * @param load load in percent of the daemon's share of the capacity
 	 */
 	public record MemberStatus(String daemon, String status, String failureDomain, String callerAddress,
 			long configurationVersion, int load) {
 
 		/**
-		 * Returns whether the daemon serves callers.
-		 * @return whether it is not taken to be dead
+		 * Returns whether the daemon may still serve callers.
+		 * @return whether the status is not "dead"
 		 */
 		public boolean isServing() {
 			return !"dead".equals(this.status);
@@ -66,11 +66,11 @@
 	/**
 	 * A backend server.
 	 *
-	 * @param id its name
-	 * @param pool its pool
-	 * @param failureDomain where it is
-	 * @param address where it is reached
-	 * @param owner daemon that hands out its permits, if one is known
+	 * @param id name of the backend server
+	 * @param pool pool of the backend server
+	 * @param failureDomain failure domain of the backend server
+	 * @param address address of the backend server
+	 * @param owner daemon that grants permits for the backend server; null if unknown
 	 */
 	public record BackendServerStatus(String id, String pool, String failureDomain, String address,
 			@Nullable String owner) {
--- a/cli/src/main/java/org/sardineport/cli/operator/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/operator/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Client of the daemons' ports for the command line.
+ * HTTP client for the operators' and callers' ports of a daemon.
  */
 @NullMarked
 package org.sardineport.cli.operator;
--- a/cli/src/main/java/org/sardineport/cli/package-info.java
+++ b/cli/src/main/java/org/sardineport/cli/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The operators' command line.
+ * Command line for operators.
  */
 @NullMarked
 package org.sardineport.cli;
--- a/cli/src/test/java/org/sardineport/cli/CommandsBeforeDaemonsTests.java
+++ b/cli/src/test/java/org/sardineport/cli/CommandsWithDaemonsTests.java
@@ -28,10 +28,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * The command line before two whole daemons that are set up from YAML.
+ * Tests the command line with two complete daemons configured from YAML.
  */
 @Timeout(120)
-class CommandsBeforeDaemonsTests {
+class CommandsWithDaemonsTests {
 
 	private static final String TOKEN = "operators-token-of-the-test";
 
--- a/cli/src/test/java/org/sardineport/cli/FakeDaemon.java
+++ b/cli/src/test/java/org/sardineport/cli/FakeDaemon.java
@@ -13,7 +13,7 @@
 import io.vertx.core.http.HttpServerRequest;
 
 /**
- * Answers with fixed texts in place of a daemon's ports.
+ * HTTP server that returns configured bodies in place of a daemon's ports.
  */
 final class FakeDaemon implements AutoCloseable {
 
@@ -21,7 +21,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final Map<String, Deque<String>> answers = new ConcurrentHashMap<>();
+	private final Map<String, Deque<String>> responses = new ConcurrentHashMap<>();
 
 	private final HttpServer server;
 
@@ -38,13 +38,13 @@
 		return "127.0.0.1:" + this.server.actualPort();
 	}
 
-	/** Answers with each body in turn, and with the last from then on. */
-	void answer(String path, String... bodies) {
-		this.answers.put(path, new ConcurrentLinkedDeque<>(List.of(bodies)));
+	/** Sets the bodies to return for a path, in order; the last one is repeated. */
+	void respond(String path, String... bodies) {
+		this.responses.put(path, new ConcurrentLinkedDeque<>(List.of(bodies)));
 	}
 
 	private String next(String path) {
-		Deque<String> bodies = this.answers.getOrDefault(path, new ArrayDeque<>());
+		Deque<String> bodies = this.responses.getOrDefault(path, new ArrayDeque<>());
 		return (bodies.size() > 1) ? bodies.poll() : bodies.peek();
 	}
 
--- a/cli/src/test/java/org/sardineport/cli/MainTests.java
+++ b/cli/src/test/java/org/sardineport/cli/MainTests.java
@@ -83,13 +83,13 @@
 	}
 
 	@Test
-	void probableSlipIsNotPublishedUnlessAccepted() throws IOException {
+	void riskyChangeIsNotPublishedUnlessAccepted() throws IOException {
 		run("profile", "publish", file("ledger.yaml", LEDGER));
-		String slip = file("slip.yaml", LEDGER.replace(", nonIdempotent: true", "").replace("1000", "100"));
-		assertThat(run("profile", "replace", slip)).isEqualTo(ExitCode.WARNINGS);
+		String riskyFile = file("risky.yaml", LEDGER.replace(", nonIdempotent: true", "").replace("1000", "100"));
+		assertThat(run("profile", "replace", riskyFile)).isEqualTo(ExitCode.WARNINGS);
 		assertThat(this.output).contains("requests may then run twice").contains("most requests of the organisation");
 		assertThat(this.log.records("configuration")).hasSize(1);
-		assertThat(run("profile", "replace", "--accept-warnings", slip)).isEqualTo(ExitCode.OK);
+		assertThat(run("profile", "replace", "--accept-warnings", riskyFile)).isEqualTo(ExitCode.OK);
 	}
 
 	@Test
@@ -115,7 +115,7 @@
 
 	@ParameterizedTest
 	@EnumSource
-	void lostAppendAnswerIsSettled(AppendFault fault) throws IOException {
+	void outcomeOfAFailedAppendIsDetermined(AppendFault fault) throws IOException {
 		this.log.faults().failNextAppends(fault);
 		assertThat(run("profile", "publish", file("ledger.yaml", LEDGER))).isEqualTo(ExitCode.OK);
 		this.log.releaseLateAppends();
@@ -125,7 +125,7 @@
 	}
 
 	@Test
-	void saysUnknownWhenNoAnswerCanBeHad() throws IOException {
+	void reportsUnknownIfNoAppendIsConfirmed() throws IOException {
 		AppendFault[] faults = new AppendFault[100];
 		Arrays.fill(faults, AppendFault.LATE_EFFECT);
 		this.log.faults().failNextAppends(faults);
@@ -135,7 +135,7 @@
 	}
 
 	@Test
-	void saysNotPublishedWhenTheLogIsDown() throws IOException {
+	void reportsUnavailableWhileTheLogIsDown() throws IOException {
 		this.log.faults().outage(true);
 		assertThat(run("profile", "publish", file("ledger.yaml", LEDGER))).isEqualTo(ExitCode.UNAVAILABLE);
 		assertThat(this.notes).contains("Remedy: ");
@@ -146,7 +146,7 @@
 	void waitsUntilAllLiveDaemonsReport(long versionOfOther) throws IOException {
 		run("profile", "publish", file("other.yaml", LEDGER.replace("name: ledger", "name: other")));
 		String before = "{\"daemon\": \"d1\", \"configurationVersion\": 0}";
-		this.daemon.answer("/status", before, """
+		this.daemon.respond("/status", before, """
 				{"daemon": "d1", "configurationVersion": 1, "ready": true, "members": [
 				{"daemon": "d2", "status": "alive", "configurationVersion": %d},
 				{"daemon": "d3", "status": "dead", "configurationVersion": -1}],
@@ -158,8 +158,8 @@
 	}
 
 	@Test
-	void publishesNothingWhileDaemonsHoldMoreThanTheLog() throws IOException {
-		this.daemon.answer("/status", "{\"daemon\": \"d1\", \"configurationVersion\": 9}");
+	void publishesNothingIfDaemonsHoldANewerVersionThanTheLog() throws IOException {
+		this.daemon.respond("/status", "{\"daemon\": \"d1\", \"configurationVersion\": 9}");
 		assertThat(run("profile", "publish", "--operator", this.daemon.address(), "--token-file",
 				file("token", FakeDaemon.TOKEN), file("ledger.yaml", LEDGER)))
 			.isEqualTo(ExitCode.UNAVAILABLE);
@@ -168,9 +168,9 @@
 	}
 
 	@Test
-	void showsTheFleetAndWhatCallersAreTold() throws IOException {
-		this.daemon.answer("/status", "{\"daemon\": \"d1\", \"ready\": false, \"reasons\": [\"joining\"]}");
-		this.daemon.answer("/v1/entry", "{\"addresses\": [\"10.0.0.1:8080\"], \"keepSeconds\": 10}");
+	void showsStatusAndEntryAddresses() throws IOException {
+		this.daemon.respond("/status", "{\"daemon\": \"d1\", \"ready\": false, \"reasons\": [\"joining\"]}");
+		this.daemon.respond("/v1/entry", "{\"addresses\": [\"10.0.0.1:8080\"], \"keepSeconds\": 10}");
 		String token = file("token", FakeDaemon.TOKEN);
 		assertThat(run("status", "--operator", this.daemon.address(), "--token-file", token)).isEqualTo(ExitCode.OK);
 		assertThat(this.output).contains("ready=false because joining");
