--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -40,7 +40,10 @@
 	/** Time for which a lookup waits for more replies after the first useful one. */
 	public static final Duration ANSWER_WINDOW = Duration.ofMillis(40);
 
-	/** Time after which a confirmation no longer waits for every daemon told. */
+	/**
+	 * Time after which a confirmation no longer waits for every daemon told, if it is of
+	 * one version.
+	 */
 	public static final Duration CONFIRMATION_WINDOW = Duration.ofMillis(100);
 
 	/** Time after which an unconfirmed report is repeated, then with each tick. */
@@ -89,8 +92,8 @@
 	}
 
 	/**
-	 * Reports that an attempt of a run is dispatched. The attempt's first event should
-	 * not go to the caller before the listener hears a result.
+	 * Reports that an attempt of a run is dispatched. After attempts at several versions,
+	 * the first event must not go to the caller unless the listener hears {@code true}.
 	 * @param run the run
 	 * @param version version of the backend server
 	 * @param keep how long the caller may come back
@@ -103,8 +106,7 @@
 
 	/**
 	 * Reports which version a run's first event came from. Needed only if attempts of
-	 * several versions were dispatched; then the event must not go to the caller unless
-	 * the listener hears {@code true}.
+	 * several versions were dispatched: until then the origin is ambiguous.
 	 * @param run the run
 	 * @param version version of the backend server that sent the event
 	 * @param keep how long the caller may come back
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -90,10 +90,10 @@
 
 	/**
 	 * Reports that an attempt of a run is dispatched. Must be called for each attempt
-	 * when it is dispatched. The attempt's first event should wait for the stage, which
-	 * usually completes during the prefill. After {@code false} a caller that comes back
-	 * may be refused, or, if it used its request id before, be given the earlier stream's
-	 * version.
+	 * when it is dispatched. After attempts at several versions, the first event must
+	 * wait for the stage and not go to the caller after {@code false}. After a single
+	 * version and {@code false} a caller that comes back may be refused, or, if it used
+	 * its request id before, be given the earlier stream's version.
 	 * @param run the run
 	 * @param version version of the backend server
 	 * @param keep how long the caller may come back: the time left of the request and a
@@ -110,9 +110,8 @@
 
 	/**
 	 * Reports which version a run's first event comes from. Needed only if attempts of
-	 * several versions were dispatched. Then the event must not go to the caller unless
-	 * the stage completes with {@code true}; otherwise a later lookup could find another
-	 * version.
+	 * several versions were dispatched: until then the origin is ambiguous, and a caller
+	 * that comes back is refused.
 	 * @param run the run
 	 * @param version version of the backend server that sent the event
 	 * @param keep how long the caller may come back
