--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -183,7 +183,7 @@
 			if (this.active.size() < 2 || this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
 				return;
 			}
-			if (this.version.mayBegin(find(attempt)).getNow(false)) {
+			if (this.version.mayForward(find(attempt)).getNow(false)) {
 				keepOnly(attempt);
 			}
 			else {
@@ -257,21 +257,21 @@
 	@Override
 	public boolean mayForward(Attempt attempt) {
 		PermittedAttempt begun = find(attempt);
-		CompletableFuture<Boolean> mayBegin = this.version.mayBegin(begun);
-		if (mayBegin.getNow(false)) {
+		CompletableFuture<Boolean> mayForward = this.version.mayForward(begun);
+		if (mayForward.getNow(false)) {
 			return true;
 		}
 		this.report.eventsHeld(begun.server());
-		mayBegin
-			.thenAccept((isCertain) -> this.context.runOnContext((ignored) -> forwardHeldEvents(attempt, isCertain)));
+		mayForward.thenAccept(
+				(isVersionKnown) -> this.context.runOnContext((ignored) -> forwardHeldEvents(attempt, isVersionKnown)));
 		return false;
 	}
 
-	private void forwardHeldEvents(Attempt attempt, boolean isCertain) {
+	private void forwardHeldEvents(Attempt attempt, boolean isVersionKnown) {
 		if (this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
 			return;
 		}
-		if (isCertain) {
+		if (isVersionKnown) {
 			attempt.forwardHeldEvents();
 		}
 		else {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -57,7 +57,7 @@
 	 * Whether the stream began at another version than the one listed; {@code null} if it
 	 * did not begin with this request.
 	 */
-	private @Nullable CompletableFuture<Boolean> beganElsewhere;
+	private @Nullable CompletableFuture<Boolean> beganAtOtherVersion;
 
 	ResponseVersion(RelayServices services, RelayRequest request, OrganisationId organisation) {
 		this.services = services;
@@ -151,7 +151,7 @@
 	 * @return completes on any thread, within {@link #LIST_TIMEOUT}, with whether the
 	 * events may be passed on
 	 */
-	CompletableFuture<Boolean> mayBegin(PermittedAttempt attempt) {
+	CompletableFuture<Boolean> mayForward(PermittedAttempt attempt) {
 		if (!this.streams) {
 			return CompletableFuture.completedFuture(true);
 		}
@@ -163,10 +163,10 @@
 	}
 
 	private CompletableFuture<Boolean> mayContinue(PermittedAttempt attempt) {
-		CompletableFuture<Boolean> began = this.beganElsewhere;
+		CompletableFuture<Boolean> atOtherVersion = this.beganAtOtherVersion;
 		CompletableFuture<Boolean> replaced = isReplaced(attempt);
-		if (began != null) {
-			replaced = replaced.thenCombine(began, (own, first) -> own || first);
+		if (atOtherVersion != null) {
+			replaced = replaced.thenCombine(atOtherVersion, (own, first) -> own || first);
 		}
 		CompletableFuture<Boolean> mayContinue = replaced.thenApply((isReplaced) -> !isReplaced);
 		if (!mayContinue.isDone()) {
@@ -195,8 +195,8 @@
 		if (this.dispatched.size() > 1) {
 			this.services.origins().begun(this.run, version, keepTime());
 		}
-		this.beganElsewhere = isReplaced(attempt);
-		reportIfReplaced(this.beganElsewhere, this.services.origins(), this.run, keepTime());
+		this.beganAtOtherVersion = isReplaced(attempt);
+		reportIfReplaced(this.beganAtOtherVersion, this.services.origins(), this.run, keepTime());
 	}
 
 	// Keeps no reference to the request, as an outage of the list may last long.
