End a silent run within 300 ms of its replacement's first bytes again

Cause: let the hand-over wait until the replacement's version is certain, which takes up to a second. Two runs of one request may not last that long, so the wait was wrong, and the test is right. Not the load: the second timer of 300 ms is what was measured.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -265,14 +265,6 @@
 		}
 	}
 
-	/**
-	 * Returns whether the first events of the stream wait until they may be passed on.
-	 * @return whether the attempt holds events
-	 */
-	boolean isHolding() {
-		return this.heldEvents != null;
-	}
-
 	private void bufferData(ResponseHead responseHead, Buffer bytes) {
 		recordFirstData();
 		this.buffered.appendBuffer(bytes);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -172,26 +172,15 @@
 	@Override
 	public void streamStarted(Attempt attempt) {
 		if (this.active.size() > 1 && this.handOverTimer < 0) {
-			startHandOver(attempt);
+			this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
+				this.handOverTimer = -1;
+				if (this.active.stream().anyMatch((each) -> each.attempt() == attempt)) {
+					keepOnly(attempt);
+				}
+			});
 		}
 	}
 
-	// An attempt whose version is not certain may still be ended, so the others go on.
-	private void startHandOver(Attempt attempt) {
-		this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
-			this.handOverTimer = -1;
-			if (this.active.size() < 2 || this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
-				return;
-			}
-			if (this.version.mayForward(find(attempt)).getNow(false)) {
-				keepOnly(attempt);
-			}
-			else {
-				startHandOver(attempt);
-			}
-		});
-	}
-
 	private PermittedAttempt find(Attempt attempt) {
 		return this.active.stream()
 			.filter((each) -> each.attempt() == attempt)
