Move the list of active attempts out of RelayAttempts

No behaviour changed: AttemptTests 3, OverlappingAttemptTests 21, SilentBackendTests 8 and StreamVersionTests 11 pass unchanged.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -62,8 +61,7 @@
 
 	private @Nullable SchedulingRequest pendingRequest;
 
-	/** Attempts that have not ended, in the order of their dispatch. */
-	private final List<PermittedAttempt> active = new ArrayList<>(2);
+	private final ActiveAttempts active = new ActiveAttempts();
 
 	private long lastEventId = -1;
 
@@ -154,55 +152,42 @@
 
 	@Override
 	public void silent(Attempt attempt) {
-		if (this.pendingRequest != null || attempt.connection() == null || !areAllSilent()) {
+		if (this.pendingRequest != null || attempt.connection() == null || !this.active.areAllSilent()) {
 			return;
 		}
 		boolean replaceable = isTimeLeft() && this.progress.mayReplaceAttempt() && spendRetry();
-		this.report.silent(find(attempt), replaceable);
+		this.report.silent(this.active.get(attempt), replaceable);
 		if (replaceable) {
 			this.active.forEach((each) -> this.progress.silent(each.server()));
 			requestPermit();
 		}
 	}
 
-	private boolean areAllSilent() {
-		return this.active.stream().allMatch((each) -> each.attempt().isSilent());
-	}
-
 	@Override
 	public void streamStarted(Attempt attempt) {
-		if (this.active.size() > 1 && this.handOverTimer < 0) {
+		if (this.active.areSeveral() && this.handOverTimer < 0) {
 			this.handOverTimer = this.services.vertx().setTimer(HAND_OVER_TIMEOUT.toMillis(), (id) -> {
 				this.handOverTimer = -1;
-				if (this.active.stream().anyMatch((each) -> each.attempt() == attempt)) {
+				if (this.active.contains(attempt)) {
 					keepOnly(attempt);
 				}
 			});
 		}
 	}
 
-	private PermittedAttempt find(Attempt attempt) {
-		return this.active.stream()
-			.filter((each) -> each.attempt() == attempt)
-			.findFirst()
-			.orElseThrow(() -> new IllegalStateException("the attempt must not have ended"));
-	}
-
 	/**
 	 * Keeps an attempt that has sent data, and ends the others.
 	 * @param attempt the attempt
 	 * @return the attempt with its permit
 	 */
 	private PermittedAttempt keepOnly(Attempt attempt) {
-		PermittedAttempt kept = find(attempt);
+		PermittedAttempt kept = this.active.get(attempt);
 		withdrawPendingReplacement();
-		if (this.active.size() > 1) {
+		if (this.active.areSeveral()) {
 			this.services.vertx().cancelTimer(this.handOverTimer);
 			this.handOverTimer = -1;
-			List<PermittedAttempt> earlier = List.copyOf(this.active.subList(0, this.active.indexOf(kept)));
-			List<PermittedAttempt> later = List
-				.copyOf(this.active.subList(this.active.indexOf(kept) + 1, this.active.size()));
-			this.active.retainAll(List.of(kept));
+			List<PermittedAttempt> earlier = this.active.removeBefore(kept);
+			List<PermittedAttempt> later = this.active.removeAfter(kept);
 			earlier.forEach(this::endReplaced);
 			later.forEach(this::endUnused);
 		}
@@ -245,7 +230,7 @@
 
 	@Override
 	public boolean mayForward(Attempt attempt) {
-		PermittedAttempt begun = find(attempt);
+		PermittedAttempt begun = this.active.get(attempt);
 		CompletableFuture<Boolean> mayForward = this.version.mayForward(begun);
 		if (mayForward.getNow(false)) {
 			return true;
@@ -257,7 +242,7 @@
 	}
 
 	private void forwardHeldEvents(Attempt attempt, boolean isVersionKnown) {
-		if (this.active.stream().noneMatch((each) -> each.attempt() == attempt)) {
+		if (!this.active.contains(attempt)) {
 			return;
 		}
 		if (isVersionKnown) {
@@ -289,7 +274,7 @@
 
 	@Override
 	public void failed(Attempt attempt, AttemptEnd end, String detail) {
-		PermittedAttempt ended = find(attempt);
+		PermittedAttempt ended = this.active.get(attempt);
 		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
@@ -352,9 +337,7 @@
 			this.pendingRequest = null;
 		}
 		this.services.vertx().cancelTimer(this.handOverTimer);
-		List<PermittedAttempt> ended = List.copyOf(this.active);
-		this.active.clear();
-		for (PermittedAttempt each : ended) {
+		for (PermittedAttempt each : this.active.removeAll()) {
 			RunEnd end = runEnd.apply(each.attempt());
 			this.progress.silent(each.server());
 			each.attempt().abort();
