Decide in one place whether a software version satisfies a request

Cause: "none is required, or it is this one" stood in RoutingRequest, PendingRequest and ResponseVersion.

Change: SoftwareVersion.satisfies, which the three call. No behaviour changed: SoftwareVersionSchedulingTests 33, SoftwareVersionFuzzTests 8, PoolRouterTests 11 and StreamVersionTests 11 pass unchanged.

--- a/core/src/main/java/org/sardineport/core/backend/SoftwareVersion.java
+++ b/core/src/main/java/org/sardineport/core/backend/SoftwareVersion.java
@@ -34,6 +34,16 @@
 		return value.isEmpty() ? UNKNOWN : new SoftwareVersion(value);
 	}
 
+	/**
+	 * Returns whether a backend server of this version may run a request.
+	 * @param required the version that the request requires; {@code null} if it may run
+	 * on any
+	 * @return whether it may
+	 */
+	public boolean satisfies(@Nullable SoftwareVersion required) {
+		return required == null || required.equals(this);
+	}
+
 	// Explicit for faster start-up, see the documentation of package core.identity.
 	@Override
 	public boolean equals(@Nullable Object other) {
--- a/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
+++ b/core/src/main/java/org/sardineport/core/routing/RoutingRequest.java
@@ -36,7 +36,7 @@
 	 * @return whether it is the required one, or any can
 	 */
 	public boolean acceptsVersion(SoftwareVersion version) {
-		return this.requiredVersion == null || this.requiredVersion.equals(version);
+		return version.satisfies(this.requiredVersion);
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -7,7 +7,6 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.PermitListener;
 import org.sardineport.core.admission.SchedulingRequest;
-import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.request.RefusalReason;
@@ -137,9 +136,8 @@
 	 * @return whether a permit for it may be used
 	 */
 	boolean admits(ServerView view) {
-		SoftwareVersion required = this.request.requiredVersion();
 		return !this.request.excludedServers().contains(view.server().id())
-				&& (required == null || required.equals(view.server().softwareVersion()));
+				&& view.server().softwareVersion().satisfies(this.request.requiredVersion());
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -113,7 +113,7 @@
 	}
 
 	boolean allows(SoftwareVersion version) {
-		return this.required == null || this.required.equals(version);
+		return version.satisfies(this.required);
 	}
 
 	/**
