Write the answers of StreamOriginService, and a test's set-up, once

Cause: three methods of the service each made a stage, offered a command and bounded the stage in the same way; two tests of the registry shared ten lines of set-up.

--- a/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
@@ -37,6 +37,9 @@
 
 	private final List<StreamOrigin> found = new ArrayList<>();
 
+	private static final StreamRecord BOTH_VERSIONS = StreamRecord
+		.of(RunOrigin.dispatched(RUN.number(), V1).merge(RunOrigin.dispatched(RUN.number(), V2)));
+
 	private final List<Boolean> dispatched = new ArrayList<>();
 
 	private final List<Boolean> confirmed = new ArrayList<>();
@@ -140,34 +143,32 @@
 	// stream, although the first event had come from another one.
 	@Test
 	void dispatchAtAnotherVersionIsConfirmedOnlyByAllDaemonsTold() {
-		this.registry.dispatched(RUN, V1, KEEP, (ignored) -> {
-		});
-		this.sent.clear();
-		this.receivers.clear();
-		this.registry.dispatched(RUN, V2, KEEP, this.dispatched::add);
-		StreamRecord known = StreamRecord
-			.of(RunOrigin.dispatched(RUN.number(), V1).merge(RunOrigin.dispatched(RUN.number(), V2)));
-		for (int i = 1; i < OriginReplicas.REPLICAS; i++) {
-			reply(i, known);
-		}
+		dispatchAtTwoVersions();
+		confirmByAllButTheFirst();
 		pass(OriginRegistry.CONFIRMATION_WINDOW);
 		assertThat(this.dispatched).isEmpty();
-		reply(0, known);
+		reply(0, BOTH_VERSIONS);
 		assertThat(this.dispatched).containsExactly(true);
 	}
 
-	@Test
-	void dispatchAtAnotherVersionIsNotConfirmedIfOneDaemonDoesNotReply() {
+	private void dispatchAtTwoVersions() {
 		this.registry.dispatched(RUN, V1, KEEP, (ignored) -> {
 		});
 		this.sent.clear();
 		this.receivers.clear();
 		this.registry.dispatched(RUN, V2, KEEP, this.dispatched::add);
-		StreamRecord known = StreamRecord
-			.of(RunOrigin.dispatched(RUN.number(), V1).merge(RunOrigin.dispatched(RUN.number(), V2)));
+	}
+
+	private void confirmByAllButTheFirst() {
 		for (int i = 1; i < OriginReplicas.REPLICAS; i++) {
-			reply(i, known);
+			reply(i, BOTH_VERSIONS);
 		}
+	}
+
+	@Test
+	void dispatchAtAnotherVersionIsNotConfirmedIfOneDaemonDoesNotReply() {
+		dispatchAtTwoVersions();
+		confirmByAllButTheFirst();
 		pass(OriginRegistry.LOOKUP_TIMEOUT);
 		assertThat(this.dispatched).containsExactly(false);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.sardineport.core.backend.SoftwareVersion;
@@ -101,11 +102,7 @@
 	 * @return whether enough other daemons remember the version; never fails
 	 */
 	public CompletionStage<Boolean> dispatched(StreamRun run, SoftwareVersion version, Duration keep) {
-		CompletableFuture<Boolean> confirmed = new CompletableFuture<>();
-		if (!offer(() -> this.registry.dispatched(run, version, keep, confirmed::complete))) {
-			confirmed.complete(false);
-		}
-		return bounded(confirmed, false);
+		return answer((listener) -> this.registry.dispatched(run, version, keep, listener), false);
 	}
 
 	/**
@@ -118,11 +115,7 @@
 	 * @return whether enough other daemons remember the version; never fails
 	 */
 	public CompletionStage<Boolean> begun(StreamRun run, SoftwareVersion version, Duration keep) {
-		CompletableFuture<Boolean> confirmed = new CompletableFuture<>();
-		if (!offer(() -> this.registry.begun(run, version, keep, confirmed::complete))) {
-			confirmed.complete(false);
-		}
-		return bounded(confirmed, false);
+		return answer((listener) -> this.registry.begun(run, version, keep, listener), false);
 	}
 
 	/**
@@ -142,15 +135,15 @@
 	 * in time; never fails
 	 */
 	public CompletionStage<StreamOrigin> find(StreamKey key) {
-		CompletableFuture<StreamOrigin> found = new CompletableFuture<>();
-		if (!offer(() -> this.registry.find(key, found::complete))) {
-			found.complete(StreamOrigin.UNKNOWN);
-		}
-		return bounded(found, StreamOrigin.UNKNOWN);
+		return answer((listener) -> this.registry.find(key, listener), StreamOrigin.UNKNOWN);
 	}
 
-	private static <T> CompletionStage<T> bounded(CompletableFuture<T> stage, T otherwise) {
-		return stage.completeOnTimeout(otherwise, STAGE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+	private <T> CompletionStage<T> answer(Consumer<Consumer<T>> command, T otherwise) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		if (!offer(() -> command.accept(answer::complete))) {
+			answer.complete(otherwise);
+		}
+		return answer.completeOnTimeout(otherwise, STAGE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private boolean offer(Runnable command) {
