Keep the origins of streams where they survive the loss of all daemons

Change: while the list shows several versions in a pool, the version of each first event is told to the four daemons and appended to a topic of the store by one daemon of the fleet, five calls a second at most whatever the fleet's size. While a pool runs one version nothing is stored of a stream; a single conditional record states the only version of each pool, and a stream nobody remembers goes on if that statement and a read of the list that began after the caller came back agree. Nothing is read until a lookup finds nothing.

A daemon out of step: a dispatch that it was told of no longer proves the version if its list is old, if the list shows several versions, or if fewer than two other daemons reply; neither does it if all others count as dead.

Weighed: each daemon writing for itself (calls grow with the fleet), the history of the list alone (a release shortly before the loss leaves nothing provable), records with one version too (calls in steady state for nothing).

--- a/core/src/main/java/org/sardineport/core/fleet/ListRead.java
+++ b/core/src/main/java/org/sardineport/core/fleet/ListRead.java
@@ -1,12 +1,18 @@
 package org.sardineport.core.fleet;
 
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.port.platform.VmListing;
 
 /**
@@ -23,7 +29,7 @@
 
 	private ListRead(Instant startedAt, Map<BackendServerId, BackendServer> servers) {
 		this.startedAt = startedAt;
-		this.servers = servers;
+		this.servers = Map.copyOf(servers);
 	}
 
 	/**
@@ -48,6 +54,28 @@
 		return !this.startedAt.isBefore(time);
 	}
 
+	/**
+	 * Returns all backend servers that the list showed, live or leaving.
+	 * @return the backend servers
+	 */
+	public Collection<BackendServer> servers() {
+		return this.servers.values();
+	}
+
+	/**
+	 * Returns the only software version of a pool.
+	 * @param pool the pool
+	 * @return the version, or empty if the list showed several, or no server of the pool
+	 */
+	public Optional<SoftwareVersion> soleVersion(PoolName pool) {
+		Set<SoftwareVersion> versions = new HashSet<>();
+		this.servers.values()
+			.stream()
+			.filter((server) -> server.pool().equals(pool))
+			.forEach((server) -> versions.add(server.softwareVersion()));
+		return (versions.size() == 1) ? Optional.of(versions.iterator().next()) : Optional.empty();
+	}
+
 	/**
 	 * Returns whether the list showed a backend server with the same software version,
 	 * live or leaving.
--- a/core/src/main/java/org/sardineport/core/fleet/ListReads.java
+++ b/core/src/main/java/org/sardineport/core/fleet/ListReads.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /**
  * The reads of the VM list by this daemon. Safe for use by any thread.
@@ -22,6 +23,12 @@
 	 */
 	CompletableFuture<ListRead> since(Instant time);
 
+	/**
+	 * Adds a listener of the successful reads. Must be called before the start.
+	 * @param listener hears each read on any thread and must not block
+	 */
+	void addListener(Consumer<ListRead> listener);
+
 	/**
 	 * Asks for a read earlier than the next periodic one, as soon as the minimum interval
 	 * between reads permits. A read that fails counts for that interval like any other.
--- a/core/src/main/java/org/sardineport/core/stream/LookupOutcome.java
+++ b/core/src/main/java/org/sardineport/core/stream/LookupOutcome.java
@@ -13,6 +13,12 @@
 	/** The version is known, confirmed by at least one daemon chosen for the key. */
 	REPLICA,
 
+	/** The daemons did not know the version, and what the platform stores proves it. */
+	STORED,
+
+	/** The daemons did not know the version, and what the platform stores does not. */
+	NOT_STORED,
+
 	/** All daemons asked answered that they know nothing. */
 	UNKNOWN,
 
--- a/core/src/main/java/org/sardineport/core/stream/OriginLookup.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginLookup.java
@@ -7,37 +7,47 @@
 
 /**
  * Lookup of a stream's origin. It merges the records of all daemons that reply within a
- * short time after the first useful reply, because a single one may have missed a
- * message. What this daemon served itself counts as contradiction only: another daemon
- * may have served another stream under the same id.
+ * short time after the replies are conclusive, because a single one may have missed a
+ * message. That an attempt was dispatched is conclusive only if several of the daemons
+ * asked have replied: a daemon that is cut off with another one may have missed a later
+ * attempt at another version. What this daemon served itself counts as contradiction
+ * only: another daemon may have served another stream under the same id.
  */
 final class OriginLookup extends PendingReplies {
 
+	/** Number of replies that make a dispatch conclusive, if so many are asked. */
+	private static final int REPLIES_NEEDED = 2;
+
 	private final StreamRecord served;
 
 	private final boolean isAlone;
 
 	private final OriginEffects effects;
 
-	private final Consumer<StreamOrigin> listener;
+	private final Consumer<OriginEvidence> listener;
+
+	private final int asked;
 
 	private StreamRecord merged;
 
+	private int replies;
+
 	OriginLookup(StreamKey key, List<Member> asked, StreamRecord told, StreamRecord served, long now,
-			OriginEffects effects, Consumer<StreamOrigin> listener) {
+			OriginEffects effects, boolean isAlone, Consumer<OriginEvidence> listener) {
 		super(key, asked, now, now + OriginRegistry.LOOKUP_TIMEOUT.toMillis());
 		this.served = served;
-		this.isAlone = asked.isEmpty();
+		this.isAlone = isAlone;
+		this.asked = asked.size();
 		this.effects = effects;
 		this.listener = listener;
-		this.merged = StreamRecord.EMPTY;
-		accept(told, now);
+		this.merged = told;
 	}
 
 	@Override
 	void accept(StreamRecord record, long now) {
 		this.merged = this.merged.merge(record);
-		if (!this.merged.runs().isEmpty()) {
+		this.replies++;
+		if (evidence().origin() != StreamOrigin.UNKNOWN) {
 			shortenTo(now + OriginRegistry.ANSWER_WINDOW.toMillis());
 		}
 	}
@@ -48,14 +58,21 @@
 
 	@Override
 	void complete(long now) {
-		StreamOrigin origin = origin();
-		this.listener.accept(origin);
-		this.effects.lookedUp(key(), outcome(origin), now - startedAt());
+		OriginEvidence evidence = evidence();
+		this.listener.accept(evidence);
+		this.effects.lookedUp(key(), outcome(evidence.origin()), now - startedAt());
 	}
 
-	private StreamOrigin origin() {
-		boolean isProved = this.isAlone || !this.merged.runs().isEmpty();
-		return isProved ? this.merged.merge(this.served).origin() : StreamOrigin.UNKNOWN;
+	private OriginEvidence evidence() {
+		if (this.isAlone) {
+			return new OriginEvidence(this.merged.merge(this.served), true);
+		}
+		if (this.merged.runs().isEmpty()) {
+			return OriginEvidence.NONE;
+		}
+		boolean isProved = this.merged.hasBegun()
+				|| (this.replies > 0 && this.replies >= Math.min(REPLIES_NEEDED, this.asked));
+		return new OriginEvidence(this.merged.merge(this.served), isProved);
 	}
 
 	private LookupOutcome outcome(StreamOrigin origin) {
--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -117,6 +117,23 @@
 		report(run, RunOrigin.begun(run.number(), version), keep, listener);
 	}
 
+	/**
+	 * Remembers which version a run's first event came from, and tells nobody.
+	 * @param begun the run
+	 */
+	public void remember(BegunRun begun) {
+		RunOrigin origin = RunOrigin.begun(begun.run().number(), begun.version());
+		this.served.add(begun.run().key(), origin, now() + limited(begun.keep()).toMillis(), now());
+	}
+
+	/**
+	 * Returns the runs of this daemon that have begun and whose callers may come back.
+	 * @return the runs
+	 */
+	public List<BegunRun> begunRuns() {
+		return this.served.begun(now());
+	}
+
 	/**
 	 * Reports that a run's first event came from another process than the one listed.
 	 * From then on the origin of the run is ambiguous.
@@ -159,15 +176,18 @@
 	/**
 	 * Looks up which version began a stream.
 	 * @param key key of the stream
-	 * @param listener hears the origin once, within {@link #LOOKUP_TIMEOUT}
+	 * @param listener hears what was found once, within {@link #LOOKUP_TIMEOUT}
 	 */
-	public void find(StreamKey key, Consumer<StreamOrigin> listener) {
-		List<Member> asked = OriginReplicas.asked(key, this.fleet.get());
+	public void find(StreamKey key, Consumer<OriginEvidence> listener) {
+		FleetSnapshot snapshot = this.fleet.get();
+		List<Member> asked = OriginReplicas.asked(key, snapshot);
+		// A daemon that takes all others for dead may be the one that is cut off.
+		boolean isAlone = snapshot.members().size() <= 1;
 		OriginLookup lookup = new OriginLookup(key, asked, this.told.find(key, now()), this.served.find(key, now()),
-				now(), this.effects, listener);
+				now(), this.effects, isAlone, listener);
 		int correlation = nextCorrelation();
 		if (!await(correlation, lookup)) {
-			listener.accept(StreamOrigin.UNKNOWN);
+			listener.accept(OriginEvidence.NONE);
 			this.effects.lookedUp(key, LookupOutcome.OVERLOADED, 0);
 			return;
 		}
--- a/core/src/main/java/org/sardineport/core/stream/StreamOriginMessage.java
+++ b/core/src/main/java/org/sardineport/core/stream/StreamOriginMessage.java
@@ -5,7 +5,8 @@
 /**
  * Message between daemons about the origin of a stream.
  */
-public sealed interface StreamOriginMessage extends PeerMessage permits OriginReport, OriginQuery, OriginReply {
+public sealed interface StreamOriginMessage extends PeerMessage
+		permits OriginReport, OriginQuery, OriginReply, OriginStorageRequest {
 
 	/**
 	 * Returns the key that the message is about.
--- a/core/src/main/java/org/sardineport/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/sardineport/core/stream/StreamOrigins.java
@@ -1,8 +1,10 @@
 package org.sardineport.core.stream;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -85,6 +87,26 @@
 		return (known != null) ? known.record() : StreamRecord.EMPTY;
 	}
 
+	/**
+	 * Returns the runs that are known to have begun.
+	 * @param now the current time in milliseconds
+	 * @return the runs that have not expired
+	 */
+	public List<BegunRun> begun(long now) {
+		List<BegunRun> begun = new ArrayList<>();
+		this.entries.forEach((key, entry) -> {
+			if (entry.expiresAt() > now) {
+				entry.record()
+					.runs()
+					.stream()
+					.filter((run) -> run.state() == RunState.BEGUN)
+					.forEach((run) -> begun.add(new BegunRun(new StreamRun(key, run.run()), run.version(),
+							Duration.ofMillis(entry.expiresAt() - now))));
+			}
+		});
+		return begun;
+	}
+
 	private @Nullable Entry live(StreamKey key, long now) {
 		Entry known = this.entries.get(key);
 		if (known != null && known.expiresAt() <= now) {
--- a/core/src/main/java/org/sardineport/core/stream/StreamRecord.java
+++ b/core/src/main/java/org/sardineport/core/stream/StreamRecord.java
@@ -75,6 +75,14 @@
 		return this.runs.stream().filter((run) -> run.run() == number).findFirst();
 	}
 
+	/**
+	 * Returns whether the first event of one of the runs is known to have gone out.
+	 * @return whether one has begun
+	 */
+	public boolean hasBegun() {
+		return this.runs.stream().anyMatch((run) -> run.state() == RunState.BEGUN);
+	}
+
 	/**
 	 * Returns the version that began every stream of the key.
 	 * @return the version; {@link StreamOrigin#AMBIGUOUS} if runs differ or one of them
--- a/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
@@ -67,6 +67,17 @@
 		return OriginRegistry.create(() -> snapshot, () -> this.now, new Random(1), new Effects());
 	}
 
+	private OriginRegistry registryOfDeadOthers() {
+		List<Member> members = new ArrayList<>(List.of(member(0)));
+		for (int i = 1; i < 8; i++) {
+			Member alive = member(i);
+			members.add(new Member(alive.id(), 1, MemberStatus.DEAD, alive.failureDomain(), alive.peerAddress(),
+					alive.callerAddress(), 0, 0));
+		}
+		FleetSnapshot snapshot = new FleetSnapshot(id(0), members, List.of());
+		return OriginRegistry.create(() -> snapshot, () -> this.now, new Random(1), new Effects());
+	}
+
 	@BeforeEach
 	void create() {
 		this.registry = registry(60);
@@ -91,6 +102,10 @@
 		return StreamRecord.of(RunOrigin.begun(RUN.number(), version));
 	}
 
+	private void find() {
+		this.registry.find(RUN.key(), (evidence) -> this.found.add(evidence.origin()));
+	}
+
 	// A dispatch must be known to several other daemons before the first event.
 	@Test
 	void dispatchIsToldToFourOthers() {
@@ -176,7 +191,7 @@
 	// A lookup must not wait for daemons that are gone once it has an answer.
 	@Test
 	void lookupEndsShortlyAfterTheFirstUsefulReply() {
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		assertThat(this.sent).hasSize(OriginReplicas.ASKED);
 		reply(2, begun(V1));
 		assertThat(this.found).isEmpty();
@@ -185,10 +200,51 @@
 		assertThat(this.outcomes).containsExactly(LookupOutcome.REPLICA);
 	}
 
+	// Two daemons that were cut off together remembered the first dispatch only, and a
+	// caller that came back to one of them got the rest from that version.
+	@Test
+	void dispatchIsNoProofIfMostDaemonsAskedAreSilent() {
+		find();
+		reply(0, StreamRecord.of(RunOrigin.dispatched(RUN.number(), V1)));
+		pass(OriginRegistry.LOOKUP_TIMEOUT);
+		assertThat(this.found).containsExactly(StreamOrigin.UNKNOWN);
+	}
+
+	// The same at a daemon that remembers the dispatch itself and takes all others for
+	// dead.
+	@Test
+	void ownMemoryOfADispatchIsNoProofIfAllOthersAreTakenForDead() {
+		this.registry = registryOfDeadOthers();
+		RunOrigin dispatched = RunOrigin.dispatched(RUN.number(), V1);
+		this.registry.received(id(4), member(4).peerAddress(), new OriginReport(RUN.key(), dispatched, KEEP, 0));
+		find();
+		pass(OriginRegistry.LOOKUP_TIMEOUT);
+		assertThat(this.found).containsExactly(StreamOrigin.UNKNOWN);
+	}
+
+	@Test
+	void begunRunIsProofWhoeverRemembersIt() {
+		find();
+		reply(0, begun(V2));
+		pass(OriginRegistry.ANSWER_WINDOW);
+		assertThat(this.found).containsExactly(StreamOrigin.of(V2));
+	}
+
+	@Test
+	void remembersBegunRunsUntilTheyExpire() {
+		BegunRun begun = new BegunRun(RUN, V1, KEEP);
+		this.registry.dispatched(RUN, V1, KEEP, this.dispatched::add);
+		assertThat(this.registry.begunRuns()).isEmpty();
+		this.registry.remember(begun);
+		assertThat(this.registry.begunRuns()).containsExactly(begun);
+		pass(KEEP);
+		assertThat(this.registry.begunRuns()).isEmpty();
+	}
+
 	// A daemon that missed the retry must not outvote one that heard of it.
 	@Test
 	void lookupMergesReplies() {
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		reply(0, StreamRecord.of(RunOrigin.dispatched(RUN.number(), V1)));
 		reply(1, begun(V2));
 		pass(OriginRegistry.ANSWER_WINDOW);
@@ -202,14 +258,14 @@
 		this.registry.dispatched(RUN, V1, KEEP, this.dispatched::add);
 		this.sent.clear();
 		this.receivers.clear();
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		for (int i = 0; i < OriginReplicas.ASKED; i++) {
 			reply(i, StreamRecord.EMPTY);
 		}
 		assertThat(this.found).containsExactly(StreamOrigin.UNKNOWN);
 		this.sent.clear();
 		this.receivers.clear();
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		reply(0, StreamRecord.of(RunOrigin.dispatched(RUN.number() + 1, V2)));
 		pass(OriginRegistry.ANSWER_WINDOW);
 		assertThat(this.found).last().isSameAs(StreamOrigin.AMBIGUOUS);
@@ -220,7 +276,7 @@
 	void singleDaemonFindsItsOwnRuns() {
 		this.registry = registry(1);
 		this.registry.dispatched(RUN, V1, KEEP, this.dispatched::add);
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		assertThat(this.found).containsExactly(StreamOrigin.of(V1));
 		this.registry.begun(RUN, V1, KEEP, this.confirmed::add);
 		assertThat(this.confirmed).containsExactly(true);
@@ -229,7 +285,7 @@
 	// Silence of all others must not hold a caller for ever.
 	@Test
 	void lookupTimesOut() {
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		pass(OriginRegistry.LOOKUP_TIMEOUT.minusMillis(1));
 		assertThat(this.found).isEmpty();
 		pass(Duration.ofMillis(1));
@@ -240,7 +296,7 @@
 	// Replies of daemons not asked, repeated, or about another key must have no effect.
 	@Test
 	void ignoresRepliesThatWereNotAskedFor() {
-		this.registry.find(RUN.key(), this.found::add);
+		find();
 		int correlation = correlation(this.sent.get(0));
 		NetworkAddress address = this.receivers.get(0);
 		DaemonId asked = id(address.port() - 1);
@@ -284,7 +340,7 @@
 	@Test
 	void pendingLookupsAreBounded() {
 		for (int i = 0; i <= OriginRegistry.MAXIMUM_PENDING; i++) {
-			this.registry.find(RUN.key(), this.found::add);
+			find();
 		}
 		assertThat(this.found).containsExactly(StreamOrigin.UNKNOWN);
 		assertThat(this.outcomes).containsExactly(LookupOutcome.OVERLOADED);
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/VmListReads.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/VmListReads.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 import org.sardineport.core.fleet.ListRead;
 import org.sardineport.core.fleet.ListReads;
@@ -22,6 +25,8 @@
 
 	private final List<Waiter> waiters = new ArrayList<>();
 
+	private final List<Consumer<ListRead>> listeners = new CopyOnWriteArrayList<>();
+
 	private ListRead last = ListRead.NONE;
 
 	private Instant startedAt = Instant.MIN;
@@ -66,6 +71,7 @@
 			this.waiters.removeAll(satisfied);
 		}
 		satisfied.forEach((waiter) -> waiter.future().complete(read));
+		this.listeners.forEach((listener) -> listener.accept(read));
 	}
 
 	@Override
@@ -83,6 +89,11 @@
 		return waiter.future();
 	}
 
+	@Override
+	public void addListener(Consumer<ListRead> listener) {
+		this.listeners.add(Objects.requireNonNull(listener, "listener must not be null"));
+	}
+
 	@Override
 	public synchronized void readSoon() {
 		this.wantedSoon = true;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -81,7 +81,8 @@
 				ports.vmList(), clock, telemetry);
 		SchedulingService scheduling = SchedulingService.withoutLoadReports(schedulingSettings, ASSUMPTIONS, fleet,
 				transport, clock, random.split(), telemetry);
-		StreamOriginService origins = StreamOriginService.create(fleet, transport, clock, random.split(), telemetry);
+		StreamOriginService origins = StreamOriginService.create(fleet, fleet.listReads(), ports.origins(), transport,
+				clock, random.split(), telemetry);
 		fleet.setStrikeReceiver(scheduling);
 		scheduling.addStrikeChannel(fleet);
 		scheduling.addStrikeChannel(ports.strikes());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
@@ -5,6 +5,7 @@
 import org.sardineport.core.port.platform.VmList;
 import org.sardineport.core.port.relay.ConfigurationFeed;
 import org.sardineport.core.quarantine.StrikeStore;
+import org.sardineport.core.stream.OriginStore;
 
 /**
  * Interfaces through which a forwarding daemon uses its platform.
@@ -13,8 +14,10 @@
  * @param vmList source of the list of backend servers and daemons
  * @param configuration source of the operators' configuration
  * @param strikes strikes against requests that daemons share
+ * @param origins origins of streams, where they survive the loss of all daemons
  */
-public record RelayPorts(RelayProtocol protocol, VmList vmList, ConfigurationFeed configuration, StrikeStore strikes) {
+public record RelayPorts(RelayProtocol protocol, VmList vmList, ConfigurationFeed configuration, StrikeStore strikes,
+		OriginStore origins) {
 
 	/**
 	 * Creates the ports, all of which are required.
@@ -24,6 +27,7 @@
 		Objects.requireNonNull(vmList, "vmList must not be null");
 		Objects.requireNonNull(configuration, "configuration must not be null");
 		Objects.requireNonNull(strikes, "strikes must not be null");
+		Objects.requireNonNull(origins, "origins must not be null");
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -46,6 +46,8 @@
 
 	private final RequestProgress progress;
 
+	private final PoolName pool;
+
 	private final AttemptPlanner planner;
 
 	private final RelayRunReport report;
@@ -68,12 +70,12 @@
 		this.response = response;
 		RelayAdmission admission = request.admission();
 		Tier tier = admission.route().tier((admission.organisation() != null) ? admission.organisation().rank() : null);
-		PoolName pool = admission.route().pool(services.random().nextDouble());
+		this.pool = admission.route().pool(services.random().nextDouble());
 		this.progress = RequestProgress.of(admission.route());
-		this.planner = new AttemptPlanner(services, request, pool, tier);
+		this.planner = new AttemptPlanner(services, request, this.pool, tier);
 		this.report = new RelayRunReport(services, request, this.progress, tier);
 		this.version = new ResponseVersion(services, request, this.planner.owner());
-		this.attempts = new RelayAttempts(services, request, pool, this.progress, this.planner, this.version,
+		this.attempts = new RelayAttempts(services, request, this.pool, this.progress, this.planner, this.version,
 				this.report, this);
 	}
 
@@ -83,7 +85,7 @@
 			.setTimer(Math.max(1, remaining.toMillis()), (id) -> deadlinePassed());
 		if (this.version.isResumed()) {
 			Context context = this.services.vertx().getOrCreateContext();
-			this.version.find().thenAccept((origin) -> context.runOnContext((ignored) -> resume(origin)));
+			this.version.find(this.pool).thenAccept((origin) -> context.runOnContext((ignored) -> resume(origin)));
 		}
 		else {
 			this.attempts.start();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -13,7 +13,9 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.OrganisationId;
+import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.relay.ResumedStream;
+import org.sardineport.core.stream.BegunRun;
 import org.sardineport.core.stream.StreamKey;
 import org.sardineport.core.stream.StreamOrigin;
 import org.sardineport.core.stream.StreamRun;
@@ -81,22 +83,24 @@
 	/**
 	 * Returns whether the caller has events of the stream already, so that its version
 	 * must be found before the request may run.
-	 * @return whether to call {@link #find()}
+	 * @return whether to call {@link #find}
 	 */
 	boolean isResumed() {
 		return this.streams && this.request.head().resumedStream() != null;
 	}
 
 	/**
-	 * Asks the fleet which version began the stream that the caller takes up.
+	 * Finds out which version began the stream that the caller takes up.
+	 * @param pool the pool that the request is routed to
 	 * @return the origin; completes on any thread and never fails
 	 */
-	CompletionStage<StreamOrigin> find() {
+	CompletionStage<StreamOrigin> find(PoolName pool) {
 		ResumedStream resumed = this.request.head().resumedStream();
 		if (resumed == null || resumed.firstRequestId() == null) {
 			return CompletableFuture.completedFuture(StreamOrigin.UNKNOWN);
 		}
-		return this.services.origins().find(this.run.key());
+		Duration timeLimit = this.request.admission().route().timeout().plus(KEEP_MARGIN);
+		return this.services.origins().find(this.run.key(), pool, timeLimit);
 	}
 
 	/**
@@ -192,8 +196,12 @@
 		}
 		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
 		this.required = version;
+		BegunRun begun = new BegunRun(this.run, version, keepTime());
 		if (this.dispatched.size() > 1) {
-			this.services.origins().begun(this.run, version, keepTime());
+			this.services.origins().begun(begun);
+		}
+		else {
+			this.services.origins().remember(begun);
 		}
 		this.beganAtOtherVersion = isReplaced(attempt);
 		reportIfReplaced(this.beganAtOtherVersion, this.services.origins(), this.run, keepTime());
--- a/daemon/src/main/java/org/sardineport/daemon/stream/OriginReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/OriginReporter.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.stream.OriginEffects;
 import org.sardineport.core.stream.OriginReport;
 import org.sardineport.core.stream.StreamKey;
+import org.sardineport.core.stream.StreamOrigin;
 import org.sardineport.core.stream.StreamOriginMessage;
 import org.sardineport.core.stream.StreamRun;
 import org.sardineport.daemon.telemetry.EventLog;
@@ -48,6 +49,8 @@
 
 	private final Counter ringFull;
 
+	private final Counter notStored;
+
 	private volatile int size;
 
 	private long countedEvictions;
@@ -67,6 +70,7 @@
 		this.unconfirmed = telemetry.counter("stream-origins.unconfirmed");
 		this.evictions = telemetry.counter("stream-origins.evictions");
 		this.ringFull = telemetry.counter("stream-origins.ring-full");
+		this.notStored = telemetry.counter("stream-origins.not-stored");
 		telemetry.registry().gauge("stream-origins.entries", () -> () -> this.size);
 	}
 
@@ -92,6 +96,21 @@
 		}
 	}
 
+	/**
+	 * Counts and logs a lookup in the store. May be called from any thread.
+	 * @param key key of the stream
+	 * @param origin what the daemons' memory and the store prove together
+	 * @param millis milliseconds that it took
+	 */
+	void stored(StreamKey key, StreamOrigin origin, long millis) {
+		this.lookups.get(origin.version().isPresent() ? LookupOutcome.STORED : LookupOutcome.NOT_STORED).inc();
+		LOG.info("stream.origin-looked-up-in-store", "key", key, "origin", origin, "millis", millis);
+	}
+
+	void notStored() {
+		this.notStored.inc();
+	}
+
 	@Override
 	public void unconfirmed(StreamRun run, int replies) {
 		this.unconfirmed.inc();
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -10,21 +11,37 @@
 import java.util.random.RandomGenerator;
 
 import org.sardineport.core.backend.SoftwareVersion;
+import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.ListRead;
+import org.sardineport.core.fleet.ListReads;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.DaemonId;
+import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.port.peer.PeerTransport;
+import org.sardineport.core.stream.BegunRun;
+import org.sardineport.core.stream.OriginEvidence;
+import org.sardineport.core.stream.OriginRecorder;
 import org.sardineport.core.stream.OriginRegistry;
+import org.sardineport.core.stream.OriginStorageRequest;
+import org.sardineport.core.stream.OriginStore;
+import org.sardineport.core.stream.RunOrigin;
+import org.sardineport.core.stream.StoredOrigin;
 import org.sardineport.core.stream.StreamKey;
 import org.sardineport.core.stream.StreamOrigin;
 import org.sardineport.core.stream.StreamOriginMessage;
 import org.sardineport.core.stream.StreamRun;
+import org.sardineport.core.stream.VersionHistory;
 import org.sardineport.daemon.eventloop.EventLoop;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
  * Tells other daemons which software version begins a stream, and finds it out when a
- * caller takes a stream up again. Runs the {@link OriginRegistry} on one thread. Safe for
- * use by any thread; no method blocks. Stages complete on the service's thread.
+ * caller takes a stream up again. Runs the {@link OriginRegistry} and the
+ * {@link OriginRecorder} on one thread. Safe for use by any thread; no method blocks.
+ * Stages complete on any thread.
  */
 public final class StreamOriginService implements Service {
 
@@ -35,21 +52,45 @@
 	/** Time between two removals of expired records. */
 	private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
 
+	/**
+	 * Maximum time for which the store and the list are asked about a stream that no
+	 * daemon remembers.
+	 */
+	static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+
+	/** Maximum age of a read of the list that is relied on without another one. */
+	private static final Duration LIST_AGE = Duration.ofMillis(2500);
+
 	/** Time after which a stage completes even if the service has stopped. */
 	private static final Duration STAGE_TIMEOUT = OriginRegistry.LOOKUP_TIMEOUT.multipliedBy(2);
 
+	private final FleetView fleet;
+
+	private final ListReads listReads;
+
+	private final OriginStore store;
+
 	private final InstantSource clock;
 
 	private final OriginReporter reporter;
 
 	private final OriginRegistry registry;
 
+	private final VersionHistory history;
+
+	private final OriginRecorder recorder;
+
 	private final EventLoop eventLoop;
 
 	private long expiredAt;
 
-	private StreamOriginService(FleetView fleet, PeerTransport transport, InstantSource clock, RandomGenerator random,
-			Telemetry telemetry) {
+	private volatile boolean isMixed;
+
+	private StreamOriginService(FleetView fleet, ListReads listReads, OriginStore store, PeerTransport transport,
+			InstantSource clock, RandomGenerator random, Telemetry telemetry) {
+		this.fleet = fleet;
+		this.listReads = Objects.requireNonNull(listReads, "listReads must not be null");
+		this.store = Objects.requireNonNull(store, "store must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.reporter = new OriginReporter(transport, clock, telemetry);
 		this.registry = OriginRegistry.create(fleet::current, clock, random, this.reporter);
@@ -57,26 +98,31 @@
 		transport.listen(StreamOriginMessage.class, (sender, incarnation, address, message) -> {
 			if (message instanceof StreamOriginMessage received) {
 				this.reporter.received(received);
-				offer(() -> this.registry.received(sender, address, received));
+				offer(() -> handle(sender, address, received));
 			}
 		});
+		this.history = VersionHistory.create(clock);
+		this.recorder = OriginRecorder.create(fleet::current, this.history, store, clock, this::offer);
+		listReads.addListener((read) -> offer(() -> listed(read)));
 	}
 
 	/**
 	 * Returns a service that is not started yet. Must be called before the transport
 	 * starts, as it registers a message listener.
 	 * @param fleet the view of the fleet
+	 * @param listReads reads of the VM list, whose software versions are observed
+	 * @param store keeps origins where they survive the loss of all daemons
 	 * @param transport carries messages to other daemons
 	 * @param clock a steady clock
 	 * @param random source of randomness
 	 * @param telemetry counts messages, lookups and evictions
 	 * @return the service
 	 */
-	public static StreamOriginService create(FleetView fleet, PeerTransport transport, InstantSource clock,
-			RandomGenerator random, Telemetry telemetry) {
+	public static StreamOriginService create(FleetView fleet, ListReads listReads, OriginStore store,
+			PeerTransport transport, InstantSource clock, RandomGenerator random, Telemetry telemetry) {
 		Objects.requireNonNull(fleet, "fleet must not be null");
 		Objects.requireNonNull(transport, "transport must not be null");
-		return new StreamOriginService(fleet, transport, clock, random, telemetry);
+		return new StreamOriginService(fleet, listReads, store, transport, clock, random, telemetry);
 	}
 
 	@Override
@@ -106,16 +152,39 @@
 	}
 
 	/**
-	 * Reports which version a run's first event comes from. Needed only if attempts of
-	 * several versions were dispatched: until then the origin is ambiguous, and a caller
-	 * that comes back is refused.
-	 * @param run the run
-	 * @param version version of the backend server that sent the event
-	 * @param keep how long the caller may come back
+	 * Reports which version a run's first event comes from, after attempts at several
+	 * versions: until then the origin is ambiguous, and a caller that comes back is
+	 * refused.
+	 * @param begun the run
 	 * @return whether enough other daemons remember the version; never fails
 	 */
-	public CompletionStage<Boolean> begun(StreamRun run, SoftwareVersion version, Duration keep) {
-		return answer((listener) -> this.registry.begun(run, version, keep, listener), false);
+	public CompletionStage<Boolean> begun(BegunRun begun) {
+		return answer((listener) -> {
+			this.registry.begun(begun.run(), begun.version(), begun.keep(), listener);
+			requestStorage(begun.stored());
+		}, false);
+	}
+
+	/**
+	 * Records which version a run's first event comes from, after attempts at that
+	 * version only. Other daemons hear of it while a pool runs several versions.
+	 * @param begun the run
+	 */
+	public void remember(BegunRun begun) {
+		offer(() -> {
+			if (this.isMixed) {
+				share(begun);
+			}
+			else {
+				this.registry.remember(begun);
+			}
+		});
+	}
+
+	private void share(BegunRun begun) {
+		this.registry.begun(begun.run(), begun.version(), begun.keep(), (ignored) -> {
+		});
+		requestStorage(begun.stored());
 	}
 
 	/**
@@ -125,17 +194,106 @@
 	 * @param keep how long the caller may come back
 	 */
 	public void contradicted(StreamRun run, Duration keep) {
-		offer(() -> this.registry.contradicted(run, keep));
+		offer(() -> {
+			this.registry.contradicted(run, keep);
+			requestStorage(new StoredOrigin(run.key(), RunOrigin.contradicted(run.number())));
+		});
 	}
 
 	/**
-	 * Looks up which version began a stream.
+	 * Looks up which version began a stream: in the memory of the daemons, then in the
+	 * store, then by the versions that the pool has run of late.
 	 * @param key key of the stream
-	 * @return the origin; {@link StreamOrigin#UNKNOWN} if no daemon that knows it answers
-	 * in time; never fails
+	 * @param pool pool that the stream began in
+	 * @param timeLimit longest time that a stream of its route may last
+	 * @return the origin; {@link StreamOrigin#UNKNOWN} if it is not proved; never fails
 	 */
-	public CompletionStage<StreamOrigin> find(StreamKey key) {
-		return answer((listener) -> this.registry.find(key, listener), StreamOrigin.UNKNOWN);
+	public CompletionStage<StreamOrigin> find(StreamKey key, PoolName pool, Duration timeLimit) {
+		CompletionStage<OriginEvidence> remembered = answer((listener) -> this.registry.find(key, listener),
+				OriginEvidence.NONE);
+		return remembered.thenCompose((evidence) -> isReliable(evidence)
+				? CompletableFuture.completedFuture(evidence.origin()) : findStored(key, pool, timeLimit, evidence));
+	}
+
+	// That an attempt was dispatched at a version does not prove that the stream began
+	// there. While a pool runs several versions, the first event is reported as well. A
+	// daemon that stood still or was cut off does not know whether it does.
+	private boolean isReliable(OriginEvidence evidence) {
+		if (evidence.origin().version().isEmpty()) {
+			return false;
+		}
+		boolean isListRecent = this.listReads.last().beganSince(this.clock.instant().minus(LIST_AGE));
+		return evidence.record().hasBegun() || (isListRecent && !this.isMixed);
+	}
+
+	private CompletionStage<StreamOrigin> findStored(StreamKey key, PoolName pool, Duration timeLimit,
+			OriginEvidence evidence) {
+		long startedAt = this.clock.millis();
+		return this.store.find(key)
+			.thenApply(evidence::originWith)
+			.thenCompose((origin) -> (origin == StreamOrigin.UNKNOWN)
+					? findSoleVersion(pool, timeLimit).thenApply(evidence::originWith)
+					: CompletableFuture.completedStage(origin))
+			.exceptionally((failure) -> StreamOrigin.UNKNOWN)
+			.toCompletableFuture()
+			.completeOnTimeout(StreamOrigin.UNKNOWN, STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.thenApply((origin) -> {
+				this.reporter.stored(key, origin, this.clock.millis() - startedAt);
+				return origin;
+			});
+	}
+
+	// The list must have been read after the caller came back, as this daemon may have
+	// stood still or been cut off before.
+	private CompletionStage<StreamOrigin> findSoleVersion(PoolName pool, Duration timeLimit) {
+		if (timeLimit.compareTo(VersionHistory.RETENTION) >= 0) {
+			return CompletableFuture.completedStage(StreamOrigin.UNKNOWN);
+		}
+		CompletionStage<ListRead> read = this.listReads.since(this.clock.instant());
+		this.listReads.readSoon();
+		return this.store.soleVersions()
+			.thenCombine(read,
+					(stated, listed) -> listed.soleVersion(pool)
+						.filter((version) -> stated.version(pool).filter(version::equals).isPresent())
+						.map(StreamOrigin::of)
+						.orElse(StreamOrigin.UNKNOWN));
+	}
+
+	private void handle(DaemonId sender, NetworkAddress address, StreamOriginMessage message) {
+		if (message instanceof OriginStorageRequest request) {
+			store(new StoredOrigin(request.key(), request.run()));
+		}
+		else {
+			this.registry.received(sender, address, message);
+		}
+	}
+
+	private void requestStorage(StoredOrigin origin) {
+		FleetSnapshot snapshot = this.fleet.current();
+		Optional<Member> writer = OriginRecorder.writer(snapshot);
+		if (writer.isEmpty() || writer.get().id().equals(snapshot.self())) {
+			store(origin);
+		}
+		else {
+			this.reporter.send(writer.get().peerAddress(), new OriginStorageRequest(origin.key(), origin.run()));
+		}
+	}
+
+	private void store(StoredOrigin origin) {
+		if (!this.recorder.add(origin)) {
+			this.reporter.notStored();
+		}
+	}
+
+	// Streams that began while the pool ran one version are reported and stored as soon
+	// as it runs several.
+	private void listed(ListRead read) {
+		this.history.listed(read.servers());
+		boolean wasMixed = this.isMixed;
+		this.isMixed = this.history.isMixed();
+		if (this.isMixed && !wasMixed) {
+			this.registry.begunRuns().forEach(this::share);
+		}
 	}
 
 	private <T> CompletionStage<T> answer(Consumer<Consumer<T>> command, T otherwise) {
@@ -156,6 +314,7 @@
 
 	private void tick() {
 		this.registry.tick();
+		this.recorder.tick();
 		long now = this.clock.millis();
 		if (now - this.expiredAt >= EXPIRY_INTERVAL.toMillis()) {
 			this.expiredAt = now;
--- a/standins/src/test/java/org/sardineport/standins/stream/StreamOriginFleetTests.java
+++ b/standins/src/test/java/org/sardineport/standins/stream/StreamOriginFleetTests.java
@@ -182,7 +182,7 @@
 			asked = random.nextInt(fleet.size());
 		}
 		if (stream.hasBegun()) {
-			fleet.registry(asked).find(stream.run().key(), (origin) -> counts.add(stream, origin));
+			fleet.registry(asked).find(stream.run().key(), (evidence) -> counts.add(stream, evidence.origin()));
 		}
 	}
 
--- a/wire/src/main/java/org/sardineport/wire/stream/RunOriginBytes.java
+++ b/wire/src/main/java/org/sardineport/wire/stream/RunOriginBytes.java
@@ -18,7 +18,7 @@
  * length of its version in two bytes and the version in UTF-8. A record is a byte that
  * tells whether it is truncated, a byte for the number of runs, and the runs.
  */
-final class RunOriginBytes {
+public final class RunOriginBytes {
 
 	/** Maximum length of a software version in bytes. */
 	static final int MAXIMUM_VERSION_BYTES = 1_024;
@@ -30,7 +30,12 @@
 	private RunOriginBytes() {
 	}
 
-	static int size(RunOrigin run) {
+	/**
+	 * Returns the number of bytes of a run.
+	 * @param run the run
+	 * @return the number
+	 */
+	public static int size(RunOrigin run) {
 		return RUN_BYTES + utf8(run).length;
 	}
 
@@ -38,7 +43,13 @@
 		return 2 + record.runs().stream().mapToInt(RunOriginBytes::size).sum();
 	}
 
-	static void write(RunOrigin run, ByteBuffer out) {
+	/**
+	 * Writes a run.
+	 * @param run the run
+	 * @param out receives the bytes
+	 * @throws IllegalArgumentException if its version is too long
+	 */
+	public static void write(RunOrigin run, ByteBuffer out) {
 		byte[] version = utf8(run);
 		if (version.length > MAXIMUM_VERSION_BYTES) {
 			throw new IllegalArgumentException(
@@ -56,7 +67,14 @@
 		return run.version().value().getBytes(StandardCharsets.UTF_8);
 	}
 
-	static RunOrigin readRun(ByteBuffer in) {
+	/**
+	 * Reads a run.
+	 * @param in the bytes
+	 * @return the run
+	 * @throws IllegalArgumentException if a value is out of range
+	 * @throws java.nio.BufferUnderflowException if bytes are missing
+	 */
+	public static RunOrigin readRun(ByteBuffer in) {
 		int number = in.getInt();
 		RunState state = STATES[inRange(in.get(), STATES.length - 1, "state")];
 		byte[] version = new byte[inRange(in.getShort(), MAXIMUM_VERSION_BYTES, "length of version")];
--- a/wire/src/main/java/org/sardineport/wire/stream/StreamOriginCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/stream/StreamOriginCodec.java
@@ -7,6 +7,7 @@
 import org.sardineport.core.stream.OriginQuery;
 import org.sardineport.core.stream.OriginReply;
 import org.sardineport.core.stream.OriginReport;
+import org.sardineport.core.stream.OriginStorageRequest;
 import org.sardineport.core.stream.StreamKey;
 import org.sardineport.core.stream.StreamOriginMessage;
 import org.sardineport.wire.message.Envelope;
@@ -27,6 +28,8 @@
 
 	private static final byte REPLY = 3;
 
+	private static final byte STORAGE_REQUEST = 4;
+
 	/** Bytes of the kind, the key and the correlation. */
 	private static final int HEADER_BYTES = 1 + 2 * Long.BYTES + Integer.BYTES;
 
@@ -75,6 +78,12 @@
 			RunOriginBytes.write(reply.record(), out);
 			return out;
 		}
+		if (message instanceof OriginStorageRequest request) {
+			int size = HEADER_BYTES + RunOriginBytes.size(request.run());
+			ByteBuffer out = header(size, STORAGE_REQUEST, request.key(), 0);
+			RunOriginBytes.write(request.run(), out);
+			return out;
+		}
 		if (message instanceof OriginQuery query) {
 			return header(HEADER_BYTES, QUERY, query.key(), query.correlation());
 		}
@@ -108,7 +117,8 @@
 			case REPORT -> report(key, correlation, in);
 			case QUERY -> new OriginQuery(key, correlation);
 			case REPLY -> new OriginReply(key, correlation, RunOriginBytes.readRecord(in));
-			default -> throw new IllegalArgumentException("kind must be 1 to 3, found %d".formatted(kind));
+			case STORAGE_REQUEST -> new OriginStorageRequest(key, RunOriginBytes.readRun(in));
+			default -> throw new IllegalArgumentException("kind must be 1 to 4, found %d".formatted(kind));
 		};
 	}
 
