Tell others by how much a daemon is late, and allow for it before suspecting one

Cause: daemons that are short of processor time run late. They read replies late and reply late, so sound ones were suspected within 0.4 s and declared dead a second later, several times a second; each wrong death moves permits, limits and stream origins, whose traffic takes more processor time.

Change: a daemon measures the delays of its own ticks and reports the largest of the last seconds with its membership update, under a new incarnation so that it spreads. A probe waits longer, and a suspicion lasts longer, by the larger of the own lateness and the target's, at most 2 s. Probe rounds may overlap, so that one late target does not delay the others' probes. Nothing changes while nobody is late.

A killed daemon is found as before when nobody is late (MembershipFaultTests).

Ruled out: counting failed probes as own lateness, as the loss of half of the fleet would then slow its own detection. Not covered: the first pause of two seconds of a daemon that was not late before.

--- a/core/src/main/java/org/sardineport/core/fleet/ListedMembers.java
+++ b/core/src/main/java/org/sardineport/core/fleet/ListedMembers.java
@@ -46,8 +46,7 @@
 		if (member.status() != MemberStatus.ALIVE) {
 			return member;
 		}
-		return new Member(member.id(), member.incarnation(), MemberStatus.LEAVING, member.failureDomain(),
-				member.peerAddress(), member.callerAddress(), member.configurationVersion(), member.load());
+		return member.withStatus(MemberStatus.LEAVING);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/fleet/Member.java
+++ b/core/src/main/java/org/sardineport/core/fleet/Member.java
@@ -1,5 +1,6 @@
 package org.sardineport.core.fleet;
 
+import java.time.Duration;
 import java.util.Objects;
 
 import org.jspecify.annotations.Nullable;
@@ -20,9 +21,12 @@
  * @param configurationVersion version of the configuration in force there, as last
  * reported
  * @param load share of its capacity in use, 0 to 100, as last reported
+ * @param lateness by how much it is late for what is due, for want of processor time, as
+ * last reported
  */
 public record Member(DaemonId id, long incarnation, MemberStatus status, FailureDomain failureDomain,
-		NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load) {
+		NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load,
+		Duration lateness) {
 
 	/**
 	 * Creates the member.
@@ -33,6 +37,66 @@
 		Objects.requireNonNull(failureDomain, "failureDomain must not be null");
 		Objects.requireNonNull(peerAddress, "peerAddress must not be null");
 		Objects.requireNonNull(callerAddress, "callerAddress must not be null");
+		Objects.requireNonNull(lateness, "lateness must not be null");
+	}
+
+	/**
+	 * Creates a member that is not late.
+	 * @param id name of the daemon
+	 * @param incarnation number that increases each time the process starts or refutes a
+	 * suspicion
+	 * @param status whether it is alive, suspected, leaving or dead
+	 * @param failureDomain failure domain that it runs in
+	 * @param peerAddress address for messages between daemons
+	 * @param callerAddress address for requests of callers
+	 * @param configurationVersion version of the configuration in force there
+	 * @param load share of its capacity in use, 0 to 100
+	 */
+	public Member(DaemonId id, long incarnation, MemberStatus status, FailureDomain failureDomain,
+			NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load) {
+		this(id, incarnation, status, failureDomain, peerAddress, callerAddress, configurationVersion, load,
+				Duration.ZERO);
+	}
+
+	/**
+	 * Returns this member in another status.
+	 * @param other the status
+	 * @return a copy
+	 */
+	public Member withStatus(MemberStatus other) {
+		return new Member(this.id, this.incarnation, other, this.failureDomain, this.peerAddress, this.callerAddress,
+				this.configurationVersion, this.load, this.lateness);
+	}
+
+	/**
+	 * Returns this member with another incarnation.
+	 * @param other the incarnation
+	 * @return a copy
+	 */
+	public Member withIncarnation(long other) {
+		return new Member(this.id, other, this.status, this.failureDomain, this.peerAddress, this.callerAddress,
+				this.configurationVersion, this.load, this.lateness);
+	}
+
+	/**
+	 * Returns this member with other reported values.
+	 * @param otherVersion version of the configuration in force there
+	 * @param otherLoad share of its capacity in use, 0 to 100
+	 * @return a copy
+	 */
+	public Member withReport(long otherVersion, int otherLoad) {
+		return new Member(this.id, this.incarnation, this.status, this.failureDomain, this.peerAddress,
+				this.callerAddress, otherVersion, otherLoad, this.lateness);
+	}
+
+	/**
+	 * Returns this member with another lateness.
+	 * @param other the lateness
+	 * @return a copy
+	 */
+	public Member withLateness(Duration other) {
+		return new Member(this.id, this.incarnation, this.status, this.failureDomain, this.peerAddress,
+				this.callerAddress, this.configurationVersion, this.load, other);
 	}
 
 	// Written out for faster start-up, see the package core.identity.
@@ -40,7 +104,7 @@
 	public boolean equals(@Nullable Object other) {
 		return other instanceof Member that && this.incarnation == that.incarnation
 				&& this.configurationVersion == that.configurationVersion && this.load == that.load
-				&& this.status == that.status && this.id.equals(that.id)
+				&& this.lateness.equals(that.lateness) && this.status == that.status && this.id.equals(that.id)
 				&& this.failureDomain.equals(that.failureDomain) && this.peerAddress.equals(that.peerAddress)
 				&& this.callerAddress.equals(that.callerAddress);
 	}
--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
-import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.DaemonId;
@@ -67,9 +67,9 @@
 
 	private final SelfState self;
 
-	private @Nullable ProbeRound round;
+	private final List<ProbeRound> rounds = new ArrayList<>();
 
-	private Instant lastTick;
+	private final LatenessMeter lateness;
 
 	private Instant nextProbe;
 
@@ -86,9 +86,10 @@
 		this.receiver = new GossipReceiver(this.self, this.table, this.backendUpdates, this.composer, this.outbox,
 				timing.probeInterval(), output);
 		this.joinResponder = new JoinResponder(this.table, this.schedule);
-		this.lastTick = clock.instant();
+		Instant now = clock.instant();
+		this.lateness = new LatenessMeter(timing.probeTimeout(), now);
 		this.contacts = new JoinContacts(self.peerAddress(), random);
-		this.nextProbe = this.lastTick.plusMillis(random.nextLong(timing.probeInterval().toMillis()));
+		this.nextProbe = now.plusMillis(random.nextLong(timing.probeInterval().toMillis()));
 	}
 
 	/**
@@ -177,17 +178,18 @@
 
 	/**
 	 * Sends the probes and updates that are due and declares daemons dead whose suspicion
-	 * timed out. Must be called several times within the probe timeout; after a pause
+	 * timed out. Must be called several times within the probe timeout. If it is called
+	 * late, others are told to allow for that, and so does this daemon; after a pause
 	 * longer than the probe interval the suspicion timeouts start again.
 	 */
 	public void tick() {
 		Instant now = this.clock.instant();
-		restartTimersAfterStall(now);
-		probeIndirectlyIfDue(now);
+		measureLateness(now);
+		this.rounds.forEach((round) -> probeIndirectlyIfDue(round, now));
 		declareDead(now);
+		finishRounds(now);
 		if (!now.isBefore(this.nextProbe)) {
 			this.nextProbe = now.plus(this.timing.probeInterval());
-			finishRound(now);
 			startRound(now);
 			probeSuspects(now);
 			this.table.removeExpiredDead(now);
@@ -238,13 +240,21 @@
 		}
 	}
 
-	private void restartTimersAfterStall(Instant now) {
-		Duration gap = Duration.between(this.lastTick, now);
-		if (gap.compareTo(this.timing.probeInterval()) > 0) {
-			this.round = null;
+	private void measureLateness(Instant now) {
+		if (this.lateness.ran(now).compareTo(this.timing.probeInterval()) > 0) {
+			this.rounds.clear();
 			this.table.peers().forEach((peer) -> peer.restartSuspicion(now));
 		}
-		this.lastTick = now;
+		if (this.self.reportLateness(this.lateness.lateness())) {
+			this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
+		}
+	}
+
+	// A daemon that is late replies late, and one that is late itself reads replies late.
+	private Duration allowance(Peer peer) {
+		Duration own = this.self.member().lateness();
+		Duration other = peer.member().lateness();
+		return (own.compareTo(other) > 0) ? own : other;
 	}
 
 	private void startRound(Instant now) {
@@ -252,14 +262,15 @@
 		if (target == null) {
 			return;
 		}
-		this.round = new ProbeRound(this.outbox.nextSequence(), target, now.plus(this.timing.probeTimeout()));
+		ProbeRound round = new ProbeRound(this.outbox.nextSequence(), target, now.plus(this.timing.probeTimeout()),
+				now.plus(this.timing.probeInterval()).plus(allowance(target)));
+		this.rounds.add(round);
 		this.outbox.send(target.member().peerAddress(),
-				new ProbeRequest(this.round.sequence(), this.outbox.updatesFor(target)));
+				new ProbeRequest(round.sequence(), this.outbox.updatesFor(target)));
 	}
 
-	private void probeIndirectlyIfDue(Instant now) {
-		ProbeRound current = this.round;
-		if (current == null || !current.startIndirect(now)) {
+	private void probeIndirectlyIfDue(ProbeRound current, Instant now) {
+		if (!current.startIndirect(now)) {
 			return;
 		}
 		Peer target = current.target();
@@ -271,13 +282,13 @@
 		}
 	}
 
-	private void finishRound(Instant now) {
-		ProbeRound finished = this.round;
-		this.round = null;
-		if (finished == null || !finished.target().isPresent()) {
-			return;
-		}
-		Peer target = finished.target();
+	private void finishRounds(Instant now) {
+		List<ProbeRound> over = this.rounds.stream().filter((round) -> round.isOver(now)).toList();
+		this.rounds.removeAll(over);
+		over.stream().map(ProbeRound::target).filter(Peer::isPresent).forEach((target) -> suspect(target, now));
+	}
+
+	private void suspect(Peer target, Instant now) {
 		if (this.isolation.timedOut(target.member().id())) {
 			beginIsolation();
 		}
@@ -313,7 +324,7 @@
 			return;
 		}
 		for (Peer peer : this.table.peers()) {
-			if (peer.isSuspicionExpired(now, this.timing.suspicionTimeout())) {
+			if (peer.isSuspicionExpired(now, this.timing.suspicionTimeout(), allowance(peer))) {
 				peer.markDead(now);
 				this.composer.broadcast(peer.member().id());
 				this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
@@ -327,9 +338,7 @@
 			this.table.peers().forEach((peer) -> peer.restartSuspicion(now));
 			this.output.onEvent(MembershipEvent.REJOINED, this.self.member());
 		}
-		if (this.round != null && this.round.sequence() == sequence) {
-			this.round = null;
-		}
+		this.rounds.removeIf((round) -> round.sequence() == sequence);
 		RelayedProbes.RelayedProbe relayed = this.relayedProbes.take(sequence, now);
 		if (relayed != null) {
 			this.outbox.send(relayed.origin(),
--- a/core/src/main/java/org/sardineport/core/membership/Peer.java
+++ b/core/src/main/java/org/sardineport/core/membership/Peer.java
@@ -88,8 +88,7 @@
 		long version = Math.max(this.member.configurationVersion(), update.configurationVersion());
 		int load = (direct) ? update.load() : this.member.load();
 		if (version != this.member.configurationVersion() || load != this.member.load()) {
-			this.member = new Member(this.member.id(), this.member.incarnation(), status(), this.member.failureDomain(),
-					this.member.peerAddress(), this.member.callerAddress(), version, load);
+			this.member = this.member.withReport(version, load);
 		}
 	}
 
@@ -159,13 +158,15 @@
 	 * the timeout, as its refutation travels by way of others too.
 	 * @param now the current time
 	 * @param timeout time to refute the suspicion
+	 * @param lateness added to the timeout for want of processor time
 	 * @return whether to declare it dead
 	 */
-	boolean isSuspicionExpired(Instant now, Duration timeout) {
-		if (this.locallySuspectedAt != null && !now.isBefore(this.locallySuspectedAt.plus(timeout))) {
+	boolean isSuspicionExpired(Instant now, Duration timeout, Duration lateness) {
+		Instant lateStart = now.minus(lateness);
+		if (this.locallySuspectedAt != null && !lateStart.isBefore(this.locallySuspectedAt.plus(timeout))) {
 			return true;
 		}
-		return this.suspectedAt != null && !now.isBefore(this.suspectedAt.plus(timeout.multipliedBy(2)));
+		return this.suspectedAt != null && !lateStart.isBefore(this.suspectedAt.plus(timeout.multipliedBy(2)));
 	}
 
 	void markDead(Instant now) {
@@ -190,9 +191,7 @@
 	}
 
 	private void status(MemberStatus status, Instant now) {
-		this.member = new Member(this.member.id(), this.member.incarnation(), status, this.member.failureDomain(),
-				this.member.peerAddress(), this.member.callerAddress(), this.member.configurationVersion(),
-				this.member.load());
+		this.member = this.member.withStatus(status);
 		this.statusSince = now;
 	}
 
--- a/core/src/main/java/org/sardineport/core/membership/ProbeRound.java
+++ b/core/src/main/java/org/sardineport/core/membership/ProbeRound.java
@@ -13,12 +13,15 @@
 
 	private final Instant directDeadline;
 
+	private final Instant deadline;
+
 	private boolean indirectStarted;
 
-	ProbeRound(long sequence, Peer target, Instant directDeadline) {
+	ProbeRound(long sequence, Peer target, Instant directDeadline, Instant deadline) {
 		this.sequence = sequence;
 		this.target = target;
 		this.directDeadline = directDeadline;
+		this.deadline = deadline;
 	}
 
 	long sequence() {
@@ -29,6 +32,10 @@
 		return this.target;
 	}
 
+	boolean isOver(Instant now) {
+		return !now.isBefore(this.deadline);
+	}
+
 	/**
 	 * Starts the indirect probes if the time for a direct response is over. Returns
 	 * {@code true} at most once.
--- a/core/src/main/java/org/sardineport/core/membership/SelfState.java
+++ b/core/src/main/java/org/sardineport/core/membership/SelfState.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.membership;
 
+import java.time.Duration;
+
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
@@ -20,9 +22,21 @@
 	}
 
 	void report(long configurationVersion, int load) {
-		this.member = new Member(this.member.id(), this.member.incarnation(), this.member.status(),
-				this.member.failureDomain(), this.member.peerAddress(), this.member.callerAddress(),
-				configurationVersion, load);
+		this.member = this.member.withReport(configurationVersion, load);
+	}
+
+	/**
+	 * Changes by how much this daemon is late, and increments the incarnation, so that
+	 * others pass the change on.
+	 * @param lateness the lateness
+	 * @return whether it has changed
+	 */
+	boolean reportLateness(Duration lateness) {
+		if (lateness.equals(this.member.lateness())) {
+			return false;
+		}
+		this.member = this.member.withLateness(lateness).withIncarnation(this.member.incarnation() + 1);
+		return true;
 	}
 
 	/**
@@ -62,9 +76,7 @@
 	}
 
 	private void replace(long incarnation, MemberStatus status) {
-		this.member = new Member(this.member.id(), incarnation, status, this.member.failureDomain(),
-				this.member.peerAddress(), this.member.callerAddress(), this.member.configurationVersion(),
-				this.member.load());
+		this.member = this.member.withIncarnation(incarnation).withStatus(status);
 	}
 
 }
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -110,7 +110,10 @@
 			this.clock.advance(STEP);
 			this.network.deliverDue();
 			for (Node node : this.nodes) {
-				if (node.running) {
+				if (node.running && !this.clock.instant().isBefore(node.nextRun)) {
+					node.nextRun = this.clock.instant().plus(node.lateness);
+					node.received.forEach(Runnable::run);
+					node.received.clear();
 					node.membership.tick();
 				}
 			}
@@ -152,6 +155,18 @@
 		this.nodes.get(number).transport.start();
 	}
 
+	/**
+	 * Lets a daemon run only now and then, as one that is short of processor time. What
+	 * it receives meanwhile waits.
+	 * @param number number of the daemon
+	 * @param lateness time between two runs; {@link Duration#ZERO} ends it
+	 */
+	public void delay(int number, Duration lateness) {
+		Node node = this.nodes.get(number);
+		node.lateness = lateness;
+		node.nextRun = this.clock.instant().plusMillis(this.random.nextLong(lateness.toMillis() + 1));
+	}
+
 	/**
 	 * Returns the membership of a daemon.
 	 * @param number number of the daemon
@@ -252,10 +267,11 @@
 		Membership membership = Membership.create(self, this.timing, this.clock, this.random.split(),
 				new Recorder(id(number), transport));
 		membership.contacts(List.of(address(0), address(1)));
-		transport.listen(MembershipMessage.class, (sender, senderIncarnation, senderAddress, message) -> membership
-			.received(sender, senderAddress, (MembershipMessage) message));
+		Node node = new Node(membership, transport);
+		transport.listen(MembershipMessage.class, (sender, senderIncarnation, senderAddress, message) -> node
+			.receive(() -> membership.received(sender, senderAddress, (MembershipMessage) message)));
 		transport.start();
-		return new Node(membership, transport);
+		return node;
 	}
 
 	/**
@@ -267,13 +283,28 @@
 
 		private final InMemoryPeerTransport transport;
 
+		private final List<Runnable> received = new ArrayList<>();
+
 		private boolean running = true;
 
+		private Duration lateness = Duration.ZERO;
+
+		private Instant nextRun = Instant.MIN;
+
 		private Node(Membership membership, InMemoryPeerTransport transport) {
 			this.membership = membership;
 			this.transport = transport;
 		}
 
+		private void receive(Runnable message) {
+			if (this.lateness.isZero()) {
+				message.run();
+			}
+			else {
+				this.received.add(message);
+			}
+		}
+
 	}
 
 	/**
--- a/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
@@ -389,6 +389,44 @@
     loadPercent_ = 0;
   }
 
+  public static final int LATENESS_MILLIS_FIELD_NUMBER = 11;
+  private int latenessMillis_;
+  /**
+   * <pre>
+   * By how much the daemon is late for what is due.
+   * </pre>
+   *
+   * <code>uint32 lateness_millis = 11;</code>
+   * @return The latenessMillis.
+   */
+  @java.lang.Override
+  public int getLatenessMillis() {
+    return latenessMillis_;
+  }
+  /**
+   * <pre>
+   * By how much the daemon is late for what is due.
+   * </pre>
+   *
+   * <code>uint32 lateness_millis = 11;</code>
+   * @param value The latenessMillis to set.
+   */
+  private void setLatenessMillis(int value) {
+    
+    latenessMillis_ = value;
+  }
+  /**
+   * <pre>
+   * By how much the daemon is late for what is due.
+   * </pre>
+   *
+   * <code>uint32 lateness_millis = 11;</code>
+   */
+  private void clearLatenessMillis() {
+
+    latenessMillis_ = 0;
+  }
+
   public static org.sardineport.wire.message.MemberUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -873,6 +911,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * By how much the daemon is late for what is due.
+     * </pre>
+     *
+     * <code>uint32 lateness_millis = 11;</code>
+     * @return The latenessMillis.
+     */
+    @java.lang.Override
+    public int getLatenessMillis() {
+      return instance.getLatenessMillis();
+    }
+    /**
+     * <pre>
+     * By how much the daemon is late for what is due.
+     * </pre>
+     *
+     * <code>uint32 lateness_millis = 11;</code>
+     * @param value The latenessMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLatenessMillis(int value) {
+      copyOnWrite();
+      instance.setLatenessMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * By how much the daemon is late for what is due.
+     * </pre>
+     *
+     * <code>uint32 lateness_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLatenessMillis() {
+      copyOnWrite();
+      instance.clearLatenessMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.MemberUpdate)
   }
   @java.lang.Override
@@ -899,10 +977,12 @@
             "callerPort_",
             "configurationVersion_",
             "loadPercent_",
+            "latenessMillis_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0208\u0002\u0003\u0003\f" +
-              "\u0004\u0208\u0005\u0208\u0006\u000b\u0007\u0208\b\u000b\t\u0010\n\u000b";
+              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u0003" +
+              "\u0003\f\u0004\u0208\u0005\u0208\u0006\u000b\u0007\u0208\b\u000b\t\u0010\n\u000b" +
+              "\u000b\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/MemberUpdateOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MemberUpdateOrBuilder.java
@@ -98,4 +98,14 @@
    * @return The loadPercent.
    */
   int getLoadPercent();
+
+  /**
+   * <pre>
+   * By how much the daemon is late for what is due.
+   * </pre>
+   *
+   * <code>uint32 lateness_millis = 11;</code>
+   * @return The latenessMillis.
+   */
+  int getLatenessMillis();
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -40,6 +40,9 @@
  */
 public final class MembershipCodec implements PeerCodec<MembershipMessage> {
 
+	/** More is taken for this, so that no message delays a declaration for long. */
+	private static final Duration MAXIMUM_LATENESS = Duration.ofSeconds(2);
+
 	private MembershipCodec() {
 	}
 
@@ -132,7 +135,8 @@
 			.setFailureDomain(member.failureDomain().value())
 			.setCallerPort(member.callerAddress().port())
 			.setConfigurationVersion(member.configurationVersion())
-			.setLoadPercent(member.load());
+			.setLoadPercent(member.load())
+			.setLatenessMillis(Math.toIntExact(member.lateness().toMillis()));
 		if (!member.id().value().equals(envelope.getSender())) {
 			update.setDaemon(member.id().value());
 		}
@@ -154,7 +158,13 @@
 		String callerIp = (update.getCallerIp().isEmpty()) ? peer.ip() : update.getCallerIp();
 		return new Member(DaemonId.of(id), update.getIncarnation(), decodeStatus(update.getState()),
 				FailureDomain.of(update.getFailureDomain()), peer, NetworkAddress.of(callerIp, update.getCallerPort()),
-				update.getConfigurationVersion(), update.getLoadPercent());
+				update.getConfigurationVersion(), update.getLoadPercent(), decodeLateness(update));
+	}
+
+	private static Duration decodeLateness(MemberUpdate update) {
+		int millis = update.getLatenessMillis();
+		boolean isInRange = millis >= 0 && millis <= MAXIMUM_LATENESS.toMillis();
+		return isInRange ? Duration.ofMillis(millis) : MAXIMUM_LATENESS;
 	}
 
 	private static MemberState encodeStatus(MemberStatus status) {
