Count a request from when it may have arrived, and do not send it once its caller is gone

Cause: a daemon that runs late reads requests late and counted their time limit from then; the timer of the deadline fires late as well.

Change: the arrival of a request that an overdue event loop reads is when the loop fell behind; a granted permit is not used, and an open connection gets no request, once the caller no longer waits. While a pool runs one version, two daemons are told of a stream and none replies, in place of four that do: two messages a stream in place of eight.

--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -55,6 +55,9 @@
 	 */
 	public static final int CONFIRMATIONS = 2;
 
+	/** Number of daemons told of a dispatch while a pool runs one version only. */
+	static final int TOLD_OF_SOLE_VERSION = 2;
+
 	private final Supplier<FleetSnapshot> fleet;
 
 	private final InstantSource clock;
@@ -104,6 +107,28 @@
 		report(run, RunOrigin.dispatched(run.number(), version), keep, listener);
 	}
 
+	/**
+	 * Reports that an attempt of a run is dispatched while its pool runs one version
+	 * only. Two daemons are told, and none replies: there is no other version that the
+	 * stream could go on at.
+	 * @param run the run
+	 * @param version version of the backend server
+	 * @param keep how long the caller may come back
+	 */
+	public void dispatchedAtSoleVersion(StreamRun run, SoftwareVersion version, Duration keep) {
+		OriginReport report = new OriginReport(run.key(),
+				served(run, RunOrigin.dispatched(run.number(), version), keep), limited(keep), 0);
+		OriginReplicas.told(run.key(), this.fleet.get())
+			.stream()
+			.limit(TOLD_OF_SOLE_VERSION)
+			.forEach((member) -> this.effects.send(member.peerAddress(), report));
+	}
+
+	private RunOrigin served(StreamRun run, RunOrigin news, Duration keep) {
+		long expiresAt = now() + limited(keep).toMillis();
+		return this.served.add(run.key(), news, expiresAt, now()).run(run.number()).orElse(news);
+	}
+
 	/**
 	 * Reports which version a run's first event came from. Needed only if attempts of
 	 * several versions were dispatched: until then the origin is ambiguous.
@@ -122,8 +147,7 @@
 	 * @param begun the run
 	 */
 	public void remember(BegunRun begun) {
-		RunOrigin origin = RunOrigin.begun(begun.run().number(), begun.version());
-		this.served.add(begun.run().key(), origin, now() + limited(begun.keep()).toMillis(), now());
+		served(begun.run(), RunOrigin.begun(begun.run().number(), begun.version()), begun.keep());
 	}
 
 	/**
@@ -149,7 +173,7 @@
 		StreamKey key = run.key();
 		Duration limited = limited(keep);
 		long expiresAt = now() + limited.toMillis();
-		RunOrigin known = this.served.add(key, news, expiresAt, now()).run(run.number()).orElse(news);
+		RunOrigin known = served(run, news, keep);
 		FleetSnapshot snapshot = this.fleet.get();
 		if (OriginReplicas.isSelfChosen(key, snapshot)) {
 			this.told.add(key, known, expiresAt, now());
--- a/core/src/main/java/org/sardineport/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/sardineport/core/stream/VersionHistory.java
@@ -67,6 +67,15 @@
 		return this.pools.values().stream().anyMatch((pool) -> pool.lastListed().size() > 1);
 	}
 
+	/**
+	 * Returns whether any pool has run a version of late.
+	 * @param version the version
+	 * @return whether it was listed
+	 */
+	public boolean hasListed(SoftwareVersion version) {
+		return this.pools.values().stream().anyMatch((pool) -> pool.lastListed().containsKey(version));
+	}
+
 	/**
 	 * Returns what may be stated about single versions. A version that the stored
 	 * statement does not name for its pool must have been observed alone for
--- a/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
+++ b/core/src/test/java/org/sardineport/core/stream/OriginRegistryTests.java
@@ -115,6 +115,30 @@
 		assertThat(this.receivers).doesNotHaveDuplicates().doesNotContain(member(0).peerAddress());
 	}
 
+	// Load pattern: eight messages for each stream were a large part of a daemon's
+	// processor time, though all servers ran one version.
+	@Test
+	void dispatchAtTheOnlyVersionIsToldToTwoOthersOnce() {
+		this.registry.dispatchedAtSoleVersion(RUN, V1, KEEP);
+		pass(OriginRegistry.REPEAT_AFTER);
+		assertThat(this.sent).hasSize(2).allMatch((message) -> ((OriginReport) message).correlation() == 0);
+		find();
+		reply(2, StreamRecord.of(RunOrigin.dispatched(RUN.number(), V1)));
+		reply(3, StreamRecord.EMPTY);
+		pass(OriginRegistry.ANSWER_WINDOW);
+		assertThat(this.found).containsExactly(StreamOrigin.of(V1));
+	}
+
+	// The second version must be known to all four, those told of the first included.
+	@Test
+	void dispatchAtAnotherVersionAfterTheOnlyOneIsToldAsOneOfSeveral() {
+		this.registry.dispatchedAtSoleVersion(RUN, V1, KEEP);
+		this.sent.clear();
+		this.registry.dispatched(RUN, V2, KEEP, this.dispatched::add);
+		assertThat(this.sent).hasSize(OriginReplicas.REPLICAS)
+			.allMatch((message) -> ((OriginReport) message).run().state() == RunState.SEVERAL);
+	}
+
 	// A lost report must be repeated, or a single survivor may know an earlier stream
 	// only.
 	@Test
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -201,6 +201,11 @@
 		this.listener.silent(this);
 	}
 
+	@Override
+	public boolean maySend() {
+		return this.clock.instant().isBefore(this.plan.latestSend());
+	}
+
 	@Override
 	public void notConnected(String cause) {
 		fail(AttemptEnd.NOT_CONNECTED, cause);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
@@ -1,6 +1,7 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Objects;
 
 import io.vertx.core.MultiMap;
@@ -20,6 +21,8 @@
  * @param target path and query
  * @param headers headers for the backend server
  * @param body the whole body
+ * @param latestSend time from which the request is not sent any more, as its caller no
+ * longer waits
  * @param estimate expected tokens of prompt and answer
  * @param tokensPerEvent tokens that one event of the response holds
  * @param lastEventId identity of the last event that the caller has received; -1 if none
@@ -33,14 +36,15 @@
  * reports
  */
 record AttemptPlan(RelayProtocol protocol, Permit permit, String requestId, String method, String target,
-		MultiMap headers, Buffer body, TokenEstimate estimate, int tokensPerEvent, long lastEventId, boolean isResumed,
-		boolean mayBeEmpty, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
+		MultiMap headers, Buffer body, Instant latestSend, TokenEstimate estimate, int tokensPerEvent, long lastEventId,
+		boolean isResumed, boolean mayBeEmpty, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
 		@Nullable Duration gapTimeout) {
 
 	AttemptPlan {
 		Objects.requireNonNull(protocol, "protocol must not be null");
 		Objects.requireNonNull(permit, "permit must not be null");
 		Objects.requireNonNull(requestId, "requestId must not be null");
+		Objects.requireNonNull(latestSend, "latestSend must not be null");
 	}
 
 	BackendServer server() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -19,6 +20,9 @@
  */
 final class BackendCall {
 
+	/** Time for which a connection is kept on which nothing was sent. */
+	private static final Duration UNUSED_IDLE_TIME = Duration.ofSeconds(1);
+
 	private final BackendConnections connections;
 
 	private final BackendServer server;
@@ -53,6 +57,10 @@
 			else if (this.ended) {
 				acquired.result().close();
 			}
+			else if (!this.listener.maySend()) {
+				this.connections.release(acquired.result(), UNUSED_IDLE_TIME);
+				notConnected(new TimeoutException("the caller no longer waits"));
+			}
 			else {
 				this.connection = acquired.result();
 				write(acquired.result().http(), method, target, headers, body);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
@@ -10,6 +10,13 @@
  */
 interface BackendCallListener {
 
+	/**
+	 * Called when a connection is open.
+	 * @return whether the request may still be sent; if not, {@link #notConnected}
+	 * follows
+	 */
+	boolean maySend();
+
 	/**
 	 * Called if no connection could be used. No byte of the request was sent.
 	 * @param cause the cause, for logs and refusals
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -120,6 +120,10 @@
 			return;
 		}
 		this.pendingRequest = null;
+		if (!isCallerWaiting()) {
+			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
+			return;
+		}
 		try {
 			this.services.gate().recheck(this.request.admission());
 			if (!grantedPermit.isValidAt(now()) || !isUsable(grantedPermit)) {
@@ -339,6 +343,11 @@
 		return end == AttemptEnd.NOT_CONNECTED || this.retryCharge.trySpend();
 	}
 
+	// The timer of the deadline may be late itself; it ends the request.
+	private boolean isCallerWaiting() {
+		return now().isBefore(this.request.deadline().minus(RelayRun.RESPONSE_MARGIN));
+	}
+
 	private boolean isTimeLeft() {
 		return now().plus(RelayRun.RESPONSE_MARGIN).plus(MIN_ATTEMPT_TIME).isBefore(this.request.deadline());
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -45,11 +45,11 @@
 
 	private boolean ended;
 
-	RelayExchange(RelayServices services, HttpServerRequest request, CallerResponse response) {
+	RelayExchange(RelayServices services, HttpServerRequest request, CallerResponse response, Instant arrival) {
 		this.services = services;
 		this.request = request;
 		this.response = response;
-		this.arrival = services.clock().instant();
+		this.arrival = arrival;
 	}
 
 	void start() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.relay.ArrivalEstimate;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.daemon.telemetry.EventLog;
@@ -46,12 +47,16 @@
 
 	private final CallerConnections connections;
 
+	private final ArrivalEstimate arrivals;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private @Nullable HttpServer server;
 
 	private long idleCheckTimer = -1;
 
+	private long tickTimer = -1;
+
 	private volatile boolean stopping;
 
 	private volatile boolean refusing;
@@ -61,6 +66,7 @@
 	RelayServer(RelayServices services, NetworkAddress address) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
+		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
 				() -> services.inForce().current().callerLimits().idleTimeout());
 	}
@@ -82,12 +88,15 @@
 		this.server = created;
 		this.idleCheckTimer = this.services.vertx()
 			.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> this.connections.closeIdle());
+		this.tickTimer = this.services.vertx()
+			.setPeriodic(ArrivalEstimate.TICK.toMillis(), (id) -> this.arrivals.ticked());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
 
 	@Override
 	public CompletionStage<Void> stop() {
 		this.services.vertx().cancelTimer(this.idleCheckTimer);
+		this.services.vertx().cancelTimer(this.tickTimer);
 		HttpServer started = this.server;
 		return (started != null) ? started.close().toCompletionStage() : CompletableFuture.completedStage(null);
 	}
@@ -133,7 +142,7 @@
 					this.inFlight.decrementAndGet();
 					this.connections.requestEnded(request.connection());
 				});
-		RelayExchange exchange = new RelayExchange(this.services, request, response);
+		RelayExchange exchange = new RelayExchange(this.services, request, response, this.arrivals.arrival());
 		if (this.refusing) {
 			exchange
 				.refuseUnread(Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", STOPPING_RETRY_AFTER));
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -148,7 +148,20 @@
 	 * @return whether enough other daemons remember the version; never fails
 	 */
 	public CompletionStage<Boolean> dispatched(StreamRun run, SoftwareVersion version, Duration keep) {
-		return answer((listener) -> this.registry.dispatched(run, version, keep, listener), false);
+		return answer((listener) -> {
+			if (isSole(version)) {
+				this.registry.dispatchedAtSoleVersion(run, version, keep);
+				listener.accept(true);
+			}
+			else {
+				this.registry.dispatched(run, version, keep, listener);
+			}
+		}, false);
+	}
+
+	// Before the first read of the list a pool may run any number of versions.
+	private boolean isSole(SoftwareVersion version) {
+		return !this.isMixed && this.history.hasListed(version);
 	}
 
 	/**
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -65,6 +65,10 @@
 	}
 
 	private Attempt attempt(AttemptListener listener) {
+		return attempt(listener, Instant.MAX);
+	}
+
+	private Attempt attempt(AttemptListener listener, Instant latestSend) {
 		RelayProtocol protocol = (RelayProtocol) Proxy.newProxyInstance(RelayProtocol.class.getClassLoader(),
 				new Class<?>[] { RelayProtocol.class }, (proxy, method, arguments) -> new ResponseHead(200, "id", false,
 						true, false, true, null, StatedLimits.NONE));
@@ -74,8 +78,8 @@
 		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
-				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), TokenEstimate.NONE, 1, NO_EVENT, false, false,
-				Duration.ofSeconds(1), null, null);
+				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), latestSend, TokenEstimate.NONE, 1, NO_EVENT,
+				false, false, Duration.ofSeconds(1), null, null);
 		return new Attempt(services, plan, listener);
 	}
 
@@ -126,6 +130,18 @@
 		assertThat(firstEvents).hasValue(1);
 	}
 
+	// Load pattern: a daemon short of processor time opens a connection after its caller
+	// has left.
+	@Test
+	void requestIsNotSentOnceItsCallerNoLongerWaits() {
+		CompletableFuture<Long> result = new CompletableFuture<>();
+		Attempt attempt = attempt(new RecordingListener(Reaction.FORWARD, result, new AtomicInteger()), Instant.EPOCH);
+		this.vertx.runOnContext((ignored) -> attempt.start());
+		assertThat(result).failsWithin(Duration.ofSeconds(10))
+			.withThrowableThat()
+			.withMessageContaining("NOT_CONNECTED: the caller no longer waits");
+	}
+
 	private long lastEventId(Reaction reaction) throws Exception {
 		CompletableFuture<Long> result = new CompletableFuture<>();
 		start(new RecordingListener(reaction, result, new AtomicInteger()));
--- a/daemon/src/test/java/org/sardineport/daemon/stream/StreamOriginServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/stream/StreamOriginServiceTests.java
@@ -108,8 +108,9 @@
 	// A stream must be found from any daemon after the one that served it was killed.
 	@Test
 	void everyOtherDaemonFindsTheVersionAfterTheServingDaemonIsGone() {
-		this.reads.read(V1);
+		this.reads.read(V1, V2);
 		assertThat(join(this.services.get(0).dispatched(RUN, V1, KEEP))).isTrue();
+		assertThat(join(this.services.get(0).begun(new BegunRun(RUN, V1, KEEP)))).isTrue();
 		this.transports.get(0).stop();
 		for (int i = 1; i < DAEMONS; i++) {
 			assertThat(join(this.services.get(i).find(RUN.key(), POOL, TIME_LIMIT))).as("daemon %d", i)
@@ -120,6 +121,18 @@
 		assertThat(this.telemetry.get(0).counter("stream-origins.reports.sent").getCount()).isGreaterThanOrEqualTo(3);
 	}
 
+	@Test
+	void twoDaemonsAreToldOfAStreamOfTheOnlyVersion() {
+		this.reads.read(V1);
+		assertThat(join(this.services.get(0).dispatched(RUN, V1, KEEP))).isTrue();
+		assertThat(this.telemetry.get(0).counter("stream-origins.reports.sent").getCount()).isEqualTo(2);
+		this.transports.get(0).stop();
+		for (int i = 1; i < DAEMONS; i++) {
+			assertThat(join(this.services.get(i).find(RUN.key(), POOL, TIME_LIMIT))).as("daemon %d", i)
+				.isEqualTo(StreamOrigin.of(V1));
+		}
+	}
+
 	// A retry at another version must be what the others find.
 	@Test
 	void confirmedVersionSupersedesAnEarlierDispatch() {
