Let daemons wake and search less often

Change: membership ticks each 40 ms, stream origins each 50 ms (20 ms before); a waiting request looks for a better server each 100 ms. OriginRecorder takes its commands' runner without an executor, as core has no threads.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -327,7 +327,7 @@
 		else if (pending.isResendDue(this.limits.ownerTimeout(), now)) {
 			resendOrGiveUp(pending, now);
 		}
-		else if (pending.isQueued() && pending.moves() < MAX_MOVES) {
+		else if (pending.isQueued() && pending.moves() < MAX_MOVES && pending.beginMoveCheck(now)) {
 			moveIfBetter(pending);
 		}
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -31,6 +31,12 @@
 	 */
 	private static final long QUEUED_REFRESH_MILLIS = 2000;
 
+	/**
+	 * Time between two searches for a better backend server, as each compares a number of
+	 * them.
+	 */
+	static final long MOVE_CHECK_MILLIS = 100;
+
 	private final SchedulingRequest request;
 
 	private final PermitListener listener;
@@ -55,6 +61,8 @@
 
 	private long assignedAt;
 
+	private long moveCheckedAt;
+
 	private long expectedWaitMillis;
 
 	private long backoffUntil;
@@ -262,6 +270,19 @@
 		return this.unansweredResends;
 	}
 
+	/**
+	 * Returns whether to look for a better backend server now, and counts that as done.
+	 * @param now the current time
+	 * @return {@code true} at most once in {@value #MOVE_CHECK_MILLIS} ms
+	 */
+	boolean beginMoveCheck(long now) {
+		if (now - Math.max(this.moveCheckedAt, this.assignedAt) < MOVE_CHECK_MILLIS) {
+			return false;
+		}
+		this.moveCheckedAt = now;
+		return true;
+	}
+
 	boolean isAssignedBefore(long instant) {
 		return this.assignedAt < instant;
 	}
--- a/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.Executor;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -56,7 +58,7 @@
 
 	private final InstantSource clock;
 
-	private final Executor executor;
+	private final Consumer<Runnable> commands;
 
 	private final Deque<StoredOrigin> waiting = new ArrayDeque<>();
 
@@ -73,12 +75,12 @@
 	private @Nullable SoleVersions stored;
 
 	private OriginRecorder(Supplier<FleetSnapshot> fleet, VersionHistory history, OriginStore store,
-			InstantSource clock, Executor executor) {
+			InstantSource clock, Consumer<Runnable> commands) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
 		this.history = Objects.requireNonNull(history, "history must not be null");
 		this.store = Objects.requireNonNull(store, "store must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
-		this.executor = Objects.requireNonNull(executor, "executor must not be null");
+		this.commands = Objects.requireNonNull(commands, "commands must not be null");
 		this.startedAt = clock.instant();
 	}
 
@@ -88,12 +90,12 @@
 	 * @param history the versions listed
 	 * @param store where to write
 	 * @param clock a steady clock
-	 * @param executor runs commands on the thread of the recorder
+	 * @param commands runs commands on the thread of the recorder
 	 * @return the recorder
 	 */
 	public static OriginRecorder create(Supplier<FleetSnapshot> fleet, VersionHistory history, OriginStore store,
-			InstantSource clock, Executor executor) {
-		return new OriginRecorder(fleet, history, store, clock, executor);
+			InstantSource clock, Consumer<Runnable> commands) {
+		return new OriginRecorder(fleet, history, store, clock, commands);
 	}
 
 	/**
@@ -141,7 +143,7 @@
 			batch.add(this.waiting.remove());
 		}
 		this.appending = true;
-		this.store.append(batch).whenCompleteAsync((ignored, failure) -> appended(batch, failure), this.executor);
+		onResult(this.store.append(batch), (ignored, failure) -> appended(batch, failure));
 	}
 
 	private void appended(List<StoredOrigin> batch, @Nullable Throwable failure) {
@@ -163,16 +165,20 @@
 		SoleVersions known = this.stored;
 		if (known == null) {
 			this.stating = true;
-			this.store.soleVersions().whenCompleteAsync(this::stated, this.executor);
+			onResult(this.store.soleVersions(), this::stated);
 			return;
 		}
 		Map<PoolName, SoftwareVersion> next = this.history.soleVersions(known);
 		if (!next.equals(known.versions())) {
 			this.stating = true;
-			this.store.replace(known, next).whenCompleteAsync(this::stated, this.executor);
+			onResult(this.store.replace(known, next), this::stated);
 		}
 	}
 
+	private <T> void onResult(CompletionStage<T> stage, BiConsumer<? super T, ? super Throwable> handler) {
+		stage.whenComplete((result, failure) -> this.commands.accept(() -> handler.accept(result, failure)));
+	}
+
 	private void stated(@Nullable SoleVersions statement, @Nullable Throwable failure) {
 		this.stating = false;
 		this.stored = statement;
--- a/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
+++ b/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
@@ -2,6 +2,7 @@
 
 import java.lang.reflect.Constructor;
 import java.lang.reflect.RecordComponent;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
@@ -43,6 +44,7 @@
 			Map.entry(MemberStatus.class, List.of(MemberStatus.ALIVE, MemberStatus.DEAD)),
 			Map.entry(SoftwareVersion.class, List.of(SoftwareVersion.of("a"), SoftwareVersion.of("b"))),
 			Map.entry(Instant.class, List.of(Instant.EPOCH, Instant.EPOCH.plusMillis(1))),
+			Map.entry(Duration.class, List.of(Duration.ZERO, Duration.ofMillis(1))),
 			Map.entry(List.class, List.of(List.of(), List.of(MEMBER))));
 
 	private static Object create(Class<?> type, int changedIndex) throws ReflectiveOperationException {
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -55,7 +55,7 @@
 
 	private static final int RING_SIZE = 4096;
 
-	private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+	private static final Duration TICK_INTERVAL = Duration.ofMillis(40);
 
 	private final EventLoop eventLoop;
 
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -47,7 +47,7 @@
 
 	private static final int RING_SIZE = 16_384;
 
-	private static final Duration TICK = Duration.ofMillis(20);
+	private static final Duration TICK = Duration.ofMillis(50);
 
 	/** Time between two removals of expired records. */
 	private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
