Update owners and routers by what changed, not anew at each change

At each change of one daemon's status it compared all 61 servers with all 95 daemons and sorted the result, and hashed and sorted the 1,792 points of the prefix ring anew, though the servers were the same; suspicions and their ends come many times a second there.

Change: OwnerTable keeps each server's owner; a daemon that joins is compared with it, one that leaves changes what it owned only. Routers keep their ring, and their measured hit ratio, while the servers are the same.

--- a/core/src/main/java/org/sardineport/core/ownership/Ownership.java
+++ b/core/src/main/java/org/sardineport/core/ownership/Ownership.java
@@ -104,12 +104,20 @@
 		List<Scored> scored = new ArrayList<>(members.size());
 		for (Member member : members) {
 			if (member.status().isEligible()) {
-				scored.add(new Scored(member, member.failureDomain().equals(preferred), score(key, member.id())));
+				scored.add(scored(preferred, key, member));
 			}
 		}
 		return scored.stream().sorted(Scored.ORDER).limit(maximum).map(Scored::member).toList();
 	}
 
+	static Scored scored(BackendServer server, Member member) {
+		return scored(server.failureDomain(), server.id().value(), member);
+	}
+
+	private static Scored scored(FailureDomain preferred, String key, Member member) {
+		return new Scored(member, member.failureDomain().equals(preferred), score(key, member.id()));
+	}
+
 	private static long score(String key, DaemonId daemon) {
 		return HASHER.hashStream().putString(key).putString(daemon.value()).getAsLong();
 	}
@@ -121,9 +129,9 @@
 	 * @param local whether it is in the preferred failure domain
 	 * @param score the score, an unsigned number
 	 */
-	private record Scored(Member member, boolean local, long score) {
+	record Scored(Member member, boolean local, long score) {
 
-		private static final Comparator<Scored> ORDER = Comparator.comparing((Scored scored) -> !scored.local())
+		static final Comparator<Scored> ORDER = Comparator.comparing((Scored scored) -> !scored.local())
 			.thenComparing((first, second) -> Long.compareUnsigned(second.score(), first.score()))
 			.thenComparing((scored) -> scored.member().id());
 
--- a/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
+++ b/core/src/main/java/org/sardineport/core/routing/PoolRouter.java
@@ -49,13 +49,13 @@
 
 	private double hitRatio;
 
-	private PoolRouter(List<ServerView> servers, List<ServerView> owned, double initialHitRatio,
+	private PoolRouter(List<ServerView> servers, List<ServerView> owned, PrefixRing ring, double initialHitRatio,
 			RandomGenerator random) {
 		this.hitRatio = initialHitRatio;
 		this.servers = servers.toArray(new ServerView[0]);
 		this.all = Candidates.of(servers, owned);
 		this.byVersion = Candidates.byVersion(servers, owned);
-		this.ring = PrefixRing.of(servers.stream().map(ServerView::server).toList());
+		this.ring = ring;
 		this.random = Objects.requireNonNull(random, "random must not be null");
 	}
 
@@ -82,7 +82,26 @@
 	 */
 	public static PoolRouter withHitRatio(double initialHitRatio, List<ServerView> servers, List<ServerView> owned,
 			RandomGenerator random) {
-		return new PoolRouter(servers, owned, initialHitRatio, random);
+		PrefixRing ring = PrefixRing.of(servers.stream().map(ServerView::server).toList());
+		return new PoolRouter(servers, owned, ring, initialHitRatio, random);
+	}
+
+	/**
+	 * Returns a router of the same backend servers after owners have changed.
+	 * @param owned backend servers of the pool whose permits this daemon grants now
+	 * @return a router with the measurements of this one
+	 */
+	public PoolRouter withOwned(List<ServerView> owned) {
+		return new PoolRouter(List.of(this.servers), owned, this.ring, this.hitRatio, this.random);
+	}
+
+	/**
+	 * Returns whether this router is for certain backend servers.
+	 * @param views the backend servers, in the order of the listing
+	 * @return whether they are the same views
+	 */
+	public boolean isFor(List<ServerView> views) {
+		return views.equals(List.of(this.servers));
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerLookup.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerLookup.java
@@ -6,7 +6,7 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.ownership.Ownership;
+import org.sardineport.core.ownership.OwnerTable;
 
 /**
  * Determines which daemon grants the permits of a backend server. Daemons with the same
@@ -25,11 +25,13 @@
 	Optional<DaemonId> owner(BackendServer server, List<Member> members);
 
 	/**
-	 * Returns an owner lookup based on rendezvous hashing.
-	 * @return the lookup that all daemons of a fleet use
+	 * Returns an owner lookup based on rendezvous hashing, which all daemons of a fleet
+	 * use. It keeps state and is not safe for use by several threads.
+	 * @return a new lookup
 	 */
 	static OwnerLookup rendezvous() {
-		return (server, members) -> Ownership.owner(server, members).map(Member::id);
+		OwnerTable owners = OwnerTable.create();
+		return owners::owner;
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -132,6 +132,7 @@
 
 	private void rebuild(FleetSnapshot fleet) {
 		Map<BackendServerId, ServerView> old = new HashMap<>(this.views);
+		Map<PoolName, PoolRouter> oldRouters = new HashMap<>(this.routers);
 		this.views.clear();
 		this.routers.clear();
 		FailureDomain domain = fleet.member(this.self).map(Member::failureDomain).orElse(null);
@@ -147,8 +148,13 @@
 			this.views.put(server.id(), view);
 			pools.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>()).add(view);
 		}
-		pools.forEach((pool, members) -> this.routers.put(pool,
-				PoolRouter.withHitRatio(this.assumptions.homeHitShare(), members, owned(members), this.random)));
+		pools.forEach((pool, members) -> this.routers.put(pool, router(oldRouters.get(pool), members)));
+	}
+
+	private PoolRouter router(@Nullable PoolRouter former, List<ServerView> members) {
+		List<ServerView> owned = owned(members);
+		return (former != null && former.isFor(members)) ? former.withOwned(owned)
+				: PoolRouter.withHitRatio(this.assumptions.homeHitShare(), members, owned, this.random);
 	}
 
 	private DaemonId owner(BackendServer server) {
