Let unnamed streams go on where a pool runs one version

Cause: callers that take a stream up need not name the request that began it, and on sites whose pages know one version they do not.

Change: such a stream goes on at the only version of its pool, if the stored statement and a read of the list that began after the caller came back prove that there is one; refused as before otherwise.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -95,11 +95,11 @@
 	 * @return the origin; completes on any thread and never fails
 	 */
 	CompletionStage<StreamOrigin> find(PoolName pool) {
+		Duration timeLimit = this.request.admission().route().timeout().plus(KEEP_MARGIN);
 		ResumedStream resumed = this.request.head().resumedStream();
 		if (resumed == null || resumed.firstRequestId() == null) {
-			return CompletableFuture.completedFuture(StreamOrigin.UNKNOWN);
+			return this.services.origins().findSoleVersion(this.run.key(), pool, timeLimit);
 		}
-		Duration timeLimit = this.request.admission().route().timeout().plus(KEEP_MARGIN);
 		return this.services.origins().find(this.run.key(), pool, timeLimit);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -241,13 +241,30 @@
 
 	private CompletionStage<StreamOrigin> findStored(StreamKey key, PoolName pool, Duration timeLimit,
 			OriginEvidence evidence) {
+		return bounded(key,
+				this.store.find(key)
+					.thenApply(evidence::originWith)
+					.thenCompose((origin) -> (origin == StreamOrigin.UNKNOWN)
+							? readSoleVersion(pool, timeLimit).thenApply(evidence::originWith)
+							: CompletableFuture.completedStage(origin)));
+	}
+
+	/**
+	 * Finds the only version that a pool has run of late, for a stream whose caller does
+	 * not tell which one it takes up.
+	 * @param request key of the caller's request
+	 * @param pool pool that the stream began in
+	 * @param timeLimit longest time that a stream of its route may last
+	 * @return the origin; {@link StreamOrigin#UNKNOWN} if the pool may have run several
+	 * versions; never fails
+	 */
+	public CompletionStage<StreamOrigin> findSoleVersion(StreamKey request, PoolName pool, Duration timeLimit) {
+		return bounded(request, readSoleVersion(pool, timeLimit));
+	}
+
+	private CompletionStage<StreamOrigin> bounded(StreamKey key, CompletionStage<StreamOrigin> found) {
 		long startedAt = this.clock.millis();
-		return this.store.find(key)
-			.thenApply(evidence::originWith)
-			.thenCompose((origin) -> (origin == StreamOrigin.UNKNOWN)
-					? findSoleVersion(pool, timeLimit).thenApply(evidence::originWith)
-					: CompletableFuture.completedStage(origin))
-			.exceptionally((failure) -> StreamOrigin.UNKNOWN)
+		return found.exceptionally((failure) -> StreamOrigin.UNKNOWN)
 			.toCompletableFuture()
 			.completeOnTimeout(StreamOrigin.UNKNOWN, STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
 			.thenApply((origin) -> {
@@ -258,7 +275,7 @@
 
 	// The list must have been read after the caller came back, as this daemon may have
 	// stood still or been cut off before.
-	private CompletionStage<StreamOrigin> findSoleVersion(PoolName pool, Duration timeLimit) {
+	private CompletionStage<StreamOrigin> readSoleVersion(PoolName pool, Duration timeLimit) {
 		if (timeLimit.compareTo(VersionHistory.RETENTION) >= 0) {
 			return CompletableFuture.completedStage(StreamOrigin.UNKNOWN);
 		}
