Let dispatches prove a version in an outage of the list if most daemons reply

Cause: by reading the change again. A dispatch counted only with a recent read of the list, so during an outage of the store streams would have been refused that the daemons remember.

Change: without a recent read it counts if more than half of the daemons asked reply, as they would have been told of an attempt at another version.

--- a/core/src/main/java/org/sardineport/core/stream/OriginEvidence.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginEvidence.java
@@ -7,11 +7,12 @@
  *
  * @param record what the daemons that replied know together
  * @param isProved whether enough of them replied to rely on it
+ * @param isFromMajority whether more than half of the daemons asked replied
  */
-public record OriginEvidence(StreamRecord record, boolean isProved) {
+public record OriginEvidence(StreamRecord record, boolean isProved, boolean isFromMajority) {
 
 	/** Evidence if nothing was found. */
-	public static final OriginEvidence NONE = new OriginEvidence(StreamRecord.EMPTY, false);
+	public static final OriginEvidence NONE = new OriginEvidence(StreamRecord.EMPTY, false, false);
 
 	/**
 	 * Creates the evidence.
--- a/core/src/main/java/org/sardineport/core/stream/OriginLookup.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginLookup.java
@@ -65,14 +65,14 @@
 
 	private OriginEvidence evidence() {
 		if (this.isAlone) {
-			return new OriginEvidence(this.merged.merge(this.served), true);
+			return new OriginEvidence(this.merged.merge(this.served), true, true);
 		}
 		if (this.merged.runs().isEmpty()) {
 			return OriginEvidence.NONE;
 		}
 		boolean isProved = this.merged.hasBegun()
 				|| (this.replies > 0 && this.replies >= Math.min(REPLIES_NEEDED, this.asked));
-		return new OriginEvidence(this.merged.merge(this.served), isProved);
+		return new OriginEvidence(this.merged.merge(this.served), isProved, 2 * this.replies > this.asked);
 	}
 
 	private LookupOutcome outcome(StreamOrigin origin) {
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -230,13 +230,15 @@
 
 	// That an attempt was dispatched at a version does not prove that the stream began
 	// there. While a pool runs several versions, the first event is reported as well. A
-	// daemon that stood still or was cut off does not know whether it does.
+	// daemon that stood still or was cut off does not know whether it does, unless most
+	// daemons that would have been told reply; an outage of the list must not end
+	// streams.
 	private boolean isReliable(OriginEvidence evidence) {
 		if (evidence.origin().version().isEmpty()) {
 			return false;
 		}
 		boolean isListRecent = this.listReads.last().beganSince(this.clock.instant().minus(LIST_AGE));
-		return evidence.record().hasBegun() || (isListRecent && !this.isMixed);
+		return evidence.record().hasBegun() || (!this.isMixed && (isListRecent || evidence.isFromMajority()));
 	}
 
 	private CompletionStage<StreamOrigin> findStored(StreamKey key, PoolName pool, Duration timeLimit,
