Keep the latest response time and the maximum lateness in one place each

The margin before a caller's deadline was subtracted in four places, and the maximum lateness stood in two modules. No change of behaviour.

--- a/core/src/main/java/org/sardineport/core/fleet/Member.java
+++ b/core/src/main/java/org/sardineport/core/fleet/Member.java
@@ -28,6 +28,12 @@
 		NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load,
 		Duration lateness) {
 
+	/**
+	 * Maximum lateness that is reported, so that a declaration of death is not delayed
+	 * for long.
+	 */
+	public static final Duration MAXIMUM_LATENESS = Duration.ofSeconds(2);
+
 	/**
 	 * Creates the member.
 	 */
--- a/core/src/main/java/org/sardineport/core/membership/LatenessMeter.java
+++ b/core/src/main/java/org/sardineport/core/membership/LatenessMeter.java
@@ -6,6 +6,8 @@
 import java.util.Deque;
 import java.util.List;
 
+import org.sardineport.core.fleet.Member;
+
 /**
  * Measures by how much this daemon is late for what is due. It may get to run late, or in
  * time but with messages that waited to be read, so both the times at which it runs and
@@ -17,9 +19,6 @@
 	/** Time for which a late run counts, at least; at most twice as long. */
 	static final Duration WINDOW = Duration.ofSeconds(5);
 
-	/** Larger delays are pauses, after which nothing of before is relied on. */
-	static final Duration MAXIMUM = Duration.ofSeconds(2);
-
 	static final Duration STEP = Duration.ofMillis(250);
 
 	/** Number of round trips whose median counts. */
@@ -76,8 +75,8 @@
 
 	/**
 	 * Returns by how much this daemon is late.
-	 * @return a multiple of {@link #STEP}, at most {@link #MAXIMUM}; zero up to the
-	 * tolerance
+	 * @return a multiple of {@link #STEP}, at most {@link Member#MAXIMUM_LATENESS}; zero
+	 * up to the tolerance
 	 */
 	Duration lateness() {
 		Duration largest = max(max(this.current, this.previous), medianRoundTrip().multipliedBy(MEDIANS));
@@ -85,7 +84,7 @@
 			return Duration.ZERO;
 		}
 		Duration rounded = STEP.multipliedBy(largest.plus(STEP).minusNanos(1).dividedBy(STEP));
-		return (rounded.compareTo(MAXIMUM) < 0) ? rounded : MAXIMUM;
+		return (rounded.compareTo(Member.MAXIMUM_LATENESS) < 0) ? rounded : Member.MAXIMUM_LATENESS;
 	}
 
 	private Duration medianRoundTrip() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -203,8 +203,8 @@
 		boolean replaceable = progress.mayReplaceAttempt();
 		return new AttemptPlan(this.services.protocol(), permit, head.requestId(), head.method(), head.target(),
 				this.services.protocol().backendRequestHeaders(this.request.headers(), added), this.request.body(),
-				this.request.deadline().minus(RelayRun.RESPONSE_MARGIN), estimate(), tokensPerEvent(), lastEventId,
-				progress.isResponseStarted(), lastEventId >= 0 || head.resumedStream() != null, maxConnectionIdle(),
+				this.request.latestResponse(), estimate(), tokensPerEvent(), lastEventId, progress.isResponseStarted(),
+				lastEventId >= 0 || head.resumedStream() != null, maxConnectionIdle(),
 				replaceable ? firstDataTimeout() : null, replaceable ? EVENT_GAP_TIMEOUT : null);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -345,11 +345,11 @@
 
 	// The timer of the deadline may be late itself; it ends the request.
 	private boolean isCallerWaiting() {
-		return now().isBefore(this.request.deadline().minus(RelayRun.RESPONSE_MARGIN));
+		return now().isBefore(this.request.latestResponse());
 	}
 
 	private boolean isTimeLeft() {
-		return now().plus(RelayRun.RESPONSE_MARGIN).plus(MIN_ATTEMPT_TIME).isBefore(this.request.deadline());
+		return now().plus(MIN_ATTEMPT_TIME).isBefore(this.request.latestResponse());
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRequest.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRequest.java
@@ -19,6 +19,18 @@
  */
 record RelayRequest(RequestHead head, RelayAdmission admission, MultiMap headers, Buffer body, Instant arrival) {
 
+	/** Time before the caller's deadline at which the final response is sent. */
+	private static final Duration RESPONSE_MARGIN = Duration.ofMillis(25);
+
+	/**
+	 * Returns when the final response is sent if there is none by then. From then on the
+	 * request is not sent to any backend server.
+	 * @return a little before the {@link #deadline()}
+	 */
+	Instant latestResponse() {
+		return deadline().minus(RESPONSE_MARGIN);
+	}
+
 	/**
 	 * Returns the latest time for the final response to the caller.
 	 * @return the caller's own deadline or that of the route, whichever is earlier
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -26,9 +26,6 @@
  */
 final class RelayRun implements RelayAttemptsListener {
 
-	/** Time before the caller's deadline at which the final response is sent. */
-	static final Duration RESPONSE_MARGIN = Duration.ofMillis(25);
-
 	/**
 	 * Time without data after which a caller's disconnection counts as a timeout of the
 	 * backend server.
@@ -80,7 +77,7 @@
 	}
 
 	void start() {
-		Duration remaining = Duration.between(now(), this.request.deadline()).minus(RESPONSE_MARGIN);
+		Duration remaining = Duration.between(now(), this.request.latestResponse());
 		this.deadlineTimer = this.services.vertx()
 			.setTimer(Math.max(1, remaining.toMillis()), (id) -> deadlinePassed());
 		if (this.version.isResumed()) {
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -40,9 +40,6 @@
  */
 public final class MembershipCodec implements PeerCodec<MembershipMessage> {
 
-	/** More is taken for this, so that no message delays a declaration for long. */
-	private static final Duration MAXIMUM_LATENESS = Duration.ofSeconds(2);
-
 	private MembershipCodec() {
 	}
 
@@ -163,8 +160,8 @@
 
 	private static Duration decodeLateness(MemberUpdate update) {
 		int millis = update.getLatenessMillis();
-		boolean isInRange = millis >= 0 && millis <= MAXIMUM_LATENESS.toMillis();
-		return isInRange ? Duration.ofMillis(millis) : MAXIMUM_LATENESS;
+		boolean isInRange = millis >= 0 && millis <= Member.MAXIMUM_LATENESS.toMillis();
+		return isInRange ? Duration.ofMillis(millis) : Member.MAXIMUM_LATENESS;
 	}
 
 	private static MemberState encodeStatus(MemberStatus status) {
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -8,6 +8,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.sardineport.core.backend.BackendProcess;
@@ -98,6 +99,14 @@
 		assertThatExceptionOfType(MalformedMessageException.class).isThrownBy(() -> this.codec.decode(envelope));
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0, 0", "750, 750", "2000, 2000", "2001, 2000", "3600000, 2000" })
+	void latenessIsBounded(int sent, int received) throws Exception {
+		Member late = member(MemberStatus.ALIVE).withLateness(Duration.ofMillis(sent));
+		MembershipMessage decoded = roundTrip(new ProbeRequest(1, GossipUpdates.of(late)));
+		assertThat(decoded.updates().members().get(0).lateness()).isEqualTo(Duration.ofMillis(received));
+	}
+
 	private MembershipMessage roundTrip(MembershipMessage message)
 			throws InvalidProtocolBufferException, MalformedMessageException {
 		Envelope.Builder envelope = Envelope.newBuilder();
