--- a/core/src/main/java/org/sardineport/core/stream/OriginStore.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginStore.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import org.sardineport.core.backend.SoftwareVersion;
@@ -15,34 +14,6 @@
  */
 public interface OriginStore {
 
-	/** Store that cannot be reached. */
-	OriginStore UNREACHABLE = new OriginStore() {
-
-		@Override
-		public CompletionStage<StreamRecord> find(StreamKey key) {
-			return unreachable();
-		}
-
-		@Override
-		public CompletionStage<Void> append(List<StoredOrigin> origins) {
-			return unreachable();
-		}
-
-		@Override
-		public CompletionStage<SoleVersions> soleVersions() {
-			return unreachable();
-		}
-
-		@Override
-		public CompletionStage<SoleVersions> replace(SoleVersions stored, Map<PoolName, SoftwareVersion> next) {
-			return unreachable();
-		}
-
-		private <T> CompletionStage<T> unreachable() {
-			return CompletableFuture.failedFuture(new IllegalStateException("origins of streams are not stored"));
-		}
-	};
-
 	/**
 	 * Reads what is stored of a key.
 	 * @param key the key
