Decide which daemon writes stream origins once for each view of the fleet

Cause: found by reading the change again. Each tick of 50 ms hashed all daemons of the fleet to find the writer, at every daemon: 1,900 hashes a second at 95.

--- a/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
@@ -74,6 +74,10 @@
 
 	private @Nullable SoleVersions stored;
 
+	private @Nullable FleetSnapshot decidedFor;
+
+	private boolean writer;
+
 	private OriginRecorder(Supplier<FleetSnapshot> fleet, VersionHistory history, OriginStore store,
 			InstantSource clock, Consumer<Runnable> commands) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
@@ -157,8 +161,7 @@
 	}
 
 	private void updateStatement() {
-		FleetSnapshot snapshot = this.fleet.get();
-		if (writer(snapshot).filter((member) -> member.id().equals(snapshot.self())).isEmpty()) {
+		if (!isWriter()) {
 			this.stored = null;
 			return;
 		}
@@ -175,6 +178,16 @@
 		}
 	}
 
+	// Compares all daemons, so it is decided once for each view of the fleet.
+	private boolean isWriter() {
+		FleetSnapshot snapshot = this.fleet.get();
+		if (snapshot != this.decidedFor) {
+			this.decidedFor = snapshot;
+			this.writer = writer(snapshot).filter((member) -> member.id().equals(snapshot.self())).isPresent();
+		}
+		return this.writer;
+	}
+
 	private <T> void onResult(CompletionStage<T> stage, BiConsumer<? super T, ? super Throwable> handler) {
 		stage.whenComplete((result, failure) -> this.commands.accept(() -> handler.accept(result, failure)));
 	}
