Review: show streams that hold events of two software versions

Cause: the version of a stream is that of the list as last read, and is told to the fleet before a read that would show another process under the worker's id. Change: a script in which a worker starts again under its id with another version while clients take streams up at other daemons.

--- a/review/lib/StreamWorker.java
+++ b/review/lib/StreamWorker.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -50,7 +51,15 @@
 
 	private final Map<String, Map<String, Run>> runs;
 
-	private final ServerSocket server;
+	private volatile ServerSocket server;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	/** Version of the worker's software; each event names it. */
+	private volatile String version = "v1";
+
+	/** Start of the worker's present lifetime, in milliseconds since 1970. */
+	private volatile long born = System.currentTimeMillis();
 
 	private final Random random = new Random();
 
@@ -98,20 +107,60 @@
 
 	private void beat() {
 		while (true) {
-			this.store.put("keyed.servers", this.id,
-					("{\"service\":\"valuer-llm\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
-							+ "\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\","
-							+ "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%d}")
-						.formatted(this.server.getInetAddress().getHostAddress(), this.server.getLocalPort(), this.zone,
-								SLOTS, this.seq++));
+			if (!this.server.isClosed()) {
+				register();
+			}
 			Worker.sleep(1200);
 		}
 	}
 
+	private synchronized void register() {
+		this.store.put("keyed.servers", this.id,
+				("{\"service\":\"valuer-llm\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"%s\",\"born\":%d,"
+						+ "\"slots\":%d,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\","
+						+ "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%d}")
+					.formatted(this.server.getInetAddress().getHostAddress(), this.server.getLocalPort(), this.zone,
+							this.version, this.born, SLOTS, this.seq++));
+	}
+
+	/** Crashes, and starts again under the same id and address with a version of its software. */
+	void restart(String newVersion, long downMillis) throws IOException {
+		ServerSocket former = this.server;
+		this.transcript.line("WORKER " + this.id + " crashes");
+		former.close();
+		for (Socket socket : this.sockets) {
+			socket.setSoLinger(true, 0);
+			socket.close();
+		}
+		Worker.sleep(downMillis);
+		this.version = newVersion;
+		this.born = System.currentTimeMillis();
+		this.seq = 0;
+		ServerSocket next = new ServerSocket();
+		next.setReuseAddress(true);
+		next.bind(former.getLocalSocketAddress(), 256);
+		this.server = next;
+		register();
+		this.transcript.line("WORKER " + this.id + " starts again with version " + newVersion);
+		thread(this::accept);
+	}
+
+	String version() {
+		return this.version;
+	}
+
+	/** Sets the version before any daemon is started. */
+	void version(String first) {
+		this.version = first;
+		register();
+	}
+
 	private void accept() {
+		ServerSocket accepting = this.server;
 		while (true) {
 			try {
-				Socket socket = this.server.accept();
+				Socket socket = accepting.accept();
+				this.sockets.add(socket);
 				socket.setTcpNoDelay(true);
 				thread(() -> serve(socket));
 			}
@@ -135,6 +184,9 @@
 		catch (IOException ex) {
 			// The caller has left, or the channel was idle for too long.
 		}
+		finally {
+			this.sockets.remove(socket);
+		}
 	}
 
 	private void answer(Http.Message request, Socket socket, BufferedInputStream in, OutputStream out)
@@ -166,10 +218,11 @@
 	private void stream(Http.Message request, String requestId, Run run, Socket socket, BufferedInputStream in,
 			OutputStream out) throws IOException {
 		String last = request.header("Last-Event-Id");
+		String writer = this.version;
 		int next = (last != null) ? Integer.parseInt(last) + 1 : 1;
 		work(PREFILL_MILLIS, socket, in);
 		run.firstTokenAt = this.transcript.millis();
-		this.transcript.line("RUN    " + requestId + " at " + this.id + " from event " + next);
+		this.transcript.line("RUN    " + requestId + " at " + this.id + " " + writer + " from event " + next);
 		boolean mute = last == null && this.random.nextDouble() < this.mutedShare;
 		for (int event = next; event <= this.events; event++) {
 			int tokens = (event == next) ? TOKENS_PER_EVENT - 1 : TOKENS_PER_EVENT;
@@ -183,7 +236,7 @@
 						+ Worker.seal(requestId, new byte[0]) + "\r\nContent-Type: text/event-stream\r\n"
 						+ "Weight-Versions: 1\r\nKeep-Alive: timeout=" + IDLE_SECONDS + "\r\nTransfer-Encoding: chunked\r\n\r\n");
 			}
-			String text = "id: " + event + "\ndata: piece " + event + "\n\n";
+			String text = "id: " + event + "\ndata: " + writer + " piece " + event + "\n\n";
 			write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
 		}
 		if (mute) {
