Review: tell a failed run of a script from a broken rule

Cause: Java ends with 1 when a script's program cannot be run or fails, which looked like a broken rule; a script that was stopped left its daemons behind.

--- a/review/lib/Case.java
+++ b/review/lib/Case.java
@@ -17,7 +17,8 @@
 
 	static final int HELD = 0;
 
-	static final int BROKEN = 1;
+	/** Not 1, with which Java itself ends when it fails; the scripts turn it into 1. */
+	static final int BROKEN = 11;
 
 	static final int NOT_RUN = 2;
 
--- a/review/lib/Fleet.java
+++ b/review/lib/Fleet.java
@@ -41,6 +41,11 @@
 		this.store = store;
 		this.directory = Files.createTempDirectory("sardineport-review");
 		this.ports = freePorts(5);
+		Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+	}
+
+	private void killAll() {
+		this.processes.stream().filter((process) -> process != null).forEach(Process::destroyForcibly);
 	}
 
 	private static int[] freePorts(int count) throws IOException {
@@ -154,8 +159,11 @@
 
 	/** Ends all processes that were started, and removes their files. */
 	void end() throws IOException {
-		this.processes.stream().filter((process) -> process != null).forEach(Process::destroyForcibly);
+		killAll();
 		for (Process process : this.processes) {
+			if (process == null) {
+				continue;
+			}
 			try {
 				process.waitFor(5, TimeUnit.SECONDS);
 			}
