Refuse callers if the last token of an organisation was taken out of a profile

A profile with "tokenHashes: []" admitted every caller who named the organisation; the operator was warned, but asked for the opposite.

Change: AcceptedTokens tells an empty list from none. An empty one refuses every caller; a profile without the field asks for no token, as before. BearerTokens accepts nothing if no token is accepted; its test asserted the fault and asserts the opposite now. That callers of an organisation without the field need no token is checked by CallerServerTests, as before.

--- a/core/src/main/java/org/sardineport/core/exchange/AdmissionCheck.java
+++ b/core/src/main/java/org/sardineport/core/exchange/AdmissionCheck.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.journal.IdempotencyKey;
 import org.sardineport.core.journal.IdempotencyKeys;
 import org.sardineport.core.journal.KeyParseResult;
+import org.sardineport.core.profile.AcceptedTokens;
 import org.sardineport.core.profile.OrganisationPolicy;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
@@ -88,7 +89,8 @@
 			throw refused(RefusalReason.UNKNOWN_ORGANISATION,
 					"Profile '%s' has no organisation '%s'.".formatted(profile.name(), id));
 		}
-		if (!BearerTokens.isAccepted(policy.get().tokenHashes(), headers)) {
+		AcceptedTokens tokens = policy.get().tokens();
+		if (tokens.areRequired() && !BearerTokens.isAccepted(tokens.hashes(), headers)) {
 			throw refused(RefusalReason.UNAUTHORIZED, "The organisation's bearer token is missing or wrong.");
 		}
 		return policy.get();
--- a/core/src/main/java/org/sardineport/core/exchange/BearerTokens.java
+++ b/core/src/main/java/org/sardineport/core/exchange/BearerTokens.java
@@ -19,16 +19,12 @@
 
 	/**
 	 * Returns whether a request presents one of the accepted tokens.
-	 * @param hashes accepted tokens, as SHA-256 hashes in lower-case hexadecimal; empty
-	 * if no token is required
+	 * @param hashes accepted tokens, as SHA-256 hashes in lower-case hexadecimal
 	 * @param headers the request's header fields
-	 * @return {@code true} if the token is accepted or none is required; {@code false} if
-	 * there is not exactly one Authorization field
+	 * @return {@code true} if the token is accepted; {@code false} if there is not
+	 * exactly one Authorization field
 	 */
 	public static boolean isAccepted(List<String> hashes, HeaderValues headers) {
-		if (hashes.isEmpty()) {
-			return true;
-		}
 		Optional<String> token = token(headers);
 		if (token.isEmpty()) {
 			return false;
--- a/core/src/main/java/org/sardineport/core/profile/OrganisationPolicy.java
+++ b/core/src/main/java/org/sardineport/core/profile/OrganisationPolicy.java
@@ -1,6 +1,5 @@
 package org.sardineport.core.profile;
 
-import java.util.List;
 import java.util.Objects;
 
 import org.sardineport.core.identity.OrganisationId;
@@ -10,18 +9,17 @@
  *
  * @param organisation the organisation
  * @param tokensPerSecond fleet-wide limit in estimated tokens per second; 0 for no limit
- * @param tokenHashes SHA-256 hashes, in lower-case hexadecimal, of the accepted bearer
- * tokens; empty if callers need no token
+ * @param tokens the bearer tokens that callers may present
  */
-public record OrganisationPolicy(OrganisationId organisation, long tokensPerSecond, List<String> tokenHashes) {
+public record OrganisationPolicy(OrganisationId organisation, long tokensPerSecond, AcceptedTokens tokens) {
 
 	/**
-	 * Creates the policy with a copy of the token hashes.
+	 * Creates the policy; rejects missing components.
 	 * @throws IllegalArgumentException if the limit is negative
 	 */
 	public OrganisationPolicy {
 		Objects.requireNonNull(organisation, "organisation must not be null");
-		tokenHashes = List.copyOf(tokenHashes);
+		Objects.requireNonNull(tokens, "tokens must not be null");
 		if (tokensPerSecond < 0) {
 			throw new IllegalArgumentException("tokensPerSecond must not be negative, found " + tokensPerSecond);
 		}
--- a/core/src/main/java/org/sardineport/core/publishing/ProfileComparison.java
+++ b/core/src/main/java/org/sardineport/core/publishing/ProfileComparison.java
@@ -122,28 +122,31 @@
 		new TreeMap<>(after).forEach((id, policy) -> {
 			if (!before.containsKey(id)) {
 				this.lines.add("+ organisation %s tokensPerSecond=%s tokens=%d".formatted(id, formatLimit(policy),
-						policy.tokenHashes().size()));
+						policy.tokens().hashes().size()));
 			}
 		});
 	}
 
 	private void compareOrganisation(String place, OrganisationPolicy before, OrganisationPolicy after) {
 		addChange(place, "tokensPerSecond", formatLimit(before), formatLimit(after));
-		if (!before.tokenHashes().equals(after.tokenHashes())) {
-			this.lines.add("~ %s tokenHashes: %d -> %d, %d of them kept".formatted(place, before.tokenHashes().size(),
-					after.tokenHashes().size(), keptTokenCount(before, after)));
+		List<String> hashes = after.tokens().hashes();
+		if (!before.tokens().hashes().equals(hashes)) {
+			this.lines.add("~ %s tokenHashes: %d -> %d, %d of them kept".formatted(place,
+					before.tokens().hashes().size(), hashes.size(), keptTokenCount(before, after)));
 		}
 		boolean limited = after.tokensPerSecond() > 0;
 		warnIf(limited && isLargeReduction(before.tokensPerSecond(), after.tokensPerSecond()), RiskyChange.LIMIT_CUT,
 				place);
-		boolean hadTokens = !before.tokenHashes().isEmpty();
-		warnIf(hadTokens && after.tokenHashes().isEmpty(), RiskyChange.TOKEN_CHECK_DROPPED, place);
-		warnIf(hadTokens && !after.tokenHashes().isEmpty() && keptTokenCount(before, after) == 0,
-				RiskyChange.ALL_TOKENS_REPLACED, place);
+		boolean wasRequired = before.tokens().areRequired();
+		boolean isRequired = after.tokens().areRequired();
+		addChange(place, "tokenRequired", wasRequired, isRequired);
+		warnIf(wasRequired && !isRequired, RiskyChange.TOKEN_CHECK_DROPPED, place);
+		warnIf(wasRequired && isRequired && !before.tokens().equals(after.tokens())
+				&& keptTokenCount(before, after) == 0, RiskyChange.ALL_TOKENS_REPLACED, place);
 	}
 
 	private static long keptTokenCount(OrganisationPolicy before, OrganisationPolicy after) {
-		return after.tokenHashes().stream().filter(before.tokenHashes()::contains).count();
+		return after.tokens().hashes().stream().filter(before.tokens().hashes()::contains).count();
 	}
 
 	private static boolean isLargeReduction(long before, long after) {
--- a/core/src/test/java/org/sardineport/core/exchange/BearerTokensTests.java
+++ b/core/src/test/java/org/sardineport/core/exchange/BearerTokensTests.java
@@ -44,8 +44,8 @@
 	}
 
 	@Test
-	void acceptsAnyRequestWhenNoTokenIsConfigured() {
-		assertThat(BearerTokens.isAccepted(List.of(), (name) -> List.of())).isTrue();
+	void refusesEveryRequestWhenNoTokenIsAccepted() {
+		assertThat(BearerTokens.isAccepted(List.of(), (name) -> List.of("Bearer new"))).isFalse();
 	}
 
 }
--- a/core/src/test/java/org/sardineport/core/publishing/PublicationPlanTests.java
+++ b/core/src/test/java/org/sardineport/core/publishing/PublicationPlanTests.java
@@ -21,6 +21,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.AcceptedTokens;
 import org.sardineport.core.profile.OrganisationPolicy;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
@@ -36,7 +37,7 @@
 			Duration.ofSeconds(30), true, true, 10_000, 0);
 
 	private static final OrganisationPolicy POLICY = new OrganisationPolicy(OrganisationId.of("valuers"), 1000,
-			List.of("h1", "h2"));
+			AcceptedTokens.required(List.of("h1", "h2")));
 
 	private static final Profile BEFORE = profile(ROUTE, POLICY);
 
@@ -83,7 +84,8 @@
 	@Test
 	void ordinaryChangesCauseNoWarning() {
 		PublicationPlan plan = plan(profile(Change.route(Tier.URGENT, 20, true, true, 5000, "ledger"),
-				new OrganisationPolicy(POLICY.organisation(), 500, List.of("h2", "h3"))), Set.of());
+				new OrganisationPolicy(POLICY.organisation(), 500, AcceptedTokens.required(List.of("h2", "h3")))),
+				Set.of());
 		assertThat(plan.warnings()).isEmpty();
 		assertThat(plan.differences()).singleElement()
 			.satisfies((difference) -> assertThat(difference.lines()).containsExactly(
@@ -137,12 +139,16 @@
 				(before) -> profile(route(Tier.URGENT, 30, true, true, 10_000, "leger"), POLICY)),
 		ROUTE_REMOVED(RiskyChange.ROUTE_REMOVED, (before) -> new Profile(NAME, List.of(), before.organisations())),
 		LIMIT_REDUCED_TO_TENTH(RiskyChange.LIMIT_CUT,
-				(before) -> profile(ROUTE, new OrganisationPolicy(POLICY.organisation(), 100, POLICY.tokenHashes()))),
+				(before) -> profile(ROUTE, new OrganisationPolicy(POLICY.organisation(), 100, POLICY.tokens()))),
 		ORGANISATION_REMOVED(RiskyChange.ORGANISATION_REMOVED, (before) -> new Profile(NAME, List.of(ROUTE), Map.of())),
 		TOKENS_REMOVED(RiskyChange.TOKEN_CHECK_DROPPED,
-				(before) -> profile(ROUTE, new OrganisationPolicy(POLICY.organisation(), 1000, List.of()))),
-		TOKENS_REPLACED(RiskyChange.ALL_TOKENS_REPLACED,
-				(before) -> profile(ROUTE, new OrganisationPolicy(POLICY.organisation(), 1000, List.of("h3"))));
+				(before) -> profile(ROUTE,
+						new OrganisationPolicy(POLICY.organisation(), 1000, AcceptedTokens.notRequired()))),
+		ALL_TOKENS_REMOVED(RiskyChange.ALL_TOKENS_REPLACED,
+				(before) -> profile(ROUTE,
+						new OrganisationPolicy(POLICY.organisation(), 1000, AcceptedTokens.required(List.of())))),
+		TOKENS_REPLACED(RiskyChange.ALL_TOKENS_REPLACED, (before) -> profile(ROUTE,
+				new OrganisationPolicy(POLICY.organisation(), 1000, AcceptedTokens.required(List.of("h3")))));
 
 		private final RiskyChange riskyChange;
 
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
@@ -115,7 +115,7 @@
 			.stream()
 			.map((field) -> Map.entry(field.getKey(), field.getValue()))
 			.toList();
-		return HeaderNames.forBackend(fields, admitted.organisation().tokenHashes().isEmpty());
+		return HeaderNames.forBackend(fields, !admitted.organisation().tokens().areRequired());
 	}
 
 	private boolean prefersAsync() {
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -33,6 +33,7 @@
 import org.sardineport.core.identity.ProfileName;
 import org.sardineport.core.journal.IdempotencyKeys;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.profile.AcceptedTokens;
 import org.sardineport.core.profile.OrganisationPolicy;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
@@ -232,8 +233,8 @@
 		OrganisationId schools = OrganisationId.of("schools");
 		OrganisationId guthi = OrganisationId.of("guthi");
 		return new Profile(ProfileName.of("dictionary"), routes,
-				Map.of(schools, new OrganisationPolicy(schools, 0, List.of()), guthi,
-						new OrganisationPolicy(guthi, 0, List.of(BearerTokens.hash(TOKEN)))));
+				Map.of(schools, new OrganisationPolicy(schools, 0, AcceptedTokens.notRequired()), guthi,
+						new OrganisationPolicy(guthi, 0, AcceptedTokens.required(List.of(BearerTokens.hash(TOKEN))))));
 	}
 
 	private FleetView fleet() {
--- a/settings/src/main/java/org/sardineport/settings/profile/ProfileReader.java
+++ b/settings/src/main/java/org/sardineport/settings/profile/ProfileReader.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.ProfileName;
+import org.sardineport.core.profile.AcceptedTokens;
 import org.sardineport.core.profile.OrganisationPolicy;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
@@ -138,8 +139,10 @@
 		OrganisationId name = section.required("name", Formats.name(OrganisationId::of));
 		long limit = section.optional("tokensPerSecond", Formats.longInteger(0, MAX_TOKENS_PER_SECOND), 0L);
 		List<String> hashes = section.list("tokenHashes", TOKEN_HASH, MAX_TOKEN_HASHES);
+		AcceptedTokens tokens = section.has("tokenHashes") ? AcceptedTokens.required(hashes)
+				: AcceptedTokens.notRequired();
 		section.rejectUnknownKeys();
-		return (name != null) ? new OrganisationPolicy(name, limit, hashes) : null;
+		return (name != null) ? new OrganisationPolicy(name, limit, tokens) : null;
 	}
 
 	private static void checkShadowing(Section root, List<Route> routes) {
--- a/settings/src/test/java/org/sardineport/settings/profile/ProfileReaderTests.java
+++ b/settings/src/test/java/org/sardineport/settings/profile/ProfileReaderTests.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,6 +14,7 @@
 import org.sardineport.core.error.InvalidDocumentException;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.profile.AcceptedTokens;
 import org.sardineport.core.profile.Profile;
 import org.sardineport.core.profile.Route;
 import org.sardineport.core.request.Tier;
@@ -50,8 +52,22 @@
 		assertThat(profile.routes()).containsExactly(new Route("POST", "/postings", PoolName.of("p"), Tier.BATCH,
 				Duration.ofMillis(1500), true, true, 10, 20));
 		assertThat(profile.organisation(OrganisationId.of("o")).orElseThrow().tokensPerSecond()).isEqualTo(30);
-		assertThat(profile.organisation(OrganisationId.of("o")).orElseThrow().tokenHashes())
-			.containsExactly("a".repeat(64));
+		assertThat(profile.organisation(OrganisationId.of("o")).orElseThrow().tokens())
+			.isEqualTo(AcceptedTokens.required(List.of("a".repeat(64))));
+	}
+
+	/**
+	 * Guards against an organisation that becomes open once its last token is removed.
+	 */
+	@Test
+	void emptyListOfTokensStillRequiresOne() throws InvalidDocumentException {
+		assertThat(tokens("{name: o, tokenHashes: []}")).isEqualTo(AcceptedTokens.required(List.of()));
+		assertThat(tokens("{name: o}")).isEqualTo(AcceptedTokens.notRequired());
+	}
+
+	private AcceptedTokens tokens(String organisation) throws InvalidDocumentException {
+		Profile profile = this.reader.parse("name: n\n" + ROUTE + "organisations: [" + organisation + "]");
+		return profile.organisation(OrganisationId.of("o")).orElseThrow().tokens();
 	}
 
 	@ParameterizedTest
