Refuse host names that consist of hexadecimal digits as addresses

Report of another operator: an odd entry among the backend servers ended the daemons or stopped them following the list.

Found on the way: "cafe:80" and "999.1.1.1:80" counted as IP numbers, so that a connection there looks a host name up, on the one thread that the program has for it. An IPv4 address must be four numbers now.

--- a/core/src/main/java/org/sardineport/core/identity/NetworkAddress.java
+++ b/core/src/main/java/org/sardineport/core/identity/NetworkAddress.java
@@ -15,15 +15,21 @@
 
 	private static final int MAX_PORT = 65535;
 
+	private static final int IPV4_PARTS = 4;
+
+	private static final int MAX_OCTET = 255;
+
+	private static final int MAX_OCTET_DIGITS = 3;
+
 	/**
-	 * Validates the address: the IP address may only contain hexadecimal digits, dots and
-	 * colons.
-	 * @throws IllegalArgumentException if the IP address has other characters or is
-	 * empty, or the port is out of range
+	 * Validates the address: four numbers with dots between them, or only hexadecimal
+	 * digits, dots and at least one colon.
+	 * @throws IllegalArgumentException if the IP address has another form, or the port is
+	 * out of range
 	 */
 	public NetworkAddress {
 		Objects.requireNonNull(ip, "ip must not be null");
-		if (ip.isEmpty() || !ip.chars().allMatch(NetworkAddress::isNumericAddressCharacter)) {
+		if (!isNumeric(ip)) {
 			throw new IllegalArgumentException("address must be an IP number, found '%s'".formatted(ip));
 		}
 		if (port < 1 || port > MAX_PORT) {
@@ -65,8 +71,43 @@
 		}
 	}
 
-	private static boolean isNumericAddressCharacter(int character) {
-		return Character.digit(character, 16) >= 0 || character == '.' || character == ':';
+	// A text with a colon is never looked up as a host name, whatever its digits.
+	private static boolean isNumeric(String ip) {
+		return (ip.indexOf(':') >= 0) ? ip.chars().allMatch(NetworkAddress::isIpv6Character) : isIpv4(ip);
+	}
+
+	private static boolean isIpv6Character(int character) {
+		return (character < 0x80 && Character.digit(character, 16) >= 0) || character == '.' || character == ':';
+	}
+
+	private static boolean isIpv4(String ip) {
+		int parts = 0;
+		int from = 0;
+		while (from <= ip.length()) {
+			int dot = ip.indexOf('.', from);
+			int to = (dot < 0) ? ip.length() : dot;
+			if (!isOctet(ip, from, to)) {
+				return false;
+			}
+			parts++;
+			from = to + 1;
+		}
+		return parts == IPV4_PARTS;
+	}
+
+	private static boolean isOctet(String ip, int from, int to) {
+		if (to == from || to - from > MAX_OCTET_DIGITS) {
+			return false;
+		}
+		int value = 0;
+		for (int i = from; i < to; i++) {
+			char character = ip.charAt(i);
+			if (character < '0' || character > '9') {
+				return false;
+			}
+			value = 10 * value + (character - '0');
+		}
+		return value <= MAX_OCTET;
 	}
 
 	@Override
