Answer what a planned stop would cut off, and refuse late requests in time

What callers saw: requests that came late in the grace of a planned stop were passed on and their connections closed at its end without an answer, among them requests that may not run again.

Cause: nothing compared the rest of the grace with how long requests take, and at the end all that was in flight was closed.

Change: StopAdmission refuses a request that has not run if neither its time limit nor the latest runs of its route let it end in time, when it was read and again before it is sent. 150 ms before the end, each request in flight gets 502, or 503 if it has not run. A refusal after the whole request was read set a handler that the library forbids then, and was not sent; fixed, as only this change can reach it.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -79,6 +79,8 @@
 
 	private boolean retryPending;
 
+	private @Nullable Instant dispatchedAt;
+
 	RelayAttempts(RelayServices services, RelayRequest request, PoolName pool, RequestProgress progress,
 			AttemptPlanner planner, ResponseVersion version, RelayRunReport report, RelayAttemptsListener listener) {
 		this.services = services;
@@ -126,6 +128,7 @@
 		}
 		try {
 			this.services.gate().recheck(this.request.admission());
+			checkStop();
 			if (!grantedPermit.isValidAt(now()) || !isUsable(grantedPermit)) {
 				this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
 				requestPermit();
@@ -139,6 +142,12 @@
 		}
 	}
 
+	private void checkStop() throws RefusedException {
+		if (!this.progress.mayHaveRun()) {
+			this.services.stop().check(this.request);
+		}
+	}
+
 	private boolean isUsable(Permit grantedPermit) {
 		BackendServer server = grantedPermit.backendServer();
 		return this.services.fleet().current().backendServers().contains(server)
@@ -157,6 +166,7 @@
 
 	private void dispatch(Permit permit) {
 		this.progress.sent();
+		this.dispatchedAt = now();
 		this.report.dispatched(permit.backendServer());
 		this.version.dispatched(permit.backendServer());
 		this.active.forEach(this::recordLastEvent);
@@ -373,10 +383,22 @@
 
 	private void complete(PermittedAttempt completed) {
 		this.active.remove(completed);
+		recordDuration();
 		this.crashReport.completed(completed);
 		this.releases.release(completed, RunEnd.COMPLETED);
 	}
 
+	/**
+	 * Records how long the latest run took, as its response is complete or its time limit
+	 * has passed.
+	 */
+	void recordDuration() {
+		Instant dispatched = this.dispatchedAt;
+		if (dispatched != null) {
+			this.services.stop().ended(this.request, dispatched);
+		}
+	}
+
 	private Instant now() {
 		return this.services.clock().instant();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -104,7 +104,7 @@
 				CrashDetector.create(vertx, clock, connections, scheduling, telemetry), settings.limitTolerance(),
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
-				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry));
+				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry), StopAdmission.create(clock));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
@@ -113,7 +113,7 @@
 		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, tunnels,
 				fleet, origins, scheduling, connections, endpoints));
 		this.stop = StopCoordinator.create(settings.stop(),
-				new RelayStopActions(fleet, server, tunnels, this.readiness), clock, telemetry);
+				new RelayStopActions(fleet, server, tunnels, this.readiness, settings.stop(), clock), clock, telemetry);
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -116,12 +116,32 @@
 		if (this.ended || callerHead == null || admitted == null) {
 			return;
 		}
-		RelayRun started = new RelayRun(this.services,
-				new RelayRequest(callerHead, admitted, this.request.headers(), this.body, this.arrival), this.response);
+		RelayRequest complete = new RelayRequest(callerHead, admitted, this.request.headers(), this.body, this.arrival);
+		try {
+			this.services.stop().check(complete);
+		}
+		catch (RefusedException ex) {
+			refuse(ex.refusal(), false);
+			return;
+		}
+		RelayRun started = new RelayRun(this.services, complete, this.response);
 		this.run = started;
 		started.start();
 	}
 
+	/**
+	 * Answers the request, as the daemon ends soon.
+	 */
+	void daemonEnds() {
+		Refusal refusal = Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", StopAdmission.RETRY_AFTER);
+		if (this.run != null) {
+			this.run.daemonEnds(refusal);
+		}
+		else if (!this.ended) {
+			refuse(refusal, true);
+		}
+	}
+
 	private void refuse(Refusal refusal, boolean closeConnection) {
 		this.ended = true;
 		this.services.telemetry().refused(refusal.reason()).inc();
@@ -130,8 +150,10 @@
 		LOG.info("request.refused", "request", id, "path", (callerHead != null) ? callerHead.path() : "", "kind",
 				refusal.reason().label(), "version", this.services.inForce().current().version(), "proof-age-ms",
 				this.services.inForce().readAgeMillis(), "detail", refusal.detail());
-		this.request.handler((ignored) -> {
-		});
+		if (!this.request.isEnded()) {
+			this.request.handler((ignored) -> {
+			});
+		}
 		this.response.refuse(id, refusal, closeConnection);
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -200,11 +200,24 @@
 			return;
 		}
 		boolean running = this.attempts.isRunning();
+		this.attempts.recordDuration();
 		this.attempts.abort((attempt) -> RunEnd.TIMED_OUT);
 		RefusalReason reason = running ? RefusalReason.BACKEND_TIMEOUT : RefusalReason.DEADLINE_PASSED;
 		refused(Refusal.retryAfter(reason, "the time limit passed", DEFAULT_RETRY_AFTER));
 	}
 
+	/**
+	 * Answers the request, as the daemon ends soon.
+	 * @param refusal the refusal if the request has not run
+	 */
+	void daemonEnds(Refusal refusal) {
+		if (this.finished) {
+			return;
+		}
+		this.attempts.abort((attempt) -> RunEnd.CANCELLED);
+		refused(refusal);
+	}
+
 	void callerDisconnected() {
 		if (this.finished) {
 			return;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -1,11 +1,17 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
+import io.vertx.core.Context;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -38,9 +44,6 @@
 
 	private static final int STATUS_BAD_REQUEST = 400;
 
-	/** Time after which a refused caller may retry on another daemon. */
-	private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
-
 	private final RelayServices services;
 
 	private final NetworkAddress address;
@@ -51,6 +54,10 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
+	private final Set<RelayExchange> exchanges = new HashSet<>();
+
+	private final Context context;
+
 	private @Nullable HttpServer server;
 
 	private long idleCheckTimer = -1;
@@ -66,6 +73,7 @@
 	RelayServer(RelayServices services, NetworkAddress address) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
+		this.context = services.vertx().getOrCreateContext();
 		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
 				() -> services.inForce().current().callerLimits().idleTimeout());
@@ -103,10 +111,24 @@
 
 	/**
 	 * Marks the server as stopping: each response from now on closes its connection, so
-	 * that callers use another one. Safe for use by any thread.
+	 * that callers use another one, and requests that are not expected to end in time are
+	 * refused. Safe for use by any thread.
+	 * @param end time at which requests in flight are cut off; {@code null} if they never
+	 * are
 	 */
-	void stopping() {
+	void stopping(@Nullable Instant end) {
 		this.stopping = true;
+		if (end != null) {
+			this.services.stop().stopping(end);
+			this.context.runOnContext((ignored) -> answerAllInTime());
+		}
+	}
+
+	private void answerAllInTime() {
+		Instant latest = Objects.requireNonNull(this.services.stop().latestEnd(), "the stop must have begun");
+		long left = Duration.between(this.services.clock().instant(), latest).toMillis();
+		this.services.vertx()
+			.setTimer(Math.max(1, left), (id) -> List.copyOf(this.exchanges).forEach(RelayExchange::daemonEnds));
 	}
 
 	/**
@@ -137,15 +159,19 @@
 	private void handle(HttpServerRequest request) {
 		this.inFlight.incrementAndGet();
 		this.connections.requestStarted(request.connection());
+		AtomicReference<RelayExchange> started = new AtomicReference<>();
 		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping,
 				() -> this.connections.isIdle(request.connection()), () -> {
 					this.inFlight.decrementAndGet();
+					this.exchanges.remove(started.get());
 					this.connections.requestEnded(request.connection());
 				});
 		RelayExchange exchange = new RelayExchange(this.services, request, response, this.arrivals.arrival());
+		started.set(exchange);
+		this.exchanges.add(exchange);
 		if (this.refusing) {
-			exchange
-				.refuseUnread(Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", STOPPING_RETRY_AFTER));
+			exchange.refuseUnread(
+					Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", StopAdmission.RETRY_AFTER));
 		}
 		else {
 			this.served = true;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayStopActions.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayStopActions.java
@@ -1,8 +1,10 @@
 package org.sardineport.daemon.relay;
 
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import org.sardineport.core.stop.StopTiming;
 import org.sardineport.daemon.fleet.FleetService;
 import org.sardineport.daemon.stop.StopActions;
 import org.sardineport.daemon.tunnel.TunnelServer;
@@ -21,11 +23,18 @@
 
 	private final RelayReadiness readiness;
 
-	RelayStopActions(FleetService fleet, RelayServer server, TunnelServer tunnels, RelayReadiness readiness) {
+	private final StopTiming timing;
+
+	private final InstantSource clock;
+
+	RelayStopActions(FleetService fleet, RelayServer server, TunnelServer tunnels, RelayReadiness readiness,
+			StopTiming timing, InstantSource clock) {
 		this.fleet = fleet;
 		this.server = server;
 		this.tunnels = tunnels;
 		this.readiness = readiness;
+		this.timing = timing;
+		this.clock = clock;
 	}
 
 	@Override
@@ -36,7 +45,7 @@
 	@Override
 	public CompletionStage<Void> announce() {
 		this.readiness.stopping();
-		this.server.stopping();
+		this.server.stopping(this.timing.isLimited() ? this.clock.instant().plus(this.timing.limit()) : null);
 		return this.fleet.leave();
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -74,7 +74,8 @@
 						true, false, true, null, StatedLimits.NONE));
 		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null, connections(), null,
 				null, null, Clock.systemUTC(), null, null, null, null, null,
-				StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()));
+				StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
+				StopAdmission.create(Clock.systemUTC()));
 		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
