Heed backend servers that say that they are leaving or want a pause

Leaving: from a response that says so on, the process gets no new request from this daemon, whatever the list or the store says, until another process is listed under its name. Responses to another request, rejections and broken ones count; 421 does not, as it is another server's. Queued requests, retries, resumed streams and new carried connections follow the same list of eligible servers. Nothing in flight is cut.

Pause: no request is sent to the process until the time is over, measured by the monotonic clock, five minutes at most; other servers serve meanwhile. If the whole pool is paused, as many requests as can begin at once wait if they begin in time; the others get 503 with the shortest pause and a spread of up to half of it. What is no number of seconds is logged and ignored.

--- a/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.identity.BackendServerId;
@@ -20,9 +21,9 @@
 
 /**
  * Backend servers that may get new work: those that the latest VM listing contains as
- * live, without those that have reported that they are leaving. A backend server is
- * excluded as soon as either source says that it is leaving. Not safe for use by several
- * threads.
+ * live, without those that have reported that they are leaving, to this daemon or to
+ * another. A backend server is excluded as soon as any source says that it is leaving.
+ * Not safe for use by several threads.
  */
 public final class BackendDirectory {
 
@@ -43,6 +44,8 @@
 
 	private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
 
+	private final LeavingProcesses leavingProcesses = new LeavingProcesses();
+
 	private final Map<BackendServerId, BackendServer> lapsed = new HashMap<>();
 
 	private @Nullable VmListing listing;
@@ -120,7 +123,7 @@
 	}
 
 	private void removeReportsOfReplacedProcesses(VmListing fetched) {
-		if (this.listing == null || this.leavingSince.isEmpty()) {
+		if (this.listing == null || (this.leavingSince.isEmpty() && this.leavingProcesses.isEmpty())) {
 			return;
 		}
 		Map<BackendServerId, BackendServer> former = new HashMap<>();
@@ -129,8 +132,10 @@
 			BackendServer known = former.get(listed.server().id());
 			if (known != null && listed.server().isRestartOf(known)) {
 				this.leavingSince.remove(listed.server().id());
+				this.leavingProcesses.restarted(listed.server());
 			}
 		}
+		this.leavingProcesses.dropUnlistedIfMany(fetched);
 	}
 
 	private boolean isGraceOver() {
@@ -160,6 +165,16 @@
 		this.leavingSince.merge(server, reportedAt, (known, received) -> (received.isAfter(known)) ? received : known);
 	}
 
+	/**
+	 * Records that a process of a backend server has said that it is leaving. Unlike the
+	 * report of a backend server of which only the name is known, this does not expire.
+	 * @param process the process
+	 * @return whether this was not known
+	 */
+	public boolean recordLeaving(BackendProcess process) {
+		return this.leavingProcesses.add(process);
+	}
+
 	/**
 	 * Returns the backend servers that may get new work.
 	 * @return the listed backend servers in the order of the listing, then those that may
@@ -179,7 +194,7 @@
 			.filter((listed) -> listed.state() == VmState.LIVE)
 			.map(VmListing.ListedBackend::server);
 		return Stream.concat(live, this.lapsed.values().stream())
-			.filter((server) -> !this.leavingSince.containsKey(server.id()))
+			.filter((server) -> !this.leavingSince.containsKey(server.id()) && !this.leavingProcesses.contains(server))
 			.toList();
 	}
 
--- a/core/src/main/java/org/sardineport/core/membership/BackendUpdates.java
+++ b/core/src/main/java/org/sardineport/core/membership/BackendUpdates.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
-import org.sardineport.core.identity.BackendServerId;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.quarantine.StrikeKey;
 
 /**
@@ -24,11 +24,11 @@
 
 	private final Map<StrikeKey, Instant> strikeExpiries = new LinkedHashMap<>();
 
-	private final Map<BackendServerId, Instant> leavingSince = new LinkedHashMap<>();
+	private final Map<BackendProcess, Instant> leavingSince = new LinkedHashMap<>();
 
 	private final BroadcastQueue<StrikeKey> strikeQueue = new BroadcastQueue<>(CAPACITY);
 
-	private final BroadcastQueue<BackendServerId> leavingQueue = new BroadcastQueue<>(CAPACITY);
+	private final BroadcastQueue<BackendProcess> leavingQueue = new BroadcastQueue<>(CAPACITY);
 
 	/**
 	 * Adds a strike and broadcasts it if it is new.
@@ -54,12 +54,12 @@
 	 * @return whether it is new and has not expired
 	 */
 	boolean add(LeavingUpdate update, Instant now) {
-		if (update.age().compareTo(LEAVING_RETENTION) >= 0 || this.leavingSince.containsKey(update.backendServer())) {
+		if (update.age().compareTo(LEAVING_RETENTION) >= 0 || this.leavingSince.containsKey(update.process())) {
 			return false;
 		}
 		evictOldestIfFull(this.leavingSince);
-		this.leavingSince.put(update.backendServer(), now.minus(update.age()));
-		this.leavingQueue.add(update.backendServer());
+		this.leavingSince.put(update.process(), now.minus(update.age()));
+		this.leavingQueue.add(update.process());
 		return true;
 	}
 
@@ -76,10 +76,10 @@
 
 	List<LeavingUpdate> takeLeaving(int maxItems, int maxTransmissions, Instant now) {
 		List<LeavingUpdate> taken = new ArrayList<>();
-		for (BackendServerId server : this.leavingQueue.take(maxItems, maxTransmissions)) {
-			Instant since = this.leavingSince.get(server);
+		for (BackendProcess process : this.leavingQueue.take(maxItems, maxTransmissions)) {
+			Instant since = this.leavingSince.get(process);
 			if (since != null) {
-				taken.add(new LeavingUpdate(server, Duration.between(since, now)));
+				taken.add(new LeavingUpdate(process, Duration.between(since, now)));
 			}
 		}
 		return taken;
--- a/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
@@ -20,9 +20,13 @@
  * open, or {@code null} if it is not given
  * @param statedLimits the limits that the backend server states of itself, or
  * {@code null} if the statement cannot be read
+ * @param leaving whether the backend server states that it is leaving
+ * @param pause time for which the backend server wants no request from this daemon, or
+ * {@code null} if it asks for no pause
  */
 public record ResponseHead(int status, @Nullable String requestId, boolean notExecuted, boolean signed, boolean encoded,
-		boolean eventStream, @Nullable Duration keepAliveTimeout, @Nullable StatedLimits statedLimits) {
+		boolean eventStream, @Nullable Duration keepAliveTimeout, @Nullable StatedLimits statedLimits, boolean leaving,
+		@Nullable Duration pause) {
 
 	/** Status of a backend server that is not the one asked. */
 	public static final int STATUS_MISDIRECTED = 421;
--- a/core/src/main/java/org/sardineport/core/relay/RetryDelays.java
+++ b/core/src/main/java/org/sardineport/core/relay/RetryDelays.java
@@ -20,6 +20,12 @@
 	/** Upper bound on the delay, regardless of the caller's remaining time. */
 	private static final Duration MAX_DELAY = Duration.ofSeconds(5);
 
+	/** Time over which callers are spread after a pause, as a fraction of the pause. */
+	private static final double PAUSE_SPREAD = 0.5;
+
+	/** Maximum time over which callers are spread after a pause. */
+	private static final Duration MAX_PAUSE_SPREAD = Duration.ofSeconds(1);
+
 	private final RandomGenerator random;
 
 	private RetryDelays(RandomGenerator random) {
@@ -46,4 +52,15 @@
 		return Duration.ofMillis(Math.max(1, (long) (fraction * maxMillis)));
 	}
 
+	/**
+	 * Returns the delay for a caller whose request was refused because all backend
+	 * servers want a pause.
+	 * @param pause time until the first of them wants requests again
+	 * @return the delay, at least the pause
+	 */
+	public Duration afterPause(Duration pause) {
+		double spread = Math.min(MAX_PAUSE_SPREAD.toMillis(), PAUSE_SPREAD * pause.toMillis());
+		return pause.plusMillis((long) (this.random.nextDouble() * spread));
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -10,6 +10,7 @@
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
@@ -165,4 +166,40 @@
 		assertThat(this.directory.eligible()).containsExactly(server("one"));
 	}
 
+	private static BackendServer process(String name, long startedAt) {
+		return new BackendServer(BackendServerId.of(name), BackendKind.PLAIN_SERVICE, PoolName.of("ledger"),
+				FailureDomain.of("lalitpur"), NetworkAddress.of("10.0.0.1", 80), 1, Instant.ofEpochMilli(startedAt));
+	}
+
+	private void list(long asOfSeconds, long startedAt) {
+		this.directory.updateListing(new VmListing(START.plusSeconds(asOfSeconds), List.of(),
+				List.of(new VmListing.ListedBackend(process("one", startedAt), VmState.LIVE))));
+	}
+
+	@Test
+	void processThatIsLeavingStaysExcludedUntilTheNextOneIsListed() {
+		list(1, 1);
+		assertThat(this.directory.recordLeaving(process("one", 1).process())).isTrue();
+		assertThat(this.directory.recordLeaving(process("one", 1).process())).isFalse();
+		this.now = this.now.plus(BackendDirectory.LEAVING_REPORT_RETENTION.multipliedBy(10));
+		list(2, 1);
+		assertThat(this.directory.eligible()).isEmpty();
+		list(3, 2);
+		assertThat(this.directory.eligible()).containsExactly(process("one", 2));
+		list(4, 1);
+		assertThat(this.directory.eligible()).isEmpty();
+	}
+
+	@Test
+	void newVersionUnderTheNameIsTheNextProcessIfStartsAreNotListed() {
+		this.directory.recordLeaving(server("one").process());
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+		BackendServer next = new BackendServer(BackendServerId.of("one"), BackendKind.PLAIN_SERVICE,
+				PoolName.of("ledger"), FailureDomain.of("lalitpur"), NetworkAddress.of("10.0.0.1", 80), 1,
+				BackendServer.START_UNKNOWN, SoftwareVersion.of("v2"));
+		this.directory.updateListing(new VmListing(START.plusSeconds(1), List.of(),
+				List.of(new VmListing.ListedBackend(next, VmState.LIVE))));
+		assertThat(this.directory.eligible()).containsExactly(next);
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/membership/BackendUpdatesTests.java
+++ b/core/src/test/java/org/sardineport/core/membership/BackendUpdatesTests.java
@@ -42,14 +42,15 @@
 
 	@Test
 	void sendsLeavingUpdateWithItsAge() {
-		assertThat(this.updates.add(new LeavingUpdate(WORKER, Duration.ofSeconds(2)), NOW)).isTrue();
+		assertThat(this.updates.add(LeavingUpdate.ofAnyProcess(WORKER, Duration.ofSeconds(2)), NOW)).isTrue();
 		assertThat(this.updates.takeLeaving(4, 3, NOW.plusSeconds(3)))
-			.containsExactly(new LeavingUpdate(WORKER, Duration.ofSeconds(5)));
+			.containsExactly(LeavingUpdate.ofAnyProcess(WORKER, Duration.ofSeconds(5)));
 	}
 
 	@Test
 	void rejectsLeavingUpdateAtRetention() {
-		assertThat(this.updates.add(new LeavingUpdate(WORKER, BackendUpdates.LEAVING_RETENTION), NOW)).isFalse();
+		assertThat(this.updates.add(LeavingUpdate.ofAnyProcess(WORKER, BackendUpdates.LEAVING_RETENTION), NOW))
+			.isFalse();
 	}
 
 	// Guards against a backend server that starts again under its name and crashes again,
--- a/core/src/test/java/org/sardineport/core/membership/GossipReceiverTests.java
+++ b/core/src/test/java/org/sardineport/core/membership/GossipReceiverTests.java
@@ -104,7 +104,7 @@
 		StrikeUpdate strike = new StrikeUpdate(
 				new StrikeKey(Suspect.request(Fingerprint.of(1, 2)), new BackendProcess(server, NOW)),
 				Duration.ofSeconds(60));
-		LeavingUpdate leaving = new LeavingUpdate(server, Duration.ZERO);
+		LeavingUpdate leaving = LeavingUpdate.ofAnyProcess(server, Duration.ZERO);
 		GossipUpdates updates = new GossipUpdates(List.of(), List.of(strike), List.of(leaving));
 		this.receiver.apply(OTHER, updates, true, NOW);
 		this.receiver.apply(OTHER, updates, true, NOW);
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -14,10 +14,12 @@
 import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.fleet.BackendDirectory;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
+import org.sardineport.core.fleet.LeavingReports;
 import org.sardineport.core.fleet.ListReads;
 import org.sardineport.core.fleet.ListedMembers;
 import org.sardineport.core.fleet.Member;
@@ -49,7 +51,7 @@
  * {@link FleetSnapshot} after each change, all on one event loop thread. Methods may be
  * called from any thread.
  */
-public final class FleetService implements FleetView, StrikeChannel, Service {
+public final class FleetService implements FleetView, LeavingReports, StrikeChannel, Service {
 
 	private static final EventLog LOG = EventLog.of(FleetService.class);
 
@@ -178,12 +180,26 @@
 		offer(() -> {
 			if (this.backends.handleReport(report)) {
 				LOG.info("backend.leaving", "backend-server", report.backendServer(), "source", "load-report");
-				this.membership.broadcast(new LeavingUpdate(report.backendServer(), Duration.ZERO));
+				this.membership.broadcast(LeavingUpdate.ofAnyProcess(report.backendServer(), Duration.ZERO));
 			}
 			publish();
 		});
 	}
 
+	@Override
+	public void statedLeaving(BackendProcess process) {
+		Objects.requireNonNull(process, "process must not be null");
+		offer(() -> {
+			if (this.backends.recordLeaving(process)) {
+				this.telemetry.counter("backends.leaving-stated").inc();
+				LOG.info("backend.leaving", "backend-server", process.server(), "started-at", process.startedAt(),
+						"source", "response");
+				this.membership.broadcast(new LeavingUpdate(process, Duration.ZERO));
+				publish();
+			}
+		});
+	}
+
 	/**
 	 * Sets the source of the values that this daemon reports about itself. Call it before
 	 * the start.
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/MembershipReporter.java
@@ -77,7 +77,19 @@
 
 	@Override
 	public void onBackendLeaving(LeavingUpdate leaving) {
-		this.backends.recordLeaving(leaving.backendServer(), leaving.age());
+		if (leaving.isProcessKnown()) {
+			logNew(leaving, this.backends.recordLeaving(leaving.process()));
+		}
+		else {
+			this.backends.recordLeaving(leaving.process().server(), leaving.age());
+		}
+	}
+
+	private static void logNew(LeavingUpdate leaving, boolean isNew) {
+		if (isNew) {
+			LOG.info("backend.leaving", "backend-server", leaving.process().server(), "started-at",
+					leaving.process().startedAt(), "source", "another-daemon", "age-ms", leaving.age().toMillis());
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -44,6 +44,8 @@
 
 	private final StatedLimitsRecorder statedLimits;
 
+	private final BackendNotices notices;
+
 	private final BackendConnections connections;
 
 	private final AttemptPlan plan;
@@ -89,6 +91,7 @@
 		this.vertx = services.vertx();
 		this.clock = services.clock();
 		this.statedLimits = services.statedLimits();
+		this.notices = services.notices();
 		this.connections = services.connections();
 		this.plan = plan;
 		this.listener = listener;
@@ -220,6 +223,7 @@
 		this.head = responseHead;
 		this.headers = responseHeaders;
 		recordStatedLimits(responseHead);
+		this.notices.received(this.plan.server(), responseHead);
 		if (!this.plan.requestId().equals(responseHead.requestId())) {
 			fail(AttemptEnd.INVALID, "the answer is to request " + responseHead.requestId());
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
@@ -105,14 +107,31 @@
 			.toList();
 	}
 
-	SchedulingRequest schedulingRequest(RequestId id, RequestProgress progress) {
+	/**
+	 * Returns a request for a permit.
+	 * @param id its identity
+	 * @param progress the attempts so far
+	 * @param paused backend servers that want no requests now
+	 * @return the request
+	 */
+	SchedulingRequest schedulingRequest(RequestId id, RequestProgress progress, Set<BackendServerId> paused) {
 		RequestHead head = this.request.head();
 		return new SchedulingRequest(id, this.pool, owner(), this.tier, this.route.rank(), estimate(),
-				head.prefixHash(), fingerprint(), runningPolicy(), limit(), cost(progress), progress.failedOn(),
-				this.request.arrival(), startLimits(progress), schedulingDeadline())
+				head.prefixHash(), fingerprint(), runningPolicy(), limit(), cost(progress),
+				excluded(progress.failedOn(), paused), this.request.arrival(), startLimits(progress),
+				schedulingDeadline())
 			.withPromptParts(this.promptParts);
 	}
 
+	private static Set<BackendServerId> excluded(Set<BackendServerId> failedOn, Set<BackendServerId> paused) {
+		if (paused.isEmpty()) {
+			return failedOn;
+		}
+		Set<BackendServerId> excluded = new HashSet<>(failedOn);
+		excluded.addAll(paused);
+		return excluded;
+	}
+
 	/**
 	 * Returns the fingerprint of the request. It is computed once.
 	 * @return the fingerprint
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -23,6 +23,7 @@
 import org.sardineport.core.relay.RequestProgress;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.Refusal;
+import org.sardineport.core.request.RefusalReason;
 
 /**
  * The attempts at one request, as far as the route and the retry budget allow. An attempt
@@ -32,6 +33,8 @@
  */
 final class RelayAttempts implements AttemptListener {
 
+	private static final long NO_TIMER = -1;
+
 	/** Minimum remaining time for which another attempt is worthwhile. */
 	private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
@@ -53,6 +56,8 @@
 
 	private final Context context;
 
+	private final PoolName pool;
+
 	private final RetryCharge retryCharge;
 
 	private final RequestProgress progress;
@@ -77,6 +82,9 @@
 
 	private long handOverTimer = -1;
 
+	/** Runs while the request waits for the end of a pause of the whole pool. */
+	private long pauseTimer = NO_TIMER;
+
 	private boolean retryPending;
 
 	private @Nullable Instant dispatchedAt;
@@ -86,6 +94,7 @@
 		this.services = services;
 		this.request = request;
 		this.context = services.vertx().getOrCreateContext();
+		this.pool = pool;
 		this.retryCharge = new RetryCharge(services, pool);
 		this.progress = progress;
 		this.planner = planner;
@@ -110,12 +119,43 @@
 	}
 
 	private void requestPermit() {
-		SchedulingRequest schedulingRequest = this.version
-			.restrict(this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress));
+		PoolPause pause = PoolPause.now(this.services, this.pool, this.version);
+		SchedulingRequest schedulingRequest = this.version.restrict(
+				this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress, pause.servers()));
+		if (pause.isWhole()) {
+			waitOrRefuse(pause, schedulingRequest);
+			return;
+		}
 		this.pendingRequest = schedulingRequest;
 		this.services.scheduler().submit(schedulingRequest, new EventLoopListener(schedulingRequest));
 	}
 
+	private void waitOrRefuse(PoolPause pause, SchedulingRequest schedulingRequest) {
+		Duration wait = pause.untilFirst();
+		boolean beginsInTime = now().plus(wait).isBefore(schedulingRequest.startDeadlines().startBy());
+		if (this.progress.attempts() == 0 && beginsInTime
+				&& this.services.notices().pauseQueue().enter(this.pool, pause.share())) {
+			this.pauseTimer = this.services.vertx().setTimer(Math.max(1, wait.toMillis()), (id) -> {
+				endPause();
+				requestPermit();
+			});
+		}
+		else {
+			permitRefused(Refusal.retryAfter(RefusalReason.OVERLOADED,
+					"each backend server of the pool asked for a pause, the first for %d ms more"
+						.formatted(wait.toMillis()),
+					wait));
+		}
+	}
+
+	private void endPause() {
+		if (this.pauseTimer != NO_TIMER) {
+			this.services.vertx().cancelTimer(this.pauseTimer);
+			this.pauseTimer = NO_TIMER;
+			this.services.notices().pauseQueue().leave(this.pool);
+		}
+	}
+
 	private void granted(SchedulingRequest schedulingRequest, Permit grantedPermit) {
 		if (this.pendingRequest != schedulingRequest) {
 			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
@@ -151,6 +191,7 @@
 	private boolean isUsable(Permit grantedPermit) {
 		BackendServer server = grantedPermit.backendServer();
 		return this.services.fleet().current().backendServers().contains(server)
+				&& !this.services.notices().pauses().isPaused(server.process())
 				&& this.version.allows(server.softwareVersion());
 	}
 
@@ -372,6 +413,7 @@
 			this.pendingRequest = null;
 		}
 		this.retryPending = false;
+		endPause();
 		this.services.vertx().cancelTimer(this.handOverTimer);
 		for (PermittedAttempt each : this.active.removeAll()) {
 			RunEnd end = runEnd.apply(each.attempt());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -104,7 +104,8 @@
 				CrashDetector.create(vertx, clock, connections, scheduling, telemetry), settings.limitTolerance(),
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
-				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry), StopAdmission.create(clock));
+				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
+				BackendNotices.create(fleet, clock, telemetry), StopAdmission.create(clock));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -180,12 +180,17 @@
 	private Refusal withRetryAfter(Refusal refusal) {
 		return switch (refusal.reason()) {
 			case OVERLOADED, RETRY_BUDGET_SPENT, DEADLINE_UNREACHABLE, NO_BACKEND_SERVER ->
-				Refusal.retryAfter(refusal.reason(), refusal.detail(),
-						this.services.returnTimes().afterOverload(Duration.between(now(), this.request.deadline())));
+				Refusal.retryAfter(refusal.reason(), refusal.detail(), returnTime());
 			default -> refusal;
 		};
 	}
 
+	private Duration returnTime() {
+		PoolPause pause = PoolPause.now(this.services, this.pool, this.version);
+		return pause.isWhole() ? this.services.returnTimes().afterPause(pause.untilFirst())
+				: this.services.returnTimes().afterOverload(Duration.between(now(), this.request.deadline()));
+	}
+
 	private static Refusal asUnknownOutcome(Refusal refusal) {
 		return switch (refusal.reason()) {
 			case BACKEND_FAILED, BACKEND_TIMEOUT -> refusal;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -36,12 +36,13 @@
  * @param telemetry counters and timers
  * @param origins knows which software version began a stream
  * @param statedLimits records the limits that backend servers state
+ * @param notices what backend servers say about new requests
  * @param stop decides which requests may run during a planned stop
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
-		StatedLimitsRecorder statedLimits, StopAdmission stop) {
+		StatedLimitsRecorder statedLimits, BackendNotices notices, StopAdmission stop) {
 
 }
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -71,11 +71,12 @@
 	private Attempt attempt(AttemptListener listener, Instant latestSend) {
 		RelayProtocol protocol = (RelayProtocol) Proxy.newProxyInstance(RelayProtocol.class.getClassLoader(),
 				new Class<?>[] { RelayProtocol.class }, (proxy, method, arguments) -> new ResponseHead(200, "id", false,
-						true, false, true, null, StatedLimits.NONE));
+						true, false, true, null, StatedLimits.NONE, false, null));
 		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null, connections(), null,
 				null, null, Clock.systemUTC(), null, null, null, null, null,
 				StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
-				StopAdmission.create(Clock.systemUTC()));
+				BackendNotices.create((process) -> {
+				}, Clock.systemUTC(), Telemetry.create()), StopAdmission.create(Clock.systemUTC()));
 		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
--- a/wire/src/main/java/org/sardineport/wire/message/LeavingBackend.java
+++ b/wire/src/main/java/org/sardineport/wire/message/LeavingBackend.java
@@ -107,6 +107,47 @@
     ageMillis_ = 0;
   }
 
+  public static final int STARTED_AT_MILLIS_FIELD_NUMBER = 3;
+  private long startedAtMillis_;
+  /**
+   * <pre>
+   * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+   * the announcement is about any process of that name.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 3;</code>
+   * @return The startedAtMillis.
+   */
+  @java.lang.Override
+  public long getStartedAtMillis() {
+    return startedAtMillis_;
+  }
+  /**
+   * <pre>
+   * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+   * the announcement is about any process of that name.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 3;</code>
+   * @param value The startedAtMillis to set.
+   */
+  private void setStartedAtMillis(long value) {
+    
+    startedAtMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+   * the announcement is about any process of that name.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 3;</code>
+   */
+  private void clearStartedAtMillis() {
+
+    startedAtMillis_ = 0L;
+  }
+
   public static org.sardineport.wire.message.LeavingBackend parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -297,6 +338,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+     * the announcement is about any process of that name.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 3;</code>
+     * @return The startedAtMillis.
+     */
+    @java.lang.Override
+    public long getStartedAtMillis() {
+      return instance.getStartedAtMillis();
+    }
+    /**
+     * <pre>
+     * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+     * the announcement is about any process of that name.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 3;</code>
+     * @param value The startedAtMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedAtMillis(long value) {
+      copyOnWrite();
+      instance.setStartedAtMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+     * the announcement is about any process of that name.
+     * </pre>
+     *
+     * <code>int64 started_at_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedAtMillis() {
+      copyOnWrite();
+      instance.clearStartedAtMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.LeavingBackend)
   }
   @java.lang.Override
@@ -315,10 +399,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "backendServer_",
             "ageMillis_",
+            "startedAtMillis_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
+              "\u0003\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/LeavingBackendOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/LeavingBackendOrBuilder.java
@@ -31,4 +31,15 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * Start of its process in milliseconds since 1970; 0 if it is not known, in which case
+   * the announcement is about any process of that name.
+   * </pre>
+   *
+   * <code>int64 started_at_millis = 3;</code>
+   * @return The startedAtMillis.
+   */
+  long getStartedAtMillis();
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -205,14 +205,16 @@
 
 	private static LeavingBackend encodeLeaving(LeavingUpdate leaving) {
 		return LeavingBackend.newBuilder()
-			.setBackendServer(leaving.backendServer().value())
+			.setBackendServer(leaving.process().server().value())
+			.setStartedAtMillis(leaving.process().startedAt().toEpochMilli())
 			.setAgeMillis((int) Math.min(leaving.age().toMillis(), Integer.MAX_VALUE))
 			.build();
 	}
 
 	private static LeavingUpdate decodeLeaving(LeavingBackend leaving) {
-		return new LeavingUpdate(BackendServerId.of(leaving.getBackendServer()),
-				Duration.ofMillis(leaving.getAgeMillis()));
+		BackendProcess process = new BackendProcess(BackendServerId.of(leaving.getBackendServer()),
+				Instant.ofEpochMilli(leaving.getStartedAtMillis()));
+		return new LeavingUpdate(process, Duration.ofMillis(leaving.getAgeMillis()));
 	}
 
 }
