--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -230,6 +231,9 @@
 		else if (responseHead.notExecuted()) {
 			fail(AttemptEnd.NOT_EXECUTED, "status " + status);
 		}
+		else if (!isEndCertain(responseHeaders)) {
+			fail(AttemptEnd.INVALID, "the answer has another transfer encoding than chunked");
+		}
 		else if (!responseHead.isIntact()) {
 			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, or encoded");
 		}
@@ -238,6 +242,11 @@
 		}
 	}
 
+	private static boolean isEndCertain(MultiMap responseHeaders) {
+		List<String> encodings = responseHeaders.getAll("Transfer-Encoding");
+		return encodings.isEmpty() || (encodings.size() == 1 && encodings.get(0).equalsIgnoreCase("chunked"));
+	}
+
 	// A late response to another request may be older than what is known.
 	private void recordStatedLimits(ResponseHead responseHead) {
 		StatedLimits stated = responseHead.statedLimits();
