Do not confirm a configuration that a newer, unreadable one has replaced

Cause: the reader passes an unreadable version over, and the next read, which finds nothing newer, confirmed the version before as the newest one.

Change: a newer version that cannot be read is remembered until one is read. If its list of organisations can be read, the version before serves the keys that both have; if not, it expires with its last read. Routes and keys that the version before does not have get 503, not 404 or 401, meanwhile.

--- a/core/src/main/java/org/sardineport/core/port/relay/ConfigurationListener.java
+++ b/core/src/main/java/org/sardineport/core/port/relay/ConfigurationListener.java
@@ -1,5 +1,8 @@
 package org.sardineport.core.port.relay;
 
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.relay.ClockReading;
 import org.sardineport.core.relay.RelayConfiguration;
 
@@ -24,10 +27,13 @@
 	void unchanged(ClockReading readStarted);
 
 	/**
-	 * Called when the newest configuration is invalid. The previous one stays in force.
+	 * Called when the newest configuration is invalid.
 	 * @param error description of the error
+	 * @param keys names of the organisations by their keys in it, or {@code null} if that
+	 * cannot be read either
+	 * @param readStarted clock reading at the start of the read
 	 */
-	void unreadable(String error);
+	void unreadable(String error, @Nullable Map<String, String> keys, ClockReading readStarted);
 
 	/**
 	 * Called when the configuration could not be read.
--- a/core/src/main/java/org/sardineport/core/relay/CallerKeys.java
+++ b/core/src/main/java/org/sardineport/core/relay/CallerKeys.java
@@ -1,5 +1,6 @@
 package org.sardineport.core.relay;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -63,4 +64,15 @@
 		return Optional.ofNullable(this.organisations.get(key));
 	}
 
+	/**
+	 * Returns the keys that another version has for the same organisations as well.
+	 * @param names names of the organisations by their keys in the other version
+	 * @return the keys in both
+	 */
+	CallerKeys retain(Map<String, String> names) {
+		Map<String, RelayOrganisation> retained = new HashMap<>(this.organisations);
+		retained.entrySet().removeIf((entry) -> !entry.getValue().id().value().equals(names.get(entry.getKey())));
+		return new CallerKeys(this.required, retained);
+	}
+
 }
--- a/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
+++ b/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
@@ -1,6 +1,7 @@
 package org.sardineport.core.relay;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -19,7 +20,7 @@
 	private final ClockPair clocks;
 
 	private final AtomicReference<State> state = new AtomicReference<>(
-			new State(RelayConfiguration.NONE, null, null, null));
+			new State(RelayConfiguration.NONE, Successor.NONE, null, null, null));
 
 	private ConfigurationInForce(Duration lifetime, ClockPair clocks) {
 		this.lifetime = Objects.requireNonNull(lifetime, "lifetime must not be null");
@@ -48,7 +49,7 @@
 		observe();
 		State updated = this.state
 			.updateAndGet((previous) -> (configuration.version() < previous.configuration.version()) ? previous
-					: previous.with(configuration, ConfigurationFreshness.asOf(readStarted)));
+					: previous.with(configuration, Successor.NONE, ConfigurationFreshness.asOf(readStarted)));
 		return updated.configuration == configuration;
 	}
 
@@ -59,7 +60,38 @@
 	public void confirm(ClockReading readStarted) {
 		observe();
 		ConfigurationFreshness freshness = ConfigurationFreshness.asOf(readStarted);
-		this.state.updateAndGet((previous) -> previous.with(previous.configuration, freshness));
+		this.state.updateAndGet((previous) -> previous.confirmed(freshness));
+	}
+
+	/**
+	 * Records that the newest configuration when a read started cannot be read. The one
+	 * before stays in force without the keys that the newest one does not have. If that
+	 * is not known, it does not become fresh again.
+	 * @param keys names of the organisations by their keys in the newest configuration,
+	 * or {@code null} if not known
+	 * @param readStarted clock reading at the start of the read
+	 */
+	public void supersede(@Nullable Map<String, String> keys, ClockReading readStarted) {
+		observe();
+		ConfigurationFreshness freshness = ConfigurationFreshness.asOf(readStarted);
+		this.state.updateAndGet((previous) -> previous.superseded(keys, freshness));
+	}
+
+	/**
+	 * Returns whether the configuration is the newest one. Otherwise no caller may be
+	 * refused for good because of a route or key that it does not have.
+	 * @return {@code false} if it is not fresh, or a newer one exists that cannot be read
+	 */
+	public boolean isNewest() {
+		return isFresh() && !isSuperseded();
+	}
+
+	/**
+	 * Returns whether a newer configuration exists that cannot be read.
+	 * @return {@code true} until the next one is read
+	 */
+	public boolean isSuperseded() {
+		return this.state.get().successor != Successor.NONE;
 	}
 
 	/**
@@ -115,30 +147,60 @@
 		return (snapshot.freshness != null) ? snapshot.freshness.ageMillis(this.clocks.read()) : -1;
 	}
 
+	/**
+	 * What is known of a newer configuration that cannot be read.
+	 */
+	private enum Successor {
+
+		/** There is none. */
+		NONE,
+
+		/** The keys in it are known. */
+		KEYS_KNOWN,
+
+		/** Nothing is known of it. */
+		UNKNOWN
+
+	}
+
 	/**
 	 * Immutable snapshot of the configuration, its freshness and the last clock reading.
 	 *
-	 * @param configuration the newest configuration
+	 * @param configuration the newest configuration that can be read
+	 * @param successor whether there is a newer one
 	 * @param freshness freshness established by the newest valid read, or {@code null} if
 	 * there is none
 	 * @param lastReading last reading of the clocks, or {@code null} before the first one
 	 * @param trustedAfter reading at which the clocks last disagreed; only reads that
 	 * started later are valid; {@code null} if they never disagreed
 	 */
-	private record State(RelayConfiguration configuration, @Nullable ConfigurationFreshness freshness,
-			@Nullable ClockReading lastReading, @Nullable ClockReading trustedAfter) {
+	private record State(RelayConfiguration configuration, Successor successor,
+			@Nullable ConfigurationFreshness freshness, @Nullable ClockReading lastReading,
+			@Nullable ClockReading trustedAfter) {
 
 		private State withReading(ClockReading now) {
 			if (this.lastReading != null && now.disagreesWith(this.lastReading)) {
-				return new State(this.configuration, null, now, now);
+				return new State(this.configuration, this.successor, null, now, now);
+			}
+			return new State(this.configuration, this.successor, this.freshness, now, this.trustedAfter);
+		}
+
+		private State confirmed(ConfigurationFreshness candidate) {
+			return (this.successor == Successor.UNKNOWN) ? this : with(this.configuration, this.successor, candidate);
+		}
+
+		private State superseded(@Nullable Map<String, String> keys, ConfigurationFreshness candidate) {
+			if (keys == null) {
+				return new State(this.configuration, Successor.UNKNOWN, this.freshness, this.lastReading,
+						this.trustedAfter);
 			}
-			return new State(this.configuration, this.freshness, now, this.trustedAfter);
+			return with(this.configuration.retainKeys(keys), Successor.KEYS_KNOWN, candidate);
 		}
 
-		private State with(RelayConfiguration newer, ConfigurationFreshness candidate) {
+		private State with(RelayConfiguration newer, Successor next, ConfigurationFreshness candidate) {
 			boolean trusted = this.trustedAfter == null || candidate.isNewerThan(this.trustedAfter);
 			boolean notOlder = this.freshness == null || !candidate.isOlderThan(this.freshness);
-			return new State(newer, (trusted && notOlder) ? candidate : this.freshness, this.lastReading,
+			return new State(newer, next, (trusted && notOlder) ? candidate : this.freshness, this.lastReading,
 					this.trustedAfter);
 		}
 
--- a/core/src/main/java/org/sardineport/core/relay/RelayAdmissionCheck.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayAdmissionCheck.java
@@ -91,7 +91,7 @@
 	}
 
 	private RefusedException refusedIfFresh(RefusalReason reason, String detail) {
-		return this.inForce.isFresh() ? RefusedException.of(Refusal.of(reason, detail)) : notReady(detail);
+		return this.inForce.isNewest() ? RefusedException.of(Refusal.of(reason, detail)) : notReady(detail);
 	}
 
 	private static RefusedException notReady(String detail) {
--- a/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
@@ -21,11 +21,11 @@
 
 	private final long version;
 
-	private final Map<String, Map<String, RelayRoute>> routesByHost = new HashMap<>();
+	private final Map<String, Map<String, RelayRoute>> routesByHost;
 
 	private final CallerKeys callerKeys;
 
-	private final Map<PoolName, RelayPool> pools = new HashMap<>();
+	private final Map<PoolName, RelayPool> pools;
 
 	private final CallerLimits callerLimits;
 
@@ -34,6 +34,8 @@
 		this.version = version;
 		this.callerKeys = callerKeys;
 		this.callerLimits = callerLimits;
+		this.routesByHost = new HashMap<>();
+		this.pools = new HashMap<>();
 		for (RelayRoute route : routes) {
 			this.routesByHost.computeIfAbsent(hostKey(route.host()), (host) -> new HashMap<>())
 				.put(route.pathPrefix(), route);
@@ -41,6 +43,14 @@
 		pools.forEach((pool) -> this.pools.put(pool.name(), pool));
 	}
 
+	private RelayConfiguration(RelayConfiguration other, CallerKeys callerKeys) {
+		this.version = other.version;
+		this.routesByHost = other.routesByHost;
+		this.callerKeys = callerKeys;
+		this.pools = other.pools;
+		this.callerLimits = other.callerLimits;
+	}
+
 	/**
 	 * Returns a configuration with the given contents.
 	 * @param version its version, above 0
@@ -56,6 +66,15 @@
 		return new RelayConfiguration(version, routes, callerKeys, pools, callerLimits);
 	}
 
+	/**
+	 * Returns this configuration without the keys that another version does not have.
+	 * @param names names of the organisations by their keys in the other version
+	 * @return the configuration, with the same version number
+	 */
+	RelayConfiguration retainKeys(Map<String, String> names) {
+		return new RelayConfiguration(this, this.callerKeys.retain(names));
+	}
+
 	/**
 	 * Returns the version number, which grows with each change.
 	 * @return the version; 0 for {@link #NONE}
--- a/core/src/test/java/org/sardineport/core/relay/ConfigurationInForceTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/ConfigurationInForceTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -152,4 +153,39 @@
 		}
 	}
 
+	/**
+	 * Guards against an older version that becomes fresh again although a newer one,
+	 * which cannot be read, may have revoked its keys.
+	 */
+	@Test
+	void versionBeforeOneThatCannotBeReadExpires() {
+		readVersion(1);
+		advance(100);
+		this.inForce.supersede(null, read());
+		advance(100);
+		this.inForce.confirm(read());
+		assertThat(this.inForce.isFresh()).isTrue();
+		assertThat(this.inForce.isNewest()).isFalse();
+		advance(LIFETIME.toMillis() - 200);
+		this.inForce.confirm(read());
+		assertThat(this.inForce.isFresh()).isFalse();
+		readVersion(3);
+		assertThat(this.inForce.isNewest()).isTrue();
+	}
+
+	@Test
+	void versionBeforeOneOfWhichOnlyTheKeysCanBeReadServesTheKeysOfBoth() {
+		readVersion(1);
+		this.inForce.supersede(Map.of(RelayFixture.KEY, "organisation"), read());
+		advance(LIFETIME.toMillis() - 1);
+		this.inForce.confirm(read());
+		advance(LIFETIME.toMillis() - 1);
+		assertThat(this.inForce.isFresh()).isTrue();
+		assertThat(this.inForce.isNewest()).isFalse();
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isPresent();
+		this.inForce.supersede(Map.of(RelayFixture.KEY, "another"), read());
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isEmpty();
+		assertThat(this.inForce.current().callerKeys().areRequired()).isTrue();
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ConfigurationWatch.java
@@ -1,5 +1,8 @@
 package org.sardineport.daemon.relay;
 
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.port.relay.ConfigurationListener;
 import org.sardineport.core.relay.ClockReading;
 import org.sardineport.core.relay.ConfigurationInForce;
@@ -54,10 +57,16 @@
 	}
 
 	@Override
-	public void unreadable(String fault) {
+	public void unreadable(String fault, @Nullable Map<String, String> keys, ClockReading readStarted) {
+		markReachable();
+		int before = this.inForce.current().callerKeys().size();
+		this.inForce.supersede(keys, readStarted);
+		RelayConfiguration kept = this.inForce.current();
 		this.telemetry.counter("configuration.unreadable").inc();
-		LOG.warn("configuration.unreadable", "fault", fault, "version-kept", this.inForce.current().version(), "remedy",
-				"Write a configuration that can be read; the one before stays in force.");
+		LOG.warn("configuration.unreadable", "fault", fault, "version-kept", kept.version(), "keys-known", keys != null,
+				"keys", kept.callerKeys().size(), "keys-before", before, "remedy",
+				"Write a configuration that can be read; until then the one before serves the keys that both have, "
+						+ "or none once its last read is too old if the keys cannot be read.");
 	}
 
 	@Override
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayReadiness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayReadiness.java
@@ -42,7 +42,8 @@
 			blockers.add("The daemon stops.");
 		}
 		if (!this.inForce.isFresh()) {
-			blockers.add("The configuration is being read.");
+			blockers.add(this.inForce.isSuperseded() ? "The newest configuration cannot be read; write another one."
+					: "The configuration is being read.");
 		}
 		if (!this.backendsKnown.getAsBoolean()) {
 			blockers.add("The list of backend servers is being read.");
