Bound the sum of the request bodies that a daemon holds

Cause: bodies were gathered on the heap with no bound on their sum, and an exhausted heap does not end the process.

Without room nothing is read from the caller, for a second; then the request is refused as not run.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -16,6 +16,7 @@
 import org.sardineport.core.lifecycle.ServiceSequence;
 import org.sardineport.core.limit.ConcurrencyPolicy;
 import org.sardineport.core.relay.BackendPaths;
+import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.ClockPair;
 import org.sardineport.core.relay.ConfigurationInForce;
 import org.sardineport.core.relay.FleetRetryBudget;
@@ -105,7 +106,8 @@
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
-				BackendNotices.create(fleet, clock, telemetry), StopAdmission.create(clock));
+				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
+				StopAdmission.create(clock));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Objects;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RefusedException;
+import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.RelayAdmission;
 import org.sardineport.core.relay.RequestHead;
 import org.sardineport.core.request.Refusal;
@@ -24,6 +27,12 @@
 	/** Maximum time for which a request waits for this daemon to become ready. */
 	private static final Duration MAX_READINESS_WAIT = Duration.ofMillis(1500);
 
+	/** Maximum time for which nothing is read of a body for want of memory. */
+	private static final Duration MAX_MEMORY_WAIT = Duration.ofSeconds(1);
+
+	/** Interval between checks whether there is memory for a body. */
+	private static final long MEMORY_POLL_MILLIS = 20;
+
 	/** Interval between checks whether this daemon is ready. */
 	private static final long READINESS_POLL_MILLIS = 20;
 
@@ -35,7 +44,10 @@
 
 	private final Instant arrival;
 
-	private final Buffer body = Buffer.buffer();
+	private Buffer body = Buffer.buffer();
+
+	/** Bytes reserved for the body. */
+	private long reserved;
 
 	private @Nullable RequestHead head;
 
@@ -75,7 +87,8 @@
 		}
 		try {
 			this.admission = this.services.gate().admit(callerHead);
-			this.request.resume();
+			long length = announcedLength(this.admission.configuration().callerLimits().maxBodyBytes());
+			reserve(length, () -> this.body = Buffer.buffer((int) length));
 		}
 		catch (RefusedException ex) {
 			boolean soon = ex.refusal().reason() == RefusalReason.NOT_READY && this.services.gate().isReadySoon();
@@ -90,6 +103,59 @@
 		}
 	}
 
+	private long announcedLength(int maxBytes) {
+		String value = this.request.getHeader(HttpHeaders.CONTENT_LENGTH);
+		return (value != null) ? Math.min(Long.parseLong(value), maxBytes) : 0;
+	}
+
+	/**
+	 * Reserves memory for the body and reads on. While there is none, nothing is read
+	 * from the caller, for a limited time.
+	 * @param needed size of the body as far as it is known, in bytes
+	 * @param whenReserved is run before the next bytes are read
+	 */
+	private void reserve(long needed, Runnable whenReserved) {
+		Instant latest = this.services.clock().instant().plus(MAX_MEMORY_WAIT);
+		this.request.pause();
+		reserveBy(latest, needed, whenReserved);
+	}
+
+	private void reserveBy(Instant latest, long needed, Runnable whenReserved) {
+		if (this.ended) {
+			return;
+		}
+		if (this.services.bodies().tryReserve(this.reserved, needed)) {
+			this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
+			whenReserved.run();
+			this.request.resume();
+		}
+		else if (this.services.clock().instant().isBefore(latest)) {
+			this.services.vertx().setTimer(MEMORY_POLL_MILLIS, (id) -> reserveBy(latest, needed, whenReserved));
+		}
+		else {
+			this.request.resume();
+			refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, "the bodies of other requests fill the memory",
+					this.services.returnTimes().afterOverload(remainingTime())), false);
+		}
+	}
+
+	private Duration remainingTime() {
+		RelayAdmission admitted = Objects.requireNonNull(this.admission, "the request must be admitted");
+		RequestHead callerHead = Objects.requireNonNull(this.head, "the head must be read");
+		Duration stated = callerHead.remainingTime();
+		Duration timeout = admitted.route().timeout();
+		return (stated != null && stated.compareTo(timeout) < 0) ? stated : timeout;
+	}
+
+	/**
+	 * Releases the memory of the body, as the request has ended.
+	 */
+	void releaseBody() {
+		this.services.bodies().release(this.reserved);
+		this.reserved = 0;
+		this.body = Buffer.buffer();
+	}
+
 	/**
 	 * Refuses the request before any of it is read.
 	 * @param refusal the reason, sent to the caller
@@ -108,6 +174,10 @@
 		if (this.body.length() > maxBytes) {
 			refuse(Refusal.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes"), true);
 		}
+		else if (this.body.length() > Math.max(this.reserved, BodyMemory.SMALL_BYTES)) {
+			reserve(2L * this.body.length(), () -> {
+			});
+		}
 	}
 
 	private void bodyComplete() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -124,6 +124,11 @@
 		}
 	}
 
+	private void ended(RelayExchange exchange) {
+		this.exchanges.remove(exchange);
+		exchange.releaseBody();
+	}
+
 	private void answerAllInTime() {
 		Instant latest = Objects.requireNonNull(this.services.stop().latestEnd(), "the stop must have begun");
 		long left = Duration.between(this.services.clock().instant(), latest).toMillis();
@@ -163,7 +168,7 @@
 		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping,
 				() -> this.connections.isIdle(request.connection()), () -> {
 					this.inFlight.decrementAndGet();
-					this.exchanges.remove(started.get());
+					ended(started.get());
 					this.connections.requestEnded(request.connection());
 				});
 		RelayExchange exchange = new RelayExchange(this.services, request, response, this.arrivals.arrival());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -8,6 +8,7 @@
 import org.sardineport.core.admission.RequestScheduler;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.identity.RequestId;
+import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.ConfigurationInForce;
 import org.sardineport.core.relay.FleetRetryBudget;
 import org.sardineport.core.relay.LimitTolerance;
@@ -37,12 +38,13 @@
  * @param origins knows which software version began a stream
  * @param statedLimits records the limits that backend servers state
  * @param notices what backend servers say about new requests
+ * @param bodies bounds the sum of the request bodies
  * @param stop decides which requests may run during a planned stop
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
-		StatedLimitsRecorder statedLimits, BackendNotices notices, StopAdmission stop) {
+		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
@@ -22,10 +22,11 @@
  * @param retrySlack retries that the fleet may make in addition
  * @param retryWindow window over which requests and retries are counted
  * @param stop timing of a planned stop
+ * @param maxBodyMemory maximum sum of the request bodies held at once, in bytes
  */
 public record RelaySettings(NetworkAddress callerAddress, NetworkAddress readinessAddress, NetworkAddress entryAddress,
 		NetworkAddress metricsAddress, Duration keepTime, Duration proofLifetime, LimitTolerance limitTolerance,
-		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop) {
+		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, long maxBodyMemory) {
 
 	/**
 	 * Creates the settings, all of which are required.
