--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -53,11 +53,19 @@
 	}
 
 	static Stream<MembershipMessage> messages() {
-		GossipUpdates updates = new GossipUpdates(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)),
-				List.of(new StrikeUpdate(STRIKE, Duration.ofSeconds(9)),
-						new StrikeUpdate(PART_STRIKE, Duration.ofSeconds(8))),
+		return messages(
 				List.of(LeavingUpdate.ofAnyProcess(BackendServerId.of("w2"), Duration.ofMillis(250)), new LeavingUpdate(
 						new BackendProcess(BackendServerId.of("w3"), Instant.ofEpochMilli(77)), Duration.ZERO)));
+	}
+
+	static Stream<MembershipMessage> messages(List<LeavingUpdate> leaving) {
+		GossipUpdates updates = new GossipUpdates(List.of(member(MemberStatus.ALIVE), member(MemberStatus.DEAD)), List
+			.of(new StrikeUpdate(STRIKE, Duration.ofSeconds(9)), new StrikeUpdate(PART_STRIKE, Duration.ofSeconds(8))),
+				leaving);
+		return messages(updates);
+	}
+
+	private static Stream<MembershipMessage> messages(GossipUpdates updates) {
 		return Stream.of(new ProbeRequest(-1, updates), new ProbeResponse(7, updates),
 				new IndirectProbeRequest(1, DaemonId.of("b"), PEER, updates), new JoinRequest(true, updates),
 				new JoinRequest(false, updates), new JoinResponse(updates));
