Give the body of a request and the wait for a pause classes of their own

RelayExchange read the head, gathered the body within the memory and started the run; RelayAttempts kept the timer of a pause beside the attempts. RequestBody and PauseWait take these over; no behaviour changes.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -33,8 +33,6 @@
  */
 final class RelayAttempts implements AttemptListener {
 
-	private static final long NO_TIMER = -1;
-
 	/** Minimum remaining time for which another attempt is worthwhile. */
 	private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
@@ -60,6 +58,8 @@
 
 	private final RetryCharge retryCharge;
 
+	private final PauseWait pauseWait;
+
 	private final RequestProgress progress;
 
 	private final AttemptPlanner planner;
@@ -82,9 +82,6 @@
 
 	private long handOverTimer = -1;
 
-	/** Runs while the request waits for the end of a pause of the whole pool. */
-	private long pauseTimer = NO_TIMER;
-
 	private boolean retryPending;
 
 	private @Nullable Instant dispatchedAt;
@@ -96,6 +93,7 @@
 		this.context = services.vertx().getOrCreateContext();
 		this.pool = pool;
 		this.retryCharge = new RetryCharge(services, pool);
+		this.pauseWait = new PauseWait(services, pool);
 		this.progress = progress;
 		this.planner = planner;
 		this.crashReport = new CrashReport(services, planner);
@@ -133,14 +131,9 @@
 	private void waitOrRefuse(PoolPause pause, SchedulingRequest schedulingRequest) {
 		Duration wait = pause.untilFirst();
 		boolean beginsInTime = now().plus(wait).isBefore(schedulingRequest.startDeadlines().startBy());
-		if (this.progress.attempts() == 0 && beginsInTime
-				&& this.services.notices().pauseQueue().enter(this.pool, pause.share())) {
-			this.pauseTimer = this.services.vertx().setTimer(Math.max(1, wait.toMillis()), (id) -> {
-				endPause();
-				requestPermit();
-			});
-		}
-		else {
+		boolean waits = this.progress.attempts() == 0 && beginsInTime
+				&& this.pauseWait.begin(pause, this::requestPermit);
+		if (!waits) {
 			permitRefused(Refusal.retryAfter(RefusalReason.OVERLOADED,
 					"each backend server of the pool asked for a pause, the first for %d ms more"
 						.formatted(wait.toMillis()),
@@ -148,14 +141,6 @@
 		}
 	}
 
-	private void endPause() {
-		if (this.pauseTimer != NO_TIMER) {
-			this.services.vertx().cancelTimer(this.pauseTimer);
-			this.pauseTimer = NO_TIMER;
-			this.services.notices().pauseQueue().leave(this.pool);
-		}
-	}
-
 	private void granted(SchedulingRequest schedulingRequest, Permit grantedPermit) {
 		if (this.pendingRequest != schedulingRequest) {
 			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
@@ -413,7 +398,7 @@
 			this.pendingRequest = null;
 		}
 		this.retryPending = false;
-		endPause();
+		this.pauseWait.end();
 		this.services.vertx().cancelTimer(this.handOverTimer);
 		for (PermittedAttempt each : this.active.removeAll()) {
 			RunEnd end = runEnd.apply(each.attempt());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -5,11 +5,9 @@
 import java.util.Objects;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RefusedException;
-import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.RelayAdmission;
 import org.sardineport.core.relay.RequestHead;
 import org.sardineport.core.request.Refusal;
@@ -27,12 +25,6 @@
 	/** Maximum time for which a request waits for this daemon to become ready. */
 	private static final Duration MAX_READINESS_WAIT = Duration.ofMillis(1500);
 
-	/** Maximum time for which nothing is read of a body for want of memory. */
-	private static final Duration MAX_MEMORY_WAIT = Duration.ofSeconds(1);
-
-	/** Interval between checks whether there is memory for a body. */
-	private static final long MEMORY_POLL_MILLIS = 20;
-
 	/** Interval between checks whether this daemon is ready. */
 	private static final long READINESS_POLL_MILLIS = 20;
 
@@ -44,10 +36,7 @@
 
 	private final Instant arrival;
 
-	private Buffer body = Buffer.buffer();
-
-	/** Bytes reserved for the body. */
-	private long reserved;
+	private final RequestBody body;
 
 	private @Nullable RequestHead head;
 
@@ -62,6 +51,7 @@
 		this.request = request;
 		this.response = response;
 		this.arrival = arrival;
+		this.body = new RequestBody(services, request, this::refuseForWantOfMemory);
 	}
 
 	void start() {
@@ -87,8 +77,7 @@
 		}
 		try {
 			this.admission = this.services.gate().admit(callerHead);
-			long length = announcedLength(this.admission.configuration().callerLimits().maxBodyBytes());
-			reserve(length, () -> this.body = Buffer.buffer((int) length));
+			this.body.start(this.admission.configuration().callerLimits().maxBodyBytes());
 		}
 		catch (RefusedException ex) {
 			boolean soon = ex.refusal().reason() == RefusalReason.NOT_READY && this.services.gate().isReadySoon();
@@ -103,37 +92,8 @@
 		}
 	}
 
-	private long announcedLength(int maxBytes) {
-		String value = this.request.getHeader(HttpHeaders.CONTENT_LENGTH);
-		return (value != null) ? Math.min(Long.parseLong(value), maxBytes) : 0;
-	}
-
-	/**
-	 * Reserves memory for the body and reads on. While there is none, nothing is read
-	 * from the caller, for a limited time.
-	 * @param needed size of the body as far as it is known, in bytes
-	 * @param whenReserved is run before the next bytes are read
-	 */
-	private void reserve(long needed, Runnable whenReserved) {
-		Instant latest = this.services.clock().instant().plus(MAX_MEMORY_WAIT);
-		this.request.pause();
-		reserveBy(latest, needed, whenReserved);
-	}
-
-	private void reserveBy(Instant latest, long needed, Runnable whenReserved) {
-		if (this.ended) {
-			return;
-		}
-		if (this.services.bodies().tryReserve(this.reserved, needed)) {
-			this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
-			whenReserved.run();
-			this.request.resume();
-		}
-		else if (this.services.clock().instant().isBefore(latest)) {
-			this.services.vertx().setTimer(MEMORY_POLL_MILLIS, (id) -> reserveBy(latest, needed, whenReserved));
-		}
-		else {
-			this.request.resume();
+	private void refuseForWantOfMemory() {
+		if (!this.ended) {
 			refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, "the bodies of other requests fill the memory",
 					this.services.returnTimes().afterOverload(remainingTime())), false);
 		}
@@ -151,9 +111,7 @@
 	 * Releases the memory of the body, as the request has ended.
 	 */
 	void releaseBody() {
-		this.services.bodies().release(this.reserved);
-		this.reserved = 0;
-		this.body = Buffer.buffer();
+		this.body.release();
 	}
 
 	/**
@@ -169,15 +127,11 @@
 		if (this.ended || admitted == null) {
 			return;
 		}
-		this.body.appendBuffer(bytes);
+		this.body.add(bytes);
 		int maxBytes = admitted.configuration().callerLimits().maxBodyBytes();
 		if (this.body.length() > maxBytes) {
 			refuse(Refusal.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes"), true);
 		}
-		else if (this.body.length() > Math.max(this.reserved, BodyMemory.SMALL_BYTES)) {
-			reserve(2L * this.body.length(), () -> {
-			});
-		}
 	}
 
 	private void bodyComplete() {
@@ -186,7 +140,8 @@
 		if (this.ended || callerHead == null || admitted == null) {
 			return;
 		}
-		RelayRequest complete = new RelayRequest(callerHead, admitted, this.request.headers(), this.body, this.arrival);
+		RelayRequest complete = new RelayRequest(callerHead, admitted, this.request.headers(), this.body.bytes(),
+				this.arrival);
 		try {
 			this.services.stop().check(complete);
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
@@ -0,0 +1,111 @@
+package org.sardineport.daemon.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import org.sardineport.core.relay.BodyMemory;
+
+/**
+ * Gathers the body of a caller's request within the memory for all bodies. While there is
+ * no room, nothing is read from the caller, for a limited time. Confined to the event
+ * loop.
+ */
+final class RequestBody {
+
+	/** Maximum time for which nothing is read for want of memory. */
+	private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+
+	/** Interval between checks whether there is room. */
+	private static final long POLL_MILLIS = 20;
+
+	/** Growth of a body whose length is not known. */
+	private static final long GROWTH = 2;
+
+	private final RelayServices services;
+
+	private final HttpServerRequest request;
+
+	private final Runnable noRoom;
+
+	private Buffer bytes = Buffer.buffer();
+
+	private long reserved;
+
+	private boolean released;
+
+	/**
+	 * Creates an empty body.
+	 * @param services the memory, the clock and timers
+	 * @param request the request, of which nothing has been read
+	 * @param noRoom is called once if there is no room in time; the rest of the body must
+	 * be dropped then
+	 */
+	RequestBody(RelayServices services, HttpServerRequest request, Runnable noRoom) {
+		this.services = services;
+		this.request = request;
+		this.noRoom = noRoom;
+	}
+
+	/**
+	 * Reads on as soon as there is room for the announced length.
+	 * @param maxBytes maximum size of the body
+	 */
+	void start(int maxBytes) {
+		String length = this.request.getHeader(HttpHeaders.CONTENT_LENGTH);
+		long announced = (length != null) ? Math.min(Long.parseLong(length), maxBytes) : 0;
+		reserve(announced, () -> this.bytes = Buffer.buffer((int) announced));
+	}
+
+	void add(Buffer next) {
+		this.bytes.appendBuffer(next);
+		if (this.bytes.length() > Math.max(this.reserved, BodyMemory.SMALL_BYTES)) {
+			reserve(GROWTH * this.bytes.length(), () -> {
+			});
+		}
+	}
+
+	int length() {
+		return this.bytes.length();
+	}
+
+	Buffer bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Releases the memory, as the request has ended.
+	 */
+	void release() {
+		this.released = true;
+		this.services.bodies().release(this.reserved);
+		this.reserved = 0;
+		this.bytes = Buffer.buffer();
+	}
+
+	private void reserve(long needed, Runnable whenReserved) {
+		this.request.pause();
+		reserveBy(this.services.clock().instant().plus(MAX_WAIT), needed, whenReserved);
+	}
+
+	private void reserveBy(Instant latest, long needed, Runnable whenReserved) {
+		if (this.released) {
+			return;
+		}
+		if (this.services.bodies().tryReserve(this.reserved, needed)) {
+			this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
+			whenReserved.run();
+			this.request.resume();
+		}
+		else if (this.services.clock().instant().isBefore(latest)) {
+			this.services.vertx().setTimer(POLL_MILLIS, (id) -> reserveBy(latest, needed, whenReserved));
+		}
+		else {
+			this.request.resume();
+			this.noRoom.run();
+		}
+	}
+
+}
