--- a/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
+++ b/core/src/test/java/org/sardineport/core/identity/ExplicitEqualityTests.java
@@ -33,7 +33,7 @@
 
 	/** Two unequal values for each component type. */
 	private static final Map<Class<?>, List<Object>> SAMPLE_VALUES = Map.ofEntries(
-			Map.entry(String.class, List.of("1", "2")), Map.entry(int.class, List.of(1, 2)),
+			Map.entry(String.class, List.of("10.0.0.1", "10.0.0.2")), Map.entry(int.class, List.of(1, 2)),
 			Map.entry(long.class, List.of(1L, 2L)),
 			Map.entry(BackendServerId.class, List.of(BackendServerId.of("a"), BackendServerId.of("b"))),
 			Map.entry(DaemonId.class, List.of(DaemonId.of("a"), DaemonId.of("b"))),
