--- a/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
+++ b/core/src/main/java/org/sardineport/core/admission/SchedulingRequest.java
@@ -32,8 +32,8 @@
  * @param runningPolicy whether and how the request may be interrupted once it runs
  * @param organisationLimit fleet-wide limit of the organisation
  * @param organisationTokens tokens that the request takes from that limit
- * @param excludedServers backend servers excluded because the request failed on them, or
- * because they want no requests now before
+ * @param excludedServers backend servers excluded because the request failed on them
+ * before, or because they want no requests now
  * @param requiredVersion software version of the backend servers that can run the
  * request, as it continues a stream of that version; {@code null} if any can
  * @param promptParts fingerprints of the parts of its prompt that other requests may
@@ -80,8 +80,8 @@
 	 * @param runningPolicy whether and how the request may be interrupted once it runs
 	 * @param organisationLimit fleet-wide limit of the organisation
 	 * @param organisationTokens tokens that the request takes from that limit
-	 * @param excludedServers backend servers excluded because the request failed on them,
-	 * or because they want no requests now before
+	 * @param excludedServers backend servers excluded because the request failed on them
+	 * before, or because they want no requests now
 	 * @param arrival time at which the request was received
 	 * @param startDeadlines times by which the request should start
 	 * @param deadline time by which the response must be complete
