Serve requests of routes that have not run here during a planned stop

Cause: an unknown time counted as too long.

Change: only a time that is known refuses a request. What does not end in time is answered before the end, as before.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/StopAdmission.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StopAdmission.java
@@ -72,10 +72,10 @@
 		}
 		Duration left = Duration.between(this.clock.instant(), end);
 		Duration needed = this.durations.estimate(request.admission().route().name()).orElse(null);
-		if (needed == null || needed.compareTo(left) > 0) {
-			throw RefusedException.of(Refusal.retryAfter(
-					RefusalReason.STOPPING, "this daemon stops in %d ms, and requests of the route take %s"
-						.formatted(left.toMillis(), (needed != null) ? needed.toMillis() + " ms" : "an unknown time"),
+		if (needed != null && needed.compareTo(left) > 0) {
+			throw RefusedException.of(Refusal.retryAfter(RefusalReason.STOPPING,
+					"this daemon stops in %d ms, and requests of the route take %d ms".formatted(left.toMillis(),
+							needed.toMillis()),
 					RETRY_AFTER));
 		}
 	}
