Do no work for bodies, chunks and pauses on requests that have none

Change: a body is paused only while there is no room; only chunked bodies are followed; the share is counted where a request begins to wait, and pauses that have ended are dropped once for each request, not twice. Behaviour is the same.

What it saves was not measured.

--- a/core/src/main/java/org/sardineport/core/relay/BackendPauses.java
+++ b/core/src/main/java/org/sardineport/core/relay/BackendPauses.java
@@ -82,9 +82,6 @@
 	 * @return their names
 	 */
 	public Set<BackendServerId> among(Collection<BackendServer> servers) {
-		if (!isAnyPaused()) {
-			return Set.of();
-		}
 		return servers.stream()
 			.filter((server) -> isPaused(server.process()))
 			.map(BackendServer::id)
--- a/daemon/src/main/java/org/sardineport/daemon/relay/PauseWait.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/PauseWait.java
@@ -30,7 +30,8 @@
 	 * @return whether the request waits
 	 */
 	boolean begin(PoolPause pause, Runnable afterwards) {
-		if (!this.services.notices().pauseQueue().enter(this.pool, pause.share())) {
+		int share = pause.share(this.services.fleet().current().members());
+		if (!this.services.notices().pauseQueue().enter(this.pool, share)) {
 			return false;
 		}
 		Duration wait = pause.untilFirst();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/PoolPause.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/PoolPause.java
@@ -1,11 +1,12 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.fleet.FleetSnapshot;
+import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.PoolName;
@@ -16,10 +17,9 @@
  *
  * @param servers the backend servers that are paused
  * @param untilFirst time until one of all may be sent requests; zero if one may be now
- * @param share number of requests that this daemon may let wait for that: its part of
- * those that can begin at once
+ * @param slots number of requests that all can run at once
  */
-record PoolPause(Set<BackendServerId> servers, Duration untilFirst, int share) {
+record PoolPause(Set<BackendServerId> servers, Duration untilFirst, long slots) {
 
 	private static final PoolPause NONE = new PoolPause(Set.of(), Duration.ZERO, 0);
 
@@ -35,18 +35,25 @@
 		if (!pauses.isAnyPaused()) {
 			return NONE;
 		}
-		FleetSnapshot fleet = services.fleet().current();
-		List<BackendServer> eligible = fleet.backendServers()
+		List<BackendServer> eligible = services.fleet()
+			.current()
+			.backendServers()
 			.stream()
 			.filter((server) -> server.pool().equals(pool) && version.allows(server.softwareVersion()))
 			.toList();
-		return new PoolPause(pauses.among(eligible), pauses.untilFirst(eligible), share(eligible, fleet));
+		return new PoolPause(pauses.among(eligible), pauses.untilFirst(eligible),
+				eligible.stream().mapToLong(BackendServer::nominalConcurrency).sum());
 	}
 
-	private static int share(List<BackendServer> servers, FleetSnapshot fleet) {
-		long slots = servers.stream().mapToLong(BackendServer::nominalConcurrency).sum();
-		long daemons = fleet.members().stream().filter((member) -> member.status() == MemberStatus.ALIVE).count();
-		return (int) Math.min(Integer.MAX_VALUE, 1 + (slots - 1) / Math.max(1, daemons));
+	/**
+	 * Returns how many requests this daemon may let wait for the end of the pause: its
+	 * part of those that can begin at once.
+	 * @param members the daemons of the fleet
+	 * @return the number, rounded up
+	 */
+	int share(Collection<Member> members) {
+		long daemons = members.stream().filter((member) -> member.status() == MemberStatus.ALIVE).count();
+		return (int) Math.min(Integer.MAX_VALUE, 1 + (this.slots - 1) / Math.max(1, daemons));
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
@@ -56,6 +56,10 @@
 	void start(int maxBytes) {
 		String length = this.request.getHeader(HttpHeaders.CONTENT_LENGTH);
 		long announced = (length != null) ? Math.min(Long.parseLong(length), maxBytes) : 0;
+		if (announced == 0) {
+			this.request.resume();
+			return;
+		}
 		reserve(announced, () -> this.bytes = Buffer.buffer((int) announced));
 	}
 
@@ -86,26 +90,35 @@
 	}
 
 	private void reserve(long needed, Runnable whenReserved) {
-		this.request.pause();
-		reserveBy(this.services.clock().instant().plus(MAX_WAIT), needed, whenReserved);
+		if (!tryReserve(needed, whenReserved)) {
+			this.request.pause();
+			poll(this.services.clock().instant().plus(MAX_WAIT), needed, whenReserved);
+		}
 	}
 
-	private void reserveBy(Instant latest, long needed, Runnable whenReserved) {
-		if (this.released) {
-			return;
-		}
-		if (this.services.bodies().tryReserve(this.reserved, needed)) {
-			this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
-			whenReserved.run();
-			this.request.resume();
-		}
-		else if (this.services.clock().instant().isBefore(latest)) {
-			this.services.vertx().setTimer(POLL_MILLIS, (id) -> reserveBy(latest, needed, whenReserved));
-		}
-		else {
-			this.request.resume();
-			this.noRoom.run();
+	private boolean tryReserve(long needed, Runnable whenReserved) {
+		if (!this.services.bodies().tryReserve(this.reserved, needed)) {
+			return false;
 		}
+		this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
+		whenReserved.run();
+		this.request.resume();
+		return true;
+	}
+
+	private void poll(Instant latest, long needed, Runnable whenReserved) {
+		this.services.vertx().setTimer(POLL_MILLIS, (id) -> {
+			if (this.released || tryReserve(needed, whenReserved)) {
+				return;
+			}
+			if (this.services.clock().instant().isBefore(latest)) {
+				poll(latest, needed, whenReserved);
+			}
+			else {
+				this.request.resume();
+				this.noRoom.run();
+			}
+		});
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
@@ -88,6 +88,10 @@
 			out.add(end);
 			return;
 		}
+		if (this.chunkRemaining < 0) {
+			super.decode(context, buffer, out);
+			return;
+		}
 		int before = out.size();
 		super.decode(context, buffer, out);
 		out.subList(before, out.size()).forEach(this::decoded);
