--- a/core/src/main/java/org/sardineport/core/relay/RequestHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/RequestHead.java
@@ -52,6 +52,16 @@
 		return (query < 0) ? this.target : this.target.substring(0, query);
 	}
 
+	/**
+	 * Returns how long the request may take, from its arrival on.
+	 * @param route its route
+	 * @return the caller's own time limit or that of the route, whichever is shorter
+	 */
+	public Duration timeLimit(RelayRoute route) {
+		Duration own = this.remainingTime;
+		return (own != null && own.compareTo(route.timeout()) < 0) ? own : route.timeout();
+	}
+
 	/**
 	 * Returns the expected size of the run. The caller's estimate of the response is
 	 * capped at the maximum that it allows.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Objects;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -93,20 +92,15 @@
 	}
 
 	private void refuseForWantOfMemory() {
-		if (!this.ended) {
+		RequestHead callerHead = this.head;
+		RelayAdmission admitted = this.admission;
+		if (!this.ended && callerHead != null && admitted != null) {
+			Duration retryAfter = this.services.returnTimes().afterOverload(callerHead.timeLimit(admitted.route()));
 			refuse(Refusal.retryAfter(RefusalReason.OVERLOADED, "the bodies of other requests fill the memory",
-					this.services.returnTimes().afterOverload(remainingTime())), false);
+					retryAfter), false);
 		}
 	}
 
-	private Duration remainingTime() {
-		RelayAdmission admitted = Objects.requireNonNull(this.admission, "the request must be admitted");
-		RequestHead callerHead = Objects.requireNonNull(this.head, "the head must be read");
-		Duration stated = callerHead.remainingTime();
-		Duration timeout = admitted.route().timeout();
-		return (stated != null && stated.compareTo(timeout) < 0) ? stated : timeout;
-	}
-
 	/**
 	 * Releases the memory of the body, as the request has ended.
 	 */
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRequest.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRequest.java
@@ -36,9 +36,7 @@
 	 * @return the caller's own deadline or that of the route, whichever is earlier
 	 */
 	Instant deadline() {
-		Duration timeout = this.admission.route().timeout();
-		Duration remaining = this.head.remainingTime();
-		return this.arrival.plus((remaining != null && remaining.compareTo(timeout) < 0) ? remaining : timeout);
+		return this.arrival.plus(this.head.timeLimit(this.admission.route()));
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -2,14 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 
 import io.vertx.core.Context;
 import io.vertx.core.http.HttpServer;
@@ -54,7 +53,7 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	private final Set<RelayExchange> exchanges = new HashSet<>();
+	private final Map<HttpServerRequest, RelayExchange> exchanges = new HashMap<>();
 
 	private final Context context;
 
@@ -124,16 +123,19 @@
 		}
 	}
 
-	private void ended(RelayExchange exchange) {
-		this.exchanges.remove(exchange);
-		exchange.releaseBody();
+	private void ended(HttpServerRequest request) {
+		RelayExchange exchange = this.exchanges.remove(request);
+		if (exchange != null) {
+			exchange.releaseBody();
+		}
 	}
 
 	private void answerAllInTime() {
 		Instant latest = Objects.requireNonNull(this.services.stop().latestEnd(), "the stop must have begun");
 		long left = Duration.between(this.services.clock().instant(), latest).toMillis();
 		this.services.vertx()
-			.setTimer(Math.max(1, left), (id) -> List.copyOf(this.exchanges).forEach(RelayExchange::daemonEnds));
+			.setTimer(Math.max(1, left),
+					(id) -> List.copyOf(this.exchanges.values()).forEach(RelayExchange::daemonEnds));
 	}
 
 	/**
@@ -164,16 +166,14 @@
 	private void handle(HttpServerRequest request) {
 		this.inFlight.incrementAndGet();
 		this.connections.requestStarted(request.connection());
-		AtomicReference<RelayExchange> started = new AtomicReference<>();
 		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping,
 				() -> this.connections.isIdle(request.connection()), () -> {
 					this.inFlight.decrementAndGet();
-					ended(started.get());
+					ended(request);
 					this.connections.requestEnded(request.connection());
 				});
 		RelayExchange exchange = new RelayExchange(this.services, request, response, this.arrivals.arrival());
-		started.set(exchange);
-		this.exchanges.add(exchange);
+		this.exchanges.put(request, exchange);
 		if (this.refusing) {
 			exchange.refuseUnread(
 					Refusal.retryAfter(RefusalReason.STOPPING, "this daemon stops", StopAdmission.RETRY_AFTER));
