--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -232,9 +232,11 @@
 				new Route("GET", "/accounts/*", ledgers, Tier.STANDARD, DEADLINE, false, false, 1000, 0));
 		OrganisationId schools = OrganisationId.of("schools");
 		OrganisationId guthi = OrganisationId.of("guthi");
+		OrganisationId locked = OrganisationId.of("locked");
 		return new Profile(ProfileName.of("dictionary"), routes,
 				Map.of(schools, new OrganisationPolicy(schools, 0, AcceptedTokens.notRequired()), guthi,
-						new OrganisationPolicy(guthi, 0, AcceptedTokens.required(List.of(BearerTokens.hash(TOKEN))))));
+						new OrganisationPolicy(guthi, 0, AcceptedTokens.required(List.of(BearerTokens.hash(TOKEN)))),
+						locked, new OrganisationPolicy(locked, 0, AcceptedTokens.required(List.of()))));
 	}
 
 	private FleetView fleet() {
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerRefusalTests.java
@@ -66,6 +66,9 @@
 				(request) -> request.setHeader("Sardineport-Organisation", "absent")),
 		TOKEN_MISSING("POST", CHAT, RefusalReason.UNAUTHORIZED,
 				(request) -> request.setHeader("Sardineport-Organisation", "guthi")),
+		TOKEN_OF_AN_ORGANISATION_WITHOUT_ANY("POST", CHAT, RefusalReason.UNAUTHORIZED,
+				(request) -> request.setHeader("Sardineport-Organisation", "locked")
+					.setHeader("Authorization", "Bearer anything")),
 		TOKEN_WRONG("POST", CHAT, RefusalReason.UNAUTHORIZED,
 				(request) -> request.setHeader("Sardineport-Organisation", "guthi")
 					.setHeader("Authorization", "Bearer wrong")),
