Say in the log how each response ended

Nothing told how a stream ended, so that five hypotheses on streams that end early could not be told apart. request.answered and request.attempt-ended now hold the framing of the backend server's response, whole events, the last event that the caller has, skips in their identities, bytes of an incomplete event and the state of the connection; response.ended-by-close holds what the other connections to the process did. Counters responses.completed.* count framings. No logic is changed.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.exchange.ResponseFraming;
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.ResponseHead;
@@ -179,6 +180,26 @@
 		return this.splitter.eventCount();
 	}
 
+	/**
+	 * Returns what was observed of the response so far.
+	 * @return the observations
+	 */
+	ResponseTrace trace() {
+		BackendConnection connection = connection();
+		return new ResponseTrace(framing(), this.splitter.eventCount(), this.lastEventId, this.splitter.idSkips(),
+				this.splitter.remaining().length(), (connection != null) ? connection.state() : null);
+	}
+
+	private @Nullable ResponseFraming framing() {
+		ResponseHead responseHead = this.head;
+		MultiMap responseHeaders = this.headers;
+		if (responseHead == null || responseHeaders == null) {
+			return null;
+		}
+		return ResponseFraming.of(this.plan.method(), responseHead.status(),
+				responseHeaders.contains("Transfer-Encoding"), responseHeaders.contains("Content-Length"));
+	}
+
 	RunMeasurement measurement(RunEnd end) {
 		TokenEstimate estimate = this.plan.estimate();
 		int responseTokens = this.splitter.eventCount() * this.plan.tokensPerEvent();
@@ -396,9 +417,7 @@
 	 * @return {@code false} before the head was received
 	 */
 	boolean isEndedByClose() {
-		MultiMap responseHeaders = this.headers;
-		return responseHeaders != null && !responseHeaders.contains("Content-Length")
-				&& !responseHeaders.contains("Transfer-Encoding");
+		return framing() == ResponseFraming.UNTIL_CLOSE;
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -100,6 +100,13 @@
 		return this.clock.millis() - this.idleSince > millis;
 	}
 
+	ConnectionState state() {
+		if (this.closedHere) {
+			return ConnectionState.CLOSED_HERE;
+		}
+		return isClosedByServer() ? ConnectionState.CLOSED_BY_SERVER : ConnectionState.OPEN;
+	}
+
 	boolean isClosedByServer() {
 		return this.closedByServerAt != NEVER;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
@@ -109,6 +109,7 @@
 		BackendProcess process = server.process();
 		List<BackendConnection> others = this.connections.others(process, ended, now - WINDOW.toMillis());
 		decideLater(process, () -> {
+			logConnectionEnded(process, others, now);
 			if (!others.isEmpty() && others.stream().allMatch(BackendConnection::isClosedByServer)) {
 				recordCrashUnlessPathLost(server, suspects);
 			}
@@ -165,11 +166,22 @@
 		}
 	}
 
+	private void logConnectionEnded(BackendProcess process, List<BackendConnection> others, long endedAt) {
+		CrashEvidence evidence = evidence(others, endedAt);
+		LOG.info("response.ended-by-close", "backend-server", process.server(), "connections", evidence.others(),
+				"closed", evidence.closedByServer(), "responding", evidence.responding(), "decided-after-ms",
+				this.clock.millis() - endedAt);
+	}
+
+	private static CrashEvidence evidence(List<BackendConnection> others, long since) {
+		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
+		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(since)).count();
+		return new CrashEvidence(others.size(), closed, responding);
+	}
+
 	private void decide(BackendProcess process, Collection<Suspect> suspects, List<BackendConnection> others,
 			long brokenAt, Runnable crashed) {
-		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
-		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(brokenAt)).count();
-		CrashEvidence evidence = new CrashEvidence(others.size(), closed, responding);
+		CrashEvidence evidence = evidence(others, brokenAt);
 		if (evidence.indicatesCrash()) {
 			crashed.run();
 			return;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -25,6 +25,8 @@
 
 	private int eventCount;
 
+	private int idSkips;
+
 	/**
 	 * Creates a splitter.
 	 * @param lastReceivedId identity of the last event that the caller has received; -1
@@ -80,12 +82,19 @@
 			return false;
 		}
 		if (id >= 0) {
-			this.lastId = id;
+			recordId(id);
 		}
 		this.eventCount++;
 		return true;
 	}
 
+	private void recordId(long id) {
+		if (this.lastId >= 0 && id != this.lastId + 1) {
+			this.idSkips++;
+		}
+		this.lastId = id;
+	}
+
 	private static long idOf(Buffer event) {
 		int line = 0;
 		while (line < event.length()) {
@@ -164,6 +173,14 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Returns how often the identity of an event was not the one before plus one.
+	 * @return the number, without dropped events
+	 */
+	int idSkips() {
+		return this.idSkips;
+	}
+
 	/**
 	 * Returns the number of events passed on.
 	 * @return the number, without dropped events
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -411,6 +411,7 @@
 	private void complete(PermittedAttempt completed) {
 		this.active.remove(completed);
 		recordDuration();
+		this.report.responseCompleted(completed.attempt());
 		this.crashReport.completed(completed);
 		this.releases.release(completed, RunEnd.COMPLETED);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.exchange.ResponseFraming;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.relay.AttemptEnd;
@@ -32,6 +33,8 @@
 
 	private final Tier tier;
 
+	private @Nullable ResponseTrace trace;
+
 	RelayRunReport(RelayServices services, RelayRequest request, RequestProgress progress, Tier tier) {
 		this.services = services;
 		this.request = request;
@@ -75,16 +78,29 @@
 	}
 
 	void attemptEnded(PermittedAttempt ended, AttemptEnd end, boolean again, Fingerprint fingerprint, String detail) {
-		LOG.info("request.attempt-ended", "request", id(), "backend-server", ended.server(), "end", end.label(),
-				"attempt", this.progress.attempts(), "again", again, "age-ms", ageMillis(), "fingerprint", fingerprint,
-				"organisation", organisation(), "parts", String.join("+", this.request.head().sharedParts()),
-				"head-received", ended.attempt().isHeadReceived(), "events", ended.attempt().eventCount(), "detail",
-				detail);
+		LOG.info("request.attempt-ended", ended.attempt()
+			.trace()
+			.addTo("request", id(), "backend-server", ended.server(), "end", end.label(), "attempt",
+					this.progress.attempts(), "again", again, "age-ms", ageMillis(), "fingerprint", fingerprint,
+					"organisation", organisation(), "parts", String.join("+", this.request.head().sharedParts()),
+					"head-received", ended.attempt().isHeadReceived(), "detail", detail));
 		if (again) {
 			this.services.telemetry().retried(end.retryReason()).inc();
 		}
 	}
 
+	/**
+	 * Records that the response of an attempt is complete.
+	 * @param completed the attempt, whose response is about to be passed on to its end
+	 */
+	void responseCompleted(Attempt completed) {
+		this.trace = completed.trace();
+		ResponseFraming framing = this.trace.framing();
+		if (framing != null) {
+			this.services.telemetry().counter("responses.completed." + framing.label()).inc();
+		}
+	}
+
 	void responseStarted() {
 		this.services.telemetry().timeToFirstByte(this.tier).update(Duration.ofMillis(ageMillis()));
 	}
@@ -92,8 +108,9 @@
 	void answered(int status) {
 		this.services.telemetry().completed(this.tier).inc();
 		this.services.telemetry().duration(this.tier).update(Duration.ofMillis(ageMillis()));
-		LOG.info("request.answered", "request", id(), "route", route(), "status", status, "attempts",
-				this.progress.attempts(), "version", version(), "age-ms", ageMillis());
+		Object[] pairs = { "request", id(), "route", route(), "status", status, "attempts", this.progress.attempts(),
+				"version", version(), "age-ms", ageMillis() };
+		LOG.info("request.answered", (this.trace != null) ? this.trace.addTo(pairs) : pairs);
 	}
 
 	void refused(Refusal refusal) {
