Judge in one place whether a response that has ended is complete

What callers saw: streams ended as complete before their last event.

Cause: the end of a connection, an end of chunks or of a length inside an event, and an empty continuation were each taken for the end of the stream; that question was asked by a flag here and there, and only for responses that end with their connection. When a process ends, the kernel closes its connections in order, which looks like the end of a response without a length and chunks.

Change: core.exchange.ResponseEnd names what shows the end of a response (stated by its framing, closed by a live process, closed, closed by the daemon that carried it) and says what follows: complete, unconfirmed or incomplete. No response ends inside an event. ProcessLiveness keeps a second connection to a process that sends a response without framing, and tells by the connections that were open before whether the process goes on; a new connection would prove nothing. A stream that a live process closed at an event boundary is unconfirmed: where another backend server may go on, it is asked, within the retry budget; if none can within 1.5 s, or the route is not resumable, the stream counts as complete. 204 is no rest of a stream.

Why it works: a process that ends closes all its connections, so a stream that ends with it goes on elsewhere or is cut off visibly. Streams in chunks or with a length cost one comparison at their end.

--- a/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
+++ b/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
@@ -25,6 +25,11 @@
 	/** The response is invalid or does not belong to this request. */
 	INVALID(true, RunEnd.REJECTED, RetryReason.BACKEND_FAILED),
 
+	/**
+	 * The stream ended where it may be whole, but the backend server did not state that.
+	 */
+	UNCONFIRMED(true, RunEnd.COMPLETED, RetryReason.END_UNCONFIRMED),
+
 	/** The backend server sent nothing within the timeout. */
 	SILENT(true, RunEnd.TIMED_OUT, RetryReason.BACKEND_SILENT);
 
--- a/core/src/main/java/org/sardineport/core/request/RetryReason.java
+++ b/core/src/main/java/org/sardineport/core/request/RetryReason.java
@@ -33,6 +33,12 @@
 	/** The backend server failed; the request may run again. */
 	BACKEND_FAILED,
 
+	/**
+	 * The backend server ended a stream without stating its end; another one may continue
+	 * it.
+	 */
+	END_UNCONFIRMED,
+
 	/** The backend server became unresponsive; the request may run again. */
 	BACKEND_SILENT,
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -10,6 +10,8 @@
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.exchange.ContentEnd;
+import org.sardineport.core.exchange.ResponseEnd;
 import org.sardineport.core.exchange.ResponseFraming;
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.relay.AttemptEnd;
@@ -50,6 +52,8 @@
 
 	private final BackendConnections connections;
 
+	private final ProcessLiveness liveness;
+
 	private final AttemptPlan plan;
 
 	private final BackendCall call;
@@ -95,6 +99,7 @@
 		this.statedLimits = services.statedLimits();
 		this.notices = services.notices();
 		this.connections = services.connections();
+		this.liveness = services.liveness();
 		this.plan = plan;
 		this.listener = listener;
 		this.call = new BackendCall(services.connections(), plan.server(), this);
@@ -258,9 +263,16 @@
 		else if (!responseHead.isIntact()) {
 			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, or encoded");
 		}
-		else if (this.plan.isResumed() && !(responseHead.isSuccess() && responseHead.eventStream())) {
+		else if (this.plan.isResumed() && !mayContinueStream(responseHead)) {
 			fail(AttemptEnd.FAILED, "status " + status + " in place of the rest of a stream");
 		}
+		else if (isEndedByClose()) {
+			this.liveness.observe(this.plan.server());
+		}
+	}
+
+	private boolean mayContinueStream(ResponseHead responseHead) {
+		return isStream(responseHead) && framing() != ResponseFraming.NO_BODY;
 	}
 
 	private static boolean isEndCertain(MultiMap responseHeaders) {
@@ -286,6 +298,9 @@
 		this.lastDataAtMillis = this.clock.millis();
 		this.silent = false;
 		restartDataTimer(this.plan.gapTimeout());
+		if (isEndedByClose()) {
+			this.liveness.observe(this.plan.server());
+		}
 		if (isStream(responseHead)) {
 			forwardEvents(responseHead, bytes);
 		}
@@ -379,20 +394,45 @@
 
 	@Override
 	public void responseCompleted() {
+		if (this.ended) {
+			return;
+		}
+		BackendConnection connection = connection();
+		if (connection == null || !isEndedByClose()) {
+			judge(ResponseEnd.STATED);
+			return;
+		}
+		stopTimers();
+		this.liveness.endOf(this.plan.server(), connection).onSuccess(this::judge);
+	}
+
+	private void judge(ResponseEnd end) {
 		ResponseHead responseHead = this.head;
 		MultiMap responseHeaders = this.headers;
 		if (this.ended || responseHead == null || responseHeaders == null) {
 			return;
 		}
-		if (isEndedByClose() && isCarried()) {
-			fail(AttemptEnd.BROKEN, "the end of a connection through another daemon may be that daemon's end");
-			return;
+		ContentEnd content = contentEnd(responseHead);
+		switch (end.judge(content)) {
+			case COMPLETE -> complete(responseHead, responseHeaders);
+			case UNCONFIRMED -> fail(AttemptEnd.UNCONFIRMED, "the stream may be whole");
+			case INCOMPLETE -> fail((end == ResponseEnd.STATED) ? AttemptEnd.INVALID : AttemptEnd.BROKEN,
+					"the response ended by %s, %s".formatted(end.label(), content));
 		}
-		Buffer remaining = isStream(responseHead) ? this.splitter.remaining() : this.buffered;
-		if (isStream(responseHead) && isEndedByClose() && !mayEndHere(remaining)) {
-			fail(AttemptEnd.BROKEN, "the stream ended inside an event or before the first one");
-			return;
+	}
+
+	private ContentEnd contentEnd(ResponseHead responseHead) {
+		if (!isStream(responseHead)) {
+			return ContentEnd.OPAQUE;
+		}
+		if (this.splitter.isInsideEvent()) {
+			return ContentEnd.INSIDE_EVENT;
 		}
+		return (this.splitter.eventCount() > 0) ? ContentEnd.AFTER_EVENT : ContentEnd.BEFORE_FIRST_EVENT;
+	}
+
+	private void complete(ResponseHead responseHead, MultiMap responseHeaders) {
+		Buffer remaining = isStream(responseHead) ? this.splitter.remaining() : this.buffered;
 		finish();
 		this.call.keepConnection(isEndedByClose() ? Duration.ZERO : idleTime(responseHead, responseHeaders));
 		deliver(responseHead, responseHeaders, remaining);
@@ -407,10 +447,6 @@
 		return connection != null && connection.helper() != null;
 	}
 
-	private boolean mayEndHere(Buffer remaining) {
-		return remaining.length() == 0 && (this.splitter.eventCount() > 0 || this.plan.mayBeEmpty());
-	}
-
 	/**
 	 * Returns whether the response has neither a length nor chunks, so that only the end
 	 * of its connection ends it.
@@ -468,6 +504,10 @@
 
 	private void finish() {
 		this.ended = true;
+		stopTimers();
+	}
+
+	private void stopTimers() {
 		this.vertx.cancelTimer(this.dataTimer);
 		this.vertx.cancelTimer(this.pathTimer);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
@@ -27,8 +27,6 @@
  * @param tokensPerEvent tokens that one event of the response holds
  * @param lastEventId identity of the last event that the caller has received; -1 if none
  * @param isResumed whether an earlier attempt has passed on a part of the response
- * @param mayBeEmpty whether a whole stream may hold no event, as the caller may have them
- * all already
  * @param maxConnectionIdle maximum time for which a reused connection may have been idle
  * @param firstDataTimeout time without data after which the backend server is reported as
  * silent, or {@code null} if that is of no use
@@ -37,7 +35,7 @@
  */
 record AttemptPlan(RelayProtocol protocol, Permit permit, String requestId, String method, String target,
 		MultiMap headers, Buffer body, Instant latestSend, TokenEstimate estimate, int tokensPerEvent, long lastEventId,
-		boolean isResumed, boolean mayBeEmpty, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
+		boolean isResumed, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
 		@Nullable Duration gapTimeout) {
 
 	AttemptPlan {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -107,6 +107,15 @@
 		return isClosedByServer() ? ConnectionState.CLOSED_BY_SERVER : ConnectionState.OPEN;
 	}
 
+	/**
+	 * Returns when the backend server closed the connection.
+	 * @param now the current time, in milliseconds of the clock
+	 * @return the time, or the current one if it has not
+	 */
+	long closedAt(long now) {
+		return Math.min(this.closedByServerAt, now);
+	}
+
 	boolean isClosedByServer() {
 		return this.closedByServerAt != NEVER;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -186,6 +186,27 @@
 		return check.onComplete((ignored) -> this.checks.remove(server.id()));
 	}
 
+	/**
+	 * Opens another connection to a process if only one is open.
+	 * @param server the backend server
+	 */
+	void keepSecondOpen(BackendServer server) {
+		ProcessConnections connections = this.processes.get(server.process());
+		if (connections != null && !connections.hasSeveral()) {
+			verifyPath(server);
+		}
+	}
+
+	/**
+	 * Returns when a connection that is being opened for a check is open.
+	 * @param server the backend server
+	 * @return completes when it is open or has failed, at once if there is none; never
+	 * fails
+	 */
+	Future<Void> ongoingCheck(BackendServer server) {
+		return this.checks.getOrDefault(server.id(), Future.succeededFuture());
+	}
+
 	@Override
 	public void pathLost(BackendServer server) {
 		closeIdle(server.id(), (connection) -> connection.helper() == null);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
@@ -28,7 +28,7 @@
 final class CrashDetector {
 
 	/** Maximum time within which the connections of a process that crashes close. */
-	private static final Duration WINDOW = Duration.ofMillis(300);
+	static final Duration WINDOW = Duration.ofMillis(300);
 
 	private static final EventLog LOG = EventLog.of(CrashDetector.class);
 
@@ -81,41 +81,23 @@
 	 */
 	boolean connectionBroke(BackendServer server, Collection<Suspect> suspects, @Nullable BackendConnection broken) {
 		long now = this.clock.millis();
+		long brokenAt = (broken != null) ? broken.closedAt(now) : now;
 		BackendProcess process = server.process();
-		List<BackendConnection> others = this.connections.others(process, broken, now - WINDOW.toMillis());
+		List<BackendConnection> others = this.connections.others(process, broken, brokenAt - WINDOW.toMillis());
 		boolean noneOpen = others.stream().allMatch(BackendConnection::isClosedByServer);
 		if (broken != null && broken.helper() != null) {
 			this.vertx.setTimer(WINDOW.toMillis(),
-					(id) -> decideIfCarried(broken.helper(), process, suspects, others, now));
+					(id) -> decideIfCarried(broken.helper(), process, suspects, others, brokenAt));
 		}
 		else if (noneOpen) {
-			decideUnlessPathLost(server, suspects, others, now);
+			decideUnlessPathLost(server, suspects, others, brokenAt);
 		}
 		else {
-			decideLater(process, () -> decideUnlessPathLost(server, suspects, others, now));
+			decideLater(process, () -> decideUnlessPathLost(server, suspects, others, brokenAt));
 		}
 		return noneOpen;
 	}
 
-	/**
-	 * Handles a connection whose end was the end of a response. That is no crash unless
-	 * the backend server has closed all other connections, too.
-	 * @param server the backend server to which the connection was
-	 * @param suspects what is to blame if the process crashed
-	 * @param ended the connection, or {@code null} if it is not known
-	 */
-	void connectionEnded(BackendServer server, Collection<Suspect> suspects, @Nullable BackendConnection ended) {
-		long now = this.clock.millis();
-		BackendProcess process = server.process();
-		List<BackendConnection> others = this.connections.others(process, ended, now - WINDOW.toMillis());
-		decideLater(process, () -> {
-			logConnectionEnded(process, others, now);
-			if (!others.isEmpty() && others.stream().allMatch(BackendConnection::isClosedByServer)) {
-				recordCrashUnlessPathLost(server, suspects);
-			}
-		});
-	}
-
 	private void decideLater(BackendProcess process, Runnable decision) {
 		List<Runnable> decisions = this.pending.computeIfAbsent(process, (key) -> new ArrayList<>());
 		decisions.add(decision);
@@ -166,14 +148,13 @@
 		}
 	}
 
-	private void logConnectionEnded(BackendProcess process, List<BackendConnection> others, long endedAt) {
-		CrashEvidence evidence = evidence(others, endedAt);
-		LOG.info("response.ended-by-close", "backend-server", process.server(), "connections", evidence.others(),
-				"closed", evidence.closedByServer(), "responding", evidence.responding(), "decided-after-ms",
-				this.clock.millis() - endedAt);
-	}
-
-	private static CrashEvidence evidence(List<BackendConnection> others, long since) {
+	/**
+	 * Returns what connections to one process show.
+	 * @param others the connections
+	 * @param since time after which data shows that the process goes on, in milliseconds
+	 * @return the evidence
+	 */
+	static CrashEvidence evidence(List<BackendConnection> others, long since) {
 		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
 		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(since)).count();
 		return new CrashEvidence(others.size(), closed, responding);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CrashReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashReport.java
@@ -47,16 +47,12 @@
 
 	/**
 	 * Handles an attempt whose response is complete. A response that ends with its
-	 * connection proves nothing of the request, as the process may have crashed. An error
-	 * response may have been sent before the request was run.
+	 * connection does not prove the request sound, as its server may close all
+	 * connections late. An error response may have been sent before the request was run.
 	 * @param completed the attempt
 	 */
 	void completed(PermittedAttempt completed) {
-		if (completed.attempt().isEndedByClose()) {
-			this.services.crashes()
-				.connectionEnded(server(completed), suspects(completed), completed.attempt().connection());
-		}
-		else if (completed.attempt().isSuccess()) {
+		if (completed.attempt().isSuccess() && !completed.attempt().isEndedByClose()) {
 			this.services.scheduler().recordSound(this.planner.suspects().all());
 		}
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -164,6 +164,23 @@
 		return this.pending;
 	}
 
+	/**
+	 * Returns whether the bytes after the last complete event begin another one. Blank
+	 * lines and comments do not.
+	 * @return whether the stream would end inside an event here
+	 */
+	boolean isInsideEvent() {
+		int line = 0;
+		while (line < this.pending.length()) {
+			byte first = this.pending.getByte(line);
+			if (first != ':' && first != '\r' && first != '\n') {
+				return true;
+			}
+			line = nextLine(this.pending, line);
+		}
+		return false;
+	}
+
 	/**
 	 * Returns the identity of the last event that the caller has, including those
 	 * received before this stream.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -49,6 +49,10 @@
 		}
 	}
 
+	boolean hasSeveral() {
+		return this.open.size() > 1;
+	}
+
 	boolean isEmpty() {
 		return this.open.isEmpty();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -78,6 +78,8 @@
 
 	private final ActiveAttempts active = new ActiveAttempts();
 
+	private final UnconfirmedEnd unconfirmedEnd;
+
 	private long lastEventId = -1;
 
 	private long handOverTimer = -1;
@@ -101,6 +103,7 @@
 		this.version = version;
 		this.report = report;
 		this.listener = listener;
+		this.unconfirmedEnd = new UnconfirmedEnd(services.vertx(), this::acceptUnconfirmedEnd);
 	}
 
 	void start() {
@@ -182,7 +185,7 @@
 
 	private void permitRefused(Refusal refusal) {
 		if (this.active.isEmpty()) {
-			this.listener.permitRefused(refusal);
+			giveUp(() -> this.listener.permitRefused(refusal));
 		}
 		else {
 			this.retryCharge.refund();
@@ -190,6 +193,32 @@
 		}
 	}
 
+	private void giveUp(Runnable refusal) {
+		if (isEndUnconfirmed()) {
+			acceptUnconfirmedEnd();
+		}
+		else {
+			refusal.run();
+		}
+	}
+
+	/**
+	 * Returns whether the response may be whole, though no backend server has stated its
+	 * end.
+	 * @return whether it counts as complete if no other attempt continues it
+	 */
+	boolean isEndUnconfirmed() {
+		return this.unconfirmedEnd.isPending();
+	}
+
+	/**
+	 * Ends the response as complete, as no other attempt continues it in time.
+	 */
+	void acceptUnconfirmedEnd() {
+		abort((attempt) -> RunEnd.CANCELLED);
+		this.listener.responseCompleted();
+	}
+
 	private void dispatch(Permit permit) {
 		this.progress.sent();
 		this.dispatchedAt = now();
@@ -319,6 +348,7 @@
 
 	@Override
 	public void dataReceived(Attempt attempt, Buffer bytes) {
+		this.unconfirmedEnd.clear();
 		keepOnly(attempt);
 		this.listener.dataReceived(attempt, bytes);
 	}
@@ -335,6 +365,10 @@
 		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
+		if (end == AttemptEnd.UNCONFIRMED) {
+			this.unconfirmedEnd.begin();
+			this.report.responseCompleted(attempt);
+		}
 		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
 		boolean again = continued || mayRetry(end);
 		this.report.attemptEnded(ended, end, again, this.planner.fingerprint(), detail);
@@ -349,7 +383,7 @@
 			requestPermit();
 		}
 		else if (!again) {
-			this.listener.attemptsExhausted(end, detail);
+			giveUp(() -> this.listener.attemptsExhausted(end, detail));
 		}
 	}
 
@@ -393,6 +427,7 @@
 	 * @param runEnd returns how the run of an attempt ended
 	 */
 	void abort(Function<Attempt, RunEnd> runEnd) {
+		this.unconfirmedEnd.clear();
 		if (this.pendingRequest != null) {
 			this.services.scheduler().abandon(this.pendingRequest.id());
 			this.pendingRequest = null;
@@ -409,6 +444,7 @@
 	}
 
 	private void complete(PermittedAttempt completed) {
+		this.unconfirmedEnd.clear();
 		this.active.remove(completed);
 		recordDuration();
 		this.report.responseCompleted(completed.attempt());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -107,7 +107,7 @@
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
 				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
-				StopAdmission.create(clock));
+				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -204,6 +204,10 @@
 		if (this.finished) {
 			return;
 		}
+		if (this.attempts.isEndUnconfirmed()) {
+			this.attempts.acceptUnconfirmedEnd();
+			return;
+		}
 		boolean running = this.attempts.isRunning();
 		this.attempts.recordDuration();
 		this.attempts.abort((attempt) -> RunEnd.TIMED_OUT);
@@ -219,6 +223,10 @@
 		if (this.finished) {
 			return;
 		}
+		if (this.attempts.isEndUnconfirmed()) {
+			this.attempts.acceptUnconfirmedEnd();
+			return;
+		}
 		this.attempts.abort((attempt) -> RunEnd.CANCELLED);
 		refused(refusal);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRunReport.java
@@ -90,15 +90,11 @@
 	}
 
 	/**
-	 * Records that the response of an attempt is complete.
-	 * @param completed the attempt, whose response is about to be passed on to its end
+	 * Records that the response of an attempt is complete, or may be.
+	 * @param completed the attempt
 	 */
 	void responseCompleted(Attempt completed) {
 		this.trace = completed.trace();
-		ResponseFraming framing = this.trace.framing();
-		if (framing != null) {
-			this.services.telemetry().counter("responses.completed." + framing.label()).inc();
-		}
 	}
 
 	void responseStarted() {
@@ -108,6 +104,10 @@
 	void answered(int status) {
 		this.services.telemetry().completed(this.tier).inc();
 		this.services.telemetry().duration(this.tier).update(Duration.ofMillis(ageMillis()));
+		ResponseFraming framing = (this.trace != null) ? this.trace.framing() : null;
+		if (framing != null) {
+			this.services.telemetry().counter("responses.completed." + framing.label()).inc();
+		}
 		Object[] pairs = { "request", id(), "route", route(), "status", status, "attempts", this.progress.attempts(),
 				"version", version(), "age-ms", ageMillis() };
 		LOG.info("request.answered", (this.trace != null) ? this.trace.addTo(pairs) : pairs);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -40,11 +40,13 @@
  * @param notices what backend servers say about new requests
  * @param bodies bounds the sum of the request bodies
  * @param stop decides which requests may run during a planned stop
+ * @param liveness tells how responses ended that end with their connection
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
-		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop) {
+		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop,
+		ProcessLiveness liveness) {
 
 }
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -76,12 +76,12 @@
 				null, null, Clock.systemUTC(), null, null, null, null, null,
 				StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
 				BackendNotices.create((process) -> {
-				}, Clock.systemUTC(), Telemetry.create()), null, StopAdmission.create(Clock.systemUTC()));
+				}, Clock.systemUTC(), Telemetry.create()), null, StopAdmission.create(Clock.systemUTC()), null);
 		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
 				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), latestSend, TokenEstimate.NONE, 1, NO_EVENT,
-				false, false, Duration.ofSeconds(1), null, null);
+				false, Duration.ofSeconds(1), null, null);
 		return new Attempt(services, plan, listener);
 	}
 
