Confirm ends of streams of a trusted process only now and then

Where all servers of a pool end their streams with the connection, each stream would run a second time to confirm its end.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -103,7 +103,7 @@
 		this.version = version;
 		this.report = report;
 		this.listener = listener;
-		this.unconfirmedEnd = new UnconfirmedEnd(services.vertx(), this::acceptUnconfirmedEnd);
+		this.unconfirmedEnd = new UnconfirmedEnd(services, this::acceptUnconfirmedEnd);
 	}
 
 	void start() {
@@ -348,7 +348,7 @@
 
 	@Override
 	public void dataReceived(Attempt attempt, Buffer bytes) {
-		this.unconfirmedEnd.clear();
+		this.unconfirmedEnd.refuted();
 		keepOnly(attempt);
 		this.listener.dataReceived(attempt, bytes);
 	}
@@ -365,12 +365,9 @@
 		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
-		if (end == AttemptEnd.UNCONFIRMED) {
-			this.unconfirmedEnd.begin();
-			this.report.responseCompleted(attempt);
-		}
 		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
-		boolean again = continued || mayRetry(end);
+		boolean mayEndHere = end == AttemptEnd.UNCONFIRMED && !needsConfirmation(ended);
+		boolean again = continued || (!mayEndHere && mayRetry(end));
 		this.report.attemptEnded(ended, end, again, this.planner.fingerprint(), detail);
 		boolean mayHaveCrashed = this.releases.releaseFailed(ended, end);
 		if (continued && end == AttemptEnd.NOT_CONNECTED) {
@@ -387,6 +384,11 @@
 		}
 	}
 
+	private boolean needsConfirmation(PermittedAttempt ended) {
+		this.report.responseCompleted(ended.attempt());
+		return this.unconfirmedEnd.begin(ended.permit().backendServer().process());
+	}
+
 	private void recordLastEvent(PermittedAttempt attempt) {
 		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
 	}
@@ -444,7 +446,7 @@
 	}
 
 	private void complete(PermittedAttempt completed) {
-		this.unconfirmedEnd.clear();
+		this.unconfirmedEnd.confirmed();
 		this.active.remove(completed);
 		recordDuration();
 		this.report.responseCompleted(completed.attempt());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -19,6 +19,7 @@
 import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.ClockPair;
 import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.ConfirmedEnds;
 import org.sardineport.core.relay.FleetRetryBudget;
 import org.sardineport.core.relay.ReadPacing;
 import org.sardineport.core.relay.RelayAdmissionCheck;
@@ -107,7 +108,8 @@
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
 				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
-				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry));
+				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
+				ConfirmedEnds.create());
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -10,6 +10,7 @@
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.relay.BodyMemory;
 import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.ConfirmedEnds;
 import org.sardineport.core.relay.FleetRetryBudget;
 import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.relay.RelayAdmissionCheck;
@@ -41,12 +42,13 @@
  * @param bodies bounds the sum of the request bodies
  * @param stop decides which requests may run during a planned stop
  * @param liveness tells how responses ended that end with their connection
+ * @param confirmedEnds which processes end streams without stating it only when whole
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
 		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop,
-		ProcessLiveness liveness) {
+		ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/UnconfirmedEnd.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/UnconfirmedEnd.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 
 import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.sardineport.core.backend.BackendProcess;
+import org.sardineport.core.relay.ConfirmedEnds;
 
 /**
  * The end of a stream that a backend server has not stated, while another one is asked to
@@ -15,36 +18,66 @@
 
 	private final Vertx vertx;
 
+	private final ConfirmedEnds confirmedEnds;
+
 	private final Runnable timeoutHandler;
 
 	private long timer = -1;
 
-	private boolean pending;
+	private @Nullable BackendProcess endedBy;
 
-	UnconfirmedEnd(Vertx vertx, Runnable timeoutHandler) {
-		this.vertx = vertx;
+	UnconfirmedEnd(RelayServices services, Runnable timeoutHandler) {
+		this.vertx = services.vertx();
+		this.confirmedEnds = services.confirmedEnds();
 		this.timeoutHandler = timeoutHandler;
 	}
 
 	/**
-	 * Records that the stream has ended so. The timeout counts from the first time.
+	 * Records that a process has ended the stream so. The timeout counts from the first
+	 * one.
+	 * @param process the process
+	 * @return whether to ask another backend server to go on
+	 */
+	boolean begin(BackendProcess process) {
+		if (!isPending()) {
+			this.timer = this.vertx.setTimer(TIMEOUT.toMillis(), (id) -> timedOut());
+		}
+		this.endedBy = process;
+		return this.confirmedEnds.needsConfirmation(process);
+	}
+
+	private void timedOut() {
+		if (isPending()) {
+			this.timeoutHandler.run();
+		}
+	}
+
+	/**
+	 * Records that another backend server has stated the end. Has no effect if none was
+	 * asked.
+	 */
+	void confirmed() {
+		if (this.endedBy != null) {
+			this.confirmedEnds.confirmed(this.endedBy);
+			clear();
+		}
+	}
+
+	/**
+	 * Records that the stream goes on. Has no effect if it has not ended.
 	 */
-	void begin() {
-		if (!this.pending) {
-			this.pending = true;
-			this.timer = this.vertx.setTimer(TIMEOUT.toMillis(), (id) -> {
-				if (this.pending) {
-					this.timeoutHandler.run();
-				}
-			});
+	void refuted() {
+		if (this.endedBy != null) {
+			this.confirmedEnds.refuted(this.endedBy);
+			clear();
 		}
 	}
 
 	/**
-	 * Records that the stream goes on or is over.
+	 * Forgets the end, as the response is over.
 	 */
 	void clear() {
-		this.pending = false;
+		this.endedBy = null;
 		this.vertx.cancelTimer(this.timer);
 	}
 
@@ -53,7 +86,7 @@
 	 * @return whether it has ended so and not gone on since
 	 */
 	boolean isPending() {
-		return this.pending;
+		return this.endedBy != null;
 	}
 
 }
