--- a/cli/src/main/java/org/sardineport/cli/explain/RequestHistory.java
+++ b/cli/src/main/java/org/sardineport/cli/explain/RequestHistory.java
@@ -81,13 +81,19 @@
 					event.field("backend-server"), event.field("end"), event.field("detail"), event.field("again"));
 			case REFUSED -> "refused after %s attempts as %s: %s".formatted(event.field("attempts"),
 					event.field("kind"), event.field("detail"));
-			case ANSWERED -> "answered with status %s after %s ms and %s attempts".formatted(event.field("status"),
-					event.field("age-ms"), event.field("attempts"));
+			case ANSWERED -> "answered with status %s after %s ms and %s attempts%s".formatted(event.field("status"),
+					event.field("age-ms"), event.field("attempts"), endOfResponse(event));
 			case CALLER_LEFT -> "caller left after %s ms".formatted(event.field("age-ms"));
 			default -> event.name();
 		};
 	}
 
+	// Lines of earlier builds do not say how a response ended.
+	private static String endOfResponse(LoggedEvent event) {
+		return event.field("framing").isEmpty() ? "" : ", framing %s, %s events up to %s"
+			.formatted(event.field("framing"), event.field("events"), event.field("last-event"));
+	}
+
 	private boolean isEnded() {
 		return this.events.stream().anyMatch((event) -> List.of(REFUSED, ANSWERED, CALLER_LEFT).contains(event.name()));
 	}
--- a/cli/src/test/java/org/sardineport/cli/explain/RequestHistoryTests.java
+++ b/cli/src/test/java/org/sardineport/cli/explain/RequestHistoryTests.java
@@ -31,6 +31,13 @@
 		assertThat(lines.get(3)).isEqualTo("cause: none: the caller was answered");
 	}
 
+	@Test
+	void tellsHowAResponseEnded() {
+		String line = ANSWERED + " framing=until-close events=8 last-event=8";
+		assertThat(RequestHistory.fromLogs("e6b2", List.of(line)).lines().get(0))
+			.endsWith("2 attempts, framing until-close, 8 events up to 8");
+	}
+
 	@Test
 	void reportsAMissingFinalEvent() {
 		List<String> lines = RequestHistory.fromLogs("e6b2", List.of(DISPATCHED)).lines();
