Say that the server closed a connection also once it is closed here

A connection that its backend server had closed was logged as closed here, as each failed attempt closes its connection, too. So connection= in request.attempt-ended told nothing for responses until close. No test; seen in the lines of StreamEndTests.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -119,10 +119,10 @@
 	}
 
 	ConnectionState state() {
-		if (this.closedHere) {
-			return ConnectionState.CLOSED_HERE;
+		if (isClosedByServer()) {
+			return ConnectionState.CLOSED_BY_SERVER;
 		}
-		return isClosedByServer() ? ConnectionState.CLOSED_BY_SERVER : ConnectionState.OPEN;
+		return this.closedHere ? ConnectionState.CLOSED_HERE : ConnectionState.OPEN;
 	}
 
 	/**
