Judge complete responses on the callers' own path by the same rule

CompletionCheck answered the question of ResponseEnd by a rule of its own: which framings state an end stood twice, and it did not know that responses to HEAD have no body. It names framing, end and content now and asks ResponseEnd, so a response that ends with its connection stays incomplete there, as no other connection is watched. Passed: CompletionCheckTests and the contracts of engines and services.

--- a/core/src/main/java/org/sardineport/core/exchange/CompletionCheck.java
+++ b/core/src/main/java/org/sardineport/core/exchange/CompletionCheck.java
@@ -24,7 +24,7 @@
 	 */
 	private static final int TAIL_BYTES = 32;
 
-	private final boolean framed;
+	private final ResponseFraming framing;
 
 	private final boolean finalEventRequired;
 
@@ -32,24 +32,26 @@
 
 	private int tailLength;
 
-	private CompletionCheck(boolean framed, boolean finalEventRequired) {
-		this.framed = framed;
+	private CompletionCheck(ResponseFraming framing, boolean finalEventRequired) {
+		this.framing = framing;
 		this.finalEventRequired = finalEventRequired;
 	}
 
 	/**
 	 * Returns a check for one response.
 	 * @param kind kind of the backend server
+	 * @param method method of the request
 	 * @param status status of the response
 	 * @param headers header fields of the response, including hop-by-hop fields
 	 * @return the check
 	 */
-	public static CompletionCheck of(BackendKind kind, int status, List<Map.Entry<String, String>> headers) {
-		boolean bodiless = status == 204 || status == 304;
-		boolean framed = bodiless || has(headers, "content-length", "") || has(headers, "transfer-encoding", "chunked");
+	public static CompletionCheck of(BackendKind kind, String method, int status,
+			List<Map.Entry<String, String>> headers) {
+		ResponseFraming framing = ResponseFraming.of(method, status, has(headers, "transfer-encoding", "chunked"),
+				has(headers, "content-length", ""));
 		boolean eventStream = kind == BackendKind.MODEL_ENGINE && status == 200
 				&& has(headers, "content-type", "text/event-stream");
-		return new CompletionCheck(framed, eventStream);
+		return new CompletionCheck(framing, eventStream);
 	}
 
 	/**
@@ -72,7 +74,15 @@
 	 * @return {@code true} if the response was delimited and carried its terminator
 	 */
 	public boolean isComplete() {
-		return this.framed && (!this.finalEventRequired || endsWithFinalEvent());
+		ResponseEnd end = this.framing.statesEnd() ? ResponseEnd.STATED : ResponseEnd.CLOSED;
+		return end.judge(contentEnd()) == Completeness.COMPLETE;
+	}
+
+	private ContentEnd contentEnd() {
+		if (!this.finalEventRequired) {
+			return ContentEnd.OPAQUE;
+		}
+		return endsWithFinalEvent() ? ContentEnd.AFTER_EVENT : ContentEnd.INSIDE_EVENT;
 	}
 
 	private boolean endsWithFinalEvent() {
--- a/core/src/main/java/org/sardineport/core/exchange/ContentEnd.java
+++ b/core/src/main/java/org/sardineport/core/exchange/ContentEnd.java
@@ -14,7 +14,7 @@
 	/** Before the first event that is new to the caller. */
 	BEFORE_FIRST_EVENT,
 
-	/** Inside an event. */
+	/** Inside an event, or before the event that marks the end of such a stream. */
 	INSIDE_EVENT
 
 }
--- a/core/src/test/java/org/sardineport/core/exchange/CompletionCheckTests.java
+++ b/core/src/test/java/org/sardineport/core/exchange/CompletionCheckTests.java
@@ -71,7 +71,7 @@
 	void detectsCompleteResponses(Response response) {
 		byte[] bytes = response.body.getBytes(StandardCharsets.UTF_8);
 		for (int size = 1; size <= Math.max(1, bytes.length); size++) {
-			CompletionCheck check = CompletionCheck.of(response.kind, response.status, response.headers);
+			CompletionCheck check = CompletionCheck.of(response.kind, "POST", response.status, response.headers);
 			for (int from = 0; from < bytes.length; from += size) {
 				check.add(ByteBuffer.wrap(bytes, from, Math.min(size, bytes.length - from)));
 			}
--- a/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/engine/HttpExchange.java
@@ -155,7 +155,8 @@
 		}
 		this.response = received;
 		List<Map.Entry<String, String>> headers = fields(received.headers());
-		this.completionCheck = CompletionCheck.of(this.server.kind(), received.statusCode(), headers);
+		this.completionCheck = CompletionCheck.of(this.server.kind(), received.request().getMethod().name(),
+				received.statusCode(), headers);
 		received.exceptionHandler((cause) -> runOnContext(() -> onConnectionFailed(cause)));
 		received.handler((bytes) -> runOnContext(() -> onChunk(bytes)));
 		received.endHandler((end) -> runOnContext(this::onEnd));
