Hold requests while a daemon that just started reads its list

Cause: a daemon counted as ready once it had read the configuration. It reads the list of backend servers on its own, first 40 ms after its start, and until then it knows no pool. Callers reach it in that time: they still hold its address from before a planned stop, and the others name it as soon as its configuration version has come. It then refused each request at once, with "no-backend-server" and the default detail "the backend servers of the pool that were asked failed lately", though none was asked; before the configuration was read, with "not-ready".

Change: the list must be read before requests run, and it is named among the conditions of /ready. For 3 s after the start a request is held until the daemon can run it, as the forwarding path does already; after that it is refused as not ready, as before. The request is paused meanwhile, and counts as in flight.

--- a/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/SardineportDaemon.java
@@ -100,9 +100,9 @@
 		CallerServer callers = CallerServer.create(this.vertx, settings.callerAddress(),
 				new CallerServices(settings.callers(),
 						AdmissionCheck.create(IdempotencyKeys.of(settings.journal().replayWindow())), configuration,
-						fleet, journal, runner, clock, telemetry));
+						fleet::hasReadList, fleet, journal, runner, clock, telemetry));
 		fleet.reportFrom(new DaemonReport(configuration, fleet, callers::inFlight));
-		Readiness readiness = () -> readinessBlockers(configuration.isReady(), journal.isReady());
+		Readiness readiness = () -> readinessBlockers(configuration.isReady(), journal.isReady(), fleet.hasReadList());
 		this.readiness = readiness;
 		OperatorServer operators = OperatorServer.create(this.vertx, settings.operatorAddress(),
 				settings.operatorToken(),
@@ -135,8 +135,8 @@
 	}
 
 	/**
-	 * Returns whether the configuration and the journal have been read, so that the
-	 * daemon serves callers.
+	 * Returns whether the configuration, the journal and the list of backend servers have
+	 * been read, so that the daemon serves callers.
 	 * @return whether the daemon is ready
 	 */
 	public boolean isReady() {
@@ -180,7 +180,8 @@
 				settings.callers().keepTime(), detectionBound);
 	}
 
-	private static List<String> readinessBlockers(boolean configurationReady, boolean journalReady) {
+	private static List<String> readinessBlockers(boolean configurationReady, boolean journalReady,
+			boolean backendsListed) {
 		List<String> blockers = new ArrayList<>();
 		if (!configurationReady) {
 			blockers.add("The configuration is being read.");
@@ -188,6 +189,9 @@
 		if (!journalReady) {
 			blockers.add("The journal is being read.");
 		}
+		if (!backendsListed) {
+			blockers.add("The list of backend servers is being read.");
+		}
 		return blockers;
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -85,6 +85,8 @@
 
 	private boolean listReachable = true;
 
+	private volatile boolean listRead;
+
 	private final CompletableFuture<Void> leaving = new CompletableFuture<>();
 
 	private volatile boolean leaveRequested;
@@ -238,6 +240,15 @@
 		return this.snapshot;
 	}
 
+	/**
+	 * Returns whether the VM list has been read. Its backend servers have then been
+	 * passed to all listeners.
+	 * @return whether it has been read at least once since the start
+	 */
+	public boolean hasReadList() {
+		return this.listRead;
+	}
+
 	/**
 	 * Returns the reads of the VM list.
 	 * @return the reads
@@ -311,6 +322,7 @@
 		}
 		this.membership.contacts(contacts);
 		publish();
+		this.listRead = true;
 	}
 
 	private void listReachable(boolean reachable, String reason) {
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerExchange.java
@@ -29,10 +29,14 @@
  */
 final class CallerExchange implements BodyListener {
 
+	private static final long READINESS_POLL_MILLIS = 20;
+
 	private final Vertx vertx;
 
 	private final CallerServices services;
 
+	private final StartupGate gate;
+
 	private final HttpServerRequest request;
 
 	private final RequestId id;
@@ -49,10 +53,11 @@
 
 	private boolean closed;
 
-	CallerExchange(Vertx vertx, CallerServices services, HttpServerRequest request, RequestId id,
+	CallerExchange(Vertx vertx, CallerServices services, StartupGate gate, HttpServerRequest request, RequestId id,
 			HttpResponseSink sink) {
 		this.vertx = vertx;
 		this.services = services;
+		this.gate = gate;
 		this.request = request;
 		this.id = id;
 		this.sink = sink;
@@ -62,6 +67,29 @@
 	void start() {
 		this.request.response().closeHandler((ignored) -> onClosed());
 		this.request.exceptionHandler((ignored) -> onClosed());
+		beginWhenReady();
+	}
+
+	private void beginWhenReady() {
+		if (this.closed) {
+			return;
+		}
+		Refusal refusal = this.gate.refusal();
+		if (refusal != null && this.gate.isReadySoon()) {
+			this.request.pause();
+			this.vertx.setTimer(READINESS_POLL_MILLIS, (id) -> beginWhenReady());
+			return;
+		}
+		if (refusal != null) {
+			refused(refusal);
+		}
+		else {
+			begin();
+		}
+		this.request.resume();
+	}
+
+	private void begin() {
 		ConfigurationSnapshot configuration = this.services.configuration().current();
 		try {
 			Admission admitted = this.services.admission()
--- a/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/http/CallerServer.java
@@ -51,6 +51,8 @@
 
 	private final KeyResource keys;
 
+	private final StartupGate gate;
+
 	private volatile boolean refusing;
 
 	private volatile @Nullable CompletableFuture<Void> drained;
@@ -65,6 +67,7 @@
 				services.telemetry().counter("callers.idle-connections-closed"));
 		this.entry = new EntryResource(services.fleet(), services.settings().keepTime());
 		this.keys = new KeyResource(vertx, services);
+		this.gate = new StartupGate(services.configuration(), services.backendsListed(), services.clock());
 	}
 
 	/**
@@ -135,30 +138,30 @@
 		HttpResponseSink sink = new HttpResponseSink(request, id.value(), this.services.telemetry(),
 				this.entry::addresses, () -> onResponseEnd(request.connection()));
 		request.response().setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
-		Refusal refusal = refusal();
 		if (request.method().equals(HttpMethod.GET) && request.path().equals(ENTRY_PATH)) {
 			this.entry.respond(sink);
 		}
-		else if (refusal != null) {
+		else if (this.refusing) {
 			BodyReader.discard(this.vertx, request);
-			sink.refuse(refusal);
+			sink.refuse(Refusal.of(RefusalReason.STOPPING, "The daemon is stopping."));
 		}
 		else if (request.method().equals(HttpMethod.GET) && request.path().startsWith(KEYS_PREFIX)) {
-			this.keys.respond(request, request.path().substring(KEYS_PREFIX.length()), sink);
+			respondWithKey(request, sink);
 		}
 		else {
-			new CallerExchange(this.vertx, this.services, request, id, sink).start();
+			new CallerExchange(this.vertx, this.services, this.gate, request, id, sink).start();
 		}
 	}
 
-	private @Nullable Refusal refusal() {
-		if (this.refusing) {
-			return Refusal.of(RefusalReason.STOPPING, "The daemon is stopping.");
+	private void respondWithKey(HttpServerRequest request, HttpResponseSink sink) {
+		Refusal refusal = this.gate.configurationRefusal();
+		if (refusal != null) {
+			BodyReader.discard(this.vertx, request);
+			sink.refuse(refusal);
 		}
-		if (!this.services.configuration().isReady()) {
-			return Refusal.of(RefusalReason.NOT_READY, "The daemon has not read the configuration yet.");
+		else {
+			this.keys.respond(request, request.path().substring(KEYS_PREFIX.length()), sink);
 		}
-		return null;
 	}
 
 	private void onResponseEnd(HttpConnection connection) {
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerFixture.java
@@ -95,6 +95,8 @@
 
 	volatile boolean ready = true;
 
+	volatile boolean backendsListed = true;
+
 	CallerFixture(EngineOptions options) {
 		this(options, 1000);
 	}
@@ -111,7 +113,8 @@
 		CallerSettings settings = new CallerSettings(BODY_LIMIT, BODY_TIMEOUT, maximumInFlight, Duration.ofSeconds(10));
 		this.server = CallerServer.create(this.vertx, this.address,
 				new CallerServices(settings, AdmissionCheck.create(IdempotencyKeys.of(Duration.ofHours(1))),
-						configuration(), fleet(), this.journal, this.runner, this.clock, this.telemetry));
+						configuration(), () -> this.backendsListed, fleet(), this.journal, this.runner, this.clock,
+						this.telemetry));
 		start(this.server);
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/http/CallerServerTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/http/CallerServerTests.java
@@ -101,4 +101,42 @@
 		assertThat(this.fixture.engine.counters().dispatches()).doesNotContainKey("late");
 	}
 
+	// Guards against a series of refusals as not ready right after a planned restart.
+	@Test
+	void requestWaitsWhileTheDaemonReadsTheConfigurationAfterItsStart() {
+		this.fixture.ready = false;
+		CompletableFuture<HttpResponse<String>> answer = sendWhileStarting();
+		this.fixture.ready = true;
+		assertThat(answer.join().body()).contains("early:1 ").endsWith("data: [DONE]\n\n");
+	}
+
+	// Guards against refusals for want of backend servers that are not read yet.
+	@Test
+	void requestWaitsWhileTheDaemonReadsTheBackendServersAfterItsStart() {
+		this.fixture.backendsListed = false;
+		CompletableFuture<HttpResponse<String>> answer = sendWhileStarting();
+		this.fixture.backendsListed = true;
+		assertThat(answer.join().body()).contains("early:1 ").endsWith("data: [DONE]\n\n");
+	}
+
+	// Guards against requests that are held for good if the list cannot be read.
+	@Test
+	void requestIsRefusedIfTheBackendServersAreNotRead() {
+		this.fixture.backendsListed = false;
+		HttpResponse<String> response = sendWhileStarting().join();
+		assertThat(response.statusCode()).isEqualTo(RefusalReason.NOT_READY.status());
+		assertThat(response.body()).contains("not-ready", "list of backend servers", "entries");
+		assertThat(this.fixture.engine.counters().dispatches()).isEmpty();
+	}
+
+	private CompletableFuture<HttpResponse<String>> sendWhileStarting() {
+		CompletableFuture<HttpResponse<String>> answer = this.fixture.client
+			.sendAsync(this.fixture.request("POST", CHAT, CallerFixture.chat("early", 2), (request) -> {
+			}), HttpResponse.BodyHandlers.ofString());
+		while (this.fixture.server.inFlight() == 0 && !answer.isDone()) {
+			Thread.onSpinWait();
+		}
+		return answer;
+	}
+
 }
