Take comments in an event stream for no events

What callers saw: a stream that was cut off ended as complete, if the next backend server sent a comment and closed its connection. Cause: a block that holds only comments counted as an event, so that the end looked like one behind an event. Change: such blocks are passed on and not counted, and only an event shows that an unconfirmed stream goes on.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -77,6 +77,9 @@
 	}
 
 	private boolean accept(Buffer event) {
+		if (!hasField(event)) {
+			return true;
+		}
 		long id = idOf(event);
 		if (id >= 0 && id <= this.lastReceivedId) {
 			return false;
@@ -170,13 +173,17 @@
 	 * @return whether the stream would end inside an event here
 	 */
 	boolean isInsideEvent() {
+		return hasField(this.pending);
+	}
+
+	private static boolean hasField(Buffer lines) {
 		int line = 0;
-		while (line < this.pending.length()) {
-			byte first = this.pending.getByte(line);
+		while (line < lines.length()) {
+			byte first = lines.getByte(line);
 			if (first != ':' && first != '\r' && first != '\n') {
 				return true;
 			}
-			line = nextLine(this.pending, line);
+			line = nextLine(lines, line);
 		}
 		return false;
 	}
@@ -200,7 +207,7 @@
 
 	/**
 	 * Returns the number of events passed on.
-	 * @return the number, without dropped events
+	 * @return the number, without dropped events and blocks of comments
 	 */
 	int eventCount() {
 		return this.eventCount;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -258,6 +258,7 @@
 
 	@Override
 	public void firstEventReceived(Attempt attempt) {
+		this.unconfirmedEnd.clear();
 		this.crashReport.firstEventReceived();
 	}
 
@@ -348,7 +349,6 @@
 
 	@Override
 	public void dataReceived(Attempt attempt, Buffer bytes) {
-		this.unconfirmedEnd.clear();
 		keepOnly(attempt);
 		this.listener.dataReceived(attempt, bytes);
 	}
