Continue no stream whose last event cannot be named

What callers saw: events came twice on routes whose streams may be resumed. Cause: another attempt named the last event that had a number, or none, even if events without a number, or with a lower one, had been passed on since; the next backend server sent those once more. A whole stream without numbers that ended with its connection began again each time. Change: the splitter tells whether its last event is named; no other attempt follows if not, nor after a part of a plain response.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
@@ -34,6 +34,10 @@
 		return this.attempts.stream().allMatch((each) -> each.attempt().isSilent());
 	}
 
+	boolean areAllContinuable() {
+		return this.attempts.stream().allMatch((each) -> each.attempt().isContinuable());
+	}
+
 	boolean contains(Attempt attempt) {
 		return find(attempt).isPresent();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -74,6 +74,8 @@
 
 	private long lastEventId;
 
+	private boolean continuable = true;
+
 	private boolean paused;
 
 	private boolean silent;
@@ -169,6 +171,15 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns whether another attempt can continue what was passed on.
+	 * @return {@code false} if no identity names the last event, or the response is no
+	 * stream and a part of it was passed on
+	 */
+	boolean isContinuable() {
+		return this.continuable;
+	}
+
 	/**
 	 * Returns whether the head of a response was received.
 	 * @return {@code true} from then on, whatever becomes of the response
@@ -348,6 +359,7 @@
 	private void forward(ResponseHead responseHead, Buffer events) {
 		startForwarding(responseHead);
 		this.lastEventId = this.splitter.lastId();
+		this.continuable = this.splitter.isLastNamed();
 		this.listener.dataReceived(this, events);
 	}
 
@@ -372,6 +384,7 @@
 		recordFirstData();
 		this.buffered.appendBuffer(bytes);
 		if (this.buffered.length() > MAX_BUFFERED_BYTES) {
+			this.continuable = false;
 			startForwarding(responseHead);
 			this.listener.dataReceived(this, this.buffered);
 			this.buffered = Buffer.buffer();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -25,6 +25,8 @@
 
 	private int eventCount;
 
+	private boolean lastNamed = true;
+
 	private int idSkips;
 
 	/**
@@ -84,6 +86,7 @@
 		if (id >= 0 && id <= this.lastReceivedId) {
 			return false;
 		}
+		this.lastNamed = id > this.lastId;
 		if (id >= 0) {
 			recordId(id);
 		}
@@ -95,7 +98,7 @@
 		if (this.lastId >= 0 && id != this.lastId + 1) {
 			this.idSkips++;
 		}
-		this.lastId = id;
+		this.lastId = Math.max(this.lastId, id);
 	}
 
 	private static long idOf(Buffer event) {
@@ -197,6 +200,16 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Returns whether {@link #lastId()} names the last event, so that another backend
+	 * server can continue the stream after it.
+	 * @return {@code false} if the last event has no identity that is a number, or one
+	 * that is not above those before
+	 */
+	boolean isLastNamed() {
+		return this.lastNamed;
+	}
+
 	/**
 	 * Returns how often the identity of an event was not the one before plus one.
 	 * @return the number, without dropped events
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -82,6 +82,8 @@
 
 	private long lastEventId = -1;
 
+	private boolean continuable = true;
+
 	private long handOverTimer = -1;
 
 	private boolean retryPending;
@@ -236,7 +238,8 @@
 		if (this.pendingRequest != null || attempt.connection() == null || !this.active.areAllSilent()) {
 			return;
 		}
-		boolean replaceable = isTimeLeft() && this.progress.mayReplaceAttempt() && this.retryCharge.trySpend();
+		boolean replaceable = isTimeLeft() && this.active.areAllContinuable() && this.progress.mayReplaceAttempt()
+				&& this.retryCharge.trySpend();
 		this.report.silent(this.active.get(attempt), replaceable);
 		if (replaceable) {
 			this.active.forEach((each) -> this.progress.silent(each.server()));
@@ -389,6 +392,7 @@
 
 	private void recordLastEvent(PermittedAttempt attempt) {
 		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
+		this.continuable &= attempt.attempt().isContinuable();
 	}
 
 	// The request may be quarantined for the crash. The check also tells whether the path
@@ -407,7 +411,7 @@
 	}
 
 	private boolean mayRetry(AttemptEnd end) {
-		if (!isTimeLeft() || !this.progress.mayRetry()) {
+		if (!isTimeLeft() || !this.continuable || !this.progress.mayRetry()) {
 			return false;
 		}
 		return end == AttemptEnd.NOT_CONNECTED || this.retryCharge.trySpend();
