Take a part of an event for a sign that a stream goes on

What callers saw: a stream ended as complete though the next backend server had begun to send the rest. Cause: the wait for a confirmation of the end was given up only by whole events passed on, not by a part of one or by events that are held until the software version is known; the stream then counted as complete. Change: any of these ends the wait, so that the stream is continued or cut off visibly. partOfAnEventShowsThatTheStreamGoesOn failed before and passes now. Held events are not covered by a test of their own.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
@@ -38,6 +38,10 @@
 		return this.attempts.stream().allMatch((each) -> each.attempt().isContinuable());
 	}
 
+	boolean haveRest() {
+		return this.attempts.stream().anyMatch((each) -> each.attempt().hasRest());
+	}
+
 	boolean contains(Attempt attempt) {
 		return find(attempt).isPresent();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -196,6 +196,15 @@
 		return this.splitter.eventCount();
 	}
 
+	/**
+	 * Returns whether the backend server has sent an event that is new to the caller, or
+	 * a part of one.
+	 * @return whether the stream does not end before this attempt
+	 */
+	boolean hasRest() {
+		return this.splitter.eventCount() > 0 || this.splitter.isInsideEvent();
+	}
+
 	/**
 	 * Returns what was observed of the response so far.
 	 * @return the observations
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -368,10 +368,7 @@
 		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
-		if (end == AttemptEnd.UNCONFIRMED) {
-			this.unconfirmedEnd.begin();
-			this.report.responseCompleted(attempt);
-		}
+		recordWhetherStreamGoesOn(attempt, end);
 		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
 		boolean again = continued || mayRetry(end);
 		this.report.attemptEnded(ended, end, again, this.planner.fingerprint(), detail);
@@ -390,6 +387,18 @@
 		}
 	}
 
+	private void recordWhetherStreamGoesOn(Attempt attempt, AttemptEnd end) {
+		if (attempt.hasRest() || this.active.haveRest()) {
+			this.unconfirmedEnd.clear();
+		}
+		if (end == AttemptEnd.UNCONFIRMED) {
+			this.report.responseCompleted(attempt);
+			if (!this.active.haveRest()) {
+				this.unconfirmedEnd.begin();
+			}
+		}
+	}
+
 	private void recordLastEvent(PermittedAttempt attempt) {
 		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
 		this.continuable &= attempt.attempt().isContinuable();
