--- a/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ActiveAttempts.java
@@ -34,6 +34,14 @@
 		return this.attempts.stream().allMatch((each) -> each.attempt().isSilent());
 	}
 
+	boolean areAllContinuable() {
+		return this.attempts.stream().allMatch((each) -> each.attempt().isContinuable());
+	}
+
+	boolean haveRest() {
+		return this.attempts.stream().anyMatch((each) -> each.attempt().hasRest());
+	}
+
 	boolean contains(Attempt attempt) {
 		return find(attempt).isPresent();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/EventSplitter.java
@@ -25,6 +25,8 @@
 
 	private int eventCount;
 
+	private boolean lastNamed = true;
+
 	private int idSkips;
 
 	/**
@@ -77,10 +79,14 @@
 	}
 
 	private boolean accept(Buffer event) {
+		if (!hasField(event)) {
+			return true;
+		}
 		long id = idOf(event);
 		if (id >= 0 && id <= this.lastReceivedId) {
 			return false;
 		}
+		this.lastNamed = id > this.lastId;
 		if (id >= 0) {
 			recordId(id);
 		}
@@ -92,7 +98,7 @@
 		if (this.lastId >= 0 && id != this.lastId + 1) {
 			this.idSkips++;
 		}
-		this.lastId = id;
+		this.lastId = Math.max(this.lastId, id);
 	}
 
 	private static long idOf(Buffer event) {
@@ -170,13 +176,17 @@
 	 * @return whether the stream would end inside an event here
 	 */
 	boolean isInsideEvent() {
+		return hasField(this.pending);
+	}
+
+	private static boolean hasField(Buffer lines) {
 		int line = 0;
-		while (line < this.pending.length()) {
-			byte first = this.pending.getByte(line);
+		while (line < lines.length()) {
+			byte first = lines.getByte(line);
 			if (first != ':' && first != '\r' && first != '\n') {
 				return true;
 			}
-			line = nextLine(this.pending, line);
+			line = nextLine(lines, line);
 		}
 		return false;
 	}
@@ -190,6 +200,16 @@
 		return this.lastId;
 	}
 
+	/**
+	 * Returns whether {@link #lastId()} names the last event, so that another backend
+	 * server can continue the stream after it.
+	 * @return {@code false} if the last event has no identity that is a number, or one
+	 * that is not above those before
+	 */
+	boolean isLastNamed() {
+		return this.lastNamed;
+	}
+
 	/**
 	 * Returns how often the identity of an event was not the one before plus one.
 	 * @return the number, without dropped events
@@ -200,7 +220,7 @@
 
 	/**
 	 * Returns the number of events passed on.
-	 * @return the number, without dropped events
+	 * @return the number, without dropped events and blocks of comments
 	 */
 	int eventCount() {
 		return this.eventCount;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -10,7 +10,6 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.ResponseEnd;
-import org.sardineport.core.quarantine.CrashEvidence;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
@@ -24,9 +23,6 @@
 	/** Interval between two looks at the connections of a process. */
 	private static final Duration LOOK_INTERVAL = Duration.ofMillis(20);
 
-	/** Time within which the connections of a process that ends close. */
-	private static final Duration CLOSING_TIME = Duration.ofMillis(50);
-
 	/** Maximum time that the whole answer to a request waits. */
 	private static final Duration ANSWER_WINDOW = Duration.ofMillis(100);
 
@@ -68,11 +64,9 @@
 	 * its connection. Called with each part of such a response, as connections that stay
 	 * idle are closed.
 	 * @param server the backend server that sends the response
-	 * @param connection the connection of the response
 	 */
-	void observe(BackendServer server, BackendConnection connection) {
-		connection.recordResponseUntilClose();
-		this.connections.keepSecondOpen(server);
+	void observe(BackendServer server) {
+		this.connections.keepIdleOpen(server);
 	}
 
 	/**
@@ -96,7 +90,7 @@
 		long now = this.clock.millis();
 		Duration window = stream ? STREAM_WINDOW : ANSWER_WINDOW;
 		List<BackendConnection> others = this.connections.others(process, ended,
-				ended.closedAt(now) - CLOSING_TIME.toMillis());
+				ended.closedAt(now) - CrashDetector.WINDOW.toMillis());
 		Promise<ResponseEnd> result = Promise.promise();
 		look(process, others, now, window, result);
 		return result.future();
@@ -104,25 +98,27 @@
 
 	private void look(BackendProcess process, List<BackendConnection> others, long since, Duration window,
 			Promise<ResponseEnd> result) {
-		CrashEvidence evidence = CrashDetector.evidence(telling(others), since);
 		boolean over = this.clock.millis() - since >= window.toMillis();
-		if (over || evidence.responding() > 0 || evidence.closedByServer() == evidence.others()) {
-			decide(process, evidence, this.clock.millis() - since, result);
+		boolean answered = others.stream().anyMatch((each) -> each.hasAnsweredSince(since));
+		long watched = others.stream().filter((each) -> each.isWatchedSince(since)).count();
+		if (over || answered || watched == 0) {
+			decide(process, others, answered, watched, this.clock.millis() - since, result);
 		}
 		else {
 			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(process, others, since, window, result));
 		}
 	}
 
-	private static List<BackendConnection> telling(List<BackendConnection> others) {
-		return others.stream().filter((each) -> !each.isClosedWithResponse()).toList();
-	}
-
-	private void decide(BackendProcess process, CrashEvidence evidence, long afterMillis, Promise<ResponseEnd> result) {
-		ResponseEnd end = evidence.indicatesCrash() ? ResponseEnd.CLOSED : ResponseEnd.CLOSED_BY_LIVE_PROCESS;
+	// Other responses that end with their connections may end at the same time, so that
+	// a closed connection alone is no sign of a crash. Data that comes now may have been
+	// sent before, unless it answers a later request.
+	private void decide(BackendProcess process, List<BackendConnection> others, boolean answered, long watched,
+			long afterMillis, Promise<ResponseEnd> result) {
+		ResponseEnd end = (answered || watched > 0) ? ResponseEnd.CLOSED_BY_LIVE_PROCESS : ResponseEnd.CLOSED;
+		long closed = others.stream().filter(BackendConnection::isClosedByServer).count();
 		LOG.info("response.ended-by-close", "backend-server", process.server(), "end", end.label(), "connections",
-				evidence.others(), "closed", evidence.closedByServer(), "responding", evidence.responding(),
-				"decided-after-ms", afterMillis);
+				others.size(), "closed", closed, "watched", watched, "answered", answered, "decided-after-ms",
+				afterMillis);
 		this.telemetry.counter("responses.ended." + end.label()).inc();
 		result.complete(end);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -82,6 +82,8 @@
 
 	private long lastEventId = -1;
 
+	private boolean continuable = true;
+
 	private long handOverTimer = -1;
 
 	private boolean retryPending;
@@ -236,7 +238,8 @@
 		if (this.pendingRequest != null || attempt.connection() == null || !this.active.areAllSilent()) {
 			return;
 		}
-		boolean replaceable = isTimeLeft() && this.progress.mayReplaceAttempt() && this.retryCharge.trySpend();
+		boolean replaceable = isTimeLeft() && this.active.areAllContinuable() && this.progress.mayReplaceAttempt()
+				&& this.retryCharge.trySpend();
 		this.report.silent(this.active.get(attempt), replaceable);
 		if (replaceable) {
 			this.active.forEach((each) -> this.progress.silent(each.server()));
@@ -258,6 +261,7 @@
 
 	@Override
 	public void firstEventReceived(Attempt attempt) {
+		this.unconfirmedEnd.refuted();
 		this.crashReport.firstEventReceived();
 	}
 
@@ -348,7 +352,6 @@
 
 	@Override
 	public void dataReceived(Attempt attempt, Buffer bytes) {
-		this.unconfirmedEnd.refuted();
 		keepOnly(attempt);
 		this.listener.dataReceived(attempt, bytes);
 	}
@@ -365,6 +368,7 @@
 		this.active.remove(ended);
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
+		recordWhetherStreamGoesOn(attempt);
 		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
 		boolean mayEndHere = end == AttemptEnd.UNCONFIRMED && !needsConfirmation(ended);
 		boolean again = continued || (!mayEndHere && mayRetry(end));
@@ -386,11 +390,21 @@
 
 	private boolean needsConfirmation(PermittedAttempt ended) {
 		this.report.responseCompleted(ended.attempt());
+		if (this.active.haveRest()) {
+			return true;
+		}
 		return this.unconfirmedEnd.begin(ended.permit().backendServer().process());
 	}
 
+	private void recordWhetherStreamGoesOn(Attempt attempt) {
+		if (attempt.hasRest() || this.active.haveRest()) {
+			this.unconfirmedEnd.refuted();
+		}
+	}
+
 	private void recordLastEvent(PermittedAttempt attempt) {
 		this.lastEventId = Math.max(this.lastEventId, attempt.attempt().lastEventId());
+		this.continuable &= attempt.attempt().isContinuable();
 	}
 
 	// The request may be quarantined for the crash. The check also tells whether the path
@@ -409,7 +423,7 @@
 	}
 
 	private boolean mayRetry(AttemptEnd end) {
-		if (!isTimeLeft() || !this.progress.mayRetry()) {
+		if (!isTimeLeft() || !this.continuable || !this.progress.mayRetry()) {
 			return false;
 		}
 		return end == AttemptEnd.NOT_CONNECTED || this.retryCharge.trySpend();
