Judge whether a process goes on by connections that show it

And a stream ended as complete with its process if the only other connection waited for a slow caller. Cause: other responses that ended at the same time counted as closed by a crash; no second connection was opened while others carried requests; and a connection that is paused, or delivers data from buffers, counted as a sign of life, though its end had not been read. Change: an idle connection is reserved while such a response runs; the process goes on if one that was read all the time is open at the end of the window, or has answered a request sent after the end.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
@@ -63,6 +63,7 @@
 			}
 			else {
 				this.connection = acquired.result();
+				acquired.result().recordSent();
 				write(acquired.result().http(), method, target, headers, body);
 			}
 		});
@@ -157,15 +158,23 @@
 	void pause() {
 		if (this.response != null && !this.ended) {
 			this.response.pause();
+			recordPaused(true);
 		}
 	}
 
 	void resume() {
 		if (this.response != null && !this.ended) {
+			recordPaused(false);
 			this.response.resume();
 		}
 	}
 
+	private void recordPaused(boolean isPaused) {
+		if (this.connection != null) {
+			this.connection.recordPaused(isPaused);
+		}
+	}
+
 	/**
 	 * Aborts the call by closing its connection, upon which the backend server stops
 	 * working on the request. The listener is not called any more.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -28,6 +28,17 @@
 
 	private long lastDataAt;
 
+	private long sentAt;
+
+	/** When the last request was sent that has an answer. */
+	private long answeredSentAt;
+
+	private boolean paused;
+
+	private long pauseChangedAt;
+
+	private long reservedUntil;
+
 	private boolean closedHere;
 
 	private long closedByServerAt = NEVER;
@@ -79,8 +90,45 @@
 		}
 	}
 
+	/**
+	 * Records that a request is sent.
+	 */
+	void recordSent() {
+		this.sentAt = this.clock.millis();
+	}
+
 	void recordData() {
 		this.lastDataAt = this.clock.millis();
+		this.answeredSentAt = this.sentAt;
+	}
+
+	/**
+	 * Records whether data is left unread. The end of the connection is not seen then.
+	 * @param isPaused whether no data is read
+	 */
+	void recordPaused(boolean isPaused) {
+		this.paused = isPaused;
+		this.pauseChangedAt = this.clock.millis();
+	}
+
+	/**
+	 * Returns whether the connection is open and was read all the time, so that the end
+	 * of the process would have ended it visibly.
+	 * @param time the beginning of that time
+	 * @return {@code false} also if it was paused, as data may have come before the end
+	 */
+	boolean isWatchedSince(long time) {
+		return !this.paused && this.pauseChangedAt <= time && state() == ConnectionState.OPEN;
+	}
+
+	/**
+	 * Returns whether a request that was sent after a time has an answer.
+	 * @param time the time
+	 * @return whether the process went on then, even if it has closed the connection
+	 * since
+	 */
+	boolean hasAnsweredSince(long time) {
+		return this.answeredSentAt > time;
 	}
 
 	void recordIdle(long idleMillis) {
@@ -92,8 +140,20 @@
 		return this.lastDataAt >= time;
 	}
 
+	/**
+	 * Leaves the connection unused, so that its end tells of the process.
+	 * @param millis for how long, in milliseconds
+	 */
+	void reserve(long millis) {
+		this.reservedUntil = this.clock.millis() + millis;
+	}
+
+	boolean isReserved() {
+		return this.clock.millis() < this.reservedUntil;
+	}
+
 	boolean hasExpired() {
-		return this.clock.millis() >= this.idleUntil;
+		return !isReserved() && this.clock.millis() >= this.idleUntil;
 	}
 
 	boolean isIdleLongerThan(long millis) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -187,16 +187,21 @@
 	}
 
 	/**
-	 * Opens another connection to a process if only one is open.
+	 * Keeps an idle connection to a process open, and opens one if there is none. Those
+	 * with requests may end with their responses, or be paused.
 	 * @param server the backend server
 	 */
-	void keepSecondOpen(BackendServer server) {
-		ProcessConnections connections = this.processes.get(server.process());
-		if (connections != null && !connections.hasSeveral()) {
-			verifyPath(server);
+	void keepIdleOpen(BackendServer server) {
+		if (!reserveIdle(server)) {
+			verifyPath(server).onComplete((ignored) -> reserveIdle(server));
 		}
 	}
 
+	private boolean reserveIdle(BackendServer server) {
+		ProcessConnections connections = this.processes.get(server.process());
+		return connections != null && connections.reserveIdle(CHECKED_IDLE_TIME.toMillis());
+	}
+
 	/**
 	 * Returns when a connection that is being opened for a check is open.
 	 * @param server the backend server
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -49,8 +49,21 @@
 		}
 	}
 
-	boolean hasSeveral() {
-		return this.open.size() > 1;
+	/**
+	 * Leaves an idle connection unused for a time, the reserved one if there is any.
+	 * @param millis the time, in milliseconds
+	 * @return {@code false} if none is idle
+	 */
+	boolean reserveIdle(long millis) {
+		BackendConnection chosen = this.idle.stream()
+			.filter(BackendConnection::isReserved)
+			.findFirst()
+			.orElse(this.idle.peekLast());
+		if (chosen == null) {
+			return false;
+		}
+		chosen.reserve(millis);
+		return true;
 	}
 
 	boolean isEmpty() {
@@ -58,17 +71,19 @@
 	}
 
 	/**
-	 * Takes the most recently used idle connection and closes those that have expired.
+	 * Takes the most recently used idle connection that is not reserved, and closes those
+	 * that have expired.
 	 * @param maxIdle maximum time for which it may have been idle
 	 * @return the connection, or {@code null} if there is none
 	 */
 	@Nullable BackendConnection takeIdle(Duration maxIdle) {
 		closeIdle(BackendConnection::hasExpired);
-		BackendConnection mostRecent = this.idle.peekFirst();
+		BackendConnection mostRecent = this.idle.stream().filter((each) -> !each.isReserved()).findFirst().orElse(null);
 		if (mostRecent == null || mostRecent.isIdleLongerThan(maxIdle.toMillis())) {
 			return null;
 		}
-		return this.idle.removeFirst();
+		this.idle.remove(mostRecent);
+		return mostRecent;
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -10,7 +10,6 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.ResponseEnd;
-import org.sardineport.core.quarantine.CrashEvidence;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
@@ -61,7 +60,7 @@
 	 * @param server the backend server that sends the response
 	 */
 	void observe(BackendServer server) {
-		this.connections.keepSecondOpen(server);
+		this.connections.keepIdleOpen(server);
 	}
 
 	/**
@@ -88,21 +87,27 @@
 	}
 
 	private void look(BackendProcess process, List<BackendConnection> others, long since, Promise<ResponseEnd> result) {
-		CrashEvidence evidence = CrashDetector.evidence(others, since);
 		boolean over = this.clock.millis() - since >= CrashDetector.WINDOW.toMillis();
-		if (over || evidence.responding() > 0 || evidence.closedByServer() == evidence.others()) {
-			decide(process, evidence, this.clock.millis() - since, result);
+		boolean answered = others.stream().anyMatch((each) -> each.hasAnsweredSince(since));
+		long watched = others.stream().filter((each) -> each.isWatchedSince(since)).count();
+		if (over || answered || watched == 0) {
+			decide(process, others, answered, watched, this.clock.millis() - since, result);
 		}
 		else {
 			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(process, others, since, result));
 		}
 	}
 
-	private void decide(BackendProcess process, CrashEvidence evidence, long afterMillis, Promise<ResponseEnd> result) {
-		ResponseEnd end = evidence.indicatesCrash() ? ResponseEnd.CLOSED : ResponseEnd.CLOSED_BY_LIVE_PROCESS;
+	// Other responses that end with their connections may end at the same time, so that
+	// a closed connection alone is no sign of a crash. Data that comes now may have been
+	// sent before, unless it answers a later request.
+	private void decide(BackendProcess process, List<BackendConnection> others, boolean answered, long watched,
+			long afterMillis, Promise<ResponseEnd> result) {
+		ResponseEnd end = (answered || watched > 0) ? ResponseEnd.CLOSED_BY_LIVE_PROCESS : ResponseEnd.CLOSED;
+		long closed = others.stream().filter(BackendConnection::isClosedByServer).count();
 		LOG.info("response.ended-by-close", "backend-server", process.server(), "end", end.label(), "connections",
-				evidence.others(), "closed", evidence.closedByServer(), "responding", evidence.responding(),
-				"decided-after-ms", afterMillis);
+				others.size(), "closed", closed, "watched", watched, "answered", answered, "decided-after-ms",
+				afterMillis);
 		this.telemetry.counter("responses.ended." + end.label()).inc();
 		result.complete(end);
 	}
