Do not strike a live server that has nothing to add to a stream

Review of the fix: a backend server that is asked to go on with a stream, has no event to add and closes the connection answered correctly, but ended as a broken connection, so that three of them would isolate it. It ends as nothing-more now, a completed run. The time for a confirmation does not end a stream while another backend server has begun to send an event.

--- a/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
+++ b/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
@@ -30,6 +30,12 @@
 	 */
 	UNCONFIRMED(true, RunEnd.COMPLETED, RetryReason.END_UNCONFIRMED),
 
+	/**
+	 * The backend server, which goes on, had no event to continue the stream with, and
+	 * did not state that.
+	 */
+	NOTHING_MORE(true, RunEnd.COMPLETED, RetryReason.END_UNCONFIRMED),
+
 	/** The backend server sent nothing within the timeout. */
 	SILENT(true, RunEnd.TIMED_OUT, RetryReason.BACKEND_SILENT);
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -95,6 +95,9 @@
 
 	private @Nullable Duration timeToFirstData;
 
+	/** When the response ended, which may be before that is judged. */
+	private long endedAtMillis = -1;
+
 	Attempt(RelayServices services, AttemptPlan plan, AttemptListener listener) {
 		this.vertx = services.vertx();
 		this.clock = services.clock();
@@ -229,7 +232,11 @@
 		TokenEstimate estimate = this.plan.estimate();
 		int responseTokens = this.splitter.eventCount() * this.plan.tokensPerEvent();
 		return new RunMeasurement(end, estimate.prompt(), RunMeasurement.CACHE_NOT_REPORTED, responseTokens,
-				this.timeToFirstData, Duration.ofMillis(this.clock.millis() - this.startedAtMillis));
+				this.timeToFirstData, Duration.ofMillis(endMillis() - this.startedAtMillis));
+	}
+
+	private long endMillis() {
+		return (this.endedAtMillis >= 0) ? this.endedAtMillis : this.clock.millis();
 	}
 
 	private void restartDataTimer(@Nullable Duration timeout) {
@@ -430,6 +437,7 @@
 			return;
 		}
 		stopTimers();
+		this.endedAtMillis = this.clock.millis();
 		this.liveness.endOf(this.plan.server(), connection, isStream(responseHead)).onSuccess(this::judge);
 	}
 
@@ -443,9 +451,18 @@
 		switch (end.judge(content)) {
 			case COMPLETE -> complete(responseHead, responseHeaders);
 			case UNCONFIRMED -> fail(AttemptEnd.UNCONFIRMED, "the stream may be whole");
-			case INCOMPLETE -> fail((end == ResponseEnd.STATED) ? AttemptEnd.INVALID : AttemptEnd.BROKEN,
-					"the response ended by %s, %s".formatted(end.label(), content));
+			case INCOMPLETE ->
+				fail(endOfAttempt(end, content), "the response ended by %s, %s".formatted(end.label(), content));
+		}
+	}
+
+	private AttemptEnd endOfAttempt(ResponseEnd end, ContentEnd content) {
+		if (end == ResponseEnd.STATED) {
+			return AttemptEnd.INVALID;
 		}
+		boolean nothingMore = end == ResponseEnd.CLOSED_BY_LIVE_PROCESS && content == ContentEnd.BEFORE_FIRST_EVENT
+				&& this.plan.isResumed();
+		return nothingMore ? AttemptEnd.NOTHING_MORE : AttemptEnd.BROKEN;
 	}
 
 	private ContentEnd contentEnd(ResponseHead responseHead) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -105,7 +105,7 @@
 		this.version = version;
 		this.report = report;
 		this.listener = listener;
-		this.unconfirmedEnd = new UnconfirmedEnd(services, this::acceptUnconfirmedEnd);
+		this.unconfirmedEnd = new UnconfirmedEnd(services, this::confirmationTimedOut);
 	}
 
 	void start() {
@@ -213,6 +213,15 @@
 		return this.unconfirmedEnd.isPending();
 	}
 
+	private void confirmationTimedOut() {
+		if (this.active.haveRest()) {
+			this.unconfirmedEnd.refuted();
+		}
+		else {
+			acceptUnconfirmedEnd();
+		}
+	}
+
 	/**
 	 * Ends the response as complete, as no other attempt continues it in time.
 	 */
