Close connections on which bytes wait that belong to no request

Cause: the HTTP client closes a connection on which a whole head comes while no request runs, but a part of a head, or any bytes without a line end, wait in its decoder and become the beginning of the next response. The pool could not see them.

Change: before a kept connection is used, a blank line is given to its decoder. Between two responses that means nothing; it ends a head that has begun, and the client closes the connection, as it does for a whole one. Nothing is written there then, and the next idle connection or a new one is taken.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -96,6 +96,14 @@
 		return this.clock.millis() >= this.idleUntil;
 	}
 
+	/**
+	 * Returns whether bytes have arrived that belong to no request.
+	 * @return whether the connection, on which no request runs, must not be used again
+	 */
+	boolean hasSurplusBytes() {
+		return SurplusBytes.areOn(this.connection);
+	}
+
 	boolean isIdleLongerThan(long millis) {
 		return this.clock.millis() - this.idleSince > millis;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -58,17 +58,23 @@
 	}
 
 	/**
-	 * Takes the most recently used idle connection and closes those that have expired.
+	 * Takes the most recently used idle connection and closes those that have expired or
+	 * have received bytes that belong to no request.
 	 * @param maxIdle maximum time for which it may have been idle
 	 * @return the connection, or {@code null} if there is none
 	 */
 	@Nullable BackendConnection takeIdle(Duration maxIdle) {
 		closeIdle(BackendConnection::hasExpired);
-		BackendConnection mostRecent = this.idle.peekFirst();
-		if (mostRecent == null || mostRecent.isIdleLongerThan(maxIdle.toMillis())) {
+		BackendConnection mostRecent = this.idle.pollFirst();
+		while (mostRecent != null && mostRecent.hasSurplusBytes()) {
+			mostRecent.close();
+			mostRecent = this.idle.pollFirst();
+		}
+		if (mostRecent != null && mostRecent.isIdleLongerThan(maxIdle.toMillis())) {
+			this.idle.addFirst(mostRecent);
 			return null;
 		}
-		return this.idle.removeFirst();
+		return mostRecent;
 	}
 
 	/**
