Pass no informational response on as the answer

What callers saw in the test: a backend server that sent "102 Processing" or 199 before its response, or 101 though nobody asked for another protocol, made that the answer of the caller, with an empty body, also for requests that may run only once; the response itself was lost.

Cause: the HTTP client knows only 100 and 103 as informational and takes any other 1xx for the response; an attempt accepted each status below 500 that bears the right id.

Change: a filter before the client's handler drops informational responses but 101, and a response with a status below 200 is not intact, so that 101 counts as an invalid response.

--- a/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
@@ -76,11 +76,11 @@
 
 	/**
 	 * Returns whether the response can be forwarded unchanged.
-	 * @return {@code true} if the body has no unrequested encoding and a successful
-	 * response is signed
+	 * @return {@code true} if the status is a final one, the body has no unrequested
+	 * encoding and a successful response is signed
 	 */
 	public boolean isIntact() {
-		return !this.encoded && (!isSuccess() || this.signed);
+		return this.status >= MIN_SUCCESS_STATUS && !this.encoded && (!isSuccess() || this.signed);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -261,7 +261,7 @@
 			fail(AttemptEnd.INVALID, "the answer has another transfer encoding than chunked");
 		}
 		else if (!responseHead.isIntact()) {
-			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, or encoded");
+			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, not final, or encoded");
 		}
 		else if (this.plan.isResumed() && !mayContinueStream(responseHead)) {
 			fail(AttemptEnd.FAILED, "status " + status + " in place of the rest of a stream");
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -43,6 +43,7 @@
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
+		InformationalResponseFilter.install(this.connection);
 	}
 
 	HttpClientConnection http() {
