--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -54,6 +54,7 @@
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
+		InformationalResponseFilter.install(this.connection);
 	}
 
 	HttpClientConnection http() {
@@ -156,6 +157,14 @@
 		return !isReserved() && this.clock.millis() >= this.idleUntil;
 	}
 
+	/**
+	 * Returns whether bytes have arrived that belong to no request.
+	 * @return whether the connection, on which no request runs, must not be used again
+	 */
+	boolean hasSurplusBytes() {
+		return SurplusBytes.areOn(this.connection);
+	}
+
 	boolean isIdleLongerThan(long millis) {
 		return this.clock.millis() - this.idleSince > millis;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -72,13 +72,18 @@
 
 	/**
 	 * Takes the most recently used idle connection that is not reserved, and closes those
-	 * that have expired.
+	 * that have expired or have received bytes that belong to no request.
 	 * @param maxIdle maximum time for which it may have been idle
 	 * @return the connection, or {@code null} if there is none
 	 */
 	@Nullable BackendConnection takeIdle(Duration maxIdle) {
 		closeIdle(BackendConnection::hasExpired);
-		BackendConnection mostRecent = this.idle.stream().filter((each) -> !each.isReserved()).findFirst().orElse(null);
+		BackendConnection mostRecent = mostRecentIdle();
+		while (mostRecent != null && mostRecent.hasSurplusBytes()) {
+			this.idle.remove(mostRecent);
+			mostRecent.close();
+			mostRecent = mostRecentIdle();
+		}
 		if (mostRecent == null || mostRecent.isIdleLongerThan(maxIdle.toMillis())) {
 			return null;
 		}
@@ -86,6 +91,10 @@
 		return mostRecent;
 	}
 
+	private @Nullable BackendConnection mostRecentIdle() {
+		return this.idle.stream().filter((each) -> !each.isReserved()).findFirst().orElse(null);
+	}
+
 	/**
 	 * Closes idle connections.
 	 * @param condition which of them
