Tell the end of a process by connections that go on after responses

What callers see: a whole response without a length and chunks, of a backend server that goes on, is cut off visibly (or answered 502) at its end, if another such response of the same process ended within 300 ms.

Cause: ProcessLiveness looked at all other connections to the process. A live process closes those of such responses, too, which counted as evidence of a crash; and the second connection was not opened if two were busy with such responses.

Both cases of the new test fail on: of four calls at two servers, some are cut off or answered with an error.

Change: a connection whose response ends with it is marked when the head is received. Only the others show whether the process goes on, and one of these is kept open beside them. Both cases pass with it, and UnframedResponseTests (8) and StreamEndTests (16) with them.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -266,8 +266,15 @@
 		else if (this.plan.isResumed() && !mayContinueStream(responseHead)) {
 			fail(AttemptEnd.FAILED, "status " + status + " in place of the rest of a stream");
 		}
-		else if (isEndedByClose()) {
-			this.liveness.observe(this.plan.server());
+		else {
+			observeIfEndedByClose();
+		}
+	}
+
+	private void observeIfEndedByClose() {
+		BackendConnection connection = connection();
+		if (connection != null && isEndedByClose()) {
+			this.liveness.observe(this.plan.server(), connection);
 		}
 	}
 
@@ -298,9 +305,7 @@
 		this.lastDataAtMillis = this.clock.millis();
 		this.silent = false;
 		restartDataTimer(this.plan.gapTimeout());
-		if (isEndedByClose()) {
-			this.liveness.observe(this.plan.server());
-		}
+		observeIfEndedByClose();
 		if (isStream(responseHead)) {
 			forwardEvents(responseHead, bytes);
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -30,6 +30,8 @@
 
 	private boolean closedHere;
 
+	private boolean endedByResponse;
+
 	private long closedByServerAt = NEVER;
 
 	private long idleSince;
@@ -79,6 +81,22 @@
 		}
 	}
 
+	/**
+	 * Records that the connection carries a response that ends with it.
+	 */
+	void recordEndedByResponse() {
+		this.endedByResponse = true;
+	}
+
+	/**
+	 * Returns whether the connection ends with a response, so that its end does not tell
+	 * whether the process goes on.
+	 * @return {@code true} once the head of such a response was received
+	 */
+	boolean isEndedByResponse() {
+		return this.endedByResponse;
+	}
+
 	void recordData() {
 		this.lastDataAt = this.clock.millis();
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -187,12 +187,13 @@
 	}
 
 	/**
-	 * Opens another connection to a process if only one is open.
+	 * Opens another connection to a process if all that are open end with their
+	 * responses.
 	 * @param server the backend server
 	 */
-	void keepSecondOpen(BackendServer server) {
+	void keepLastingOpen(BackendServer server) {
 		ProcessConnections connections = this.processes.get(server.process());
-		if (connections != null && !connections.hasSeveral()) {
+		if (connections != null && !connections.hasLasting()) {
 			verifyPath(server);
 		}
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -49,8 +49,12 @@
 		}
 	}
 
-	boolean hasSeveral() {
-		return this.open.size() > 1;
+	/**
+	 * Returns whether a connection is open that goes on after the responses that run.
+	 * @return whether its end would show that the process ends
+	 */
+	boolean hasLasting() {
+		return this.open.stream().anyMatch((connection) -> !connection.isEndedByResponse());
 	}
 
 	boolean isEmpty() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -55,13 +55,15 @@
 	}
 
 	/**
-	 * Keeps a connection to the process open beside that of a response which ends with
-	 * its connection. Called with each part of such a response, as connections that stay
-	 * idle are closed.
+	 * Keeps a connection to the process open beside those of responses which end with
+	 * their connections. Called with each part of such a response, as connections that
+	 * stay idle are closed.
 	 * @param server the backend server that sends the response
+	 * @param connection the connection that ends with the response
 	 */
-	void observe(BackendServer server) {
-		this.connections.keepSecondOpen(server);
+	void observe(BackendServer server, BackendConnection connection) {
+		connection.recordEndedByResponse();
+		this.connections.keepLastingOpen(server);
 	}
 
 	/**
@@ -81,12 +83,20 @@
 	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended) {
 		long now = this.clock.millis();
 		long window = CrashDetector.WINDOW.toMillis();
-		List<BackendConnection> others = this.connections.others(process, ended, ended.closedAt(now) - window);
+		List<BackendConnection> others = lastingOthers(process, ended, ended.closedAt(now) - window);
 		Promise<ResponseEnd> result = Promise.promise();
 		look(process, others, now, result);
 		return result.future();
 	}
 
+	// A live process closes those that end with their responses, too.
+	private List<BackendConnection> lastingOthers(BackendProcess process, BackendConnection ended, long closedSince) {
+		return this.connections.others(process, ended, closedSince)
+			.stream()
+			.filter((each) -> !each.isEndedByResponse())
+			.toList();
+	}
+
 	private void look(BackendProcess process, List<BackendConnection> others, long since, Promise<ResponseEnd> result) {
 		CrashEvidence evidence = CrashDetector.evidence(others, since);
 		boolean over = this.clock.millis() - since >= CrashDetector.WINDOW.toMillis();
