Bound what one response brings in a turn of the event loop

What callers saw: a backend server that sends chunks of one byte, or "100 Continue", without end delays the requests of all other routes by seconds.

Cause: a turn was bounded in bytes only (16 reads of 64 KB, some 170,000 chunks of one byte), each chunk went through all layers by itself, and interim responses were not counted at all.

Change: a handler in the pipeline of each connection to a backend server joins the small parts of a turn, and ends a response as malformed after 8 interim heads, or 4000 tiny parts in a row without a whole event.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
@@ -87,6 +87,7 @@
 		if (this.ended) {
 			return;
 		}
+		ResponseParts.install(request.connection());
 		request.exceptionHandler(this::fail);
 		request.response().onSuccess(this::onHead).onFailure(this::fail);
 		if (body.length() == 0) {
