--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -54,6 +54,7 @@
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
+		ResponseParts.install(this.connection);
 		InformationalResponseFilter.install(this.connection);
 	}
 
