Do not take the next process of a backend server for the one that ended

What callers see: a stream without a length and chunks, on a route that may not be resumed, ends as complete when its backend server is killed and starts again within about 1.5 s.

Cause: ProcessLiveness waits for a connection that is being opened when the response ends, however long that takes. If the process is killed meanwhile, that attempt goes on through other daemons and reaches the next process, which looks as if the first one went on.

ProcessLivenessTests.connectionThatIsOpenedLaterShowsNothing failed before.

Change: a connection counts only if it was opened within 300 ms (the window of CrashDetector) after the end, and is waited for no longer.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -1,8 +1,10 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -16,8 +18,9 @@
 
 /**
  * Finds out whether the process of a backend server goes on after one of its connections
- * has ended, from connections that were open before. A new connection would prove
- * nothing, as a proxy or the next process accepts it, too. Confined to the event loop.
+ * has ended, from connections that were open before or were just being opened. One that
+ * is opened later would prove nothing, as a proxy or the next process accepts it, too.
+ * Confined to the event loop.
  */
 final class ProcessLiveness {
 
@@ -70,30 +73,35 @@
 	 * Finds out how a response ended whose connection has ended.
 	 * @param server the backend server
 	 * @param ended the connection
-	 * @return how it ended, within {@link CrashDetector#WINDOW} after a connection that
-	 * is being opened; never fails
+	 * @return how it ended, within twice {@link CrashDetector#WINDOW}; never fails
 	 */
 	Future<ResponseEnd> endOf(BackendServer server, BackendConnection ended) {
 		if (ended.helper() != null) {
 			return Future.succeededFuture(ResponseEnd.CLOSED_BY_HELPER);
 		}
-		return this.connections.ongoingCheck(server).compose((ignored) -> lookAtOthers(server.process(), ended));
+		long endedAt = ended.closedAt(this.clock.millis());
+		return this.connections.ongoingCheck(server)
+			.timeout(CrashDetector.WINDOW.toMillis(), TimeUnit.MILLISECONDS)
+			.otherwiseEmpty()
+			.compose((ignored) -> lookAtOthers(server.process(), ended, endedAt));
 	}
 
-	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended) {
+	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, long endedAt) {
 		long now = this.clock.millis();
-		long window = CrashDetector.WINDOW.toMillis();
-		List<BackendConnection> others = lastingOthers(process, ended, ended.closedAt(now) - window);
+		List<BackendConnection> others = lastingOthers(process, ended, endedAt);
 		Promise<ResponseEnd> result = Promise.promise();
 		look(process, others, now, result);
 		return result.future();
 	}
 
-	// A live process closes those that end with their responses, too.
-	private List<BackendConnection> lastingOthers(BackendProcess process, BackendConnection ended, long closedSince) {
-		return this.connections.others(process, ended, closedSince)
+	// A live process closes those that end with their responses, too. One that was opened
+	// later may lead to the next process.
+	private List<BackendConnection> lastingOthers(BackendProcess process, BackendConnection ended, long endedAt) {
+		long window = CrashDetector.WINDOW.toMillis();
+		Instant latestOpening = Instant.ofEpochMilli(endedAt + window);
+		return this.connections.others(process, ended, endedAt - window)
 			.stream()
-			.filter((each) -> !each.isEndedByResponse())
+			.filter((each) -> !each.isEndedByResponse() && !each.openedAt().isAfter(latestOpening))
 			.toList();
 	}
 
