Refuse a success without the rest also where callers take a stream up

What callers see: a stream that its caller takes up at another daemon with Last-Event-Id ends with 204 before its last event.

Cause: such responses were refused only in attempts that follow another attempt of the same daemon; the first attempt of a request that takes a stream up was judged as one of a new stream.

Change: the plan of an attempt says whether the caller has earlier events, and a success that is no stream with content is a failed attempt then. Errors are passed on as before.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -263,7 +263,7 @@
 		else if (!responseHead.isIntact()) {
 			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, or encoded");
 		}
-		else if (this.plan.isResumed() && !mayContinueStream(responseHead)) {
+		else if (isInPlaceOfRest(responseHead)) {
 			fail(AttemptEnd.FAILED, "status " + status + " in place of the rest of a stream");
 		}
 		else {
@@ -278,6 +278,13 @@
 		}
 	}
 
+	// Errors of a request that takes a stream up are its caller's; a success without the
+	// rest would end the stream.
+	private boolean isInPlaceOfRest(ResponseHead responseHead) {
+		boolean needsRest = this.plan.isResumed() || (this.plan.isTakenUp() && responseHead.isSuccess());
+		return needsRest && !mayContinueStream(responseHead);
+	}
+
 	private boolean mayContinueStream(ResponseHead responseHead) {
 		return isStream(responseHead) && framing() != ResponseFraming.NO_BODY;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlan.java
@@ -27,6 +27,8 @@
  * @param tokensPerEvent tokens that one event of the response holds
  * @param lastEventId identity of the last event that the caller has received; -1 if none
  * @param isResumed whether an earlier attempt has passed on a part of the response
+ * @param isTakenUp whether the caller has earlier events of the stream from another
+ * request
  * @param maxConnectionIdle maximum time for which a reused connection may have been idle
  * @param firstDataTimeout time without data after which the backend server is reported as
  * silent, or {@code null} if that is of no use
@@ -35,7 +37,7 @@
  */
 record AttemptPlan(RelayProtocol protocol, Permit permit, String requestId, String method, String target,
 		MultiMap headers, Buffer body, Instant latestSend, TokenEstimate estimate, int tokensPerEvent, long lastEventId,
-		boolean isResumed, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
+		boolean isResumed, boolean isTakenUp, Duration maxConnectionIdle, @Nullable Duration firstDataTimeout,
 		@Nullable Duration gapTimeout) {
 
 	AttemptPlan {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/AttemptPlanner.java
@@ -223,7 +223,8 @@
 		return new AttemptPlan(this.services.protocol(), permit, head.requestId(), head.method(), head.target(),
 				this.services.protocol().backendRequestHeaders(this.request.headers(), added), this.request.body(),
 				this.request.latestResponse(), estimate(), tokensPerEvent(), lastEventId, progress.isResponseStarted(),
-				maxConnectionIdle(), replaceable ? firstDataTimeout() : null, replaceable ? EVENT_GAP_TIMEOUT : null);
+				this.route.streams() && head.resumedStream() != null, maxConnectionIdle(),
+				replaceable ? firstDataTimeout() : null, replaceable ? EVENT_GAP_TIMEOUT : null);
 	}
 
 	private int tokensPerEvent() {
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -81,7 +81,7 @@
 				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
 				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), latestSend, TokenEstimate.NONE, 1, NO_EVENT,
-				false, Duration.ofSeconds(1), null, null);
+				false, false, Duration.ofSeconds(1), null, null);
 		return new Attempt(services, plan, listener);
 	}
 
