--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -15,14 +16,21 @@
 
 /**
  * Finds out whether the process of a backend server goes on after one of its connections
- * has ended, from connections that were open before. A new connection would prove
- * nothing, as a proxy or the next process accepts it, too. Confined to the event loop.
+ * has ended, from connections that were open before or were just being opened. One that
+ * is opened later would prove nothing, as a proxy or the next process accepts it, too.
+ * Confined to the event loop.
  */
 final class ProcessLiveness {
 
 	/** Interval between two looks at the connections of a process. */
 	private static final Duration LOOK_INTERVAL = Duration.ofMillis(20);
 
+	/**
+	 * Maximum time for which a connection is waited for that is being opened when a
+	 * response ends.
+	 */
+	private static final Duration OPENING_WINDOW = Duration.ofMillis(300);
+
 	/** Maximum time that the whole answer to a request waits. */
 	private static final Duration ANSWER_WINDOW = Duration.ofMillis(100);
 
@@ -82,20 +90,32 @@
 		if (ended.helper() != null) {
 			return Future.succeededFuture(ResponseEnd.CLOSED_BY_HELPER);
 		}
+		long endedAt = ended.closedAt(this.clock.millis());
+		Duration window = stream ? STREAM_WINDOW : ANSWER_WINDOW;
 		return this.connections.ongoingCheck(server)
-			.compose((ignored) -> lookAtOthers(server.process(), ended, stream));
+			.timeout(OPENING_WINDOW.toMillis(), TimeUnit.MILLISECONDS)
+			.otherwiseEmpty()
+			.compose((ignored) -> lookAtOthers(server.process(), ended, endedAt, window));
 	}
 
-	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, boolean stream) {
+	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, long endedAt,
+			Duration window) {
 		long now = this.clock.millis();
-		Duration window = stream ? STREAM_WINDOW : ANSWER_WINDOW;
-		List<BackendConnection> others = this.connections.others(process, ended,
-				ended.closedAt(now) - CrashDetector.WINDOW.toMillis());
+		List<BackendConnection> others = this.connections
+			.others(process, ended, endedAt - CrashDetector.WINDOW.toMillis())
+			.stream()
+			.filter((each) -> isOfTheSameProcess(each, endedAt))
+			.toList();
 		Promise<ResponseEnd> result = Promise.promise();
 		look(process, others, now, window, result);
 		return result.future();
 	}
 
+	// One that was opened later may lead to the next process.
+	private static boolean isOfTheSameProcess(BackendConnection other, long endedAt) {
+		return other.openedAt().toEpochMilli() <= endedAt + OPENING_WINDOW.toMillis();
+	}
+
 	private void look(BackendProcess process, List<BackendConnection> others, long since, Duration window,
 			Promise<ResponseEnd> result) {
 		boolean over = this.clock.millis() - since >= window.toMillis();
