Report the version that began a stream once it is certain

What callers saw: a backend server came back under its name with another software version. A stream that began there went on at the former version, if its caller took it up at another daemon at once.

Cause: the daemon told the others the listed version with the first event, though its list was up to a second old and a new connection proves nothing about the process behind it. They took that report for proof; the correction after the next read of the list came too late.

Change: the version that brought the first event is reported once the list has been read after the connection was opened; an early read is asked for. While the list cannot be read, its last state counts after a second, as before. A daemon that finds dispatches only looks up again for up to a second, and then refuses the request as not run. On connections to processes that the list has confirmed nothing waits.

--- a/core/src/main/java/org/sardineport/core/stream/StreamRecord.java
+++ b/core/src/main/java/org/sardineport/core/stream/StreamRecord.java
@@ -83,6 +83,16 @@
 		return this.runs.stream().anyMatch((run) -> run.state() == RunState.BEGUN);
 	}
 
+	/**
+	 * Returns whether attempts were dispatched and it may still become known which of
+	 * them brought the first event.
+	 * @return {@code false} also if nothing is known, or if a report contradicts another
+	 */
+	public boolean isBeginAwaited() {
+		return !this.runs.isEmpty() && !this.isTruncated
+				&& this.runs.stream().allMatch((run) -> run.state().compareTo(RunState.BEGUN) < 0);
+	}
+
 	/**
 	 * Returns the version that began every stream of the key.
 	 * @return the version; {@link StreamOrigin#AMBIGUOUS} if runs differ or one of them
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -196,25 +196,42 @@
 		}
 		SoftwareVersion version = attempt.permit().backendServer().softwareVersion();
 		this.required = version;
-		BegunRun begun = new BegunRun(this.run, version, keepTime());
-		if (this.dispatched.size() > 1) {
-			this.services.origins().begun(begun);
-		}
-		else {
-			this.services.origins().remember(begun);
+		CompletableFuture<Boolean> replaced = isReplaced(attempt);
+		this.beganAtOtherVersion = replaced;
+		if (!replaced.isDone()) {
+			this.services.connections().readListSoon();
 		}
-		this.beganAtOtherVersion = isReplaced(attempt);
-		reportIfReplaced(this.beganAtOtherVersion, this.services.origins(), this.run, keepTime());
+		BegunRun begun = new BegunRun(this.run, version, keepTime());
+		report(replaced, this.services.origins(), begun, this.dispatched.size() > 1);
 	}
 
-	// Keeps no reference to the request, as an outage of the list may last long.
-	private static void reportIfReplaced(CompletableFuture<Boolean> replaced, StreamOriginService origins,
-			StreamRun run, Duration keep) {
+	// Other daemons continue the stream at the version that they are told, so they hear
+	// of
+	// it once it is certain. While the list cannot be read, its last state counts. Keeps
+	// no reference to the request, as an outage of the list may last long.
+	private static void report(CompletableFuture<Boolean> replaced, StreamOriginService origins, BegunRun begun,
+			boolean isAmbiguous) {
 		replaced.thenAccept((isReplaced) -> {
 			if (isReplaced) {
-				origins.contradicted(run, keep);
+				origins.contradicted(begun.run(), begun.keep());
 			}
 		});
+		replaced.copy()
+			.completeOnTimeout(false, LIST_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.thenAccept((isReplaced) -> {
+				if (!isReplaced) {
+					report(origins, begun, isAmbiguous);
+				}
+			});
+	}
+
+	private static void report(StreamOriginService origins, BegunRun begun, boolean isAmbiguous) {
+		if (isAmbiguous) {
+			origins.begun(begun);
+		}
+		else {
+			origins.remember(begun);
+		}
 	}
 
 	private Duration keepTime() {
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -1,11 +1,13 @@
 package org.sardineport.daemon.stream;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -58,6 +60,15 @@
 	 */
 	static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
 
+	/**
+	 * Maximum time for which a lookup waits for the report of the first event. The daemon
+	 * that serves the stream may have to read the list before it reports.
+	 */
+	private static final Duration BEGIN_TIMEOUT = Duration.ofSeconds(1);
+
+	/** Time between two lookups of a stream whose first event is not reported yet. */
+	private static final Duration BEGIN_POLL = Duration.ofMillis(100);
+
 	/** Maximum age of a read of the list that is relied on without another one. */
 	private static final Duration LIST_AGE = Duration.ofMillis(2500);
 
@@ -215,17 +226,33 @@
 
 	/**
 	 * Looks up which version began a stream: in the memory of the daemons, then in the
-	 * store, then by the versions that the pool has run of late.
+	 * store, then by the versions that the pool has run of late. While only dispatches
+	 * are known, it waits for the report of the first event.
 	 * @param key key of the stream
 	 * @param pool pool that the stream began in
 	 * @param timeLimit longest time that a stream of its route may last
 	 * @return the origin; {@link StreamOrigin#UNKNOWN} if it is not proved; never fails
 	 */
 	public CompletionStage<StreamOrigin> find(StreamKey key, PoolName pool, Duration timeLimit) {
+		return findRemembered(key, this.clock.instant().plus(BEGIN_TIMEOUT))
+			.thenCompose((evidence) -> isReliable(evidence) ? CompletableFuture.completedFuture(evidence.origin())
+					: findStored(key, pool, timeLimit, evidence));
+	}
+
+	private CompletionStage<OriginEvidence> findRemembered(StreamKey key, Instant waitUntil) {
 		CompletionStage<OriginEvidence> remembered = answer((listener) -> this.registry.find(key, listener),
 				OriginEvidence.NONE);
-		return remembered.thenCompose((evidence) -> isReliable(evidence)
-				? CompletableFuture.completedFuture(evidence.origin()) : findStored(key, pool, timeLimit, evidence));
+		return remembered.thenCompose((evidence) -> {
+			boolean isFinal = isReliable(evidence) || !evidence.record().isBeginAwaited();
+			return (isFinal || !this.clock.instant().isBefore(waitUntil)) ? CompletableFuture.completedStage(evidence)
+					: findAgain(key, waitUntil);
+		});
+	}
+
+	private CompletionStage<OriginEvidence> findAgain(StreamKey key, Instant waitUntil) {
+		Executor afterPause = CompletableFuture.delayedExecutor(BEGIN_POLL.toMillis(), TimeUnit.MILLISECONDS);
+		return CompletableFuture.supplyAsync(() -> findRemembered(key, waitUntil), afterPause)
+			.thenCompose((found) -> found);
 	}
 
 	// That an attempt was dispatched at a version does not prove that the stream began
--- a/daemon/src/test/java/org/sardineport/daemon/stream/StreamOriginServiceTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/stream/StreamOriginServiceTests.java
@@ -242,6 +242,20 @@
 		assertThat(join(this.services.get(1).find(RUN.key(), POOL, TIME_LIMIT))).isEqualTo(StreamOrigin.of(V1));
 	}
 
+	// A daemon that must read the list before it can say which version brought the first
+	// event reports late, and its callers may come back before that.
+	@Test
+	void lookupWaitsForTheReportOfTheFirstEvent() {
+		this.reads.read(V1, V2);
+		assertThat(join(this.services.get(0).dispatched(RUN, V1, KEEP))).isTrue();
+		CompletionStage<StreamOrigin> found = this.services.get(1).find(RUN.key(), POOL, TIME_LIMIT);
+		while (this.telemetry.get(1).counter("stream-origins.lookups.replica").getCount() == 0) {
+			Thread.onSpinWait();
+		}
+		this.services.get(0).remember(new BegunRun(RUN, V1, KEEP));
+		assertThat(join(found)).isEqualTo(StreamOrigin.of(V1));
+	}
+
 	@Test
 	void streamGoesOnAtTheOnlyVersionAfterTheLossOfAllDaemons() {
 		this.store.state(Map.of(POOL, V1));
