Count the collection of a dead daemon's response as work in flight

Cause: a daemon that takes over a durable request which the failed one had dispatched collects the response from the engine's stream, but only runs of its own were counted. A planned stop saw nothing in flight and ended the collection; the key then had no outcome until another daemon took it over.

It ends at the deadline of the request at the latest.

Evidence: DurableTakeoverTests.collectionOfAResponseCountsAsInFlight- UntilItsEnd failed before with 0 in flight where 1 was expected, and passes now with DispatchedRequestCompletionTests and JournalServiceTests.

--- a/daemon/src/main/java/org/sardineport/daemon/exchange/DurableTakeover.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/DurableTakeover.java
@@ -14,6 +14,7 @@
 import org.sardineport.core.journal.JournalClaim;
 import org.sardineport.core.journal.KeyedRequest;
 import org.sardineport.core.request.Outcome;
+import org.sardineport.core.request.Tier;
 
 /**
  * Takes over durable requests of failed daemons. Requests that were not dispatched are
@@ -71,7 +72,8 @@
 			this.services.journal().finish(run.claim(), Outcome.UNKNOWN, null);
 			return;
 		}
-		new StreamCollector(this.services, run, this.executors.get()).start(server.get());
+		new StreamCollector(this.services, run, this.executors.get(), this.runner.begin(Tier.BATCH))
+			.start(server.get());
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRunner.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/RequestRunner.java
@@ -105,6 +105,17 @@
 		executor.execute(run::start);
 	}
 
+	/**
+	 * Counts work of a tier that is no run of this daemon, such as the collection of a
+	 * response. The in-flight limit does not refuse it.
+	 * @param tier the tier
+	 * @return must be run exactly once, when the work has ended
+	 */
+	Runnable begin(Tier tier) {
+		this.limit.acquireUnchecked(tier);
+		return () -> end(tier);
+	}
+
 	/**
 	 * Returns the number of runs in flight.
 	 * @return the number of runs
--- a/daemon/src/main/java/org/sardineport/daemon/exchange/StreamCollector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/exchange/StreamCollector.java
@@ -32,16 +32,19 @@
 
 	private final ResponseRecorder recorder;
 
+	private final Runnable onEnd;
+
 	private Runnable cancelDeadline = () -> {
 	};
 
 	private boolean finished;
 
-	StreamCollector(RunServices services, DispatchedRun run, SerialExecutor executor) {
+	StreamCollector(RunServices services, DispatchedRun run, SerialExecutor executor, Runnable onEnd) {
 		this.services = services;
 		this.run = run;
 		this.executor = executor;
 		this.recorder = new ResponseRecorder(services.maxResponseBytes());
+		this.onEnd = onEnd;
 	}
 
 	void start(BackendServer server) {
@@ -81,6 +84,7 @@
 			this.finished = true;
 			this.cancelDeadline.run();
 			this.services.journal().finish(this.run.claim(), outcome, answer);
+			this.onEnd.run();
 		}
 	}
 
