Say in refusals that no backend server of a pool is listed

Cause: a pending request starts with the denial "isolated", so a request that asked nobody, as its pool has no listed server, was refused with "the backend servers of the pool that were asked failed lately". This sent the search for the refusals of a daemon that had just started in the wrong direction.

Change: where the pool is not known, the refusal says so. Reason, status and delay stay.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -104,8 +104,11 @@
 	 */
 	String describeLack(PendingRequest pending) {
 		PoolRouter router = this.directory.router(pending.request().pool());
+		if (router == null) {
+			return "no backend server of the pool is listed as live";
+		}
 		SoftwareVersion required = pending.request().requiredVersion();
-		if (required == null || router == null || router.hasVersion(required)) {
+		if (required == null || router.hasVersion(required)) {
 			return describe(pending.denial());
 		}
 		return "no backend server of the pool runs software version " + required;
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerFaultTests.java
@@ -180,6 +180,16 @@
 		assertThat(caller.refusal().reason()).isEqualTo(RefusalReason.NO_BACKEND_SERVER);
 	}
 
+	// The refusal said that backend servers had failed where none was listed.
+	@Test
+	void refusalForWantOfAnyServerDoesNotSpeakOfFailures() {
+		SchedulingFixture fleet = new SchedulingFixture().daemons("a");
+		fleet.publishFleet();
+		Caller caller = fleet.submit("a", Tier.STANDARD);
+		assertThat(caller.refusal().reason()).isEqualTo(RefusalReason.NO_BACKEND_SERVER);
+		assertThat(caller.refusal().detail()).isEqualTo("no backend server of the pool is listed as live");
+	}
+
 	@Test
 	void loadAdmittedByOtherOwnersCounts() {
 		SchedulingFixture fleet = SchedulingFixture.singleDaemon(4);
