--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -114,7 +114,7 @@
 		this.passed = time;
 		return onContext(() -> {
 			this.connections.verifyPath(this.server);
-			return this.liveness.endOf(this.server, ended);
+			return this.liveness.endOf(this.server, ended, true);
 		});
 	}
 
