--- a/bench/src/main/java/org/sardineport/bench/Main.java
+++ b/bench/src/main/java/org/sardineport/bench/Main.java
@@ -8,6 +8,7 @@
 import org.sardineport.bench.fleet.FleetMeasurement;
 import org.sardineport.bench.journal.JournalMeasurement;
 import org.sardineport.bench.policy.PolicyMeasurement;
+import org.sardineport.bench.response.ResponsePartsMeasurement;
 import org.sardineport.bench.slope.SlopeCommand;
 
 /**
@@ -16,7 +17,7 @@
  */
 @Cli(name = "bench", description = "Measurements of sardineport", defaultCommand = Help.class,
 		commands = { Help.class, ConfigurationMeasurement.class, DecisionMeasurement.class, FleetMeasurement.class,
-				JournalMeasurement.class, PolicyMeasurement.class, SlopeCommand.class })
+				JournalMeasurement.class, PolicyMeasurement.class, ResponsePartsMeasurement.class, SlopeCommand.class })
 public final class Main {
 
 	/** Exit code if every target was met. */
