Take no connection that replaces a closed one for a sign of life

Cause, by response.ended-by-close: connections=2 closed=1 watched=1. The idle connection that is reserved for the judgement closes with the process while parts of the answer still wait to be read; the next part opened another one, which led to the process that has started again, and counted as open.

Now a connection counts if it was asked for before the response was observed first, or if an idle one that did so stayed open beside it for 100 ms. So that servers may close idle connections, the reserved one is replaced by a new one every 2 s, while it is open.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -299,8 +299,9 @@
 	}
 
 	private void observeProcess() {
-		if (isEndedByClose()) {
-			this.liveness.observe(this.plan.server());
+		BackendConnection connection = connection();
+		if (connection != null && isEndedByClose()) {
+			this.liveness.observe(this.plan.server(), connection);
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 
@@ -24,8 +25,15 @@
 
 	private final InstantSource clock;
 
+	private final Instant requestedAt;
+
 	private final Instant openedAt;
 
+	/** Since when the process behind the connection is known to be the same one. */
+	private long sameProcessSince;
+
+	private long observedAt = NEVER;
+
 	private long lastDataAt;
 
 	private long sentAt;
@@ -47,13 +55,15 @@
 
 	private long idleUntil;
 
-	BackendConnection(OpenedConnection opened, BackendProcess process, InstantSource clock) {
+	BackendConnection(OpenedConnection opened, BackendProcess process, InstantSource clock, Instant requestedAt) {
 		this.connection = opened.http();
 		this.helper = opened.helper();
 		this.process = process;
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
+		this.requestedAt = requestedAt;
+		this.sameProcessSince = requestedAt.toEpochMilli();
 		ResponseParts.install(this.connection);
 		InformationalResponseFilter.install(this.connection);
 	}
@@ -78,6 +88,57 @@
 		return this.openedAt;
 	}
 
+	/**
+	 * Returns since when the process behind the connection is known to be the same one:
+	 * since the connection was asked for, or earlier if others show it.
+	 * @return the time
+	 */
+	long sameProcessSince() {
+		return this.sameProcessSince;
+	}
+
+	/**
+	 * Records that another connection to the same process is open and idle.
+	 * @param since since when the process of the other one is known to be the same
+	 */
+	void recordSameProcess(long since) {
+		this.sameProcessSince = Math.min(this.sameProcessSince, since);
+	}
+
+	/**
+	 * Records that the backend server has closed an idle connection, so that one that was
+	 * opened shortly before may lead to the next process already.
+	 * @param overlap how long both must have been open to lead to the same process
+	 */
+	void recordIdleClosed(Duration overlap) {
+		if (this.clock.millis() - this.openedAt.toEpochMilli() < overlap.toMillis()) {
+			this.sameProcessSince = this.requestedAt.toEpochMilli();
+		}
+	}
+
+	/**
+	 * Records that the current response ends with the connection, and that the process is
+	 * observed by others from now on.
+	 */
+	void recordObserved() {
+		this.observedAt = this.clock.millis();
+	}
+
+	boolean isObserved() {
+		return this.observedAt != NEVER;
+	}
+
+	/**
+	 * Returns whether another connection leads to the process that began the current
+	 * response.
+	 * @param other the other connection
+	 * @return {@code false} also if it may lead to the next process, which has started
+	 * since
+	 */
+	boolean isOfSameProcess(BackendConnection other) {
+		return other.sameProcessSince <= this.observedAt;
+	}
+
 	/**
 	 * Closes the connection. It does not count as closed by the backend server then.
 	 */
@@ -97,6 +158,7 @@
 	 */
 	void recordSent() {
 		this.sentAt = this.clock.millis();
+		this.observedAt = NEVER;
 	}
 
 	void recordData() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -1,6 +1,7 @@
 package org.sardineport.daemon.relay;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -52,6 +53,15 @@
 	/** Time for which a connection is kept that was opened for a check. */
 	private static final Duration CHECKED_IDLE_TIME = Duration.ofSeconds(1);
 
+	/**
+	 * Time for which an idle connection is not used after a part of a response that ends
+	 * with its connection: longer than such a response pauses.
+	 */
+	private static final Duration RESERVED_TIME = Duration.ofSeconds(10);
+
+	/** Age of such a connection from which it is replaced by a new one. */
+	private static final Duration MAX_RESERVED_IDLE = Duration.ofSeconds(2);
+
 	private final Vertx vertx;
 
 	private final InstantSource clock;
@@ -136,7 +146,7 @@
 		if (reused != null) {
 			return Future.succeededFuture(reused);
 		}
-		return this.connector.connect(server).map((connection) -> opened(process, connection));
+		return open(server);
 	}
 
 	/**
@@ -178,8 +188,7 @@
 			return (ongoing != null) ? ongoing : Future.succeededFuture();
 		}
 		this.checkedAt.put(server.id(), this.clock.millis());
-		Future<Void> check = this.connector.connect(server)
-			.onSuccess((connection) -> release(opened(server.process(), connection), CHECKED_IDLE_TIME))
+		Future<Void> check = open(server).onSuccess((connection) -> release(connection, CHECKED_IDLE_TIME))
 			.<Void>mapEmpty()
 			.otherwiseEmpty();
 		this.checks.put(server.id(), check);
@@ -187,19 +196,37 @@
 	}
 
 	/**
-	 * Keeps an idle connection to a process open, and opens one if there is none. Those
+	 * Makes sure that an idle connection to a process is open, and keeps it so. Those
 	 * with requests may end with their responses, or be paused.
 	 * @param server the backend server
 	 */
-	void keepIdleOpen(BackendServer server) {
-		if (!reserveIdle(server)) {
+	void openIdle(BackendServer server) {
+		if (reserveIdle(server) == null) {
 			verifyPath(server).onComplete((ignored) -> reserveIdle(server));
 		}
 	}
 
-	private boolean reserveIdle(BackendServer server) {
+	/**
+	 * Keeps the idle connection to a process open, and opens another one beside it before
+	 * the backend server closes it for being idle. Opens none if there is none any more,
+	 * as it might lead to the next process.
+	 * @param server the backend server
+	 */
+	void keepIdleOpen(BackendServer server) {
+		BackendConnection reserved = reserveIdle(server);
+		if (reserved != null && reserved.isIdleLongerThan(MAX_RESERVED_IDLE.toMillis())) {
+			verifyPath(server).onComplete((ignored) -> replaceReserved(server, reserved));
+		}
+	}
+
+	private void replaceReserved(BackendServer server, BackendConnection reserved) {
+		reserved.reserve(0);
+		reserveIdle(server);
+	}
+
+	private @Nullable BackendConnection reserveIdle(BackendServer server) {
 		ProcessConnections connections = this.processes.get(server.process());
-		return connections != null && connections.reserveIdle(CHECKED_IDLE_TIME.toMillis());
+		return (connections != null) ? connections.reserveIdle(RESERVED_TIME.toMillis()) : null;
 	}
 
 	/**
@@ -254,8 +281,13 @@
 		return this.processes.values().stream().anyMatch((connections) -> connections.isCarriedBy(helper));
 	}
 
-	private BackendConnection opened(BackendProcess process, OpenedConnection connection) {
-		BackendConnection opened = new BackendConnection(connection, process, this.clock);
+	private Future<BackendConnection> open(BackendServer server) {
+		Instant requestedAt = this.clock.instant();
+		return this.connector.connect(server).map((connection) -> opened(server.process(), connection, requestedAt));
+	}
+
+	private BackendConnection opened(BackendProcess process, OpenedConnection connection, Instant requestedAt) {
+		BackendConnection opened = new BackendConnection(connection, process, this.clock, requestedAt);
 		this.processes.computeIfAbsent(process, (key) -> new ProcessConnections()).add(opened);
 		connection.http().closeHandler((ignored) -> closed(opened));
 		return opened;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -26,6 +26,12 @@
 	/** Maximum number of closed connections that are remembered. */
 	private static final int MAX_CLOSED = 8;
 
+	/**
+	 * Time for which an idle connection must have stayed open beside another one to show
+	 * that both lead to the same process.
+	 */
+	private static final Duration MIN_OVERLAP = Duration.ofMillis(100);
+
 	private final Set<BackendConnection> open = new LinkedHashSet<>();
 
 	/** Idle connections, most recently used first. */
@@ -35,12 +41,17 @@
 	private final Deque<BackendConnection> closed = new ArrayDeque<>();
 
 	void add(BackendConnection connection) {
+		this.idle.stream()
+			.filter((each) -> each.helper() == null)
+			.forEach((each) -> connection.recordSameProcess(each.sameProcessSince()));
 		this.open.add(connection);
 	}
 
 	void remove(BackendConnection connection) {
 		this.open.remove(connection);
-		this.idle.remove(connection);
+		if (this.idle.remove(connection) && connection.isClosedByServer()) {
+			this.open.forEach((each) -> each.recordIdleClosed(MIN_OVERLAP));
+		}
 		if (connection.isClosedByServer()) {
 			this.closed.addFirst(connection);
 		}
@@ -50,20 +61,20 @@
 	}
 
 	/**
-	 * Leaves an idle connection unused for a time, the reserved one if there is any.
+	 * Leaves an idle connection unused for a time: the reserved one if there is any, else
+	 * the one that the backend server keeps open for longest.
 	 * @param millis the time, in milliseconds
-	 * @return {@code false} if none is idle
+	 * @return the connection, or {@code null} if none is idle
 	 */
-	boolean reserveIdle(long millis) {
+	@Nullable BackendConnection reserveIdle(long millis) {
 		BackendConnection chosen = this.idle.stream()
 			.filter(BackendConnection::isReserved)
 			.findFirst()
-			.orElse(this.idle.peekLast());
-		if (chosen == null) {
-			return false;
+			.orElse(this.idle.peekFirst());
+		if (chosen != null) {
+			chosen.reserve(millis);
 		}
-		chosen.reserve(millis);
-		return true;
+		return chosen;
 	}
 
 	boolean isEmpty() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -72,9 +72,16 @@
 	 * its connection. Called with each part of such a response, as connections that stay
 	 * idle are closed.
 	 * @param server the backend server that sends the response
+	 * @param connection the connection of the response
 	 */
-	void observe(BackendServer server) {
-		this.connections.keepIdleOpen(server);
+	void observe(BackendServer server, BackendConnection connection) {
+		if (connection.isObserved()) {
+			this.connections.keepIdleOpen(server);
+		}
+		else {
+			this.connections.openIdle(server);
+			connection.recordObserved();
+		}
 	}
 
 	/**
@@ -104,15 +111,15 @@
 		List<BackendConnection> others = this.connections
 			.others(process, ended, endedAt - CrashDetector.WINDOW.toMillis())
 			.stream()
-			.filter((each) -> isOfTheSameProcess(each, endedAt))
+			.filter((each) -> ended.isOfSameProcess(each) && isOpenedInTime(each, endedAt))
 			.toList();
 		Promise<ResponseEnd> result = Promise.promise();
 		look(process, others, now, window, result);
 		return result.future();
 	}
 
-	// One that was opened later may lead to the next process.
-	private static boolean isOfTheSameProcess(BackendConnection other, long endedAt) {
+	// One that took longer to open may have been accepted by the next process.
+	private static boolean isOpenedInTime(BackendConnection other, long endedAt) {
 		return other.openedAt().toEpochMilli() <= endedAt + OPENING_WINDOW.toMillis();
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -6,13 +6,16 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -44,10 +47,18 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+	/** Indexes of the accepted connections. */
+	private static final int RESPONSE = 0;
+
+	private static final int IDLE = 1;
+
 	private final Vertx vertx = Vertx.vertx();
 
 	private final Context context = this.vertx.getOrCreateContext();
 
+	/** Connections to the backend server that closes none by itself. */
+	private final List<NetSocket> accepted = new CopyOnWriteArrayList<>();
+
 	private volatile Duration passed = Duration.ZERO;
 
 	private final InstantSource clock = () -> Clock.systemUTC().instant().plus(this.passed);
@@ -57,17 +68,27 @@
 	private final ProcessLiveness liveness = ProcessLiveness.create(this.vertx, this.clock, this.connections,
 			Telemetry.create());
 
-	private final BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
-			PoolName.of("pool"), FailureDomain.of("zone"), serverThatClosesItsFirstConnection(), 1);
+	private final BackendServer server = server("server", closingItsFirstConnection());
+
+	private final BackendServer lasting = server("lasting", listening(this.accepted::add));
 
 	@AfterEach
 	void close() {
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	private NetworkAddress serverThatClosesItsFirstConnection() {
+	private static BackendServer server(String id, NetworkAddress address) {
+		return new BackendServer(BackendServerId.of(id), BackendKind.MODEL_ENGINE, PoolName.of("pool"),
+				FailureDomain.of("zone"), address, 1);
+	}
+
+	private NetworkAddress closingItsFirstConnection() {
 		AtomicBoolean closed = new AtomicBoolean();
-		NetServer listening = this.vertx.createNetServer().connectHandler((socket) -> closeOnce(socket, closed));
+		return listening((socket) -> closeOnce(socket, closed));
+	}
+
+	private NetworkAddress listening(Handler<NetSocket> accepted) {
+		NetServer listening = this.vertx.createNetServer().connectHandler(accepted);
 		int port = listening.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
 		return NetworkAddress.of("127.0.0.1", port);
 	}
@@ -101,19 +122,23 @@
 
 	private BackendConnection ended() throws Exception {
 		BackendConnection connection = onContext(() -> this.connections.acquire(this.server, Duration.ZERO));
+		await(() -> onContext(() -> Future.succeededFuture(connection.isClosedByServer())));
+		return connection;
+	}
+
+	private static void await(Callable<Boolean> condition) throws Exception {
 		long deadline = System.nanoTime() + TIMEOUT.toNanos();
-		while (!onContext(() -> Future.succeededFuture(connection.isClosedByServer()))) {
+		while (!condition.call()) {
 			assertThat(System.nanoTime()).as("time").isLessThan(deadline);
 			Thread.sleep(1);
 		}
-		return connection;
 	}
 
 	private ResponseEnd endWithNewConnectionAfter(Duration time) throws Exception {
 		BackendConnection ended = ended();
 		this.passed = time;
 		return onContext(() -> {
-			this.connections.verifyPath(this.server);
+			this.liveness.observe(this.server, ended);
 			return this.liveness.endOf(this.server, ended, true);
 		});
 	}
@@ -131,4 +156,71 @@
 		assertThat(endWithNewConnectionAfter(later)).isEqualTo(ResponseEnd.CLOSED);
 	}
 
+	// Guards against responses of a killed process that are passed on as complete, as the
+	// connection that was kept open beside them is replaced by one to the process that
+	// has started again.
+	@Test
+	void connectionThatReplacesAClosedOneShowsNothing() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		close(IDLE);
+		onContext(() -> this.connections.verifyPath(this.lasting));
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED);
+	}
+
+	// Guards against sound responses that are lost, as the backend server closes
+	// connections that are idle for long.
+	@Test
+	void connectionThatWasOpenBesideAClosedOneShowsThatTheProcessGoesOn() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		this.passed = Duration.ofSeconds(3);
+		observe(response);
+		this.passed = Duration.ofSeconds(4);
+		close(IDLE);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+	}
+
+	// Guards against a connection for each part of a response, at a backend server that
+	// closes those that it has no request on.
+	@Test
+	void noneIsOpenedInPlaceOfAClosedOne() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		close(IDLE);
+		observe(response);
+		observe(response);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED);
+		assertThat(this.accepted).hasSize(2);
+	}
+
+	private BackendConnection response() throws Exception {
+		BackendConnection response = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
+		await(() -> this.accepted.size() == 1);
+		return response;
+	}
+
+	private void observe(BackendConnection response) throws Exception {
+		onContext(() -> {
+			this.liveness.observe(this.lasting, response);
+			return this.connections.ongoingCheck(this.lasting);
+		});
+		await(() -> this.accepted.size() >= onContext(() -> Future.succeededFuture(open())));
+	}
+
+	private ResponseEnd endOf(BackendConnection response) throws Exception {
+		close(RESPONSE);
+		return onContext(() -> this.liveness.endOf(this.lasting, response, true));
+	}
+
+	private void close(int accepted) throws Exception {
+		int before = onContext(() -> Future.succeededFuture(open()));
+		this.accepted.get(accepted).close();
+		await(() -> onContext(() -> Future.succeededFuture(open())) < before);
+	}
+
+	private int open() {
+		return this.connections.others(this.lasting.process(), null, Long.MAX_VALUE).size();
+	}
+
 }
