Leave a replaced idle connection unused while judgements wait for it

A sound answer until close got 502 (ProcessLivenessTests of the platform, answersThatEndAtTheSameTimeAreComplete, once in 4 at a load of 57): the reserved idle connection, over 2 s old, was replaced and given to a request at once, whose answer ended with it. A judgement that had begun before knew no connection that was still open (connections=8 closed=7 watched=0).

The replaced one stays reserved for the time that a judgement takes. The new test finds a request on a connection of its own.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -219,9 +219,13 @@
 		}
 	}
 
+	// Judgements that have begun wait for the replaced one.
 	private void replaceReserved(BackendServer server, BackendConnection reserved) {
-		reserved.reserve(0);
-		reserveIdle(server);
+		ProcessConnections connections = this.processes.get(server.process());
+		if (connections != null) {
+			connections.reserveNewestIdle(RESERVED_TIME.toMillis());
+			reserved.reserve(CrashDetector.WINDOW.toMillis());
+		}
 	}
 
 	private @Nullable BackendConnection reserveIdle(BackendServer server) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -77,6 +77,17 @@
 		return chosen;
 	}
 
+	/**
+	 * Leaves the idle connection unused for a time that was used last.
+	 * @param millis the time, in milliseconds
+	 */
+	void reserveNewestIdle(long millis) {
+		BackendConnection newest = this.idle.peekFirst();
+		if (newest != null) {
+			newest.reserve(millis);
+		}
+	}
+
 	boolean isEmpty() {
 		return this.open.isEmpty();
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -181,6 +181,37 @@
 		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
 	}
 
+	// Guards against sound responses that are lost while the connection that is kept open
+	// beside them is replaced, and the former one is used for a request.
+	@Test
+	void replacedConnectionStaysUnusedWhileAJudgementWaits() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		this.passed = Duration.ofSeconds(3);
+		observe(response);
+		BackendConnection request = onContext(() -> this.connections.acquire(this.lasting, Duration.ofMinutes(1)));
+		assertThat(this.connections.others(this.lasting.process(), null, Long.MAX_VALUE)).hasSize(4)
+			.last()
+			.isSameAs(request);
+	}
+
+	// Guards against responses of an ended process that are passed on as complete, as
+	// data
+	// that it sent on another connection is still being read.
+	@Test
+	void connectionThatStillDeliversDataShowsNothing() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		BackendConnection other = onContext(
+				() -> Future.succeededFuture(this.connections.others(this.lasting.process(), response, 0).get(0)));
+		onContext(() -> {
+			other.recordSent();
+			this.vertx.setPeriodic(5, (id) -> other.recordData());
+			return Future.succeededFuture();
+		});
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED);
+	}
+
 	// Guards against a connection for each part of a response, at a backend server that
 	// closes those that it has no request on.
 	@Test
