Take no connection that still delivers data for a sign of life

A connection shows now that the process goes on if no data has come on it for 20 ms, when what was sent before is read; if none does so within twice the window, the process counts as ended. ProcessWatch holds the rule.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -11,7 +11,6 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.ResponseEnd;
-import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
 
 /**
@@ -37,8 +36,6 @@
 	/** Maximum time that the end of a stream waits, whose events are passed on. */
 	private static final Duration STREAM_WINDOW = CrashDetector.WINDOW;
 
-	private static final EventLog LOG = EventLog.of(ProcessLiveness.class);
-
 	private final Vertx vertx;
 
 	private final InstantSource clock;
@@ -107,14 +104,13 @@
 
 	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, long endedAt,
 			Duration window) {
-		long now = this.clock.millis();
 		List<BackendConnection> others = this.connections
 			.others(process, ended, endedAt - CrashDetector.WINDOW.toMillis())
 			.stream()
 			.filter((each) -> ended.isOfSameProcess(each) && isOpenedInTime(each, endedAt))
 			.toList();
 		Promise<ResponseEnd> result = Promise.promise();
-		look(process, others, now, window, result);
+		look(new ProcessWatch(process, others, this.clock.millis(), window), result);
 		return result.future();
 	}
 
@@ -123,29 +119,13 @@
 		return other.openedAt().toEpochMilli() <= endedAt + OPENING_WINDOW.toMillis();
 	}
 
-	private void look(BackendProcess process, List<BackendConnection> others, long since, Duration window,
-			Promise<ResponseEnd> result) {
-		boolean over = this.clock.millis() - since >= window.toMillis();
-		boolean answered = others.stream().anyMatch((each) -> each.hasAnsweredSince(since));
-		long watched = others.stream().filter((each) -> each.isWatchedSince(since)).count();
-		if (over || answered || watched == 0) {
-			decide(process, others, answered, watched, this.clock.millis() - since, result);
-		}
-		else {
-			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(process, others, since, window, result));
+	private void look(ProcessWatch watch, Promise<ResponseEnd> result) {
+		ResponseEnd end = watch.end(this.clock.millis());
+		if (end == null) {
+			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(watch, result));
+			return;
 		}
-	}
-
-	// Other responses that end with their connections may end at the same time, so that
-	// a closed connection alone is no sign of a crash. Data that comes now may have been
-	// sent before, unless it answers a later request.
-	private void decide(BackendProcess process, List<BackendConnection> others, boolean answered, long watched,
-			long afterMillis, Promise<ResponseEnd> result) {
-		ResponseEnd end = (answered || watched > 0) ? ResponseEnd.CLOSED_BY_LIVE_PROCESS : ResponseEnd.CLOSED;
-		long closed = others.stream().filter(BackendConnection::isClosedByServer).count();
-		LOG.info("response.ended-by-close", "backend-server", process.server(), "end", end.label(), "connections",
-				others.size(), "closed", closed, "watched", watched, "answered", answered, "decided-after-ms",
-				afterMillis);
+		watch.log(end, this.clock.millis());
 		this.telemetry.counter("responses.ended." + end.label()).inc();
 		result.complete(end);
 	}
