--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -120,7 +120,7 @@
 	}
 
 	private void look(ProcessWatch watch, Promise<ResponseEnd> result) {
-		ResponseEnd end = watch.end(this.clock.millis());
+		ResponseEnd end = watch.look(this.clock.millis());
 		if (end == null) {
 			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(watch, result));
 			return;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessWatch.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessWatch.java
@@ -15,9 +15,6 @@
  */
 final class ProcessWatch {
 
-	/** Time without data after which all data that was sent before has been read. */
-	private static final Duration DRAINED_AFTER = Duration.ofMillis(20);
-
 	private static final EventLog LOG = EventLog.of(ProcessWatch.class);
 
 	private final BackendProcess process;
@@ -28,6 +25,9 @@
 
 	private final long window;
 
+	/** Time of the latest look at the connections. */
+	private long lookedAt;
+
 	/**
 	 * Creates a watch that begins.
 	 * @param process the process
@@ -39,23 +39,31 @@
 		this.process = process;
 		this.others = others;
 		this.since = since;
+		this.lookedAt = since;
 		this.window = window.toMillis();
 	}
 
 	/**
-	 * Returns how the response on the connection that has ended did so. After twice the
-	 * window the process counts as ended if the only connections that are open still
-	 * deliver data, which may have been sent before its end.
+	 * Looks at the connections again, in a later turn of the event loop than before.
+	 * After twice the window the process counts as ended if all connections that are open
+	 * still deliver data, which may have been sent before its end.
 	 * @param now the current time
-	 * @return how it ended, or {@code null} if that is not known yet
+	 * @return how the response on the connection that has ended did so, or {@code null}
+	 * if that is not known yet
 	 */
-	@Nullable ResponseEnd end(long now) {
+	@Nullable ResponseEnd look(long now) {
+		ResponseEnd end = end(now);
+		this.lookedAt = now;
+		return end;
+	}
+
+	private @Nullable ResponseEnd end(long now) {
 		if (this.others.stream().anyMatch((each) -> each.hasAnsweredSince(this.since))) {
 			return ResponseEnd.CLOSED_BY_LIVE_PROCESS;
 		}
 		List<BackendConnection> watched = watched();
 		long watchedFor = now - this.since;
-		if (watchedFor >= this.window && watched.stream().anyMatch((each) -> isDrained(each, now))) {
+		if (watchedFor >= this.window && watched.stream().anyMatch(this::isDrained)) {
 			return ResponseEnd.CLOSED_BY_LIVE_PROCESS;
 		}
 		return (watched.isEmpty() || watchedFor >= 2 * this.window) ? ResponseEnd.CLOSED : null;
@@ -67,8 +75,10 @@
 		return this.others.stream().filter((each) -> each.isWatchedSince(this.since)).toList();
 	}
 
-	private static boolean isDrained(BackendConnection connection, long now) {
-		return !connection.hasDataSince(now - DRAINED_AFTER.toMillis());
+	// The event loop has read what had come since the latest look. A time would prove
+	// nothing, as the event loop may have been delayed meanwhile.
+	private boolean isDrained(BackendConnection connection) {
+		return !connection.hasDataSince(this.lookedAt);
 	}
 
 	/**
