Request permits of a relayed request in a class of its own

PermitRequests takes over the first: the request to the scheduler, the wait for a pause of the whole pool, and the checks of a granted permit, behind request, withdraw, isPending and end. A withdrawal and the end of all attempts abandon a request in the same way now. Behaviour is unchanged.

Measured: the five test classes of the daemon's relay package pass.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -12,18 +12,13 @@
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
-import org.sardineport.core.admission.PermitListener;
 import org.sardineport.core.admission.RunEnd;
-import org.sardineport.core.admission.RunMeasurement;
-import org.sardineport.core.admission.SchedulingRequest;
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.exchange.RefusedException;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.RequestProgress;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.Refusal;
-import org.sardineport.core.request.RefusalReason;
 
 /**
  * The attempts at one request, as far as the route and the retry budget allow. An attempt
@@ -31,7 +26,7 @@
  * replacement is made beside it; the first of them to send a whole event or a complete
  * response is kept, and the others are ended. Confined to the event loop.
  */
-final class RelayAttempts implements AttemptListener {
+final class RelayAttempts implements AttemptListener, PermitRequestsListener {
 
 	/** Minimum remaining time for which another attempt is worthwhile. */
 	private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
@@ -54,12 +49,8 @@
 
 	private final Context context;
 
-	private final PoolName pool;
-
 	private final RetryCharge retryCharge;
 
-	private final PauseWait pauseWait;
-
 	private final RequestProgress progress;
 
 	private final AttemptPlanner planner;
@@ -74,7 +65,7 @@
 
 	private final RelayAttemptsListener listener;
 
-	private @Nullable SchedulingRequest pendingRequest;
+	private final PermitRequests permits;
 
 	private final ActiveAttempts active = new ActiveAttempts();
 
@@ -95,9 +86,7 @@
 		this.services = services;
 		this.request = request;
 		this.context = services.vertx().getOrCreateContext();
-		this.pool = pool;
 		this.retryCharge = new RetryCharge(services, pool);
-		this.pauseWait = new PauseWait(services, pool);
 		this.progress = progress;
 		this.planner = planner;
 		this.crashReport = new CrashReport(services, planner);
@@ -105,12 +94,13 @@
 		this.version = version;
 		this.report = report;
 		this.listener = listener;
+		this.permits = new PermitRequests(services, request, pool, progress, planner, version, this);
 		this.unconfirmedEnd = new UnconfirmedEnd(services, this::confirmationTimedOut);
 	}
 
 	void start() {
 		this.retryCharge.requested();
-		requestPermit();
+		this.permits.request();
 	}
 
 	/**
@@ -121,71 +111,8 @@
 		return !this.active.isEmpty();
 	}
 
-	private void requestPermit() {
-		PoolPause pause = PoolPause.now(this.services, this.pool, this.version);
-		SchedulingRequest schedulingRequest = this.version.restrict(
-				this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress, pause.servers()));
-		if (pause.isWhole()) {
-			waitOrRefuse(pause, schedulingRequest);
-			return;
-		}
-		this.pendingRequest = schedulingRequest;
-		this.services.scheduler().submit(schedulingRequest, new EventLoopListener(schedulingRequest));
-	}
-
-	private void waitOrRefuse(PoolPause pause, SchedulingRequest schedulingRequest) {
-		Duration wait = pause.untilFirst();
-		boolean beginsInTime = now().plus(wait).isBefore(schedulingRequest.startDeadlines().startBy());
-		boolean waits = this.progress.attempts() == 0 && beginsInTime
-				&& this.pauseWait.begin(pause, this::requestPermit);
-		if (!waits) {
-			permitRefused(Refusal.retryAfter(RefusalReason.OVERLOADED,
-					"each backend server of the pool asked for a pause, the first for %d ms more"
-						.formatted(wait.toMillis()),
-					wait));
-		}
-	}
-
-	private void granted(SchedulingRequest schedulingRequest, Permit grantedPermit) {
-		if (this.pendingRequest != schedulingRequest) {
-			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
-			return;
-		}
-		this.pendingRequest = null;
-		if (!isCallerWaiting()) {
-			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
-			return;
-		}
-		try {
-			this.services.gate().recheck(this.request.admission());
-			checkStop();
-			if (!grantedPermit.isValidAt(now()) || !isUsable(grantedPermit)) {
-				this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
-				requestPermit();
-				return;
-			}
-			dispatch(grantedPermit);
-		}
-		catch (RefusedException ex) {
-			this.services.scheduler().release(grantedPermit, RunMeasurement.none(RunEnd.UNUSED));
-			permitRefused(ex.refusal());
-		}
-	}
-
-	private void checkStop() throws RefusedException {
-		if (!this.progress.mayHaveRun()) {
-			this.services.stop().check(this.request);
-		}
-	}
-
-	private boolean isUsable(Permit grantedPermit) {
-		BackendServer server = grantedPermit.backendServer();
-		return this.services.fleet().current().backendServers().contains(server)
-				&& !this.services.notices().pauses().isPaused(server.process())
-				&& this.version.allows(server.softwareVersion());
-	}
-
-	private void permitRefused(Refusal refusal) {
+	@Override
+	public void permitRefused(Refusal refusal) {
 		if (this.active.isEmpty()) {
 			giveUp(() -> this.listener.permitRefused(refusal));
 		}
@@ -230,7 +157,8 @@
 		this.listener.responseCompleted();
 	}
 
-	private void dispatch(Permit permit) {
+	@Override
+	public void permitGranted(Permit permit) {
 		this.progress.sent();
 		this.dispatchedAt = now();
 		this.report.dispatched(permit.backendServer());
@@ -244,7 +172,7 @@
 
 	@Override
 	public void silent(Attempt attempt) {
-		if (this.pendingRequest != null || attempt.connection() == null || !this.active.areAllSilent()) {
+		if (this.permits.isPending() || attempt.connection() == null || !this.active.areAllSilent()) {
 			return;
 		}
 		boolean replaceable = isTimeLeft() && this.active.areAllContinuable() && this.progress.mayReplaceAttempt()
@@ -252,7 +180,7 @@
 		this.report.silent(this.active.get(attempt), replaceable);
 		if (replaceable) {
 			this.active.forEach((each) -> this.progress.silent(each.server()));
-			requestPermit();
+			this.permits.request();
 		}
 	}
 
@@ -294,9 +222,7 @@
 	}
 
 	private void withdrawPendingReplacement() {
-		if (this.pendingRequest != null) {
-			this.services.scheduler().abandon(this.pendingRequest.id());
-			this.pendingRequest = null;
+		if (this.permits.withdraw()) {
 			this.retryCharge.refund();
 			this.report.replacementEnded("not needed");
 		}
@@ -378,7 +304,7 @@
 		recordLastEvent(ended);
 		this.progress.ended(ended.server(), end);
 		recordWhetherStreamGoesOn(attempt);
-		boolean continued = !this.active.isEmpty() || this.pendingRequest != null;
+		boolean continued = !this.active.isEmpty() || this.permits.isPending();
 		boolean mayEndHere = end == AttemptEnd.UNCONFIRMED && !needsConfirmation(ended);
 		boolean again = continued || (!mayEndHere && mayRetry(end));
 		this.report.attemptEnded(ended, end, again, this.planner.fingerprint(), detail);
@@ -390,7 +316,7 @@
 			retryAfterCheck(ended.permit().backendServer());
 		}
 		else if (!continued && again) {
-			requestPermit();
+			this.permits.request();
 		}
 		else if (!again) {
 			giveUp(() -> this.listener.attemptsExhausted(end, detail));
@@ -426,7 +352,7 @@
 			.onComplete((ignored) -> {
 				if (this.retryPending) {
 					this.retryPending = false;
-					requestPermit();
+					this.permits.request();
 				}
 			});
 	}
@@ -438,11 +364,6 @@
 		return end == AttemptEnd.NOT_CONNECTED || this.retryCharge.trySpend();
 	}
 
-	// The timer of the deadline may be late itself; it ends the request.
-	private boolean isCallerWaiting() {
-		return now().isBefore(this.request.latestResponse());
-	}
-
 	private boolean isTimeLeft() {
 		return now().plus(MIN_ATTEMPT_TIME).isBefore(this.request.latestResponse());
 	}
@@ -453,12 +374,8 @@
 	 */
 	void abort(Function<Attempt, RunEnd> runEnd) {
 		this.unconfirmedEnd.clear();
-		if (this.pendingRequest != null) {
-			this.services.scheduler().abandon(this.pendingRequest.id());
-			this.pendingRequest = null;
-		}
+		this.permits.end();
 		this.retryPending = false;
-		this.pauseWait.end();
 		this.services.vertx().cancelTimer(this.handOverTimer);
 		for (PermittedAttempt each : this.active.removeAll()) {
 			RunEnd end = runEnd.apply(each.attempt());
@@ -492,39 +409,4 @@
 		return this.services.clock().instant();
 	}
 
-	/**
-	 * Passes the scheduler's decisions on to the event loop.
-	 */
-	private final class EventLoopListener implements PermitListener {
-
-		private final SchedulingRequest schedulingRequest;
-
-		EventLoopListener(SchedulingRequest schedulingRequest) {
-			this.schedulingRequest = schedulingRequest;
-		}
-
-		@Override
-		public void granted(Permit grantedPermit) {
-			RelayAttempts.this.context
-				.runOnContext((ignored) -> RelayAttempts.this.granted(this.schedulingRequest, grantedPermit));
-		}
-
-		@Override
-		public void refused(Refusal refusal) {
-			RelayAttempts.this.context.runOnContext((ignored) -> {
-				if (RelayAttempts.this.pendingRequest == this.schedulingRequest) {
-					RelayAttempts.this.pendingRequest = null;
-					permitRefused(refusal);
-				}
-			});
-		}
-
-		@Override
-		public void preempted(Permit preemptedPermit) {
-			// Nothing to do: forwarded requests are in tiers below the top, the only
-			// one that preempts, or run to completion.
-		}
-
-	}
-
 }
