Decide once which informational responses are interim

ResponseParts and InformationalResponseFilter both held the condition "informational, but no switch to another protocol", so that a change of one could have let a head be counted that is not dropped. ResponseParts asks the filter now. The two handlers stay apart: ResponsePartsTests states that interim heads are passed on behind the count. Behaviour is unchanged.

Measured: AttemptTests, BackendCallTests, ProcessLivenessTests and ResponsePartsTests pass.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/InformationalResponseFilter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/InformationalResponseFilter.java
@@ -44,8 +44,16 @@
 	}
 
 	private static boolean isDropped(HttpResponse response) {
-		HttpResponseStatus status = response.status();
-		return response.decoderResult().isSuccess() && status.codeClass() == HttpStatusClass.INFORMATIONAL
+		return response.decoderResult().isSuccess() && isInterim(response.status());
+	}
+
+	/**
+	 * Returns whether another response to the same request follows.
+	 * @param status status of a response
+	 * @return {@code true} if it is informational and switches to no other protocol
+	 */
+	static boolean isInterim(HttpResponseStatus status) {
+		return status.codeClass() == HttpStatusClass.INFORMATIONAL
 				&& status.code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseParts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseParts.java
@@ -11,8 +11,6 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientConnection;
@@ -105,7 +103,7 @@
 	}
 
 	private void headRead(ChannelHandlerContext context, HttpResponse head) {
-		this.interimHeads = isInterim(head.status()) ? this.interimHeads + 1 : 0;
+		this.interimHeads = InformationalResponseFilter.isInterim(head.status()) ? this.interimHeads + 1 : 0;
 		this.tinyParts = 0;
 		if (this.interimHeads > MAX_INTERIM_HEADS) {
 			ReferenceCountUtil.release(head);
@@ -116,11 +114,6 @@
 		}
 	}
 
-	private static boolean isInterim(HttpResponseStatus status) {
-		return status.codeClass() == HttpStatusClass.INFORMATIONAL
-				&& status.code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
-	}
-
 	private void partRead(ChannelHandlerContext context, HttpContent part) {
 		recordSize(part.content());
 		if (this.tinyParts > MAX_TINY_PARTS) {
