Check the head of a response in a class of its own

ResponseHeadCheck does so now and returns an AttemptFailure, how the attempt ends and why, or nothing. The identity of the answered request is compared in one place, also for the limits that a backend server states. Ends, their order and their details are unchanged.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -54,6 +53,8 @@
 
 	private final AttemptListener listener;
 
+	private final ResponseHeadCheck headCheck;
+
 	private final EventSplitter splitter;
 
 	private final SilenceWatch silenceWatch;
@@ -93,6 +94,7 @@
 		this.plan = plan;
 		this.listener = listener;
 		this.call = new BackendCall(services.connections(), plan.server(), this);
+		this.headCheck = new ResponseHeadCheck(plan);
 		this.splitter = new EventSplitter(plan.lastEventId());
 		this.silenceWatch = new SilenceWatch(services, plan, this::checkPath, () -> listener.silent(this));
 		this.lastEventId = plan.lastEventId();
@@ -248,20 +250,9 @@
 		this.headers = responseHeaders;
 		recordStatedLimits(responseHead);
 		this.notices.received(this.plan.server(), responseHead);
-		if (!this.plan.requestId().equals(responseHead.requestId())) {
-			fail(AttemptEnd.INVALID, "the answer is to request " + responseHead.requestId());
-		}
-		else if (responseHead.notExecuted()) {
-			fail(AttemptEnd.NOT_EXECUTED, "status " + status);
-		}
-		else if (!isEndCertain(responseHeaders)) {
-			fail(AttemptEnd.INVALID, "the answer has another transfer encoding than chunked");
-		}
-		else if (!responseHead.isIntact()) {
-			fail(AttemptEnd.INVALID, "the answer with status " + status + " is not signed, not final, or encoded");
-		}
-		else if (isInPlaceOfRest(responseHead)) {
-			fail(AttemptEnd.FAILED, "status " + status + " in place of the rest of a stream");
+		AttemptFailure failure = this.headCheck.check(responseHead, responseHeaders, mayContinueStream(responseHead));
+		if (failure != null) {
+			fail(failure.end(), failure.detail());
 		}
 		else {
 			observeProcess();
@@ -275,27 +266,14 @@
 		}
 	}
 
-	// Errors of a request that takes a stream up are its caller's; a success without the
-	// rest would end the stream.
-	private boolean isInPlaceOfRest(ResponseHead responseHead) {
-		boolean needsRest = this.plan.isResumed() || (this.plan.isTakenUp() && responseHead.isSuccess());
-		return needsRest && !mayContinueStream(responseHead);
-	}
-
 	private boolean mayContinueStream(ResponseHead responseHead) {
 		return isStream(responseHead) && framing() != ResponseFraming.NO_BODY;
 	}
 
-	private static boolean isEndCertain(MultiMap responseHeaders) {
-		List<String> encodings = responseHeaders.getAll("Transfer-Encoding");
-		return encodings.isEmpty() || (encodings.size() == 1 && encodings.get(0).equalsIgnoreCase("chunked"));
-	}
-
 	// A late response to another request may be older than what is known.
 	private void recordStatedLimits(ResponseHead responseHead) {
 		StatedLimits stated = responseHead.statedLimits();
-		if (stated != null && responseHead.isFromServerAsked()
-				&& this.plan.requestId().equals(responseHead.requestId())) {
+		if (stated != null && responseHead.isFromServerAsked() && this.headCheck.isAnswer(responseHead)) {
 			this.statedLimits.record(this.plan.permit(), stated, this.plan.requestId());
 		}
 	}
