Set up the connections of relay tests in one place

AttemptTests and BackendCallTests each built the connections of a daemon alone in its fleet, and a backend server, by the same 25 lines. TestConnections has them now. No test and no assertion has changed.

--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -1,11 +1,8 @@
 package org.sardineport.daemon.relay;
 
-import java.lang.reflect.Proxy;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,27 +14,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sardineport.core.admission.Permit;
-import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.fleet.FleetSnapshot;
-import org.sardineport.core.fleet.FleetView;
-import org.sardineport.core.fleet.ListRead;
-import org.sardineport.core.fleet.ListReads;
-import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
-import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.relay.AttemptEnd;
-import org.sardineport.core.relay.BackendPaths;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.TokenEstimate;
 import org.sardineport.daemon.exchange.FakeScheduler;
 import org.sardineport.daemon.telemetry.Telemetry;
-import org.sardineport.wire.transport.PeerIdentity;
-import org.sardineport.wire.transport.PeerTokens;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -69,42 +54,20 @@
 	}
 
 	private Attempt attempt(AttemptListener listener, Instant latestSend) {
-		RelayProtocol protocol = (RelayProtocol) Proxy.newProxyInstance(RelayProtocol.class.getClassLoader(),
-				new Class<?>[] { RelayProtocol.class }, (proxy, method, arguments) -> new ResponseHead(200, "id", false,
-						true, false, true, null, StatedLimits.NONE, false, null));
-		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null, connections(), null,
-				null, null, Clock.systemUTC(), null, null, null, null, null,
-				StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
+		RelayProtocol protocol = TestConnections.constant(RelayProtocol.class,
+				new ResponseHead(200, "id", false, true, false, true, null, StatedLimits.NONE, false, null));
+		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null,
+				TestConnections.create(this.vertx, Clock.systemUTC()), null, null, null, Clock.systemUTC(), null, null,
+				null, null, null, StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
 				BackendNotices.create((process) -> {
 				}, Clock.systemUTC(), Telemetry.create()), null, StopAdmission.create(Clock.systemUTC()), null, null);
-		BackendServer server = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
-				PoolName.of("pool"), FailureDomain.of("zone"), serverOfThreeEvents(), 1);
+		BackendServer server = TestConnections.server("server", serverOfThreeEvents());
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
 				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), latestSend, TokenEstimate.NONE, 1, NO_EVENT,
 				false, false, Duration.ofSeconds(1), null, null);
 		return new Attempt(services, plan, listener);
 	}
 
-	private BackendConnections connections() {
-		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
-		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
-		BackendConnector connector = BackendConnector.create(this.vertx, Clock.systemUTC(), fleet(),
-				BackendPaths.create(new SplittableRandom(1)), PeerTokens.create(identity, Clock.systemUTC()),
-				Telemetry.create());
-		return BackendConnections.create(this.vertx, Clock.systemUTC(), connector, fleet(), reads());
-	}
-
-	private static FleetView fleet() {
-		FleetSnapshot alone = new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of());
-		return (FleetView) Proxy.newProxyInstance(FleetView.class.getClassLoader(), new Class<?>[] { FleetView.class },
-				(proxy, method, arguments) -> alone);
-	}
-
-	private static ListReads reads() {
-		return (ListReads) Proxy.newProxyInstance(ListReads.class.getClassLoader(), new Class<?>[] { ListReads.class },
-				(proxy, method, arguments) -> ListRead.NONE);
-	}
-
 	// A stream lacked events: they were received, not passed on, and not requested again.
 	@Test
 	void eventsThatTheListenerRejectsDoNotCountAsReceivedByTheCaller() throws Exception {
--- a/daemon/src/test/java/org/sardineport/daemon/relay/BackendCallTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/BackendCallTests.java
@@ -2,15 +2,12 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -20,21 +17,8 @@
 import io.vertx.core.buffer.Buffer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
-import org.sardineport.core.fleet.FleetSnapshot;
-import org.sardineport.core.fleet.FleetView;
-import org.sardineport.core.fleet.ListRead;
-import org.sardineport.core.fleet.ListReads;
-import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
-import org.sardineport.core.identity.PoolName;
-import org.sardineport.core.relay.BackendPaths;
-import org.sardineport.daemon.telemetry.Telemetry;
-import org.sardineport.wire.transport.PeerIdentity;
-import org.sardineport.wire.transport.PeerTokens;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -83,10 +67,9 @@
 		server.start();
 		Context context = this.vertx.getOrCreateContext();
 		TurnCounter counter = new TurnCounter(context);
-		BackendServer asked = new BackendServer(BackendServerId.of("server"), BackendKind.MODEL_ENGINE,
-				PoolName.of("pool"), FailureDomain.of("zone"), NetworkAddress.of("127.0.0.1", listening.getLocalPort()),
-				1);
-		BackendCall call = new BackendCall(connections(), asked, counter);
+		BackendServer asked = TestConnections.server("server",
+				NetworkAddress.of("127.0.0.1", listening.getLocalPort()));
+		BackendCall call = new BackendCall(TestConnections.create(this.vertx, Clock.systemUTC()), asked, counter);
 		counter.call = call;
 		context.runOnContext((ignored) -> call.send("GET", "/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(),
 				Duration.ofSeconds(1)));
@@ -105,25 +88,6 @@
 		}
 	}
 
-	private BackendConnections connections() {
-		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
-		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
-		BackendConnector connector = BackendConnector.create(this.vertx, Clock.systemUTC(), fleet(),
-				BackendPaths.create(new SplittableRandom(1)), PeerTokens.create(identity, Clock.systemUTC()),
-				Telemetry.create());
-		ListReads reads = constant(ListReads.class, ListRead.NONE);
-		return BackendConnections.create(this.vertx, Clock.systemUTC(), connector, fleet(), reads);
-	}
-
-	private static FleetView fleet() {
-		return constant(FleetView.class, new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of()));
-	}
-
-	private static <T> T constant(Class<T> type, Object result) {
-		return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] { type },
-				(proxy, method, arguments) -> result));
-	}
-
 	/**
 	 * Counts parts and bytes between two turns of the event loop. Confined to it, except
 	 * after the result is there.
