Use the shared connections of relay tests for liveness, too

ProcessLivenessTests built the same connections and backend servers as TestConnections, with its own clock, by 30 lines. No test and no assertion has changed.

Measured: ProcessLivenessTests, 5 pass.

--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -1,11 +1,9 @@
 package org.sardineport.daemon.relay;
 
-import java.lang.reflect.Proxy;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -21,22 +19,10 @@
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.exchange.ResponseEnd;
-import org.sardineport.core.fleet.FleetSnapshot;
-import org.sardineport.core.fleet.FleetView;
-import org.sardineport.core.fleet.ListRead;
-import org.sardineport.core.fleet.ListReads;
-import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
-import org.sardineport.core.identity.PoolName;
-import org.sardineport.core.relay.BackendPaths;
 import org.sardineport.daemon.telemetry.Telemetry;
-import org.sardineport.wire.transport.PeerIdentity;
-import org.sardineport.wire.transport.PeerTokens;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -63,25 +49,20 @@
 
 	private final InstantSource clock = () -> Clock.systemUTC().instant().plus(this.passed);
 
-	private final BackendConnections connections = connections();
+	private final BackendConnections connections = TestConnections.create(this.vertx, this.clock);
 
 	private final ProcessLiveness liveness = ProcessLiveness.create(this.vertx, this.clock, this.connections,
 			Telemetry.create());
 
-	private final BackendServer server = server("server", closingItsFirstConnection());
+	private final BackendServer server = TestConnections.server("server", closingItsFirstConnection());
 
-	private final BackendServer lasting = server("lasting", listening(this.accepted::add));
+	private final BackendServer lasting = TestConnections.server("lasting", listening(this.accepted::add));
 
 	@AfterEach
 	void close() {
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	private static BackendServer server(String id, NetworkAddress address) {
-		return new BackendServer(BackendServerId.of(id), BackendKind.MODEL_ENGINE, PoolName.of("pool"),
-				FailureDomain.of("zone"), address, 1);
-	}
-
 	private NetworkAddress closingItsFirstConnection() {
 		AtomicBoolean closed = new AtomicBoolean();
 		return listening((socket) -> closeOnce(socket, closed));
@@ -99,20 +80,6 @@
 		}
 	}
 
-	private BackendConnections connections() {
-		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
-		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
-		FleetSnapshot alone = new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of());
-		FleetView fleet = (FleetView) Proxy.newProxyInstance(FleetView.class.getClassLoader(),
-				new Class<?>[] { FleetView.class }, (proxy, method, arguments) -> alone);
-		ListReads reads = (ListReads) Proxy.newProxyInstance(ListReads.class.getClassLoader(),
-				new Class<?>[] { ListReads.class }, (proxy, method, arguments) -> ListRead.NONE);
-		BackendConnector connector = BackendConnector.create(this.vertx, this.clock, fleet,
-				BackendPaths.create(new SplittableRandom(1)), PeerTokens.create(identity, this.clock),
-				Telemetry.create());
-		return BackendConnections.create(this.vertx, this.clock, connector, fleet, reads);
-	}
-
 	private <T> T onContext(Supplier<Future<T>> call) throws Exception {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		this.context
