Leave out a member in an unknown state, not the whole message

A membership message was dropped as malformed if one member in it had a state of a later build, so that its probe stayed unanswered and its sender became suspected. Such a member is now left out alone; a state that is absent is still malformed. The new case of FormerMessagesTests failed before with "unknown member state UNRECOGNIZED" and passes now.

--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.sardineport.core.backend.BackendProcess;
@@ -116,12 +117,15 @@
 
 	private static GossipUpdates decodeUpdates(Envelope envelope, org.sardineport.wire.message.MembershipMessage body)
 			throws MalformedMessageException {
-		Member[] members = new Member[body.getUpdatesCount()];
-		for (int i = 0; i < members.length; i++) {
-			members[i] = decodeMember(body.getUpdates(i), envelope);
+		List<Member> members = new ArrayList<>(body.getUpdatesCount());
+		for (MemberUpdate update : body.getUpdatesList()) {
+			// A state of a later build says nothing here, but the rest of the message
+			// does.
+			if (update.getState() != MemberState.UNRECOGNIZED) {
+				members.add(decodeMember(update, envelope));
+			}
 		}
-		return new GossipUpdates(List.of(members),
-				body.getStrikesList().stream().map(MembershipCodec::decodeStrike).toList(),
+		return new GossipUpdates(members, body.getStrikesList().stream().map(MembershipCodec::decodeStrike).toList(),
 				body.getLeavingBackendsList().stream().map(MembershipCodec::decodeLeaving).toList());
 	}
 
--- a/wire/src/test/java/org/sardineport/wire/transport/FormerMessagesTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/FormerMessagesTests.java
@@ -133,6 +133,18 @@
 		}
 	}
 
+	// A probe that is dropped because of one unknown member makes its sender suspected.
+	@Test
+	void memberInAnUnknownStateIsLeftOutAlone() throws Exception {
+		for (byte[] sample : Samples.read("membership-85a9138.hex")) {
+			Envelope.Builder envelope = Envelope.parseFrom(sample).toBuilder();
+			org.sardineport.wire.message.MembershipMessage.Builder body = envelope.getMembership().toBuilder();
+			body.addUpdates(0, body.getUpdates(0).toBuilder().setStateValue(99));
+			envelope.setMembership(body);
+			assertThat(decode(envelope.build().toByteArray())).isEqualTo(decode(sample));
+		}
+	}
+
 	@Test
 	void frameOfA4c0e76IsAccepted() throws Exception {
 		byte[] frame = Samples.read("frame-a4c0e76.hex").get(0);
