Take a refusal for an unknown reason for one for want of room

A refusal of a permit whose reason is one of a later build was dropped as malformed, and its request waited as if no answer had come. It is now a refusal for want of room, after which another backend server is tried. The new case of FormerSchedulingMessagesTests failed before with "scheduling message has a value out of range" and passes now.

--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
@@ -40,7 +41,8 @@
 
 /**
  * Converts scheduling messages to their protobuf form and back. Decoding rejects the
- * whole message if any value is out of range.
+ * whole message if any value is out of range, except for constants of later builds that
+ * must not be lost.
  */
 public final class SchedulingCodec implements PeerCodec<SchedulingMessage> {
 
@@ -135,18 +137,24 @@
 	}
 
 	private static PermitRefusal refusal(org.sardineport.wire.message.PermitRefusal wire) {
-		return new PermitRefusal(id(wire.getRequest()), server(wire.getBackendServer()),
-				PermitDenial.valueOf(wire.getReason()), Duration.ofMillis(wire.getRetryAfterMillis()),
-				wire.hasDigest() ? state(wire.getDigest()) : null);
+		return new PermitRefusal(id(wire.getRequest()), server(wire.getBackendServer()), denial(wire.getReason()),
+				Duration.ofMillis(wire.getRetryAfterMillis()), wire.hasDigest() ? state(wire.getDigest()) : null);
+	}
+
+	// A reason of a later build must still refuse. The request is tried elsewhere.
+	private static PermitDenial denial(String reason) {
+		return Arrays.stream(PermitDenial.values())
+			.filter((denial) -> denial.name().equals(reason))
+			.findFirst()
+			.orElse(PermitDenial.OVERLOADED);
 	}
 
 	private static PermitRelease release(org.sardineport.wire.message.PermitRelease wire) {
 		Duration timeToFirstToken = (wire.getFirstTokenMillis() == 0) ? null
 				: Duration.ofMillis(wire.getFirstTokenMillis() - 1);
 		return new PermitRelease(id(wire.getRequest()), server(wire.getBackendServer()),
-				new RunMeasurement(constant(RunEnd.values(), wire.getEnd()), wire.getPromptTokens(),
-						wire.getCachedPromptTokens(), wire.getAnswerTokens(), timeToFirstToken,
-						Duration.ofMillis(wire.getDurationMillis())));
+				new RunMeasurement(constant(RunEnd.values(), wire.getEnd()), wire.getPromptTokens(), wire.getCachedPromptTokens(),
+						wire.getAnswerTokens(), timeToFirstToken, Duration.ofMillis(wire.getDurationMillis())));
 	}
 
 	private static ServerState state(org.sardineport.wire.message.ServerDigest wire) {
--- a/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Set;
 
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.Test;
+import org.sardineport.core.scheduling.PermitDenial;
+import org.sardineport.core.scheduling.PermitRefusal;
 import org.sardineport.core.scheduling.SchedulingMessage;
 import org.sardineport.wire.Samples;
 import org.sardineport.wire.message.Envelope;
@@ -33,6 +36,10 @@
 		return this.codec.decode(Envelope.parseFrom(envelope));
 	}
 
+	private static Envelope envelope(org.sardineport.wire.message.SchedulingMessage.Builder body) {
+		return Envelope.newBuilder().setScheduling(body).build();
+	}
+
 	@Test
 	void messagesOfA4c0e76AreUnderstoodAndWrittenInTheSameWay() throws Exception {
 		List<byte[]> samples = Samples.read(SAMPLES);
@@ -65,4 +72,17 @@
 		}
 	}
 
+	// A refusal that is dropped leaves its request waiting until the permit is given up.
+	@Test
+	void refusalForAnUnknownReasonIsOneForWantOfRoom() throws Exception {
+		org.sardineport.wire.message.SchedulingMessage.Builder body = org.sardineport.wire.message.SchedulingMessage
+			.newBuilder();
+		body.setRefusal(org.sardineport.wire.message.PermitRefusal.newBuilder()
+			.setRequest("r1")
+			.setBackendServer("s1")
+			.setReason("SOME_LATER_REASON"));
+		assertThat(this.codec.decode(envelope(body))).asInstanceOf(InstanceOfAssertFactories.type(PermitRefusal.class))
+			.satisfies((refusal) -> assertThat(refusal.denial()).isEqualTo(PermitDenial.OVERLOADED));
+	}
+
 }
