Release a permit also if the end of its run is unknown

A release whose end is a constant of a later build was dropped as malformed, and the place at the backend server stayed taken until the owner asked again. The run now counts as cancelled, which shows nothing about the server. The new case of FormerSchedulingMessagesTests failed before with "scheduling message has a value out of range" and passes now.

--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -149,11 +149,17 @@
 			.orElse(PermitDenial.OVERLOADED);
 	}
 
+	// An end of a later build must still release, and shows nothing about the server.
+	private static RunEnd end(int ordinal) {
+		RunEnd[] ends = RunEnd.values();
+		return (ordinal >= 0 && ordinal < ends.length) ? ends[ordinal] : RunEnd.CANCELLED;
+	}
+
 	private static PermitRelease release(org.sardineport.wire.message.PermitRelease wire) {
 		Duration timeToFirstToken = (wire.getFirstTokenMillis() == 0) ? null
 				: Duration.ofMillis(wire.getFirstTokenMillis() - 1);
 		return new PermitRelease(id(wire.getRequest()), server(wire.getBackendServer()),
-				new RunMeasurement(constant(RunEnd.values(), wire.getEnd()), wire.getPromptTokens(), wire.getCachedPromptTokens(),
+				new RunMeasurement(end(wire.getEnd()), wire.getPromptTokens(), wire.getCachedPromptTokens(),
 						wire.getAnswerTokens(), timeToFirstToken, Duration.ofMillis(wire.getDurationMillis())));
 	}
 
--- a/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
@@ -6,8 +6,10 @@
 
 import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.Test;
+import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.scheduling.PermitDenial;
 import org.sardineport.core.scheduling.PermitRefusal;
+import org.sardineport.core.scheduling.PermitRelease;
 import org.sardineport.core.scheduling.SchedulingMessage;
 import org.sardineport.wire.Samples;
 import org.sardineport.wire.message.Envelope;
@@ -85,4 +87,17 @@
 			.satisfies((refusal) -> assertThat(refusal.denial()).isEqualTo(PermitDenial.OVERLOADED));
 	}
 
+	// A release that is dropped keeps a place at the backend server taken.
+	@Test
+	void releaseWithAnUnknownEndIsOneOfACancelledRun() throws Exception {
+		org.sardineport.wire.message.SchedulingMessage.Builder body = org.sardineport.wire.message.SchedulingMessage
+			.newBuilder();
+		body.setRelease(org.sardineport.wire.message.PermitRelease.newBuilder()
+			.setRequest("r1")
+			.setBackendServer("s1")
+			.setEnd(99));
+		assertThat(this.codec.decode(envelope(body))).asInstanceOf(InstanceOfAssertFactories.type(PermitRelease.class))
+			.satisfies((release) -> assertThat(release.measurement().end()).isEqualTo(RunEnd.CANCELLED));
+	}
+
 }
