Let a server that was not listed meanwhile count as the next process

Where the platform lists no start of processes, a daemon that a server had told of its leaving kept the server out for good: the next process under the name with the same version is equal to the former one.

--- a/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -48,6 +48,9 @@
 
 	private final Map<BackendServerId, BackendServer> lapsed = new HashMap<>();
 
+	/** Servers that are listed no more, which an outage explains until it is over. */
+	private final Set<BackendServerId> missing = new HashSet<>();
+
 	private @Nullable VmListing listing;
 
 	private boolean outage;
@@ -85,6 +88,7 @@
 		}
 		retainLapsed(fetched);
 		removeReportsOfReplacedProcesses(fetched);
+		removeReportsOfMissingProcesses(fetched);
 		this.listing = fetched;
 		return true;
 	}
@@ -138,6 +142,17 @@
 		this.leavingProcesses.dropUnlistedIfMany(fetched);
 	}
 
+	private void removeReportsOfMissingProcesses(VmListing fetched) {
+		if (this.listing != null) {
+			this.listing.backendServers().forEach((listed) -> this.missing.add(listed.server().id()));
+		}
+		fetched.backendServers().forEach((listed) -> this.missing.remove(listed.server().id()));
+		if (isGraceOver()) {
+			this.missing.forEach(this.leavingProcesses::ended);
+			this.missing.clear();
+		}
+	}
+
 	private boolean isGraceOver() {
 		return !this.clock.instant().minus(OUTAGE_GRACE).isBefore(this.recoveredAt);
 	}
--- a/core/src/main/java/org/sardineport/core/fleet/LeavingProcesses.java
+++ b/core/src/main/java/org/sardineport/core/fleet/LeavingProcesses.java
@@ -5,6 +5,7 @@
 
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.port.platform.VmListing;
 
 /**
@@ -42,6 +43,15 @@
 		}
 	}
 
+	/**
+	 * Records that a server is listed no more, so that what comes back under its name is
+	 * another process. Has an effect only if the platform lists no start times.
+	 * @param server name of the backend server
+	 */
+	void ended(BackendServerId server) {
+		this.processes.remove(new BackendProcess(server, BackendServer.START_UNKNOWN));
+	}
+
 	void dropUnlistedIfMany(VmListing listing) {
 		if (this.processes.size() <= MAX_UNLISTED) {
 			return;
--- a/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -202,4 +202,39 @@
 		assertThat(this.directory.eligible()).containsExactly(next);
 	}
 
+	// Without listed starts, a server that came back under its name with the same version
+	// stayed excluded at the daemon that its former process had told of its leaving.
+	@Test
+	void serverThatWasNotListedMeanwhileIsTheNextProcessIfStartsAreNotListed() {
+		this.directory.recordLeaving(server("one").process());
+		this.directory.updateListing(withoutOne(START.plusSeconds(1)));
+		this.directory.updateListing(listing(START.plusSeconds(2), VmState.LIVE, VmState.LIVE));
+		assertThat(this.directory.eligible()).containsExactly(server("one"), server("two"));
+	}
+
+	@Test
+	void entryThatLapsesInAnOutageIsNoEndOfALeavingProcess() {
+		this.directory.recordLeaving(server("one").process());
+		this.directory.listingFailed();
+		this.now = START.plusSeconds(5);
+		this.directory.updateListing(withoutOne(this.now));
+		this.now = this.now.plusMillis(500);
+		this.directory.updateListing(listing(this.now, VmState.LIVE, VmState.LIVE));
+		this.now = this.now.plus(BackendDirectory.OUTAGE_GRACE);
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
+	@Test
+	void leavingProcessThatIsNotListedAgainWithinTheGracePeriodHasEnded() {
+		this.directory.recordLeaving(server("one").process());
+		this.directory.listingFailed();
+		this.now = START.plusSeconds(5);
+		this.directory.updateListing(withoutOne(this.now));
+		this.now = this.now.plus(BackendDirectory.OUTAGE_GRACE);
+		this.directory.updateListing(withoutOne(this.now));
+		this.now = this.now.plusSeconds(1);
+		this.directory.updateListing(listing(this.now, VmState.LIVE, VmState.LIVE));
+		assertThat(this.directory.eligible()).containsExactly(server("one"), server("two"));
+	}
+
 }
