Wrap a comment of ProcessLivenessTests by hand

The formatter had left one word on a line of its own, in the comment above the test of connections that still deliver data. No code has changed.

--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -162,9 +162,8 @@
 			.isSameAs(request);
 	}
 
-	// Guards against responses of an ended process that are passed on as complete, as
-	// data
-	// that it sent on another connection is still being read.
+	// Guards against responses of an ended process that are passed on as complete, while
+	// data that it sent on another connection is still being read.
 	@Test
 	void connectionThatStillDeliversDataShowsNothing() throws Exception {
 		BackendConnection response = response();
