Take no connection that is opened after a freeze for a sign of life

A daemon that was frozen for longer than a process needs to end and start again finds the head, a part and the end of an answer until close together. The connection that it opened then led to the next process, and callers would get the part as a complete answer.

Cause: the time of the judgement was that of the read, not of the arrival. Now the turns of the event loop are recorded every 50 ms.

By review; connectionThatIsOpenedAfterAFreezeShowsNothing failed before (closed by a live process) and passes now.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -119,9 +119,10 @@
 	/**
 	 * Records that the current response ends with the connection, and that the process is
 	 * observed by others from now on.
+	 * @param aliveAt a time at which the process still ran that sends the response
 	 */
-	void recordObserved() {
-		this.observedAt = this.clock.millis();
+	void recordObserved(long aliveAt) {
+		this.observedAt = aliveAt;
 	}
 
 	boolean isObserved() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -80,8 +80,12 @@
 
 	private long allCheckedAt = Long.MIN_VALUE / 2;
 
+	private final ReadTurns turns = new ReadTurns();
+
 	private long checkTimer = -1;
 
+	private long turnTimer = -1;
+
 	private Consumer<BackendProcess> disconnectListener = (process) -> {
 	};
 
@@ -114,6 +118,8 @@
 	public CompletionStage<Void> start() {
 		Context context = this.vertx.getOrCreateContext();
 		this.checkTimer = this.vertx.setPeriodic(CHECK_INTERVAL.toMillis(), (id) -> this.connector.checkLostPaths());
+		this.turnTimer = this.vertx.setPeriodic(ReadTurns.INTERVAL.toMillis(),
+				(id) -> this.turns.record(this.clock.millis()));
 		this.fleet.addListener((snapshot) -> context.runOnContext((ignored) -> closeCarriedByLeaving(snapshot)));
 		return CompletableFuture.completedStage(null);
 	}
@@ -121,6 +127,7 @@
 	@Override
 	public CompletionStage<Void> stop() {
 		this.vertx.cancelTimer(this.checkTimer);
+		this.vertx.cancelTimer(this.turnTimer);
 		return this.connector.close().toCompletionStage();
 	}
 
@@ -229,6 +236,14 @@
 		return (connections != null) ? connections.reserveIdle(RESERVED_TIME.toMillis()) : null;
 	}
 
+	/**
+	 * Returns a time at which the process ran whose data is read now.
+	 * @return the time, in milliseconds of the clock
+	 */
+	long aliveAt() {
+		return this.turns.aliveAt(this.clock.millis());
+	}
+
 	/**
 	 * Returns when a connection that is being opened for a check is open.
 	 * @param server the backend server
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -80,7 +80,7 @@
 		}
 		else {
 			this.connections.openIdle(server);
-			connection.recordObserved();
+			connection.recordObserved(this.connections.aliveAt());
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -52,6 +52,12 @@
 
 	private static final int IDLE = 1;
 
+	/** Longer than two turns of the event loop. */
+	private static final Duration SETTLED = Duration.ofMillis(200);
+
+	/** Longer than a process takes to end and start again. */
+	private static final Duration FREEZE = Duration.ofMillis(700);
+
 	private final Vertx vertx = Vertx.vertx();
 
 	private final Context context = this.vertx.getOrCreateContext();
@@ -194,6 +200,31 @@
 		assertThat(this.accepted).hasSize(2);
 	}
 
+	// Guards against responses of a killed process that are passed on as complete, as
+	// this daemon was frozen meanwhile, and then opens a connection to the process that
+	// has started again.
+	@Test
+	void connectionThatIsOpenedAfterAFreezeShowsNothing() throws Exception {
+		onContext(() -> Future.fromCompletionStage(this.connections.start()));
+		BackendConnection response = response();
+		Thread.sleep(SETTLED.toMillis());
+		this.context.runOnContext((ignored) -> {
+			freeze();
+			this.liveness.observe(this.lasting, response);
+		});
+		await(() -> onContext(() -> Future.succeededFuture(open())) == 2);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED);
+	}
+
+	private static void freeze() {
+		try {
+			Thread.sleep(FREEZE.toMillis());
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private BackendConnection response() throws Exception {
 		BackendConnection response = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
 		await(() -> this.accepted.size() == 1);
