Count the time of a carried connection from its opening

A connection to a process that has ended is refused at once, and another daemon is then asked to open one. That may take until the next process listens. It counted as asked for at the time of the first try, when the response was observed, so that it was taken for a sign of life, and a part of an answer until close for a complete one.

By review; connectionThatIsCarriedBecauseNoneWasAcceptedShowsNothing failed before (closed by a live process) and passes now.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -25,7 +25,8 @@
 
 	private final InstantSource clock;
 
-	private final Instant requestedAt;
+	/** Latest time at which the backend server was asked for the connection. */
+	private final Instant askedAt;
 
 	private final Instant openedAt;
 
@@ -62,8 +63,8 @@
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
-		this.requestedAt = requestedAt;
-		this.sameProcessSince = requestedAt.toEpochMilli();
+		this.askedAt = (this.helper == null) ? requestedAt : this.openedAt;
+		this.sameProcessSince = this.askedAt.toEpochMilli();
 		ResponseParts.install(this.connection);
 		InformationalResponseFilter.install(this.connection);
 	}
@@ -90,7 +91,8 @@
 
 	/**
 	 * Returns since when the process behind the connection is known to be the same one:
-	 * since the connection was asked for, or earlier if others show it.
+	 * since the backend server was asked for the connection, which another daemon may do
+	 * late, or earlier if others show it.
 	 * @return the time
 	 */
 	long sameProcessSince() {
@@ -112,7 +114,7 @@
 	 */
 	void recordIdleClosed(Duration overlap) {
 		if (this.clock.millis() - this.openedAt.toEpochMilli() < overlap.toMillis()) {
-			this.sameProcessSince = this.requestedAt.toEpochMilli();
+			this.sameProcessSince = this.askedAt.toEpochMilli();
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -4,10 +4,13 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -17,6 +20,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -28,6 +32,8 @@
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.fleet.ListRead;
 import org.sardineport.core.fleet.ListReads;
+import org.sardineport.core.fleet.Member;
+import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.FailureDomain;
@@ -52,6 +58,12 @@
 
 	private static final int IDLE = 1;
 
+	private static final DaemonId HELPER = DaemonId.of("helper");
+
+	/** Replies of SOCKS 5: name and password, their success, and that of the request. */
+	private static final List<Buffer> TUNNEL_REPLIES = List.of(Buffer.buffer(new byte[] { 5, 2 }),
+			Buffer.buffer(new byte[] { 1, 0 }), Buffer.buffer(new byte[] { 5, 0, 0, 1, 0, 0, 0, 0, 0, 0 }));
+
 	/** Longer than two turns of the event loop. */
 	private static final Duration SETTLED = Duration.ofMillis(200);
 
@@ -65,6 +77,10 @@
 	/** Connections to the backend server that closes none by itself. */
 	private final List<NetSocket> accepted = new CopyOnWriteArrayList<>();
 
+	private final Map<NetworkAddress, NetServer> listening = new ConcurrentHashMap<>();
+
+	private volatile List<Member> members = List.of();
+
 	private volatile Duration passed = Duration.ZERO;
 
 	private final InstantSource clock = () -> Clock.systemUTC().instant().plus(this.passed);
@@ -94,9 +110,11 @@
 	}
 
 	private NetworkAddress listening(Handler<NetSocket> accepted) {
-		NetServer listening = this.vertx.createNetServer().connectHandler(accepted);
-		int port = listening.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
-		return NetworkAddress.of("127.0.0.1", port);
+		NetServer server = this.vertx.createNetServer().connectHandler(accepted);
+		int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
+		NetworkAddress address = NetworkAddress.of("127.0.0.1", port);
+		this.listening.put(address, server);
+		return address;
 	}
 
 	private static void closeOnce(NetSocket socket, AtomicBoolean closed) {
@@ -108,9 +126,9 @@
 	private BackendConnections connections() {
 		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
 		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
-		FleetSnapshot alone = new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of());
 		FleetView fleet = (FleetView) Proxy.newProxyInstance(FleetView.class.getClassLoader(),
-				new Class<?>[] { FleetView.class }, (proxy, method, arguments) -> alone);
+				new Class<?>[] { FleetView.class }, (proxy, method, arguments) -> method.getName().equals("current")
+						? new FleetSnapshot(DaemonId.of("daemon"), this.members, List.of()) : null);
 		ListReads reads = (ListReads) Proxy.newProxyInstance(ListReads.class.getClassLoader(),
 				new Class<?>[] { ListReads.class }, (proxy, method, arguments) -> ListRead.NONE);
 		BackendConnector connector = BackendConnector.create(this.vertx, this.clock, fleet,
@@ -225,6 +243,35 @@
 		}
 	}
 
+	// Guards against responses of a killed process that are passed on as complete, as
+	// another daemon has opened a connection to the process that has started again.
+	@Test
+	void connectionThatIsCarriedBecauseNoneWasAcceptedShowsNothing() throws Exception {
+		BackendConnection response = response();
+		stopListening(this.lasting);
+		this.members = List.of(helper());
+		this.accepted.get(RESPONSE).close();
+		await(() -> onContext(() -> Future.succeededFuture(response.isClosedByServer())));
+		assertThat(onContext(() -> {
+			this.liveness.observe(this.lasting, response);
+			return this.liveness.endOf(this.lasting, response, true);
+		})).isEqualTo(ResponseEnd.CLOSED);
+		await(() -> onContext(() -> Future.succeededFuture(this.connections.isCarriedBy(HELPER))));
+	}
+
+	private void stopListening(BackendServer server) {
+		this.listening.get(server.address()).close().toCompletionStage().toCompletableFuture().join();
+	}
+
+	/** Returns a daemon that confirms each message of the protocol of tunnels. */
+	private Member helper() {
+		NetworkAddress address = listening((socket) -> {
+			Iterator<Buffer> replies = TUNNEL_REPLIES.iterator();
+			socket.handler((ignored) -> socket.write(replies.next()));
+		});
+		return new Member(HELPER, 1, MemberStatus.ALIVE, FailureDomain.of("zone"), address, address, 0, 0);
+	}
+
 	private BackendConnection response() throws Exception {
 		BackendConnection response = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
 		await(() -> this.accepted.size() == 1);
