Let a paused connection not make a software version certain

The same cause elsewhere: a connection that is not read, as its caller is slow, counted as open after the end of its process. A read of the list from before that end then made the former version certain, and events of the next process could continue a stream at another version. Now only connections that are read tell.

By review; connectionThatIsNotReadDoesNotMakeTheVersionCertain failed before and passes now. No whole stream of two versions was seen from this cause.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -178,6 +178,10 @@
 		this.pauseChangedAt = this.clock.millis();
 	}
 
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	/**
 	 * Returns whether the connection is open and was read all the time, so that the end
 	 * of the process would have ended it visibly.
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -140,11 +140,15 @@
 	}
 
 	/**
-	 * Returns when the oldest open connection was opened.
-	 * @return the time, or empty if none is open
+	 * Returns when the oldest open connection was opened of those that are read, as the
+	 * end of the process is not seen on others.
+	 * @return the time, or empty if there is none
 	 */
 	Optional<Instant> oldestOpenedAt() {
-		return this.open.stream().map(BackendConnection::openedAt).min(Comparator.naturalOrder());
+		return this.open.stream()
+			.filter((each) -> !each.isPaused())
+			.map(BackendConnection::openedAt)
+			.min(Comparator.naturalOrder());
 	}
 
 	List<BackendConnection> known(long closedSince) {
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Iterator;
 import java.util.List;
@@ -39,6 +40,8 @@
 import org.sardineport.core.identity.FailureDomain;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.identity.PoolName;
+import org.sardineport.core.port.platform.VmListing;
+import org.sardineport.core.port.platform.VmState;
 import org.sardineport.core.relay.BackendPaths;
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.wire.transport.PeerIdentity;
@@ -81,6 +84,8 @@
 
 	private volatile List<Member> members = List.of();
 
+	private volatile ListRead read = ListRead.NONE;
+
 	private volatile Duration passed = Duration.ZERO;
 
 	private final InstantSource clock = () -> Clock.systemUTC().instant().plus(this.passed);
@@ -130,7 +135,7 @@
 				new Class<?>[] { FleetView.class }, (proxy, method, arguments) -> method.getName().equals("current")
 						? new FleetSnapshot(DaemonId.of("daemon"), this.members, List.of()) : null);
 		ListReads reads = (ListReads) Proxy.newProxyInstance(ListReads.class.getClassLoader(),
-				new Class<?>[] { ListReads.class }, (proxy, method, arguments) -> ListRead.NONE);
+				new Class<?>[] { ListReads.class }, (proxy, method, arguments) -> this.read);
 		BackendConnector connector = BackendConnector.create(this.vertx, this.clock, fleet,
 				BackendPaths.create(new SplittableRandom(1)), PeerTokens.create(identity, this.clock),
 				Telemetry.create());
@@ -272,6 +277,23 @@
 		return new Member(HELPER, 1, MemberStatus.ALIVE, FailureDomain.of("zone"), address, address, 0, 0);
 	}
 
+	// Guards against streams that go on at another software version, as the end of the
+	// former process is not seen on a connection that waits for a slow caller.
+	@Test
+	void connectionThatIsNotReadDoesNotMakeTheVersionCertain() throws Exception {
+		BackendConnection response = response();
+		VmListing listing = new VmListing(Instant.EPOCH, List.of(),
+				List.of(new VmListing.ListedBackend(this.lasting, VmState.LIVE)));
+		this.read = ListRead.of(this.clock.instant(), listing);
+		assertThat(isVersionCertain()).isTrue();
+		response.recordPaused(true);
+		assertThat(isVersionCertain()).isFalse();
+	}
+
+	private boolean isVersionCertain() throws Exception {
+		return onContext(() -> Future.succeededFuture(this.connections.isVersionCertain(this.lasting)));
+	}
+
 	private BackendConnection response() throws Exception {
 		BackendConnection response = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
 		await(() -> this.accepted.size() == 1);
