Keep the idle connection if a server takes no other one in its place

A backend server that closes connections above its maximum got a new connection for each part of a response until close, from its third second on. Meanwhile the idle one that shows that the process goes on was no longer reserved, so that the next request closed it, and a sound response was lost.

Now a replacement is tried once in the time after which it is due, and the replaced connection stays reserved for 300 ms more. By review; serverWithoutRoomForAReplacementKeepsTheIdleConnection failed before (a connection for each part) and passes now.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -48,6 +48,8 @@
 
 	private long reservedUntil;
 
+	private long replacementAt;
+
 	private boolean closedHere;
 
 	private long closedByServerAt = NEVER;
@@ -219,6 +221,23 @@
 		this.reservedUntil = this.clock.millis() + millis;
 	}
 
+	/**
+	 * Records that another connection is opened in place of this one.
+	 */
+	void recordReplacement() {
+		this.replacementAt = this.clock.millis();
+	}
+
+	/**
+	 * Returns whether the connection is idle for long, and the last try to replace it is
+	 * as long ago.
+	 * @param millis the time, in milliseconds
+	 * @return whether to open another one in its place
+	 */
+	boolean isReplacementDue(long millis) {
+		return isIdleLongerThan(millis) && this.clock.millis() - this.replacementAt > millis;
+	}
+
 	boolean isReserved() {
 		return this.clock.millis() < this.reservedUntil;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -62,6 +62,12 @@
 	/** Age of such a connection from which it is replaced by a new one. */
 	private static final Duration MAX_RESERVED_IDLE = Duration.ofSeconds(2);
 
+	/**
+	 * Time for which a replaced one stays unused, in case that the backend server closes
+	 * the new one at once.
+	 */
+	private static final Duration REPLACED_TIME = Duration.ofMillis(300);
+
 	private final Vertx vertx;
 
 	private final InstantSource clock;
@@ -221,14 +227,17 @@
 	 */
 	void keepIdleOpen(BackendServer server) {
 		BackendConnection reserved = reserveIdle(server);
-		if (reserved != null && reserved.isIdleLongerThan(MAX_RESERVED_IDLE.toMillis())) {
+		if (reserved != null && reserved.isReplacementDue(MAX_RESERVED_IDLE.toMillis())) {
+			reserved.recordReplacement();
 			verifyPath(server).onComplete((ignored) -> replaceReserved(server, reserved));
 		}
 	}
 
 	private void replaceReserved(BackendServer server, BackendConnection reserved) {
 		reserved.reserve(0);
-		reserveIdle(server);
+		if (reserveIdle(server) != reserved) {
+			reserved.reserve(REPLACED_TIME.toMillis());
+		}
 	}
 
 	private @Nullable BackendConnection reserveIdle(BackendServer server) {
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -61,6 +61,8 @@
 
 	private static final int IDLE = 1;
 
+	private static final int PARTS = 20;
+
 	private static final DaemonId HELPER = DaemonId.of("helper");
 
 	/** Replies of SOCKS 5: name and password, their success, and that of the request. */
@@ -99,6 +101,8 @@
 
 	private final BackendServer lasting = server("lasting", listening(this.accepted::add));
 
+	private final BackendServer limited = server("limited", listening(this::acceptTwo));
+
 	@AfterEach
 	void close() {
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
@@ -128,6 +132,13 @@
 		}
 	}
 
+	private void acceptTwo(NetSocket socket) {
+		this.accepted.add(socket);
+		if (this.accepted.size() > 2) {
+			socket.close();
+		}
+	}
+
 	private BackendConnections connections() {
 		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
 		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
@@ -294,6 +305,40 @@
 		return onContext(() -> Future.succeededFuture(this.connections.isVersionCertain(this.lasting)));
 	}
 
+	// Guards against sound responses that are lost, and against a connection for each
+	// part of a response, at a backend server that closes each connection above its
+	// maximum.
+	@Test
+	void serverWithoutRoomForAReplacementKeepsTheIdleConnection() throws Exception {
+		BackendConnection response = responseOf(this.limited);
+		observeLimited(response);
+		this.passed = Duration.ofSeconds(3);
+		for (int i = 0; i < PARTS; i++) {
+			observeLimited(response);
+		}
+		onContext(() -> this.connections.acquire(this.limited, Duration.ofSeconds(10)));
+		assertThat(this.accepted).hasSizeLessThan(PARTS / 2);
+		observeLimited(response);
+		this.accepted.get(RESPONSE).close();
+		await(() -> onContext(() -> Future.succeededFuture(response.isClosedByServer())));
+		assertThat(onContext(() -> this.liveness.endOf(this.limited, response, true)))
+			.isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+	}
+
+	private void observeLimited(BackendConnection response) throws Exception {
+		onContext(() -> {
+			this.liveness.observe(this.limited, response);
+			return this.connections.ongoingCheck(this.limited);
+		});
+		Thread.sleep(10);
+	}
+
+	private BackendConnection responseOf(BackendServer asked) throws Exception {
+		BackendConnection response = onContext(() -> this.connections.acquire(asked, Duration.ZERO));
+		await(() -> this.accepted.size() == 1);
+		return response;
+	}
+
 	private BackendConnection response() throws Exception {
 		BackendConnection response = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
 		await(() -> this.accepted.size() == 1);
