Replace the reserved idle connection every 500 ms

Sound responses until close of a server that closes idle connections after one or two seconds were lost: the reserved connection was replaced after two seconds only, when the server had closed it, and none is opened then.

By review; idleConnectionIsReplacedBeforeAServerClosesItAfterASecond failed before (closed) and passes now. It costs up to two connections a second for each process that sends such a response.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -60,7 +60,7 @@
 	private static final Duration RESERVED_TIME = Duration.ofSeconds(10);
 
 	/** Age of such a connection from which it is replaced by a new one. */
-	private static final Duration MAX_RESERVED_IDLE = Duration.ofSeconds(2);
+	private static final Duration MAX_RESERVED_IDLE = Duration.ofMillis(500);
 
 	/**
 	 * Time for which a replaced one stays unused, in case that the backend server closes
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -221,6 +221,19 @@
 		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
 	}
 
+	// Guards against sound responses that are lost, as the backend server closes
+	// connections that are idle for a second.
+	@Test
+	void idleConnectionIsReplacedBeforeAServerClosesItAfterASecond() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		this.passed = Duration.ofMillis(750);
+		observe(response);
+		this.passed = Duration.ofSeconds(1);
+		close(IDLE);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+	}
+
 	// Guards against a connection for each part of a response, at a backend server that
 	// closes those that it has no request on.
 	@Test
