End the reservation of an idle connection with the responses it is for

An idle connection stayed unused for 10 s after the last part of a response until close, also if the response had ended before the connection was open. Each such response thus cost the next request a new connection, and a server that serves one connection after the other let it wait behind the idle one.

Now the reservation ends 650 ms after the last such response, which is longer than its judgement takes. By review; idleConnectionIsUsedAgainAfterTheResponse and idleConnectionThatIsOpenedAtTheEndIsUsedAgain failed before and pass now.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -221,6 +221,14 @@
 		this.reservedUntil = this.clock.millis() + millis;
 	}
 
+	/**
+	 * Ends the time for which the connection is left unused.
+	 * @param millis maximum time that it lasts still, in milliseconds
+	 */
+	void endReservation(long millis) {
+		this.reservedUntil = Math.min(this.reservedUntil, this.clock.millis() + millis);
+	}
+
 	/**
 	 * Records that another connection is opened in place of this one.
 	 */
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -59,6 +59,12 @@
 	 */
 	private static final Duration RESERVED_TIME = Duration.ofSeconds(10);
 
+	/**
+	 * Time for which it is not used after the last such response: longer than the
+	 * judgement of its end takes.
+	 */
+	private static final Duration JUDGEMENT_TIME = Duration.ofMillis(650);
+
 	/** Age of such a connection from which it is replaced by a new one. */
 	private static final Duration MAX_RESERVED_IDLE = Duration.ofMillis(500);
 
@@ -215,7 +221,7 @@
 	 */
 	void openIdle(BackendServer server) {
 		if (reserveIdle(server) == null) {
-			verifyPath(server).onComplete((ignored) -> reserveIdle(server));
+			verifyPath(server).onComplete((ignored) -> reserveOpened(server));
 		}
 	}
 
@@ -233,11 +239,25 @@
 		}
 	}
 
+	// The response may have ended meanwhile.
+	private void reserveOpened(BackendServer server) {
+		reserveIdle(server);
+		endReservation(server.process());
+	}
+
+	private void endReservation(BackendProcess process) {
+		ProcessConnections connections = this.processes.get(process);
+		if (connections != null) {
+			connections.endReservation(JUDGEMENT_TIME.toMillis());
+		}
+	}
+
 	private void replaceReserved(BackendServer server, BackendConnection reserved) {
 		reserved.reserve(0);
 		if (reserveIdle(server) != reserved) {
 			reserved.reserve(REPLACED_TIME.toMillis());
 		}
+		endReservation(server.process());
 	}
 
 	private @Nullable BackendConnection reserveIdle(BackendServer server) {
@@ -324,6 +344,9 @@
 			return;
 		}
 		connections.remove(connection);
+		if (connection.isObserved()) {
+			endReservation(connection.process());
+		}
 		if (connections.isEmpty()) {
 			this.processes.remove(connection.process());
 			this.disconnectListener.accept(connection.process());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -77,6 +77,17 @@
 		return chosen;
 	}
 
+	/**
+	 * Ends the reservation of idle connections, unless another response ends with its
+	 * connection.
+	 * @param millis time for which it lasts at most, in milliseconds
+	 */
+	void endReservation(long millis) {
+		if (this.open.stream().noneMatch(BackendConnection::isObserved)) {
+			this.idle.stream().forEach((each) -> each.endReservation(millis));
+		}
+	}
+
 	boolean isEmpty() {
 		return this.open.isEmpty();
 	}
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -346,6 +346,43 @@
 		Thread.sleep(10);
 	}
 
+	// Guards against requests that wait for a backend server which serves one connection
+	// after the other, as an idle one is kept unused after the response that it was kept
+	// for.
+	@Test
+	void idleConnectionIsUsedAgainAfterTheResponse() throws Exception {
+		BackendConnection response = response();
+		observe(response);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+		this.passed = Duration.ofSeconds(1);
+		onContext(() -> this.connections.acquire(this.lasting, Duration.ofSeconds(10)));
+		assertThat(open()).isEqualTo(1);
+	}
+
+	// Guards against an idle connection that is kept unused for long after a response
+	// that had ended before it was open.
+	@Test
+	void idleConnectionThatIsOpenedAtTheEndIsUsedAgain() throws Exception {
+		assertThat(endWithNewConnectionAfter(Duration.ZERO)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+		this.passed = Duration.ofSeconds(1);
+		onContext(() -> this.connections.acquire(this.server, Duration.ofSeconds(10)));
+		assertThat(this.connections.others(this.server.process(), null, Long.MAX_VALUE)).hasSize(1);
+	}
+
+	// Guards against the loss of the idle connection to a request while a second response
+	// needs it.
+	@Test
+	void idleConnectionIsKeptForASecondResponse() throws Exception {
+		BackendConnection response = response();
+		BackendConnection second = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
+		observe(response);
+		observe(second);
+		assertThat(endOf(response)).isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
+		this.passed = Duration.ofSeconds(1);
+		onContext(() -> this.connections.acquire(this.lasting, Duration.ofSeconds(10)));
+		assertThat(open()).isEqualTo(3);
+	}
+
 	private BackendConnection responseOf(BackendServer asked) throws Exception {
 		BackendConnection response = onContext(() -> this.connections.acquire(asked, Duration.ZERO));
 		await(() -> this.accepted.size() == 1);
