Take no connection that still delivers data for a sign of life

The end of a process comes after the data that it had sent.

Now one counts if no data has come on it since the last look, which is a read of all connections ago. If none is quiet at the end of the time, it is looked on for as long again. The event response.ended-by-close tells how many are quiet.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -114,7 +114,7 @@
 			.filter((each) -> ended.isOfSameProcess(each) && isOpenedInTime(each, endedAt))
 			.toList();
 		Promise<ResponseEnd> result = Promise.promise();
-		look(process, others, now, window, result);
+		look(new Look(process, others, now, now), window, result);
 		return result.future();
 	}
 
@@ -123,31 +123,66 @@
 		return other.openedAt().toEpochMilli() <= endedAt + OPENING_WINDOW.toMillis();
 	}
 
-	private void look(BackendProcess process, List<BackendConnection> others, long since, Duration window,
-			Promise<ResponseEnd> result) {
-		boolean over = this.clock.millis() - since >= window.toMillis();
-		boolean answered = others.stream().anyMatch((each) -> each.hasAnsweredSince(since));
-		long watched = others.stream().filter((each) -> each.isWatchedSince(since)).count();
-		if (over || answered || watched == 0) {
-			decide(process, others, answered, watched, this.clock.millis() - since, result);
+	private void look(Look look, Duration window, Promise<ResponseEnd> result) {
+		long now = this.clock.millis();
+		long passed = now - look.since();
+		boolean over = passed >= window.toMillis() && (look.quiet() > 0 || passed >= 2 * window.toMillis());
+		if (over || look.isAnswered() || look.watched() == 0) {
+			decide(look, passed, result);
 		}
 		else {
-			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(process, others, since, window, result));
+			this.vertx.setTimer(LOOK_INTERVAL.toMillis(), (id) -> look(look.next(now), window, result));
 		}
 	}
 
 	// Other responses that end with their connections may end at the same time, so that
 	// a closed connection alone is no sign of a crash. Data that comes now may have been
 	// sent before, unless it answers a later request.
-	private void decide(BackendProcess process, List<BackendConnection> others, boolean answered, long watched,
-			long afterMillis, Promise<ResponseEnd> result) {
-		ResponseEnd end = (answered || watched > 0) ? ResponseEnd.CLOSED_BY_LIVE_PROCESS : ResponseEnd.CLOSED;
-		long closed = others.stream().filter(BackendConnection::isClosedByServer).count();
-		LOG.info("response.ended-by-close", "backend-server", process.server(), "end", end.label(), "connections",
-				others.size(), "closed", closed, "watched", watched, "answered", answered, "decided-after-ms",
-				afterMillis);
+	private void decide(Look look, long afterMillis, Promise<ResponseEnd> result) {
+		boolean answered = look.isAnswered();
+		long quiet = look.quiet();
+		ResponseEnd end = (answered || quiet > 0) ? ResponseEnd.CLOSED_BY_LIVE_PROCESS : ResponseEnd.CLOSED;
+		LOG.info("response.ended-by-close", "backend-server", look.process().server(), "end", end.label(),
+				"connections", look.others().size(), "closed", look.closed(), "watched", look.watched(), "quiet", quiet,
+				"answered", answered, "decided-after-ms", afterMillis);
 		this.telemetry.counter("responses.ended." + end.label()).inc();
 		result.complete(end);
 	}
 
+	/**
+	 * A look at the other connections to a process.
+	 *
+	 * @param process the process
+	 * @param others the connections
+	 * @param since when the response had ended, in milliseconds of the clock
+	 * @param lastLookAt time of the last look, since which all data was read that had
+	 * come before
+	 */
+	private record Look(BackendProcess process, List<BackendConnection> others, long since, long lastLookAt) {
+
+		Look next(long now) {
+			return new Look(this.process, this.others, this.since, now);
+		}
+
+		boolean isAnswered() {
+			return this.others.stream().anyMatch((each) -> each.hasAnsweredSince(this.since));
+		}
+
+		long watched() {
+			return this.others.stream().filter((each) -> each.isWatchedSince(this.since)).count();
+		}
+
+		// The end of a process comes after the data that it had sent.
+		long quiet() {
+			return this.others.stream()
+				.filter((each) -> each.isWatchedSince(this.since) && !each.hasDataSince(this.lastLookAt))
+				.count();
+		}
+
+		long closed() {
+			return this.others.stream().filter(BackendConnection::isClosedByServer).count();
+		}
+
+	}
+
 }
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -301,6 +301,20 @@
 		return new Member(HELPER, 1, MemberStatus.ALIVE, FailureDomain.of("zone"), address, address, 0, 0);
 	}
 
+	// Guards against responses of a killed process that are passed on as complete, as
+	// another connection still delivers data that was sent before.
+	@Test
+	void connectionThatStillDeliversDataShowsNothing() throws Exception {
+		BackendConnection response = response();
+		BackendConnection delivering = onContext(() -> this.connections.acquire(this.lasting, Duration.ZERO));
+		long timer = this.vertx.setPeriodic(1, (id) -> this.context.runOnContext((run) -> delivering.recordData()));
+		assertThat(onContext(() -> {
+			response.recordObserved(this.clock.millis());
+			return this.liveness.endOf(this.lasting, response, true);
+		})).isEqualTo(ResponseEnd.CLOSED);
+		this.vertx.cancelTimer(timer);
+	}
+
 	// Guards against streams that go on at another software version, as the end of the
 	// former process is not seen on a connection that waits for a slow caller.
 	@Test
