--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -25,7 +25,8 @@
 
 	private final InstantSource clock;
 
-	private final Instant requestedAt;
+	/** Latest time at which the backend server was asked for the connection. */
+	private final Instant askedAt;
 
 	private final Instant openedAt;
 
@@ -47,6 +48,8 @@
 
 	private long reservedUntil;
 
+	private long replacementAt;
+
 	private boolean closedHere;
 
 	private long closedByServerAt = NEVER;
@@ -62,8 +65,8 @@
 		this.clock = clock;
 		this.openedAt = clock.instant();
 		this.lastDataAt = this.openedAt.toEpochMilli();
-		this.requestedAt = requestedAt;
-		this.sameProcessSince = requestedAt.toEpochMilli();
+		this.askedAt = (this.helper == null) ? requestedAt : this.openedAt;
+		this.sameProcessSince = this.askedAt.toEpochMilli();
 		ResponseParts.install(this.connection);
 		InformationalResponseFilter.install(this.connection);
 	}
@@ -90,7 +93,8 @@
 
 	/**
 	 * Returns since when the process behind the connection is known to be the same one:
-	 * since the connection was asked for, or earlier if others show it.
+	 * since the backend server was asked for the connection, which another daemon may do
+	 * late, or earlier if others show it.
 	 * @return the time
 	 */
 	long sameProcessSince() {
@@ -112,16 +116,17 @@
 	 */
 	void recordIdleClosed(Duration overlap) {
 		if (this.clock.millis() - this.openedAt.toEpochMilli() < overlap.toMillis()) {
-			this.sameProcessSince = this.requestedAt.toEpochMilli();
+			this.sameProcessSince = this.askedAt.toEpochMilli();
 		}
 	}
 
 	/**
 	 * Records that the current response ends with the connection, and that the process is
 	 * observed by others from now on.
+	 * @param aliveAt a time at which the process still ran that sends the response
 	 */
-	void recordObserved() {
-		this.observedAt = this.clock.millis();
+	void recordObserved(long aliveAt) {
+		this.observedAt = aliveAt;
 	}
 
 	boolean isObserved() {
@@ -175,6 +180,10 @@
 		this.pauseChangedAt = this.clock.millis();
 	}
 
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	/**
 	 * Returns whether the connection is open and was read all the time, so that the end
 	 * of the process would have ended it visibly.
@@ -212,6 +221,31 @@
 		this.reservedUntil = this.clock.millis() + millis;
 	}
 
+	/**
+	 * Ends the time for which the connection is left unused.
+	 * @param millis maximum time that it lasts still, in milliseconds
+	 */
+	void endReservation(long millis) {
+		this.reservedUntil = Math.min(this.reservedUntil, this.clock.millis() + millis);
+	}
+
+	/**
+	 * Records that another connection is opened in place of this one.
+	 */
+	void recordReplacement() {
+		this.replacementAt = this.clock.millis();
+	}
+
+	/**
+	 * Returns whether the connection is idle for long, and the last try to replace it is
+	 * as long ago.
+	 * @param millis the time, in milliseconds
+	 * @return whether to open another one in its place
+	 */
+	boolean isReplacementDue(long millis) {
+		return isIdleLongerThan(millis) && this.clock.millis() - this.replacementAt > millis;
+	}
+
 	boolean isReserved() {
 		return this.clock.millis() < this.reservedUntil;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -59,8 +59,20 @@
 	 */
 	private static final Duration RESERVED_TIME = Duration.ofSeconds(10);
 
+	/**
+	 * Time for which it is not used after the last such response: longer than the
+	 * judgement of its end takes.
+	 */
+	private static final Duration JUDGEMENT_TIME = Duration.ofMillis(650);
+
 	/** Age of such a connection from which it is replaced by a new one. */
-	private static final Duration MAX_RESERVED_IDLE = Duration.ofSeconds(2);
+	private static final Duration MAX_RESERVED_IDLE = Duration.ofMillis(500);
+
+	/**
+	 * Time for which a replaced one stays unused, in case that the backend server closes
+	 * the new one at once.
+	 */
+	private static final Duration REPLACED_TIME = Duration.ofMillis(300);
 
 	private final Vertx vertx;
 
@@ -80,8 +92,12 @@
 
 	private long allCheckedAt = Long.MIN_VALUE / 2;
 
+	private final ReadTurns turns = new ReadTurns();
+
 	private long checkTimer = -1;
 
+	private long turnTimer = -1;
+
 	private Consumer<BackendProcess> disconnectListener = (process) -> {
 	};
 
@@ -114,6 +130,8 @@
 	public CompletionStage<Void> start() {
 		Context context = this.vertx.getOrCreateContext();
 		this.checkTimer = this.vertx.setPeriodic(CHECK_INTERVAL.toMillis(), (id) -> this.connector.checkLostPaths());
+		this.turnTimer = this.vertx.setPeriodic(ReadTurns.INTERVAL.toMillis(),
+				(id) -> this.turns.record(this.clock.millis()));
 		this.fleet.addListener((snapshot) -> context.runOnContext((ignored) -> closeCarriedByLeaving(snapshot)));
 		return CompletableFuture.completedStage(null);
 	}
@@ -121,6 +139,7 @@
 	@Override
 	public CompletionStage<Void> stop() {
 		this.vertx.cancelTimer(this.checkTimer);
+		this.vertx.cancelTimer(this.turnTimer);
 		return this.connector.close().toCompletionStage();
 	}
 
@@ -202,7 +221,7 @@
 	 */
 	void openIdle(BackendServer server) {
 		if (reserveIdle(server) == null) {
-			verifyPath(server).onComplete((ignored) -> reserveIdle(server));
+			verifyPath(server).onComplete((ignored) -> reserveOpened(server));
 		}
 	}
 
@@ -214,18 +233,31 @@
 	 */
 	void keepIdleOpen(BackendServer server) {
 		BackendConnection reserved = reserveIdle(server);
-		if (reserved != null && reserved.isIdleLongerThan(MAX_RESERVED_IDLE.toMillis())) {
+		if (reserved != null && reserved.isReplacementDue(MAX_RESERVED_IDLE.toMillis())) {
+			reserved.recordReplacement();
 			verifyPath(server).onComplete((ignored) -> replaceReserved(server, reserved));
 		}
 	}
 
-	// Judgements that have begun wait for the replaced one.
-	private void replaceReserved(BackendServer server, BackendConnection reserved) {
-		ProcessConnections connections = this.processes.get(server.process());
+	// The response may have ended meanwhile.
+	private void reserveOpened(BackendServer server) {
+		reserveIdle(server);
+		endReservation(server.process());
+	}
+
+	private void endReservation(BackendProcess process) {
+		ProcessConnections connections = this.processes.get(process);
 		if (connections != null) {
-			connections.reserveNewestIdle(RESERVED_TIME.toMillis());
-			reserved.reserve(CrashDetector.WINDOW.toMillis());
+			connections.endReservation(JUDGEMENT_TIME.toMillis());
+		}
+	}
+
+	private void replaceReserved(BackendServer server, BackendConnection reserved) {
+		reserved.reserve(0);
+		if (reserveIdle(server) != reserved) {
+			reserved.reserve(REPLACED_TIME.toMillis());
 		}
+		endReservation(server.process());
 	}
 
 	private @Nullable BackendConnection reserveIdle(BackendServer server) {
@@ -233,6 +265,14 @@
 		return (connections != null) ? connections.reserveIdle(RESERVED_TIME.toMillis()) : null;
 	}
 
+	/**
+	 * Returns a time at which the process ran whose data is read now.
+	 * @return the time, in milliseconds of the clock
+	 */
+	long aliveAt() {
+		return this.turns.aliveAt(this.clock.millis());
+	}
+
 	/**
 	 * Returns when a connection that is being opened for a check is open.
 	 * @param server the backend server
@@ -304,6 +344,9 @@
 			return;
 		}
 		connections.remove(connection);
+		if (connection.isObserved()) {
+			endReservation(connection.process());
+		}
 		if (connections.isEmpty()) {
 			this.processes.remove(connection.process());
 			this.disconnectListener.accept(connection.process());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -78,13 +78,13 @@
 	}
 
 	/**
-	 * Leaves the idle connection unused for a time that was used last.
-	 * @param millis the time, in milliseconds
+	 * Ends the reservation of idle connections, unless another response ends with its
+	 * connection.
+	 * @param millis time for which it lasts at most, in milliseconds
 	 */
-	void reserveNewestIdle(long millis) {
-		BackendConnection newest = this.idle.peekFirst();
-		if (newest != null) {
-			newest.reserve(millis);
+	void endReservation(long millis) {
+		if (this.open.stream().noneMatch(BackendConnection::isObserved)) {
+			this.idle.stream().forEach((each) -> each.endReservation(millis));
 		}
 	}
 
@@ -151,11 +151,15 @@
 	}
 
 	/**
-	 * Returns when the oldest open connection was opened.
-	 * @return the time, or empty if none is open
+	 * Returns when the oldest open connection was opened of those that are read, as the
+	 * end of the process is not seen on others.
+	 * @return the time, or empty if there is none
 	 */
 	Optional<Instant> oldestOpenedAt() {
-		return this.open.stream().map(BackendConnection::openedAt).min(Comparator.naturalOrder());
+		return this.open.stream()
+			.filter((each) -> !each.isPaused())
+			.map(BackendConnection::openedAt)
+			.min(Comparator.naturalOrder());
 	}
 
 	List<BackendConnection> known(long closedSince) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -77,7 +77,7 @@
 		}
 		else {
 			this.connections.openIdle(server);
-			connection.recordObserved();
+			connection.recordObserved(this.connections.aliveAt());
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessWatch.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessWatch.java
@@ -53,7 +53,9 @@
 	 */
 	@Nullable ResponseEnd look(long now) {
 		ResponseEnd end = end(now);
-		this.lookedAt = now;
+		if (end == null) {
+			this.lookedAt = now;
+		}
 		return end;
 	}
 
@@ -63,7 +65,7 @@
 		}
 		List<BackendConnection> watched = watched();
 		long watchedFor = now - this.since;
-		if (watchedFor >= this.window && watched.stream().anyMatch(this::isDrained)) {
+		if (watchedFor >= this.window && watched.stream().anyMatch(this::isQuiet)) {
 			return ResponseEnd.CLOSED_BY_LIVE_PROCESS;
 		}
 		return (watched.isEmpty() || watchedFor >= 2 * this.window) ? ResponseEnd.CLOSED : null;
@@ -77,7 +79,7 @@
 
 	// The event loop has read what had come since the latest look. A time would prove
 	// nothing, as the event loop may have been delayed meanwhile.
-	private boolean isDrained(BackendConnection connection) {
+	private boolean isQuiet(BackendConnection connection) {
 		return !connection.hasDataSince(this.lookedAt);
 	}
 
@@ -89,8 +91,10 @@
 	void log(ResponseEnd end, long now) {
 		long closed = this.others.stream().filter(BackendConnection::isClosedByServer).count();
 		boolean answered = this.others.stream().anyMatch((each) -> each.hasAnsweredSince(this.since));
+		List<BackendConnection> watched = watched();
+		long quiet = watched.stream().filter(this::isQuiet).count();
 		LOG.info("response.ended-by-close", "backend-server", this.process.server(), "end", end.label(), "connections",
-				this.others.size(), "closed", closed, "watched", watched().size(), "answered", answered,
+				this.others.size(), "closed", closed, "watched", watched.size(), "quiet", quiet, "answered", answered,
 				"decided-after-ms", now - this.since);
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/TestConnections.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/TestConnections.java
@@ -4,8 +4,10 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 
 import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendKind;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.fleet.FleetSnapshot;
@@ -32,10 +34,13 @@
 	}
 
 	static BackendConnections create(Vertx vertx, InstantSource clock) {
+		FleetView fleet = constant(FleetView.class, new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of()));
+		return create(vertx, clock, fleet, constant(ListReads.class, ListRead.NONE));
+	}
+
+	static BackendConnections create(Vertx vertx, InstantSource clock, FleetView fleet, ListReads reads) {
 		NetworkAddress peers = NetworkAddress.of("127.0.0.1", 9);
 		PeerIdentity identity = new PeerIdentity("fleet", DaemonId.of("daemon"), 1, peers, List.of("k".repeat(32)));
-		FleetView fleet = constant(FleetView.class, new FleetSnapshot(DaemonId.of("daemon"), List.of(), List.of()));
-		ListReads reads = constant(ListReads.class, ListRead.NONE);
 		BackendConnector connector = BackendConnector.create(vertx, clock, fleet,
 				BackendPaths.create(new SplittableRandom(1)), PeerTokens.create(identity, clock), Telemetry.create());
 		return BackendConnections.create(vertx, clock, connector, fleet, reads);
@@ -53,8 +58,18 @@
 	 * @return the implementation
 	 */
 	static <T> T constant(Class<T> type, Object result) {
+		return answering(type, (method) -> result);
+	}
+
+	/**
+	 * Returns an implementation whose methods return what a function does.
+	 * @param type the interface
+	 * @param results returns the result for the name of a method
+	 * @return the implementation
+	 */
+	static <T> T answering(Class<T> type, Function<String, @Nullable Object> results) {
 		return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] { type },
-				(proxy, method, arguments) -> result));
+				(proxy, method, arguments) -> results.apply(method.getName())));
 	}
 
 }
