Leave a replaced connection unused for as long as a judgement takes

By reading of the joined code: a replaced idle connection was reserved for 300 ms more, but a judgement takes 600 ms where other connections deliver data. One constant holds now for both.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -60,20 +60,15 @@
 	private static final Duration RESERVED_TIME = Duration.ofSeconds(10);
 
 	/**
-	 * Time for which it is not used after the last such response: longer than the
-	 * judgement of its end takes.
+	 * Time for which it is not used after the last such response, or after another one
+	 * was opened in its place: longer than the judgement of an end takes, and than the
+	 * backend server needs to close the other one.
 	 */
 	private static final Duration JUDGEMENT_TIME = Duration.ofMillis(650);
 
 	/** Age of such a connection from which it is replaced by a new one. */
 	private static final Duration MAX_RESERVED_IDLE = Duration.ofMillis(500);
 
-	/**
-	 * Time for which a replaced one stays unused, in case that the backend server closes
-	 * the new one at once.
-	 */
-	private static final Duration REPLACED_TIME = Duration.ofMillis(300);
-
 	private final Vertx vertx;
 
 	private final InstantSource clock;
@@ -255,7 +250,7 @@
 	private void replaceReserved(BackendServer server, BackendConnection reserved) {
 		reserved.reserve(0);
 		if (reserveIdle(server) != reserved) {
-			reserved.reserve(REPLACED_TIME.toMillis());
+			reserved.reserve(JUDGEMENT_TIME.toMillis());
 		}
 		endReservation(server.process());
 	}
