Determine the framing of a response once, at its head

Reading the whole change again: each part of each response, also in chunks or with a length, looked up two headers to find out whether the response ends with its connection; the framing is known at the head and kept now. CrashDetector.evidence had one caller left and stands in it again, Attempt.stopTimers wrapped one call, and a comment was broken by the formatter. Behaviour is unchanged.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -65,6 +65,8 @@
 
 	private @Nullable MultiMap headers;
 
+	private @Nullable ResponseFraming framing;
+
 	private boolean forwarding;
 
 	private boolean ended;
@@ -199,20 +201,10 @@
 	 */
 	ResponseTrace trace() {
 		BackendConnection connection = connection();
-		return new ResponseTrace(framing(), this.splitter.eventCount(), this.lastEventId, this.splitter.idSkips(),
+		return new ResponseTrace(this.framing, this.splitter.eventCount(), this.lastEventId, this.splitter.idSkips(),
 				this.splitter.remaining().length(), (connection != null) ? connection.state() : null);
 	}
 
-	private @Nullable ResponseFraming framing() {
-		ResponseHead responseHead = this.head;
-		MultiMap responseHeaders = this.headers;
-		if (responseHead == null || responseHeaders == null) {
-			return null;
-		}
-		return ResponseFraming.of(this.plan.method(), responseHead.status(),
-				responseHeaders.contains("Transfer-Encoding"), responseHeaders.contains("Content-Length"));
-	}
-
 	RunMeasurement measurement(RunEnd end) {
 		TokenEstimate estimate = this.plan.estimate();
 		int responseTokens = this.splitter.eventCount() * this.plan.tokensPerEvent();
@@ -248,6 +240,8 @@
 		ResponseHead responseHead = this.plan.protocol().readResponseHead(status, responseHeaders);
 		this.head = responseHead;
 		this.headers = responseHeaders;
+		this.framing = ResponseFraming.of(this.plan.method(), responseHead.status(),
+				responseHeaders.contains("Transfer-Encoding"), responseHeaders.contains("Content-Length"));
 		recordStatedLimits(responseHead);
 		this.notices.received(this.plan.server(), responseHead);
 		AttemptFailure failure = this.headCheck.check(responseHead, responseHeaders, mayContinueStream(responseHead));
@@ -267,7 +261,7 @@
 	}
 
 	private boolean mayContinueStream(ResponseHead responseHead) {
-		return isStream(responseHead) && framing() != ResponseFraming.NO_BODY;
+		return isStream(responseHead) && this.framing != ResponseFraming.NO_BODY;
 	}
 
 	// A late response to another request may be older than what is known.
@@ -390,7 +384,7 @@
 			judge(ResponseEnd.STATED);
 			return;
 		}
-		stopTimers();
+		this.silenceWatch.stop();
 		this.endedAtMillis = this.clock.millis();
 		this.liveness.endOf(this.plan.server(), connection, isStream(responseHead)).onSuccess(this::judge);
 	}
@@ -451,7 +445,7 @@
 	 * @return {@code false} before the head was received
 	 */
 	boolean isEndedByClose() {
-		return framing() == ResponseFraming.UNTIL_CLOSE;
+		return this.framing == ResponseFraming.UNTIL_CLOSE;
 	}
 
 	/**
@@ -502,10 +496,6 @@
 
 	private void finish() {
 		this.ended = true;
-		stopTimers();
-	}
-
-	private void stopTimers() {
 		this.silenceWatch.stop();
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -85,10 +85,10 @@
 
 	private final Map<BackendServerId, Future<Void>> checks = new HashMap<>();
 
-	private long allCheckedAt = Long.MIN_VALUE / 2;
-
 	private final ReadTurns turns = new ReadTurns();
 
+	private long allCheckedAt = Long.MIN_VALUE / 2;
+
 	private long checkTimer = -1;
 
 	private long turnTimer = -1;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CrashDetector.java
@@ -148,21 +148,11 @@
 		}
 	}
 
-	/**
-	 * Returns what connections to one process show.
-	 * @param others the connections
-	 * @param since time after which data shows that the process goes on, in milliseconds
-	 * @return the evidence
-	 */
-	static CrashEvidence evidence(List<BackendConnection> others, long since) {
-		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
-		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(since)).count();
-		return new CrashEvidence(others.size(), closed, responding);
-	}
-
 	private void decide(BackendProcess process, Collection<Suspect> suspects, List<BackendConnection> others,
 			long brokenAt, Runnable crashed) {
-		CrashEvidence evidence = evidence(others, brokenAt);
+		int closed = (int) others.stream().filter(BackendConnection::isClosedByServer).count();
+		int responding = (int) others.stream().filter((each) -> each.isRespondingSince(brokenAt)).count();
+		CrashEvidence evidence = new CrashEvidence(others.size(), closed, responding);
 		if (evidence.indicatesCrash()) {
 			crashed.run();
 			return;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessConnections.java
@@ -84,7 +84,7 @@
 	 */
 	void endReservation(long millis) {
 		if (this.open.stream().noneMatch(BackendConnection::isObserved)) {
-			this.idle.stream().forEach((each) -> each.endReservation(millis));
+			this.idle.forEach((each) -> each.endReservation(millis));
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseVersion.java
@@ -205,10 +205,9 @@
 		report(replaced, this.services.origins(), begun, this.dispatched.size() > 1);
 	}
 
-	// Other daemons continue the stream at the version that they are told, so they hear
-	// of
-	// it once it is certain. While the list cannot be read, its last state counts. Keeps
-	// no reference to the request, as an outage of the list may last long.
+	// Other daemons continue the stream at the version that they are told, and are told
+	// once it is certain. While the list cannot be read, its last state counts. No
+	// reference to the request is kept, as an outage of the list may last long.
 	private static void report(CompletableFuture<Boolean> replaced, StreamOriginService origins, BegunRun begun,
 			boolean isAmbiguous) {
 		replaced.thenAccept((isReplaced) -> {
