Carry the messages of rollouts between daemons

Cause: coordinator and daemons exchange announcements and reports. Change: a body of the envelope with a layout of its own; daemons of former builds ignore it.

--- a/wire/src/main/java/org/sardineport/wire/message/Envelope.java
+++ b/wire/src/main/java/org/sardineport/wire/message/Envelope.java
@@ -30,6 +30,7 @@
     SCHEDULING(11),
     CONFIGURATION(12),
     STREAM_ORIGIN(13),
+    ROLLOUT(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -49,6 +50,7 @@
         case 11: return SCHEDULING;
         case 12: return CONFIGURATION;
         case 13: return STREAM_ORIGIN;
+        case 14: return ROLLOUT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -573,6 +575,61 @@
     }
   }
 
+  public static final int ROLLOUT_FIELD_NUMBER = 14;
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   * @return Whether the rollout field is set.
+   */
+  @java.lang.Override
+  public boolean hasRollout() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   * @return The rollout.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getRollout() {
+    if (bodyCase_ == 14) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   * @param value The rollout to set.
+   */
+  private void setRollout(com.google.protobuf.ByteString value) {
+    java.lang.Class<?> valueClass = value.getClass();
+  bodyCase_ = 14;
+    body_ = value;
+  }
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   */
+  private void clearRollout() {
+    if (bodyCase_ == 14) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.sardineport.wire.message.Envelope parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1185,6 +1242,58 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Layout in RolloutCodec.
+     * </pre>
+     *
+     * <code>bytes rollout = 14;</code>
+     * @return Whether the rollout field is set.
+     */
+    @java.lang.Override
+    public boolean hasRollout() {
+      return instance.hasRollout();
+    }
+    /**
+     * <pre>
+     * Layout in RolloutCodec.
+     * </pre>
+     *
+     * <code>bytes rollout = 14;</code>
+     * @return The rollout.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRollout() {
+      return instance.getRollout();
+    }
+    /**
+     * <pre>
+     * Layout in RolloutCodec.
+     * </pre>
+     *
+     * <code>bytes rollout = 14;</code>
+     * @param value The rollout to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRollout(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setRollout(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Layout in RolloutCodec.
+     * </pre>
+     *
+     * <code>bytes rollout = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRollout() {
+      copyOnWrite();
+      instance.clearRollout();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.Envelope)
   }
   @java.lang.Override
@@ -1215,9 +1324,9 @@
             org.sardineport.wire.message.ConfigurationMessage.class,
           };
           java.lang.String info =
-              "\u0000\u000b\u0001\u0000\u0001\r\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0003\u0004\u0208\u0005\u000b\u0006\u0003\u0007\u0003\n<\u0000\u000b<\u0000" +
-              "\f<\u0000\r=\u0000";
+              "\u0000\f\u0001\u0000\u0001\u000e\f\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003" +
+              "\u0003\u0004\u0208\u0005\u000b\u0006\u0003\u0007\u0003\n<\u0000\u000b<\u0000\f<\u0000" +
+              "\r=\u0000\u000e=\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/EnvelopeOrBuilder.java
@@ -138,5 +138,24 @@
    */
   com.google.protobuf.ByteString getStreamOrigin();
 
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   * @return Whether the rollout field is set.
+   */
+  boolean hasRollout();
+  /**
+   * <pre>
+   * Layout in RolloutCodec.
+   * </pre>
+   *
+   * <code>bytes rollout = 14;</code>
+   * @return The rollout.
+   */
+  com.google.protobuf.ByteString getRollout();
+
   public org.sardineport.wire.message.Envelope.BodyCase getBodyCase();
 }
