Follow and coordinate rollouts in the relay daemon

Cause: orders in the operators' topic were not read, and no status written. Only deployments whose settings limit the exposure have it.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -205,6 +205,14 @@
 				this.splitter.remaining().length(), (connection != null) ? connection.state() : null);
 	}
 
+	/**
+	 * Returns the time since the attempt was started.
+	 * @return the time
+	 */
+	Duration age() {
+		return Duration.ofMillis(this.clock.millis() - this.startedAtMillis);
+	}
+
 	RunMeasurement measurement(RunEnd end) {
 		TokenEstimate estimate = this.plan.estimate();
 		int responseTokens = this.splitter.eventCount() * this.plan.tokensPerEvent();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/PermitReleases.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/PermitReleases.java
@@ -15,11 +15,22 @@
 
 	private final CrashReport crashReport;
 
-	PermitReleases(RelayServices services, CrashReport crashReport) {
+	private final String route;
+
+	PermitReleases(RelayServices services, CrashReport crashReport, String route) {
 		this.services = services;
+		this.route = route;
 		this.crashReport = crashReport;
 	}
 
+	/**
+	 * Records the first event of an attempt, which tells how fast its version is.
+	 * @param begun the attempt
+	 */
+	void firstEventReceived(PermittedAttempt begun) {
+		this.services.rollouts().firstData(begun.permit().backendServer(), this.route, begun.attempt().age());
+	}
+
 	/**
 	 * Releases the permit of an attempt.
 	 * @param ended the attempt
@@ -27,7 +38,7 @@
 	 */
 	void release(PermittedAttempt ended, RunEnd end) {
 		RunEnd reported = (end == RunEnd.TIMED_OUT && isPathLost(ended)) ? RunEnd.CANCELLED : end;
-		this.services.scheduler().release(ended.permit(), ended.attempt().measurement(reported));
+		release(ended, ended.attempt().measurement(reported));
 	}
 
 	/**
@@ -46,11 +57,16 @@
 		RunMeasurement measurement = ended.attempt().measurement(noneOpen ? RunEnd.BROKEN : RunEnd.REJECTED);
 		this.services.connections()
 			.verifyPath(ended.permit().backendServer())
-			.onComplete((ignored) -> this.services.scheduler()
-				.release(ended.permit(), isPathLost(ended) ? measurement.endedBy(RunEnd.CANCELLED) : measurement));
+			.onComplete((ignored) -> release(ended,
+					isPathLost(ended) ? measurement.endedBy(RunEnd.CANCELLED) : measurement));
 		return noneOpen;
 	}
 
+	private void release(PermittedAttempt ended, RunMeasurement measurement) {
+		this.services.scheduler().release(ended.permit(), measurement);
+		this.services.rollouts().ended(ended.permit().backendServer(), this.route, measurement);
+	}
+
 	private boolean isPathLost(PermittedAttempt ended) {
 		boolean connected = ended.attempt().connection() != null;
 		return connected && (ended.attempt().isCarried() || this.services.connections().isPathLost(ended.server()));
--- a/daemon/src/main/java/org/sardineport/daemon/relay/PermitRequests.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/PermitRequests.java
@@ -42,6 +42,8 @@
 
 	private final PermitRequestsListener listener;
 
+	private final RolloutSample sample;
+
 	private @Nullable SchedulingRequest pending;
 
 	PermitRequests(RelayServices services, RelayRequest request, PoolName pool, RequestProgress progress,
@@ -55,6 +57,7 @@
 		this.planner = planner;
 		this.version = version;
 		this.listener = listener;
+		this.sample = new RolloutSample(services.rollouts(), pool);
 	}
 
 	/**
@@ -62,8 +65,10 @@
 	 */
 	void request() {
 		PoolPause pause = PoolPause.now(this.services, this.pool, this.version);
-		SchedulingRequest schedulingRequest = this.version.restrict(
-				this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress, pause.servers()));
+		SchedulingRequest planned = this.planner.schedulingRequest(this.services.schedulingIds().get(), this.progress,
+				pause.servers());
+		SchedulingRequest schedulingRequest = this.sample.restrict(this.version.restrict(planned),
+				this.progress.attempts());
 		if (pause.isWhole()) {
 			waitOrRefuse(pause, schedulingRequest);
 			return;
@@ -123,14 +128,14 @@
 		}
 		this.pending = null;
 		if (isCallerWaiting()) {
-			checkGranted(permit);
+			checkGranted(schedulingRequest, permit);
 		}
 		else {
 			releaseUnused(permit);
 		}
 	}
 
-	private void checkGranted(Permit permit) {
+	private void checkGranted(SchedulingRequest schedulingRequest, Permit permit) {
 		try {
 			this.services.gate().recheck(this.request.admission());
 			checkStop();
@@ -140,7 +145,7 @@
 			this.listener.permitRefused(ex.refusal());
 			return;
 		}
-		if (permit.isValidAt(now()) && isUsable(permit)) {
+		if (permit.isValidAt(now()) && isUsable(schedulingRequest, permit)) {
 			this.listener.permitGranted(permit);
 		}
 		else {
@@ -155,11 +160,11 @@
 		}
 	}
 
-	private boolean isUsable(Permit permit) {
+	private boolean isUsable(SchedulingRequest schedulingRequest, Permit permit) {
 		BackendServer server = permit.backendServer();
 		return this.services.fleet().current().backendServers().contains(server)
 				&& !this.services.notices().pauses().isPaused(server.process())
-				&& this.version.allows(server.softwareVersion());
+				&& this.version.allows(server.softwareVersion()) && this.sample.allows(server, schedulingRequest);
 	}
 
 	private void releaseUnused(Permit permit) {
@@ -169,7 +174,12 @@
 	private void refused(SchedulingRequest schedulingRequest, Refusal refusal) {
 		if (this.pending == schedulingRequest) {
 			this.pending = null;
-			this.listener.permitRefused(refusal);
+			if (this.sample.leave()) {
+				request();
+			}
+			else {
+				this.listener.permitRefused(refusal);
+			}
 		}
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayAttempts.java
@@ -90,7 +90,7 @@
 		this.progress = progress;
 		this.planner = planner;
 		this.crashReport = new CrashReport(services, planner);
-		this.releases = new PermitReleases(services, this.crashReport);
+		this.releases = new PermitReleases(services, this.crashReport, request.admission().route().name());
 		this.version = version;
 		this.report = report;
 		this.listener = listener;
@@ -163,6 +163,7 @@
 		this.dispatchedAt = now();
 		this.report.dispatched(permit.backendServer());
 		this.version.dispatched(permit.backendServer());
+		this.services.rollouts().dispatched(permit.backendServer());
 		this.active.forEach(this::recordLastEvent);
 		Attempt attempt = new Attempt(this.services, this.planner.attemptPlan(permit, this.progress, this.lastEventId),
 				this);
@@ -200,6 +201,7 @@
 	public void firstEventReceived(Attempt attempt) {
 		this.unconfirmedEnd.refuted();
 		this.crashReport.firstEventReceived();
+		this.releases.firstEventReceived(this.active.get(attempt));
 	}
 
 	/**
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -29,6 +29,7 @@
 import org.sardineport.daemon.fleet.FleetSettings;
 import org.sardineport.daemon.fleet.TransportCounters;
 import org.sardineport.daemon.http.Readiness;
+import org.sardineport.daemon.rollout.RolloutService;
 import org.sardineport.daemon.scheduling.SchedulingService;
 import org.sardineport.daemon.stop.StopCoordinator;
 import org.sardineport.daemon.stream.StreamOriginService;
@@ -36,6 +37,7 @@
 import org.sardineport.daemon.telemetry.Telemetry;
 import org.sardineport.daemon.tunnel.TunnelServer;
 import org.sardineport.settings.SchedulingSettings;
+import org.sardineport.wire.rollout.RolloutCodec;
 import org.sardineport.wire.scheduling.SchedulingCodec;
 import org.sardineport.wire.stream.StreamOriginCodec;
 import org.sardineport.wire.transport.MembershipCodec;
@@ -76,8 +78,8 @@
 		Telemetry telemetry = Telemetry.create();
 		PeerIdentity identity = new PeerIdentity(membership.name(), this.fleetSettings.daemon(),
 				membership.incarnation(), this.fleetSettings.peerAddress(), List.of(membership.key()));
-		NettyPeerTransport transport = NettyPeerTransport.create(identity,
-				List.of(MembershipCodec.create(), SchedulingCodec.create(), StreamOriginCodec.create()), clock,
+		NettyPeerTransport transport = NettyPeerTransport.create(identity, List.of(MembershipCodec.create(),
+				SchedulingCodec.create(), StreamOriginCodec.create(), RolloutCodec.create()), clock,
 				TransportCounters.create(telemetry));
 		FleetService fleet = FleetService.create(this.fleetSettings, membership.incarnation(), transport,
 				ports.vmList(), clock, telemetry);
@@ -85,11 +87,14 @@
 				transport, clock, random.split(), telemetry);
 		StreamOriginService origins = StreamOriginService.create(fleet, fleet.listReads(), ports.origins(), transport,
 				clock, random.split(), telemetry);
+		RolloutService rollouts = RolloutService.create(vertx, settings.rollouts(), fleet, transport, ports.rollouts(),
+				scheduling::applyGates, clock, random.split(), telemetry);
 		fleet.setStrikeReceiver(scheduling);
 		scheduling.addStrikeChannel(fleet);
 		scheduling.addStrikeChannel(ports.strikes());
 		ports.strikes().listen(scheduling);
 		ConfigurationInForce inForce = ConfigurationInForce.create(settings.proofLifetime(), clockPair);
+		ports.configuration().listenOrders(rollouts);
 		ports.configuration()
 			.listen(new ConfigurationWatch(inForce, telemetry),
 					() -> ReadPacing.configurationWait(fleet.current().members().size()));
@@ -109,14 +114,14 @@
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
 				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
 				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
-				ConfirmedEnds.create());
+				ConfirmedEnds.create(), rollouts);
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
 				this.readiness, telemetry);
 		fleet.reportFrom(this.readiness);
 		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, tunnels,
-				fleet, origins, scheduling, connections, endpoints));
+				fleet, origins, scheduling, connections, rollouts, endpoints));
 		this.stop = StopCoordinator.create(settings.stop(),
 				new RelayStopActions(fleet, server, tunnels, this.readiness, settings.stop(), clock), clock, telemetry);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayPorts.java
@@ -5,6 +5,7 @@
 import org.sardineport.core.port.platform.VmList;
 import org.sardineport.core.port.relay.ConfigurationFeed;
 import org.sardineport.core.quarantine.StrikeStore;
+import org.sardineport.core.rollout.RolloutStore;
 import org.sardineport.core.stream.OriginStore;
 
 /**
@@ -15,9 +16,10 @@
  * @param configuration source of the operators' configuration
  * @param strikes strikes against requests that daemons share
  * @param origins origins of streams, where they survive the loss of all daemons
+ * @param rollouts states of rollouts, which operators read
  */
 public record RelayPorts(RelayProtocol protocol, VmList vmList, ConfigurationFeed configuration, StrikeStore strikes,
-		OriginStore origins) {
+		OriginStore origins, RolloutStore rollouts) {
 
 	/**
 	 * Creates the ports, all of which are required.
@@ -28,6 +30,7 @@
 		Objects.requireNonNull(configuration, "configuration must not be null");
 		Objects.requireNonNull(strikes, "strikes must not be null");
 		Objects.requireNonNull(origins, "origins must not be null");
+		Objects.requireNonNull(rollouts, "rollouts must not be null");
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -15,6 +15,7 @@
 import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.relay.RelayAdmissionCheck;
 import org.sardineport.core.relay.RetryDelays;
+import org.sardineport.daemon.rollout.RolloutService;
 import org.sardineport.daemon.stream.StreamOriginService;
 import org.sardineport.daemon.telemetry.Telemetry;
 
@@ -43,12 +44,13 @@
  * @param stop decides which requests may run during a planned stop
  * @param liveness tells how responses ended that end with their connection
  * @param confirmedEnds which processes end streams without stating it only when whole
+ * @param rollouts which software versions take new work
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
 		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop,
-		ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
+		ProcessLiveness liveness, ConfirmedEnds confirmedEnds, RolloutService rollouts) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.relay.LimitTolerance;
+import org.sardineport.core.rollout.RolloutSettings;
 import org.sardineport.core.stop.StopTiming;
 
 /**
@@ -23,10 +25,12 @@
  * @param retryWindow window over which requests and retries are counted
  * @param stop timing of a planned stop
  * @param maxBodyMemory maximum sum of the request bodies held at once, in bytes
+ * @param rollouts limits for rollouts; {@code null} if versions are not told apart
  */
 public record RelaySettings(NetworkAddress callerAddress, NetworkAddress readinessAddress, NetworkAddress entryAddress,
 		NetworkAddress metricsAddress, Duration keepTime, Duration proofLifetime, LimitTolerance limitTolerance,
-		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, long maxBodyMemory) {
+		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, long maxBodyMemory,
+		@Nullable RolloutSettings rollouts) {
 
 	/**
 	 * Creates the settings, all of which are required.
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -39,6 +39,7 @@
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.core.request.RetryReason;
+import org.sardineport.core.rollout.VersionGates;
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.scheduling.EngineAssumptions;
 import org.sardineport.core.scheduling.OwnerLookup;
@@ -242,6 +243,14 @@
 		this.quarantine.addChannel(channel);
 	}
 
+	/**
+	 * Applies new gates for software versions.
+	 * @param gates which versions take new work
+	 */
+	public void applyGates(VersionGates gates) {
+		offerOrDefer(() -> this.scheduler.onVersionGates(gates));
+	}
+
 	/**
 	 * Returns the state of the backend servers that this daemon owns, as of the last
 	 * tick.
