Run the periodic work of scheduling and stream origins only when it is due

The scheduling thread woke 40 times a second and that of the stream origins 20 times, whether or not a request waited.

An event loop can now ask its owner how long the periodic task has nothing to do, and sleeps until then or until a command. While a request waits, a permit of an owned backend server is outstanding, or an organisation's limit is in use, scheduling ticks every 25 ms as before; otherwise for the digest of each second. The stream origins tick every 50 ms while a lookup, a confirmation or an append is pending, after each read of the list, and once a second.

--- a/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OrganisationQuotas.java
@@ -81,6 +81,10 @@
 		}
 	}
 
+	boolean isIdle() {
+		return this.accounts.isEmpty();
+	}
+
 	void tick(long now) {
 		this.accounts.forEach((organisation, account) -> sendDemand(organisation, account, now));
 		this.accounts.values().removeIf((account) -> account.isIdle(now));
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
@@ -170,6 +170,10 @@
 		return owner != null && owner.onStatedLimitsReport(report, now);
 	}
 
+	boolean isIdle() {
+		return this.owners.values().stream().allMatch(PermitOwner::isIdle);
+	}
+
 	void tick(long now) {
 		this.owners.values().forEach((owner) -> owner.tick(now));
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -304,6 +304,14 @@
 		grantWaiting(now);
 	}
 
+	/**
+	 * Returns whether the periodic work has nothing to do until the next event.
+	 * @return whether no request waits and no permit is outstanding
+	 */
+	boolean isIdle() {
+		return this.occupancy.size() == 0 && this.queue.size() == 0;
+	}
+
 	/**
 	 * Refuses all waiting requests because another daemon now owns the backend server.
 	 * @param now the current time
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -1,5 +1,6 @@
 package org.sardineport.core.scheduling;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -183,6 +184,21 @@
 		deliverLocal();
 	}
 
+	/**
+	 * Returns how long {@link #tick()} has nothing to do, provided that no event comes
+	 * before.
+	 * @return zero while a request waits, a permit of an owned backend server is
+	 * outstanding or an organisation uses its limit; else the time until the next digest
+	 * or report
+	 */
+	public Duration untilTickDue() {
+		if (this.entry.waiting() > 0 || !this.owner.isIdle() || !this.quotas.isIdle()) {
+			return Duration.ZERO;
+		}
+		long next = Math.min(this.reportedAt + REPORT_INTERVAL_MILLIS, this.digestedAt + DIGEST_INTERVAL_MILLIS);
+		return Duration.ofMillis(next - this.clock.millis());
+	}
+
 	private void sendDigests(long now) {
 		for (ServerState state : this.owner.states(now)) {
 			this.entry.updateView(state.backendServer(), state);
--- a/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
@@ -141,6 +141,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether {@link #tick()} has nothing to do until the versions or the fleet
+	 * change.
+	 * @return whether no origin waits to be appended
+	 */
+	public boolean isIdle() {
+		return this.waiting.isEmpty();
+	}
+
 	private void append() {
 		List<StoredOrigin> batch = new ArrayList<>();
 		while (!this.waiting.isEmpty() && batch.size() < MAXIMUM_APPENDED) {
--- a/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRegistry.java
@@ -294,6 +294,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether {@link #tick()} has nothing to do until the next event.
+	 * @return whether no lookup and no confirmation is pending
+	 */
+	public boolean isIdle() {
+		return this.pending.isEmpty();
+	}
+
 	/**
 	 * Removes expired records. Call it about once a second.
 	 */
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulerTests.java
@@ -29,6 +29,22 @@
 		assertThat(fleet.sent).isEmpty();
 	}
 
+	// An idle daemon ran the periodic work 40 times a second; while a request waits or
+	// runs it must still do so.
+	@Test
+	void periodicWorkIsDueOnlyWhileARequestWaitsOrRuns() {
+		SchedulingFixture fleet = SchedulingFixture.singleDaemon(1);
+		fleet.advance(SECOND);
+		assertThat(fleet.scheduler("a").untilTickDue()).isPositive();
+		Caller running = fleet.submit("a", Tier.STANDARD);
+		assertThat(fleet.scheduler("a").untilTickDue()).isZero();
+		Caller waiting = fleet.submit("a", Tier.STANDARD);
+		running.complete(SECOND, SECOND);
+		assertThat(fleet.scheduler("a").untilTickDue()).isZero();
+		waiting.complete(SECOND, SECOND);
+		assertThat(fleet.scheduler("a").untilTickDue()).isPositive().isLessThanOrEqualTo(SECOND);
+	}
+
 	@Test
 	void grantsThroughRemoteOwner() {
 		SchedulingFixture fleet = SchedulingFixture.twoDaemons(4);
--- a/daemon/src/main/java/org/sardineport/daemon/eventloop/EventLoop.java
+++ b/daemon/src/main/java/org/sardineport/daemon/eventloop/EventLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 
 import com.lmax.disruptor.EventPoller;
 import com.lmax.disruptor.RingBuffer;
@@ -16,8 +17,8 @@
 
 /**
  * Event loop with a thread of its own: runs commands from a bounded ring buffer in order,
- * and a periodic task between them. State that only these commands and the task access
- * needs no lock.
+ * and a periodic task between them, at fixed intervals or only while it has work. State
+ * that only these commands and the task access needs no lock.
  */
 public final class EventLoop implements Service {
 
@@ -25,10 +26,12 @@
 
 	private final String name;
 
-	private final long tickNanos;
+	private final Duration tickInterval;
 
 	private final Runnable tick;
 
+	private final Supplier<Duration> untilDue;
+
 	private final RingBuffer<Slot> ring;
 
 	private final EventPoller<Slot> poller;
@@ -41,10 +44,11 @@
 
 	private @Nullable Thread thread;
 
-	private EventLoop(String name, int ringSize, Duration tickInterval, Runnable tick) {
+	private EventLoop(String name, int ringSize, Duration tickInterval, Runnable tick, Supplier<Duration> untilDue) {
 		this.name = Objects.requireNonNull(name, "name must not be null");
-		this.tickNanos = tickInterval.toNanos();
+		this.tickInterval = Objects.requireNonNull(tickInterval, "tickInterval must not be null");
 		this.tick = Objects.requireNonNull(tick, "tick must not be null");
+		this.untilDue = Objects.requireNonNull(untilDue, "untilDue must not be null");
 		this.ring = RingBuffer.createMultiProducer(Slot::new, ringSize);
 		this.poller = this.ring.newPoller();
 		this.ring.addGatingSequences(this.poller.getSequence());
@@ -60,7 +64,24 @@
 	 * @return the event loop
 	 */
 	public static EventLoop create(String name, int ringSize, Duration tickInterval, Runnable tick) {
-		return new EventLoop(name, ringSize, tickInterval, tick);
+		return new EventLoop(name, ringSize, tickInterval, tick, () -> Duration.ZERO);
+	}
+
+	/**
+	 * Returns an event loop that is not started yet and whose periodic task only runs
+	 * when it has work, so that the thread sleeps while there is none. What creates work
+	 * for the task from another thread must offer a command.
+	 * @param name name of its thread
+	 * @param ringSize maximum number of pending commands, a power of two
+	 * @param minInterval minimum time between two runs of the periodic task
+	 * @param tick the periodic task
+	 * @param untilDue returns the time until the periodic task has work; called on the
+	 * thread after commands and after the task, must not throw
+	 * @return the event loop
+	 */
+	public static EventLoop onDemand(String name, int ringSize, Duration minInterval, Runnable tick,
+			Supplier<Duration> untilDue) {
+		return new EventLoop(name, ringSize, minInterval, tick, untilDue);
 	}
 
 	/**
@@ -114,16 +135,24 @@
 	}
 
 	private void run() {
-		long nextTick = System.nanoTime() + this.tickNanos;
+		TickSchedule schedule = new TickSchedule(this.tickInterval, System.nanoTime());
+		boolean worked = true;
 		while (this.running.get()) {
-			boolean worked = drain();
+			worked |= drain();
 			long now = System.nanoTime();
-			if (now - nextTick >= 0) {
+			if (worked) {
+				schedule.due(this.untilDue.get(), now);
+			}
+			if (schedule.nanosUntilRun(now) <= 0) {
 				runGuarded(this.tick);
-				nextTick = now + this.tickNanos;
+				schedule.ran(now);
+				worked = true;
+			}
+			else if (worked) {
+				worked = false;
 			}
-			else if (!worked) {
-				park(nextTick - now);
+			else {
+				park(schedule.nanosUntilRun(now));
 			}
 		}
 		drain();
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -66,6 +66,9 @@
 
 	private static final EventLog LOG = EventLog.of(SchedulingService.class);
 
+	private static final Runnable NOTHING = () -> {
+	};
+
 	private final FleetView fleet;
 
 	private final PeerTransport transport;
@@ -110,7 +113,7 @@
 				settings.maximumWaiting(), assumptions);
 		this.scheduler = Scheduler.create(this.latestSnapshot.self(), limits, ownerLookup, clock, random,
 				new Effects());
-		this.eventLoop = EventLoop.create("scheduling", RING_SIZE, TICK, this::tick);
+		this.eventLoop = EventLoop.onDemand("scheduling", RING_SIZE, TICK, this::tick, this::untilTickDue);
 	}
 
 	/**
@@ -274,6 +277,8 @@
 	private void offerOrDefer(Runnable command) {
 		if (!this.eventLoop.offer(command)) {
 			this.deferred.add(command);
+			// Wakes the event loop if it has emptied the ring meanwhile.
+			this.eventLoop.offer(NOTHING);
 		}
 	}
 
@@ -295,6 +300,18 @@
 		}
 	}
 
+	private Duration untilTickDue() {
+		if (!this.deferred.isEmpty()) {
+			return Duration.ZERO;
+		}
+		Duration untilDue = this.scheduler.untilTickDue();
+		if (this.loadSource == null) {
+			return untilDue;
+		}
+		Duration untilLoad = this.loadReportInterval.minusMillis(this.clock.millis() - this.loadRequestedAt);
+		return (untilLoad.compareTo(untilDue) < 0) ? untilLoad : untilDue;
+	}
+
 	private void requestLoad(LoadSource source, BackendServer server) {
 		source.load(server).whenComplete((report, failure) -> {
 			if (failure == null) {
--- a/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/stream/StreamOriginService.java
@@ -95,6 +95,8 @@
 
 	private long expiredAt;
 
+	private boolean isTickWanted = true;
+
 	private volatile boolean isMixed;
 
 	private StreamOriginService(FleetView fleet, ListReads listReads, OriginStore store, PeerTransport transport,
@@ -105,7 +107,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.reporter = new OriginReporter(transport, clock, telemetry);
 		this.registry = OriginRegistry.create(fleet::current, clock, random, this.reporter);
-		this.eventLoop = EventLoop.create("stream-origins", RING_SIZE, TICK, this::tick);
+		this.eventLoop = EventLoop.onDemand("stream-origins", RING_SIZE, TICK, this::tick, this::untilTickDue);
 		transport.listen(StreamOriginMessage.class, (sender, incarnation, address, message) -> {
 			if (message instanceof StreamOriginMessage received) {
 				this.reporter.received(received);
@@ -113,7 +115,7 @@
 			}
 		});
 		this.history = VersionHistory.create(clock);
-		this.recorder = OriginRecorder.create(fleet::current, this.history, store, clock, this::offer);
+		this.recorder = OriginRecorder.create(fleet::current, this.history, store, clock, this::offerAndTick);
 		listReads.addListener((read) -> offer(() -> listed(read)));
 	}
 
@@ -348,6 +350,7 @@
 	// as it runs several.
 	private void listed(ListRead read) {
 		this.history.listed(read.servers());
+		this.isTickWanted = true;
 		boolean wasMixed = this.isMixed;
 		this.isMixed = this.history.isMixed();
 		if (this.isMixed && !wasMixed) {
@@ -363,6 +366,13 @@
 		return answer.completeOnTimeout(otherwise, STAGE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
+	private void offerAndTick(Runnable command) {
+		offer(() -> {
+			command.run();
+			this.isTickWanted = true;
+		});
+	}
+
 	private boolean offer(Runnable command) {
 		boolean accepted = this.eventLoop.offer(command);
 		if (!accepted) {
@@ -371,7 +381,17 @@
 		return accepted;
 	}
 
+	// What waits is looked after with each tick; a version that is listed and an answer
+	// of the store are acted upon with the next one.
+	private Duration untilTickDue() {
+		if (this.isTickWanted || !this.registry.isIdle() || !this.recorder.isIdle()) {
+			return Duration.ZERO;
+		}
+		return EXPIRY_INTERVAL.minusMillis(this.clock.millis() - this.expiredAt);
+	}
+
 	private void tick() {
+		this.isTickWanted = false;
 		this.registry.tick();
 		this.recorder.tick();
 		long now = this.clock.millis();
--- a/daemon/src/test/java/org/sardineport/daemon/eventloop/EventLoopTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/eventloop/EventLoopTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
 
@@ -71,4 +72,21 @@
 		assertThat(seen).hasSize(10);
 	}
 
+	// A command that creates work for the periodic task must wake it from a sleep without
+	// end.
+	@Test
+	void runsPeriodicTaskOnceACommandHasCreatedWork() {
+		AtomicBoolean hasWork = new AtomicBoolean();
+		CompletableFuture<Void> ran = new CompletableFuture<>();
+		EventLoop duty = EventLoop.onDemand("test", 16, Duration.ofMillis(1), () -> {
+			if (hasWork.get()) {
+				ran.complete(null);
+			}
+		}, () -> hasWork.get() ? Duration.ZERO : NO_TICK);
+		duty.start();
+		duty.offer(() -> hasWork.set(true));
+		ran.join();
+		duty.stop().toCompletableFuture().join();
+	}
+
 }
