Run membership when it is due, and check own reading before a death

Load: none, and daemons short of processor time. The membership thread woke 25 times a second, built the whole view of the fleet and compared it with the published one at each tick and message.

- The membership tells when its next tick is due; the thread sleeps until then, until a read of the VM list is due, or until a message.
- The view is compared by identity of its parts, and the eligible backend servers stay the same list while nothing changes.
- The delay of a run is counted from when it was due.
What the daemon waits for is postponed by it.

Sound daemons were declared dead by one that read its messages late and did not know it yet, and by others whose copy of the refutation was lost or late.

- Before a death, a daemon sends a probe to its own address.
Datagrams are read in order, so once it is read no earlier response can still wait.

A daemon whose messages suddenly wait 1.5 or 2 s declares nobody dead among 18 and 95.

--- a/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
+++ b/core/src/main/java/org/sardineport/core/fleet/BackendDirectory.java
@@ -59,6 +59,9 @@
 
 	private Instant recoveredAt = Instant.MIN;
 
+	/** The eligible backend servers while only the listing decides. */
+	private @Nullable List<BackendServer> listedAlone;
+
 	private BackendDirectory(InstantSource clock) {
 		this.clock = clock;
 	}
@@ -86,9 +89,14 @@
 			this.outage = false;
 			this.recoveredAt = recoveryTime(fetched);
 		}
-		retainLapsed(fetched);
-		removeReportsOfReplacedProcesses(fetched);
-		removeReportsOfMissingProcesses(fetched);
+		// A source that saw no change returns the list of the former read.
+		if (this.listing == null || fetched.backendServers() != this.listing.backendServers()) {
+			this.listedAlone = null;
+			retainLapsed(fetched);
+			removeReportsOfReplacedProcesses(fetched);
+			collectMissing(fetched);
+		}
+		removeReportsOfMissingProcesses();
 		this.listing = fetched;
 		return true;
 	}
@@ -142,11 +150,14 @@
 		this.leavingProcesses.dropUnlistedIfMany(fetched);
 	}
 
-	private void removeReportsOfMissingProcesses(VmListing fetched) {
+	private void collectMissing(VmListing fetched) {
 		if (this.listing != null) {
 			this.listing.backendServers().forEach((listed) -> this.missing.add(listed.server().id()));
 		}
 		fetched.backendServers().forEach((listed) -> this.missing.remove(listed.server().id()));
+	}
+
+	private void removeReportsOfMissingProcesses() {
 		if (isGraceOver()) {
 			this.missing.forEach(this.leavingProcesses::ended);
 			this.missing.clear();
@@ -204,7 +215,29 @@
 		if (isGraceOver()) {
 			this.lapsed.clear();
 		}
-		Stream<BackendServer> live = this.listing.backendServers()
+		if (!this.lapsed.isEmpty() || !this.leavingSince.isEmpty() || !this.leavingProcesses.isEmpty()) {
+			return select();
+		}
+		List<BackendServer> known = this.listedAlone;
+		if (known == null) {
+			known = select();
+			this.listedAlone = known;
+		}
+		return known;
+	}
+
+	/**
+	 * Returns whether backend servers are eligible only because of an outage, so that the
+	 * eligible ones change by the passing of time.
+	 * @return whether {@link #eligible()} must be asked every few tens of milliseconds
+	 */
+	public boolean isInGrace() {
+		return !this.lapsed.isEmpty();
+	}
+
+	private List<BackendServer> select() {
+		VmListing current = Objects.requireNonNull(this.listing, "listing must be known");
+		Stream<BackendServer> live = current.backendServers()
 			.stream()
 			.filter((listed) -> listed.state() == VmState.LIVE)
 			.map(VmListing.ListedBackend::server);
--- a/core/src/main/java/org/sardineport/core/membership/GossipReceiver.java
+++ b/core/src/main/java/org/sardineport/core/membership/GossipReceiver.java
@@ -116,7 +116,11 @@
 	 */
 	void handleLiveSender(DaemonId sender, Instant now) {
 		Peer peer = this.table.peer(sender);
-		if (peer == null || peer.status() == MemberStatus.ALIVE) {
+		if (peer == null) {
+			return;
+		}
+		peer.heard(now);
+		if (peer.status() == MemberStatus.ALIVE) {
 			return;
 		}
 		if (peer.clearUnsharedSuspicion(now)) {
--- a/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
+++ b/core/src/main/java/org/sardineport/core/membership/JoinContacts.java
@@ -115,6 +115,14 @@
 		return due;
 	}
 
+	/**
+	 * Returns when {@link #due} may return contacts again.
+	 * @return the earliest time
+	 */
+	Instant nextDue() {
+		return (isJoined() && this.nextSync.isBefore(this.nextReconnect)) ? this.nextSync : this.nextReconnect;
+	}
+
 	private boolean isJoined() {
 		return this.joinedAt != null;
 	}
--- a/core/src/main/java/org/sardineport/core/membership/LatenessMeter.java
+++ b/core/src/main/java/org/sardineport/core/membership/LatenessMeter.java
@@ -46,12 +46,17 @@
 	}
 
 	/**
-	 * Records that this daemon runs now.
+	 * Records that this daemon runs now. Of a pause only what follows the time at which
+	 * it had to run is seen, on average half of it, and the pause did not begin before it
+	 * ran last.
 	 * @param now the current time
-	 * @return the time since it ran before
+	 * @param due time at which it had to run
+	 * @return estimated time for which it could not run
 	 */
-	Duration ran(Instant now) {
-		Duration gap = Duration.between(this.lastRun, now);
+	Duration ran(Instant now, Instant due) {
+		Duration late = max(Duration.between(due, now), Duration.ZERO);
+		Duration sinceLastRun = Duration.between(this.lastRun, now);
+		Duration gap = (late.multipliedBy(2).compareTo(sinceLastRun) < 0) ? late.multipliedBy(2) : sinceLastRun;
 		this.lastRun = now;
 		if (Duration.between(this.windowStart, now).compareTo(WINDOW) >= 0) {
 			this.previous = this.current;
--- a/core/src/main/java/org/sardineport/core/membership/Membership.java
+++ b/core/src/main/java/org/sardineport/core/membership/Membership.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.DaemonId;
@@ -39,6 +40,11 @@
 	/** Number of suspected daemons that are probed again in each interval. */
 	private static final int SUSPECTS_PROBED_PER_INTERVAL = 2;
 
+	/**
+	 * Delay of a tick that is within the usual coarseness of timers.
+	 */
+	private static final Duration USUAL_DELAY = Duration.ofMillis(50);
+
 	/** Time for which an answer to a probe is awaited, to learn how late it is. */
 	private static final Duration LATE_ANSWER_TIME = Duration.ofSeconds(5);
 
@@ -74,8 +80,12 @@
 
 	private final LatenessMeter lateness;
 
+	private final SelfProbe selfProbe;
+
 	private Instant nextProbe;
 
+	private Instant nextTick;
+
 	private Membership(Member self, MembershipTiming timing, InstantSource clock, RandomGenerator random,
 			MembershipOutput output) {
 		this.self = new SelfState(self);
@@ -91,6 +101,8 @@
 		this.joinResponder = new JoinResponder(this.table, this.schedule);
 		Instant now = clock.instant();
 		this.lateness = new LatenessMeter(timing.probeTimeout(), now);
+		this.selfProbe = new SelfProbe(timing.probeTimeout());
+		this.nextTick = now;
 		this.contacts = new JoinContacts(self.peerAddress(), random);
 		this.nextProbe = now.plusMillis(random.nextLong(timing.probeInterval().toMillis()));
 	}
@@ -149,6 +161,7 @@
 		if (this.self.member().status() == MemberStatus.ALIVE) {
 			this.self.changeStatus(MemberStatus.LEAVING);
 			this.outbox.scheduleUrgent(URGENT_ROUNDS, Outbox.URGENT_FANOUT);
+			rescheduleTick(this.clock.instant());
 		}
 	}
 
@@ -168,6 +181,7 @@
 	public void broadcast(StrikeUpdate strike) {
 		if (this.backendUpdates.add(strike, this.clock.instant())) {
 			this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
+			rescheduleTick(this.clock.instant());
 		}
 	}
 
@@ -179,11 +193,21 @@
 		this.backendUpdates.add(leaving, this.clock.instant());
 	}
 
+	/**
+	 * Returns how long {@link #tick()} has nothing to do, provided that no message is
+	 * received and no other method is called before.
+	 * @return the time; negative if it is overdue
+	 */
+	public Duration untilTickDue() {
+		return Duration.between(this.clock.instant(), this.nextTick);
+	}
+
 	/**
 	 * Sends the probes and updates that are due and declares daemons dead whose suspicion
-	 * timed out. Must be called several times within the probe timeout. If it is called
-	 * late, others are told to allow for that, and so does this daemon; after a pause
-	 * longer than the probe interval the suspicion timeouts start again.
+	 * timed out. Must be called when it is due, see {@link #untilTickDue()}. If it is
+	 * called late, others are told to allow for that, and so does this daemon: what it
+	 * waits for is postponed by the delay, and after a pause longer than the probe
+	 * interval the suspicion timeouts start again.
 	 */
 	public void tick() {
 		Instant now = this.clock.instant();
@@ -202,11 +226,43 @@
 		this.contacts.due(now, this.table)
 			.forEach((contact) -> this.outbox.send(contact.address(),
 					new JoinRequest(contact.complete(), this.outbox.updatesFor(null))));
+		scheduleTick(now);
+	}
+
+	private void scheduleTick(Instant now) {
+		Instant next = earlier(this.nextProbe, this.contacts.nextDue());
+		for (ProbeRound round : this.rounds) {
+			next = earlier(next, round.nextDue());
+		}
+		if (!this.isolation.isIsolated()) {
+			for (Peer peer : this.table.peers()) {
+				Instant end = suspicionEnd(peer);
+				next = (end != null) ? earlier(next, selfProbeTime(end, now)) : next;
+			}
+		}
+		this.nextTick = (this.outbox.isUrgent() || next.isBefore(now)) ? now : next;
+	}
+
+	// A tick that is overdue keeps its time, so that its delay is seen.
+	private void rescheduleTick(Instant now) {
+		if (!this.nextTick.isBefore(now)) {
+			scheduleTick(now);
+		}
+	}
+
+	// The probe precedes the end of the suspicion, and is awaited at that time.
+	private Instant selfProbeTime(Instant suspicionEnd, Instant now) {
+		Instant lead = suspicionEnd.minus(this.timing.probeTimeout());
+		return (now.isBefore(lead)) ? lead : suspicionEnd;
+	}
+
+	private static Instant earlier(Instant one, Instant other) {
+		return (one.isBefore(other)) ? one : other;
 	}
 
 	/**
-	 * Handles a message from another daemon. A message from this daemon itself is
-	 * ignored.
+	 * Handles a message from another daemon. Of the messages from this daemon itself only
+	 * its probes count, which tell how far it has read what it received.
 	 * @param sender name of the sender
 	 * @param address peer address of the sender
 	 * @param message the message
@@ -214,9 +270,17 @@
 	public void received(DaemonId sender, NetworkAddress address, MembershipMessage message) {
 		Objects.requireNonNull(message, "message must not be null");
 		if (sender.equals(this.self.member().id())) {
+			if (message instanceof ProbeRequest probe) {
+				this.selfProbe.read(probe.sequence());
+			}
 			return;
 		}
 		Instant now = this.clock.instant();
+		handle(sender, address, message, now);
+		rescheduleTick(now);
+	}
+
+	private void handle(DaemonId sender, NetworkAddress address, MembershipMessage message, Instant now) {
 		boolean rebroadcast = !(message instanceof JoinResponse) || this.contacts.isSettled(now);
 		this.receiver.apply(sender, message.updates(), rebroadcast, now);
 		this.receiver.handleLiveSender(sender, now);
@@ -244,10 +308,15 @@
 	}
 
 	private void measureLateness(Instant now) {
-		if (this.lateness.ran(now).compareTo(this.timing.probeInterval()) > 0) {
+		Duration delay = Duration.between(this.nextTick, now);
+		if (this.lateness.ran(now, this.nextTick).compareTo(this.timing.probeInterval()) > 0) {
 			this.rounds.clear();
 			this.table.peers().forEach((peer) -> peer.restartSuspicion(now));
 		}
+		else if (delay.compareTo(USUAL_DELAY) > 0) {
+			this.rounds.forEach((round) -> round.postpone(delay));
+			this.table.peers().forEach((peer) -> peer.postponeSuspicion(delay));
+		}
 		if (this.self.reportLateness(this.lateness.lateness())) {
 			this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
 		}
@@ -327,16 +396,47 @@
 		if (this.isolation.isIsolated()) {
 			return;
 		}
+		Instant neededRead = Instant.MIN;
 		for (Peer peer : this.table.peers()) {
-			if (peer.isSuspicionExpired(now, this.timing.suspicionTimeout(), allowance(peer))) {
-				peer.markDead(now);
-				this.composer.broadcast(peer.member().id());
-				this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
-				this.output.onEvent(MembershipEvent.DIED, peer.member());
+			Instant end = suspicionEnd(peer);
+			Instant needed = (end != null) ? end.minus(this.timing.probeTimeout()) : Instant.MAX;
+			if (end == null || now.isBefore(needed)) {
+				continue;
 			}
+			neededRead = (needed.isAfter(neededRead)) ? needed : neededRead;
+			if (!now.isBefore(end) && isOwnReadingInTime(needed, end, now)) {
+				declareDead(peer, now);
+			}
+		}
+		if (!neededRead.equals(Instant.MIN) && this.selfProbe.isDue(neededRead, now)) {
+			probeSelf(now);
 		}
 	}
 
+	private @Nullable Instant suspicionEnd(Peer peer) {
+		return (peer.suspectedAt() != null) ? peer.suspicionEnd(this.timing.suspicionTimeout(), allowance(peer)) : null;
+	}
+
+	// A response or refutation may have come that this daemon has not read yet. Probes of
+	// itself may be lost, so the wait for them is bounded.
+	private boolean isOwnReadingInTime(Instant needed, Instant suspicionEnd, Instant now) {
+		return this.selfProbe.hasReadUntil(needed) || !now.isBefore(suspicionEnd.plus(Member.MAXIMUM_LATENESS));
+	}
+
+	private void declareDead(Peer peer, Instant now) {
+		peer.markDead(now);
+		this.composer.broadcast(peer.member().id());
+		this.outbox.scheduleUrgent(1, Outbox.URGENT_FANOUT);
+		this.output.onEvent(MembershipEvent.DIED, peer.member());
+	}
+
+	private void probeSelf(Instant now) {
+		long sequence = this.outbox.nextSequence();
+		this.selfProbe.sent(sequence, now);
+		this.outbox.send(this.self.member().peerAddress(),
+				new ProbeRequest(sequence, GossipUpdates.of(this.self.member())));
+	}
+
 	private void handleProbeResponse(long sequence, Instant now) {
 		if (this.isolation.responseReceived()) {
 			this.table.peers().forEach((peer) -> peer.restartSuspicion(now));
--- a/core/src/main/java/org/sardineport/core/membership/Outbox.java
+++ b/core/src/main/java/org/sardineport/core/membership/Outbox.java
@@ -76,6 +76,10 @@
 		this.urgentRounds = Math.max(this.urgentRounds, rounds);
 	}
 
+	boolean isUrgent() {
+		return this.urgentRounds > 0;
+	}
+
 	/**
 	 * Sends urgent updates, if any are scheduled.
 	 */
--- a/core/src/main/java/org/sardineport/core/membership/Peer.java
+++ b/core/src/main/java/org/sardineport/core/membership/Peer.java
@@ -27,6 +27,8 @@
 
 	private Instant notifiedAt = Instant.MIN;
 
+	private @Nullable Instant heardAt;
+
 	Peer(Member member, Instant now) {
 		this.member = Objects.requireNonNull(member, "member must not be null");
 		this.statusSince = now;
@@ -153,20 +155,48 @@
 	}
 
 	/**
-	 * Returns whether the daemon has not refuted the suspicion in time. The timeout holds
-	 * for a daemon that this one probes itself. A daemon suspected by others has twice
-	 * the timeout, as its refutation travels by way of others too.
+	 * Postpones the end of the suspicion.
+	 * @param delay time for which this daemon could not take note of a refutation
+	 */
+	void postponeSuspicion(Duration delay) {
+		if (this.suspectedAt != null) {
+			this.suspectedAt = this.suspectedAt.plus(delay);
+		}
+		if (this.locallySuspectedAt != null) {
+			this.locallySuspectedAt = this.locallySuspectedAt.plus(delay);
+		}
+	}
+
+	/**
+	 * Records that a message of the daemon itself was read.
 	 * @param now the current time
+	 */
+	void heard(Instant now) {
+		this.heardAt = now;
+	}
+
+	/**
+	 * Returns when the time to refute the suspicion ends. The timeout holds for a daemon
+	 * that this one probes itself. A daemon suspected by others has twice the timeout, as
+	 * its refutation travels by way of others too. A daemon that still sends messages has
+	 * the timeout from the last one on, as its refutation may be lost or late; bounded,
+	 * as it may be unable to receive.
 	 * @param timeout time to refute the suspicion
 	 * @param lateness added to the timeout for want of processor time
-	 * @return whether to declare it dead
+	 * @return the time, or {@code null} if the daemon is not suspected
 	 */
-	boolean isSuspicionExpired(Instant now, Duration timeout, Duration lateness) {
-		Instant lateStart = now.minus(lateness);
-		if (this.locallySuspectedAt != null && !lateStart.isBefore(this.locallySuspectedAt.plus(timeout))) {
-			return true;
+	@Nullable Instant suspicionEnd(Duration timeout, Duration lateness) {
+		if (this.suspectedAt == null) {
+			return null;
 		}
-		return this.suspectedAt != null && !lateStart.isBefore(this.suspectedAt.plus(timeout.multipliedBy(2)));
+		Instant shared = this.suspectedAt.plus(timeout.multipliedBy(2)).plus(lateness);
+		Instant local = (this.locallySuspectedAt != null) ? this.locallySuspectedAt.plus(timeout).plus(lateness)
+				: shared;
+		Instant silent = local.isBefore(shared) ? local : shared;
+		Instant sinceHeard = (this.heardAt != null) ? this.heardAt.plus(timeout) : silent;
+		Instant latest = shared.plus(Member.MAXIMUM_LATENESS);
+		Instant extended = sinceHeard.isBefore(latest) ? sinceHeard : latest;
+		return extended.isAfter(silent) ? extended : silent;
 	}
 
 	void markDead(Instant now) {
--- a/core/src/main/java/org/sardineport/core/membership/ProbeRound.java
+++ b/core/src/main/java/org/sardineport/core/membership/ProbeRound.java
@@ -1,5 +1,6 @@
 package org.sardineport.core.membership;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /**
@@ -13,9 +14,9 @@
 
 	private final Instant startedAt;
 
-	private final Instant directDeadline;
+	private Instant directDeadline;
 
-	private final Instant deadline;
+	private Instant deadline;
 
 	private boolean indirectStarted;
 
@@ -41,6 +42,26 @@
 		return this.startedAt;
 	}
 
+	/**
+	 * Postpones what the round waits for.
+	 * @param delay time for which this daemon could not take note of a response
+	 */
+	void postpone(Duration delay) {
+		this.directDeadline = this.directDeadline.plus(delay);
+		this.deadline = this.deadline.plus(delay);
+	}
+
+	/**
+	 * Returns when the round has something to do.
+	 * @return the time; {@link Instant#MAX} once it has failed
+	 */
+	Instant nextDue() {
+		if (this.failed) {
+			return Instant.MAX;
+		}
+		return (this.indirectStarted) ? this.deadline : this.directDeadline;
+	}
+
 	/**
 	 * Ends the round if its time is over. Returns {@code true} at most once.
 	 * @param now the current time
--- a/core/src/main/java/org/sardineport/core/membership/SelfState.java
+++ b/core/src/main/java/org/sardineport/core/membership/SelfState.java
@@ -22,7 +22,9 @@
 	}
 
 	void report(long configurationVersion, int load) {
-		this.member = this.member.withReport(configurationVersion, load);
+		if (configurationVersion != this.member.configurationVersion() || load != this.member.load()) {
+			this.member = this.member.withReport(configurationVersion, load);
+		}
 	}
 
 	/**
--- a/core/src/test/java/org/sardineport/core/membership/LatenessMeterTests.java
+++ b/core/src/test/java/org/sardineport/core/membership/LatenessMeterTests.java
@@ -19,14 +19,16 @@
 	private void runFor(Duration time) {
 		Instant end = this.now.plus(time);
 		while (this.now.isBefore(end)) {
-			this.now = this.now.plus(TICK);
-			this.meter.ran(this.now);
+			Instant due = this.now.plus(TICK);
+			this.now = due;
+			this.meter.ran(this.now, due);
 		}
 	}
 
 	private void runAfter(Duration gap) {
+		Instant due = this.now;
 		this.now = this.now.plus(gap);
-		this.meter.ran(this.now);
+		this.meter.ran(this.now, due);
 	}
 
 	@Test
@@ -46,6 +48,28 @@
 		assertThat(this.meter.lateness()).isZero();
 	}
 
+	// A daemon that has nothing to do sleeps longer than the tolerance, which must not
+	// count as a delay.
+	@Test
+	void sleepUntilTheNextTaskIsDueIsNotLate() {
+		for (int i = 0; i < 20; i++) {
+			Instant due = this.now.plusMillis(400);
+			this.now = due.plusMillis(5);
+			assertThat(this.meter.ran(this.now, due)).isEqualTo(Duration.ofMillis(10));
+		}
+		assertThat(this.meter.lateness()).isZero();
+	}
+
+	@Test
+	void pauseIsEstimatedFromTheDelayOfATaskAndNotLongerThanTheSleep() {
+		Instant due = this.now.plusMillis(400);
+		this.now = due.plusMillis(150);
+		assertThat(this.meter.ran(this.now, due)).isEqualTo(Duration.ofMillis(300));
+		due = this.now.plusMillis(100);
+		this.now = due.plusMillis(900);
+		assertThat(this.meter.ran(this.now, due)).isEqualTo(Duration.ofMillis(1000));
+	}
+
 	@Test
 	void latenessIsBounded() {
 		runAfter(Duration.ofMinutes(1));
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -15,6 +15,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendProcess;
+import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.fleet.BackendDirectory;
 import org.sardineport.core.fleet.FleetSnapshot;
@@ -57,8 +58,15 @@
 
 	private static final int RING_SIZE = 4096;
 
+	/** Minimum time between two ticks, well below the probe timeout. */
 	private static final Duration TICK_INTERVAL = Duration.ofMillis(40);
 
+	/** Added to the time until a tick, as the clock may count whole milliseconds. */
+	private static final Duration CLOCK_STEP = Duration.ofMillis(1);
+
+	private static final Runnable NOTHING = () -> {
+	};
+
 	private final EventLoop eventLoop;
 
 	private final Telemetry telemetry;
@@ -93,13 +101,19 @@
 
 	private volatile FleetSnapshot snapshot;
 
+	private List<Member> publishedMembers = List.of();
+
+	private @Nullable VmListing publishedListing;
+
+	private List<BackendServer> publishedBackends = List.of();
+
 	private FleetService(FleetSettings settings, long incarnation, PeerTransport transport, VmList vmList,
 			InstantSource clock, Telemetry telemetry) {
-		this.eventLoop = EventLoop.create("membership", RING_SIZE, TICK_INTERVAL, this::tick);
+		this.eventLoop = EventLoop.onDemand("membership", RING_SIZE, TICK_INTERVAL, this::tick, this::untilTickDue);
 		this.telemetry = telemetry;
 		this.clock = clock;
 		this.vmList = vmList;
-		this.listReads = new VmListReads(settings.membership().vmListInterval());
+		this.listReads = new VmListReads(settings.membership().vmListInterval(), () -> offer(NOTHING));
 		this.seeds = settings.seeds();
 		this.backends = BackendDirectory.create(clock);
 		this.reporter = new MembershipReporter(transport, telemetry, this.backends, clock);
@@ -169,6 +183,7 @@
 	 */
 	public CompletionStage<Void> leave() {
 		this.leaveRequested = true;
+		offer(NOTHING);
 		return this.leaving.copy();
 	}
 
@@ -273,6 +288,15 @@
 		publish();
 	}
 
+	private Duration untilTickDue() {
+		if ((this.leaveRequested && !this.leaving.isDone()) || this.backends.isInGrace()) {
+			return Duration.ZERO;
+		}
+		Duration membershipDue = this.membership.untilTickDue();
+		Duration listDue = this.listReads.untilDue(this.clock.instant());
+		return ((listDue.compareTo(membershipDue) < 0) ? listDue : membershipDue).plus(CLOCK_STEP);
+	}
+
 	private void tick() {
 		if (this.leaveRequested && !this.leaving.isDone()) {
 			this.membership.leave();
@@ -338,8 +362,17 @@
 	private void publish() {
 		List<Member> members = this.membership.members();
 		VmListing listed = this.listing;
+		List<BackendServer> eligible = this.backends.eligible();
+		// Almost all messages and ticks change nothing.
+		if (listed == this.publishedListing && eligible == this.publishedBackends
+				&& SameElements.in(members, this.publishedMembers)) {
+			return;
+		}
+		this.publishedMembers = members;
+		this.publishedListing = listed;
+		this.publishedBackends = eligible;
 		FleetSnapshot next = new FleetSnapshot(this.snapshot.self(),
-				(listed != null) ? ListedMembers.apply(members, listed) : members, this.backends.eligible());
+				(listed != null) ? ListedMembers.apply(members, listed) : members, eligible);
 		if (!next.equals(this.snapshot)) {
 			this.snapshot = next;
 			this.listeners.forEach((listener) -> listener.accept(next));
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/VmListReads.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/VmListReads.java
@@ -21,8 +21,13 @@
 	/** Minimum time between the starts of two reads. */
 	private static final Duration MIN_INTERVAL = Duration.ofMillis(500);
 
+	/** The end of the read in progress is an event of its own. */
+	private static final Duration WHILE_READING = Duration.ofDays(1);
+
 	private final Duration interval;
 
+	private final Runnable wakeUp;
+
 	private final List<Waiter> waiters = new ArrayList<>();
 
 	private final List<Consumer<ListRead>> listeners = new CopyOnWriteArrayList<>();
@@ -35,8 +40,31 @@
 
 	private boolean wantedSoon;
 
-	VmListReads(Duration interval) {
+	/**
+	 * Creates a schedule without reads.
+	 * @param interval time between the starts of two reads
+	 * @param wakeUp called from any thread when a read is wanted earlier
+	 */
+	VmListReads(Duration interval, Runnable wakeUp) {
 		this.interval = interval;
+		this.wakeUp = wakeUp;
+	}
+
+	/**
+	 * Returns how long {@link #beginIfDue} has nothing to begin.
+	 * @param now the time
+	 * @return the time until the next read; a day while one is in progress
+	 */
+	synchronized Duration untilDue(Instant now) {
+		if (this.reading) {
+			return WHILE_READING;
+		}
+		return this.startedAt.equals(Instant.MIN) ? Duration.ZERO
+				: Duration.between(now, this.startedAt.plus(currentInterval()));
+	}
+
+	private Duration currentInterval() {
+		return (this.wantedSoon && MIN_INTERVAL.compareTo(this.interval) < 0) ? MIN_INTERVAL : this.interval;
 	}
 
 	/**
@@ -45,8 +73,7 @@
 	 * @return whether to read now; then {@link #completed} or {@link #failed} must follow
 	 */
 	synchronized boolean beginIfDue(Instant now) {
-		boolean soon = this.wantedSoon && MIN_INTERVAL.compareTo(this.interval) < 0;
-		boolean due = !now.minus(soon ? MIN_INTERVAL : this.interval).isBefore(this.startedAt);
+		boolean due = !now.minus(currentInterval()).isBefore(this.startedAt);
 		if (this.reading || !due) {
 			return false;
 		}
@@ -95,8 +122,14 @@
 	}
 
 	@Override
-	public synchronized void readSoon() {
-		this.wantedSoon = true;
+	public void readSoon() {
+		synchronized (this) {
+			if (this.wantedSoon) {
+				return;
+			}
+			this.wantedSoon = true;
+		}
+		this.wakeUp.run();
 	}
 
 	/**
--- a/daemon/src/test/java/org/sardineport/daemon/fleet/VmListReadsTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/fleet/VmListReadsTests.java
@@ -30,7 +30,9 @@
 			PoolName.of("pool"), FailureDomain.of("zone"), NetworkAddress.of("127.0.0.1", 1), 1)
 		.withSoftwareVersion(SoftwareVersion.of("v1"));
 
-	private final VmListReads reads = new VmListReads(Duration.ofSeconds(1));
+	private int wakeUps;
+
+	private final VmListReads reads = new VmListReads(Duration.ofSeconds(1), () -> this.wakeUps++);
 
 	private static VmListing listing(BackendServer server, VmState state) {
 		return new VmListing(START, List.of(), List.of(new VmListing.ListedBackend(server, state)));
@@ -50,6 +52,20 @@
 		assertThat(this.reads.beginIfDue(START.plusMillis(1000))).isTrue();
 	}
 
+	// The membership thread sleeps until then, and would sleep through an early read.
+	@Test
+	void tellsWhenTheNextReadIsDue() {
+		assertThat(this.reads.untilDue(START)).isZero();
+		assertThat(this.reads.beginIfDue(START)).isTrue();
+		assertThat(this.reads.untilDue(START)).isGreaterThan(Duration.ofHours(1));
+		this.reads.completed(listing(SERVER, VmState.LIVE));
+		assertThat(this.reads.untilDue(START.plusMillis(300))).isEqualTo(Duration.ofMillis(700));
+		this.reads.readSoon();
+		this.reads.readSoon();
+		assertThat(this.wakeUps).isEqualTo(1);
+		assertThat(this.reads.untilDue(START.plusMillis(300))).isEqualTo(Duration.ofMillis(200));
+	}
+
 	// Requests for early reads must not exhaust the store's calls.
 	@Test
 	void readsEarlyOnceAndNotMoreThanTwiceInASecond() {
--- a/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
+++ b/standins/src/main/java/org/sardineport/standins/fleet/VirtualFleet.java
@@ -178,6 +178,16 @@
 		this.nodes.get(number).messageDelay = longest;
 	}
 
+	/**
+	 * Lets messages to a daemon wait in a queue before it reads them, while it runs in
+	 * time.
+	 * @param number number of the daemon
+	 * @param wait time that each message waits
+	 */
+	public void queueMessages(int number, Duration wait) {
+		this.nodes.get(number).queueWait = wait;
+	}
+
 	/**
 	 * Returns the membership of a daemon.
 	 * @param number number of the daemon
@@ -306,6 +316,8 @@
 
 		private Duration messageDelay = Duration.ZERO;
 
+		private Duration queueWait = Duration.ZERO;
+
 		private Instant nextRun = Instant.MIN;
 
 		private Node(Membership membership, InMemoryPeerTransport transport) {
@@ -320,7 +332,10 @@
 		}
 
 		private void receive(Runnable message, Instant now, SplittableRandom random) {
-			if (!this.messageDelay.isZero()) {
+			if (!this.queueWait.isZero()) {
+				this.delayed.add(new DelayedMessage(now.plus(this.queueWait), message));
+			}
+			else if (!this.messageDelay.isZero()) {
 				Duration delay = Duration.ofMillis(random.nextLong(this.messageDelay.toMillis()));
 				this.delayed.add(new DelayedMessage(now.plus(delay), message));
 			}
--- a/standins/src/test/java/org/sardineport/standins/fleet/LateDaemonsTests.java
+++ b/standins/src/test/java/org/sardineport/standins/fleet/LateDaemonsTests.java
@@ -97,6 +97,23 @@
 		assertThat(count(fleet, MembershipEvent.DIED)).isZero();
 	}
 
+	// A daemon whose messages suddenly waited for a second or two, while its loop ran in
+	// time, took the others for dead before it could measure any late answer.
+	@ParameterizedTest
+	@CsvSource({ "18, 1500", "18, 2000", "95, 1500", "95, 2000" })
+	void daemonThatSuddenlyReadsItsMessagesLateDeclaresNobodyDead(int daemons, int millis) {
+		VirtualFleet fleet = VirtualFleet.create(daemons, DOMAINS, TIMING, NORMAL, daemons + millis);
+		fleet.introduceAll();
+		fleet.run(Duration.ofSeconds(5));
+		fleet.clearObservations();
+		fleet.queueMessages(3, Duration.ofMillis(millis));
+		fleet.run(Duration.ofSeconds(20));
+		assertThat(fleet.observations())
+			.filteredOn((observation) -> observation.event() == MembershipEvent.DIED
+					&& !observation.member().id().equals(VirtualFleet.id(3)))
+			.isEmpty();
+	}
+
 	// A killed daemon must still be found, and at once again when nobody is late any
 	// more.
 	@ParameterizedTest
