Treat shortage of the daemon's processor as a state

Cause: a daemon that is short of processor time sent requests on whose callers had left: their closes lay unread in the socket behind the request. It also admitted what it could not serve in time.

Change: core.overload smooths the delay of the event loop and of the scheduling thread, and refuses with daemon-overloaded (503) what cannot be served at this delay, and a growing share of the rest, lower tiers first. A request that may have been given up is not parsed further before the next read pass, and no request is dispatched without a recent read pass.

--- a/core/src/main/java/org/sardineport/core/relay/RelayAdmission.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayAdmission.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.request.Tier;
 
 /**
  * Result of admitting a request: the configuration, route and organisation that apply to
@@ -24,6 +25,14 @@
 		Objects.requireNonNull(route, "route must not be null");
 	}
 
+	/**
+	 * Returns the tier in which the request is scheduled.
+	 * @return the tier of the route, by the rank of the organisation if there is one
+	 */
+	public Tier tier() {
+		return this.route.tier((this.organisation != null) ? this.organisation.rank() : null);
+	}
+
 	/**
 	 * Returns whether the request may run only while the configuration is fresh, because
 	 * the caller's key may have been revoked.
--- a/core/src/main/java/org/sardineport/core/request/RefusalReason.java
+++ b/core/src/main/java/org/sardineport/core/request/RefusalReason.java
@@ -91,6 +91,9 @@
 	 */
 	STOPPING(503, Outcome.NOT_RUN, "Use another address from the entry list."),
 
+	/** The daemon is short of processor time. */
+	DAEMON_OVERLOADED(503, Outcome.NOT_RUN, "Send again after the given time, or to another entry address."),
+
 	/** The daemon is not ready to serve. */
 	NOT_READY(503, Outcome.NOT_RUN, "Use another address from the entry list."),
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -12,6 +12,7 @@
 import org.sardineport.core.exchange.ResponseEnd;
 import org.sardineport.core.exchange.ResponseFraming;
 import org.sardineport.core.limit.StatedLimits;
+import org.sardineport.core.overload.ReadPasses;
 import org.sardineport.core.relay.AttemptEnd;
 import org.sardineport.core.relay.ResponseHead;
 import org.sardineport.core.request.TokenEstimate;
@@ -47,6 +48,8 @@
 
 	private final ProcessLiveness liveness;
 
+	private final LoopPasses passes;
+
 	private final AttemptPlan plan;
 
 	private final BackendCall call;
@@ -93,6 +96,7 @@
 		this.notices = services.notices();
 		this.connections = services.connections();
 		this.liveness = services.liveness();
+		this.passes = services.passes();
 		this.plan = plan;
 		this.listener = listener;
 		this.call = new BackendCall(services.connections(), plan.server(), this);
@@ -222,6 +226,12 @@
 		}
 	}
 
+	// The connection may have taken long to open, so that the caller may have left since.
+	@Override
+	public void connected(Runnable send) {
+		this.passes.afterRecentPass(ReadPasses.BEFORE_ALL_TURNS, send);
+	}
+
 	@Override
 	public boolean maySend() {
 		return this.clock.instant().isBefore(this.plan.latestSend());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCall.java
@@ -57,18 +57,27 @@
 			else if (this.ended) {
 				acquired.result().close();
 			}
-			else if (!this.listener.maySend()) {
-				this.connections.release(acquired.result(), UNUSED_IDLE_TIME);
-				notConnected(new TimeoutException("the caller no longer waits"));
-			}
 			else {
-				this.connection = acquired.result();
-				acquired.result().recordSent();
-				write(acquired.result().http(), method, target, headers, body);
+				this.listener.connected(() -> sendOn(acquired.result(), method, target, headers, body));
 			}
 		});
 	}
 
+	private void sendOn(BackendConnection acquired, String method, String target, MultiMap headers, Buffer body) {
+		if (this.ended) {
+			acquired.close();
+		}
+		else if (!this.listener.maySend()) {
+			this.connections.release(acquired, UNUSED_IDLE_TIME);
+			notConnected(new TimeoutException("the caller no longer waits"));
+		}
+		else {
+			this.connection = acquired;
+			acquired.recordSent();
+			write(acquired.http(), method, target, headers, body);
+		}
+	}
+
 	private void write(HttpClientConnection open, String method, String target, MultiMap headers, Buffer body) {
 		RequestOptions options = new RequestOptions().setMethod(HttpMethod.valueOf(method))
 			.setURI(target)
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendCallListener.java
@@ -10,6 +10,14 @@
  */
 interface BackendCallListener {
 
+	/**
+	 * Called when a connection is open, before {@link #maySend()}.
+	 * @param send must be run, at once or later, to send the request
+	 */
+	default void connected(Runnable send) {
+		send.run();
+	}
+
 	/**
 	 * Called when a connection is open.
 	 * @return whether the request may still be sent; if not, {@link #notConnected}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/PermitRequests.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/PermitRequests.java
@@ -117,7 +117,18 @@
 	}
 
 	private void granted(SchedulingRequest schedulingRequest, Permit permit) {
+		if (this.pending == schedulingRequest) {
+			this.services.passes()
+				.afterRecentPass(this.request.readInTurn(), () -> callerChecked(schedulingRequest, permit));
+		}
+		else {
+			releaseUnused(permit);
+		}
+	}
+
+	private void callerChecked(SchedulingRequest schedulingRequest, Permit permit) {
 		if (this.pending != schedulingRequest) {
+			this.services.overload().droppedBeforeDispatch();
 			releaseUnused(permit);
 			return;
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -99,6 +99,8 @@
 		BackendConnector connector = BackendConnector.create(vertx, clock, fleet, paths, tokens, telemetry);
 		BackendConnections connections = BackendConnections.create(vertx, clock, connector, fleet, fleet.listReads());
 		TunnelServer tunnels = TunnelServer.create(vertx, identity.address(), tokens, fleet, paths::isLost, telemetry);
+		OverloadMeter overload = OverloadMeter.create(clock, random.split(), telemetry);
+		scheduling.setDelayListener(overload::scheduled);
 		AtomicLong idCounter = new AtomicLong();
 		String idPrefix = this.fleetSettings.daemon().value() + "-" + membership.incarnation() + "-";
 		RelayServices relayServices = new RelayServices(vertx, ports.protocol(),
@@ -109,7 +111,7 @@
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
 				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
 				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
-				ConfirmedEnds.create());
+				ConfirmedEnds.create(), overload, LoopPasses.create(vertx, clock));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RefusedException;
+import org.sardineport.core.overload.UnreadTimeout;
 import org.sardineport.core.relay.RelayAdmission;
 import org.sardineport.core.relay.RequestHead;
 import org.sardineport.core.request.Refusal;
@@ -63,20 +65,70 @@
 			this.head = parsed;
 			this.request.handler(this::bodyReceived);
 			this.request.endHandler((ignored) -> bodyComplete());
-			admit(parsed);
+			long turn = this.services.passes().observe();
+			if (mayHaveBeenGivenUp(parsed)) {
+				this.request.pause();
+				this.services.passes().afterRecentPass(turn, () -> admitUnlessDisconnected(parsed));
+			}
+			else {
+				admit(parsed);
+			}
 		}
 		catch (MalformedRequestException ex) {
 			refuse(Refusal.of(RefusalReason.INVALID_HEADER, String.valueOf(ex.getMessage())), true);
 		}
 	}
 
+	// A caller that has given up has closed its connection; the close may lie behind the
+	// request in the socket. The body is not read until the next read pass has told.
+	private boolean mayHaveBeenGivenUp(RequestHead callerHead) {
+		Duration limit = callerHead.remainingTime();
+		Duration unreadTimeout = (limit != null) ? UnreadTimeout.of(limit) : UnreadTimeout.MAX;
+		return age().compareTo(unreadTimeout) >= 0;
+	}
+
+	private void admitUnlessDisconnected(RequestHead callerHead) {
+		if (this.ended) {
+			this.services.overload().droppedUnread();
+		}
+		else {
+			this.request.resume();
+			admit(callerHead);
+		}
+	}
+
+	private Duration age() {
+		return Duration.between(this.arrival, this.services.clock().instant());
+	}
+
+	private void checkLoad(RequestHead callerHead, RelayAdmission admitted) throws RefusedException {
+		Duration limit = callerHead.timeLimit(admitted.route());
+		Duration remaining = limit.minus(age());
+		if (remaining.isNegative() || remaining.isZero()) {
+			throw RefusedException.of(Refusal.retryAfter(RefusalReason.DEADLINE_PASSED,
+					"the time limit passed before the request was read",
+					this.services.returnTimes().afterOverload(limit)));
+		}
+		OverloadMeter overload = this.services.overload();
+		Optional<Duration> retryAfter = overload.check(admitted.tier(), remaining);
+		if (retryAfter.isPresent()) {
+			throw RefusedException
+				.of(Refusal.retryAfter(
+						RefusalReason.DAEMON_OVERLOADED, "the daemon is behind by %d ms, and its scheduling by %d ms"
+							.formatted(overload.loopDelayMillis(), overload.schedulingDelayMillis()),
+						retryAfter.get()));
+		}
+	}
+
 	private void admit(RequestHead callerHead) {
 		if (this.ended) {
 			return;
 		}
 		try {
-			this.admission = this.services.gate().admit(callerHead);
-			this.body.start(this.admission.configuration().callerLimits().maxBodyBytes());
+			RelayAdmission admitted = this.services.gate().admit(callerHead);
+			checkLoad(callerHead, admitted);
+			this.admission = admitted;
+			this.body.start(admitted.configuration().callerLimits().maxBodyBytes());
 		}
 		catch (RefusedException ex) {
 			boolean soon = ex.refusal().reason() == RefusalReason.NOT_READY && this.services.gate().isReadySoon();
@@ -135,7 +187,7 @@
 			return;
 		}
 		RelayRequest complete = new RelayRequest(callerHead, admitted, this.request.headers(), this.body.bytes(),
-				this.arrival);
+				this.arrival, this.services.passes().observe());
 		try {
 			this.services.stop().check(complete);
 		}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayRun.java
@@ -66,7 +66,7 @@
 		this.request = request;
 		this.response = response;
 		RelayAdmission admission = request.admission();
-		Tier tier = admission.route().tier((admission.organisation() != null) ? admission.organisation().rank() : null);
+		Tier tier = admission.tier();
 		this.pool = admission.route().pool(services.random().nextDouble());
 		this.progress = RequestProgress.of(admission.route());
 		this.planner = new AttemptPlanner(services, request, this.pool, tier);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -95,11 +95,15 @@
 		this.server = created;
 		this.idleCheckTimer = this.services.vertx()
 			.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> this.connections.closeIdle());
-		this.tickTimer = this.services.vertx()
-			.setPeriodic(ArrivalEstimate.TICK.toMillis(), (id) -> this.arrivals.ticked());
+		this.tickTimer = this.services.vertx().setPeriodic(ArrivalEstimate.TICK.toMillis(), (id) -> ticked());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
 
+	private void ticked() {
+		this.arrivals.ticked();
+		this.services.overload().ticked();
+	}
+
 	@Override
 	public CompletionStage<Void> stop() {
 		this.services.vertx().cancelTimer(this.idleCheckTimer);
@@ -172,7 +176,9 @@
 					ended(request);
 					this.connections.requestEnded(request.connection());
 				});
-		RelayExchange exchange = new RelayExchange(this.services, request, response, this.arrivals.arrival());
+		Instant arrival = this.arrivals.arrival();
+		this.services.overload().requestRead(Duration.between(arrival, this.services.clock().instant()));
+		RelayExchange exchange = new RelayExchange(this.services, request, response, arrival);
 		this.exchanges.put(request, exchange);
 		if (this.refusing) {
 			exchange.refuseUnread(
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -43,12 +43,14 @@
  * @param stop decides which requests may run during a planned stop
  * @param liveness tells how responses ended that end with their connection
  * @param confirmedEnds which processes end streams without stating it only when whole
+ * @param overload measures whether this daemon is short of processor time
+ * @param passes tells whether disconnections of callers are known
  */
 record RelayServices(Vertx vertx, RelayProtocol protocol, RelayAdmissionCheck gate, ConfigurationInForce inForce,
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
 		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop,
-		ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
+		ProcessLiveness liveness, ConfirmedEnds confirmedEnds, OverloadMeter overload, LoopPasses passes) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -1,6 +1,7 @@
 package org.sardineport.daemon.scheduling;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
@@ -93,6 +94,9 @@
 	private volatile Consumer<LoadReport> loadListener = (report) -> {
 	};
 
+	private volatile Consumer<Duration> delayListener = (delay) -> {
+	};
+
 	private long loadRequestedAt;
 
 	private SchedulingService(SchedulingSettings settings, EngineAssumptions assumptions, FleetView fleet,
@@ -182,7 +186,12 @@
 
 	@Override
 	public void submit(SchedulingRequest request, PermitListener listener) {
-		if (!this.eventLoop.offer(() -> this.scheduler.submit(request, listener))) {
+		Instant offeredAt = this.clock.instant();
+		boolean accepted = this.eventLoop.offer(() -> {
+			this.delayListener.accept(Duration.between(offeredAt, this.clock.instant()));
+			this.scheduler.submit(request, listener);
+		});
+		if (!accepted) {
 			listener.refused(Refusal.retryAfter(RefusalReason.RING_FULL, "the scheduling ring is full", TICK));
 		}
 	}
@@ -259,6 +268,15 @@
 		this.loadListener = Objects.requireNonNull(listener, "listener must not be null");
 	}
 
+	/**
+	 * Sets the listener for the time that requests waited for the thread of this service.
+	 * Must be called before the start.
+	 * @param listener receives the time of each request, on that thread; must not block
+	 */
+	public void setDelayListener(Consumer<Duration> listener) {
+		this.delayListener = Objects.requireNonNull(listener, "listener must not be null");
+	}
+
 	private void offer(String kind, Runnable command) {
 		if (!this.eventLoop.offer(command)) {
 			this.telemetry.counter("scheduling.ring-full." + kind).inc();
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -60,7 +60,8 @@
 				TestConnections.create(this.vertx, Clock.systemUTC()), null, null, null, Clock.systemUTC(), null, null,
 				null, null, null, StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
 				BackendNotices.create((process) -> {
-				}, Clock.systemUTC(), Telemetry.create()), null, StopAdmission.create(Clock.systemUTC()), null, null);
+				}, Clock.systemUTC(), Telemetry.create()), null, StopAdmission.create(Clock.systemUTC()), null, null,
+				null, LoopPasses.create(this.vertx, Clock.systemUTC()));
 		BackendServer server = TestConnections.server("server", serverOfThreeEvents());
 		AttemptPlan plan = new AttemptPlan(protocol, new Permit(RequestId.of("r"), server, Instant.MAX), "id", "POST",
 				"/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), latestSend, TokenEstimate.NONE, 1, NO_EVENT,
