Learn the concurrency beyond which a server gains no throughput

The owner of a server compares runs at a higher and a lower load within the same short intervals, lowers the limit where more load gains nothing, and tests a lower limit by short trials. Off unless bounds/learn_capacity is set: limits stay nominal, and they do for servers whose throughput grows up to their slots.

--- a/core/src/main/java/org/sardineport/core/scheduling/AdmissionCheck.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/AdmissionCheck.java
@@ -68,7 +68,7 @@
 			return false;
 		}
 		if (tier.isTop()) {
-			return this.occupancy.size() < this.model.limit().hardLimit();
+			return this.occupancy.size() < this.model.hardLimit();
 		}
 		int limit = this.model.lowerTierLimit(now);
 		return this.occupancy.size() < (isWarmedUp(now) ? limit : (limit + 1) / 2);
@@ -133,7 +133,7 @@
 	}
 
 	private long concurrencyWait(int ahead, long now) {
-		return (long) (ahead * this.model.serviceMillis(now) / this.model.limit().limit());
+		return (long) (ahead * this.model.serviceMillis(now) / this.model.limit());
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/OutstandingPermit.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OutstandingPermit.java
@@ -28,6 +28,8 @@
 
 	private final int runningAtGrant;
 
+	private double loadAtGrant;
+
 	private boolean preempting;
 
 	private long orphanedAt = NEVER;
@@ -81,6 +83,18 @@
 		return this.runningAtGrant;
 	}
 
+	/**
+	 * Returns the integral of the load when the permit was granted.
+	 * @return the integral; 0 if the grant was not recorded
+	 */
+	double loadAtGrant() {
+		return this.loadAtGrant;
+	}
+
+	void recordLoadAtGrant(double integral) {
+		this.loadAtGrant = integral;
+	}
+
 	boolean isPreempting() {
 		return this.preempting;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
@@ -7,11 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.capacity.CapacityChange;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.routing.ServerState;
@@ -33,6 +35,8 @@
 
 	private final MessageOutbox outbox;
 
+	private final BiConsumer<BackendServerId, CapacityChange> capacityListener;
+
 	private final DigestSubscriptions subscriptions = new DigestSubscriptions();
 
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
@@ -45,12 +49,16 @@
 	 * @param limits its limits
 	 * @param directory determines which backend servers this daemon owns
 	 * @param outbox outbox for replies and digests to entries
+	 * @param capacityListener receives each change of the learned capacity of a backend
+	 * server
 	 */
-	OwnerScheduler(DaemonId self, SchedulingLimits limits, PoolDirectory directory, MessageOutbox outbox) {
+	OwnerScheduler(DaemonId self, SchedulingLimits limits, PoolDirectory directory, MessageOutbox outbox,
+			BiConsumer<BackendServerId, CapacityChange> capacityListener) {
 		this.self = self;
 		this.limits = limits;
 		this.directory = directory;
 		this.outbox = outbox;
+		this.capacityListener = capacityListener;
 	}
 
 	/**
@@ -171,7 +179,10 @@
 	}
 
 	void tick(long now) {
-		this.owners.values().forEach((owner) -> owner.tick(now));
+		for (PermitOwner owner : this.owners.values()) {
+			owner.tick(now);
+			owner.takeCapacityChanges().forEach((change) -> this.capacityListener.accept(owner.server().id(), change));
+		}
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -14,6 +14,7 @@
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.capacity.CapacityChange;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.request.Tier;
@@ -297,6 +298,7 @@
 	void tick(long now) {
 		this.occupancy.removeIf((permit) -> permit.isOrphanedBefore(now - ORPHAN_GRACE_MILLIS));
 		this.model.detectSlowdown(this.occupancy, now);
+		this.model.updateCapacity(this.occupancy.size(), now);
 		if (this.model.health().isIsolated()) {
 			refuseWaiting((waiting) -> true, PermitDenial.ISOLATED, now);
 		}
@@ -364,6 +366,14 @@
 				&& preemptible().findAny().isPresent();
 	}
 
+	/**
+	 * Returns the changes of the learned capacity since the last call.
+	 * @return the changes, oldest first
+	 */
+	List<CapacityChange> takeCapacityChanges() {
+		return this.model.takeCapacityChanges();
+	}
+
 	ServerState state(long now) {
 		return this.model.state(this.occupancy, this.queue.onTimeSize(), now);
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
@@ -1,5 +1,7 @@
 package org.sardineport.core.scheduling;
 
+import org.sardineport.core.capacity.CapacityChange;
+import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.request.RetryReason;
@@ -40,6 +42,15 @@
 	default void recordIsolation(DaemonId reporter, PermitRelease release) {
 	}
 
+	/**
+	 * Records that the learned capacity of a backend server that this daemon owns
+	 * changed.
+	 * @param server the backend server
+	 * @param change the change
+	 */
+	default void recordCapacity(BackendServerId server, CapacityChange change) {
+	}
+
 	/**
 	 * Returns the effects of the quarantine. Called once, when the scheduler is created.
 	 * @return the effects; by default events and strikes are discarded
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -1,10 +1,17 @@
 package org.sardineport.core.scheduling;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.capacity.CapacityChange;
+import org.sardineport.core.capacity.LearnedCapacity;
+import org.sardineport.core.capacity.LoadIntegral;
 import org.sardineport.core.limit.AdaptiveLimit;
 import org.sardineport.core.limit.RejectionPacing;
 import org.sardineport.core.limit.RequestRate;
@@ -58,6 +65,9 @@
 	/** Minimum factor on learned times after a long idle period. */
 	private static final double MIN_IDLE_FACTOR = 0.05;
 
+	/** Minimum number of answer tokens for a usable time of a token. */
+	private static final int MIN_TIMED_TOKENS = 8;
+
 	private static final long NEVER = Long.MAX_VALUE;
 
 	private final BackendServer server;
@@ -68,6 +78,12 @@
 
 	private final AdaptiveLimit limit;
 
+	private final @Nullable LearnedCapacity capacity;
+
+	private final LoadIntegral load = LoadIntegral.startingAt(0);
+
+	private final List<CapacityChange> capacityChanges = new ArrayList<>();
+
 	private final boolean roughEstimates;
 
 	private final ServerHealth health = ServerHealth.create();
@@ -94,6 +110,7 @@
 		this.server = server;
 		this.roughEstimates = assumptions.roughEstimates();
 		this.limit = assumptions.concurrency().limitOf(server.nominalConcurrency());
+		this.capacity = assumptions.concurrency().capacityOf(server.nominalConcurrency());
 		this.prefixes = PrefixCacheModel.withHitRatio(assumptions.hitShare());
 	}
 
@@ -115,8 +132,45 @@
 		return this.server;
 	}
 
-	AdaptiveLimit limit() {
-		return this.limit;
+	/**
+	 * Returns the concurrency limit that applies on average to all tiers.
+	 * @return concurrent requests
+	 */
+	int limit() {
+		return (this.capacity != null) ? this.capacity.limit() : this.limit.limit();
+	}
+
+	/**
+	 * Returns the concurrency limit for the top tier.
+	 * @return maximum concurrent requests
+	 */
+	int hardLimit() {
+		return (this.capacity != null) ? this.capacity.limit() : this.limit.hardLimit();
+	}
+
+	/**
+	 * Updates the learned capacity.
+	 * @param running number of concurrent requests
+	 * @param now the current time
+	 */
+	void updateCapacity(int running, long now) {
+		if (this.capacity != null) {
+			this.load.change(running, now);
+			this.capacity.update(running, now).ifPresent(this.capacityChanges::add);
+		}
+	}
+
+	/**
+	 * Returns the changes of the learned capacity since the last call.
+	 * @return the changes, oldest first
+	 */
+	List<CapacityChange> takeCapacityChanges() {
+		if (this.capacityChanges.isEmpty()) {
+			return List.of();
+		}
+		List<CapacityChange> taken = List.copyOf(this.capacityChanges);
+		this.capacityChanges.clear();
+		return taken;
 	}
 
 	/**
@@ -127,6 +181,9 @@
 	 * @return maximum concurrent requests
 	 */
 	int lowerTierLimit(long now) {
+		if (this.capacity != null) {
+			return this.capacity.limit();
+		}
 		boolean fast = this.measured && serviceMillis(now) / this.limit.limit() < SHORT_WAIT_MILLIS;
 		return (fast) ? this.limit.limit() : this.limit.lowerTierLimit();
 	}
@@ -244,6 +301,7 @@
 	}
 
 	void runStarted(OutstandingPermit permit, long now) {
+		permit.recordLoadAtGrant(this.load.change(permit.runningAtGrant(), now));
 		this.health.runStarted();
 		this.rate.take(now);
 		this.rejections.runStarted(permit.runningAtGrant(), now);
@@ -257,6 +315,7 @@
 	void runEnded(OutstandingPermit permit, RunMeasurement reported, int runningNow, long now) {
 		RunMeasurement measurement = reported.withExpectedCache((int) permit.prefillTokens());
 		boolean rejected = measurement.end() == RunEnd.NOT_ADMITTED;
+		observeCapacity(permit, measurement, runningNow, now);
 		this.rejections.runEnded(permit.grantedAt(), rejected, runningNow, now);
 		this.outstandingTokens = (runningNow <= 1) ? 0 : Math.max(0, this.outstandingTokens - permit.prefillTokens());
 		this.idleSince = (runningNow <= 1) ? now : NEVER;
@@ -283,6 +342,28 @@
 		}
 	}
 
+	// The time up to the first data of a response without tokens, and the time of a token
+	// otherwise, depend on neither the length of the response nor the speed of its
+	// reader.
+	private void observeCapacity(OutstandingPermit permit, RunMeasurement measurement, int runningNow, long now) {
+		double integral = this.load.change(Math.max(0, runningNow - 1), now);
+		Duration first = measurement.timeToFirstToken();
+		if (this.capacity == null || measurement.end() != RunEnd.COMPLETED || first == null
+				|| now <= permit.grantedAt()) {
+			return;
+		}
+		double meanLoad = (integral - permit.loadAtGrant()) / (now - permit.grantedAt());
+		double firstMillis = first.toNanos() / 1e6;
+		double millis = measurement.duration().toNanos() / 1e6;
+		if (measurement.answerTokens() == 0) {
+			this.capacity.observe(meanLoad, firstMillis, firstMillis, now);
+		}
+		else if (measurement.answerTokens() >= MIN_TIMED_TOKENS) {
+			this.capacity.observe(meanLoad, (millis - firstMillis) / (measurement.answerTokens() - 1), millis, now);
+		}
+		updateCapacity(Math.max(0, runningNow - 1), now);
+	}
+
 	private void timedOut(OutstandingPermit permit, RunMeasurement measurement, long now) {
 		this.limit.observe(measurement.duration().toMillis(), permit.expectedMillis());
 		boolean stalled = measurement.duration().toMillis() > STALLED_RATIO * Math.max(1, permit.expectedMillis());
--- a/core/src/test/java/org/sardineport/core/scheduling/OwnerSchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/OwnerSchedulerTests.java
@@ -47,6 +47,7 @@
 	private final OwnerScheduler scheduler = new OwnerScheduler(SELF, this.limits, this.directory, (to, message) -> {
 		this.receivers.add(to);
 		this.sent.add(message);
+	}, (server, change) -> {
 	});
 
 	private DaemonId currentOwner = SELF;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -57,6 +57,9 @@
 	 */
 	private static final EngineAssumptions ASSUMPTIONS = new EngineAssumptions(ConcurrencyPolicy.NOMINAL, true, 0, 0);
 
+	/** The same with a learned concurrency. */
+	private static final EngineAssumptions LEARNED = new EngineAssumptions(ConcurrencyPolicy.LEARNED, true, 0, 0);
+
 	private final FleetSettings fleetSettings;
 
 	private final StopCoordinator stop;
@@ -81,8 +84,9 @@
 				TransportCounters.create(telemetry));
 		FleetService fleet = FleetService.create(this.fleetSettings, membership.incarnation(), transport,
 				ports.vmList(), clock, telemetry);
-		SchedulingService scheduling = SchedulingService.withoutLoadReports(schedulingSettings, ASSUMPTIONS, fleet,
-				transport, clock, random.split(), telemetry);
+		SchedulingService scheduling = SchedulingService.withoutLoadReports(schedulingSettings,
+				(schedulingSettings.learnsCapacity()) ? LEARNED : ASSUMPTIONS, fleet, transport, clock, random.split(),
+				telemetry);
 		StreamOriginService origins = StreamOriginService.create(fleet, fleet.listReads(), ports.origins(), transport,
 				clock, random.split(), telemetry);
 		fleet.setStrikeReceiver(scheduling);
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -20,9 +20,11 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.capacity.CapacityChange;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.fleet.Member;
+import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.lifecycle.Service;
@@ -341,6 +343,13 @@
 					"end", release.measurement().end(), "duration-ms", release.measurement().duration().toMillis());
 		}
 
+		@Override
+		public void recordCapacity(BackendServerId server, CapacityChange change) {
+			SchedulingService.this.telemetry.counter("scheduling.capacity-changed." + change.reason().label()).inc();
+			LOG.info("scheduling.capacity-changed", "backend-server", server, "from", change.from(), "to", change.to(),
+					"reason", change.reason().label());
+		}
+
 		@Override
 		public QuarantineEffects quarantine() {
 			return SchedulingService.this.quarantine;
