Keep daemons of large fleets among those named to callers

Cause: a read of the configuration waits up to 2 s from 32 daemons on, so the newest one is 2 to 4 s old; a daemon counts as serving up to 2.5 s. By reading: each daemon withdrew and announced itself again at each read. Change: the age allowed follows the wait: two reads and a margin. Result: unchanged up to 16 daemons; by test of the pacing alone, the effect on a large fleet was not measured.

--- a/core/src/main/java/org/sardineport/core/relay/ReadPacing.java
+++ b/core/src/main/java/org/sardineport/core/relay/ReadPacing.java
@@ -14,6 +14,9 @@
 	/** Upper bound, so that two reads fit into the lifetime of a configuration read. */
 	private static final Duration MAX_WAIT = Duration.ofMillis(2000);
 
+	/** Time in which the store answers. */
+	private static final Duration READ_MARGIN = Duration.ofMillis(250);
+
 	/** Largest number of daemons at which the minimum wait applies. */
 	private static final int SMALL_FLEET_DAEMONS = 16;
 
@@ -31,6 +34,18 @@
 		return (wait.compareTo(MAX_WAIT) < 0) ? wait : MAX_WAIT;
 	}
 
+	/**
+	 * Returns the age of the newest configuration read from which callers are better
+	 * served by other daemons. The age is counted from the start of a read and reaches
+	 * two waits while all reads succeed.
+	 * @param daemons number of daemons that read the store, at least 1
+	 * @return the age
+	 */
+	public static Duration maximumServingAge(int daemons) {
+		Duration wait = configurationWait(daemons);
+		return wait.multipliedBy(2).plus(wait.dividedBy(4)).plus(READ_MARGIN);
+	}
+
 	/**
 	 * Returns the interval between two reads of the list of backend servers. It is half
 	 * the limit, so that two reads fit into it.
--- a/core/src/test/java/org/sardineport/core/relay/ReadPacingTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/ReadPacingTests.java
@@ -26,4 +26,13 @@
 			.isEqualTo(Duration.ofMillis(intervalMillis));
 	}
 
+	// In fleets of 32 daemons and more each one withdrew its address for half of the
+	// time,
+	// as reads that wait for two seconds are up to four seconds old.
+	@ParameterizedTest
+	@CsvSource({ "1, 2500", "16, 2500", "32, 4750", "3300, 4750" })
+	void daemonServesUntilTwoReadsAreMissing(int daemons, long millis) {
+		assertThat(ReadPacing.maximumServingAge(daemons)).isEqualTo(Duration.ofMillis(millis));
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -122,7 +122,7 @@
 				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
 				ConfirmedEnds.create(), rollouts, overload, LoopPasses.create(vertx, clock));
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
-		this.readiness = new RelayReadiness(inForce, backendsKnown);
+		this.readiness = new RelayReadiness(inForce, backendsKnown, () -> fleet.current().members().size());
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
 				this.readiness, telemetry);
 		fleet.reportFrom(this.readiness);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayReadiness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayReadiness.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 import org.sardineport.core.relay.ConfigurationInForce;
+import org.sardineport.core.relay.ReadPacing;
 import org.sardineport.daemon.fleet.SelfReport;
 import org.sardineport.daemon.http.Readiness;
 
@@ -14,21 +16,24 @@
  */
 final class RelayReadiness implements Readiness, SelfReport {
 
-	/**
-	 * Age of the newest configuration read at which callers are better served by other
-	 * daemons.
-	 */
-	private static final long MAX_PROOF_AGE_MILLIS = 2500;
-
 	private final ConfigurationInForce inForce;
 
 	private final BooleanSupplier backendsKnown;
 
+	private final IntSupplier daemons;
+
 	private volatile boolean stopping;
 
-	RelayReadiness(ConfigurationInForce inForce, BooleanSupplier backendsKnown) {
+	/**
+	 * Creates the readiness of a daemon that serves callers.
+	 * @param inForce the configuration in force
+	 * @param backendsKnown whether backend servers are listed
+	 * @param daemons number of daemons of the fleet, on which the age of reads depends
+	 */
+	RelayReadiness(ConfigurationInForce inForce, BooleanSupplier backendsKnown, IntSupplier daemons) {
 		this.backendsKnown = backendsKnown;
 		this.inForce = inForce;
+		this.daemons = daemons;
 	}
 
 	void stopping() {
@@ -53,11 +58,15 @@
 
 	@Override
 	public long configurationVersion() {
-		boolean fresh = this.inForce.isFresh() && this.inForce.readAgeMillis() < MAX_PROOF_AGE_MILLIS;
+		boolean fresh = this.inForce.isFresh() && this.inForce.readAgeMillis() < maximumAge();
 		boolean serves = fresh && this.backendsKnown.getAsBoolean();
 		return serves ? this.inForce.current().version() : SelfReport.NONE.configurationVersion();
 	}
 
+	private long maximumAge() {
+		return ReadPacing.maximumServingAge(this.daemons.getAsInt()).toMillis();
+	}
+
 	@Override
 	public int load() {
 		return 0;
