Run the relay's timers only while there are connections

The Vert.x event loop woke 44 times a second for three timers that found nothing to do.

- The arrival estimate ticks every 50 ms while a caller is connected, otherwise with the check for idle connections, once a second.
A delay of the event loop that begins before any caller is connected is then noticed after a second.
- The times of the event loop's turns are recorded while a connection to a backend server is open; they are only asked for when data is read from one.
- Lost paths are checked while one is lost.

--- a/core/src/main/java/org/sardineport/core/relay/ArrivalEstimate.java
+++ b/core/src/main/java/org/sardineport/core/relay/ArrivalEstimate.java
@@ -12,16 +12,19 @@
  */
 public final class ArrivalEstimate {
 
-	/** Interval at which the event loop must call {@link #ticked()}. */
+	/**
+	 * Interval at which the event loop must call {@link #ticked(Duration)} while
+	 * connections are open.
+	 */
 	public static final Duration TICK = Duration.ofMillis(50);
 
 	private final InstantSource clock;
 
-	private Instant lastTick;
+	private Instant due;
 
 	private ArrivalEstimate(InstantSource clock) {
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
-		this.lastTick = clock.instant();
+		this.due = clock.instant().plus(TICK);
 	}
 
 	/**
@@ -34,10 +37,11 @@
 	}
 
 	/**
-	 * Records that the event loop runs its periodic task.
+	 * Records that the event loop runs a periodic task.
+	 * @param interval time until it is due again
 	 */
-	public void ticked() {
-		this.lastTick = this.clock.instant();
+	public void ticked(Duration interval) {
+		this.due = this.clock.instant().plus(interval);
 	}
 
 	/**
@@ -46,9 +50,8 @@
 	 */
 	public Instant arrival() {
 		Instant now = this.clock.instant();
-		Instant due = this.lastTick.plus(TICK);
-		boolean isLate = now.isAfter(due.plus(TICK));
-		return isLate ? due : now;
+		boolean isLate = now.isAfter(this.due.plus(TICK));
+		return isLate ? this.due : now;
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/relay/BackendPaths.java
+++ b/core/src/main/java/org/sardineport/core/relay/BackendPaths.java
@@ -62,6 +62,14 @@
 		return this.lost.containsKey(server);
 	}
 
+	/**
+	 * Returns whether the path to any backend server is lost.
+	 * @return whether there is one to check
+	 */
+	public boolean isAnyLost() {
+		return !this.lost.isEmpty();
+	}
+
 	/**
 	 * Records that a backend server could not be reached, and another daemon reached it.
 	 * @param server the backend server
--- a/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
+++ b/core/src/test/java/org/sardineport/core/fleet/BackendDirectoryTests.java
@@ -59,6 +59,19 @@
 		assertThat(this.directory.eligible()).containsExactly(server("two"));
 	}
 
+	// Each message and tick compares what is eligible with what was published; a list of
+	// thousands must not be put together for it.
+	@Test
+	void eligibleServersAreTheSameListWhileNothingChanges() {
+		VmListing first = listing(START.plusSeconds(1), VmState.LIVE, VmState.LIVE);
+		this.directory.updateListing(first);
+		List<BackendServer> before = this.directory.eligible();
+		this.directory.updateListing(new VmListing(START.plusSeconds(2), List.of(), first.backendServers()));
+		assertThat(this.directory.eligible()).isSameAs(before);
+		this.directory.recordLeaving(server("one").process());
+		assertThat(this.directory.eligible()).containsExactly(server("two"));
+	}
+
 	private VmListing withoutOne(Instant asOf) {
 		return withoutOne(asOf, null);
 	}
--- a/core/src/test/java/org/sardineport/core/relay/ArrivalEstimateTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/ArrivalEstimateTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 
 import org.junit.jupiter.api.Test;
 
@@ -26,7 +27,7 @@
 		for (int i = 0; i < 10; i++) {
 			pass(ArrivalEstimate.TICK);
 			assertThat(this.estimate.arrival()).isEqualTo(this.now);
-			this.estimate.ticked();
+			this.estimate.ticked(ArrivalEstimate.TICK);
 		}
 	}
 
@@ -34,12 +35,26 @@
 	// from when the request was read.
 	@Test
 	void requestMayHaveWaitedSinceTheEventLoopFellBehind() {
-		this.estimate.ticked();
+		this.estimate.ticked(ArrivalEstimate.TICK);
 		Instant behindSince = this.now.plus(ArrivalEstimate.TICK);
 		pass(Duration.ofMillis(900));
 		assertThat(this.estimate.arrival()).isEqualTo(behindSince);
-		this.estimate.ticked();
+		this.estimate.ticked(ArrivalEstimate.TICK);
 		assertThat(this.estimate.arrival()).isEqualTo(this.now);
 	}
 
+	// Without connections the event loop is not woken 20 times a second; a request of a
+	// new connection must not count as late for that.
+	@Test
+	void requestAfterAnIdleTimeIsNotLateBeforeTheNextTickIsOverdue() {
+		InstantSource clock = () -> this.now;
+		ArrivalEstimate idle = ArrivalEstimate.create(clock);
+		idle.ticked(Duration.ofSeconds(1));
+		Instant due = this.now.plusSeconds(1);
+		this.now = due;
+		assertThat(idle.arrival()).isEqualTo(this.now);
+		this.now = due.plusMillis(300);
+		assertThat(idle.arrival()).isEqualTo(due);
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnections.java
@@ -89,9 +89,9 @@
 
 	private long allCheckedAt = Long.MIN_VALUE / 2;
 
-	private long checkTimer = -1;
+	private final DemandTimer checkTimer;
 
-	private long turnTimer = -1;
+	private final DemandTimer turnTimer;
 
 	private Consumer<BackendProcess> disconnectListener = (process) -> {
 	};
@@ -103,6 +103,8 @@
 		this.connector = Objects.requireNonNull(connector, "connector must not be null");
 		this.fleet = Objects.requireNonNull(fleet, "fleet must not be null");
 		this.listReads = Objects.requireNonNull(listReads, "listReads must not be null");
+		this.checkTimer = new DemandTimer(vertx, CHECK_INTERVAL, connector::checkLostPaths);
+		this.turnTimer = new DemandTimer(vertx, ReadTurns.INTERVAL, this::recordTurn);
 	}
 
 	/**
@@ -124,20 +126,22 @@
 	@Override
 	public CompletionStage<Void> start() {
 		Context context = this.vertx.getOrCreateContext();
-		this.checkTimer = this.vertx.setPeriodic(CHECK_INTERVAL.toMillis(), (id) -> this.connector.checkLostPaths());
-		this.turnTimer = this.vertx.setPeriodic(ReadTurns.INTERVAL.toMillis(),
-				(id) -> this.turns.record(this.clock.millis()));
 		this.fleet.addListener((snapshot) -> context.runOnContext((ignored) -> closeCarriedByLeaving(snapshot)));
 		return CompletableFuture.completedStage(null);
 	}
 
 	@Override
 	public CompletionStage<Void> stop() {
-		this.vertx.cancelTimer(this.checkTimer);
-		this.vertx.cancelTimer(this.turnTimer);
+		this.checkTimer.cancel();
+		this.turnTimer.cancel();
 		return this.connector.close().toCompletionStage();
 	}
 
+	private boolean recordTurn() {
+		this.turns.record(this.clock.millis());
+		return !this.processes.isEmpty();
+	}
+
 	/**
 	 * Sets the listener that is called when the last connection to a process has closed.
 	 * @param listener is called on the event loop
@@ -280,6 +284,7 @@
 
 	@Override
 	public void pathLost(BackendServer server) {
+		this.checkTimer.start();
 		closeIdle(server.id(), (connection) -> connection.helper() == null);
 		long now = this.clock.millis();
 		if (now - this.allCheckedAt >= MIN_CHECK_MILLIS) {
@@ -329,6 +334,9 @@
 		BackendConnection opened = new BackendConnection(connection, process, this.clock, requestedAt);
 		this.processes.computeIfAbsent(process, (key) -> new ProcessConnections()).add(opened);
 		connection.http().closeHandler((ignored) -> closed(opened));
+		if (this.turnTimer.start()) {
+			this.turns.restart(this.clock.millis());
+		}
 		return opened;
 	}
 
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnector.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnector.java
@@ -122,14 +122,16 @@
 
 	/**
 	 * Tries the lost paths that are due for a check. Must be called every few hundred
-	 * milliseconds.
+	 * milliseconds while a path is lost.
+	 * @return whether a path is lost
 	 */
-	void checkLostPaths() {
+	boolean checkLostPaths() {
 		this.paths.takeDueChecks(this.fleet.current().backendServers(), this.clock.millis())
 			.forEach((server) -> direct(server).onSuccess((open) -> {
 				reached(server);
 				open.close();
 			}));
+		return this.paths.isAnyLost();
 	}
 
 	private Future<HttpClientConnection> direct(BackendServer server) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -41,6 +41,10 @@
 		connection.closeHandler((ignored) -> this.activities.remove(connection));
 	}
 
+	boolean isEmpty() {
+		return this.activities.isEmpty();
+	}
+
 	void requestStarted(HttpConnection connection) {
 		Activity activity = this.activities.get(connection);
 		if (activity != null) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ReadTurns.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ReadTurns.java
@@ -24,6 +24,16 @@
 
 	private long last = NEVER;
 
+	/**
+	 * Begins anew after a time without connections.
+	 * @param now the current time, in milliseconds of the clock, at which the first
+	 * connection is open
+	 */
+	void restart(long now) {
+		this.previous = now;
+		this.last = now;
+	}
+
 	/**
 	 * Records a turn.
 	 * @param now the current time, in milliseconds of the clock
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -61,7 +61,7 @@
 
 	private long idleCheckTimer = -1;
 
-	private long tickTimer = -1;
+	private final DemandTimer ticks;
 
 	private volatile boolean stopping;
 
@@ -76,6 +76,7 @@
 		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
 				() -> services.inForce().current().callerLimits().idleTimeout());
+		this.ticks = new DemandTimer(services.vertx(), ArrivalEstimate.TICK, this::tick);
 	}
 
 	@Override
@@ -91,19 +92,30 @@
 		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
 			StrictRequestDecoder.install(connection, options);
 			this.connections.opened(connection);
+			this.ticks.start();
 		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
-		this.idleCheckTimer = this.services.vertx()
-			.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> this.connections.closeIdle());
-		this.tickTimer = this.services.vertx()
-			.setPeriodic(ArrivalEstimate.TICK.toMillis(), (id) -> this.arrivals.ticked());
+		this.idleCheckTimer = this.services.vertx().setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> checkIdle());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
 
+	// Without connections a delay of the event loop is measured in this interval only.
+	private void checkIdle() {
+		this.connections.closeIdle();
+		if (this.connections.isEmpty()) {
+			this.arrivals.ticked(Duration.ofMillis(IDLE_CHECK_INTERVAL_MILLIS));
+		}
+	}
+
+	private boolean tick() {
+		this.arrivals.ticked(ArrivalEstimate.TICK);
+		return !this.connections.isEmpty();
+	}
+
 	@Override
 	public CompletionStage<Void> stop() {
 		this.services.vertx().cancelTimer(this.idleCheckTimer);
-		this.services.vertx().cancelTimer(this.tickTimer);
+		this.ticks.cancel();
 		HttpServer started = this.server;
 		return (started != null) ? started.close().toCompletionStage() : CompletableFuture.completedStage(null);
 	}
