--- a/core/src/main/java/org/sardineport/core/routing/PrefixRing.java
+++ b/core/src/main/java/org/sardineport/core/routing/PrefixRing.java
@@ -5,12 +5,14 @@
 import java.util.List;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendServer;
 
 /**
  * Consistent hash ring that maps prompt prefixes to backend servers. All daemons compute
  * the same mapping, so that equal prefixes go to the same backend server without
- * coordination. Immutable.
+ * coordination. The points are computed at the first use, as listings change far more
+ * often than prefixes are used in most fleets. Not thread-safe.
  */
 final class PrefixRing {
 
@@ -23,26 +25,31 @@
 	/** Total number of points aimed at, within the bounds per backend server. */
 	private static final int TARGET_RING_POINTS = 8192;
 
-	private final long[] hashes;
+	private final List<BackendServer> listed;
 
-	private final int[] servers;
+	private long @Nullable [] hashes;
 
-	private PrefixRing(long[] hashes, int[] servers) {
-		this.hashes = hashes;
-		this.servers = servers;
+	private int[] servers = new int[0];
+
+	private PrefixRing(List<BackendServer> listed) {
+		this.listed = listed;
 	}
 
 	static PrefixRing of(List<BackendServer> servers) {
+		return new PrefixRing(List.copyOf(servers));
+	}
+
+	private long[] compute() {
 		int pointsPerServer = Math.max(MIN_POINTS_PER_SERVER,
-				Math.min(MAX_POINTS_PER_SERVER, TARGET_RING_POINTS / Math.max(1, servers.size())));
-		Point[] points = new Point[servers.size() * pointsPerServer];
+				Math.min(MAX_POINTS_PER_SERVER, TARGET_RING_POINTS / Math.max(1, this.listed.size())));
+		Point[] points = new Point[this.listed.size() * pointsPerServer];
 		for (int i = 0; i < points.length; i++) {
-			String name = servers.get(i / pointsPerServer).id().value() + '#' + (i % pointsPerServer);
+			String name = this.listed.get(i / pointsPerServer).id().value() + '#' + (i % pointsPerServer);
 			points[i] = new Point(Hashing.komihash5_0().hashCharsToLong(name), i / pointsPerServer);
 		}
 		Arrays.sort(points, Comparator.comparingLong(Point::hash));
-		return new PrefixRing(Arrays.stream(points).mapToLong(Point::hash).toArray(),
-				Arrays.stream(points).mapToInt(Point::server).toArray());
+		this.servers = Arrays.stream(points).mapToInt(Point::server).toArray();
+		return Arrays.stream(points).mapToLong(Point::hash).toArray();
 	}
 
 	/**
@@ -51,10 +58,15 @@
 	 * @return index of the backend server, or -1 if the ring is empty
 	 */
 	int home(long prefixHash) {
-		if (this.hashes.length == 0) {
+		long[] points = this.hashes;
+		if (points == null) {
+			points = compute();
+			this.hashes = points;
+		}
+		if (points.length == 0) {
 			return -1;
 		}
-		int found = Arrays.binarySearch(this.hashes, mix(prefixHash));
+		int found = Arrays.binarySearch(points, mix(prefixHash));
 		int next = (found >= 0) ? found : -found - 1;
 		return this.servers[next % this.servers.length];
 	}
