--- a/daemon/src/main/java/org/sardineport/daemon/telemetry/BoundedOutput.java
+++ b/daemon/src/main/java/org/sardineport/daemon/telemetry/BoundedOutput.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
 import org.jspecify.annotations.Nullable;
@@ -31,7 +32,7 @@
 	/** Part of the queue that only warnings and errors may use, in lines. */
 	private static final int RESERVED_LINES = 1024;
 
-	/** Pause between two writes of the background thread. */
+	/** Minimum pause between two writes of the background thread. */
 	private static final Duration WRITE_INTERVAL = Duration.ofMillis(50);
 
 	/** Maximum number of stack frames that are logged with an error. */
@@ -41,6 +42,9 @@
 
 	private final AtomicLong droppedLines = new AtomicLong();
 
+	/** The background thread while it waits for a line. */
+	private final AtomicReference<@Nullable Thread> waitingWriter = new AtomicReference<>();
+
 	private final OutputStream target;
 
 	private final InstantSource clock;
@@ -69,9 +73,7 @@
 	public static BoundedOutput install() {
 		BoundedOutput output = create(new FileOutputStream(FileDescriptor.out), InstantSource.system());
 		EventLog.setSink(output);
-		Thread writer = new Thread(output::writeForever, "log-writer");
-		writer.setDaemon(true);
-		writer.start();
+		output.startWriter();
 		Runtime.getRuntime().addShutdownHook(new Thread(output::write, "log-flush"));
 		return output;
 	}
@@ -87,6 +89,7 @@
 		if (!accepted || !this.lines.offer(formatLine(source, level, line, cause))) {
 			this.droppedLines.incrementAndGet();
 		}
+		wakeWriter();
 	}
 
 	private String formatLine(Class<?> source, EventLevel level, String line, @Nullable Throwable cause) {
@@ -108,10 +111,39 @@
 		return frames.toString();
 	}
 
+	/**
+	 * Starts the background thread. Interrupting it ends it.
+	 * @return the thread
+	 */
+	Thread startWriter() {
+		Thread writer = new Thread(this::writeForever, "log-writer");
+		writer.setDaemon(true);
+		writer.start();
+		return writer;
+	}
+
 	private void writeForever() {
 		while (!Thread.currentThread().isInterrupted()) {
 			write();
 			LockSupport.parkNanos(WRITE_INTERVAL.toNanos());
+			awaitLine();
+		}
+	}
+
+	// Prevents lost wake-ups: a logging thread queues its line before it reads the flag,
+	// and the writer sets the flag before it looks at the queue.
+	private void awaitLine() {
+		this.waitingWriter.set(Thread.currentThread());
+		if (this.lines.isEmpty() && this.droppedLines.get() == 0) {
+			LockSupport.park(this);
+		}
+		this.waitingWriter.set(null);
+	}
+
+	private void wakeWriter() {
+		Thread writer = this.waitingWriter.get();
+		if (writer != null && this.waitingWriter.compareAndSet(writer, null)) {
+			LockSupport.unpark(writer);
 		}
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/telemetry/BoundedOutputTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/telemetry/BoundedOutputTests.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Instant;
+import java.util.concurrent.Semaphore;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +32,28 @@
 				+ "time=2026-01-02T03:04:05.006Z WARN BoundedOutputTests event=two\n");
 	}
 
+	// The background thread sleeps while there is nothing to write, and must not sleep
+	// over a line.
+	@Test
+	void backgroundThreadWritesEachLine() throws InterruptedException {
+		Semaphore written = new Semaphore(0);
+		BoundedOutput background = BoundedOutput.create(new ByteArrayOutputStream() {
+
+			@Override
+			public void flush() {
+				written.release();
+			}
+
+		}, () -> this.now);
+		Thread writer = background.startWriter();
+		for (int i = 0; i < 20; i++) {
+			background.write(BoundedOutputTests.class, EventLevel.INFO, "event=line", null);
+			written.acquire();
+		}
+		writer.interrupt();
+		writer.join();
+	}
+
 	@Test
 	void dropsAndCountsOrdinaryLinesButKeepsWarnings() {
 		for (int i = 0; i < 20_000; i++) {
