--- a/daemon/src/main/java/org/sardineport/daemon/relay/OverloadMeter.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/OverloadMeter.java
@@ -78,6 +78,13 @@
 		registry.gauge(name, () -> gauge);
 	}
 
+	/**
+	 * Records that the timer starts, after a time in which it was not needed.
+	 */
+	void timerStarted() {
+		this.timer.ran(this.clock.instant());
+	}
+
 	/**
 	 * Records a run of the timer with the interval {@link ArrivalEstimate#TICK}.
 	 */
