Use the load that backend servers state in responses

The daemon that reads Server-Load weighs its prediction of the finish with the stated work for 300 ms, with a weight that declines with the age. Only where the capacity is learned.

--- a/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
+++ b/core/src/main/java/org/sardineport/core/admission/RequestScheduler.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 
 import org.sardineport.core.backend.BackendProcess;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.quarantine.Suspect;
@@ -43,6 +44,14 @@
 	 */
 	void recordStatedLimits(BackendProcess process, StatedLimits limits);
 
+	/**
+	 * Records the load that a backend server stated in a response to this daemon.
+	 * @param process the process that responded
+	 * @param load the load
+	 */
+	default void recordStatedLoad(BackendProcess process, StatedLoad load) {
+	}
+
 	/**
 	 * Records that a process of a backend server crashed while it ran a request. Requests
 	 * that hold a suspect under which several processes crashed are refused.
--- a/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.limit.StatedLimits;
 
 /**
@@ -23,10 +24,12 @@
  * @param leaving whether the backend server states that it is leaving
  * @param pause time for which the backend server wants no request from this daemon, or
  * {@code null} if it asks for no pause
+ * @param statedLoad the load that the backend server states of itself, or {@code null} if
+ * it states none that can be read
  */
 public record ResponseHead(int status, @Nullable String requestId, boolean notExecuted, boolean signed, boolean encoded,
 		boolean eventStream, @Nullable Duration keepAliveTimeout, @Nullable StatedLimits statedLimits, boolean leaving,
-		@Nullable Duration pause) {
+		@Nullable Duration pause, @Nullable StatedLoad statedLoad) {
 
 	/** Status of a backend server that is not the one asked. */
 	public static final int STATUS_MISDIRECTED = 421;
--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.BackendServer;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.request.TokenEstimate;
 
@@ -22,6 +23,12 @@
 
 	private final BackendServer server;
 
+	/**
+	 * Age in milliseconds at which a stated load is worth nothing, as it changes many
+	 * times a second. Until then its weight declines evenly.
+	 */
+	private static final long STATED_LOAD_MILLIS = 300;
+
 	private double networkMillis;
 
 	private @Nullable DaemonId owner;
@@ -30,6 +37,10 @@
 
 	private long stateReceivedAt;
 
+	private @Nullable StatedLoad statedLoad;
+
+	private long loadStatedAt;
+
 	private int pendingPermitRequests;
 
 	private double pendingPrefillMillis;
@@ -95,6 +106,25 @@
 		this.stateReceivedAt = now;
 	}
 
+	/**
+	 * Records the load that the backend server stated in a response to this daemon.
+	 * @param load the load
+	 * @param now the current time
+	 */
+	public void recordStatedLoad(StatedLoad load, long now) {
+		this.statedLoad = load;
+		this.loadStatedAt = now;
+	}
+
+	private double workFactor(long now) {
+		StatedLoad load = this.statedLoad;
+		long age = now - this.loadStatedAt;
+		if (load == null || age >= STATED_LOAD_MILLIS) {
+			return 1;
+		}
+		return 1 + (load.workFactor() - 1) * (STATED_LOAD_MILLIS - age) / STATED_LOAD_MILLIS;
+	}
+
 	/**
 	 * Records that this entry has requested a permit and waits for the reply.
 	 * @param promptTokens prompt tokens of the request
@@ -201,7 +231,8 @@
 						+ current.speed().decodeMillis(estimate.answer(), concurrency);
 		double backlogMillis = Math.max(0, current.prefillBacklogMillis() - (now - this.stateReceivedAt));
 		double waitMillis = Math.max(waitMillis(running, request.topTier()), startWaitMillis(now));
-		return this.networkMillis + waitMillis + backlogMillis + this.pendingPrefillMillis + runMillis;
+		return this.networkMillis + waitMillis + backlogMillis + this.pendingPrefillMillis
+				+ runMillis * workFactor(now);
 	}
 
 	private double startWaitMillis(long now) {
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -15,6 +15,7 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
@@ -25,6 +26,7 @@
 import org.sardineport.core.quarantine.StrikeRegistry;
 import org.sardineport.core.quarantine.Suspect;
 import org.sardineport.core.routing.ServerState;
+import org.sardineport.core.routing.ServerView;
 
 /**
  * Scheduler of one daemon: its entry side, and the owner side of the backend servers that
@@ -241,6 +243,18 @@
 		deliverLocal();
 	}
 
+	/**
+	 * Records the load that a backend server stated in a response to this daemon.
+	 * @param process the process that responded
+	 * @param load the load
+	 */
+	public void recordStatedLoad(BackendProcess process, StatedLoad load) {
+		ServerView view = this.directory.view(process.server());
+		if (view != null && view.server().process().equals(process)) {
+			view.recordStatedLoad(load, this.clock.millis());
+		}
+	}
+
 	/**
 	 * Records that a process of a backend server crashed while it ran a request.
 	 * @param process the process
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -6,8 +6,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.admission.RequestScheduler;
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.exchange.ContentEnd;
 import org.sardineport.core.exchange.ResponseEnd;
 import org.sardineport.core.exchange.ResponseFraming;
@@ -41,6 +43,8 @@
 
 	private final StatedLimitsRecorder statedLimits;
 
+	private final RequestScheduler scheduler;
+
 	private final BackendNotices notices;
 
 	private final BackendConnections connections;
@@ -90,6 +94,7 @@
 	Attempt(RelayServices services, AttemptPlan plan, AttemptListener listener) {
 		this.clock = services.clock();
 		this.statedLimits = services.statedLimits();
+		this.scheduler = services.scheduler();
 		this.notices = services.notices();
 		this.connections = services.connections();
 		this.liveness = services.liveness();
@@ -243,6 +248,7 @@
 		this.framing = ResponseFraming.of(this.plan.method(), responseHead.status(),
 				responseHeaders.contains("Transfer-Encoding"), responseHeaders.contains("Content-Length"));
 		recordStatedLimits(responseHead);
+		recordStatedLoad(responseHead);
 		this.notices.received(this.plan.server(), responseHead);
 		AttemptFailure failure = this.headCheck.check(responseHead, responseHeaders, mayContinueStream(responseHead));
 		if (failure != null) {
@@ -272,6 +278,13 @@
 		}
 	}
 
+	private void recordStatedLoad(ResponseHead responseHead) {
+		StatedLoad load = responseHead.statedLoad();
+		if (load != null && responseHead.isFromServerAsked() && this.headCheck.isAnswer(responseHead)) {
+			this.scheduler.recordStatedLoad(this.plan.server().process(), load);
+		}
+	}
+
 	@Override
 	public void dataReceived(Buffer bytes) {
 		ResponseHead responseHead = this.head;
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -21,6 +21,7 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
 import org.sardineport.core.capacity.CapacityChange;
+import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.fleet.Member;
@@ -82,6 +83,8 @@
 
 	private final Duration loadReportInterval;
 
+	private final boolean learnsCapacity;
+
 	private final Scheduler scheduler;
 
 	private final EventLoop eventLoop;
@@ -107,6 +110,7 @@
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
 		this.quarantine = QuarantineReporter.create(telemetry);
 		this.loadReportInterval = settings.loadReportInterval();
+		this.learnsCapacity = settings.learnsCapacity();
 		this.latestSnapshot = fleet.current();
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
 				settings.maximumWaiting(), assumptions);
@@ -204,6 +208,13 @@
 		offer("stated-limits", () -> this.scheduler.recordStatedLimits(process, limits));
 	}
 
+	@Override
+	public void recordStatedLoad(BackendProcess process, StatedLoad load) {
+		if (this.learnsCapacity) {
+			offer("stated-load", () -> this.scheduler.recordStatedLoad(process, load));
+		}
+	}
+
 	@Override
 	public void recordCrash(BackendProcess process, Collection<Suspect> suspects) {
 		offerOrDefer(() -> this.scheduler.recordCrash(process, suspects));
--- a/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/AttemptTests.java
@@ -55,7 +55,7 @@
 
 	private Attempt attempt(AttemptListener listener, Instant latestSend) {
 		RelayProtocol protocol = TestConnections.constant(RelayProtocol.class,
-				new ResponseHead(200, "id", false, true, false, true, null, StatedLimits.NONE, false, null));
+				new ResponseHead(200, "id", false, true, false, true, null, StatedLimits.NONE, false, null, null));
 		RelayServices services = new RelayServices(this.vertx, protocol, null, null, null, null,
 				TestConnections.create(this.vertx, Clock.systemUTC()), null, null, null, Clock.systemUTC(), null, null,
 				null, null, null, StatedLimitsRecorder.create(new FakeScheduler(Clock.systemUTC()), Telemetry.create()),
