--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -85,6 +85,8 @@
 
 	private final boolean learnsCapacity;
 
+	private final CapacityGauges capacities;
+
 	private final Scheduler scheduler;
 
 	private final EventLoop eventLoop;
@@ -111,6 +113,7 @@
 		this.quarantine = QuarantineReporter.create(telemetry);
 		this.loadReportInterval = settings.loadReportInterval();
 		this.learnsCapacity = settings.learnsCapacity();
+		this.capacities = CapacityGauges.create(telemetry.registry());
 		this.latestSnapshot = fleet.current();
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
 				settings.maximumWaiting(), assumptions);
@@ -296,6 +299,9 @@
 		}
 		this.scheduler.tick();
 		this.states = this.scheduler.states();
+		if (this.learnsCapacity) {
+			this.capacities.update(this.states);
+		}
 		if (this.scheduler.isPriorityInverted()) {
 			this.telemetry.counter("scheduling.top-tier-behind-lower").inc();
 			LOG.warn("scheduling.top-tier-behind-lower");
