Bound what a daemon holds for callers at all listeners

Callers outside the limits ended the process with an OutOfMemoryError: bodies of up to 16 KB were not counted, heads of many short fields cost far more than their bytes, requests sent ahead were parsed without bound, and 0.4 of the whole heap for bodies did not fit beside what a daemon itself needs.

- CallerMemory replaces BodyMemory.
It counts bodies of every size and costly heads (HeadCost, 250 bytes a field), at each listener, with a reserve for ordinary ones.
- CallerCapacity derives the memory and the number of connections from the heap and the descriptor limit.
The connection that has been idle longest is closed for a new one.
- At most four requests of a connection are parsed before the first response has been handed to the operating system; a connection is read 4 KB at a time and four times in one turn of the event loop.

--- a/core/src/test/java/org/sardineport/core/relay/BodyMemoryTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/CallerMemoryTests.java
@@ -4,11 +4,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class BodyMemoryTests {
+/**
+ * Guards against requests, large or small, that fill the heap in their sum.
+ */
+class CallerMemoryTests {
 
 	private static final long LARGE = 4_000_000;
 
-	private final BodyMemory memory = BodyMemory.ofMaximum(10_000_000);
+	private final CallerMemory memory = CallerMemory.ofMaximum(10_000_000);
 
 	@Test
 	void bodiesBeyondTheMaximumWait() {
@@ -29,16 +32,37 @@
 	}
 
 	@Test
-	void smallBodiesAlwaysPassAndAreNotCounted() {
+	void smallBodiesAreCounted() {
+		for (int i = 0; i < 500; i++) {
+			assertThat(this.memory.tryReserve(0, CallerMemory.ORDINARY_BYTES)).isTrue();
+		}
+		assertThat(this.memory.held()).isEqualTo(500L * CallerMemory.ORDINARY_BYTES);
+	}
+
+	@Test
+	void roomIsReservedForOrdinaryRequests() {
 		assertThat(this.memory.tryReserve(0, 10_000_000)).isTrue();
-		assertThat(this.memory.tryReserve(0, BodyMemory.SMALL_BYTES)).isTrue();
-		assertThat(this.memory.held()).isEqualTo(10_000_000);
+		assertThat(this.memory.tryReserve(0, CallerMemory.ORDINARY_BYTES + 1)).isFalse();
+		int ordinary = 0;
+		while (this.memory.tryReserve(0, CallerMemory.ORDINARY_BYTES)) {
+			ordinary++;
+		}
+		assertThat(ordinary).isEqualTo(2_500_000 / CallerMemory.ORDINARY_BYTES);
 	}
 
 	@Test
 	void oneBodyPassesWhateverItsSize() {
+		assertThat(this.memory.tryReserve(0, CallerMemory.ORDINARY_BYTES)).isTrue();
 		assertThat(this.memory.tryReserve(0, 50_000_000)).isTrue();
 		assertThat(this.memory.tryReserve(0, LARGE)).isFalse();
 	}
 
+	@Test
+	void releasedMemoryIsFreeAgain() {
+		assertThat(this.memory.tryReserve(0, 50_000_000)).isTrue();
+		this.memory.release(50_000_000);
+		assertThat(this.memory.held()).isZero();
+		assertThat(this.memory.tryReserve(0, 50_000_000)).isTrue();
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerConnections.java
@@ -20,25 +20,63 @@
 
 	private static final EventLog LOG = EventLog.of(CallerConnections.class);
 
+	/** Time without a request after which a connection may be closed for another one. */
+	private static final Duration MIN_IDLE = Duration.ofSeconds(1);
+
 	private final Map<HttpConnection, Activity> activities = new IdentityHashMap<>();
 
 	private final InstantSource clock;
 
 	private final Supplier<Duration> idleTimeout;
 
+	private final int maximum;
+
 	/**
 	 * Creates a set without connections.
 	 * @param clock a monotonic clock
 	 * @param idleTimeout supplies the maximum time without a request, as configured now
+	 * @param maximum maximum number of connections
 	 */
-	CallerConnections(InstantSource clock, Supplier<Duration> idleTimeout) {
+	CallerConnections(InstantSource clock, Supplier<Duration> idleTimeout, int maximum) {
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.idleTimeout = Objects.requireNonNull(idleTimeout, "idleTimeout must not be null");
+		this.maximum = maximum;
 	}
 
-	void opened(HttpConnection connection) {
+	/**
+	 * Records a connection. If there are too many, the one that has been idle longest is
+	 * closed for it, or else this one.
+	 * @param connection the connection
+	 * @return whether it stays open
+	 */
+	boolean opened(HttpConnection connection) {
+		if (this.activities.size() >= this.maximum && !closeLongestIdle()) {
+			LOG.info("caller.too-many-connections", "remote", connection.remoteAddress(), "maximum", this.maximum);
+			connection.close();
+			return false;
+		}
 		this.activities.put(connection, new Activity(this.clock.millis()));
 		connection.closeHandler((ignored) -> this.activities.remove(connection));
+		return true;
+	}
+
+	private boolean closeLongestIdle() {
+		long latest = this.clock.millis() - MIN_IDLE.toMillis();
+		HttpConnection longest = null;
+		for (Map.Entry<HttpConnection, Activity> entry : this.activities.entrySet()) {
+			Activity activity = entry.getValue();
+			if (activity.requestsInFlight == 0 && activity.lastResponseAt < latest) {
+				longest = entry.getKey();
+				latest = activity.lastResponseAt;
+			}
+		}
+		if (longest == null) {
+			return false;
+		}
+		LOG.info("caller.idle-closed-for-another", "remote", longest.remoteAddress(), "maximum", this.maximum);
+		this.activities.remove(longest);
+		longest.close();
+		return true;
 	}
 
 	void requestStarted(HttpConnection connection) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -16,7 +16,7 @@
 import org.sardineport.core.lifecycle.ServiceSequence;
 import org.sardineport.core.limit.ConcurrencyPolicy;
 import org.sardineport.core.relay.BackendPaths;
-import org.sardineport.core.relay.BodyMemory;
+import org.sardineport.core.relay.CallerMemory;
 import org.sardineport.core.relay.ClockPair;
 import org.sardineport.core.relay.ConfigurationInForce;
 import org.sardineport.core.relay.ConfirmedEnds;
@@ -101,19 +101,20 @@
 		TunnelServer tunnels = TunnelServer.create(vertx, identity.address(), tokens, fleet, paths::isLost, telemetry);
 		AtomicLong idCounter = new AtomicLong();
 		String idPrefix = this.fleetSettings.daemon().value() + "-" + membership.incarnation() + "-";
+		CallerMemory callerMemory = CallerMemory.ofMaximum(settings.callerCapacity().memoryBytes());
 		RelayServices relayServices = new RelayServices(vertx, ports.protocol(),
 				RelayAdmissionCheck.create(inForce, backendsKnown), inForce, scheduling, fleet, connections,
 				CrashDetector.create(vertx, clock, connections, scheduling, telemetry), settings.limitTolerance(),
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
-				BackendNotices.create(fleet, clock, telemetry), BodyMemory.ofMaximum(settings.maxBodyMemory()),
-				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
-				ConfirmedEnds.create());
-		RelayServer server = new RelayServer(relayServices, settings.callerAddress());
+				BackendNotices.create(fleet, clock, telemetry), callerMemory, StopAdmission.create(clock),
+				ProcessLiveness.create(vertx, clock, connections, telemetry), ConfirmedEnds.create());
+		RelayServer server = new RelayServer(relayServices, settings.callerAddress(),
+				settings.callerCapacity().connections());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
-				this.readiness, telemetry);
+				this.readiness, telemetry, callerMemory, clock);
 		fleet.reportFrom(this.readiness);
 		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, tunnels,
 				fleet, origins, scheduling, connections, endpoints));
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayEndpoints.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayEndpoints.java
@@ -1,5 +1,7 @@
 package org.sardineport.daemon.relay;
 
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -18,6 +20,7 @@
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
+import org.sardineport.core.relay.CallerMemory;
 import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.telemetry.PrometheusText;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -30,6 +33,12 @@
 	/** Maximum number of addresses in one response. */
 	private static final int MAX_ADDRESSES = 64;
 
+	/** Time after which a connection without a request is closed. */
+	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+	/** Interval between checks for idle connections, in milliseconds. */
+	private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
+
 	private static final int STATUS_OK = 200;
 
 	private static final int STATUS_NOT_FOUND = 404;
@@ -50,10 +59,18 @@
 
 	private final Telemetry telemetry;
 
+	private final CallerMemory callerMemory;
+
+	private final InstantSource clock;
+
+	private final List<CallerConnections> connections = new ArrayList<>();
+
+	private long idleCheckTimer = -1;
+
 	private final List<HttpServer> servers = new ArrayList<>();
 
 	RelayEndpoints(Vertx vertx, RelaySettings settings, RelayProtocol protocol, FleetView fleet, RandomGenerator random,
-			Readiness readiness, Telemetry telemetry) {
+			Readiness readiness, Telemetry telemetry, CallerMemory callerMemory, InstantSource clock) {
 		this.vertx = Objects.requireNonNull(vertx, "vertx must not be null");
 		this.settings = settings;
 		this.protocol = protocol;
@@ -61,10 +78,14 @@
 		this.selector = EntrySelector.create(settings.keepTime(), random);
 		this.readiness = readiness;
 		this.telemetry = telemetry;
+		this.callerMemory = callerMemory;
+		this.clock = clock;
 	}
 
 	@Override
 	public CompletionStage<Void> start() {
+		this.idleCheckTimer = this.vertx.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS,
+				(id) -> this.connections.forEach(CallerConnections::closeIdle));
 		return listen(this.settings.readinessAddress(), this.protocol.readinessPath(), this::ready)
 			.compose((ignored) -> listen(this.settings.entryAddress(), this.protocol.entryPath(), this::entry))
 			.compose((ignored) -> listen(this.settings.metricsAddress(), "/metrics", this::metrics))
@@ -75,7 +96,16 @@
 		HttpServerOptions options = new HttpServerOptions().setHost(address.ip())
 			.setPort(address.port())
 			.setHttp2ClearTextEnabled(false);
-		HttpServer server = this.vertx.createHttpServer(options).requestHandler((request) -> {
+		CallerConnections opened = new CallerConnections(this.clock, () -> IDLE_TIMEOUT,
+				this.settings.callerCapacity().auxiliaryConnections());
+		this.connections.add(opened);
+		HttpServer server = this.vertx.createHttpServer(options).connectionHandler((connection) -> {
+			if (opened.opened(connection)) {
+				StrictRequestDecoder.install(connection, options, this.callerMemory);
+			}
+		}).requestHandler((request) -> {
+			opened.requestStarted(request.connection());
+			request.response().endHandler((ignored) -> opened.requestEnded(request.connection()));
 			if (path.equals(request.path())) {
 				handler.handle(request);
 			}
@@ -105,6 +135,7 @@
 
 	@Override
 	public CompletionStage<Void> stop() {
+		this.vertx.cancelTimer(this.idleCheckTimer);
 		CompletableFuture<?>[] closed = this.servers.stream()
 			.map((server) -> server.close().toCompletionStage().toCompletableFuture())
 			.toArray(CompletableFuture<?>[]::new);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -69,13 +69,13 @@
 
 	private volatile boolean served;
 
-	RelayServer(RelayServices services, NetworkAddress address) {
+	RelayServer(RelayServices services, NetworkAddress address, int maxConnections) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
 		this.context = services.vertx().getOrCreateContext();
 		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
-				() -> services.inForce().current().callerLimits().idleTimeout());
+				() -> services.inForce().current().callerLimits().idleTimeout(), maxConnections);
 	}
 
 	@Override
@@ -89,8 +89,9 @@
 			.setTcpNoDelay(true)
 			.setAcceptBacklog(BACKLOG);
 		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
-			StrictRequestDecoder.install(connection, options);
-			this.connections.opened(connection);
+			if (this.connections.opened(connection)) {
+				StrictRequestDecoder.install(connection, options, this.services.callerMemory());
+			}
 		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
 		this.idleCheckTimer = this.services.vertx()
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -8,7 +8,7 @@
 import org.sardineport.core.admission.RequestScheduler;
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.identity.RequestId;
-import org.sardineport.core.relay.BodyMemory;
+import org.sardineport.core.relay.CallerMemory;
 import org.sardineport.core.relay.ConfigurationInForce;
 import org.sardineport.core.relay.ConfirmedEnds;
 import org.sardineport.core.relay.FleetRetryBudget;
@@ -39,7 +39,7 @@
  * @param origins knows which software version began a stream
  * @param statedLimits records the limits that backend servers state
  * @param notices what backend servers say about new requests
- * @param bodies bounds the sum of the request bodies
+ * @param callerMemory account of the memory held for callers
  * @param stop decides which requests may run during a planned stop
  * @param liveness tells how responses ended that end with their connection
  * @param confirmedEnds which processes end streams without stating it only when whole
@@ -48,7 +48,7 @@
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
-		StatedLimitsRecorder statedLimits, BackendNotices notices, BodyMemory bodies, StopAdmission stop,
+		StatedLimitsRecorder statedLimits, BackendNotices notices, CallerMemory callerMemory, StopAdmission stop,
 		ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.sardineport.core.identity.NetworkAddress;
+import org.sardineport.core.relay.CallerCapacity;
 import org.sardineport.core.relay.LimitTolerance;
 import org.sardineport.core.stop.StopTiming;
 
@@ -22,11 +23,11 @@
  * @param retrySlack retries that the fleet may make in addition
  * @param retryWindow window over which requests and retries are counted
  * @param stop timing of a planned stop
- * @param maxBodyMemory maximum sum of the request bodies held at once, in bytes
+ * @param callerCapacity what the daemon may hold for callers
  */
 public record RelaySettings(NetworkAddress callerAddress, NetworkAddress readinessAddress, NetworkAddress entryAddress,
 		NetworkAddress metricsAddress, Duration keepTime, Duration proofLifetime, LimitTolerance limitTolerance,
-		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, long maxBodyMemory) {
+		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, CallerCapacity callerCapacity) {
 
 	/**
 	 * Creates the settings, all of which are required.
@@ -41,6 +42,7 @@
 		Objects.requireNonNull(limitTolerance, "limitTolerance must not be null");
 		Objects.requireNonNull(retryWindow, "retryWindow must not be null");
 		Objects.requireNonNull(stop, "stop must not be null");
+		Objects.requireNonNull(callerCapacity, "callerCapacity must not be null");
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
@@ -6,11 +6,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
-import org.sardineport.core.relay.BodyMemory;
 
 /**
- * Gathers the body of a caller's request within the memory for all bodies. While there is
- * no room, nothing is read from the caller, for a limited time. Confined to the event
+ * Gathers the body of a caller's request within the memory for all callers. While there
+ * is no room, nothing is read from the caller, for a limited time. Confined to the event
  * loop.
  */
 final class RequestBody {
@@ -21,8 +20,11 @@
 	/** Interval between checks whether there is room. */
 	private static final long POLL_MILLIS = 20;
 
-	/** Growth of a body whose length is not known. */
-	private static final long GROWTH = 2;
+	/**
+	 * Growth of a body whose length is not known: its buffer doubles, and both buffers
+	 * are held while it is copied.
+	 */
+	private static final long GROWTH = 3;
 
 	private final RelayServices services;
 
@@ -65,7 +67,7 @@
 
 	void add(Buffer next) {
 		this.bytes.appendBuffer(next);
-		if (this.bytes.length() > Math.max(this.reserved, BodyMemory.SMALL_BYTES)) {
+		if (this.bytes.length() > this.reserved) {
 			reserve(GROWTH * this.bytes.length(), () -> {
 			});
 		}
@@ -84,7 +86,7 @@
 	 */
 	void release() {
 		this.released = true;
-		this.services.bodies().release(this.reserved);
+		this.services.callerMemory().release(this.reserved);
 		this.reserved = 0;
 		this.bytes = Buffer.buffer();
 	}
@@ -97,10 +99,10 @@
 	}
 
 	private boolean tryReserve(long needed, Runnable whenReserved) {
-		if (!this.services.bodies().tryReserve(this.reserved, needed)) {
+		if (!this.services.callerMemory().tryReserve(this.reserved, needed)) {
 			return false;
 		}
-		this.reserved = (needed > BodyMemory.SMALL_BYTES) ? Math.max(this.reserved, needed) : this.reserved;
+		this.reserved = Math.max(this.reserved, needed);
 		whenReserved.run();
 		this.request.resume();
 		return true;
--- a/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
@@ -3,19 +3,28 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.impl.ConnectionBase;
+import org.sardineport.core.relay.CallerMemory;
+import org.sardineport.core.relay.HeadCost;
+import org.sardineport.daemon.telemetry.EventLog;
 
 /**
  * HTTP request decoder that rejects each request whose end is in doubt, which allows
@@ -25,8 +34,21 @@
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
 
+	private static final EventLog LOG = EventLog.of(StrictRequestDecoder.class);
+
 	private static final String HANDLER_NAME = "httpDecoder";
 
+	private static final String ENCODER_NAME = "httpEncoder";
+
+	/**
+	 * Size of one read. What was read of a connection is held until it can be counted, so
+	 * it must be small for each of thousands of connections.
+	 */
+	private static final int READ_BYTES = 4096;
+
+	/** Maximum number of reads of a connection in one turn of the event loop. */
+	private static final int READS_PER_TURN = 4;
+
 	/** Maximum number of digits of a chunk size without leading zeros. */
 	private static final int MAX_SIZE_DIGITS = 8;
 
@@ -35,18 +57,36 @@
 
 	private boolean rejected;
 
-	private StrictRequestDecoder(HttpServerOptions options) {
+	private final ConnectionLoad load;
+
+	/** Bytes and fields of the head that is being read. */
+	private long headBytes;
+
+	private int headFields;
+
+	private boolean insideBody;
+
+	private StrictRequestDecoder(HttpServerOptions options, ConnectionLoad load) {
 		super(options);
+		this.load = load;
 	}
 
 	/**
 	 * Replaces the default decoder of a connection. Called when the connection opens.
 	 * @param connection the connection
 	 * @param options options of its server
+	 * @param memory account of the memory held for callers
 	 */
-	static void install(HttpConnection connection, HttpServerOptions options) {
+	static void install(HttpConnection connection, HttpServerOptions options, CallerMemory memory) {
 		if (connection instanceof ConnectionBase base) {
-			base.channel().pipeline().replace(HANDLER_NAME, HANDLER_NAME, new StrictRequestDecoder(options));
+			Channel channel = base.channel();
+			channel.config()
+				.setRecvByteBufAllocator(new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_PER_TURN));
+			ConnectionLoad load = new ConnectionLoad(memory);
+			StrictRequestDecoder decoder = new StrictRequestDecoder(options, load);
+			channel.pipeline().replace(HANDLER_NAME, HANDLER_NAME, decoder);
+			channel.pipeline().addAfter(ENCODER_NAME, "connectionLoad", load);
+			load.onResume(() -> decoder.decodeAgain(channel));
 		}
 	}
 
@@ -89,14 +129,65 @@
 			return;
 		}
 		if (this.chunkRemaining < 0) {
+			decodeOutsideChunks(context, buffer, out);
+			return;
+		}
+		int before = out.size();
+		super.decode(context, buffer, out);
+		out.subList(before, out.size()).forEach(this::decoded);
+	}
+
+	private void decodeOutsideChunks(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		if (this.insideBody) {
+			int before = out.size();
 			super.decode(context, buffer, out);
+			out.subList(before, out.size()).forEach(this::decoded);
+			return;
+		}
+		if (this.headBytes == 0 && this.load.isFull()) {
+			this.load.hold(context.channel());
 			return;
 		}
 		int before = out.size();
+		int start = buffer.readerIndex();
 		super.decode(context, buffer, out);
+		this.headBytes += buffer.readerIndex() - start;
+		boolean room = this.load.headGrown(HeadCost.of(this.headBytes + buffer.readableBytes(), this.headFields));
+		if (!room) {
+			LOG.info("caller.head-too-costly", "remote", context.channel().remoteAddress(), "bytes", this.headBytes,
+					"fields", this.headFields);
+			this.rejected = true;
+			buffer.skipBytes(buffer.readableBytes());
+			List<Object> begun = out.subList(before, out.size());
+			begun.forEach(ReferenceCountUtil::release);
+			begun.clear();
+			context.close();
+			return;
+		}
 		out.subList(before, out.size()).forEach(this::decoded);
 	}
 
+	@Override
+	protected AsciiString splitHeaderName(byte[] bytes, int start, int length) {
+		this.headFields++;
+		return super.splitHeaderName(bytes, start, length);
+	}
+
+	// Decodes what was left when too many requests were unanswered.
+	private void decodeAgain(Channel channel) {
+		ChannelHandlerContext context = channel.pipeline().context(this);
+		if (context == null) {
+			return;
+		}
+		try {
+			channelRead(context, Unpooled.EMPTY_BUFFER);
+			channelReadComplete(context);
+		}
+		catch (Exception ex) {
+			context.fireExceptionCaught(ex);
+		}
+	}
+
 	/**
 	 * Looks at the size of the chunk that begins, if it is complete.
 	 * @param buffer the bytes from the end of the chunk before on
@@ -129,7 +220,14 @@
 	}
 
 	private void decoded(Object message) {
+		if (message instanceof HttpRequest) {
+			this.insideBody = true;
+			this.headBytes = 0;
+			this.headFields = 0;
+			this.load.requestBegun();
+		}
 		if (message instanceof LastHttpContent) {
+			this.insideBody = false;
 			this.chunkRemaining = -1;
 		}
 		else if (message instanceof HttpContent content && this.chunkRemaining > 0) {
