--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -69,13 +69,13 @@
 
 	private volatile boolean served;
 
-	RelayServer(RelayServices services, NetworkAddress address) {
+	RelayServer(RelayServices services, NetworkAddress address, int maxConnections) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
 		this.context = services.vertx().getOrCreateContext();
 		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
-				() -> services.inForce().current().callerLimits().idleTimeout());
+				() -> services.inForce().current().callerLimits().idleTimeout(), maxConnections);
 		this.ticks = new DemandTimer(services.vertx(), ArrivalEstimate.TICK, this::tick);
 	}
 
@@ -90,10 +90,9 @@
 			.setTcpNoDelay(true)
 			.setAcceptBacklog(BACKLOG);
 		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
-			StrictRequestDecoder.install(connection, options);
-			this.connections.opened(connection);
-			if (this.ticks.start()) {
-				this.services.overload().timerStarted();
+			if (this.connections.opened(connection)) {
+				StrictRequestDecoder.install(connection, options, this.services.callerMemory());
+				startTicks();
 			}
 		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
@@ -109,6 +108,12 @@
 		}
 	}
 
+	private void startTicks() {
+		if (this.ticks.start()) {
+			this.services.overload().timerStarted();
+		}
+	}
+
 	private boolean tick() {
 		this.arrivals.ticked(ArrivalEstimate.TICK);
 		this.services.overload().ticked();
