--- a/core/src/main/java/org/sardineport/core/scheduling/OutstandingPermit.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OutstandingPermit.java
@@ -28,7 +28,7 @@
 
 	private final int runningAtGrant;
 
-	private double loadAtGrant;
+	private double loadAtGrant = Double.NaN;
 
 	private boolean preempting;
 
@@ -85,7 +85,7 @@
 
 	/**
 	 * Returns the integral of the load when the permit was granted.
-	 * @return the integral; 0 if the grant was not recorded
+	 * @return the integral; not a number if another owner granted the permit
 	 */
 	double loadAtGrant() {
 		return this.loadAtGrant;
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -348,8 +348,8 @@
 	private void observeCapacity(OutstandingPermit permit, RunMeasurement measurement, int runningNow, long now) {
 		double integral = this.load.change(Math.max(0, runningNow - 1), now);
 		Duration first = measurement.timeToFirstToken();
-		if (this.capacity == null || measurement.end() != RunEnd.COMPLETED || first == null
-				|| now <= permit.grantedAt()) {
+		if (this.capacity == null || measurement.end() != RunEnd.COMPLETED || first == null || now <= permit.grantedAt()
+				|| Double.isNaN(permit.loadAtGrant())) {
 			return;
 		}
 		double meanLoad = (integral - permit.loadAtGrant()) / (now - permit.grantedAt());
--- a/core/src/test/java/org/sardineport/core/scheduling/LearnedCapacitySchedulingTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/LearnedCapacitySchedulingTests.java
@@ -61,10 +61,13 @@
 	}
 
 	private void request(PermitOwner owner) {
-		owner.request(ENTRY, new PermitRequest(RequestId.of("r" + this.requests++), SERVER.id(), SERVER.pool(),
-				OrganisationId.of("o"), Tier.STANDARD, 0, TokenEstimate.of(0, 0), 0, RunningPolicy.CANCELLABLE,
-				Fingerprint.of(1, 1), Duration.ofSeconds(2), Duration.ofSeconds(2), Duration.ofSeconds(2), false),
-				this.now);
+		owner.request(ENTRY, permitRequest(RequestId.of("r" + this.requests++)), this.now);
+	}
+
+	private static PermitRequest permitRequest(RequestId id) {
+		return new PermitRequest(id, SERVER.id(), SERVER.pool(), OrganisationId.of("o"), Tier.STANDARD, 0,
+				TokenEstimate.of(0, 0), 0, RunningPolicy.CANCELLABLE, Fingerprint.of(1, 1), Duration.ofSeconds(2),
+				Duration.ofSeconds(2), Duration.ofSeconds(2), false);
 	}
 
 	private void run(PermitOwner owner, int usefulSlots, double arrivalsPerSecond) {
@@ -97,6 +100,22 @@
 		assertThat(owner.state(this.now).limit()).isBetween(6, 10);
 	}
 
+	// The load before the change of owners is not known, so that these runs show nothing.
+	@Test
+	void runsThatAFormerOwnerGrantedAreNotCompared() {
+		PermitOwner owner = owner(ConcurrencyPolicy.LEARNED);
+		run(owner, SLOTS, 48);
+		for (int i = 0; i < 200; i++) {
+			RequestId id = RequestId.of("former" + i);
+			owner.onRunningPermits(DaemonId.of("b"), List.of(permitRequest(id)), this.now);
+			this.now += 10;
+			Duration duration = Duration.ofSeconds(9);
+			owner.release(id, new RunMeasurement(RunEnd.COMPLETED, 0, 0, 0, duration, duration), this.now);
+		}
+		run(owner, SLOTS, 48);
+		assertThat(this.changes).isEmpty();
+	}
+
 	@Test
 	void serverWithoutKneeIsServedAsWithItsNominalConcurrency() {
 		PermitOwner learned = owner(ConcurrencyPolicy.LEARNED);
