--- a/core/src/main/java/org/sardineport/core/overload/UnreadTimeout.java
+++ b/core/src/main/java/org/sardineport/core/overload/UnreadTimeout.java
@@ -2,13 +2,15 @@
 
 import java.time.Duration;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Time after which callers give up on a request that was not read.
  */
 public final class UnreadTimeout {
 
 	/** Maximum of this time, whatever the time limit. */
-	public static final Duration MAX = Duration.ofSeconds(1);
+	static final Duration MAX = Duration.ofSeconds(1);
 
 	/** Part of the time limit after which callers give up, as a divisor. */
 	private static final int TIME_LIMIT_DIVISOR = 3;
@@ -26,4 +28,16 @@
 		return (part.compareTo(MAX) < 0) ? part : MAX;
 	}
 
+	/**
+	 * Returns whether the caller of a request may have given up before the request was
+	 * read.
+	 * @param age time since the request may have arrived
+	 * @param timeLimit time for which the caller waits for the response, or {@code null}
+	 * if not given
+	 * @return whether the time has passed
+	 */
+	public static boolean mayHavePassed(Duration age, @Nullable Duration timeLimit) {
+		return age.compareTo((timeLimit != null) ? of(timeLimit) : MAX) >= 0;
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/overload/UnreadTimeoutTests.java
+++ b/core/src/test/java/org/sardineport/core/overload/UnreadTimeoutTests.java
@@ -22,4 +22,19 @@
 		assertThat(UnreadTimeout.of(Duration.ofSeconds(30))).hasSeconds(1);
 	}
 
+	@Test
+	void requestReadInTimeIsNotGivenUp() {
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ZERO, null)).isFalse();
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ofMillis(299), Duration.ofMillis(900))).isFalse();
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ofMillis(999), null)).isFalse();
+	}
+
+	// A late daemon parsed and sent on requests whose callers had left.
+	@Test
+	void requestReadLateMayBeGivenUp() {
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ofMillis(300), Duration.ofMillis(900))).isTrue();
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ofSeconds(1), null)).isTrue();
+		assertThat(UnreadTimeout.mayHavePassed(Duration.ofSeconds(1), Duration.ofSeconds(30))).isTrue();
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -82,9 +82,7 @@
 	// A caller that has given up has closed its connection; the close may lie behind the
 	// request in the socket. The body is not read until the next read pass has told.
 	private boolean mayHaveBeenGivenUp(RequestHead callerHead) {
-		Duration limit = callerHead.remainingTime();
-		Duration unreadTimeout = (limit != null) ? UnreadTimeout.of(limit) : UnreadTimeout.MAX;
-		return age().compareTo(unreadTimeout) >= 0;
+		return UnreadTimeout.mayHavePassed(age(), callerHead.remainingTime());
 	}
 
 	private void admitUnlessDisconnected(RequestHead callerHead) {
