Give up callers without progress, and count responses held for them

Bodies that stopped short of their end kept their memory for ever, responses were bounded one by one and not in their sum, and a backend server that closed a response which a slow caller had not read was taken for failed.

- A connection whose caller takes no byte of a waiting response for 60 s is closed.
No test runs this limit.
- AttemptEnd.CLOSED_UNREAD: no failure of the backend server.

--- a/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
+++ b/core/src/main/java/org/sardineport/core/relay/AttemptEnd.java
@@ -22,6 +22,12 @@
 	/** The connection failed before the response was complete. */
 	BROKEN(true, RunEnd.BROKEN, RetryReason.BACKEND_FAILED),
 
+	/**
+	 * The backend server closed a response that this daemon had not read for some time,
+	 * as its caller reads slowly.
+	 */
+	CLOSED_UNREAD(true, RunEnd.CANCELLED, RetryReason.BACKEND_FAILED),
+
 	/** The response is invalid or does not belong to this request. */
 	INVALID(true, RunEnd.REJECTED, RetryReason.BACKEND_FAILED),
 
--- a/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
+++ b/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
@@ -13,6 +13,12 @@
 	/** Part of the maximum that is reserved in addition for ordinary requests. */
 	private static final double RESERVE_SHARE = 0.25;
 
+	/** Part of the maximum from which on memory counts as short. */
+	private static final double SHORT_SHARE = 0.9;
+
+	/** Number of responses of the largest size that fit into the maximum. */
+	private static final int RESPONSES = 64;
+
 	private final long maximum;
 
 	private final long ordinaryMaximum;
@@ -66,6 +72,30 @@
 		return (bytes > ORDINARY_BYTES) ? bytes : 0;
 	}
 
+	/**
+	 * Reserves memory for a response that is held until it is complete, or for its
+	 * growth. One that gets no room is passed on as it comes.
+	 * @param reserved bytes reserved for it so far
+	 * @param needed bytes that it needs in all
+	 * @return whether there is room; if not, nothing is reserved
+	 */
+	public boolean tryReserveResponse(long reserved, long needed) {
+		if (needed > this.maximum / RESPONSES || this.held - reserved + needed > this.maximum) {
+			return false;
+		}
+		return tryReserve(reserved, needed);
+	}
+
+	/**
+	 * Records memory that is held whether or not there is room: a response that waits for
+	 * its caller to read it.
+	 * @param bytes the bytes, to be released later
+	 */
+	public void hold(long bytes) {
+		this.held += bytes;
+		this.heldByLarge += large(bytes);
+	}
+
 	/**
 	 * Releases what was reserved for a head or a body.
 	 * @param reserved the bytes
@@ -75,6 +105,14 @@
 		this.heldByLarge -= large(reserved);
 	}
 
+	/**
+	 * Returns whether large requests wait, or soon will.
+	 * @return whether nine tenths of the maximum are held
+	 */
+	public boolean isShort() {
+		return this.held >= SHORT_SHARE * this.maximum;
+	}
+
 	/**
 	 * Returns the sum that is held.
 	 * @return the sum in bytes
--- a/core/src/test/java/org/sardineport/core/relay/CallerMemoryTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/CallerMemoryTests.java
@@ -57,6 +57,36 @@
 		assertThat(this.memory.tryReserve(0, LARGE)).isFalse();
 	}
 
+	@Test
+	void memoryIsShortBeforeRequestsWait() {
+		assertThat(this.memory.tryReserve(0, 8_900_000)).isTrue();
+		assertThat(this.memory.isShort()).isFalse();
+		assertThat(this.memory.tryReserve(0, 200_000)).isTrue();
+		assertThat(this.memory.isShort()).isTrue();
+	}
+
+	@Test
+	void oneResponseTakesASmallPartOnly() {
+		assertThat(this.memory.tryReserveResponse(0, 150_000)).isTrue();
+		assertThat(this.memory.tryReserveResponse(150_000, 160_000)).isFalse();
+		assertThat(this.memory.held()).isEqualTo(150_000);
+	}
+
+	@Test
+	void responsesBeyondTheMaximumAreNotHeld() {
+		assertThat(this.memory.tryReserve(0, 10_000_000)).isTrue();
+		assertThat(this.memory.tryReserveResponse(0, 1000)).isFalse();
+	}
+
+	@Test
+	void requestsWaitForResponsesThatAreNotRead() {
+		this.memory.hold(9_000_000);
+		assertThat(this.memory.tryReserve(0, 1_000_000)).isTrue();
+		assertThat(this.memory.tryReserve(0, 1_000_000)).isFalse();
+		this.memory.release(9_000_000);
+		assertThat(this.memory.tryReserve(0, 1_000_000)).isTrue();
+	}
+
 	@Test
 	void releasedMemoryIsFreeAgain() {
 		assertThat(this.memory.tryReserve(0, 50_000_000)).isTrue();
--- a/daemon/src/main/java/org/sardineport/daemon/relay/CallerResponse.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/CallerResponse.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import org.jspecify.annotations.Nullable;
+import org.sardineport.core.relay.CallerMemory;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 
@@ -29,6 +30,8 @@
 
 	private final RelayProtocol protocol;
 
+	private final CallerMemory memory;
+
 	private final BooleanSupplier stopping;
 
 	private final BooleanSupplier connectionIdle;
@@ -37,11 +40,12 @@
 
 	private boolean ended;
 
-	CallerResponse(HttpServerRequest request, RelayProtocol protocol, BooleanSupplier stopping,
+	CallerResponse(HttpServerRequest request, RelayProtocol protocol, CallerMemory memory, BooleanSupplier stopping,
 			BooleanSupplier connectionIdle, Runnable endHandler) {
 		this.request = request;
 		this.response = request.response();
 		this.protocol = protocol;
+		this.memory = memory;
 		this.stopping = stopping;
 		this.connectionIdle = connectionIdle;
 		this.endHandler = endHandler;
@@ -89,7 +93,9 @@
 		this.response.headers().addAll(headers);
 		addCloseHeaderIfStopping();
 		boolean bodiless = status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+		this.memory.hold(body.length());
 		Future<Void> written = bodiless ? this.response.end() : this.response.end(body);
+		written.onComplete((ignored) -> this.memory.release(body.length()));
 		finish();
 		closeIfStopping(written);
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -108,8 +108,9 @@
 				FleetRetryBudget.of(settings.retryRatio(), settings.retrySlack(), settings.retryWindow()), clock,
 				random, RetryDelays.create(random), () -> RequestId.of(idPrefix + idCounter.incrementAndGet()),
 				telemetry, origins, StatedLimitsRecorder.create(scheduling, telemetry),
-				BackendNotices.create(fleet, clock, telemetry), callerMemory, StopAdmission.create(clock),
-				ProcessLiveness.create(vertx, clock, connections, telemetry), ConfirmedEnds.create());
+				BackendNotices.create(fleet, clock, telemetry), callerMemory, settings.progressLimit(),
+				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
+				ConfirmedEnds.create());
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress(),
 				settings.callerCapacity().connections());
 		this.readiness = new RelayReadiness(inForce, backendsKnown);
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.exchange.RefusedException;
+import org.sardineport.core.relay.MemoryHolder;
 import org.sardineport.core.relay.RelayAdmission;
 import org.sardineport.core.relay.RequestHead;
 import org.sardineport.core.request.Refusal;
@@ -43,6 +44,8 @@
 
 	private @Nullable RelayRun run;
 
+	private boolean bodyComplete;
+
 	private boolean ended;
 
 	RelayExchange(RelayServices services, HttpServerRequest request, CallerResponse response, Instant arrival) {
@@ -108,6 +111,44 @@
 		this.body.release();
 	}
 
+	/**
+	 * Refuses the request if its caller sends the body too slowly.
+	 */
+	void checkProgress() {
+		if (isReading() && this.body.isTooSlow()) {
+			refuse(Refusal.of(RefusalReason.BODY_TOO_SLOW,
+					"less than %d bytes a second were received for %d ms".formatted(
+							this.services.progressLimit().minBytesPerSecond(),
+							this.services.progressLimit().window().toMillis())),
+					true);
+		}
+	}
+
+	/**
+	 * Refuses the request, which has not run, as its memory is needed for others.
+	 */
+	void giveUp() {
+		RequestHead callerHead = this.head;
+		RelayAdmission admitted = this.admission;
+		if (isReading() && callerHead != null && admitted != null) {
+			Duration retryAfter = this.services.returnTimes().afterOverload(callerHead.timeLimit(admitted.route()));
+			refuse(Refusal.retryAfter(RefusalReason.OVERLOADED,
+					"the body has stopped, and its memory is needed for other requests", retryAfter), true);
+		}
+	}
+
+	/**
+	 * Returns what the request holds before its body is complete.
+	 * @return the memory; none for a request that is complete
+	 */
+	MemoryHolder<RelayExchange> holder() {
+		return new MemoryHolder<>(this, isReading() ? this.body.reserved() : 0, this.body.stalledFor());
+	}
+
+	private boolean isReading() {
+		return !this.ended && !this.bodyComplete && this.admission != null;
+	}
+
 	/**
 	 * Refuses the request before any of it is read.
 	 * @param refusal the reason, sent to the caller
@@ -134,6 +175,7 @@
 		if (this.ended || callerHead == null || admitted == null) {
 			return;
 		}
+		this.bodyComplete = true;
 		RelayRequest complete = new RelayRequest(callerHead, admitted, this.request.headers(), this.body.bytes(),
 				this.arrival);
 		try {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -18,6 +19,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.relay.ArrivalEstimate;
+import org.sardineport.core.relay.MemoryHolder;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
 import org.sardineport.daemon.telemetry.EventLog;
@@ -94,8 +96,7 @@
 			}
 		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
-		this.idleCheckTimer = this.services.vertx()
-			.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> this.connections.closeIdle());
+		this.idleCheckTimer = this.services.vertx().setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> checkCallers());
 		this.tickTimer = this.services.vertx()
 			.setPeriodic(ArrivalEstimate.TICK.toMillis(), (id) -> this.arrivals.ticked());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
@@ -124,6 +125,18 @@
 		}
 	}
 
+	private void checkCallers() {
+		this.connections.closeIdle();
+		List.copyOf(this.exchanges.values()).forEach(RelayExchange::checkProgress);
+		boolean found = true;
+		while (found && this.services.callerMemory().isShort()) {
+			Optional<RelayExchange> worst = MemoryHolder
+				.worst(this.exchanges.values().stream().map(RelayExchange::holder).toList());
+			worst.ifPresent(RelayExchange::giveUp);
+			found = worst.isPresent();
+		}
+	}
+
 	private void ended(HttpServerRequest request) {
 		RelayExchange exchange = this.exchanges.remove(request);
 		if (exchange != null) {
@@ -167,8 +180,8 @@
 	private void handle(HttpServerRequest request) {
 		this.inFlight.incrementAndGet();
 		this.connections.requestStarted(request.connection());
-		CallerResponse response = new CallerResponse(request, this.services.protocol(), () -> this.stopping,
-				() -> this.connections.isIdle(request.connection()), () -> {
+		CallerResponse response = new CallerResponse(request, this.services.protocol(), this.services.callerMemory(),
+				() -> this.stopping, () -> this.connections.isIdle(request.connection()), () -> {
 					this.inFlight.decrementAndGet();
 					ended(request);
 					this.connections.requestEnded(request.connection());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServices.java
@@ -13,6 +13,7 @@
 import org.sardineport.core.relay.ConfirmedEnds;
 import org.sardineport.core.relay.FleetRetryBudget;
 import org.sardineport.core.relay.LimitTolerance;
+import org.sardineport.core.relay.ProgressLimit;
 import org.sardineport.core.relay.RelayAdmissionCheck;
 import org.sardineport.core.relay.RetryDelays;
 import org.sardineport.daemon.stream.StreamOriginService;
@@ -40,6 +41,7 @@
  * @param statedLimits records the limits that backend servers state
  * @param notices what backend servers say about new requests
  * @param callerMemory account of the memory held for callers
+ * @param progressLimit minimum rate of callers
  * @param stop decides which requests may run during a planned stop
  * @param liveness tells how responses ended that end with their connection
  * @param confirmedEnds which processes end streams without stating it only when whole
@@ -48,7 +50,7 @@
 		RequestScheduler scheduler, FleetView fleet, BackendConnections connections, CrashDetector crashes,
 		LimitTolerance limitTolerance, FleetRetryBudget retryAllowance, InstantSource clock, RandomGenerator random,
 		RetryDelays returnTimes, Supplier<RequestId> schedulingIds, Telemetry telemetry, StreamOriginService origins,
-		StatedLimitsRecorder statedLimits, BackendNotices notices, CallerMemory callerMemory, StopAdmission stop,
-		ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
+		StatedLimitsRecorder statedLimits, BackendNotices notices, CallerMemory callerMemory,
+		ProgressLimit progressLimit, StopAdmission stop, ProcessLiveness liveness, ConfirmedEnds confirmedEnds) {
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelaySettings.java
@@ -6,6 +6,7 @@
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.relay.CallerCapacity;
 import org.sardineport.core.relay.LimitTolerance;
+import org.sardineport.core.relay.ProgressLimit;
 import org.sardineport.core.stop.StopTiming;
 
 /**
@@ -24,10 +25,12 @@
  * @param retryWindow window over which requests and retries are counted
  * @param stop timing of a planned stop
  * @param callerCapacity what the daemon may hold for callers
+ * @param progressLimit minimum rate at which callers send bodies and read responses
  */
 public record RelaySettings(NetworkAddress callerAddress, NetworkAddress readinessAddress, NetworkAddress entryAddress,
 		NetworkAddress metricsAddress, Duration keepTime, Duration proofLifetime, LimitTolerance limitTolerance,
-		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, CallerCapacity callerCapacity) {
+		double retryRatio, int retrySlack, Duration retryWindow, StopTiming stop, CallerCapacity callerCapacity,
+		ProgressLimit progressLimit) {
 
 	/**
 	 * Creates the settings, all of which are required.
@@ -43,6 +46,7 @@
 		Objects.requireNonNull(retryWindow, "retryWindow must not be null");
 		Objects.requireNonNull(stop, "stop must not be null");
 		Objects.requireNonNull(callerCapacity, "callerCapacity must not be null");
+		Objects.requireNonNull(progressLimit, "progressLimit must not be null");
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RequestBody.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
+import org.sardineport.core.relay.BodyProgress;
 
 /**
  * Gathers the body of a caller's request within the memory for all callers. While there
@@ -34,10 +35,15 @@
 
 	private Buffer bytes = Buffer.buffer();
 
+	private final BodyProgress progress;
+
 	private long reserved;
 
 	private boolean released;
 
+	/** Whether nothing is read for want of memory. */
+	private boolean waiting;
+
 	/**
 	 * Creates an empty body.
 	 * @param services the memory, the clock and timers
@@ -49,6 +55,7 @@
 		this.services = services;
 		this.request = request;
 		this.noRoom = noRoom;
+		this.progress = BodyProgress.begin(services.progressLimit(), services.clock().millis());
 	}
 
 	/**
@@ -67,12 +74,37 @@
 
 	void add(Buffer next) {
 		this.bytes.appendBuffer(next);
+		this.progress.received(this.services.clock().millis(), this.bytes.length());
 		if (this.bytes.length() > this.reserved) {
 			reserve(GROWTH * this.bytes.length(), () -> {
 			});
 		}
 	}
 
+	/**
+	 * Returns whether the caller sends more slowly than the minimum rate.
+	 * @return whether the body is not worth waiting for
+	 */
+	boolean isTooSlow() {
+		return !this.waiting && this.progress.isTooSlow(this.services.clock().millis());
+	}
+
+	/**
+	 * Returns the memory that is reserved.
+	 * @return the memory in bytes
+	 */
+	long reserved() {
+		return this.reserved;
+	}
+
+	/**
+	 * Returns the time since the last byte, without that for which nothing was read.
+	 * @return the time
+	 */
+	Duration stalledFor() {
+		return this.waiting ? Duration.ZERO : this.progress.stalledFor(this.services.clock().millis());
+	}
+
 	int length() {
 		return this.bytes.length();
 	}
@@ -94,6 +126,7 @@
 	private void reserve(long needed, Runnable whenReserved) {
 		if (!tryReserve(needed, whenReserved)) {
 			this.request.pause();
+			this.waiting = true;
 			poll(this.services.clock().instant().plus(MAX_WAIT), needed, whenReserved);
 		}
 	}
@@ -104,6 +137,10 @@
 		}
 		this.reserved = Math.max(this.reserved, needed);
 		whenReserved.run();
+		if (this.waiting) {
+			this.waiting = false;
+			this.progress.restart(this.services.clock().millis());
+		}
 		this.request.resume();
 		return true;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/SilenceWatch.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/SilenceWatch.java
@@ -16,6 +16,14 @@
 	/** Time without data after which the path to the backend server is checked. */
 	private static final Duration PATH_CHECK_AFTER = Duration.ofMillis(300);
 
+	/** Pause after which a backend server may close a response that is not read. */
+	private static final Duration UNREAD_AFTER = Duration.ofSeconds(2);
+
+	/**
+	 * Time after such a pause within which what had come before is read, up to a close.
+	 */
+	private static final Duration UNREAD_MEMORY = Duration.ofSeconds(10);
+
 	private final Vertx vertx;
 
 	private final InstantSource clock;
@@ -28,6 +36,11 @@
 
 	private boolean paused;
 
+	private long pausedAtMillis;
+
+	/** End of the last long pause. */
+	private long unreadUntilMillis = Long.MIN_VALUE / 2;
+
 	private boolean silent;
 
 	private long dataTimer = -1;
@@ -62,6 +75,9 @@
 	 * Suspends the watch, as the attempt reads nothing.
 	 */
 	void pause() {
+		if (!this.paused) {
+			this.pausedAtMillis = this.clock.millis();
+		}
 		this.paused = true;
 		this.vertx.cancelTimer(this.dataTimer);
 	}
@@ -70,6 +86,9 @@
 	 * Begins anew, as the attempt reads on.
 	 */
 	void resume() {
+		if (isPausedLong()) {
+			this.unreadUntilMillis = this.clock.millis();
+		}
 		this.paused = false;
 		this.lastDataAtMillis = this.clock.millis();
 		restartDataTimer(this.plan.gapTimeout());
@@ -81,6 +100,18 @@
 		restartDataTimer(this.plan.gapTimeout());
 	}
 
+	/**
+	 * Returns whether nothing was read for a long time until now or a moment ago.
+	 * @return whether the backend server may have given the response up for that
+	 */
+	boolean isUnread() {
+		return isPausedLong() || this.clock.millis() - this.unreadUntilMillis < UNREAD_MEMORY.toMillis();
+	}
+
+	private boolean isPausedLong() {
+		return this.paused && this.clock.millis() - this.pausedAtMillis >= UNREAD_AFTER.toMillis();
+	}
+
 	boolean isPaused() {
 		return this.paused;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
@@ -1,5 +1,6 @@
 package org.sardineport.daemon.relay;
 
+import java.time.Duration;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -46,6 +47,12 @@
 	 */
 	private static final int READ_BYTES = 4096;
 
+	/**
+	 * Time without a byte read by the caller after which its response is given up. Longer
+	 * than any pause of a caller on a slow link.
+	 */
+	private static final Duration UNREAD_TIMEOUT = Duration.ofSeconds(60);
+
 	/** Maximum number of reads of a connection in one turn of the event loop. */
 	private static final int READS_PER_TURN = 4;
 
@@ -82,6 +89,7 @@
 			Channel channel = base.channel();
 			channel.config()
 				.setRecvByteBufAllocator(new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_PER_TURN));
+			channel.pipeline().addBefore(HANDLER_NAME, "unreadResponse", new UnreadResponse(UNREAD_TIMEOUT));
 			ConnectionLoad load = new ConnectionLoad(memory);
 			StrictRequestDecoder decoder = new StrictRequestDecoder(options, load);
 			channel.pipeline().replace(HANDLER_NAME, HANDLER_NAME, decoder);
