Take no step back while a completion may have been stored

Cause: by review. While the write of a completion was not answered, a fault could still be announced: the store said complete, and every daemon kept the target closed. A successor that had missed the end of the sample led all daemons back to it; late reports and routes that left a report were counted twice; the large sample could be skipped. Change: a completion that was tried is only repeated; daemons do not return from all requests to the sample, and tell a successor; reports are told apart by incarnation; evidence is kept by route.

--- a/core/src/main/java/org/sardineport/core/overload/OverloadControl.java
+++ b/core/src/main/java/org/sardineport/core/overload/OverloadControl.java
@@ -177,9 +177,8 @@
 		return sum;
 	}
 
-	// Requests of a tier are admitted again after the windows in which the share shrinks
-	// to
-	// that of the lower tiers, if the delay has gone by then.
+	// After these windows the share has shrunk to that of the lower tiers, so that
+	// requests of the tier are admitted again if the delay has gone.
 	private Duration retryAfter(Tier tier) {
 		double all = sumFrom(0);
 		double lower = (all > 0) ? sumFrom(tier.ordinal() + 1) / all : 0;
--- a/core/src/main/java/org/sardineport/core/overload/SmoothedDelay.java
+++ b/core/src/main/java/org/sardineport/core/overload/SmoothedDelay.java
@@ -10,8 +10,8 @@
 public final class SmoothedDelay {
 
 	/**
-	 * Weight of a new measurement. Two measurements above twice a threshold exceed it
-	 * after three, and eight measurements of zero bring it to a twentieth.
+	 * Weight of a new measurement. Three measurements in a row of twice a threshold bring
+	 * the average above it, and eight of zero bring it to a twentieth.
 	 */
 	private static final double WEIGHT = 0.3;
 
--- a/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
+++ b/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
@@ -1,9 +1,9 @@
 package org.sardineport.core.relay;
 
 /**
- * Account of the memory that a daemon holds for callers' requests, at all its listeners.
- * Large requests wait or are refused while it is full; a quarter in addition is reserved
- * for ordinary ones. Not thread-safe.
+ * Account of the memory that a daemon holds for callers' requests and responses, at all
+ * its listeners. Large requests wait or are refused while it is full; a quarter in
+ * addition is reserved for ordinary ones. Not thread-safe.
  */
 public final class CallerMemory {
 
--- a/core/src/main/java/org/sardineport/core/relay/ProgressLimit.java
+++ b/core/src/main/java/org/sardineport/core/relay/ProgressLimit.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 
 /**
- * Minimum rate at which a caller sends a body or reads a response.
+ * Minimum rate at which a caller sends a body.
  *
  * @param window time over which the rate is measured; positive
  * @param minBytesPerSecond minimum rate; positive
--- a/core/src/main/java/org/sardineport/core/rollout/ArmEvidence.java
+++ b/core/src/main/java/org/sardineport/core/rollout/ArmEvidence.java
@@ -38,7 +38,7 @@
 
 	/**
 	 * Returns evidence with the given counts.
-	 * @param succeeded runs that brought a response
+	 * @param succeeded runs that did not end with an error, also those that timed out
 	 * @param failed runs that ended with an error of the backend server
 	 * @param firstData times to the first data
 	 * @param perToken times for each further token
@@ -94,7 +94,7 @@
 		}
 	}
 
-	// A run that timed out before its first data took at least that long.
+	// A run that timed out before its first data counts as one that began that late.
 	private static @Nullable Duration firstData(RunMeasurement measurement) {
 		Duration first = measurement.timeToFirstToken();
 		return (first == null && measurement.end() == RunEnd.TIMED_OUT) ? measurement.duration() : first;
@@ -129,7 +129,7 @@
 	}
 
 	/**
-	 * Returns how many runs brought a response.
+	 * Returns how many runs did not end with an error, also those that timed out.
 	 * @return the number
 	 */
 	public int succeeded() {
--- a/core/src/main/java/org/sardineport/core/rollout/PoolRollout.java
+++ b/core/src/main/java/org/sardineport/core/rollout/PoolRollout.java
@@ -20,8 +20,8 @@
 
 /**
  * The rollout of one pool as a daemon follows it: what it sends where, and what it has
- * seen. Without word of the coordinator nothing is sent to the target during the sample,
- * and all of it stays there afterwards. Times are of the daemon's monotonic clock. Not
+ * seen. Without announcements, nothing is sent to the target during the sample; once it
+ * has all new work, it keeps it. Times are of the daemon's monotonic clock. Not
  * thread-safe.
  */
 public final class PoolRollout {
@@ -114,7 +114,8 @@
 	 * @param sender the daemon that sent it
 	 * @param announcement the announcement
 	 * @param now the current time
-	 * @return whether another phase or share applies from now on
+	 * @return whether another phase or number of backend servers applies, so that gates
+	 * may change
 	 */
 	public boolean follow(DaemonId sender, RolloutAnnouncement announcement, Instant now) {
 		RolloutStage next = announcement.stage();
@@ -122,6 +123,9 @@
 		if (next.revision() != this.order.revision() || (known != null && !next.replaces(known))) {
 			return false;
 		}
+		// A successor that missed the end of the sample learns of it from the reports.
+		boolean isBehind = known != null && known.phase() == RolloutPhase.FULL && next.phase() == RolloutPhase.CANARY;
+		next = isBehind ? new RolloutStage(next.revision(), next.term(), RolloutPhase.FULL, 0, 0) : next;
 		this.stage = next;
 		this.coordinator = sender;
 		this.interval = announcement.interval();
--- a/core/src/main/java/org/sardineport/core/rollout/RolloutCoordinator.java
+++ b/core/src/main/java/org/sardineport/core/rollout/RolloutCoordinator.java
@@ -57,7 +57,10 @@
 	/** Responses that suffice late. */
 	private static final int FEW_SAMPLES = 12;
 
-	/** Part of the duration after which a target that is not judged is taken back. */
+	/**
+	 * Part of the duration after which a target that is not judged is taken back, and a
+	 * daemon that never reported is no longer waited for.
+	 */
 	private static final double TOO_LATE = 0.9;
 
 	/** Part of the others' slots that the target needs to get all requests. */
@@ -145,21 +148,29 @@
 	}
 
 	/**
-	 * Handles the report of a daemon.
+	 * Handles the report of a daemon. One that arrives after a later report is ignored.
 	 * @param sender the daemon
+	 * @param incarnation number of its run; a daemon that was restarted counts from 0
+	 * again
 	 * @param report what it has seen
 	 * @param now the current time
 	 */
-	public void received(DaemonId sender, RolloutReport report, Instant now) {
-		if (report.revision() != this.order.revision()) {
+	public void received(DaemonId sender, long incarnation, RolloutReport report, Instant now) {
+		Received former = this.reports.get(sender);
+		boolean isRestart = former != null && former.incarnation < incarnation;
+		boolean isOutdated = former != null && !isRestart
+				&& (former.incarnation > incarnation || former.report.sent() > report.sent());
+		if (report.revision() != this.order.revision() || isOutdated) {
 			return;
 		}
-		Received former = this.reports.put(sender, new Received(report, now));
-		RolloutReport earlier = (former != null && former.report.sent() <= report.sent()) ? former.report : null;
-		this.sent += report.sent() - ((earlier != null) ? earlier.sent() : 0);
-		this.targetSent += Math.max(0, report.targetSent() - ((earlier != null) ? earlier.targetSent() : 0));
+		Received earlier = isRestart ? null : former;
+		Received latest = new Received(incarnation, report, now,
+				(earlier != null) ? earlier.evidence : new HashMap<>());
+		this.reports.put(sender, latest);
+		this.sent += report.sent() - ((earlier != null) ? earlier.report.sent() : 0);
+		this.targetSent += Math.max(0, report.targetSent() - ((earlier != null) ? earlier.report.targetSent() : 0));
 		report.routes().forEach((route, evidence) -> {
-			RouteEvidence known = (earlier != null) ? earlier.routes().get(route) : null;
+			RouteEvidence known = latest.evidence.put(route, evidence);
 			this.judge.add(route, (known != null) ? evidence.since(known) : evidence,
 					this.phase == RolloutPhase.CANARY);
 		});
@@ -212,23 +223,26 @@
 		if (mayEnlarge(facts, now) && (isPast(LATE, now)
 				|| this.budget.affords(this.targetSent, LARGE_SHARE, largeTime(interval).plus(REACTION), rate(now)))) {
 			this.large = true;
-			return setShare(LARGE_SHARE, facts, now);
+			this.shareSince = now;
+			setShare(LARGE_SHARE, facts, now);
+			return RolloutStep.ANNOUNCE;
 		}
 		boolean exhausted = this.targetSent > SAMPLE_BUDGET * this.budget.allowed(rate(now));
 		return setShare(exhausted ? 0 : sampleShare(now), facts, now);
 	}
 
 	private RolloutStep tickLarge(FleetFacts facts, Duration interval, Instant now) {
-		boolean seen = Duration.between(this.shareSince, now).compareTo(largeTime(interval)) >= 0;
+		boolean seen = (this.share > 0 || isPast(LATE, now))
+				&& Duration.between(this.shareSince, now).compareTo(largeTime(interval)) >= 0;
 		boolean affordable = isPast(LATE, now)
 				|| this.budget.affords(this.targetSent, 1, interval.plus(REACTION), rate(now));
-		if (seen && isPlausible(now) && affordable) {
+		if (seen && isPlausible(now) && affordable && hasSlots(facts)) {
 			this.phase = RolloutPhase.FULL;
 			this.reason = "sound by %d responses".formatted(this.judge.samples());
 			return RolloutStep.ANNOUNCE;
 		}
 		boolean exhausted = this.targetSent > this.budget.allowed(rate(now));
-		return setShare(exhausted ? 0 : this.share, facts, now);
+		return setShare(exhausted ? 0 : LARGE_SHARE, facts, now);
 	}
 
 	private static Duration largeTime(Duration interval) {
@@ -238,8 +252,11 @@
 
 	private boolean mayEnlarge(FleetFacts facts, Instant now) {
 		boolean judged = this.judge.isJudged() || (isPast(LATE, now) && this.judge.samples() >= FEW_SAMPLES);
-		return isPast(EARLIEST_FULL, now) && judged && isPlausible(now)
-				&& facts.targetSlots() >= NEEDED_SLOTS * facts.otherSlots();
+		return isPast(EARLIEST_FULL, now) && judged && isPlausible(now) && hasSlots(facts);
+	}
+
+	private static boolean hasSlots(FleetFacts facts) {
+		return facts.targetSlots() >= NEEDED_SLOTS * facts.otherSlots();
 	}
 
 	private boolean isPlausible(Instant now) {
@@ -281,8 +298,11 @@
 		return RolloutStep.NONE;
 	}
 
-	// A daemon that has not confirmed the phase counts as one request, unless it has been
-	// silent for long.
+	// A member that has not confirmed the phase lately counts as at least one request;
+	// one
+	// that has never reported, only for a part of the duration. Former members count
+	// until
+	// they have been silent for twice as long.
 	private int othersInFlight(FleetFacts facts, Instant now) {
 		Duration fresh = RolloutTiming.silence(RolloutTiming.interval(facts.members().size()));
 		int inFlight = 0;
@@ -319,9 +339,10 @@
 
 	/**
 	 * Takes the target back, as the operator has withdrawn the order.
+	 * @return the next step
 	 */
-	public void withdrawn() {
-		rollBack("the order was withdrawn");
+	public RolloutStep withdrawn() {
+		return this.phase.isFinal() ? RolloutStep.NONE : rollBack("the order was withdrawn");
 	}
 
 	/**
@@ -386,9 +407,10 @@
 	}
 
 	/**
-	 * Last report of a daemon.
+	 * Last report of a daemon, and the last evidence of each route, as a report does not
+	 * hold all routes.
 	 */
-	private record Received(RolloutReport report, Instant at) {
+	private record Received(long incarnation, RolloutReport report, Instant at, Map<String, RouteEvidence> evidence) {
 
 		boolean isOlderThan(Duration age, Instant now) {
 			return Duration.between(this.at, now).compareTo(age) > 0;
--- a/core/src/main/java/org/sardineport/core/rollout/RolloutSettings.java
+++ b/core/src/main/java/org/sardineport/core/rollout/RolloutSettings.java
@@ -10,7 +10,8 @@
  * the order and the end of its duration
  * @param exposedSlack requests that it may get in addition
  * @param rollbackTime time after its fiftieth faulty response from which a version must
- * not get requests any more
+ * not get requests any more; a target is taken back at the first certain sign, which
+ * comes earlier
  */
 public record RolloutSettings(double exposedShare, int exposedSlack, Duration rollbackTime) {
 
--- a/core/src/main/java/org/sardineport/core/rollout/RolloutStage.java
+++ b/core/src/main/java/org/sardineport/core/rollout/RolloutStage.java
@@ -10,7 +10,8 @@
  * @param phase the phase
  * @param share share of the requests that is sent to the target during
  * {@link RolloutPhase#CANARY}, from 0 to 1
- * @param servers maximum number of backend servers of the target that share them
+ * @param servers maximum number of backend servers of the target that share them; 0 for
+ * all
  */
 public record RolloutStage(long revision, long term, RolloutPhase phase, double share, int servers) {
 
--- a/core/src/main/java/org/sardineport/core/rollout/RolloutStep.java
+++ b/core/src/main/java/org/sardineport/core/rollout/RolloutStep.java
@@ -11,7 +11,10 @@
 	/** Announce the stage at once. */
 	ANNOUNCE,
 
-	/** Store that the rollout is complete, and announce it after that. */
+	/**
+	 * Store that the rollout is complete, and announce it after that. No other step may
+	 * follow until it is known whether this was stored.
+	 */
 	COMPLETE,
 
 	/** Announce at once that the target is taken back, and store it. */
--- a/core/src/main/java/org/sardineport/core/rollout/RouteJudge.java
+++ b/core/src/main/java/org/sardineport/core/rollout/RouteJudge.java
@@ -12,7 +12,10 @@
  */
 final class RouteJudge {
 
-	/** Part of the errors that may come from single faulty backend servers. */
+	/**
+	 * Share of the responses that may be errors because of single faulty backend servers,
+	 * in addition to the share at the other versions.
+	 */
 	private static final double USUAL_ERRORS = 0.06;
 
 	/** Rise of the share of errors that a faulty version shows. */
@@ -93,7 +96,8 @@
 		this.others.halve();
 	}
 
-	// One error more than were seen, so that few samples do not pass for none.
+	// With one error among 20 responses more than were seen, so that a short history does
+	// not pass for one without errors.
 	private double errorShare() {
 		return (this.others.failed() + 1.0) / (this.others.total() + 20.0);
 	}
--- a/core/src/test/java/org/sardineport/core/rollout/PoolRolloutTests.java
+++ b/core/src/test/java/org/sardineport/core/rollout/PoolRolloutTests.java
@@ -59,6 +59,16 @@
 		assertThat(this.rollout.phase()).isEqualTo(RolloutPhase.FULL);
 	}
 
+	// A successor that had missed the end of the sample took all daemons back to it.
+	@Test
+	void successorDoesNotLeadBackToTheSample() {
+		follow(1, RolloutPhase.FULL, 0, at(0));
+		follow(2, RolloutPhase.CANARY, 0.1, at(100));
+		assertThat(this.rollout.phase()).isEqualTo(RolloutPhase.FULL);
+		assertThat(this.rollout.report(at(200)).phase()).isEqualTo(RolloutPhase.FULL);
+		assertThat(this.rollout.report(at(200)).term()).isEqualTo(2);
+	}
+
 	@Test
 	void finalPhaseIsKept() {
 		follow(1, RolloutPhase.ROLLED_BACK, 0, at(0));
--- a/core/src/test/java/org/sardineport/core/rollout/RolloutCoordinatorTests.java
+++ b/core/src/test/java/org/sardineport/core/rollout/RolloutCoordinatorTests.java
@@ -99,13 +99,13 @@
 	void completionWaitsForEachDaemonToLeaveTheOtherVersions() {
 		RolloutCoordinator coordinator = coordinator(RolloutPhase.FULL);
 		FleetFacts facts = new FleetFacts(60, 10, 60, Set.of(SELF, DaemonId.of("other")));
-		coordinator.received(SELF, report(RolloutPhase.FULL, 0), at(6000));
+		coordinator.received(SELF, 1, report(RolloutPhase.FULL, 0), at(6000));
 		assertThat(coordinator.tick(facts, at(6100))).isEqualTo(RolloutStep.NONE);
-		coordinator.received(DaemonId.of("other"), report(RolloutPhase.CANARY, 0), at(6200));
+		coordinator.received(DaemonId.of("other"), 1, report(RolloutPhase.CANARY, 0), at(6200));
 		assertThat(coordinator.tick(facts, at(6300))).isEqualTo(RolloutStep.NONE);
-		coordinator.received(DaemonId.of("other"), report(RolloutPhase.FULL, 2), at(6400));
+		coordinator.received(DaemonId.of("other"), 1, report(RolloutPhase.FULL, 2), at(6400));
 		assertThat(coordinator.tick(facts, at(6500))).isEqualTo(RolloutStep.NONE);
-		coordinator.received(DaemonId.of("other"), report(RolloutPhase.FULL, 0), at(6600));
+		coordinator.received(DaemonId.of("other"), 1, report(RolloutPhase.FULL, 0), at(6600));
 		assertThat(coordinator.tick(facts, at(6700))).isEqualTo(RolloutStep.COMPLETE);
 	}
 
@@ -113,10 +113,26 @@
 	@Test
 	void successorFollowsTheFurthestPhaseReported() {
 		RolloutCoordinator coordinator = coordinator(RolloutPhase.CANARY);
-		coordinator.received(SELF, report(RolloutPhase.FULL, 1), at(6000));
+		coordinator.received(SELF, 1, report(RolloutPhase.FULL, 1), at(6000));
 		assertThat(coordinator.stage().phase()).isEqualTo(RolloutPhase.FULL);
 	}
 
+	// A report that arrived after a later one was counted again.
+	@Test
+	void reportsThatAreLateAndRestartsAreToldApart() {
+		RolloutCoordinator coordinator = coordinator(RolloutPhase.CANARY);
+		coordinator.received(SELF, 1, report(100), at(1000));
+		coordinator.received(SELF, 1, report(60), at(1010));
+		assertThat(coordinator.sent()).isEqualTo(100);
+		coordinator.received(SELF, 2, report(30), at(2000));
+		coordinator.received(SELF, 1, report(110), at(2010));
+		assertThat(coordinator.sent()).isEqualTo(130);
+	}
+
+	private static RolloutReport report(int sent) {
+		return new RolloutReport(PoolName.of("pool"), 7, 1, RolloutPhase.CANARY, 0, sent, 0, Map.of());
+	}
+
 	private static RolloutCoordinator coordinator(RolloutPhase known) {
 		return RolloutCoordinator.create(order(), RolloutFixture.SETTINGS, 1, known, Duration.ZERO, at(0));
 	}
--- a/core/src/test/java/org/sardineport/core/rollout/RolloutFixture.java
+++ b/core/src/test/java/org/sardineport/core/rollout/RolloutFixture.java
@@ -189,7 +189,7 @@
 	private void tick() {
 		for (int i = 0; i < this.rollouts.size(); i++) {
 			if (this.rollouts.get(i).isReportDue(this.now)) {
-				this.coordinator.received(this.daemons.get(i), this.rollouts.get(i).report(this.now), this.now);
+				this.coordinator.received(this.daemons.get(i), 1, this.rollouts.get(i).report(this.now), this.now);
 			}
 		}
 		FleetFacts facts = new FleetFacts(6 * SERVERS, SERVERS, 6 * SERVERS, new HashSet<>(this.daemons));
--- a/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutLead.java
+++ b/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutLead.java
@@ -35,6 +35,8 @@
 
 	private boolean storing;
 
+	private boolean completing;
+
 	private int failedAttempts;
 
 	private Instant triedAt = Instant.MIN;
@@ -70,6 +72,19 @@
 				&& (this.triedAt == Instant.MIN || Duration.between(this.triedAt, now).compareTo(RETRY_INTERVAL) >= 0);
 	}
 
+	/**
+	 * Returns whether the completion may have been stored, so that no other step may be
+	 * taken.
+	 * @return {@code true} once it was tried
+	 */
+	boolean isCompleting() {
+		return this.completing;
+	}
+
+	void completing() {
+		this.completing = true;
+	}
+
 	void storing(Instant now) {
 		this.storing = true;
 		this.triedAt = now;
--- a/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutService.java
@@ -57,10 +57,10 @@
 
 /**
  * Carries out the operators' orders to move a pool to another software version: follows
- * their announcements, and coordinates one if no other daemon does. Without settings no
- * order is followed and every version takes new work. Confined to the event loop, except
- * for the methods of {@link RolloutOrderListener}. A timer runs only while a rollout is
- * under way.
+ * the announcements of each rollout's coordinator, and coordinates the rollout if no
+ * other daemon does. Without settings no order is followed and every version takes new
+ * work. Confined to the event loop, except for the methods of
+ * {@link RolloutOrderListener}. A timer runs only while a rollout is under way.
  */
 public final class RolloutService implements RolloutOrderListener, Service {
 
@@ -68,6 +68,9 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
+	/** Reports of this daemon to itself are of one run. */
+	private static final long OWN_INCARNATION = 0;
+
 	/** Number of silences after which daemons that are far down in line take over. */
 	private static final int MAX_PATIENCE = 6;
 
@@ -105,6 +108,8 @@
 
 	private final Set<PoolName> claiming = new HashSet<>();
 
+	private final Set<PoolName> withdrawn = new HashSet<>();
+
 	private VersionGates gates = VersionGates.NONE;
 
 	private boolean ordersKnown;
@@ -154,7 +159,7 @@
 	private void addListeners() {
 		this.transport.listen(RolloutMessage.class, (sender, incarnation, address, message) -> {
 			if (message instanceof RolloutMessage received) {
-				onContext(() -> received(sender, address, received));
+				onContext(() -> received(sender, incarnation, address, received));
 			}
 		});
 		this.fleet.addListener((snapshot) -> onContext(() -> listed(snapshot)));
@@ -208,6 +213,7 @@
 		}
 		this.leads.remove(pool);
 		this.awaitedTerms.remove(pool);
+		this.withdrawn.remove(pool);
 		this.rollouts.put(pool, PoolRollout.create(order, this.versions.versions(pool),
 				this.inFlight.others(pool, order.target()), this.random, now()));
 		this.telemetry.counter("rollout.orders").inc();
@@ -224,13 +230,7 @@
 		PoolRollout rollout = this.rollouts.get(pool);
 		if (rollout != null && !rollout.isOver()) {
 			LOG.info("rollout.withdrawn", "pool", pool, "target", rollout.order().target());
-			RolloutLead lead = this.leads.get(pool);
-			if (lead != null) {
-				lead.coordinator().withdrawn();
-				lead.stepTaken();
-			}
-			rollout.ended(RolloutPhase.ROLLED_BACK, now());
-			publishGates();
+			this.withdrawn.add(pool);
 		}
 	}
 
@@ -256,7 +256,7 @@
 		return true;
 	}
 
-	private void received(DaemonId sender, NetworkAddress address, RolloutMessage message) {
+	private void received(DaemonId sender, long incarnation, NetworkAddress address, RolloutMessage message) {
 		PoolRollout rollout = this.rollouts.get(message.pool());
 		if (rollout == null) {
 			return;
@@ -268,7 +268,7 @@
 		else if (message instanceof RolloutReport report) {
 			RolloutLead lead = this.leads.get(report.pool());
 			if (lead != null) {
-				lead.coordinator().received(sender, report, now());
+				lead.coordinator().received(sender, incarnation, report, now());
 			}
 		}
 	}
@@ -377,7 +377,7 @@
 		if (coordinator.equals(this.fleet.current().self())) {
 			RolloutLead lead = this.leads.get(report.pool());
 			if (lead != null) {
-				lead.coordinator().received(coordinator, report, now);
+				lead.coordinator().received(coordinator, OWN_INCARNATION, report, now);
 			}
 			return;
 		}
@@ -458,15 +458,34 @@
 			this.leads.remove(pool);
 			return;
 		}
-		RolloutStep step = coordinator.tick(facts(coordinator.order()), now);
+		if (lead.isCompleting()) {
+			storeIfDue(lead, RolloutState.COMPLETE, now);
+			announceIfDue(lead, now);
+			return;
+		}
+		RolloutStep step = this.withdrawn.remove(pool) ? coordinator.withdrawn()
+				: coordinator.tick(facts(coordinator.order()), now);
 		if (step == RolloutStep.ANNOUNCE || step == RolloutStep.ROLL_BACK) {
 			logStep(coordinator);
 			lead.stepTaken();
 		}
-		boolean isEnding = step == RolloutStep.COMPLETE || coordinator.stage().phase() == RolloutPhase.ROLLED_BACK;
-		if (isEnding && !lead.isStored() && lead.mayStore(now)) {
-			store(lead, (step == RolloutStep.COMPLETE) ? RolloutState.COMPLETE : RolloutState.ROLLED_BACK);
+		if (step == RolloutStep.COMPLETE) {
+			lead.completing();
+			storeIfDue(lead, RolloutState.COMPLETE, now);
 		}
+		else if (coordinator.stage().phase() == RolloutPhase.ROLLED_BACK) {
+			storeIfDue(lead, RolloutState.ROLLED_BACK, now);
+		}
+		announceIfDue(lead, now);
+	}
+
+	private void storeIfDue(RolloutLead lead, RolloutState state, Instant now) {
+		if (!lead.isStored() && lead.mayStore(now)) {
+			store(lead, state);
+		}
+	}
+
+	private void announceIfDue(RolloutLead lead, Instant now) {
 		if (lead.isAnnouncementDue(interval(), now)) {
 			announce(lead, now);
 		}
