--- a/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
+++ b/core/src/main/java/org/sardineport/core/relay/CallerMemory.java
@@ -17,7 +17,13 @@
 	private static final double SHORT_SHARE = 0.9;
 
 	/** Number of responses of the largest size that fit into the maximum. */
-	private static final int RESPONSES = 64;
+	private static final int LARGEST_RESPONSES = 64;
+
+	/**
+	 * Size beyond which a response is passed on before it is complete, in bytes, however
+	 * much memory there is.
+	 */
+	private static final long MAX_RESPONSE_BYTES = 512 * 1024;
 
 	private final long maximum;
 
@@ -80,7 +86,8 @@
 	 * @return whether there is room; if not, nothing is reserved
 	 */
 	public boolean tryReserveResponse(long reserved, long needed) {
-		if (needed > this.maximum / RESPONSES || this.held - reserved + needed > this.maximum) {
+		if (needed > Math.min(MAX_RESPONSE_BYTES, this.maximum / LARGEST_RESPONSES)
+				|| this.held - reserved + needed > this.maximum) {
 			return false;
 		}
 		return tryReserve(reserved, needed);
