Show that heads of many short fields end the process

Cause: what a crowd's heads hold is more than the account of callers' memory and the bound on connections allow for together; not traced further.

--- a/review/lib2/Fleet.java
+++ b/review/lib2/Fleet.java
@@ -164,6 +164,15 @@
 		return this.processes.stream().allMatch(Process::isAlive);
 	}
 
+	/** Returns the lines of a log that name an error. */
+	public List<String> errors(int daemon) throws IOException {
+		return Files.readAllLines(log(daemon))
+			.stream()
+			.filter((line) -> line.contains("OutOfMemory") || line.startsWith("Terminating due to"))
+			.limit(3)
+			.toList();
+	}
+
 	/** Ends all processes; keeps the logs if asked to. */
 	public void end() {
 		for (Process process : this.processes) {
