Take reads of an older copy for no proof of a configuration

Callers would have seen: a key that the newest version takes away is served for as long as the store holds an older version than the one in force.

Cause: a store that came back from a copy shows an older version than the one in force. It was ignored, but the next read that found nothing newer confirmed the one in force as the newest, although the store was known to have lost a newer one than its own, and perhaps others after it. And a copy brought back keys that only a version which could not be read had taken away, as the version before it was accepted again.

Change: while the store's newest version is older than the one that is in force or known, or there is none, reads prove nothing; callers get 503 once the last proof is too old, until the operators' newest version is written again. While a version that cannot be read is known, only that one or a newer one replaces the one in force. configuration.store-behind and configuration.store-caught-up log it, a counter counts it.

--- a/core/src/main/java/org/sardineport/core/port/relay/ConfigurationListener.java
+++ b/core/src/main/java/org/sardineport/core/port/relay/ConfigurationListener.java
@@ -20,6 +20,11 @@
 	 */
 	void changed(RelayConfiguration configuration, ClockReading readStarted);
 
+	/**
+	 * Called when the store held no configuration when it was read.
+	 */
+	void missing();
+
 	/**
 	 * Called when no newer configuration existed when a read started.
 	 * @param readStarted clock reading at the start of the read
@@ -29,11 +34,12 @@
 	/**
 	 * Called when the newest configuration is invalid.
 	 * @param error description of the error
+	 * @param version its version, or {@code null} if that cannot be read either
 	 * @param keys names of the organisations by their keys in it, or {@code null} if that
 	 * cannot be read either
 	 * @param readStarted clock reading at the start of the read
 	 */
-	void unreadable(String error, @Nullable Map<String, String> keys, ClockReading readStarted);
+	void unreadable(String error, @Nullable Long version, @Nullable Map<String, String> keys, ClockReading readStarted);
 
 	/**
 	 * Called when the configuration could not be read.
--- a/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
+++ b/core/src/main/java/org/sardineport/core/relay/ConfigurationInForce.java
@@ -11,7 +11,8 @@
  * Holds the newest configuration that this daemon has read, and decides whether it is
  * recent enough to admit callers by their keys. The configuration is fresh for a fixed
  * lifetime after the start of the last successful read. Never reverts to an older
- * version. Thread-safe.
+ * version: while the store holds an older one, because it came back from a copy, no read
+ * of it proves anything. Thread-safe.
  */
 public final class ConfigurationInForce {
 
@@ -20,7 +21,7 @@
 	private final ClockPair clocks;
 
 	private final AtomicReference<State> state = new AtomicReference<>(
-			new State(RelayConfiguration.NONE, Successor.NONE, null, null, null));
+			new State(RelayConfiguration.NONE, null, false, null, null, null));
 
 	private ConfigurationInForce(Duration lifetime, ClockPair clocks) {
 		this.lifetime = Objects.requireNonNull(lifetime, "lifetime must not be null");
@@ -43,18 +44,25 @@
 	 * @param configuration the configuration
 	 * @param readStarted clock reading at the start of the read
 	 * @return {@code true} if it is now in force; {@code false} if a newer one is already
-	 * held
+	 * held or known
 	 */
 	public boolean accept(RelayConfiguration configuration, ClockReading readStarted) {
 		observe();
-		State updated = this.state
-			.updateAndGet((previous) -> (configuration.version() < previous.configuration.version()) ? previous
-					: previous.with(configuration, Successor.NONE, ConfigurationFreshness.asOf(readStarted)));
+		ConfigurationFreshness freshness = ConfigurationFreshness.asOf(readStarted);
+		State updated = this.state.updateAndGet((previous) -> previous.accepted(configuration, freshness));
 		return updated.configuration == configuration;
 	}
 
 	/**
-	 * Records that no newer configuration existed when a read started.
+	 * Records that the store held no configuration.
+	 */
+	public void missing() {
+		this.state.updateAndGet(State::behind);
+	}
+
+	/**
+	 * Records that no newer configuration existed when a read started. Has no effect
+	 * while the newest one in the store is older than one that was read before.
 	 * @param readStarted clock reading at the start of the read
 	 */
 	public void confirm(ClockReading readStarted) {
@@ -66,15 +74,26 @@
 	/**
 	 * Records that the newest configuration when a read started cannot be read. The one
 	 * before stays in force without the keys that the newest one does not have. If that
-	 * is not known, it does not become fresh again.
+	 * is not known, it does not become fresh again. Has no effect on callers if it is
+	 * older than one that was read before.
+	 * @param version its version, or {@code null} if not known
 	 * @param keys names of the organisations by their keys in the newest configuration,
 	 * or {@code null} if not known
 	 * @param readStarted clock reading at the start of the read
 	 */
-	public void supersede(@Nullable Map<String, String> keys, ClockReading readStarted) {
+	public void supersede(@Nullable Long version, @Nullable Map<String, String> keys, ClockReading readStarted) {
 		observe();
 		ConfigurationFreshness freshness = ConfigurationFreshness.asOf(readStarted);
-		this.state.updateAndGet((previous) -> previous.superseded(keys, freshness));
+		this.state.updateAndGet((previous) -> previous.superseded(version, keys, freshness));
+	}
+
+	/**
+	 * Returns whether the store holds an older configuration than one that was read
+	 * before, or none.
+	 * @return {@code true} until it holds that one again, or a newer one
+	 */
+	public boolean isStoreBehind() {
+		return this.state.get().isStoreBehind;
 	}
 
 	/**
@@ -91,7 +110,7 @@
 	 * @return {@code true} until the next one is read
 	 */
 	public boolean isSuperseded() {
-		return this.state.get().successor != Successor.NONE;
+		return this.state.get().successor != null;
 	}
 
 	/**
@@ -148,18 +167,12 @@
 	}
 
 	/**
-	 * What is known of a newer configuration that cannot be read.
+	 * A newer configuration that cannot be read.
+	 *
+	 * @param version its version, or {@code null} if not known
+	 * @param areKeysKnown whether the keys in it are known
 	 */
-	private enum Successor {
-
-		/** There is none. */
-		NONE,
-
-		/** The keys in it are known. */
-		KEYS_KNOWN,
-
-		/** Nothing is known of it. */
-		UNKNOWN
+	private record Successor(@Nullable Long version, boolean areKeysKnown) {
 
 	}
 
@@ -167,40 +180,65 @@
 	 * Immutable snapshot of the configuration, its freshness and the last clock reading.
 	 *
 	 * @param configuration the newest configuration that can be read
-	 * @param successor whether there is a newer one
+	 * @param successor the newer one that cannot be read, or {@code null} if there is
+	 * none
+	 * @param isStoreBehind whether the store holds an older one than these
 	 * @param freshness freshness established by the newest valid read, or {@code null} if
 	 * there is none
 	 * @param lastReading last reading of the clocks, or {@code null} before the first one
 	 * @param trustedAfter reading at which the clocks last disagreed; only reads that
 	 * started later are valid; {@code null} if they never disagreed
 	 */
-	private record State(RelayConfiguration configuration, Successor successor,
+	private record State(RelayConfiguration configuration, @Nullable Successor successor, boolean isStoreBehind,
 			@Nullable ConfigurationFreshness freshness, @Nullable ClockReading lastReading,
 			@Nullable ClockReading trustedAfter) {
 
 		private State withReading(ClockReading now) {
 			if (this.lastReading != null && now.disagreesWith(this.lastReading)) {
-				return new State(this.configuration, this.successor, null, now, now);
+				return new State(this.configuration, this.successor, this.isStoreBehind, null, now, now);
 			}
-			return new State(this.configuration, this.successor, this.freshness, now, this.trustedAfter);
+			return new State(this.configuration, this.successor, this.isStoreBehind, this.freshness, now,
+					this.trustedAfter);
+		}
+
+		private State accepted(RelayConfiguration newer, ConfigurationFreshness candidate) {
+			return isOutdated(newer.version()) ? behind() : with(newer, null, candidate);
+		}
+
+		private boolean isOutdated(long version) {
+			Successor known = this.successor;
+			if (known == null || version < this.configuration.version()) {
+				return version < this.configuration.version();
+			}
+			return (known.version != null) ? version < known.version : version == this.configuration.version();
+		}
+
+		private State behind() {
+			return new State(this.configuration, this.successor, true, this.freshness, this.lastReading,
+					this.trustedAfter);
 		}
 
 		private State confirmed(ConfigurationFreshness candidate) {
-			return (this.successor == Successor.UNKNOWN) ? this : with(this.configuration, this.successor, candidate);
+			boolean isUnknown = this.successor != null && !this.successor.areKeysKnown;
+			return (isUnknown || this.isStoreBehind) ? this : with(this.configuration, this.successor, candidate);
 		}
 
-		private State superseded(@Nullable Map<String, String> keys, ConfigurationFreshness candidate) {
+		private State superseded(@Nullable Long version, @Nullable Map<String, String> keys,
+				ConfigurationFreshness candidate) {
+			if (version != null && isOutdated(version)) {
+				return behind();
+			}
+			Successor next = new Successor(version, keys != null);
 			if (keys == null) {
-				return new State(this.configuration, Successor.UNKNOWN, this.freshness, this.lastReading,
-						this.trustedAfter);
+				return new State(this.configuration, next, false, this.freshness, this.lastReading, this.trustedAfter);
 			}
-			return with(this.configuration.retainKeys(keys), Successor.KEYS_KNOWN, candidate);
+			return with(this.configuration.retainKeys(keys), next, candidate);
 		}
 
-		private State with(RelayConfiguration newer, Successor next, ConfigurationFreshness candidate) {
+		private State with(RelayConfiguration newer, @Nullable Successor next, ConfigurationFreshness candidate) {
 			boolean trusted = this.trustedAfter == null || candidate.isNewerThan(this.trustedAfter);
 			boolean notOlder = this.freshness == null || !candidate.isOlderThan(this.freshness);
-			return new State(newer, next, (trusted && notOlder) ? candidate : this.freshness, this.lastReading,
+			return new State(newer, next, false, (trusted && notOlder) ? candidate : this.freshness, this.lastReading,
 					this.trustedAfter);
 		}
 
--- a/core/src/test/java/org/sardineport/core/relay/ConfigurationInForceTests.java
+++ b/core/src/test/java/org/sardineport/core/relay/ConfigurationInForceTests.java
@@ -161,7 +161,7 @@
 	void versionBeforeOneThatCannotBeReadExpires() {
 		readVersion(1);
 		advance(100);
-		this.inForce.supersede(null, read());
+		this.inForce.supersede(2L, null, read());
 		advance(100);
 		this.inForce.confirm(read());
 		assertThat(this.inForce.isFresh()).isTrue();
@@ -176,16 +176,77 @@
 	@Test
 	void versionBeforeOneOfWhichOnlyTheKeysCanBeReadServesTheKeysOfBoth() {
 		readVersion(1);
-		this.inForce.supersede(Map.of(RelayFixture.KEY, "organisation"), read());
+		this.inForce.supersede(2L, Map.of(RelayFixture.KEY, "organisation"), read());
 		advance(LIFETIME.toMillis() - 1);
 		this.inForce.confirm(read());
 		advance(LIFETIME.toMillis() - 1);
 		assertThat(this.inForce.isFresh()).isTrue();
 		assertThat(this.inForce.isNewest()).isFalse();
 		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isPresent();
-		this.inForce.supersede(Map.of(RelayFixture.KEY, "another"), read());
+		this.inForce.supersede(2L, Map.of(RelayFixture.KEY, "another"), read());
 		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isEmpty();
 		assertThat(this.inForce.current().callerKeys().areRequired()).isTrue();
 	}
 
+	/**
+	 * Guards against reads of a store that came back from an older copy which keep a
+	 * revoked key in force: a newer version may have been confirmed and lost.
+	 */
+	@Test
+	void readsOfAnOlderCopyProveNothing() {
+		readVersion(12);
+		advance(100);
+		readVersion(7);
+		assertThat(this.inForce.isStoreBehind()).isTrue();
+		assertThat(this.inForce.isFresh()).isTrue();
+		this.inForce.confirm(read());
+		advance(LIFETIME.toMillis() - 100);
+		this.inForce.confirm(read());
+		assertThat(this.inForce.isFresh()).isFalse();
+		assertThat(this.inForce.current().version()).isEqualTo(12);
+		readVersion(12);
+		assertThat(this.inForce.isStoreBehind()).isFalse();
+		assertThat(this.inForce.isFresh()).isTrue();
+	}
+
+	@Test
+	void readsOfAStoreThatLostTheConfigurationProveNothing() {
+		readVersion(12);
+		this.inForce.missing();
+		advance(LIFETIME.toMillis());
+		this.inForce.confirm(read());
+		assertThat(this.inForce.isFresh()).isFalse();
+		readVersion(15);
+		assertThat(this.inForce.isFresh()).isTrue();
+	}
+
+	/**
+	 * Guards against a copy that brings back keys which only a version that could not be
+	 * read had taken away.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void copyDoesNotBringBackKeysThatAnUnreadableVersionTook(boolean isVersionKnown) {
+		readVersion(7);
+		Long version = isVersionKnown ? 12L : null;
+		this.inForce.supersede(version, Map.of("another-key", "organisation"), read());
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isEmpty();
+		readVersion(7);
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isEmpty();
+		assertThat(this.inForce.isNewest()).isFalse();
+		readVersion(13);
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isPresent();
+	}
+
+	@Test
+	void unreadableVersionOfAnOlderCopyTakesNoKeys() {
+		readVersion(12);
+		this.inForce.supersede(9L, Map.of("another-key", "organisation"), read());
+		assertThat(this.inForce.current().callerKeys().organisation(RelayFixture.KEY)).isPresent();
+		assertThat(this.inForce.isSuperseded()).isFalse();
+		assertThat(this.inForce.isStoreBehind()).isTrue();
+		readVersion(12);
+		assertThat(this.inForce.isStoreBehind()).isFalse();
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ConfigurationWatch.java
@@ -24,6 +24,8 @@
 
 	private boolean reachable = true;
 
+	private boolean storeBehind;
+
 	ConfigurationWatch(ConfigurationInForce inForce, Telemetry telemetry) {
 		this.inForce = inForce;
 		this.telemetry = telemetry;
@@ -34,6 +36,7 @@
 		markReachable();
 		RelayConfiguration previous = this.inForce.current();
 		boolean accepted = this.inForce.accept(configuration, readStarted);
+		watchStore();
 		LOG.info(accepted ? "configuration.in-force" : "configuration.older-ignored", "version",
 				configuration.version(), "before", previous.version(), "age-ms", this.inForce.readAgeMillis(), "keys",
 				configuration.callerKeys().size(), "keys-required", configuration.callerKeys().areRequired());
@@ -43,6 +46,28 @@
 		}
 	}
 
+	@Override
+	public void missing() {
+		markReachable();
+		this.inForce.missing();
+		watchStore();
+	}
+
+	// While no version was read, the store cannot have lost one.
+	private void watchStore() {
+		boolean isBehind = this.inForce.isStoreBehind() && !this.inForce.current().isNone();
+		if (isBehind && !this.storeBehind) {
+			this.telemetry.counter("configuration.store-behind").inc();
+			LOG.warn("configuration.store-behind", "version", this.inForce.current().version(), "proof-age-ms",
+					this.inForce.readAgeMillis(), "remedy",
+					"Write the newest configuration again; until then callers are refused once its proof is too old.");
+		}
+		else if (!isBehind && this.storeBehind) {
+			LOG.info("configuration.store-caught-up", "version", this.inForce.current().version());
+		}
+		this.storeBehind = isBehind;
+	}
+
 	@Override
 	public void unchanged(ClockReading readStarted) {
 		markReachable();
@@ -57,10 +82,12 @@
 	}
 
 	@Override
-	public void unreadable(String fault, @Nullable Map<String, String> keys, ClockReading readStarted) {
+	public void unreadable(String fault, @Nullable Long version, @Nullable Map<String, String> keys,
+			ClockReading readStarted) {
 		markReachable();
 		int before = this.inForce.current().callerKeys().size();
-		this.inForce.supersede(keys, readStarted);
+		this.inForce.supersede(version, keys, readStarted);
+		watchStore();
 		RelayConfiguration kept = this.inForce.current();
 		this.telemetry.counter("configuration.unreadable").inc();
 		LOG.warn("configuration.unreadable", "fault", fault, "version-kept", kept.version(), "keys-known", keys != null,
