Keep what is known of servers when the store comes back from a copy

Cause: the list took the copy for the state of the servers. A server that was leaving is live in a copy older than its report, one that is gone is listed, a former process replaces the one that runs, and one that started since the copy is missing.

Change: ListedBackend.isLaterThan says by rule which of two entries must be the more recent one: the later process, or the same one once it is leaving.

--- a/core/src/main/java/org/sardineport/core/port/platform/VmListing.java
+++ b/core/src/main/java/org/sardineport/core/port/platform/VmListing.java
@@ -55,6 +55,21 @@
 	 * @param state state of its VM
 	 */
 	public record ListedBackend(BackendServer server, VmState state) {
+
+		/**
+		 * Returns whether this entry must be more recent than another one of the same
+		 * name: it shows a later process, or that the same process is leaving, which no
+		 * process takes back.
+		 * @param other the other entry
+		 * @return whether it is; {@code false} if either may be the more recent one
+		 */
+		public boolean isLaterThan(ListedBackend other) {
+			Instant startedAt = this.server.startedAt();
+			Instant otherStartedAt = other.server.startedAt();
+			boolean isOnlyOneLeaving = this.state == VmState.LEAVING && other.state == VmState.LIVE;
+			return startedAt.isAfter(otherStartedAt) || (startedAt.equals(otherStartedAt) && isOnlyOneLeaving);
+		}
+
 	}
 
 }
