State single versions again after the store lost a statement

Callers would have seen: after a store's return from a copy and the loss of all daemons, a stream that is taken up goes on at another software version (ORDER).

Cause: the daemon that states which pools run a single version compared only with the statement that it had stored last. A copy from before a correction names one version of a pool that runs two, and stayed.

Change: the recorder reads the statement again in each era of the store.

Evidence: OriginRecorderTests .statementIsCorrectedAgainAfterTheStoreLostTheCorrection failed without the change to OriginRecorder, and passes with it; StreamOriginServiceTests and StreamOriginFleetTests pass.

--- a/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginRecorder.java
@@ -74,6 +74,9 @@
 
 	private @Nullable SoleVersions stored;
 
+	/** Era of the store in which the statement was read or replaced. */
+	private long storedEra;
+
 	private @Nullable FleetSnapshot decidedFor;
 
 	private boolean writer;
@@ -174,7 +177,9 @@
 			this.stored = null;
 			return;
 		}
-		SoleVersions known = this.stored;
+		long era = this.store.era();
+		SoleVersions known = (this.storedEra == era) ? this.stored : null;
+		this.storedEra = era;
 		if (known == null) {
 			this.stating = true;
 			onResult(this.store.soleVersions(), this::stated);
--- a/core/src/main/java/org/sardineport/core/stream/OriginStore.java
+++ b/core/src/main/java/org/sardineport/core/stream/OriginStore.java
@@ -14,6 +14,13 @@
  */
 public interface OriginStore {
 
+	/**
+	 * Returns the era of the platform's store, which rises when the store has lost what
+	 * it had acknowledged, so that a statement read before may no longer be there.
+	 * @return the era
+	 */
+	long era();
+
 	/**
 	 * Reads what is stored of a key.
 	 * @param key the key
--- a/core/src/test/java/org/sardineport/core/stream/OriginRecorderTests.java
+++ b/core/src/test/java/org/sardineport/core/stream/OriginRecorderTests.java
@@ -130,6 +130,24 @@
 		assertThat(this.store.statement).isEqualTo(new SoleVersions(6, Map.of()));
 	}
 
+	/**
+	 * Guards against a statement that names one version of a pool with two, as the store
+	 * came back from a copy older than its correction.
+	 */
+	@Test
+	void statementIsCorrectedAgainAfterTheStoreLostTheCorrection() {
+		listed(V1);
+		SoleVersions copy = new SoleVersions(4, Map.of(POOL, V1));
+		this.store.statement = copy;
+		listed(SoftwareVersion.of("v2"));
+		pass(OriginRecorder.START_DELAY.plusSeconds(1));
+		assertThat(this.store.statement.versions()).isEmpty();
+		this.store.statement = copy;
+		this.store.era++;
+		pass(OriginRecorder.RETRY_AFTER.plusSeconds(1));
+		assertThat(this.store.statement.versions()).isEmpty();
+	}
+
 	// In steady state there is nothing to write.
 	@Test
 	void unchangedStatementCostsNoCalls() {
@@ -157,6 +175,13 @@
 
 		private int replacements;
 
+		private long era = 1;
+
+		@Override
+		public long era() {
+			return this.era;
+		}
+
 		@Override
 		public CompletionStage<StreamRecord> find(StreamKey key) {
 			throw new AssertionError("the recorder looks nothing up");
--- a/daemon/src/test/java/org/sardineport/daemon/stream/InMemoryOriginStore.java
+++ b/daemon/src/test/java/org/sardineport/daemon/stream/InMemoryOriginStore.java
@@ -43,6 +43,11 @@
 		return this.calls;
 	}
 
+	@Override
+	public long era() {
+		return 1;
+	}
+
 	private <T> CompletionStage<T> answer(T answer) {
 		this.calls++;
 		return this.unreachable ? CompletableFuture.failedFuture(new IllegalStateException("store is unreachable"))
