Count no request as old that was read in time

Callers saw: 503 deadline-passed within some 20 ms, from a daemon that says it is ready, as its first request or the first after an idle time (review/3 could not run; payout-post, whose time limit is 1,056 ms).

Cause: since the ticks that measure the event loop's delay run only while a caller is connected. After the start, and after the last connection had closed, the estimate still expected a tick within 50 ms, so that a request read before the next check, up to a second later, counted as waiting since then. The same age went to the overload meter.

Change: ArrivalEstimate owns when ticks run: from listening on, while callers are connected and 5 s after. When they stop, the next check is what is due. Ticks that start do not hide a delay: if a tick or check is overdue then, the request may have waited since. What is not noticed is a delay of under a second that began after 5 s without callers.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -37,9 +37,6 @@
 	/** Maximum length of a request line, in bytes. */
 	private static final int MAX_REQUEST_LINE_BYTES = 16 * 1024;
 
-	/** Interval between checks for idle connections, in milliseconds. */
-	private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
-
 	/** Maximum number of connections that wait to be accepted. */
 	private static final int BACKLOG = 1024;
 
@@ -61,7 +58,7 @@
 
 	private @Nullable HttpServer server;
 
-	private long idleCheckTimer = -1;
+	private volatile long checkTimer = -1;
 
 	private final DemandTimer ticks;
 
@@ -94,20 +91,24 @@
 		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
 			if (this.connections.opened(connection)) {
 				StrictRequestDecoder.install(connection, options, this.services.callerMemory());
+				this.arrivals.connected();
 				startTicks();
 			}
 		}).invalidRequestHandler(this::invalid).requestHandler(this::handle);
 		this.server = created;
-		this.idleCheckTimer = this.services.vertx().setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, (id) -> checkIdle());
+		this.context.runOnContext((ignored) -> startTimers());
 		return created.listen().<Void>mapEmpty().toCompletionStage();
 	}
 
-	// Without connections a delay of the event loop is measured in this interval only.
-	private void checkIdle() {
+	private void startTimers() {
+		this.arrivals.listening();
+		startTicks();
+		this.checkTimer = this.services.vertx().setPeriodic(ArrivalEstimate.CHECK.toMillis(), (id) -> check());
+	}
+
+	private void check() {
 		checkCallers();
-		if (this.connections.isEmpty()) {
-			this.arrivals.ticked(Duration.ofMillis(IDLE_CHECK_INTERVAL_MILLIS));
-		}
+		this.arrivals.checked();
 	}
 
 	private void startTicks() {
@@ -117,14 +118,13 @@
 	}
 
 	private boolean tick() {
-		this.arrivals.ticked(ArrivalEstimate.TICK);
 		this.services.overload().ticked();
-		return !this.connections.isEmpty();
+		return this.arrivals.ticked(!this.connections.isEmpty());
 	}
 
 	@Override
 	public CompletionStage<Void> stop() {
-		this.services.vertx().cancelTimer(this.idleCheckTimer);
+		this.services.vertx().cancelTimer(this.checkTimer);
 		this.ticks.cancel();
 		HttpServer started = this.server;
 		return (started != null) ? started.close().toCompletionStage() : CompletableFuture.completedStage(null);
