Bound the sum of a request's stated token counts

Change: TokenEstimate.total() is at most half of the largest int, which leaves room for what is added to it.

--- a/core/src/main/java/org/sardineport/core/request/TokenEstimate.java
+++ b/core/src/main/java/org/sardineport/core/request/TokenEstimate.java
@@ -8,6 +8,9 @@
  */
 public record TokenEstimate(int prompt, int answer) {
 
+	/** Maximum total, so that what is added to it does not overflow. */
+	public static final int MAX_TOTAL = Integer.MAX_VALUE / 2;
+
 	/** Estimate for a request to a plain service. */
 	public static final TokenEstimate NONE = new TokenEstimate(0, 0);
 
@@ -34,10 +37,10 @@
 
 	/**
 	 * Returns the tokens of prompt and response together.
-	 * @return the sum
+	 * @return the sum, at most {@link #MAX_TOTAL}
 	 */
 	public int total() {
-		return this.prompt + this.answer;
+		return (int) Math.min((long) this.prompt + this.answer, MAX_TOTAL);
 	}
 
 }
