--- a/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/rollout/RolloutService.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -25,30 +24,21 @@
 import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
-import org.sardineport.core.fleet.Member;
-import org.sardineport.core.fleet.MemberStatus;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.identity.PoolName;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.core.ownership.Ownership;
 import org.sardineport.core.port.peer.PeerTransport;
 import org.sardineport.core.rollout.ConfirmedVersions;
-import org.sardineport.core.rollout.FleetFacts;
 import org.sardineport.core.rollout.PoolRollout;
 import org.sardineport.core.rollout.RolloutAnnouncement;
-import org.sardineport.core.rollout.RolloutCoordinator;
 import org.sardineport.core.rollout.RolloutMessage;
 import org.sardineport.core.rollout.RolloutOrder;
 import org.sardineport.core.rollout.RolloutOrderListener;
 import org.sardineport.core.rollout.RolloutPhase;
 import org.sardineport.core.rollout.RolloutReport;
 import org.sardineport.core.rollout.RolloutSettings;
-import org.sardineport.core.rollout.RolloutState;
-import org.sardineport.core.rollout.RolloutStatus;
-import org.sardineport.core.rollout.RolloutStep;
 import org.sardineport.core.rollout.RolloutStore;
-import org.sardineport.core.rollout.RolloutTiming;
 import org.sardineport.core.rollout.StoredRollout;
 import org.sardineport.core.rollout.VersionGate;
 import org.sardineport.core.rollout.VersionGates;
@@ -57,12 +47,13 @@
 
 /**
  * Carries out the operators' orders to move a pool to another software version: follows
- * the announcements of each rollout's coordinator, and coordinates the rollout if no
- * other daemon does. Without settings no order is followed and every version takes new
- * work. Confined to the event loop, except for the methods of
- * {@link RolloutOrderListener}. A timer runs only while a rollout is under way.
+ * the announcements of each rollout's coordinator, and has the rollout coordinated by
+ * {@link RolloutLeadership} if no other daemon does. Without settings no order is
+ * followed and every version takes new work. Confined to the event loop, except for the
+ * methods of {@link RolloutOrderListener}. A timer runs only while a rollout is under
+ * way.
  */
-public final class RolloutService implements RolloutOrderListener, Service {
+public final class RolloutService implements RolloutOrderListener, RolloutFollower, Service {
 
 	private static final EventLog LOG = EventLog.of(RolloutService.class);
 
@@ -71,9 +62,6 @@
 	/** Reports of this daemon to itself are of one run. */
 	private static final long OWN_INCARNATION = 0;
 
-	/** Number of silences after which daemons that are far down in line take over. */
-	private static final int MAX_PATIENCE = 6;
-
 	private final Vertx vertx;
 
 	private final Context context;
@@ -100,16 +88,10 @@
 
 	private final Map<PoolName, PoolRollout> rollouts = new HashMap<>();
 
-	private final Map<PoolName, RolloutLead> leads = new HashMap<>();
+	private final RolloutLeadership lead;
 
 	private final Map<DaemonId, NetworkAddress> addresses = new HashMap<>();
 
-	private final Map<PoolName, Long> awaitedTerms = new HashMap<>();
-
-	private final Set<PoolName> claiming = new HashSet<>();
-
-	private final Set<PoolName> withdrawn = new HashSet<>();
-
 	private VersionGates gates = VersionGates.NONE;
 
 	private boolean ordersKnown;
@@ -129,6 +111,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
 		this.telemetry = Objects.requireNonNull(telemetry, "telemetry must not be null");
+		this.lead = new RolloutLeadership(this, settings, fleet, transport, store, clock, telemetry, this::onContext);
 	}
 
 	/**
@@ -211,9 +194,7 @@
 		if (known != null && known.order().revision() >= order.revision()) {
 			return;
 		}
-		this.leads.remove(pool);
-		this.awaitedTerms.remove(pool);
-		this.withdrawn.remove(pool);
+		this.lead.forget(pool);
 		this.rollouts.put(pool, PoolRollout.create(order, this.versions.versions(pool),
 				this.inFlight.others(pool, order.target()), this.random, now()));
 		this.telemetry.counter("rollout.orders").inc();
@@ -230,7 +211,7 @@
 		PoolRollout rollout = this.rollouts.get(pool);
 		if (rollout != null && !rollout.isOver()) {
 			LOG.info("rollout.withdrawn", "pool", pool, "target", rollout.order().target());
-			this.withdrawn.add(pool);
+			this.lead.withdraw(pool);
 		}
 	}
 
@@ -244,7 +225,8 @@
 		}));
 	}
 
-	private boolean followStored(PoolRollout rollout, StoredRollout stored) {
+	@Override
+	public boolean followStored(PoolRollout rollout, StoredRollout stored) {
 		RolloutPhase phase = stored.finalPhase(rollout.order());
 		if (phase == null) {
 			return false;
@@ -256,6 +238,11 @@
 		return true;
 	}
 
+	@Override
+	public @Nullable PoolRollout rollout(PoolName pool) {
+		return this.rollouts.get(pool);
+	}
+
 	private void received(DaemonId sender, long incarnation, NetworkAddress address, RolloutMessage message) {
 		PoolRollout rollout = this.rollouts.get(message.pool());
 		if (rollout == null) {
@@ -266,22 +253,14 @@
 			follow(rollout, sender, announcement);
 		}
 		else if (message instanceof RolloutReport report) {
-			RolloutLead lead = this.leads.get(report.pool());
-			if (lead != null) {
-				lead.coordinator().received(sender, incarnation, report, now());
-			}
+			this.lead.received(sender, incarnation, report);
 		}
 	}
 
-	private void follow(PoolRollout rollout, DaemonId sender, RolloutAnnouncement announcement) {
+	@Override
+	public void follow(PoolRollout rollout, DaemonId sender, RolloutAnnouncement announcement) {
 		PoolName pool = announcement.pool();
-		RolloutLead lead = this.leads.get(pool);
-		boolean isOther = !sender.equals(this.fleet.current().self());
-		if (lead != null && isOther && announcement.stage().revision() == rollout.order().revision()
-				&& announcement.stage().term() > lead.coordinator().stage().term()) {
-			LOG.info("rollout.handed-over", "pool", pool, "to", sender);
-			this.leads.remove(pool);
-		}
+		this.lead.yieldTo(sender, announcement, rollout.order());
 		RolloutPhase before = rollout.phase();
 		if (!rollout.follow(sender, announcement, now())) {
 			return;
@@ -336,37 +315,25 @@
 			tick(rollout, now);
 		}
 		publishGates();
-		if (this.leads.isEmpty() && this.rollouts.values().stream().allMatch((rollout) -> rollout.isSettled(now))) {
+		if (this.lead.isIdle() && this.rollouts.values().stream().allMatch((rollout) -> rollout.isSettled(now))) {
 			stopTimer();
 		}
 	}
 
 	private void tick(PoolRollout rollout, Instant now) {
 		PoolName pool = rollout.order().pool();
-		RolloutLead lead = this.leads.get(pool);
-		if (lead != null) {
+		if (this.lead.leads(pool)) {
 			reportIfDue(rollout);
-			tick(lead, pool, now);
+			this.lead.tick(pool, now);
 		}
-		else if (rollout.isCoordinatorMissing(now, patience(pool))) {
-			claim(rollout);
+		else if (rollout.isCoordinatorMissing(now, this.lead.patience(pool))) {
+			this.lead.claim(rollout);
 		}
 		else {
 			reportIfDue(rollout);
 		}
 	}
 
-	private int patience(PoolName pool) {
-		FleetSnapshot current = this.fleet.current();
-		List<Member> ranking = Ownership.ranking("rollout/" + pool.value(), current.members());
-		for (int i = 0; i < ranking.size() && i < MAX_PATIENCE; i++) {
-			if (ranking.get(i).id().equals(current.self())) {
-				return i;
-			}
-		}
-		return MAX_PATIENCE;
-	}
-
 	private void reportIfDue(PoolRollout rollout) {
 		Instant now = now();
 		DaemonId coordinator = rollout.coordinator();
@@ -375,10 +342,7 @@
 		}
 		RolloutReport report = rollout.report(now);
 		if (coordinator.equals(this.fleet.current().self())) {
-			RolloutLead lead = this.leads.get(report.pool());
-			if (lead != null) {
-				lead.coordinator().received(coordinator, OWN_INCARNATION, report, now);
-			}
+			this.lead.received(coordinator, OWN_INCARNATION, report);
 			return;
 		}
 		NetworkAddress address = this.addresses.get(coordinator);
@@ -387,214 +351,6 @@
 		}
 	}
 
-	private void claim(PoolRollout rollout) {
-		RolloutOrder order = rollout.order();
-		PoolName pool = order.pool();
-		if (!this.claiming.add(pool)) {
-			return;
-		}
-		this.store.read(pool)
-			.thenCompose((stored) -> claim(rollout, stored))
-			.whenComplete((term, failure) -> onContext(() -> {
-				this.claiming.remove(pool);
-				if (this.rollouts.get(pool) != rollout || rollout.isOver()) {
-					return;
-				}
-				if (failure != null || term == null) {
-					rollout.awaitCoordinator(now());
-				}
-				else {
-					lead(rollout, term);
-				}
-			}));
-	}
-
-	private CompletionStage<@Nullable Long> claim(PoolRollout rollout, StoredRollout stored) {
-		CompletableFuture<@Nullable Long> claimed = new CompletableFuture<>();
-		onContext(() -> {
-			if (followStored(rollout, stored) || isAwaited(rollout.order(), stored)) {
-				claimed.complete(null);
-				return;
-			}
-			this.store.append(RolloutStatus.of(rollout.order(), RolloutState.RUNNING), stored.next())
-				.whenComplete((ignored, failure) -> {
-					if (failure == null) {
-						claimed.complete(stored.nextTerm());
-					}
-					else {
-						claimed.completeExceptionally(failure);
-					}
-				});
-		});
-		return claimed;
-	}
-
-	// Another daemon may have claimed the rollout and not be heard yet.
-	private boolean isAwaited(RolloutOrder order, StoredRollout stored) {
-		RolloutStatus status = stored.status();
-		if (status == null || status.revision() != order.revision()) {
-			return false;
-		}
-		Long awaited = this.awaitedTerms.put(order.pool(), stored.term());
-		return awaited == null || awaited != stored.term();
-	}
-
-	private void lead(PoolRollout rollout, long term) {
-		RolloutSettings limits = Objects.requireNonNull(this.settings, "settings must not be null");
-		Instant now = now();
-		RolloutCoordinator coordinator = RolloutCoordinator.create(rollout.order(), limits, term, rollout.phase(),
-				rollout.age(now), now);
-		RolloutLead lead = new RolloutLead(coordinator);
-		this.leads.put(rollout.order().pool(), lead);
-		this.telemetry.counter("rollout.claims").inc();
-		LOG.info("rollout.claimed", "pool", rollout.order().pool(), "term", term, "phase", rollout.phase().label(),
-				"age-ms", rollout.age(now).toMillis());
-		announce(lead, now);
-	}
-
-	private void tick(RolloutLead lead, PoolName pool, Instant now) {
-		RolloutCoordinator coordinator = lead.coordinator();
-		if (lead.isOver(now)) {
-			this.leads.remove(pool);
-			return;
-		}
-		if (lead.isCompleting()) {
-			storeIfDue(lead, RolloutState.COMPLETE, now);
-			announceIfDue(lead, now);
-			return;
-		}
-		RolloutStep step = this.withdrawn.remove(pool) ? coordinator.withdrawn()
-				: coordinator.tick(facts(coordinator.order()), now);
-		if (step == RolloutStep.ANNOUNCE || step == RolloutStep.ROLL_BACK) {
-			logStep(coordinator);
-			lead.stepTaken();
-		}
-		if (step == RolloutStep.COMPLETE) {
-			lead.completing();
-			storeIfDue(lead, RolloutState.COMPLETE, now);
-		}
-		else if (coordinator.stage().phase() == RolloutPhase.ROLLED_BACK) {
-			storeIfDue(lead, RolloutState.ROLLED_BACK, now);
-		}
-		announceIfDue(lead, now);
-	}
-
-	private void storeIfDue(RolloutLead lead, RolloutState state, Instant now) {
-		if (!lead.isStored() && lead.mayStore(now)) {
-			store(lead, state);
-		}
-	}
-
-	private void announceIfDue(RolloutLead lead, Instant now) {
-		if (lead.isAnnouncementDue(interval(), now)) {
-			announce(lead, now);
-		}
-	}
-
-	private Duration interval() {
-		return RolloutTiming.interval(this.fleet.current().members().size());
-	}
-
-	private void logStep(RolloutCoordinator coordinator) {
-		this.telemetry.counter("rollout.steps").inc();
-		LOG.info("rollout.judged", "pool", coordinator.order().pool(), "target", coordinator.order().target(), "phase",
-				coordinator.stage().phase().label(), "share", coordinator.stage().share(), "servers",
-				coordinator.stage().servers(), "reason", coordinator.reason(), "target-requests",
-				coordinator.targetSent(), "requests", coordinator.sent());
-	}
-
-	private FleetFacts facts(RolloutOrder order) {
-		FleetSnapshot current = this.fleet.current();
-		int targetSlots = 0;
-		int targetServers = 0;
-		int otherSlots = 0;
-		for (BackendServer server : current.pool(order.pool())) {
-			if (server.softwareVersion().equals(order.target())) {
-				targetSlots += server.nominalConcurrency();
-				targetServers++;
-			}
-			else {
-				otherSlots += server.nominalConcurrency();
-			}
-		}
-		Set<DaemonId> members = new HashSet<>();
-		current.members()
-			.stream()
-			.filter((member) -> member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.LEAVING)
-			.forEach((member) -> members.add(member.id()));
-		return new FleetFacts(targetSlots, targetServers, otherSlots, members);
-	}
-
-	private void announce(RolloutLead lead, Instant now) {
-		RolloutCoordinator coordinator = lead.coordinator();
-		PoolRollout rollout = this.rollouts.get(coordinator.order().pool());
-		if (rollout == null) {
-			return;
-		}
-		lead.announced(now);
-		RolloutAnnouncement announcement = new RolloutAnnouncement(coordinator.order().pool(), coordinator.stage(),
-				rollout.age(now), interval());
-		FleetSnapshot current = this.fleet.current();
-		follow(rollout, current.self(), announcement);
-		current.members()
-			.stream()
-			.filter((member) -> !member.id().equals(current.self()) && member.status() != MemberStatus.DEAD)
-			.forEach((member) -> this.transport.send(member.peerAddress(), announcement));
-	}
-
-	private void store(RolloutLead lead, RolloutState state) {
-		RolloutCoordinator coordinator = lead.coordinator();
-		RolloutOrder order = coordinator.order();
-		lead.storing(now());
-		this.store.read(order.pool()).thenCompose((stored) -> {
-			RolloutPhase ended = stored.finalPhase(order);
-			if (ended != null) {
-				return CompletableFuture.completedStage(ended);
-			}
-			if (stored.term() != coordinator.stage().term()) {
-				return CompletableFuture.completedStage((RolloutPhase) null);
-			}
-			return this.store.append(RolloutStatus.of(order, state), stored.next())
-				.thenApply((ignored) -> state.phase());
-		}).whenComplete((phase, failure) -> onContext(() -> stored(lead, phase, failure)));
-	}
-
-	private void stored(RolloutLead lead, @Nullable RolloutPhase phase, @Nullable Throwable failure) {
-		RolloutCoordinator coordinator = lead.coordinator();
-		PoolName pool = coordinator.order().pool();
-		if (this.leads.get(pool) != lead) {
-			return;
-		}
-		if (failure != null) {
-			lead.storingFailed();
-			LOG.warn("rollout.not-stored", "pool", pool, "cause", failure.getMessage());
-			if (lead.isStoreLost() && coordinator.stage().phase() == RolloutPhase.FULL) {
-				this.leads.remove(pool);
-			}
-			return;
-		}
-		if (phase == null) {
-			LOG.info("rollout.handed-over", "pool", pool, "to", "a later claim");
-			this.leads.remove(pool);
-			return;
-		}
-		lead.stored(now());
-		coordinator.ended(phase);
-		lead.stepTaken();
-		logEnd(coordinator, phase);
-		announce(lead, now());
-	}
-
-	private void logEnd(RolloutCoordinator coordinator, RolloutPhase phase) {
-		boolean isComplete = phase == RolloutPhase.COMPLETE;
-		this.telemetry.counter(isComplete ? "rollout.completed" : "rollout.rolled-back").inc();
-		PoolRollout rollout = this.rollouts.get(coordinator.order().pool());
-		LOG.info(isComplete ? "rollout.completed" : "rollout.rolled-back", "pool", coordinator.order().pool(), "target",
-				coordinator.order().target(), "reason", coordinator.reason(), "age-ms",
-				(rollout != null) ? rollout.age(now()).toMillis() : -1, "target-requests", coordinator.targetSent(),
-				"requests", coordinator.sent());
-	}
-
 	/**
 	 * Draws whether a new request belongs to the sample of a rollout. Must be called on
 	 * the event loop.
