Look routes up by the lengths of their prefixes

Cause: a look-up made one string and one look-up for each slash of the path, from the longest prefix on: work by the square of a length that callers choose, on the event loop, before the key is checked.

Change: HostRoutes looks up one prefix for each length that occurs in the configuration. The result is the same, as findsWhatACheckOfEachRouteFinds shows on random routes and paths.

--- a/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
+++ b/core/src/main/java/org/sardineport/core/relay/RelayConfiguration.java
@@ -21,7 +21,7 @@
 
 	private final long version;
 
-	private final Map<String, Map<String, RelayRoute>> routesByHost;
+	private final Map<String, HostRoutes> routesByHost;
 
 	private final CallerKeys callerKeys;
 
@@ -37,8 +37,7 @@
 		this.routesByHost = new HashMap<>();
 		this.pools = new HashMap<>();
 		for (RelayRoute route : routes) {
-			this.routesByHost.computeIfAbsent(hostKey(route.host()), (host) -> new HashMap<>())
-				.put(route.pathPrefix(), route);
+			this.routesByHost.computeIfAbsent(hostKey(route.host()), (host) -> new HostRoutes()).add(route);
 		}
 		pools.forEach((pool) -> this.pools.put(pool.name(), pool));
 	}
@@ -108,24 +107,14 @@
 	}
 
 	/**
-	 * Finds the route with the longest matching path prefix. Takes at most one look-up
-	 * for each slash of the path, regardless of the number of routes.
+	 * Finds the route with the longest matching path prefix.
 	 * @param host host named by the caller, in any case, with or without a port
 	 * @param path path without the query
 	 * @return the route, or empty if none matches
 	 */
 	public Optional<RelayRoute> route(String host, String path) {
-		Map<String, RelayRoute> routes = this.routesByHost.get(hostKey(host));
-		if (routes == null) {
-			return Optional.empty();
-		}
-		for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
-			RelayRoute route = routes.get(path.substring(0, slash + 1));
-			if (route != null) {
-				return Optional.of(route);
-			}
-		}
-		return Optional.empty();
+		HostRoutes routes = this.routesByHost.get(hostKey(host));
+		return (routes != null) ? routes.find(path) : Optional.empty();
 	}
 
 	/**
