Reject responses whose head means something else to their sender

What callers saw: a worker's answer with a status such as +200, 0200 or 999, or with a header line such as "Bad Name: v", "BadName : v", "Content-Length : 3", " Lead: v" or a folded line, came as an answer, with a name cut off, a line joined to the one before it, or with half the body, as the length was read from a name that is none.

Cause: the response decoder of the HTTP library is lenient: it parses the status as any integer, takes a blank for the end of a name, and joins a line that begins with a blank to the one before.

Change: connections to backend servers get a codec of ours in place of the client's. ResponseDecoder accepts a status of three digits from 100 to 599, a name only of the characters that RFC 9110 allows and directly followed by the colon, and no folded line, in final heads, informational heads and trailers; HeadScanner finds folded lines before the library joins them. ResponseHead takes no status from 600 on for one that may be passed on, wherever it was read.

Evidence: OddResponseHeadsTests, on an idempotent and a non-idempotent route. Each refused answer is a 502 and the next request is served. The suites on unframed, endless and odd responses hold.

Open: the client of the store and the callers' own interface still read with the lenient decoder. The store's calls compare with exact statuses.

--- a/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
+++ b/core/src/main/java/org/sardineport/core/relay/ResponseHead.java
@@ -42,6 +42,8 @@
 
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+	private static final int END_OF_STATUSES = 600;
+
 	/**
 	 * Returns whether the response is a success.
 	 * @return {@code true} if the status is 2xx
@@ -83,7 +85,8 @@
 	 * encoding and a successful response is signed
 	 */
 	public boolean isIntact() {
-		return this.status >= MIN_SUCCESS_STATUS && !this.encoded && (!isSuccess() || this.signed);
+		return this.status >= MIN_SUCCESS_STATUS && this.status < END_OF_STATUSES && !this.encoded
+				&& (!isSuccess() || this.signed);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/BackendConnection.java
@@ -67,6 +67,7 @@
 		this.lastDataAt = this.openedAt.toEpochMilli();
 		this.askedAt = (this.helper == null) ? requestedAt : this.openedAt;
 		this.sameProcessSince = this.askedAt.toEpochMilli();
+		ResponseCodec.install(this.connection);
 		ResponseParts.install(this.connection);
 		InformationalResponseFilter.install(this.connection);
 	}
