Take only an end by the sender for the end of a body without a length

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset or closed the connection while the upload was still being written. The part came as a complete answer.

Cause: to the HTTP library each end of a connection is the end of such a body. A write that fails (broken pipe or reset) closes the connection before the reset is read, and takes the error away that the next read would have seen. After a close with bytes unread, the end is read first, and the reset that follows never.

Change: an end of the connection by the server is told from all others by half-closure: only after it the body may be whole, and only if all that was written was taken by the operating system without an error (RequestWrites). In all other cases the response has broken, as one with a length that is short.

A server that reads the upload to its end and closes is passed on whole as before (UnframedResponseTests).

--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseCodec.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseCodec.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -32,13 +33,14 @@
 	 */
 	static void install(HttpClientConnection connection) {
 		Channel channel = ClientChannel.of(connection).channel();
+		// Tells an end of the connection by the server from each other one.
+		channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
 		channel.pipeline().replace(NAME, NAME, new ResponseCodec(new RequestWrites()));
 	}
 
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
-		this.writes.written(message);
-		super.write(context, message, promise);
+		super.write(context, message, this.writes.written(message, promise));
 	}
 
 }
