Reserve memory for heads and trailers before they are decoded

What callers saw: crowds of heads or trailers of thousands of short lines, or of long queries, ended the daemon's process, out of memory; a field folded over thousands of lines held it up for minutes.

Cause: the account of callers' memory was charged after a read was decoded, and not at all for 8 KB a head, for trailers, for lines between chunks, and for requests that were answered before their body was read. Connections were admitted for the whole heap beside the memory of heads and bodies, which is half of it again. The library joins a folded line to the ones before by copying them.

Change: HeadScanner follows the lines of a head or of trailers before they are decoded, and their memory is reserved first, from the first byte on, four times a byte (buffers that double, the text) and 250 bytes a line. IncompleteHeads gives up connections that hold memory for 2 s without a complete head when there is no room, or for a request that was answered already. Connections, heads and bodies share the heap. Reads from callers shrink while they bring very many parts, as those from backend servers do (ReadSize, formerly ResponseReadSize). A chunked body without a byte can be given up as well.

--- a/core/src/main/java/org/sardineport/core/relay/CallerCapacity.java
+++ b/core/src/main/java/org/sardineport/core/relay/CallerCapacity.java
@@ -13,13 +13,16 @@
 	private static final long BASE_HEAP_BYTES = 16L * 1024 * 1024;
 
 	/** Part of the rest of the heap for heads and bodies. */
-	private static final double MEMORY_SHARE = 0.4;
+	private static final double MEMORY_SHARE = 0.38;
+
+	/** Part of the rest of the heap for connections. */
+	private static final double CONNECTION_SHARE = 0.45;
 
 	/** Least memory, so that a small heap serves requests at all. */
 	private static final long MIN_MEMORY_BYTES = 2L * 1024 * 1024;
 
-	/** Memory of one connection with what was read of it and not parsed. */
-	private static final long CONNECTION_BYTES = 24L * 1024;
+	/** Memory of one connection with one read, without heads and bodies. */
+	private static final long CONNECTION_BYTES = 11L * 1024;
 
 	/** Descriptors for files, peers and backend servers. */
 	private static final int RESERVED_DESCRIPTORS = 256;
@@ -39,7 +42,8 @@
 	 */
 	public static CallerCapacity of(long heapBytes, long descriptors) {
 		long rest = Math.max(0, heapBytes - BASE_HEAP_BYTES);
-		long connections = Math.min(rest / CONNECTION_BYTES, Math.max(0, descriptors - RESERVED_DESCRIPTORS));
+		long connections = Math.min((long) (CONNECTION_SHARE * rest) / CONNECTION_BYTES,
+				Math.max(0, descriptors - RESERVED_DESCRIPTORS));
 		int auxiliary = (int) Math.max(MIN_CONNECTIONS, connections / AUXILIARY_PART);
 		int callers = (int) Math.max(MIN_CONNECTIONS, connections - (long) AUXILIARY_LISTENERS * auxiliary);
 		return new CallerCapacity(Math.max(MIN_MEMORY_BYTES, (long) (MEMORY_SHARE * rest)), callers, auxiliary);
--- a/core/src/main/java/org/sardineport/core/relay/HeadCost.java
+++ b/core/src/main/java/org/sardineport/core/relay/HeadCost.java
@@ -11,21 +11,23 @@
 	 */
 	private static final int FIELD_BYTES = 250;
 
-	/** Cost of the heads that are not counted: it is covered by that of a connection. */
-	private static final int UNCOUNTED_BYTES = 8 * 1024;
+	/**
+	 * Copies of a byte: in the buffer of what was read and in that of the line, both of
+	 * which grow by doubling, and in the text.
+	 */
+	private static final int COPIES = 4;
 
 	private HeadCost() {
 	}
 
 	/**
 	 * Returns the memory of a head, complete or not.
-	 * @param bytes bytes received
-	 * @param fields number of fields read
-	 * @return the memory to reserve, in bytes; 0 for the head of an ordinary request
+	 * @param bytes bytes received, whether decoded or not
+	 * @param lines number of lines received
+	 * @return the memory to reserve, in bytes
 	 */
-	public static long of(long bytes, int fields) {
-		long cost = bytes + (long) fields * FIELD_BYTES;
-		return (cost > UNCOUNTED_BYTES) ? cost : 0;
+	public static long of(long bytes, int lines) {
+		return COPIES * bytes + (long) lines * FIELD_BYTES;
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ConnectionLoad.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ConnectionLoad.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
-import org.sardineport.core.relay.CallerMemory;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Requests of one connection that are not answered yet, with the memory of their heads. A
@@ -22,7 +22,9 @@
 	/** Maximum number of requests that are parsed before the first is answered. */
 	private static final int MAX_UNANSWERED = 4;
 
-	private final CallerMemory memory;
+	private final IncompleteHeads incompleteHeads;
+
+	private final ReadSize readSize;
 
 	/** Memory of the heads of the unanswered requests, in the order of the requests. */
 	private final Deque<Long> heads = new ArrayDeque<>();
@@ -30,6 +32,12 @@
 	/** Memory of the head that is being read. */
 	private long incompleteHead;
 
+	/** Memory of the head of a request that was answered before its body was read. */
+	private long answeredHead;
+
+	/** Whether the body of the latest request is being read. */
+	private boolean bodyOpen;
+
 	private Runnable resume = () -> {
 	};
 
@@ -37,8 +45,21 @@
 
 	private boolean closed;
 
-	ConnectionLoad(CallerMemory memory) {
-		this.memory = memory;
+	private @Nullable ChannelHandlerContext handlerContext;
+
+	/**
+	 * Creates the load of a connection without requests.
+	 * @param incompleteHeads account of the heads of all connections
+	 * @param readSize size of the reads of the connection
+	 */
+	ConnectionLoad(IncompleteHeads incompleteHeads, ReadSize readSize) {
+		this.incompleteHeads = incompleteHeads;
+		this.readSize = readSize;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.handlerContext = context;
 	}
 
 	/**
@@ -63,24 +84,84 @@
 	}
 
 	/**
-	 * Reserves memory for the head that is being read.
-	 * @param cost its memory so far, in bytes
+	 * Reserves memory for the head, or the trailers, that are being read.
+	 * @param cost their memory so far, in bytes
 	 * @return whether there is room
 	 */
 	boolean headGrown(long cost) {
-		if (this.closed || !this.memory.tryReserve(this.incompleteHead, cost)) {
+		if (this.closed || !this.incompleteHeads.tryReserve(this, this.incompleteHead, cost)) {
 			return false;
 		}
 		this.incompleteHead = Math.max(this.incompleteHead, cost);
 		return true;
 	}
 
+	/**
+	 * Returns the memory that is reserved for heads without which no answer is missed.
+	 * @return the memory, in bytes
+	 */
+	long incompleteBytes() {
+		return this.incompleteHead + this.answeredHead;
+	}
+
+	/**
+	 * Returns whether a head is being read.
+	 * @return {@code false} before its first byte and after its end
+	 */
+	boolean isReadingHead() {
+		return this.incompleteHead > 0;
+	}
+
 	/**
 	 * Records that the head of a request is complete.
 	 */
 	void requestBegun() {
 		this.heads.add(this.incompleteHead);
 		this.incompleteHead = 0;
+		this.bodyOpen = true;
+		this.incompleteHeads.completed(this);
+	}
+
+	/**
+	 * Records that the body of a request is complete.
+	 */
+	void requestRead() {
+		lineDropped();
+		this.bodyOpen = false;
+		this.incompleteHeads.release(this.answeredHead);
+		this.answeredHead = 0;
+		this.incompleteHeads.completed(this);
+	}
+
+	/**
+	 * Releases the memory of trailers, or of a line between two chunks, which were read.
+	 */
+	void lineDropped() {
+		this.incompleteHeads.release(this.incompleteHead);
+		this.incompleteHead = 0;
+	}
+
+	/**
+	 * Closes the connection, whose request is not complete.
+	 */
+	void giveUp() {
+		release();
+		ChannelHandlerContext context = this.handlerContext;
+		if (context != null) {
+			context.close();
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.readSize.recordPart();
+		context.fireChannelRead(message);
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		this.readSize.endTurn();
+		context.fireChannelReadComplete();
 	}
 
 	@Override
@@ -96,8 +177,13 @@
 
 	private void answered(ChannelHandlerContext context) {
 		Long head = this.heads.poll();
-		if (head != null) {
-			this.memory.release(head);
+		if (head != null && this.bodyOpen && this.heads.isEmpty()) {
+			// The request is held until its body ends, which is read and dropped.
+			this.answeredHead = head;
+			this.incompleteHeads.hold(this);
+		}
+		else if (head != null) {
+			this.incompleteHeads.release(head);
 		}
 		if (this.held) {
 			this.held = false;
@@ -118,12 +204,15 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) throws Exception {
+		release();
+		super.channelInactive(context);
+	}
+
+	private void release() {
 		this.closed = true;
-		this.memory.release(this.incompleteHead);
-		this.incompleteHead = 0;
-		this.heads.forEach(this.memory::release);
+		requestRead();
+		this.heads.forEach(this.incompleteHeads::release);
 		this.heads.clear();
-		super.channelInactive(context);
 	}
 
 }
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayDaemon.java
@@ -122,11 +122,12 @@
 				BackendNotices.create(fleet, clock, telemetry), callerMemory, settings.progressLimit(),
 				StopAdmission.create(clock), ProcessLiveness.create(vertx, clock, connections, telemetry),
 				ConfirmedEnds.create(), rollouts, overload, LoopPasses.create(vertx, clock));
+		IncompleteHeads incompleteHeads = new IncompleteHeads(callerMemory, clock);
 		RelayServer server = new RelayServer(relayServices, settings.callerAddress(),
-				settings.callerCapacity().connections());
+				settings.callerCapacity().connections(), incompleteHeads);
 		this.readiness = new RelayReadiness(inForce, backendsKnown, () -> fleet.current().members().size());
 		RelayEndpoints endpoints = new RelayEndpoints(vertx, settings, ports.protocol(), fleet, random.split(),
-				this.readiness, telemetry, callerMemory, clock);
+				this.readiness, telemetry, incompleteHeads, clock);
 		fleet.reportFrom(this.readiness);
 		this.services = ServiceSequence.of(List.of(server, ports.configuration(), ports.strikes(), transport, tunnels,
 				fleet, origins, scheduling, connections, rollouts, endpoints));
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayEndpoints.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayEndpoints.java
@@ -20,7 +20,6 @@
 import org.sardineport.core.fleet.FleetView;
 import org.sardineport.core.identity.NetworkAddress;
 import org.sardineport.core.lifecycle.Service;
-import org.sardineport.core.relay.CallerMemory;
 import org.sardineport.daemon.http.Readiness;
 import org.sardineport.daemon.telemetry.PrometheusText;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -59,7 +58,7 @@
 
 	private final Telemetry telemetry;
 
-	private final CallerMemory callerMemory;
+	private final IncompleteHeads incompleteHeads;
 
 	private final InstantSource clock;
 
@@ -70,7 +69,7 @@
 	private final List<HttpServer> servers = new ArrayList<>();
 
 	RelayEndpoints(Vertx vertx, RelaySettings settings, RelayProtocol protocol, FleetView fleet, RandomGenerator random,
-			Readiness readiness, Telemetry telemetry, CallerMemory callerMemory, InstantSource clock) {
+			Readiness readiness, Telemetry telemetry, IncompleteHeads incompleteHeads, InstantSource clock) {
 		this.vertx = Objects.requireNonNull(vertx, "vertx must not be null");
 		this.settings = settings;
 		this.protocol = protocol;
@@ -78,7 +77,7 @@
 		this.selector = EntrySelector.create(settings.keepTime(), random);
 		this.readiness = readiness;
 		this.telemetry = telemetry;
-		this.callerMemory = callerMemory;
+		this.incompleteHeads = incompleteHeads;
 		this.clock = clock;
 	}
 
@@ -101,7 +100,7 @@
 		this.connections.add(opened);
 		HttpServer server = this.vertx.createHttpServer(options).connectionHandler((connection) -> {
 			if (opened.opened(connection)) {
-				StrictRequestDecoder.install(connection, options, this.callerMemory);
+				StrictRequestDecoder.install(connection, options, this.incompleteHeads);
 			}
 		}).requestHandler((request) -> {
 			opened.requestStarted(request.connection());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayExchange.java
@@ -192,7 +192,7 @@
 	 * @return the memory; none for a request that is complete
 	 */
 	MemoryHolder<RelayExchange> holder() {
-		return new MemoryHolder<>(this, isReading() ? this.body.reserved() : 0, this.body.stalledFor());
+		return new MemoryHolder<>(this, isReading() ? Math.max(1, this.body.reserved()) : 0, this.body.stalledFor());
 	}
 
 	private boolean isReading() {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -48,6 +48,8 @@
 
 	private final CallerConnections connections;
 
+	private final IncompleteHeads incompleteHeads;
+
 	private final ArrivalEstimate arrivals;
 
 	private final AtomicInteger inFlight = new AtomicInteger();
@@ -68,9 +70,10 @@
 
 	private volatile boolean served;
 
-	RelayServer(RelayServices services, NetworkAddress address, int maxConnections) {
+	RelayServer(RelayServices services, NetworkAddress address, int maxConnections, IncompleteHeads incompleteHeads) {
 		this.services = Objects.requireNonNull(services, "services must not be null");
 		this.address = Objects.requireNonNull(address, "address must not be null");
+		this.incompleteHeads = Objects.requireNonNull(incompleteHeads, "incompleteHeads must not be null");
 		this.context = services.vertx().getOrCreateContext();
 		this.arrivals = ArrivalEstimate.create(services.clock());
 		this.connections = new CallerConnections(services.clock(),
@@ -90,7 +93,7 @@
 			.setAcceptBacklog(BACKLOG);
 		HttpServer created = this.services.vertx().createHttpServer(options).connectionHandler((connection) -> {
 			if (this.connections.opened(connection)) {
-				StrictRequestDecoder.install(connection, options, this.services.callerMemory());
+				StrictRequestDecoder.install(connection, options, this.incompleteHeads);
 				this.arrivals.connected();
 				startTicks();
 			}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ResponseParts.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ResponseParts.java
@@ -42,7 +42,7 @@
 	 */
 	private static final int TRICKLE_PARTS = 16;
 
-	private final ResponseReadSize readSize;
+	private final ReadSize readSize;
 
 	/** What is passed on with the next larger part, or at the end of the turn. */
 	private @Nullable ByteBuf joined;
@@ -58,7 +58,7 @@
 	/** Whether nobody waits for more of the connection. */
 	private boolean done;
 
-	ResponseParts(ResponseReadSize readSize) {
+	ResponseParts(ReadSize readSize) {
 		this.readSize = readSize;
 	}
 
@@ -67,7 +67,7 @@
 	 * @return the handler, which does not bound the size of reads
 	 */
 	public static ChannelHandler handler() {
-		return new ResponseParts(new ResponseReadSize());
+		return new ResponseParts(ReadSize.ofResponses());
 	}
 
 	/**
@@ -76,7 +76,7 @@
 	 */
 	static void install(HttpClientConnection connection) {
 		ChannelHandlerContext client = ClientChannel.of(connection);
-		ResponseReadSize readSize = new ResponseReadSize();
+		ReadSize readSize = ReadSize.ofResponses();
 		client.channel().config().setRecvByteBufAllocator(readSize);
 		client.pipeline().addBefore(client.name(), null, new ResponseParts(readSize));
 	}
