Reject requests with header lines that are read leniently

Cause: what the decoder of responses let pass, that of requests did in part: names with blanks, and names that a blank separates from the colon.

Change: StrictRequestDecoder checks names with FieldName, in heads and trailers; such a request gets 400 and runs nowhere.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
@@ -232,6 +233,12 @@
 		buffer.skipBytes(buffer.readableBytes());
 	}
 
+	@Override
+	protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+		FieldName.check(line, start, length);
+		return super.splitHeaderName(line, start, length);
+	}
+
 	// Decodes what was left when too many requests were unanswered.
 	private void decodeAgain(Channel channel) {
 		ChannelHandlerContext context = channel.pipeline().context(this);
