Close connections whose head takes longer than the configured time

Cause: header_timeout_ms of the configuration was not read, so a head could stay incomplete for the idle timeout, 30 s by default, and hold memory.

Change: CallerLimits has the timeout, 30 s if none is configured. A check each second closes a connection that was late at the check before and still is, so that a head whose rest came while this daemon stood still is read first.

Evidence: IncompleteHeadsTests, with a clock of the test.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/RelayServer.java
@@ -150,6 +150,7 @@
 
 	private void checkCallers() {
 		this.connections.closeIdle();
+		this.incompleteHeads.closeOverdue(this.services.inForce().current().callerLimits().headTimeout());
 		List.copyOf(this.exchanges.values()).forEach(RelayExchange::checkProgress);
 		boolean found = true;
 		while (found && this.services.callerMemory().isShort()) {
