Wait for the end of a process as long for answers as for streams

Cause: an answer that ends with its connection was judged after 100 ms, and a lost packet, which may be the end of another connection, is sent again after 200 ms at the earliest.

Change: one window of 300 ms for all responses without a stated end, which streams had. An answer on another connection to the process decides earlier, as before.

--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -442,7 +442,7 @@
 		}
 		this.silenceWatch.stop();
 		this.endedAtMillis = this.clock.millis();
-		this.liveness.endOf(this.plan.server(), connection, isStream(responseHead)).onSuccess(this::judge);
+		this.liveness.endOf(this.plan.server(), connection).onSuccess(this::judge);
 	}
 
 	private void judge(ResponseEnd end) {
--- a/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ProcessLiveness.java
@@ -30,11 +30,11 @@
 	 */
 	private static final Duration OPENING_WINDOW = Duration.ofMillis(300);
 
-	/** Maximum time that the whole answer to a request waits. */
-	private static final Duration ANSWER_WINDOW = Duration.ofMillis(100);
-
-	/** Maximum time that the end of a stream waits, whose events are passed on. */
-	private static final Duration STREAM_WINDOW = CrashDetector.WINDOW;
+	/**
+	 * Maximum time that the end of a response waits. Longer than a lost packet, which may
+	 * be the end of another connection, takes to be sent again.
+	 */
+	private static final Duration WINDOW = CrashDetector.WINDOW;
 
 	private final Vertx vertx;
 
@@ -87,30 +87,27 @@
 	 * the other connections stay open.
 	 * @param server the backend server
 	 * @param ended the connection
-	 * @param stream whether the response is a stream
 	 * @return how it ended; never fails
 	 */
-	Future<ResponseEnd> endOf(BackendServer server, BackendConnection ended, boolean stream) {
+	Future<ResponseEnd> endOf(BackendServer server, BackendConnection ended) {
 		if (ended.helper() != null) {
 			return Future.succeededFuture(ResponseEnd.CLOSED_BY_HELPER);
 		}
 		long endedAt = ended.closedAt(this.clock.millis());
-		Duration window = stream ? STREAM_WINDOW : ANSWER_WINDOW;
 		return this.connections.ongoingCheck(server)
 			.timeout(OPENING_WINDOW.toMillis(), TimeUnit.MILLISECONDS)
 			.otherwiseEmpty()
-			.compose((ignored) -> lookAtOthers(server.process(), ended, endedAt, window));
+			.compose((ignored) -> lookAtOthers(server.process(), ended, endedAt));
 	}
 
-	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, long endedAt,
-			Duration window) {
+	private Future<ResponseEnd> lookAtOthers(BackendProcess process, BackendConnection ended, long endedAt) {
 		List<BackendConnection> others = this.connections
 			.others(process, ended, endedAt - CrashDetector.WINDOW.toMillis())
 			.stream()
 			.filter((each) -> ended.isOfSameProcess(each) && isOpenedInTime(each, endedAt))
 			.toList();
 		Promise<ResponseEnd> result = Promise.promise();
-		look(new ProcessWatch(process, others, this.clock.millis(), window), result);
+		look(new ProcessWatch(process, others, this.clock.millis(), WINDOW), result);
 		return result.future();
 	}
 
--- a/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
+++ b/daemon/src/test/java/org/sardineport/daemon/relay/ProcessLivenessTests.java
@@ -159,7 +159,7 @@
 		this.passed = time;
 		return onContext(() -> {
 			this.liveness.observe(this.server, ended);
-			return this.liveness.endOf(this.server, ended, true);
+			return this.liveness.endOf(this.server, ended);
 		});
 	}
 
@@ -293,7 +293,7 @@
 		await(() -> onContext(() -> Future.succeededFuture(response.isClosedByServer())));
 		assertThat(onContext(() -> {
 			this.liveness.observe(this.lasting, response);
-			return this.liveness.endOf(this.lasting, response, true);
+			return this.liveness.endOf(this.lasting, response);
 		})).isEqualTo(ResponseEnd.CLOSED);
 		await(() -> onContext(() -> Future.succeededFuture(this.connections.isCarriedBy(HELPER))));
 	}
@@ -344,7 +344,7 @@
 		observeLimited(response);
 		this.accepted.get(RESPONSE).close();
 		await(() -> onContext(() -> Future.succeededFuture(response.isClosedByServer())));
-		assertThat(onContext(() -> this.liveness.endOf(this.limited, response, true)))
+		assertThat(onContext(() -> this.liveness.endOf(this.limited, response)))
 			.isEqualTo(ResponseEnd.CLOSED_BY_LIVE_PROCESS);
 	}
 
@@ -413,7 +413,7 @@
 
 	private ResponseEnd endOf(BackendConnection response) throws Exception {
 		close(RESPONSE);
-		return onContext(() -> this.liveness.endOf(this.lasting, response, true));
+		return onContext(() -> this.liveness.endOf(this.lasting, response));
 	}
 
 	private void close(int accepted) throws Exception {
