--- a/daemon/src/main/java/org/sardineport/daemon/relay/ConnectionLoad.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/ConnectionLoad.java
@@ -97,7 +97,8 @@
 	}
 
 	/**
-	 * Returns the memory that is reserved for heads without which no answer is missed.
+	 * Returns the memory that a close of the connection would free without the loss of an
+	 * answer.
 	 * @return the memory, in bytes
 	 */
 	long incompleteBytes() {
@@ -126,7 +127,7 @@
 	 * Records that the body of a request is complete.
 	 */
 	void requestRead() {
-		lineDropped();
+		releaseLine();
 		this.bodyOpen = false;
 		this.incompleteHeads.release(this.answeredHead);
 		this.answeredHead = 0;
@@ -136,7 +137,7 @@
 	/**
 	 * Releases the memory of trailers, or of a line between two chunks, which were read.
 	 */
-	void lineDropped() {
+	void releaseLine() {
 		this.incompleteHeads.release(this.incompleteHead);
 		this.incompleteHead = 0;
 	}
--- a/daemon/src/main/java/org/sardineport/daemon/relay/IncompleteHeads.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/IncompleteHeads.java
@@ -28,7 +28,7 @@
 
 	private final InstantSource clock;
 
-	/** Times in milliseconds. */
+	/** When each connection began to hold such memory, in milliseconds of the clock. */
 	private final Map<ConnectionLoad, Long> begunAt = new HashMap<>();
 
 	/** Those that were too late at the latest check. */
--- a/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/StrictRequestDecoder.java
@@ -190,7 +190,7 @@
 			return;
 		}
 		if (decodeNext(context, buffer, out) > 0) {
-			this.load.lineDropped();
+			this.load.releaseLine();
 			this.trailers = (this.lastChunk && this.insideBody) ? HeadScanner.ofTrailers() : null;
 		}
 		else if (buffer.readableBytes() > SMALL_CHUNK_LINE_BYTES
