Log who owns a backend server's permits, and which owners are taken for silent

scheduling.ownership (backend-server, owned), scheduling.owner-silent (owner) and a counter of the latter. No decision changes.

--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -368,6 +368,7 @@
 		}
 		else if (owner != null) {
 			this.routing.markUnresponsive(owner);
+			this.effects.recordSilentOwner(owner);
 			withdraw(pending);
 			retry(pending, RetryReason.OWNER_SILENT, true);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
@@ -7,13 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 
 import org.sardineport.core.admission.RunEnd;
 import org.sardineport.core.admission.RunMeasurement;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
-import org.sardineport.core.capacity.CapacityChange;
 import org.sardineport.core.identity.BackendServerId;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.routing.ServerState;
@@ -35,7 +33,7 @@
 
 	private final MessageOutbox outbox;
 
-	private final BiConsumer<BackendServerId, CapacityChange> capacityListener;
+	private final SchedulingEffects effects;
 
 	private final DigestSubscriptions subscriptions = new DigestSubscriptions();
 
@@ -49,16 +47,15 @@
 	 * @param limits its limits
 	 * @param directory determines which backend servers this daemon owns
 	 * @param outbox outbox for replies and digests to entries
-	 * @param capacityListener receives each change of the learned capacity of a backend
-	 * server
+	 * @param effects receives what this daemon decides as an owner
 	 */
 	OwnerScheduler(DaemonId self, SchedulingLimits limits, PoolDirectory directory, MessageOutbox outbox,
-			BiConsumer<BackendServerId, CapacityChange> capacityListener) {
+			SchedulingEffects effects) {
 		this.self = self;
 		this.limits = limits;
 		this.directory = directory;
 		this.outbox = outbox;
-		this.capacityListener = capacityListener;
+		this.effects = effects;
 	}
 
 	/**
@@ -73,6 +70,7 @@
 				this.owners.remove(id);
 				this.subscriptions.remove(id);
 				owner.resign(now);
+				this.effects.recordOwnership(id, false);
 			}
 		}
 		this.directory.owned().forEach((server) -> takeOwnership(server, now));
@@ -92,6 +90,9 @@
 		if (former != null) {
 			former.handOver(owner, now);
 		}
+		else {
+			this.effects.recordOwnership(server.id(), true);
+		}
 	}
 
 	private ServerModel model(BackendServer server, long now) {
@@ -185,7 +186,8 @@
 	void tick(long now) {
 		for (PermitOwner owner : this.owners.values()) {
 			owner.tick(now);
-			owner.takeCapacityChanges().forEach((change) -> this.capacityListener.accept(owner.server().id(), change));
+			owner.takeCapacityChanges()
+				.forEach((change) -> this.effects.recordCapacity(owner.server().id(), change));
 		}
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -84,7 +84,7 @@
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
 				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
-		this.owner = new OwnerScheduler(self, limits, this.directory, this::send, effects::recordCapacity);
+		this.owner = new OwnerScheduler(self, limits, this.directory, this::send, effects);
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
@@ -51,6 +51,23 @@
 	default void recordCapacity(BackendServerId server, CapacityChange change) {
 	}
 
+	/**
+	 * Records that this daemon now grants the permits of a backend server, or no longer
+	 * does.
+	 * @param server the backend server
+	 * @param owned whether it is owned from now on
+	 */
+	default void recordOwnership(BackendServerId server, boolean owned) {
+	}
+
+	/**
+	 * Records that an owner does not reply at all, so that its backend servers are
+	 * avoided for a while.
+	 * @param owner the owner
+	 */
+	default void recordSilentOwner(DaemonId owner) {
+	}
+
 	/**
 	 * Returns the effects of the quarantine. Called once, when the scheduler is created.
 	 * @return the effects; by default events and strikes are discarded
--- a/core/src/test/java/org/sardineport/core/scheduling/OwnerSchedulerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/OwnerSchedulerTests.java
@@ -18,6 +18,7 @@
 import org.sardineport.core.identity.OrganisationId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.request.Fingerprint;
+import org.sardineport.core.request.RetryReason;
 import org.sardineport.core.request.RunningPolicy;
 import org.sardineport.core.request.Tier;
 import org.sardineport.core.request.TokenEstimate;
@@ -47,8 +48,7 @@
 	private final OwnerScheduler scheduler = new OwnerScheduler(SELF, this.limits, this.directory, (to, message) -> {
 		this.receivers.add(to);
 		this.sent.add(message);
-	}, (server, change) -> {
-	});
+	}, new NoEffects());
 
 	private DaemonId currentOwner = SELF;
 
@@ -134,4 +134,19 @@
 		assertThat(this.receivers).isEmpty();
 	}
 
+	/**
+	 * Discards all effects.
+	 */
+	private static final class NoEffects implements SchedulingEffects {
+
+		@Override
+		public void send(DaemonId to, SchedulingMessage message) {
+		}
+
+		@Override
+		public void recordRetry(RetryReason reason) {
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -412,6 +412,17 @@
 					"reason", change.reason().label());
 		}
 
+		@Override
+		public void recordOwnership(BackendServerId server, boolean owned) {
+			LOG.info("scheduling.ownership", "backend-server", server, "owned", owned);
+		}
+
+		@Override
+		public void recordSilentOwner(DaemonId owner) {
+			SchedulingService.this.telemetry.counter("scheduling.silent-owners").inc();
+			LOG.info("scheduling.owner-silent", "owner", owner);
+		}
+
 		@Override
 		public QuarantineEffects quarantine() {
 			return SchedulingService.this.quarantine;
