Let daemons with much processor time own busy backend servers and limits

Each request of a backend server costs its owner some three messages, and the owner was any daemon of the server's failure domain.

Daemons state the processor time that they may use with their membership. Backend servers with short runs, and organisations' limits, belong to daemons with at least half of the most of their failure domain or the fleet, by rendezvous hashing among these. Backend servers with long runs are spread over all daemons as before. A daemon of an earlier version states nothing; until all eligible daemons state their processor time none is preferred, so that old and new versions agree on owners.

--- a/core/src/main/java/org/sardineport/core/fleet/Member.java
+++ b/core/src/main/java/org/sardineport/core/fleet/Member.java
@@ -23,10 +23,12 @@
  * @param load share of its capacity in use, 0 to 100, as last reported
  * @param lateness by how much it is late for what is due, for want of processor time, as
  * last reported
+ * @param processorPercent processor time that it may use, in percent of a core; 0 if it
+ * is not known
  */
 public record Member(DaemonId id, long incarnation, MemberStatus status, FailureDomain failureDomain,
 		NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load,
-		Duration lateness) {
+		Duration lateness, int processorPercent) {
 
 	/**
 	 * Maximum lateness that is reported, so that a declaration of death is not delayed
@@ -44,10 +46,13 @@
 		Objects.requireNonNull(peerAddress, "peerAddress must not be null");
 		Objects.requireNonNull(callerAddress, "callerAddress must not be null");
 		Objects.requireNonNull(lateness, "lateness must not be null");
+		if (processorPercent < 0) {
+			throw new IllegalArgumentException("processorPercent must not be negative, found " + processorPercent);
+		}
 	}
 
 	/**
-	 * Creates a member that is not late.
+	 * Creates a member that is not late and whose processor time is not known.
 	 * @param id name of the daemon
 	 * @param incarnation number that increases each time the process starts or refutes a
 	 * suspicion
@@ -61,7 +66,7 @@
 	public Member(DaemonId id, long incarnation, MemberStatus status, FailureDomain failureDomain,
 			NetworkAddress peerAddress, NetworkAddress callerAddress, long configurationVersion, int load) {
 		this(id, incarnation, status, failureDomain, peerAddress, callerAddress, configurationVersion, load,
-				Duration.ZERO);
+				Duration.ZERO, 0);
 	}
 
 	/**
@@ -71,7 +76,7 @@
 	 */
 	public Member withStatus(MemberStatus other) {
 		return new Member(this.id, this.incarnation, other, this.failureDomain, this.peerAddress, this.callerAddress,
-				this.configurationVersion, this.load, this.lateness);
+				this.configurationVersion, this.load, this.lateness, this.processorPercent);
 	}
 
 	/**
@@ -81,7 +86,7 @@
 	 */
 	public Member withIncarnation(long other) {
 		return new Member(this.id, other, this.status, this.failureDomain, this.peerAddress, this.callerAddress,
-				this.configurationVersion, this.load, this.lateness);
+				this.configurationVersion, this.load, this.lateness, this.processorPercent);
 	}
 
 	/**
@@ -92,7 +97,7 @@
 	 */
 	public Member withReport(long otherVersion, int otherLoad) {
 		return new Member(this.id, this.incarnation, this.status, this.failureDomain, this.peerAddress,
-				this.callerAddress, otherVersion, otherLoad, this.lateness);
+				this.callerAddress, otherVersion, otherLoad, this.lateness, this.processorPercent);
 	}
 
 	/**
@@ -102,7 +107,17 @@
 	 */
 	public Member withLateness(Duration other) {
 		return new Member(this.id, this.incarnation, this.status, this.failureDomain, this.peerAddress,
-				this.callerAddress, this.configurationVersion, this.load, other);
+				this.callerAddress, this.configurationVersion, this.load, other, this.processorPercent);
+	}
+
+	/**
+	 * Returns this member with another amount of processor time.
+	 * @param other the time that it may use, in percent of a core; 0 if it is not known
+	 * @return a copy
+	 */
+	public Member withProcessorPercent(int other) {
+		return new Member(this.id, this.incarnation, this.status, this.failureDomain, this.peerAddress,
+				this.callerAddress, this.configurationVersion, this.load, this.lateness, other);
 	}
 
 	// Written out for faster start-up, see the package core.identity.
@@ -110,7 +125,8 @@
 	public boolean equals(@Nullable Object other) {
 		return other instanceof Member that && this.incarnation == that.incarnation
 				&& this.configurationVersion == that.configurationVersion && this.load == that.load
-				&& this.lateness.equals(that.lateness) && this.status == that.status && this.id.equals(that.id)
+				&& this.processorPercent == that.processorPercent && this.lateness.equals(that.lateness)
+				&& this.status == that.status && this.id.equals(that.id)
 				&& this.failureDomain.equals(that.failureDomain) && this.peerAddress.equals(that.peerAddress)
 				&& this.callerAddress.equals(that.callerAddress);
 	}
--- a/core/src/main/java/org/sardineport/core/membership/Peer.java
+++ b/core/src/main/java/org/sardineport/core/membership/Peer.java
@@ -65,7 +65,8 @@
 	}
 
 	/**
-	 * Replaces the state by an update that supersedes it.
+	 * Replaces the state by an update that supersedes it. What a daemon said of its
+	 * processor stays known if another one passed the update on without it.
 	 * @param update the update received
 	 * @param now the current time
 	 */
@@ -73,7 +74,8 @@
 		if (update.status() != status()) {
 			this.statusSince = now;
 		}
-		this.member = update;
+		this.member = (update.processorPercent() == 0 && update.peerAddress().equals(this.member.peerAddress()))
+				? update.withProcessorPercent(this.member.processorPercent()) : update;
 		this.locallySuspectedAt = null;
 		boolean suspected = update.status() == MemberStatus.SUSPECT;
 		this.suspectedAt = (suspected) ? now : null;
@@ -92,6 +94,9 @@
 		if (version != this.member.configurationVersion() || load != this.member.load()) {
 			this.member = this.member.withReport(version, load);
 		}
+		if (update.processorPercent() > this.member.processorPercent()) {
+			this.member = this.member.withProcessorPercent(update.processorPercent());
+		}
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/ownership/OwnerTable.java
+++ b/core/src/main/java/org/sardineport/core/ownership/OwnerTable.java
@@ -20,8 +20,8 @@
  * Owners of backend servers as {@link Ownership} assigns them, kept from one view of the
  * fleet to the next. A daemon that joins is compared with the present owner of each
  * backend server, and one that leaves changes only what it owned, so that a change does
- * not cost the product of backend servers and daemons. Not safe for use by several
- * threads.
+ * not cost the product of backend servers and daemons, unless the daemon with most
+ * processor time changes. Not safe for use by several threads.
  */
 public final class OwnerTable {
 
@@ -35,6 +35,8 @@
 
 	private Set<DaemonId> left = Set.of();
 
+	private ProcessorSizes sizes = ProcessorSizes.UNKNOWN;
+
 	private long view;
 
 	private long comparisons;
@@ -87,7 +89,14 @@
 				removed.add(id);
 			}
 		});
-		this.entries.values().removeIf((entry) -> entry.view() < this.view);
+		ProcessorSizes newSizes = ProcessorSizes.of(newMembers);
+		if (newSizes.equals(this.sizes)) {
+			this.entries.values().removeIf((entry) -> entry.view() < this.view);
+		}
+		else {
+			this.entries.clear();
+		}
+		this.sizes = newSizes;
 		this.members = newMembers;
 		this.eligible = next;
 		this.joined = added;
@@ -102,7 +111,7 @@
 		for (Member member : isKept ? this.joined : Objects.requireNonNull(this.members, "members must be set")) {
 			if (member.status().isEligible()) {
 				this.comparisons++;
-				Ownership.Scored candidate = Ownership.scored(server, member);
+				Ownership.Scored candidate = Ownership.scored(server, member, this.sizes);
 				best = (best == null || Ownership.Scored.ORDER.compare(candidate, best) < 0) ? candidate : best;
 			}
 		}
--- a/core/src/main/java/org/sardineport/core/ownership/Ownership.java
+++ b/core/src/main/java/org/sardineport/core/ownership/Ownership.java
@@ -1,6 +1,5 @@
 package org.sardineport.core.ownership;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -12,14 +11,14 @@
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.fleet.Member;
 import org.sardineport.core.identity.DaemonId;
-import org.sardineport.core.identity.FailureDomain;
 
 /**
  * Assigns backend servers to eligible daemons by rendezvous hashing. Each daemon has a
  * score for each backend server, and the daemon with the highest score is the owner.
- * Daemons in the failure domain of the backend server take precedence over all others.
- * When a daemon joins or leaves, only the backend servers that it gains or loses change
- * their owner.
+ * Daemons in the failure domain of the backend server take precedence over all others,
+ * and among them, for a backend server with short runs, those with much processor time:
+ * each of its requests costs the owner several messages. When a daemon joins or leaves,
+ * only the backend servers that it gains or loses change their owner.
  *
  * <p>
  * Ownership is a hint that avoids waste and no guarantee. While the membership views of
@@ -40,7 +39,7 @@
 	 */
 	public static Optional<Member> owner(BackendServer server, Collection<Member> members) {
 		Objects.requireNonNull(server, "server must not be null");
-		return rank(server.failureDomain(), server.id().value(), members, 1).stream().findFirst();
+		return successors(server, members, 1).stream().findFirst();
 	}
 
 	/**
@@ -53,21 +52,33 @@
 	 */
 	public static List<Member> successors(BackendServer server, Collection<Member> members, int maximum) {
 		Objects.requireNonNull(server, "server must not be null");
-		return rank(server.failureDomain(), server.id().value(), members, maximum);
+		if (maximum < 1) {
+			throw new IllegalArgumentException("maximum must be at least 1, found %d".formatted(maximum));
+		}
+		ProcessorSizes sizes = ProcessorSizes.of(members);
+		return members.stream()
+			.filter((member) -> member.status().isEligible())
+			.map((member) -> scored(server, member, sizes))
+			.sorted(Scored.ORDER)
+			.limit(maximum)
+			.map(Scored::member)
+			.toList();
 	}
 
 	/**
 	 * Returns the owner of a fleet-wide resource with a key, such as the quota of an
-	 * organisation. No failure domain takes precedence.
+	 * organisation. Daemons with much processor time take precedence, as all others send
+	 * messages to the owner; no failure domain does.
 	 * @param key the key
 	 * @param members the known daemons, in any order; ineligible ones are ignored
 	 * @return the owner, or empty if no daemon is eligible
 	 */
 	public static Optional<Member> ownerOfKey(String key, Collection<Member> members) {
 		Objects.requireNonNull(key, "key must not be null");
+		ProcessorSizes sizes = ProcessorSizes.of(members);
 		return members.stream()
 			.filter((member) -> member.status().isEligible())
-			.map((member) -> new Scored(member, true, score(key, member.id())))
+			.map((member) -> new Scored(member, true, sizes.isLargeInFleet(member), score(key, member.id())))
 			.min(Scored.ORDER)
 			.map(Scored::member);
 	}
@@ -91,31 +102,16 @@
 	public static List<Member> rankingOfAll(String key, Collection<Member> members) {
 		Objects.requireNonNull(key, "key must not be null");
 		return members.stream()
-			.map((member) -> new Scored(member, true, score(key, member.id())))
+			.map((member) -> new Scored(member, true, true, score(key, member.id())))
 			.sorted(Scored.ORDER)
 			.map(Scored::member)
 			.toList();
 	}
 
-	private static List<Member> rank(FailureDomain preferred, String key, Collection<Member> members, int maximum) {
-		if (maximum < 1) {
-			throw new IllegalArgumentException("maximum must be at least 1, found %d".formatted(maximum));
-		}
-		List<Scored> scored = new ArrayList<>(members.size());
-		for (Member member : members) {
-			if (member.status().isEligible()) {
-				scored.add(scored(preferred, key, member));
-			}
-		}
-		return scored.stream().sorted(Scored.ORDER).limit(maximum).map(Scored::member).toList();
-	}
-
-	static Scored scored(BackendServer server, Member member) {
-		return scored(server.failureDomain(), server.id().value(), member);
-	}
-
-	private static Scored scored(FailureDomain preferred, String key, Member member) {
-		return new Scored(member, member.failureDomain().equals(preferred), score(key, member.id()));
+	static Scored scored(BackendServer server, Member member, ProcessorSizes sizes) {
+		boolean local = member.failureDomain().equals(server.failureDomain());
+		boolean large = !server.kind().hasShortRuns() || sizes.isLargeInDomain(member);
+		return new Scored(member, local, large, score(server.id().value(), member.id()));
 	}
 
 	private static long score(String key, DaemonId daemon) {
@@ -127,11 +123,13 @@
 	 *
 	 * @param member the daemon
 	 * @param local whether it is in the preferred failure domain
+	 * @param large whether it has as much processor time as preferred
 	 * @param score the score, an unsigned number
 	 */
-	record Scored(Member member, boolean local, long score) {
+	record Scored(Member member, boolean local, boolean large, long score) {
 
 		static final Comparator<Scored> ORDER = Comparator.comparing((Scored scored) -> !scored.local())
+			.thenComparing((scored) -> !scored.large())
 			.thenComparing((first, second) -> Long.compareUnsigned(second.score(), first.score()))
 			.thenComparing((scored) -> scored.member().id());
 
--- a/core/src/test/java/org/sardineport/core/ownership/OwnerTableTests.java
+++ b/core/src/test/java/org/sardineport/core/ownership/OwnerTableTests.java
@@ -21,6 +21,8 @@
 
 	private static final NetworkAddress ADDRESS = NetworkAddress.of("10.0.0.1", 1);
 
+	private static final int[] PROCESSORS = { 0, 25, 25, 25, 36, 150 };
+
 	private final OwnerTable table = OwnerTable.create();
 
 	private static Member member(int number, int domain, MemberStatus status) {
@@ -66,6 +68,32 @@
 		}
 	}
 
+	// Daemons of unlike processors join, leave, and do not all state theirs at times.
+	@Test
+	void ownersAreThoseOfOwnershipWhateverProcessorsChange() {
+		SplittableRandom random = new SplittableRandom(7);
+		List<BackendServer> servers = plainServers(40);
+		List<Member> members = members(12).stream().map((member) -> member.withProcessorPercent(25)).toList();
+		for (int change = 0; change < 300; change++) {
+			members = new ArrayList<>(members);
+			int changed = random.nextInt(members.size());
+			MemberStatus[] statuses = MemberStatus.values();
+			members.set(changed, member(changed, random.nextInt(5), statuses[random.nextInt(statuses.length)])
+				.withProcessorPercent(PROCESSORS[random.nextInt(PROCESSORS.length)]));
+			int from = random.nextInt(servers.size());
+			lookUpAll(servers.subList(from, servers.size()), members);
+		}
+	}
+
+	private static List<BackendServer> plainServers(int count) {
+		List<BackendServer> servers = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			servers.add(new BackendServer(BackendServerId.of("server-" + i), BackendKind.PLAIN_SERVICE,
+					PoolName.of("pool"), FailureDomain.of("d" + i % 6), ADDRESS, 6));
+		}
+		return servers;
+	}
+
 	@Test
 	void nobodyOwnsAServerWithoutEligibleDaemons() {
 		List<BackendServer> servers = servers(3);
--- a/core/src/test/java/org/sardineport/core/ownership/OwnershipTests.java
+++ b/core/src/test/java/org/sardineport/core/ownership/OwnershipTests.java
@@ -76,6 +76,61 @@
 		}
 	}
 
+	private static BackendServer plainServer(int number) {
+		return new BackendServer(BackendServerId.of("worker-" + number), BackendKind.PLAIN_SERVICE,
+				PoolName.of("dictionary"), FailureDomain.of(DOMAINS.get(number % 3)),
+				NetworkAddress.of("10.0.1.1", 1 + number), 8);
+	}
+
+	// 30 daemons, two in each failure domain with six times the processor of the others.
+	private static List<Member> unlikeMembers() {
+		return members(30).stream()
+			.map((member) -> member.withProcessorPercent((member.peerAddress().port() <= 6) ? 150 : 25))
+			.toList();
+	}
+
+	// SHORT: the permits of a busy backend server were granted by a VM of a quarter core.
+	@Test
+	void serversWithShortRunsBelongToDaemonsWithMuchProcessorTime() {
+		for (int i = 0; i < 100; i++) {
+			Member owner = Ownership.owner(plainServer(i), unlikeMembers()).orElseThrow();
+			assertThat(owner.processorPercent()).isEqualTo(150);
+			assertThat(owner.failureDomain()).isEqualTo(plainServer(i).failureDomain());
+		}
+	}
+
+	@Test
+	void otherServersAreSpreadOverAllDaemons() {
+		assertThat(owners(100, unlikeMembers())).isEqualTo(owners(100, members(30)));
+	}
+
+	@Test
+	void limitsBelongToDaemonsWithMuchProcessorTime() {
+		for (int i = 0; i < 100; i++) {
+			assertThat(Ownership.ownerOfKey("organisation-" + i, unlikeMembers()).orElseThrow().processorPercent())
+				.isEqualTo(150);
+		}
+	}
+
+	// A daemon of an earlier version states nothing, and knows nothing of the rule.
+	@Test
+	void processorsDoNotCountUntilAllDaemonsStateTheirs() {
+		List<Member> mixed = new ArrayList<>(unlikeMembers());
+		mixed.set(20, mixed.get(20).withProcessorPercent(0));
+		for (int i = 0; i < 100; i++) {
+			assertThat(Ownership.owner(plainServer(i), mixed).orElseThrow().id())
+				.isEqualTo(Ownership.owner(server(i), members(30)).orElseThrow().id());
+		}
+	}
+
+	@Test
+	void smallDaemonsTakeOverIfTheLargeOnesOfADomainLeave() {
+		List<Member> left = unlikeMembers().stream()
+			.map((member) -> (member.processorPercent() > 25) ? member.withStatus(MemberStatus.LEAVING) : member)
+			.toList();
+		assertThat(Ownership.owner(plainServer(0), left).orElseThrow().processorPercent()).isEqualTo(25);
+	}
+
 	@Test
 	void fallsBackToOtherFailureDomains() {
 		List<Member> elsewhere = members(8).stream()
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetService.java
@@ -119,7 +119,8 @@
 		this.reporter = new MembershipReporter(transport, telemetry, this.backends, clock);
 		Member self = new Member(settings.daemon(), incarnation, MemberStatus.ALIVE, settings.failureDomain(),
 				settings.peerAddress(), settings.callerAddress(), this.selfReport.configurationVersion(),
-				this.selfReport.load());
+				this.selfReport.load())
+			.withProcessorPercent(settings.processorPercent());
 		this.membership = Membership.create(self, timing(settings.membership()), clock,
 				new SplittableRandom(settings.daemon().hashCode() ^ incarnation), this.reporter);
 		this.membership.contacts(this.seeds);
--- a/daemon/src/main/java/org/sardineport/daemon/fleet/FleetSettings.java
+++ b/daemon/src/main/java/org/sardineport/daemon/fleet/FleetSettings.java
@@ -18,10 +18,12 @@
  * @param callerAddress address for requests from callers
  * @param seeds addresses of daemons to contact for joining, besides those on the VM list;
  * may be empty
+ * @param processorPercent processor time that the daemon may use, in percent of a core; 0
+ * if it is not known
  * @param membership intervals and timeouts of the membership protocol
  */
 public record FleetSettings(DaemonId daemon, FailureDomain failureDomain, NetworkAddress peerAddress,
-		NetworkAddress callerAddress, List<NetworkAddress> seeds, MembershipSettings membership) {
+		NetworkAddress callerAddress, List<NetworkAddress> seeds, int processorPercent, MembershipSettings membership) {
 
 	/**
 	 * Creates the settings with a copy of the seeds.
@@ -42,7 +44,7 @@
 	 */
 	public static FleetSettings of(DaemonSettings settings) {
 		return new FleetSettings(settings.daemon(), settings.failureDomain(), settings.peerAddress(),
-				settings.callerAddress(), settings.seeds(), settings.membership());
+				settings.callerAddress(), settings.seeds(), 0, settings.membership());
 	}
 
 }
--- a/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MemberUpdate.java
@@ -427,6 +427,44 @@
     latenessMillis_ = 0;
   }
 
+  public static final int PROCESSOR_PERCENT_FIELD_NUMBER = 12;
+  private int processorPercent_;
+  /**
+   * <pre>
+   * Processor time that it may use, in percent of a core; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 12;</code>
+   * @return The processorPercent.
+   */
+  @java.lang.Override
+  public int getProcessorPercent() {
+    return processorPercent_;
+  }
+  /**
+   * <pre>
+   * Processor time that it may use, in percent of a core; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 12;</code>
+   * @param value The processorPercent to set.
+   */
+  private void setProcessorPercent(int value) {
+    
+    processorPercent_ = value;
+  }
+  /**
+   * <pre>
+   * Processor time that it may use, in percent of a core; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 12;</code>
+   */
+  private void clearProcessorPercent() {
+
+    processorPercent_ = 0;
+  }
+
   public static org.sardineport.wire.message.MemberUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -951,6 +989,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Processor time that it may use, in percent of a core; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 12;</code>
+     * @return The processorPercent.
+     */
+    @java.lang.Override
+    public int getProcessorPercent() {
+      return instance.getProcessorPercent();
+    }
+    /**
+     * <pre>
+     * Processor time that it may use, in percent of a core; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 12;</code>
+     * @param value The processorPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProcessorPercent(int value) {
+      copyOnWrite();
+      instance.setProcessorPercent(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Processor time that it may use, in percent of a core; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProcessorPercent() {
+      copyOnWrite();
+      instance.clearProcessorPercent();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.MemberUpdate)
   }
   @java.lang.Override
@@ -978,11 +1056,12 @@
             "configurationVersion_",
             "loadPercent_",
             "latenessMillis_",
+            "processorPercent_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u0003" +
-              "\u0003\f\u0004\u0208\u0005\u0208\u0006\u000b\u0007\u0208\b\u000b\t\u0010\n\u000b" +
-              "\u000b\u000b";
+              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0208\u0002\u0003\u0003\f" +
+              "\u0004\u0208\u0005\u0208\u0006\u000b\u0007\u0208\b\u000b\t\u0010\n\u000b\u000b\u000b" +
+              "\f\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/MemberUpdateOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/MemberUpdateOrBuilder.java
@@ -108,4 +108,14 @@
    * @return The latenessMillis.
    */
   int getLatenessMillis();
+
+  /**
+   * <pre>
+   * Processor time that it may use, in percent of a core; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 12;</code>
+   * @return The processorPercent.
+   */
+  int getProcessorPercent();
 }
--- a/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/transport/MembershipCodec.java
@@ -137,7 +137,8 @@
 			.setCallerPort(member.callerAddress().port())
 			.setConfigurationVersion(member.configurationVersion())
 			.setLoadPercent(member.load())
-			.setLatenessMillis(Math.toIntExact(member.lateness().toMillis()));
+			.setLatenessMillis(Math.toIntExact(member.lateness().toMillis()))
+			.setProcessorPercent(member.processorPercent());
 		if (!member.id().value().equals(envelope.getSender())) {
 			update.setDaemon(member.id().value());
 		}
@@ -159,7 +160,8 @@
 		String callerIp = (update.getCallerIp().isEmpty()) ? peer.ip() : update.getCallerIp();
 		return new Member(DaemonId.of(id), update.getIncarnation(), decodeStatus(update.getState()),
 				FailureDomain.of(update.getFailureDomain()), peer, NetworkAddress.of(callerIp, update.getCallerPort()),
-				update.getConfigurationVersion(), update.getLoadPercent(), decodeLateness(update));
+				update.getConfigurationVersion(), update.getLoadPercent(), decodeLateness(update),
+				Math.max(0, update.getProcessorPercent()));
 	}
 
 	private static Duration decodeLateness(MemberUpdate update) {
--- a/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/transport/MembershipCodecTests.java
@@ -116,6 +116,13 @@
 		assertThat(decoded.updates().members().get(0).lateness()).isEqualTo(Duration.ofMillis(received));
 	}
 
+	@Test
+	void keepsTheProcessorTime() throws Exception {
+		Member large = member(MemberStatus.ALIVE).withProcessorPercent(150);
+		MembershipMessage decoded = roundTrip(new ProbeRequest(1, GossipUpdates.of(large)));
+		assertThat(decoded.updates().members().get(0).processorPercent()).isEqualTo(150);
+	}
+
 	private MembershipMessage roundTrip(MembershipMessage message)
 			throws InvalidProtocolBufferException, MalformedMessageException {
 		Envelope.Builder envelope = Envelope.newBuilder();
