Count permits as places by what backend servers state, and pace their starts

A permit counted as a place of its server for at least half of the time that it was out. Entries that read responses late make runs seem longer, with the same effect.

Releases tell what the server stated of its load when it responded; the mean of that against the permits that were out is the share that counts, down to a tenth. Permits that were returned unused count as well. Beyond the plain number of places, starts are paced by the time that a request is on the server.

--- a/core/src/main/java/org/sardineport/core/admission/RunMeasurement.java
+++ b/core/src/main/java/org/sardineport/core/admission/RunMeasurement.java
@@ -16,13 +16,18 @@
  * @param timeToFirstToken time from dispatch to the first byte of the response body, or
  * {@code null} if none was received
  * @param duration time from dispatch to the end of the run
+ * @param statedRequests number of requests that ran or waited on the backend server when
+ * it responded, as it states; {@link #NOT_STATED} if it does not
  */
 public record RunMeasurement(RunEnd end, int promptTokens, int cachedPromptTokens, int answerTokens,
-		@Nullable Duration timeToFirstToken, Duration duration) {
+		@Nullable Duration timeToFirstToken, Duration duration, int statedRequests) {
 
 	/** Value of {@code cachedPromptTokens} if the engine does not report them. */
 	public static final int CACHE_NOT_REPORTED = -1;
 
+	/** Value of {@code statedRequests} if the backend server does not state its load. */
+	public static final int NOT_STATED = -1;
+
 	/**
 	 * Creates the measurement and checks that its end and duration are present.
 	 */
@@ -31,6 +36,32 @@
 		Objects.requireNonNull(duration, "duration must not be null");
 	}
 
+	/**
+	 * Creates the measurement of a run on a backend server that does not state its load.
+	 * @param end how the run ended
+	 * @param promptTokens tokens of the prompt, as reported or estimated
+	 * @param cachedPromptTokens prompt tokens taken from the engine's cache, or
+	 * {@link #CACHE_NOT_REPORTED}
+	 * @param answerTokens response tokens received
+	 * @param timeToFirstToken time from dispatch to the first byte of the response body,
+	 * or {@code null} if none was received
+	 * @param duration time from dispatch to the end of the run
+	 */
+	public RunMeasurement(RunEnd end, int promptTokens, int cachedPromptTokens, int answerTokens,
+			@Nullable Duration timeToFirstToken, Duration duration) {
+		this(end, promptTokens, cachedPromptTokens, answerTokens, timeToFirstToken, duration, NOT_STATED);
+	}
+
+	/**
+	 * Returns this measurement with the load that the backend server stated.
+	 * @param requests number of requests that ran or waited there when it responded
+	 * @return a measurement with the same numbers otherwise
+	 */
+	public RunMeasurement withStatedRequests(int requests) {
+		return new RunMeasurement(this.end, this.promptTokens, this.cachedPromptTokens, this.answerTokens,
+				this.timeToFirstToken, this.duration, requests);
+	}
+
 	/**
 	 * Returns the measurement of a permit without a run.
 	 * @param end how the use of the permit ended
@@ -47,7 +78,7 @@
 	 */
 	public RunMeasurement endedBy(RunEnd otherEnd) {
 		return new RunMeasurement(otherEnd, this.promptTokens, this.cachedPromptTokens, this.answerTokens,
-				this.timeToFirstToken, this.duration);
+				this.timeToFirstToken, this.duration, this.statedRequests);
 	}
 
 	/**
@@ -63,7 +94,7 @@
 		}
 		int cached = Math.max(0, this.promptTokens - expectedUncachedTokens);
 		return new RunMeasurement(this.end, this.promptTokens, cached, this.answerTokens, this.timeToFirstToken,
-				this.duration);
+				this.duration, this.statedRequests);
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/AdmissionCheck.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/AdmissionCheck.java
@@ -71,8 +71,9 @@
 			return this.occupancy.size() < this.model.hardLimit();
 		}
 		int limit = this.model.lowerTierLimit(now);
-		int occupied = this.model.occupiedPlaces(this.occupancy.size());
-		return occupied < (isWarmedUp(now) ? limit : (limit + 1) / 2);
+		int places = isWarmedUp(now) ? limit : (limit + 1) / 2;
+		int permits = this.occupancy.size();
+		return permits < places || (this.model.occupiedPlaces(permits) < places && this.model.mayExceedPermits(now));
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ServerModel.java
@@ -90,6 +90,8 @@
 
 	private final PlaceShare places = PlaceShare.create();
 
+	private final StartPacing pacing = new StartPacing();
+
 	private final RequestRate rate = RequestRate.unlimited();
 
 	private final RejectionPacing rejections = RejectionPacing.unlimited();
@@ -200,6 +202,22 @@
 		return this.rejections.isLimited() ? permits : this.places.occupied(permits);
 	}
 
+	/**
+	 * Returns whether runs may start beyond the number of permits that are out, as many
+	 * of these are on their way.
+	 * @param now the current time
+	 * @return whether the backend server completes runs fast enough
+	 */
+	boolean mayExceedPermits(long now) {
+		return this.pacing.hasRoom(placeMillis(now), now);
+	}
+
+	// Runs seem longer than they are to daemons that read responses late.
+	private double placeMillis(long now) {
+		double learned = this.places.placeMillis();
+		return (learned > 0) ? Math.min(learned, serviceMillis(now)) : serviceMillis(now);
+	}
+
 	ServerHealth health() {
 		return this.health;
 	}
@@ -317,6 +335,7 @@
 		this.health.runStarted();
 		this.rate.take(now);
 		this.rejections.runStarted(permit.runningAtGrant(), now);
+		this.pacing.started(placeMillis(now), limit(), now);
 		this.idleSince = NEVER;
 		this.prefixes.recordPrefill(permit.permitRequest().prefixHash());
 		this.outstandingTokens += permit.prefillTokens();
@@ -331,6 +350,12 @@
 		this.rejections.runEnded(permit.grantedAt(), rejected, runningNow, now);
 		this.outstandingTokens = (runningNow <= 1) ? 0 : Math.max(0, this.outstandingTokens - permit.prefillTokens());
 		this.idleSince = (runningNow <= 1) ? now : NEVER;
+		if (measurement.statedRequests() != RunMeasurement.NOT_STATED) {
+			this.places.observeStated(measurement.statedRequests(), runningNow);
+		}
+		if (measurement.end() == RunEnd.UNUSED) {
+			this.places.observe(now - permit.grantedAt(), 0);
+		}
 		if (measurement.end() == RunEnd.COMPLETED) {
 			this.places.observe(now - permit.grantedAt(), measurement.duration().toNanos() / 1e6);
 			completed(permit, measurement, runningNow);
--- a/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/SchedulingFixture.java
@@ -61,6 +61,8 @@
 
 	Instant now = Instant.ofEpochSecond(1_000_000);
 
+	Duration ownerTimeout = Duration.ofMillis(500);
+
 	private int requests;
 
 	long incarnation = 1;
@@ -69,7 +71,7 @@
 		for (String name : names) {
 			DaemonId id = DaemonId.of(name);
 			this.schedulers.put(id,
-					Scheduler.create(id, new SchedulingLimits(Duration.ofSeconds(1), Duration.ofMillis(500), 100),
+					Scheduler.create(id, new SchedulingLimits(Duration.ofSeconds(1), this.ownerTimeout, 100),
 							(server, members) -> Optional.ofNullable(this.owners.get(server.id()))
 								.filter((owner) -> members.stream().anyMatch((member) -> member.id().equals(owner))),
 							this, new SplittableRandom(1), new Effects(id)));
@@ -110,20 +112,23 @@
 	}
 
 	SchedulingFixture publishFleet(String... dead) {
-		for (String daemon : this.schedulers.keySet().stream().map(DaemonId::value).toList()) {
-			publishFleetTo(daemon, dead);
-		}
+		List<Member> members = members(dead);
+		this.schedulers
+			.forEach((id, scheduler) -> scheduler.onFleetSnapshot(new FleetSnapshot(id, members, this.servers)));
 		return this;
 	}
 
 	void publishFleetTo(String daemon, String... dead) {
-		List<Member> members = this.schedulers.keySet()
+		scheduler(daemon).onFleetSnapshot(new FleetSnapshot(DaemonId.of(daemon), members(dead), this.servers));
+	}
+
+	private List<Member> members(String... dead) {
+		return this.schedulers.keySet()
 			.stream()
 			.map((id) -> new Member(id, this.incarnation,
 					(List.of(dead).contains(id.value())) ? MemberStatus.DEAD : MemberStatus.ALIVE, DOMAIN, ADDRESS,
 					ADDRESS, 0, 0))
 			.toList();
-		scheduler(daemon).onFleetSnapshot(new FleetSnapshot(DaemonId.of(daemon), members, this.servers));
 	}
 
 	Scheduler scheduler(String daemon) {
@@ -320,6 +325,13 @@
 			end(RunEnd.BROKEN);
 		}
 
+		/** Completes a run at whose end the backend server states its load. */
+		void complete(Duration total, int statedRequests) {
+			this.scheduler.release(permit(), new RunMeasurement(RunEnd.COMPLETED, this.request.estimate().prompt(), 0,
+					this.request.estimate().answer(), total, total)
+				.withStatedRequests(statedRequests));
+		}
+
 		void complete(Duration first, Duration total) {
 			this.scheduler.release(permit(), new RunMeasurement(RunEnd.COMPLETED, this.request.estimate().prompt(), 0,
 					this.request.estimate().answer(), first, total));
--- a/core/src/test/java/org/sardineport/core/scheduling/TravellingPermitsTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/TravellingPermitsTests.java
@@ -27,15 +27,19 @@
 
 	private static final Duration LATENCY = Duration.ofMillis(15);
 
+	private static final Duration LATE = Duration.ofMillis(75);
+
 	private static final Duration RUN = Duration.ofMillis(15);
 
+	private static final Duration TIME_LIMIT = Duration.ofMillis(1000);
+
 	private static final int SECONDS = 10;
 
 	private final SplittableRandom random = new SplittableRandom(7);
 
 	private final SchedulingFixture fleet = SchedulingFixture.twoDaemons(SLOTS);
 
-	private final DelayedMessages messages = new DelayedMessages(this.fleet, LATENCY, (delivered) -> {
+	private DelayedMessages messages = new DelayedMessages(this.fleet, LATENCY, (delivered) -> {
 	});
 
 	private final List<SchedulingFixture.Caller> waiting = new ArrayList<>();
@@ -46,6 +50,12 @@
 
 	private final Queue<SchedulingFixture.Caller> running = new ArrayDeque<>();
 
+	private final Queue<SchedulingFixture.Caller> finished = new ArrayDeque<>();
+
+	private final Queue<Instant> finishedAt = new ArrayDeque<>();
+
+	private Duration entryDelay = Duration.ZERO;
+
 	private int mostRunning;
 
 	private void simulate(double requestsPerSecond) {
@@ -65,8 +75,8 @@
 	}
 
 	private void submit() {
-		SchedulingRequest request = this.fleet.request(Tier.STANDARD, RunningPolicy.UNINTERRUPTIBLE,
-				Duration.ofMillis(1000), "organisation", 0, TokenEstimate.NONE);
+		SchedulingRequest request = this.fleet.request(Tier.STANDARD, RunningPolicy.UNINTERRUPTIBLE, TIME_LIMIT,
+				"organisation", 0, TokenEstimate.NONE);
 		SchedulingFixture.Caller caller = this.fleet.submit("a", request);
 		this.callers.add(caller);
 		this.waiting.add(caller);
@@ -86,7 +96,12 @@
 	private void endRuns() {
 		while (!this.runEnds.isEmpty() && !this.runEnds.peek().isAfter(this.fleet.now)) {
 			this.runEnds.remove();
-			this.running.remove().complete(RUN, RUN);
+			this.finished.add(this.running.remove());
+			this.finishedAt.add(this.fleet.now);
+		}
+		while (!this.finished.isEmpty() && !this.finishedAt.peek().plus(this.entryDelay).isAfter(this.fleet.now)) {
+			this.finishedAt.remove();
+			this.finished.remove().complete(RUN.plus(this.entryDelay), this.running.size());
 		}
 	}
 
@@ -99,6 +114,29 @@
 		assertThat((double) refused / this.callers.size()).isLessThan(0.01);
 	}
 
+	// SHORT: an owner that reads messages late got a few places of an idle backend server
+	// used, however many requests waited.
+	@Test
+	void requestsAreNotRefusedAtHalfOfWhatTheServerBearsIfTheOwnerReadsLate() {
+		this.messages = new DelayedMessages(this.fleet, LATE, (delivered) -> {
+		});
+		simulate(0.5 * SLOTS * 1000 / RUN.toMillis());
+		long refused = this.callers.stream().filter(SchedulingFixture.Caller::isRefused).count();
+		assertThat((double) refused / this.callers.size()).isLessThan(0.01);
+		assertThat(this.mostRunning).isLessThanOrEqualTo(2 * SLOTS);
+	}
+
+	// SHORT: runs seem longer than they are to entries that read responses late, so that
+	// their owners let a server idle whose requests wait.
+	@Test
+	void requestsAreNotRefusedAtHalfOfWhatTheServerBearsIfEntriesReadLate() {
+		this.entryDelay = LATE;
+		simulate(0.5 * SLOTS * 1000 / RUN.toMillis());
+		long refused = this.callers.stream().filter(SchedulingFixture.Caller::isRefused).count();
+		assertThat((double) refused / this.callers.size()).isLessThan(0.01);
+		assertThat(this.mostRunning).isLessThanOrEqualTo(2 * SLOTS);
+	}
+
 	@Test
 	void noMoreThanTwiceTheSlotsRunAtOnce() {
 		simulate(3.0 * SLOTS * 1000 / RUN.toMillis());
--- a/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/sardineport/daemon/relay/Attempt.java
@@ -82,6 +82,8 @@
 
 	private boolean forwarding;
 
+	private int statedRequests = RunMeasurement.NOT_STATED;
+
 	private boolean ended;
 
 	private long lastEventId;
@@ -233,7 +235,7 @@
 		TokenEstimate estimate = this.plan.estimate();
 		int responseTokens = this.splitter.eventCount() * this.plan.tokensPerEvent();
 		return new RunMeasurement(end, estimate.prompt(), RunMeasurement.CACHE_NOT_REPORTED, responseTokens,
-				this.timeToFirstData, Duration.ofMillis(endMillis() - this.startedAtMillis));
+				this.timeToFirstData, Duration.ofMillis(endMillis() - this.startedAtMillis), this.statedRequests);
 	}
 
 	private long endMillis() {
@@ -311,6 +313,7 @@
 	private void recordStatedLoad(ResponseHead responseHead) {
 		StatedLoad load = responseHead.statedLoad();
 		if (load != null && responseHead.isFromServerAsked() && this.headCheck.isAnswer(responseHead)) {
+			this.statedRequests = load.running() + load.waiting();
 			this.scheduler.recordStatedLoad(this.plan.server().process(), load);
 		}
 	}
--- a/wire/src/main/java/org/sardineport/wire/message/PermitRelease.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitRelease.java
@@ -22,6 +22,7 @@
     request_ = "";
     backendServer_ = "";
   }
+  private int bitField0_;
   public static final int REQUEST_FIELD_NUMBER = 1;
   private java.lang.String request_;
   /**
@@ -274,6 +275,56 @@
     durationMillis_ = 0;
   }
 
+  public static final int STATED_REQUESTS_FIELD_NUMBER = 9;
+  private int statedRequests_;
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   * @return Whether the statedRequests field is set.
+   */
+  @java.lang.Override
+  public boolean hasStatedRequests() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   * @return The statedRequests.
+   */
+  @java.lang.Override
+  public int getStatedRequests() {
+    return statedRequests_;
+  }
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   * @param value The statedRequests to set.
+   */
+  private void setStatedRequests(int value) {
+    bitField0_ |= 0x00000001;
+    statedRequests_ = value;
+  }
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   */
+  private void clearStatedRequests() {
+    bitField0_ = (bitField0_ & ~0x00000001);
+    statedRequests_ = 0;
+  }
+
   public static org.sardineport.wire.message.PermitRelease parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -641,6 +692,58 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Requests that ran or waited on the backend server when it responded, as it stated.
+     * </pre>
+     *
+     * <code>optional uint32 stated_requests = 9;</code>
+     * @return Whether the statedRequests field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatedRequests() {
+      return instance.hasStatedRequests();
+    }
+    /**
+     * <pre>
+     * Requests that ran or waited on the backend server when it responded, as it stated.
+     * </pre>
+     *
+     * <code>optional uint32 stated_requests = 9;</code>
+     * @return The statedRequests.
+     */
+    @java.lang.Override
+    public int getStatedRequests() {
+      return instance.getStatedRequests();
+    }
+    /**
+     * <pre>
+     * Requests that ran or waited on the backend server when it responded, as it stated.
+     * </pre>
+     *
+     * <code>optional uint32 stated_requests = 9;</code>
+     * @param value The statedRequests to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatedRequests(int value) {
+      copyOnWrite();
+      instance.setStatedRequests(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests that ran or waited on the backend server when it responded, as it stated.
+     * </pre>
+     *
+     * <code>optional uint32 stated_requests = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatedRequests() {
+      copyOnWrite();
+      instance.clearStatedRequests();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.PermitRelease)
   }
   @java.lang.Override
@@ -657,6 +760,7 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "request_",
             "backendServer_",
             "end_",
@@ -665,10 +769,11 @@
             "answerTokens_",
             "firstTokenMillis_",
             "durationMillis_",
+            "statedRequests_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u000b" +
-              "\u0004\u000b\u0005\u000b\u0006\u000b\u0007\u000b\b\u000b";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u000b" +
+              "\u0004\u000b\u0005\u000b\u0006\u000b\u0007\u000b\b\u000b\t\u100b\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/PermitReleaseOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/PermitReleaseOrBuilder.java
@@ -69,4 +69,23 @@
    * @return The durationMillis.
    */
   int getDurationMillis();
+
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   * @return Whether the statedRequests field is set.
+   */
+  boolean hasStatedRequests();
+  /**
+   * <pre>
+   * Requests that ran or waited on the backend server when it responded, as it stated.
+   * </pre>
+   *
+   * <code>optional uint32 stated_requests = 9;</code>
+   * @return The statedRequests.
+   */
+  int getStatedRequests();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -160,7 +160,8 @@
 				: Duration.ofMillis(wire.getFirstTokenMillis() - 1);
 		return new PermitRelease(id(wire.getRequest()), server(wire.getBackendServer()),
 				new RunMeasurement(end(wire.getEnd()), wire.getPromptTokens(), wire.getCachedPromptTokens(),
-						wire.getAnswerTokens(), timeToFirstToken, Duration.ofMillis(wire.getDurationMillis())));
+						wire.getAnswerTokens(), timeToFirstToken, Duration.ofMillis(wire.getDurationMillis()),
+						wire.hasStatedRequests() ? Math.max(0, wire.getStatedRequests()) : RunMeasurement.NOT_STATED));
 	}
 
 	private static ServerState state(org.sardineport.wire.message.ServerDigest wire) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -155,7 +155,8 @@
 	private static org.sardineport.wire.message.PermitRelease.Builder release(PermitRelease release) {
 		RunMeasurement measurement = release.measurement();
 		Duration timeToFirstToken = measurement.timeToFirstToken();
-		return org.sardineport.wire.message.PermitRelease.newBuilder()
+		org.sardineport.wire.message.PermitRelease.Builder wire = org.sardineport.wire.message.PermitRelease
+			.newBuilder()
 			.setRequest(release.request().value())
 			.setBackendServer(release.backendServer().value())
 			.setEnd(measurement.end().ordinal())
@@ -164,6 +165,8 @@
 			.setAnswerTokens(measurement.answerTokens())
 			.setFirstTokenMillis((timeToFirstToken != null) ? millis(timeToFirstToken) + 1 : 0)
 			.setDurationMillis(millis(measurement.duration()));
+		boolean stated = measurement.statedRequests() != RunMeasurement.NOT_STATED;
+		return stated ? wire.setStatedRequests(measurement.statedRequests()) : wire;
 	}
 
 	private static org.sardineport.wire.message.StatedLimitsReport.Builder statedLimits(StatedLimitsReport report) {
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -81,7 +81,9 @@
 				new QuotaSlice(OrganisationId.of("o"), 50, Duration.ofSeconds(1), 3), new ServerDigest(STATE),
 				new ServerDigest(LIMITED),
 				new StatedLimitsReport(PROCESS, new StatedLimits(RateLimit.perSecond(3.1), 5), Duration.ofMillis(7)),
-				new StatedLimitsReport(PROCESS, StatedLimits.NONE, Duration.ZERO));
+				new StatedLimitsReport(PROCESS, StatedLimits.NONE, Duration.ZERO),
+				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.COMPLETED).withStatedRequests(0)),
+				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.COMPLETED).withStatedRequests(7)));
 	}
 
 	private static Envelope encode(SchedulingMessage message) {
