--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
@@ -197,7 +197,7 @@
 	 * @param now the current time
 	 */
 	void sendDigest(ServerState state, long now) {
-		this.subscriptions.current(state.backendServer(), now)
+		this.subscriptions.takeDue(state.backendServer(), now)
 			.forEach((entry) -> this.outbox.send(entry, new ServerDigest(state)));
 	}
 
