Let entries withhold requests that an owner would read too late, and repeat less

An owner that could not read all messages got more of them the later it was: an entry repeated a permit request after 100 ms, withdrew it after 300, moved queued requests up to eight times between owners, and avoided all servers of the owner for three seconds, so that the next owner got its load.

An owner whose messages wait tells entries, with each state that it sends, which share of their permit requests it wants; it measures the wait by messages to itself. Entries learn how soon each owner replies: they route by it, repeat a permit request once, after the time that replies take, hold back while an owner is silent, and avoid its servers only if no message at all came from it. A request whose caller no longer waits is dropped on both sides without a message, and one that waited too long to be read is not granted. Requests of the top tier are never withheld.

--- a/core/src/main/java/org/sardineport/core/routing/ServerView.java
+++ b/core/src/main/java/org/sardineport/core/routing/ServerView.java
@@ -31,6 +31,8 @@
 
 	private double networkMillis;
 
+	private ReplyTime replyTime = ReplyTime.create();
+
 	private @Nullable DaemonId owner;
 
 	private ServerState state;
@@ -82,10 +84,20 @@
 	 * @param newOwner the owner, or {@code null} if no daemon can own it
 	 * @param newNetworkMillis network time in milliseconds that the owner and the backend
 	 * server add to a request
+	 * @param newReplyTime how soon the owner replies
 	 */
-	public void setOwner(@Nullable DaemonId newOwner, double newNetworkMillis) {
+	public void setOwner(@Nullable DaemonId newOwner, double newNetworkMillis, ReplyTime newReplyTime) {
 		this.owner = newOwner;
 		this.networkMillis = newNetworkMillis;
+		this.replyTime = newReplyTime;
+	}
+
+	/**
+	 * Returns how soon the owner replies to permit requests.
+	 * @return the estimate, shared by the views of all backend servers of that owner
+	 */
+	public ReplyTime replyTime() {
+		return this.replyTime;
 	}
 
 	/**
@@ -96,6 +108,16 @@
 		return this.state;
 	}
 
+	/**
+	 * Returns the share of permit requests to send to the owner.
+	 * @param now the current time
+	 * @return the share that the owner asked for; it approaches 1 as that becomes old
+	 */
+	public double requestShare(long now) {
+		double age = Math.min(1, (double) (now - this.stateReceivedAt) / STALE_AFTER_MILLIS);
+		return this.state.requestShare() + (1 - this.state.requestShare()) * age;
+	}
+
 	/**
 	 * Replaces the state by a newer one.
 	 * @param newState the state
@@ -231,8 +253,8 @@
 						+ current.speed().decodeMillis(estimate.answer(), concurrency);
 		double backlogMillis = Math.max(0, current.prefillBacklogMillis() - (now - this.stateReceivedAt));
 		double waitMillis = Math.max(waitMillis(running, request.topTier()), startWaitMillis(now));
-		return this.networkMillis + waitMillis + backlogMillis + this.pendingPrefillMillis
-				+ runMillis * workFactor(now);
+		return this.networkMillis + this.replyTime.expectedMillis(now) + waitMillis + backlogMillis
+				+ this.pendingPrefillMillis + runMillis * workFactor(now);
 	}
 
 	private double startWaitMillis(long now) {
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.backend.SoftwareVersion;
@@ -34,9 +35,12 @@
 
 	private final InstantSource clock;
 
+	private final RandomGenerator random;
+
 	private final Map<DaemonId, Long> unresponsiveUntil = new HashMap<>();
 
-	EntryRouting(PoolDirectory directory, InstantSource clock) {
+	EntryRouting(PoolDirectory directory, InstantSource clock, RandomGenerator random) {
+		this.random = random;
 		this.directory = directory;
 		this.clock = clock;
 	}
@@ -59,6 +63,25 @@
 		return (best != null) ? best : router.choose(request, (view) -> !pending.hasTried(view), now);
 	}
 
+	/**
+	 * Decides whether to request a permit. If the owner answers too few permit requests
+	 * in time, a share of them is withheld.
+	 * @param view the backend server
+	 * @return whether a permit is to be requested for it
+	 */
+	boolean mayRequest(ServerView view) {
+		long now = this.clock.millis();
+		if (view.replyTime().isAwaited(now)) {
+			return false;
+		}
+		double share = Math.min(view.requestShare(now), view.replyTime().requestShare(now));
+		if (share >= 1 || this.random.nextDouble() < share) {
+			return true;
+		}
+		view.replyTime().withheld(now);
+		return false;
+	}
+
 	/**
 	 * Returns whether a request is expected to meet its deadline on a backend server
 	 * without a preemption, even if the backend server becomes full meanwhile.
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
 import org.sardineport.core.admission.Permit;
@@ -39,13 +40,13 @@
 	private static final int MAX_RETRIES = 3;
 
 	/** Maximum moves of a queued request to another backend server. */
-	private static final int MAX_MOVES = 8;
+	private static final int MAX_MOVES = 2;
 
 	/**
 	 * Maximum number of times a permit request is sent again without a reply before
 	 * another backend server is tried.
 	 */
-	private static final int MAX_UNANSWERED_RESENDS = 2;
+	private static final int MAX_UNANSWERED_RESENDS = 1;
 
 	/**
 	 * Delay, in milliseconds, before a retry if no backend server can be asked until a
@@ -79,7 +80,7 @@
 	private final EntryRouting routing;
 
 	EntryScheduler(SchedulingLimits limits, PoolDirectory directory, InstantSource clock, SchedulingEffects effects,
-			MessageOutbox outbox, EntryAccounting accounting) {
+			MessageOutbox outbox, EntryAccounting accounting, RandomGenerator random) {
 		this.limits = limits;
 		this.directory = directory;
 		this.clock = clock;
@@ -88,7 +89,7 @@
 		this.accounting = accounting;
 		this.running = new RunningRequests(directory, outbox);
 		this.statedLimits = new StatedLimitsReports(directory, outbox);
-		this.routing = new EntryRouting(directory, clock);
+		this.routing = new EntryRouting(directory, clock, random);
 	}
 
 	void submit(SchedulingRequest request, PermitListener listener) {
@@ -175,7 +176,7 @@
 			return;
 		}
 		this.pendingRequests.remove(grant.request());
-		pending.recordReply();
+		pending.recordReply(this.clock.millis());
 		Optional<Refusal> quarantine = this.accounting.quarantineRefusal(pending.request());
 		if (quarantine.isPresent()) {
 			this.running.returnUnused(owner, grant);
@@ -222,6 +223,7 @@
 		updateView(refusal.backendServer(), refusal.state());
 		PendingRequest pending = this.pendingRequests.get(refusal.request());
 		if (pending != null && pending.isAt(refusal.backendServer())) {
+			pending.recordReply(this.clock.millis());
 			pending.recordDenial(refusal.denial(), refusal.retryAfter());
 			pending.unassign();
 			retry(pending, refusal.denial().retryReason(), refusal.denial() == PermitDenial.NOT_OWNER);
@@ -239,6 +241,7 @@
 		ServerView view = this.directory.view(id);
 		if (view != null && state != null) {
 			view.update(state, this.clock.millis());
+			view.replyTime().heard(this.clock.millis());
 		}
 		return view;
 	}
@@ -274,12 +277,26 @@
 			refuseAfterDenial(pending);
 			return;
 		}
+		best = (topTier) ? best : firstWithReplies(pending, best);
+		if (best == null) {
+			refuse(pending, RefusalReason.OVERLOADED, "the daemons that grant its permits answer too few in time");
+			return;
+		}
 		if (topTier && !this.routing.suits(pending, best)) {
 			pending.allowPreemption();
 		}
 		requestPermit(pending, best);
 	}
 
+	private @Nullable ServerView firstWithReplies(PendingRequest pending, ServerView best) {
+		ServerView candidate = best;
+		while (candidate != null && !this.routing.mayRequest(candidate)) {
+			pending.skip(candidate);
+			candidate = this.routing.best(pending);
+		}
+		return candidate;
+	}
+
 	private void requestPermit(PendingRequest pending, ServerView view) {
 		DaemonId owner = view.owner();
 		if (owner == null) {
@@ -333,7 +350,8 @@
 	private void tick(PendingRequest pending, long now) {
 		RefusalReason expiryReason = pending.expiryReason(now);
 		if (expiryReason != null) {
-			withdraw(pending);
+			// The owner drops the request at the same time.
+			pending.recordMissedReply(now);
 			refuse(pending, expiryReason, "it could not begin while its caller waits");
 		}
 		else if (pending.isBackingOff()) {
@@ -367,13 +385,26 @@
 			send(pending, view, owner, now);
 		}
 		else if (owner != null) {
-			this.routing.markUnresponsive(owner);
-			this.effects.recordSilentOwner(owner);
-			withdraw(pending);
+			if (!pending.hasOwnerResponded()) {
+				this.routing.markUnresponsive(owner);
+				this.effects.recordSilentOwner(owner);
+			}
+			pending.recordMissedReply(now);
+			leave(pending);
 			retry(pending, RetryReason.OWNER_SILENT, true);
 		}
 	}
 
+	// A silent owner would read the withdrawal as late as the request.
+	private void leave(PendingRequest pending) {
+		if (pending.hasOwnerResponded()) {
+			withdraw(pending);
+		}
+		else {
+			pending.unassign();
+		}
+	}
+
 	private void moveIfBetter(PendingRequest pending) {
 		ServerView better = this.routing.better(pending);
 		if (better != null) {
--- a/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/OwnerScheduler.java
@@ -37,6 +37,8 @@
 
 	private final DigestSubscriptions subscriptions = new DigestSubscriptions();
 
+	private final ReadDelay readDelay;
+
 	private final Map<BackendServerId, PermitOwner> owners = new LinkedHashMap<>();
 
 	private final Map<BackendServerId, ServerModel> models = new HashMap<>();
@@ -47,7 +49,8 @@
 	 * @param limits its limits
 	 * @param directory determines which backend servers this daemon owns
 	 * @param outbox outbox for replies and digests to entries
-	 * @param effects receives what this daemon decides as an owner
+	 * @param effects receives probes of this daemon to itself, and what it decides as an
+	 * owner
 	 */
 	OwnerScheduler(DaemonId self, SchedulingLimits limits, PoolDirectory directory, MessageOutbox outbox,
 			SchedulingEffects effects) {
@@ -56,6 +59,7 @@
 		this.directory = directory;
 		this.outbox = outbox;
 		this.effects = effects;
+		this.readDelay = new ReadDelay(self, (sequence) -> effects.send(self, new DelayProbe(sequence)));
 	}
 
 	/**
@@ -85,7 +89,7 @@
 		boolean restarted = former != null && server.isRestartOf(former.server());
 		boolean knownIdle = restarted || this.directory.isFleetNew();
 		PermitOwner owner = new PermitOwner(server, model(server, now), this.outbox, this.limits.permitLifetime(),
-				knownIdle, now);
+				this.readDelay, knownIdle, now);
 		this.owners.put(server.id(), owner);
 		if (former != null) {
 			former.handOver(owner, now);
@@ -137,11 +141,16 @@
 			return;
 		}
 		if (!this.self.equals(sender)) {
+			this.readDelay.messageRead();
 			this.subscriptions.add(permitRequest.backendServer(), sender, now);
 		}
 		owner.request(sender, permitRequest, now);
 	}
 
+	void onDelayProbe(DelayProbe probe, long now) {
+		this.readDelay.onProbe(probe.sequence(), now);
+	}
+
 	/**
 	 * Handles the end of the use of a permit.
 	 * @param release the permit, and what was measured
@@ -180,14 +189,14 @@
 	}
 
 	boolean isIdle() {
-		return this.owners.values().stream().allMatch(PermitOwner::isIdle);
+		return this.readDelay.isIdle() && this.owners.values().stream().allMatch(PermitOwner::isIdle);
 	}
 
 	void tick(long now) {
+		this.readDelay.tick(now).ifPresent(this.effects::recordRequestShare);
 		for (PermitOwner owner : this.owners.values()) {
 			owner.tick(now);
-			owner.takeCapacityChanges()
-				.forEach((change) -> this.effects.recordCapacity(owner.server().id(), change));
+			owner.takeCapacityChanges().forEach((change) -> this.effects.recordCapacity(owner.server().id(), change));
 		}
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -37,6 +37,9 @@
 	 */
 	static final long MOVE_CHECK_MILLIS = 100;
 
+	/** Maximum time learned from replies after which a permit request is sent again. */
+	private static final long MAX_REPLY_TIMEOUT_MILLIS = 500;
+
 	private final SchedulingRequest request;
 
 	private final PermitListener listener;
@@ -175,6 +178,7 @@
 		this.unansweredResends = 0;
 		this.queued = false;
 		this.replyPending = true;
+		newServer.replyTime().asked(now);
 		newServer.permitRequested(this.request.estimate().prompt());
 	}
 
@@ -184,9 +188,28 @@
 	}
 
 	/**
-	 * Records that the owner has replied, or that its reply is no longer awaited.
+	 * Records that the owner has replied.
+	 * @param now the current time
+	 */
+	void recordReply(long now) {
+		if (this.replyPending && this.server != null) {
+			this.server.replyTime().replied(now - this.assignedAt, now);
+		}
+		endWaitForReply();
+	}
+
+	/**
+	 * Records that the reply would come too late now.
+	 * @param now the current time
 	 */
-	void recordReply() {
+	void recordMissedReply(long now) {
+		if (this.replyPending && this.server != null) {
+			this.server.replyTime().missed(now - this.assignedAt, now);
+		}
+		endWaitForReply();
+	}
+
+	private void endWaitForReply() {
 		this.unansweredResends = 0;
 		if (this.replyPending && this.server != null) {
 			this.server.permitRequestEnded(this.request.estimate().prompt());
@@ -195,7 +218,7 @@
 	}
 
 	void recordQueued(long waitMillis, long now) {
-		recordReply();
+		recordReply(now);
 		this.queued = true;
 		this.lastContactAt = now;
 		this.expectedWaitMillis = waitMillis;
@@ -206,7 +229,7 @@
 	 * round.
 	 */
 	void unassign() {
-		recordReply();
+		endWaitForReply();
 		if (this.server != null) {
 			this.tried.add(this.server.server().id());
 		}
@@ -215,6 +238,14 @@
 		this.queued = false;
 	}
 
+	/**
+	 * Skips a backend server in this round.
+	 * @param view the backend server
+	 */
+	void skip(ServerView view) {
+		this.tried.add(view.server().id());
+	}
+
 	void recordDenial(PermitDenial newDenial, Duration retryAfter) {
 		this.denial = newDenial;
 		this.retryAfterMillis = Math.max(this.retryAfterMillis, retryAfter.toMillis());
@@ -255,17 +286,23 @@
 
 	/**
 	 * Returns whether the permit request is to be sent again.
-	 * @param ownerTimeout time within which an owner replies
+	 * @param ownerTimeout minimum time within which an owner replies
 	 * @param now the current time
-	 * @return whether the owner has been silent for longer, or the request has been
-	 * queued there for {@value #QUEUED_REFRESH_MILLIS} ms
+	 * @return whether the owner has been silent for longer than it usually takes, or the
+	 * request has been queued there for {@value #QUEUED_REFRESH_MILLIS} ms
 	 */
 	boolean isResendDue(Duration ownerTimeout, long now) {
 		boolean refreshing = this.queued && this.unansweredResends == 0;
-		long interval = (refreshing) ? QUEUED_REFRESH_MILLIS : ownerTimeout.toMillis();
+		long interval = (refreshing) ? QUEUED_REFRESH_MILLIS : replyTimeoutMillis(ownerTimeout);
 		return this.lastContactAt <= now - interval;
 	}
 
+	private long replyTimeoutMillis(Duration ownerTimeout) {
+		long learned = (this.server != null) ? this.server.replyTime().timeoutMillis() : 0;
+		long timeout = Math.max(ownerTimeout.toMillis(), Math.min(learned, MAX_REPLY_TIMEOUT_MILLIS));
+		return timeout << this.unansweredResends;
+	}
+
 	int unansweredResends() {
 		return this.unansweredResends;
 	}
@@ -283,6 +320,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the owner has sent any message since the permit was requested.
+	 * @return whether it is alive
+	 */
+	boolean hasOwnerResponded() {
+		return this.server != null && this.server.replyTime().isHeardSince(this.assignedAt);
+	}
+
 	boolean isAssignedBefore(long instant) {
 		return this.assignedAt < instant;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -51,6 +51,8 @@
 
 	private final AdmissionCheck check;
 
+	private final ReadDelay readDelay;
+
 	private boolean leaving;
 
 	private boolean resumesStreams;
@@ -62,14 +64,16 @@
 	 * during an earlier ownership
 	 * @param outbox outbox for replies to entries
 	 * @param permitLifetime time within which a permit must be used
+	 * @param readDelay how long messages of entries wait for this daemon
 	 * @param knownIdle whether no entry can have unreported runs there, so that no
 	 * warm-up is needed
 	 * @param now the current time
 	 */
 	PermitOwner(BackendServer server, ServerModel model, MessageOutbox outbox, Duration permitLifetime,
-			boolean knownIdle, long now) {
+			ReadDelay readDelay, boolean knownIdle, long now) {
 		this.server = Objects.requireNonNull(server, "server must not be null");
 		this.replies = new PermitReplies(server.id(), outbox, permitLifetime, this::state);
+		this.readDelay = Objects.requireNonNull(readDelay, "readDelay must not be null");
 		this.occupancy = new ServerOccupancy(now);
 		this.model = Objects.requireNonNull(model, "model must not be null");
 		this.check = new AdmissionCheck(this.occupancy, this.queue, model, knownIdle, now);
@@ -96,7 +100,14 @@
 			this.replies.sendQueued(waiting, expectedWait(waiting, now), now);
 		}
 		else {
-			decide(WaitingRequest.of(permitRequest, entry, now), now);
+			receive(WaitingRequest.of(permitRequest, entry, this.readDelay.sentAt(entry, now)), now);
+		}
+	}
+
+	// A request whose entry has given it up while the message waited needs no reply.
+	private void receive(WaitingRequest waiting, long now) {
+		if (!waiting.isExpired(now)) {
+			decide(waiting, now);
 		}
 	}
 
@@ -302,6 +313,7 @@
 		if (this.model.health().isIsolated()) {
 			refuseWaiting((waiting) -> true, PermitDenial.ISOLATED, now);
 		}
+		dropExpired(now);
 		refuseWaiting((waiting) -> !this.check.canFinish(waiting, 0, now), PermitDenial.OVERLOADED, now);
 		grantWaiting(now);
 	}
@@ -336,6 +348,11 @@
 		this.queue.removeIf((waiting) -> true).forEach((waiting) -> owner.decide(waiting, now));
 	}
 
+	// Their entries drop them at the same time, so no reply is needed.
+	private void dropExpired(long now) {
+		this.queue.removeIf((waiting) -> waiting.isExpired(now));
+	}
+
 	private void refuseWaiting(Predicate<WaitingRequest> condition, PermitDenial denial, long now) {
 		for (WaitingRequest waiting : this.queue.removeIf(condition)) {
 			this.replies.sendRefusal(waiting, denial, expectedWait(waiting, now), now);
@@ -350,7 +367,7 @@
 			if (this.check.canFinish(next, 0, now)) {
 				grant(next, now);
 			}
-			else {
+			else if (!next.isExpired(now)) {
 				this.replies.sendRefusal(next, PermitDenial.OVERLOADED, expectedWait(next, now), now);
 			}
 			next = this.queue.peek();
@@ -383,7 +400,8 @@
 	}
 
 	ServerState state(long now) {
-		return this.model.state(this.occupancy, this.queue.onTimeSize(), now);
+		return this.model.state(this.occupancy, this.queue.onTimeSize(), now)
+			.withRequestShare(this.readDelay.requestShare());
 	}
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PoolDirectory.java
@@ -25,6 +25,7 @@
 import org.sardineport.core.rollout.VersionGates;
 import org.sardineport.core.routing.PoolMembers;
 import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.ReplyTime;
 import org.sardineport.core.routing.ServerView;
 
 /**
@@ -62,6 +63,8 @@
 
 	private final Map<OrganisationId, DaemonId> quotaOwners = new HashMap<>();
 
+	private final Map<DaemonId, ReplyTime> replyTimes = new HashMap<>();
+
 	private final Map<DaemonId, Long> shareHeldUntil = new HashMap<>();
 
 	private boolean fleetNew;
@@ -163,6 +166,7 @@
 		Map<PoolName, PoolRouter> oldRouters = new HashMap<>(this.routers);
 		this.views.clear();
 		this.routers.clear();
+		this.replyTimes.keySet().retainAll(this.presentDaemons);
 		Map<PoolName, List<ServerView>> pools = new LinkedHashMap<>();
 		for (BackendServer server : this.servers) {
 			DaemonId owner = owner(server);
@@ -171,7 +175,8 @@
 				view = ServerView.of(server);
 			}
 			double domainMillis = (server.failureDomain().equals(this.domain)) ? 0 : CROSS_DOMAIN_ROUND_TRIP_MILLIS;
-			view.setOwner(owner, domainMillis + ((this.self.equals(owner)) ? 0 : OWNER_ROUND_TRIP_MILLIS));
+			view.setOwner(owner, domainMillis + ((this.self.equals(owner)) ? 0 : OWNER_ROUND_TRIP_MILLIS),
+					this.replyTimes.computeIfAbsent(owner, (id) -> ReplyTime.create()));
 			this.views.put(server.id(), view);
 			pools.computeIfAbsent(server.pool(), (pool) -> new ArrayList<>()).add(view);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/Scheduler.java
@@ -83,7 +83,7 @@
 		this.strikes = StrikeRegistry.create(this.quarantineEffects::onQuarantineEvent);
 		this.quotas = new OrganisationQuotas(this.directory, this::send, clock.millis());
 		this.entry = new EntryScheduler(limits, this.directory, clock, effects, this::send,
-				new EntryAccounting(this.directory, this.strikes, this.quotas, clock));
+				new EntryAccounting(this.directory, this.strikes, this.quotas, clock), random);
 		this.owner = new OwnerScheduler(self, limits, this.directory, this::send, effects);
 	}
 
@@ -388,6 +388,9 @@
 		else if (message instanceof PermitWithdrawal withdrawal) {
 			this.owner.onWithdrawal(withdrawal, now);
 		}
+		else if (message instanceof DelayProbe probe && sender.equals(this.self)) {
+			this.owner.onDelayProbe(probe, now);
+		}
 		else if (message instanceof RunningPermits permits) {
 			this.owner.onRunningPermits(sender, permits, now);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingEffects.java
@@ -13,7 +13,8 @@
 public interface SchedulingEffects {
 
 	/**
-	 * Sends a message to another daemon.
+	 * Sends a message to another daemon, or a {@link DelayProbe} to this one by the same
+	 * way.
 	 * @param to the daemon
 	 * @param message the message
 	 */
@@ -68,6 +69,13 @@
 	default void recordSilentOwner(DaemonId owner) {
 	}
 
+	/**
+	 * Records that this daemon wants another share of the permit requests of entries.
+	 * @param change the share, and how long messages waited
+	 */
+	default void recordRequestShare(RequestShareChange change) {
+	}
+
 	/**
 	 * Returns the effects of the quarantine. Called once, when the scheduler is created.
 	 * @return the effects; by default events and strikes are discarded
--- a/core/src/main/java/org/sardineport/core/scheduling/SchedulingMessage.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/SchedulingMessage.java
@@ -7,6 +7,6 @@
  */
 public sealed interface SchedulingMessage extends PeerMessage
 		permits PermitRequest, PermitGrant, PermitQueued, PermitRefusal, PermitRelease, PermitWithdrawal,
-		PermitPreemption, RunningPermits, QuotaRequest, QuotaSlice, ServerDigest, StatedLimitsReport {
+		PermitPreemption, RunningPermits, QuotaRequest, QuotaSlice, ServerDigest, StatedLimitsReport, DelayProbe {
 
 }
--- a/core/src/main/java/org/sardineport/core/scheduling/WaitingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/WaitingRequest.java
@@ -27,4 +27,13 @@
 				now + permitRequest.targetStartWithin().toMillis(), now + permitRequest.startWithin().toMillis());
 	}
 
+	/**
+	 * Returns whether its caller no longer waits for a start.
+	 * @param now the current time
+	 * @return whether its entry has dropped it, or is about to
+	 */
+	boolean isExpired(long now) {
+		return this.startBy < now || this.deadline <= now;
+	}
+
 }
--- a/core/src/test/java/org/sardineport/core/scheduling/LearnedCapacitySchedulingTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/LearnedCapacitySchedulingTests.java
@@ -57,7 +57,8 @@
 				this.granted++;
 				this.runs.add(new Run(grant.request(), this.now, 200 * (0.5 + this.random.nextDouble())));
 			}
-		}, Duration.ofSeconds(1), true, this.now);
+		}, Duration.ofSeconds(1), new ReadDelay(DaemonId.of("owner"), (sequence) -> {
+		}), true, this.now);
 	}
 
 	private void request(PermitOwner owner) {
--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -48,6 +48,7 @@
 import org.sardineport.core.scheduling.EngineAssumptions;
 import org.sardineport.core.scheduling.OwnerLookup;
 import org.sardineport.core.scheduling.PermitRelease;
+import org.sardineport.core.scheduling.RequestShareChange;
 import org.sardineport.core.scheduling.Scheduler;
 import org.sardineport.core.scheduling.SchedulingEffects;
 import org.sardineport.core.scheduling.SchedulingLimits;
@@ -423,6 +424,12 @@
 			LOG.info("scheduling.owner-silent", "owner", owner);
 		}
 
+		@Override
+		public void recordRequestShare(RequestShareChange change) {
+			SchedulingService.this.telemetry.counter("scheduling.request-share-changes").inc();
+			LOG.info("scheduling.request-share", "percent", change.percent(), "delay-ms", change.delayMillis());
+		}
+
 		@Override
 		public QuarantineEffects quarantine() {
 			return SchedulingService.this.quarantine;
--- a/wire/src/main/java/org/sardineport/wire/message/SchedulingMessage.java
+++ b/wire/src/main/java/org/sardineport/wire/message/SchedulingMessage.java
@@ -31,6 +31,7 @@
     QUEUED(10),
     DIGEST(11),
     STATED_LIMITS(12),
+    DELAY_PROBE(13),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -58,6 +59,7 @@
         case 10: return QUEUED;
         case 11: return DIGEST;
         case 12: return STATED_LIMITS;
+        case 13: return DELAY_PROBE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -703,6 +705,58 @@
     }
   }
 
+  public static final int DELAY_PROBE_FIELD_NUMBER = 13;
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   */
+  @java.lang.Override
+  public boolean hasDelayProbe() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   */
+  @java.lang.Override
+  public org.sardineport.wire.message.DelayProbe getDelayProbe() {
+    if (bodyCase_ == 13) {
+       return (org.sardineport.wire.message.DelayProbe) body_;
+    }
+    return org.sardineport.wire.message.DelayProbe.getDefaultInstance();
+  }
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setDelayProbe(org.sardineport.wire.message.DelayProbe value) {
+    value.getClass();  // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 13;
+  }
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeDelayProbe(org.sardineport.wire.message.DelayProbe value) {
+    value.getClass();  // minimal bytecode null check
+    if (bodyCase_ == 13 &&
+        body_ != org.sardineport.wire.message.DelayProbe.getDefaultInstance()) {
+      body_ = org.sardineport.wire.message.DelayProbe.newBuilder((org.sardineport.wire.message.DelayProbe) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 13;
+  }
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   */
+  private void clearDelayProbe() {
+    if (bodyCase_ == 13) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.sardineport.wire.message.SchedulingMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1388,6 +1442,54 @@
       return this;
     }
 
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    @java.lang.Override
+    public boolean hasDelayProbe() {
+      return instance.hasDelayProbe();
+    }
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    @java.lang.Override
+    public org.sardineport.wire.message.DelayProbe getDelayProbe() {
+      return instance.getDelayProbe();
+    }
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    public Builder setDelayProbe(org.sardineport.wire.message.DelayProbe value) {
+      copyOnWrite();
+      instance.setDelayProbe(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    public Builder setDelayProbe(
+        org.sardineport.wire.message.DelayProbe.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDelayProbe(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    public Builder mergeDelayProbe(org.sardineport.wire.message.DelayProbe value) {
+      copyOnWrite();
+      instance.mergeDelayProbe(value);
+      return this;
+    }
+    /**
+     * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+     */
+    public Builder clearDelayProbe() {
+      copyOnWrite();
+      instance.clearDelayProbe();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.SchedulingMessage)
   }
   @java.lang.Override
@@ -1418,11 +1520,12 @@
             org.sardineport.wire.message.PermitQueued.class,
             org.sardineport.wire.message.ServerDigest.class,
             org.sardineport.wire.message.StatedLimitsReport.class,
+            org.sardineport.wire.message.DelayProbe.class,
           };
           java.lang.String info =
-              "\u0000\f\u0001\u0000\u0001\f\f\u0000\u0000\u0000\u0001<\u0000\u0002<\u0000\u0003" +
+              "\u0000\r\u0001\u0000\u0001\r\r\u0000\u0000\u0000\u0001<\u0000\u0002<\u0000\u0003" +
               "<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<" +
-              "\u0000\u000b<\u0000\f<\u0000";
+              "\u0000\u000b<\u0000\f<\u0000\r<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/SchedulingMessageOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/SchedulingMessageOrBuilder.java
@@ -142,5 +142,16 @@
    */
   org.sardineport.wire.message.StatedLimitsReport getStatedLimits();
 
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   * @return Whether the delayProbe field is set.
+   */
+  boolean hasDelayProbe();
+  /**
+   * <code>.sardineport.DelayProbe delay_probe = 13;</code>
+   * @return The delayProbe.
+   */
+  org.sardineport.wire.message.DelayProbe getDelayProbe();
+
   public org.sardineport.wire.message.SchedulingMessage.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigest.java
@@ -470,6 +470,44 @@
     nextStartMillis_ = 0;
   }
 
+  public static final int WITHHELD_PERCENT_FIELD_NUMBER = 16;
+  private int withheldPercent_;
+  /**
+   * <pre>
+   * Percent of permit requests that entries are to withhold, as they would be read too late.
+   * </pre>
+   *
+   * <code>uint32 withheld_percent = 16;</code>
+   * @return The withheldPercent.
+   */
+  @java.lang.Override
+  public int getWithheldPercent() {
+    return withheldPercent_;
+  }
+  /**
+   * <pre>
+   * Percent of permit requests that entries are to withhold, as they would be read too late.
+   * </pre>
+   *
+   * <code>uint32 withheld_percent = 16;</code>
+   * @param value The withheldPercent to set.
+   */
+  private void setWithheldPercent(int value) {
+    
+    withheldPercent_ = value;
+  }
+  /**
+   * <pre>
+   * Percent of permit requests that entries are to withhold, as they would be read too late.
+   * </pre>
+   *
+   * <code>uint32 withheld_percent = 16;</code>
+   */
+  private void clearWithheldPercent() {
+
+    withheldPercent_ = 0;
+  }
+
   public static org.sardineport.wire.message.ServerDigest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1048,6 +1086,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Percent of permit requests that entries are to withhold, as they would be read too late.
+     * </pre>
+     *
+     * <code>uint32 withheld_percent = 16;</code>
+     * @return The withheldPercent.
+     */
+    @java.lang.Override
+    public int getWithheldPercent() {
+      return instance.getWithheldPercent();
+    }
+    /**
+     * <pre>
+     * Percent of permit requests that entries are to withhold, as they would be read too late.
+     * </pre>
+     *
+     * <code>uint32 withheld_percent = 16;</code>
+     * @param value The withheldPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithheldPercent(int value) {
+      copyOnWrite();
+      instance.setWithheldPercent(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Percent of permit requests that entries are to withhold, as they would be read too late.
+     * </pre>
+     *
+     * <code>uint32 withheld_percent = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithheldPercent() {
+      copyOnWrite();
+      instance.clearWithheldPercent();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:sardineport.ServerDigest)
   }
   @java.lang.Override
@@ -1080,11 +1158,12 @@
             "probeDue_",
             "requestsPerSecond_",
             "nextStartMillis_",
+            "withheldPercent_",
           };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0001\u0001\u000f\u000f\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
+              "\u0000\u0010\u0000\u0001\u0001\u0010\u0010\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
               "\u0003\u000b\u0004\u000b\u0005\u0007\u0006\u0007\u0007\u000b\b\u000b\t\u0000\n\u0000" +
-              "\u000b\u0000\f\u0000\r\u0007\u000e\u1000\u0000\u000f\u000b";
+              "\u000b\u0000\f\u0000\r\u0007\u000e\u1000\u0000\u000f\u000b\u0010\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
+++ b/wire/src/main/java/org/sardineport/wire/message/ServerDigestOrBuilder.java
@@ -122,4 +122,14 @@
    * @return The nextStartMillis.
    */
   int getNextStartMillis();
+
+  /**
+   * <pre>
+   * Percent of permit requests that entries are to withhold, as they would be read too late.
+   * </pre>
+   *
+   * <code>uint32 withheld_percent = 16;</code>
+   * @return The withheldPercent.
+   */
+  int getWithheldPercent();
 }
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingCodec.java
@@ -21,6 +21,7 @@
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.routing.Speed;
 import org.sardineport.core.routing.StartRate;
+import org.sardineport.core.scheduling.DelayProbe;
 import org.sardineport.core.scheduling.PermitDenial;
 import org.sardineport.core.scheduling.PermitGrant;
 import org.sardineport.core.scheduling.PermitPreemption;
@@ -46,6 +47,11 @@
  */
 public final class SchedulingCodec implements PeerCodec<SchedulingMessage> {
 
+	/** Even an owner that reads messages late gets some permit requests. */
+	private static final int MAX_WITHHELD_PERCENT = 99;
+
+	private static final double PERCENT = 100;
+
 	private SchedulingCodec() {
 	}
 
@@ -104,6 +110,7 @@
 					wire.getQuotaSlice().getSequence());
 			case DIGEST -> new ServerDigest(state(wire.getDigest()));
 			case STATED_LIMITS -> statedLimits(wire.getStatedLimits());
+			case DELAY_PROBE -> new DelayProbe(wire.getDelayProbe().getSequence());
 			case BODY_NOT_SET -> throw new IllegalArgumentException("scheduling message has no body");
 		};
 	}
@@ -169,7 +176,12 @@
 				Math.max(1, wire.getLimit()), wire.getLowerTierRunning(), wire.getIsolated(), wire.getProbeDue(),
 				wire.getPrefillBacklogMillis(), wire.getServiceMillis(), new Speed(wire.getPrefillMillisBase(),
 						wire.getPrefillMillisPerToken(), wire.getDecodeMillisBase(), wire.getDecodeMillisPerRunning()),
-				startRate(wire));
+				startRate(wire), requestShare(wire.getWithheldPercent()));
+	}
+
+	private static double requestShare(int withheldPercent) {
+		int withheld = Math.max(0, Math.min(MAX_WITHHELD_PERCENT, withheldPercent));
+		return 1 - withheld / PERCENT;
 	}
 
 	private static StartRate startRate(org.sardineport.wire.message.ServerDigest wire) {
--- a/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
+++ b/wire/src/main/java/org/sardineport/wire/scheduling/SchedulingEncoder.java
@@ -6,6 +6,7 @@
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.routing.StartRate;
+import org.sardineport.core.scheduling.DelayProbe;
 import org.sardineport.core.scheduling.PermitGrant;
 import org.sardineport.core.scheduling.PermitPreemption;
 import org.sardineport.core.scheduling.PermitQueued;
@@ -69,6 +70,9 @@
 				.setCompleteForBackendServer(permits.backendServer().value())
 				.addAllRunning(permits.running().stream().map((request) -> request(request).build()).toList()));
 		}
+		else if (message instanceof DelayProbe probe) {
+			wire.setDelayProbe(org.sardineport.wire.message.DelayProbe.newBuilder().setSequence(probe.sequence()));
+		}
 		else if (message instanceof ServerDigest digest) {
 			wire.setDigest(state(digest.state()));
 		}
@@ -199,6 +203,7 @@
 			.setIsolated(state.isolated())
 			.setProbeDue(state.probeDue())
 			.setPrefillBacklogMillis((int) Math.min(Integer.MAX_VALUE, state.prefillBacklogMillis()))
+			.setWithheldPercent((int) Math.round((1 - state.requestShare()) * 100))
 			.setServiceMillis((int) Math.min(Integer.MAX_VALUE, state.serviceMillis()))
 			.setPrefillMillisBase(state.speed().prefillMillisBase())
 			.setPrefillMillisPerToken(state.speed().prefillMillisPerToken())
--- a/wire/src/test/java/org/sardineport/wire/Samples.java
+++ b/wire/src/test/java/org/sardineport/wire/Samples.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
@@ -25,12 +26,20 @@
 	}
 
 	/**
-	 * Returns the samples of a resource.
-	 * @param resource name of the resource
+	 * Returns the samples of several resources.
+	 * @param resources names of the resources
 	 * @return the samples in order
-	 * @throws IOException if the resource cannot be read
+	 * @throws IOException if a resource cannot be read
 	 */
-	public static List<byte[]> read(String resource) throws IOException {
+	public static List<byte[]> read(String... resources) throws IOException {
+		List<byte[]> samples = new ArrayList<>();
+		for (String resource : resources) {
+			samples.addAll(read(resource));
+		}
+		return samples;
+	}
+
+	private static List<byte[]> read(String resource) throws IOException {
 		try (InputStream in = Samples.class.getResourceAsStream("/samples/" + resource)) {
 			return new String(in.readAllBytes(), StandardCharsets.US_ASCII).lines()
 				.map(HexFormat.of()::parseHex)
--- a/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/FormerSchedulingMessagesTests.java
@@ -26,6 +26,9 @@
 
 	private static final String SAMPLES = "scheduling-a4c0e76.hex";
 
+	/** Kinds of messages that a4c0e76 did not know. */
+	private static final String LATER_SAMPLES = "scheduling-later.hex";
+
 	private final SchedulingCodec codec = SchedulingCodec.create();
 
 	private Envelope encode(SchedulingMessage message) {
@@ -43,8 +46,8 @@
 	}
 
 	@Test
-	void messagesOfA4c0e76AreUnderstoodAndWrittenInTheSameWay() throws Exception {
-		List<byte[]> samples = Samples.read(SAMPLES);
+	void messagesOfFormerBuildsAreUnderstoodAndWrittenInTheSameWay() throws Exception {
+		List<byte[]> samples = Samples.read(SAMPLES, LATER_SAMPLES);
 		List<SchedulingMessage> expected = SchedulingCodecTests.messages().limit(samples.size()).toList();
 		assertThat(expected).hasSameSizeAs(samples);
 		for (int i = 0; i < samples.size(); i++) {
@@ -56,7 +59,7 @@
 	@Test
 	void eachKindHasASample() throws Exception {
 		Set<BodyCase> kinds = EnumSet.of(BodyCase.BODY_NOT_SET);
-		for (byte[] sample : Samples.read(SAMPLES)) {
+		for (byte[] sample : Samples.read(SAMPLES, LATER_SAMPLES)) {
 			kinds.add(Envelope.parseFrom(sample).getScheduling().getBodyCase());
 		}
 		assertThat(kinds).containsExactlyInAnyOrder(BodyCase.values());
@@ -64,7 +67,7 @@
 
 	@Test
 	void unknownFieldsAreIgnored() throws Exception {
-		for (byte[] sample : Samples.read(SAMPLES)) {
+		for (byte[] sample : Samples.read(SAMPLES, LATER_SAMPLES)) {
 			SchedulingMessage expected = this.codec.decode(Envelope.parseFrom(sample));
 			int kind = Envelope.parseFrom(sample).getScheduling().getBodyCase().getNumber();
 			assertThat(decode(Samples.withUnknownField(sample))).isEqualTo(expected);
--- a/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
+++ b/wire/src/test/java/org/sardineport/wire/scheduling/SchedulingCodecTests.java
@@ -25,6 +25,7 @@
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.routing.Speed;
 import org.sardineport.core.routing.StartRate;
+import org.sardineport.core.scheduling.DelayProbe;
 import org.sardineport.core.scheduling.PermitDenial;
 import org.sardineport.core.scheduling.PermitGrant;
 import org.sardineport.core.scheduling.PermitPreemption;
@@ -57,6 +58,8 @@
 	private static final ServerState LIMITED = new ServerState(SERVER, 3, 2, 8, true, true, true, 17, 900,
 			new Speed(40, 0.25, 12.5, 1.5), new StartRate(RateLimit.perSecond(0), 1700));
 
+	private static final ServerState BUSY_OWNER = STATE.withRequestShare(0.25);
+
 	private static final BackendProcess PROCESS = new BackendProcess(SERVER, Instant.ofEpochMilli(1234567890123L));
 
 	private static PermitRequest request() {
@@ -81,7 +84,8 @@
 				new QuotaSlice(OrganisationId.of("o"), 50, Duration.ofSeconds(1), 3), new ServerDigest(STATE),
 				new ServerDigest(LIMITED),
 				new StatedLimitsReport(PROCESS, new StatedLimits(RateLimit.perSecond(3.1), 5), Duration.ofMillis(7)),
-				new StatedLimitsReport(PROCESS, StatedLimits.NONE, Duration.ZERO),
+				new StatedLimitsReport(PROCESS, StatedLimits.NONE, Duration.ZERO), new DelayProbe(17),
+				new ServerDigest(BUSY_OWNER),
 				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.COMPLETED).withStatedRequests(0)),
 				new PermitRelease(REQUEST, SERVER, RunMeasurement.none(RunEnd.COMPLETED).withStatedRequests(7)));
 	}
