Move what carries out the scheduler's decisions out of its service

SchedulingService held the messages, counters and log lines of the scheduler's decisions as an inner class of a hundred lines. They are TransportEffects now.

--- a/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
+++ b/daemon/src/main/java/org/sardineport/daemon/scheduling/SchedulingService.java
@@ -21,20 +21,15 @@
 import org.sardineport.core.backend.BackendProcess;
 import org.sardineport.core.backend.BackendServer;
 import org.sardineport.core.backend.LoadReport;
-import org.sardineport.core.capacity.CapacityChange;
 import org.sardineport.core.capacity.StatedLoad;
 import org.sardineport.core.fleet.FleetSnapshot;
 import org.sardineport.core.fleet.FleetView;
-import org.sardineport.core.fleet.Member;
-import org.sardineport.core.identity.BackendServerId;
-import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.identity.RequestId;
 import org.sardineport.core.lifecycle.Service;
 import org.sardineport.core.limit.StatedLimits;
 import org.sardineport.core.port.backend.LoadSource;
 import org.sardineport.core.port.backend.ModelEngine;
 import org.sardineport.core.port.peer.PeerTransport;
-import org.sardineport.core.quarantine.QuarantineEffects;
 import org.sardineport.core.quarantine.Strike;
 import org.sardineport.core.quarantine.StrikeChannel;
 import org.sardineport.core.quarantine.StrikeKey;
@@ -42,18 +37,13 @@
 import org.sardineport.core.quarantine.Suspect;
 import org.sardineport.core.request.Refusal;
 import org.sardineport.core.request.RefusalReason;
-import org.sardineport.core.request.RetryReason;
 import org.sardineport.core.rollout.VersionGates;
 import org.sardineport.core.routing.ServerState;
 import org.sardineport.core.scheduling.EngineAssumptions;
 import org.sardineport.core.scheduling.OwnerLookup;
-import org.sardineport.core.scheduling.PermitRelease;
-import org.sardineport.core.scheduling.RequestShareChange;
 import org.sardineport.core.scheduling.Scheduler;
-import org.sardineport.core.scheduling.SchedulingEffects;
 import org.sardineport.core.scheduling.SchedulingLimits;
 import org.sardineport.core.scheduling.SchedulingMessage;
-import org.sardineport.core.scheduling.StatedLimitsReport;
 import org.sardineport.daemon.eventloop.EventLoop;
 import org.sardineport.daemon.telemetry.EventLog;
 import org.sardineport.daemon.telemetry.Telemetry;
@@ -127,7 +117,7 @@
 		SchedulingLimits limits = new SchedulingLimits(settings.permitLifetime(), settings.ownerTimeout(),
 				settings.maximumWaiting(), assumptions);
 		this.scheduler = Scheduler.create(this.latestSnapshot.self(), limits, ownerLookup, clock, random,
-				new Effects());
+				new TransportEffects(() -> this.latestSnapshot, transport, telemetry, this.quarantine));
 		this.eventLoop = EventLoop.onDemand("scheduling", RING_SIZE, TICK, this::tick, this::untilTickDue);
 	}
 
@@ -372,69 +362,4 @@
 		});
 	}
 
-	/**
-	 * Carries out the scheduler's effects: messages to other daemons, and counters.
-	 */
-	private final class Effects implements SchedulingEffects {
-
-		@Override
-		public void send(DaemonId to, SchedulingMessage message) {
-			SchedulingService.this.latestSnapshot.member(to)
-				.map(Member::peerAddress)
-				.ifPresentOrElse((address) -> SchedulingService.this.transport.send(address, message),
-						() -> SchedulingService.this.telemetry.counter("scheduling.unknown-daemon").inc());
-		}
-
-		@Override
-		public void recordRetry(RetryReason reason) {
-			SchedulingService.this.telemetry.retried(reason).inc();
-		}
-
-		@Override
-		public void recordStatedLimits(DaemonId reporter, StatedLimitsReport report) {
-			SchedulingService.this.telemetry.counter("scheduling.limits-applied").inc();
-			LOG.info("scheduling.limits-applied", "backend-server", report.process().server(), "started-at",
-					report.process().startedAt(), "requests-per-second", report.limits().rate(),
-					"rejections-per-second", report.limits().rejectionsLabel(), "reporter", reporter, "age-ms",
-					report.age().toMillis());
-		}
-
-		@Override
-		public void recordIsolation(DaemonId reporter, PermitRelease release) {
-			SchedulingService.this.telemetry.counter("scheduling.backends-isolated").inc();
-			LOG.info("scheduling.backend-isolated", "backend-server", release.backendServer(), "reporter", reporter,
-					"end", release.measurement().end(), "duration-ms", release.measurement().duration().toMillis());
-		}
-
-		@Override
-		public void recordCapacity(BackendServerId server, CapacityChange change) {
-			SchedulingService.this.telemetry.counter("scheduling.capacity-changed." + change.reason().label()).inc();
-			LOG.info("scheduling.capacity-changed", "backend-server", server, "from", change.from(), "to", change.to(),
-					"reason", change.reason().label());
-		}
-
-		@Override
-		public void recordOwnership(BackendServerId server, boolean owned) {
-			LOG.info("scheduling.ownership", "backend-server", server, "owned", owned);
-		}
-
-		@Override
-		public void recordSilentOwner(DaemonId owner) {
-			SchedulingService.this.telemetry.counter("scheduling.silent-owners").inc();
-			LOG.info("scheduling.owner-silent", "owner", owner);
-		}
-
-		@Override
-		public void recordRequestShare(RequestShareChange change) {
-			SchedulingService.this.telemetry.counter("scheduling.request-share-changes").inc();
-			LOG.info("scheduling.request-share", "percent", change.percent(), "delay-ms", change.delayMillis());
-		}
-
-		@Override
-		public QuarantineEffects quarantine() {
-			return SchedulingService.this.quarantine;
-		}
-
-	}
-
 }
