Withhold requests of a late owner only from callers that cannot wait for it

A permit is requested all the same if the caller waits for three times as long as a reply is likely to take. A message counts as one that has waited only if a probe that was sent after it arrived has not been read yet, so that no request that has just arrived is dropped as an old one.

--- a/core/src/main/java/org/sardineport/core/routing/ReplyTime.java
+++ b/core/src/main/java/org/sardineport/core/routing/ReplyTime.java
@@ -24,7 +24,7 @@
 	private static final double OUTCOME_HALF_LIFE_MILLIS = 2000;
 
 	/** Permit requests that may be sent for each one that is answered in time. */
-	private static final double REQUESTS_PER_REPLY = 2;
+	private static final double REQUESTS_PER_REPLY = 1.5;
 
 	/**
 	 * Number of outcomes that are added as successes, so that a few lost messages do not
@@ -91,6 +91,15 @@
 		this.unheardSince = Math.min(this.unheardSince, now);
 	}
 
+	/**
+	 * Returns for how long the daemon has been silent since a permit was requested.
+	 * @param now the current time
+	 * @return milliseconds; 0 if it is not
+	 */
+	public long silentMillis(long now) {
+		return Math.max(0, now - this.unheardSince);
+	}
+
 	/**
 	 * Returns whether to wait for a message of the daemon before a permit is requested.
 	 * @param now the current time
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryRouting.java
@@ -9,6 +9,7 @@
 import org.sardineport.core.backend.SoftwareVersion;
 import org.sardineport.core.identity.DaemonId;
 import org.sardineport.core.routing.PoolRouter;
+import org.sardineport.core.routing.ReplyTime;
 import org.sardineport.core.routing.RoutingRequest;
 import org.sardineport.core.routing.ServerView;
 
@@ -31,6 +32,9 @@
 	/** Minimum expected gain for which a queued request moves, in milliseconds. */
 	private static final long MIN_GAIN_MILLIS = 100;
 
+	/** Number of expected reply times for which a caller waits at least. */
+	private static final int PATIENCE = 3;
+
 	private final PoolDirectory directory;
 
 	private final InstantSource clock;
@@ -64,22 +68,28 @@
 	}
 
 	/**
-	 * Decides whether to request a permit. If the owner answers too few permit requests
-	 * in time, a share of them is withheld.
+	 * Decides whether to request a permit. Unless the caller waits for several times as
+	 * long as the owner's reply is likely to take, nothing is requested of a silent
+	 * owner, and only a share of one that answers too few requests in time.
+	 * @param pending the request
 	 * @param view the backend server
 	 * @return whether a permit is to be requested for it
 	 */
-	boolean mayRequest(ServerView view) {
+	boolean mayRequest(PendingRequest pending, ServerView view) {
 		long now = this.clock.millis();
-		if (view.replyTime().isAwaited(now)) {
-			return false;
-		}
-		double share = Math.min(view.requestShare(now), view.replyTime().requestShare(now));
-		if (share >= 1 || this.random.nextDouble() < share) {
+		ReplyTime replies = view.replyTime();
+		double share = view.requestShare(now);
+		double replyMillis = Math.max(replies.expectedMillis(now),
+				Math.max(replies.silentMillis(now), ReadDelay.millisAtShare(share)));
+		if (pending.startWithinMillis(now) >= PATIENCE * replyMillis) {
 			return true;
 		}
-		view.replyTime().withheld(now);
-		return false;
+		boolean requests = !replies.isAwaited(now)
+				&& this.random.nextDouble() < Math.min(share, replies.requestShare(now));
+		if (!requests) {
+			replies.withheld(now);
+		}
+		return requests;
 	}
 
 	/**
--- a/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/EntryScheduler.java
@@ -290,7 +290,7 @@
 
 	private @Nullable ServerView firstWithReplies(PendingRequest pending, ServerView best) {
 		ServerView candidate = best;
-		while (candidate != null && !this.routing.mayRequest(candidate)) {
+		while (candidate != null && !this.routing.mayRequest(pending, candidate)) {
 			pending.skip(candidate);
 			candidate = this.routing.best(pending);
 		}
--- a/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PendingRequest.java
@@ -111,6 +111,15 @@
 		return (this.startBy + REPLY_GRACE_MILLIS < now) ? RefusalReason.OVERLOADED : null;
 	}
 
+	/**
+	 * Returns for how long the caller waits for a start.
+	 * @param now the current time
+	 * @return milliseconds from now; negative if it no longer waits
+	 */
+	long startWithinMillis(long now) {
+		return this.startBy - now;
+	}
+
 	@Nullable ServerView server() {
 		return this.server;
 	}
--- a/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/PermitOwner.java
@@ -100,7 +100,7 @@
 			this.replies.sendQueued(waiting, expectedWait(waiting, now), now);
 		}
 		else {
-			receive(WaitingRequest.of(permitRequest, entry, this.readDelay.sentAt(entry, now)), now);
+			receive(WaitingRequest.of(permitRequest, entry, this.readDelay.arrivedBy(entry, now)), now);
 		}
 	}
 
--- a/core/src/main/java/org/sardineport/core/scheduling/ReadDelay.java
+++ b/core/src/main/java/org/sardineport/core/scheduling/ReadDelay.java
@@ -31,7 +31,7 @@
 	private static final double DECREASE = 0.3;
 
 	/** Factor by which the share grows in one interval. */
-	private static final double INCREASE = 1.25;
+	private static final double INCREASE = 1.1;
 
 	/** Smallest share. */
 	private static final double MIN_SHARE = 0.05;
@@ -121,25 +121,40 @@
 	}
 
 	private void adjustShare(long now) {
-		double ratio = Math.min(1, (double) TARGET_MILLIS / Math.max(1, millis(now)));
-		double wanted = ratio * ratio;
+		double wanted = shareAtMillis(millis(now));
 		this.share = (wanted < this.share) ? Math.max(MIN_SHARE, this.share + DECREASE * (wanted - this.share))
 				: Math.min(Math.max(wanted, this.share), this.share * INCREASE);
 	}
 
+	private static double shareAtMillis(long delay) {
+		double ratio = Math.min(1, (double) TARGET_MILLIS / Math.max(1, delay));
+		return ratio * ratio;
+	}
+
+	/**
+	 * Returns the wait of messages at a daemon that wants a share of permit requests.
+	 * @param share the share, above 0 and at most 1
+	 * @return milliseconds; 0 if it wants all
+	 */
+	static double millisAtShare(double share) {
+		return (share < 1) ? TARGET_MILLIS / Math.sqrt(share) : 0;
+	}
+
 	private long millis(long now) {
 		Map.Entry<Long, Long> oldest = this.sentAt.firstEntry();
 		return (oldest != null) ? Math.max(this.measured, now - oldest.getValue()) : this.measured;
 	}
 
 	/**
-	 * Estimates when a message that is read now was sent.
+	 * Returns the latest time at which a message that is read now can have arrived. A
+	 * probe that was not read yet arrived after it.
 	 * @param entry the daemon that sent it
 	 * @param now the current time
 	 * @return the time
 	 */
-	long sentAt(DaemonId entry, long now) {
-		return this.self.equals(entry) ? now : now - this.measured;
+	long arrivedBy(DaemonId entry, long now) {
+		Map.Entry<Long, Long> oldest = this.sentAt.firstEntry();
+		return (oldest == null || this.self.equals(entry)) ? now : oldest.getValue();
 	}
 
 	/**
