--- a/core/src/test/java/org/sardineport/core/scheduling/HotOwnerTests.java
+++ b/core/src/test/java/org/sardineport/core/scheduling/HotOwnerTests.java
@@ -160,8 +160,8 @@
 		return SERVERS * SLOTS * 1000.0 / RUN.toMillis();
 	}
 
-	// SHORT: an owner got four messages and more for each request of a pool, and more
-	// with a larger fleet.
+	// SHORT: the messages that an owner reads for each request of a pool grew with the
+	// fleet.
 	@ParameterizedTest
 	@ValueSource(ints = { 17, 71, 142, 300 })
 	void ownerReadsAtMostThreeMessagesForEachRequest(int count) {
